Serve a request from end to end through a router process

Cause: the repository was empty; every other matter needs a path to stand on. Change: callers' listener, intake, round-robin scheduler, attempts with liveness bounds, configuration read from the log, settings, command line, stand-ins for log, engine and service, a fault-injecting proxy, quickstart.

--- /dev/null
+++ b/bench/caller.ts
@@ -0,0 +1,149 @@
+import {createParser, type EventSourceMessage} from 'eventsource-parser';
+import {request, type Dispatcher} from 'undici';
+
+/** One request as a caller sends it. */
+export interface Call {
+  url: string;
+  path: string;
+  key: string;
+  headers?: Record<string, string>;
+  body: unknown;
+}
+
+/** What a caller got back. */
+export interface Reply {
+  status: number;
+  id: string;
+  /** The outcome told by header or final event; absent if none arrived. */
+  outcome?: string;
+  /** Text generated, or the whole body of a plain answer. */
+  text: string;
+  /** Whether a stream ended with its proper end. */
+  ended: boolean;
+  error?: string;
+  /** Advice on when to come back, in ms. */
+  retryAfterMs?: number;
+  /** Times in ms since the call; tokens arrive one an entry. */
+  firstTokenMs?: number;
+  totalMs: number;
+  tokens: number;
+}
+
+/** Collects the events of one streamed answer. */
+class Collector {
+  text = '';
+  tokens = 0;
+  ended = false;
+  outcome?: string;
+  error?: string;
+  firstTokenMs?: number;
+
+  constructor(private readonly start: number) {}
+
+  take(event: EventSourceMessage): void {
+    if (event.event === 'gypsumcourse.outcome') {
+      this.outcome = (JSON.parse(event.data) as {outcome: string}).outcome;
+      return;
+    }
+    if (event.data === '[DONE]') {
+      this.ended = true;
+      return;
+    }
+    const chunk = JSON.parse(event.data) as {
+      choices?: Array<{delta?: {content?: string}}>;
+      error?: {type: string};
+    };
+    if (chunk.error !== undefined) this.error = chunk.error.type;
+    const content = chunk.choices?.[0]?.delta?.content;
+    if (content === undefined) return;
+    this.firstTokenMs ??= performance.now() - this.start;
+    this.tokens++;
+    this.text += content;
+  }
+}
+
+/**
+ * Sends one request and reads its whole answer. Rejects only when the
+ * connection fails before an answer starts.
+ */
+export async function call(
+  {url, path, key, headers, body}: Call,
+  options: {dispatcher?: Dispatcher; signal?: AbortSignal} = {},
+): Promise<Reply> {
+  const start = performance.now();
+  const response = await request(new URL(path, url), {
+    method: 'POST',
+    headers: {
+      'content-type': 'application/json',
+      authorization: `Bearer ${key}`,
+      ...headers,
+    },
+    body: typeof body === 'string' ? body : JSON.stringify(body),
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    ...options,
+  });
+  const id = String(response.headers['gypsumcourse-request-id'] ?? '');
+  const type = String(response.headers['content-type'] ?? '');
+  if (type.startsWith('text/event-stream')) {
+    const collector = new Collector(start);
+    const parser = createParser({onEvent: event => collector.take(event)});
+    const decoder = new TextDecoder();
+    try {
+      for await (const chunk of response.body) {
+        parser.feed(decoder.decode(chunk as Buffer, {stream: true}));
+      }
+    } catch (cause) {
+      collector.error ??= String(cause);
+    }
+    return {
+      status: response.statusCode,
+      id,
+      ...(collector.outcome === undefined ? {} : {outcome: collector.outcome}),
+      text: collector.text,
+      ended: collector.ended,
+      ...(collector.error === undefined ? {} : {error: collector.error}),
+      ...(collector.firstTokenMs === undefined
+        ? {}
+        : {firstTokenMs: collector.firstTokenMs}),
+      totalMs: performance.now() - start,
+      tokens: collector.tokens,
+    };
+  }
+  const text = await response.body.text();
+  return plainReply(response, id, text, performance.now() - start);
+}
+
+function plainReply(
+  response: Dispatcher.ResponseData,
+  id: string,
+  text: string,
+  totalMs: number,
+): Reply {
+  const outcome = response.headers['gypsumcourse-outcome'];
+  const reply: Reply = {
+    status: response.statusCode,
+    id,
+    text,
+    ended: response.statusCode < 400,
+    totalMs,
+    firstTokenMs: totalMs,
+    tokens: 0,
+    ...(typeof outcome === 'string' ? {outcome} : {}),
+  };
+  if (response.statusCode < 400) return reply;
+  try {
+    const {error} = JSON.parse(text) as {
+      error?: {type: string; retry_after_ms?: number};
+    };
+    return {
+      ...reply,
+      ...(error === undefined ? {} : {error: error.type}),
+      ...(error?.retry_after_ms === undefined
+        ? {}
+        : {retryAfterMs: error.retry_after_ms}),
+    };
+  } catch {
+    return reply;
+  }
+}
--- /dev/null
+++ b/bench/quickstart.ts
@@ -0,0 +1,104 @@
+import {v7 as uuidv7} from 'uuid';
+import {startEmbedded} from '../src/cli/dev.js';
+import {Level} from '../src/telemetry/index.js';
+import {call, type Call, type Reply} from './caller.js';
+import {demoKey, Deployment, exampleOf} from './deployment.js';
+
+/** Requests a deployment's workspaces would send. */
+interface Sample {
+  title: string;
+  workspace: string;
+  path: string;
+  headers?: Record<string, string>;
+  body: unknown;
+}
+
+function samplesOf(deployment: Deployment): Sample[] {
+  switch (deployment) {
+    case Deployment.Nilecoil:
+      return samples('glue-lab', 'tube-7b', 'Which glue for 4 ply?', {
+        workspace: 'winding-line',
+        path: '/services/stock/orders',
+        class: 'reel-order',
+        item: 'paper reel 90 g',
+      });
+    case Deployment.Hraunvik:
+      return samples('shop-laugavegur', 'card-8b', 'Price this binder.', {
+        workspace: 'shop-laugavegur',
+        path: '/services/ledger/purchases',
+        class: 'purchase',
+        item: 'binder 12',
+      });
+  }
+}
+
+function samples(
+  workspace: string,
+  model: string,
+  content: string,
+  action: {workspace: string; path: string; class: string; item: string},
+): Sample[] {
+  const headers = {
+    'gypsumcourse-class': action.class,
+    'idempotency-key': uuidv7(),
+  };
+  const order: Sample = {
+    title: 'not repeatable call',
+    workspace: action.workspace,
+    path: action.path,
+    headers,
+    body: {item: action.item},
+  };
+  return [
+    {
+      title: 'streamed chat',
+      workspace,
+      path: '/v1/chat/completions',
+      body: {model, stream: true, messages: [{role: 'user', content}]},
+    },
+    {
+      title: 'service lookup',
+      workspace: action.workspace,
+      path: action.path.replace(/[^/]+$/, 'items'),
+      headers: {'gypsumcourse-class': 'lookup'},
+      body: {item: action.item},
+    },
+    order,
+    {...order, title: 'the same call with the same key'},
+  ];
+}
+
+async function run(deployment: Deployment): Promise<boolean> {
+  const embedded = await startEmbedded(exampleOf(deployment), {
+    port: 0,
+    logLevel: Level.Silent,
+  });
+  let whole = true;
+  for (const sample of samplesOf(deployment)) {
+    const request: Call = {
+      url: embedded.url,
+      key: demoKey(sample.workspace),
+      ...sample,
+    };
+    const reply = await call(request);
+    print(deployment, sample, reply);
+    whole &&= reply.outcome === 'completed';
+  }
+  await embedded.stop();
+  return whole;
+}
+
+function print(deployment: Deployment, sample: Sample, reply: Reply): void {
+  const text = reply.text.slice(0, 100);
+  process.stdout.write(
+    `${deployment}: ${sample.title}: ${reply.status} ` +
+      `${reply.outcome ?? 'no outcome'} in ${reply.totalMs.toFixed(1)} ms\n` +
+      `  ${text}\n`,
+  );
+}
+
+let whole = true;
+for (const deployment of Object.values(Deployment)) {
+  whole = (await run(deployment)) && whole;
+}
+process.exit(whole ? 0 : 1);
--- /dev/null
+++ b/src/cli/dev.ts
@@ -0,0 +1,107 @@
+import {readFileSync} from 'node:fs';
+import type {ConfigurationDraft} from '../config/index.js';
+import {CONFIGURATION_STREAM} from '../config/index.js';
+import {checkSettings} from '../instance/index.js';
+import {openLogger, type Level} from '../telemetry/index.js';
+import {startRouter, type Router} from '../wiring.js';
+import {
+  startEngine,
+  startLog,
+  startService,
+  type StandIn,
+} from '../../stand-ins/index.js';
+import {ExitCode, leave} from './exit.js';
+
+/** A router with stand-ins for everything around it, in one process. */
+export interface Embedded {
+  router: Router;
+  /** URL callers reach the router at. */
+  url: string;
+  document: ConfigurationDraft;
+  stop(): Promise<void>;
+}
+
+/**
+ * Starts a router with an embedded log, engines and services on ephemeral
+ * ports, and publishes `document` with its upstreams replaced by them.
+ */
+export async function startEmbedded(
+  document: ConfigurationDraft,
+  options: {port: number; logLevel: Level},
+): Promise<Embedded> {
+  const log = await startLog();
+  const standIns: StandIn[] = [log];
+  const pools = [];
+  for (const pool of document.pools) {
+    const upstreams = [];
+    for (const upstream of pool.upstreams) {
+      const standIn = await (pool.kind === 'runner'
+        ? startEngine()
+        : startService());
+      standIns.push(standIn);
+      upstreams.push({...upstream, url: standIn.url});
+    }
+    pools.push({...pool, upstreams});
+  }
+  const local = {...document, pools};
+  const settings = checkSettings({
+    instance: 'dev',
+    zone: document.zones[0]?.name,
+    port: options.port,
+    logUrl: log.url,
+    logLevel: options.logLevel,
+  });
+  if (settings.isErr()) leave(ExitCode.Usage, 'bad settings');
+  const router = await startRouter(
+    settings.value,
+    openLogger(options.logLevel),
+  );
+  await publish(log.url, local);
+  const url = `http://127.0.0.1:${router.port}`;
+  await untilReady(url);
+  return {
+    router,
+    url,
+    document: local,
+    stop: async () => {
+      await router.stop();
+      await Promise.all(standIns.map(standIn => standIn.close()));
+    },
+  };
+}
+
+async function publish(logUrl: string, document: unknown): Promise<void> {
+  await fetch(`${logUrl}/streams/${CONFIGURATION_STREAM}/records`, {
+    method: 'POST',
+    body: JSON.stringify({type: 'submission', id: 'first', base: 0, document}),
+  });
+}
+
+async function untilReady(url: string): Promise<void> {
+  const end = Date.now() + 10_000;
+  while (Date.now() < end) {
+    const answer = await fetch(`${url}/readyz`);
+    if (answer.ok) return;
+    await new Promise(resolve => setTimeout(resolve, 10));
+  }
+  leave(ExitCode.Unavailable, 'the router did not become ready');
+}
+
+/** Runs an embedded router until the process is told to stop. */
+export async function dev(
+  file: string,
+  options: {port: number; logLevel: Level},
+): Promise<void> {
+  const document = JSON.parse(readFileSync(file, 'utf8')) as ConfigurationDraft;
+  const embedded = await startEmbedded(document, options);
+  const workspace = document.workspaces[0]?.name ?? '';
+  process.stdout.write(
+    `Serving ${document.name} at ${embedded.url}. Workspace keys are ` +
+      `demo-key-WORKSPACE, such as demo-key-${workspace}.\n`,
+  );
+  const stop = () => {
+    void embedded.stop().then(() => process.exit(ExitCode.Done));
+  };
+  process.once('SIGINT', stop);
+  process.once('SIGTERM', stop);
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,70 @@
+#!/usr/bin/env node
+import {join} from 'node:path';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {checkFile, publishFile} from './config.js';
+import {dev} from './dev.js';
+import {ExitCode, leave} from './exit.js';
+import {packageRoot} from './root.js';
+import {serve} from './serve.js';
+import {declareSettings} from './settings.js';
+import {Level} from '../telemetry/index.js';
+
+const VERSION = '0.1.0';
+
+await yargs(hideBin(process.argv))
+  .scriptName('gypsumcourse')
+  .env('GYPSUMCOURSE')
+  .version(VERSION)
+  .command(
+    'serve',
+    'run one instance of the router',
+    argv => declareSettings(argv),
+    argv => serve(argv),
+  )
+  .command(
+    'dev',
+    'run a router with embedded stand-ins around it',
+    argv =>
+      argv
+        .option('document', {
+          type: 'string',
+          default: join(packageRoot(), 'examples', 'nilecoil.json'),
+          describe: 'configuration document to serve',
+        })
+        .option('port', {type: 'number', default: 8080})
+        .option('log-level', {
+          choices: Object.values(Level),
+          default: Level.Info,
+        }),
+    ({document, port, logLevel}) => dev(document, {port, logLevel}),
+  )
+  .command('config', 'check and publish configuration documents', argv =>
+    argv
+      .command(
+        'check <file>',
+        'validate a document',
+        sub => sub.positional('file', {type: 'string', demandOption: true}),
+        ({file}) => {
+          process.exitCode = checkFile(file);
+        },
+      )
+      .command(
+        'publish <file>',
+        'publish a document on the log',
+        sub =>
+          sub
+            .positional('file', {type: 'string', demandOption: true})
+            .option('log-url', {type: 'string', demandOption: true}),
+        async ({file, logUrl}) => {
+          process.exitCode = await publishFile(file, logUrl);
+        },
+      )
+      .demandCommand(1),
+  )
+  .demandCommand(1)
+  .strict()
+  .fail((message, error) => {
+    leave(ExitCode.Usage, message ?? String(error));
+  })
+  .parseAsync();
--- /dev/null
+++ b/src/cli/serve.ts
@@ -0,0 +1,30 @@
+import {checkSettings, type Settings} from '../instance/index.js';
+import {logOf, openLogger, Part} from '../telemetry/index.js';
+import {startRouter} from '../wiring.js';
+import {ExitCode, leave} from './exit.js';
+import {collectSettings} from './settings.js';
+
+/** Returns checked settings or ends the process with one line. */
+export function settingsOrExit(flags: Record<string, unknown>): Settings {
+  const checked = checkSettings(collectSettings(flags, process.env));
+  if (checked.isOk()) return checked.value;
+  const problems = checked.error.problems
+    .map(({setting, reason}) => `${setting}: ${reason}`)
+    .join('; ');
+  leave(ExitCode.Usage, `bad settings: ${problems}`);
+}
+
+/** Runs an instance until it is told to stop, then drains and exits 0. */
+export async function serve(flags: Record<string, unknown>): Promise<void> {
+  const settings = settingsOrExit(flags);
+  const root = openLogger(settings.logLevel);
+  const logger = logOf(root, Part.Router);
+  const router = await startRouter(settings, root);
+  process.stdout.write(`${JSON.stringify({port: router.port})}\n`);
+  const stop = () => {
+    logger.info('Draining.');
+    void router.stop().then(() => process.exit(ExitCode.Done));
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+}
--- /dev/null
+++ b/src/cli/settings.ts
@@ -0,0 +1,68 @@
+import {readFileSync} from 'node:fs';
+import type {Argv} from 'yargs';
+
+/** Secrets come from the environment or from files, never from flags. */
+interface Secrets {
+  peerSecrets: string[];
+  operatorSecret?: string;
+}
+
+/** Declares the flags of an instance; each has a `GYPSUMCOURSE_` variable. */
+export function declareSettings(argv: Argv): Argv {
+  return argv
+    .option('instance', {type: 'string', describe: 'name of this instance'})
+    .option('zone', {type: 'string', describe: 'its availability zone'})
+    .option('host', {type: 'string', describe: 'address to listen on'})
+    .option('port', {type: 'number', describe: 'port for callers'})
+    .option('peer-port', {type: 'number', describe: 'port for peers'})
+    .option('operator-port', {type: 'number', describe: 'port for operators'})
+    .option('log-url', {type: 'string', describe: "the platform's log"})
+    .option('list-url', {type: 'string', describe: 'list of live instances'})
+    .option('weights-url', {type: 'string', describe: 'the weight store'})
+    .option('seeds', {
+      type: 'string',
+      describe: 'peers to join first, host:port separated by commas',
+    })
+    .option('peer-cert', {type: 'string', describe: 'PEM certificate for TLS'})
+    .option('peer-key', {type: 'string', describe: 'PEM key for TLS'})
+    .option('peer-ca', {type: 'string', describe: 'PEM authority for TLS'})
+    .option('policy', {
+      choices: ['current', 'baseline'] as const,
+      describe: 'how requests are scheduled',
+    })
+    .option('log-level', {
+      type: 'string',
+      describe: 'debug, info, warn, error',
+    });
+}
+
+/** Collects settings from parsed flags and the environment. */
+export function collectSettings(
+  flags: Record<string, unknown>,
+  env: NodeJS.ProcessEnv,
+): Record<string, unknown> {
+  const seeds = typeof flags['seeds'] === 'string' ? flags['seeds'] : '';
+  const given = Object.entries(flags).filter(
+    ([name, value]) => value !== undefined && !name.includes('-'),
+  );
+  return {
+    ...Object.fromEntries(given),
+    seeds: seeds.split(',').filter(seed => seed !== ''),
+    ...readSecrets(env),
+  };
+}
+
+function readSecrets(env: NodeJS.ProcessEnv): Secrets {
+  const peer = readSecret(env, 'GYPSUMCOURSE_PEER_SECRETS') ?? '';
+  const operator = readSecret(env, 'GYPSUMCOURSE_OPERATOR_SECRET');
+  return {
+    peerSecrets: peer.split(',').filter(secret => secret !== ''),
+    ...(operator === undefined ? {} : {operatorSecret: operator}),
+  };
+}
+
+function readSecret(env: NodeJS.ProcessEnv, name: string): string | undefined {
+  const file = env[`${name}_FILE`];
+  if (file !== undefined) return readFileSync(file, 'utf8').trim();
+  return env[name];
+}
--- /dev/null
+++ b/src/instance/entrance.ts
@@ -0,0 +1,213 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import findMyWay from 'find-my-way';
+import type {Logger} from 'pino';
+import {v7 as uuidv7} from 'uuid';
+import type {AcceptedConfiguration, Follower} from '../config/index.js';
+import {
+  CallerAnswer,
+  execute,
+  Outcome,
+  parseWork,
+  readBody,
+  writeRefusal,
+  type Conclusion,
+  type Failure,
+  type Scheduler,
+  type Target,
+} from '../request/index.js';
+import type {Timer} from '../timer/index.js';
+
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 60_000;
+const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+const HEADER_LIMIT_BYTES = 32 * 1024;
+
+/** What an [[Entrance]] needs of the rest of the instance. */
+export interface EntranceParts {
+  follower: Follower;
+  scheduler: Scheduler;
+  timer: Timer;
+  logger: Logger;
+}
+
+/**
+ * The callers' listener: accepts requests over HTTP, runs one task for each,
+ * and drains on shutdown so that no request in flight is cut off.
+ */
+export class Entrance {
+  private readonly server: Server;
+  private draining = false;
+  private inflight = 0;
+  private idle?: () => void;
+
+  constructor(private readonly parts: EntranceParts) {
+    const routes = findMyWay({
+      defaultRoute: (message, response) =>
+        refuse(response, {type: 'unknownPath', path: message.url ?? ''}),
+    });
+    routes.on('GET', '/livez', (_message, response) => {
+      response.end('ok\n');
+    });
+    routes.on('GET', '/readyz', (_message, response) => this.ready(response));
+    routes.on('GET', '/v1/models', (message, response) =>
+      this.models(message, response),
+    );
+    routes.on('POST', '/v1/chat/completions', (message, response) =>
+      this.serve(message, response, {
+        type: 'chat',
+        path: '/v1/chat/completions',
+      }),
+    );
+    routes.on('POST', '/v1/completions', (message, response) =>
+      this.serve(message, response, {
+        type: 'completion',
+        path: '/v1/completions',
+      }),
+    );
+    routes.all('/services/:service/*', (message, response, params) => {
+      const service = params['service'] ?? '';
+      const path = (message.url ?? '').slice(`/services/${service}`.length);
+      return this.serve(message, response, {type: 'service', service, path});
+    });
+    this.server = createServer(
+      {
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        requestTimeout: REQUEST_TIMEOUT_MS,
+        keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+        maxHeaderSize: HEADER_LIMIT_BYTES,
+        noDelay: true,
+      },
+      (message, response) => {
+        routes.lookup(message, response);
+      },
+    );
+  }
+
+  /** Starts listening and returns the port. */
+  async listen(host: string, port: number): Promise<number> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /**
+   * Refuses new requests as not run and resolves once every request in flight
+   * has ended.
+   */
+  async drain(): Promise<void> {
+    this.draining = true;
+    if (this.inflight > 0) {
+      await new Promise<void>(resolve => {
+        this.idle = resolve;
+      });
+    }
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  private ready(response: ServerResponse): void {
+    const configuration = this.parts.follower.current();
+    const ready = !this.draining && configuration !== undefined;
+    response.writeHead(ready ? 200 : 503, {'content-type': 'application/json'});
+    const version = configuration?.version ?? 0;
+    response.end(JSON.stringify({ready, draining: this.draining, version}));
+  }
+
+  private models(message: IncomingMessage, response: ServerResponse): void {
+    const configuration = this.parts.follower.current();
+    if (configuration === undefined) {
+      refuse(response, {type: 'notReady'});
+      return;
+    }
+    const data = configuration.document.pools.flatMap(pool =>
+      pool.kind === 'runner'
+        ? pool.models.map(model => ({
+            id: model.name,
+            object: 'model',
+            owned_by: pool.name,
+          }))
+        : [],
+    );
+    message.resume();
+    response.writeHead(200, {'content-type': 'application/json'});
+    response.end(JSON.stringify({object: 'list', data}));
+  }
+
+  private async serve(
+    message: IncomingMessage,
+    response: ServerResponse,
+    target: Target,
+  ): Promise<void> {
+    const configuration = this.parts.follower.current();
+    if (this.draining || configuration === undefined) {
+      refuse(response, {type: this.draining ? 'draining' : 'notReady'});
+      return;
+    }
+    this.inflight++;
+    try {
+      await this.run(message, response, target, configuration);
+    } finally {
+      this.inflight--;
+      if (this.inflight === 0) this.idle?.();
+    }
+  }
+
+  private async run(
+    message: IncomingMessage,
+    response: ServerResponse,
+    target: Target,
+    configuration: AcceptedConfiguration,
+  ): Promise<void> {
+    const {timer, scheduler, logger} = this.parts;
+    const body = await readBody(message, timer);
+    if (body.isErr()) {
+      refuse(response, body.error);
+      return;
+    }
+    const work = parseWork(message, target, body.value, configuration, timer);
+    if (work.isErr()) {
+      refuse(response, work.error);
+      return;
+    }
+    const gone = new AbortController();
+    response.once('close', () => gone.abort());
+    const answer = new CallerAnswer(response, work.value.id);
+    const conclusion = await execute(
+      work.value,
+      scheduler,
+      answer,
+      gone.signal,
+      timer,
+    );
+    answer.conclude(conclusion);
+    logger.debug(
+      {
+        request: work.value.id,
+        workspace: work.value.workspace.name,
+        class: work.value.serviceClass.name,
+        outcome: conclusion.outcome,
+        failure: failureOf(conclusion)?.type,
+        ms: Math.round(timer.now() - work.value.arrivedAt),
+      },
+      'Request ended.',
+    );
+  }
+}
+
+function failureOf(conclusion: Conclusion): Failure | undefined {
+  return conclusion.outcome === Outcome.Completed
+    ? undefined
+    : conclusion.failure;
+}
+
+function refuse(response: ServerResponse, failure: Failure): void {
+  writeRefusal(response, uuidv7(), {outcome: Outcome.NotRun, failure});
+}
--- /dev/null
+++ b/src/instance/settings.ts
@@ -0,0 +1,62 @@
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {Level} from '../telemetry/index.js';
+
+const port = z.coerce.number().int().min(0).max(65_535);
+
+/** Settings of one instance, from flags or `GYPSUMCOURSE_` variables. */
+export const settingsSchema = z.object({
+  /** Name of the instance; stable over restarts at the same address. */
+  instance: z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/),
+  /** Availability zone the instance runs in. */
+  zone: z.string().min(1),
+  /** Address to listen on and to be reached at by peers. */
+  host: z.string().min(1).default('127.0.0.1'),
+  /** Port for callers. */
+  port: port.default(8080),
+  /** Port for peers, TCP and UDP. */
+  peerPort: port.default(8081),
+  /** Port for operators; the listener is off without an operator secret. */
+  operatorPort: port.default(8082),
+  /** Base URL of the platform's log. */
+  logUrl: z.url(),
+  /** Base URL of the platform's list of live and leaving instances. */
+  listUrl: z.url().optional(),
+  /** Base URL of the platform's weight store. */
+  weightsUrl: z.url().optional(),
+  /** Addresses of peers to join first, as host:port. */
+  seeds: z.array(z.string().regex(/^[^:]+:\d+$/)).default([]),
+  /** Secrets shared by peers, newest first; two during rotation. */
+  peerSecrets: z.array(z.string().min(16)).default([]),
+  /** Secret operators authenticate with. */
+  operatorSecret: z.string().min(16).optional(),
+  /** PEM files for TLS between peers. */
+  peerCert: z.string().optional(),
+  peerKey: z.string().optional(),
+  peerCa: z.string().optional(),
+  /** How requests are scheduled. */
+  policy: z.enum(['current', 'baseline']).default('current'),
+  logLevel: z.enum(Level).default(Level.Info),
+});
+
+/** Checked settings of one instance. */
+export type Settings = z.output<typeof settingsSchema>;
+
+/** A setting that was refused. */
+export interface InvalidSettings {
+  type: 'invalidSettings';
+  problems: Array<{setting: string; reason: string}>;
+}
+
+/** Checks settings. All problems are returned at once. */
+export function checkSettings(
+  candidate: unknown,
+): Result<Settings, InvalidSettings> {
+  const parsed = settingsSchema.safeParse(candidate);
+  if (parsed.success) return ok(parsed.data);
+  const problems = parsed.error.issues.map(issue => ({
+    setting: issue.path.join('.'),
+    reason: issue.message,
+  }));
+  return err({type: 'invalidSettings', problems});
+}
--- /dev/null
+++ b/src/request/intake.ts
@@ -0,0 +1,276 @@
+import {createHash, timingSafeEqual} from 'node:crypto';
+import type {IncomingMessage} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+import {v7 as uuidv7} from 'uuid';
+import {z} from 'zod';
+import type {
+  AcceptedConfiguration,
+  Configuration,
+  Pool,
+  ServiceClass,
+  Workspace,
+} from '../config/index.js';
+import type {Timer} from '../timer/index.js';
+import type {Failure} from './outcome.js';
+import type {Demand, Work} from './work.js';
+
+/** Header that names the service class of a request. */
+export const CLASS_HEADER = 'gypsumcourse-class';
+/** Header with the deadline of a request, in ms after its arrival. */
+export const DEADLINE_HEADER = 'gypsumcourse-deadline-ms';
+/** Header that marks a request as repeatable (`true`) or not (`false`). */
+export const REPEATABLE_HEADER = 'gypsumcourse-repeatable';
+/** Header with the number of earlier attempts of the same request. */
+export const ATTEMPT_HEADER = 'gypsumcourse-prior-attempts';
+/** Standard header with the idempotency key of a request. */
+export const KEY_HEADER = 'idempotency-key';
+
+const BODY_LIMIT_BYTES = 8 * 1024 * 1024;
+const BODY_TIMEOUT_MS = 30_000;
+const DEADLINE_LIMIT_MS = 24 * 3_600_000;
+
+const messageSchema = z.object({
+  role: z.string(),
+  content: z.union([z.string(), z.array(z.unknown()), z.null()]).optional(),
+});
+
+const generationSchema = z.object({
+  model: z.string(),
+  stream: z.boolean().nullish(),
+  max_tokens: z.number().int().positive().nullish(),
+  max_completion_tokens: z.number().int().positive().nullish(),
+  messages: z.array(messageSchema).min(1).optional(),
+  prompt: z.union([z.string(), z.array(z.string())]).optional(),
+});
+
+/** Reads a whole request body within its bounds of size and time. */
+export async function readBody(
+  message: IncomingMessage,
+  timer: Timer,
+): Promise<Result<Buffer, Failure>> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  let late = false;
+  const limit = timer.after(BODY_TIMEOUT_MS, () => {
+    late = true;
+    message.destroy();
+  });
+  try {
+    for await (const chunk of message as AsyncIterable<Buffer>) {
+      size += chunk.length;
+      if (size > BODY_LIMIT_BYTES) {
+        return err({type: 'bodyTooLarge', limitBytes: BODY_LIMIT_BYTES});
+      }
+      chunks.push(chunk);
+    }
+    return ok(Buffer.concat(chunks));
+  } catch {
+    if (late) return err({type: 'slowCaller', limitMs: BODY_TIMEOUT_MS});
+    return err({type: 'cancelled'});
+  } finally {
+    limit.end();
+  }
+}
+
+/** Finds the workspace of a bearer key, comparing hashes in constant time. */
+export function authenticate(
+  message: IncomingMessage,
+  configuration: Configuration,
+): Result<Workspace, Failure> {
+  const header = message.headers.authorization ?? '';
+  const [scheme, key] = header.split(' ', 2);
+  if (scheme?.toLowerCase() !== 'bearer' || key === undefined) {
+    return err({type: 'unauthenticated'});
+  }
+  const digest = createHash('sha256').update(key).digest();
+  let found: Workspace | undefined;
+  for (const workspace of configuration.workspaces) {
+    for (const {sha256} of workspace.keys) {
+      if (timingSafeEqual(Buffer.from(sha256, 'hex'), digest)) {
+        found = workspace;
+      }
+    }
+  }
+  if (found === undefined) return err({type: 'unauthenticated'});
+  return ok(found);
+}
+
+function one(message: IncomingMessage, header: string): string | undefined {
+  const value = message.headers[header];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+function chooseClass(
+  message: IncomingMessage,
+  workspace: Workspace,
+  configuration: Configuration,
+): Result<ServiceClass, Failure> {
+  const name =
+    one(message, CLASS_HEADER) ??
+    workspace.defaultClass ??
+    workspace.classes[0] ??
+    '';
+  const found = configuration.classes.find(item => item.name === name);
+  if (found === undefined || !workspace.classes.includes(name)) {
+    return err({type: 'forbiddenClass', name});
+  }
+  return ok(found);
+}
+
+function deadlineOf(
+  message: IncomingMessage,
+  serviceClass: ServiceClass,
+): Result<number, Failure> {
+  const value = one(message, DEADLINE_HEADER);
+  if (value === undefined) return ok(serviceClass.deadlineMs);
+  const deadline = Number(value);
+  if (!(deadline > 0 && deadline <= DEADLINE_LIMIT_MS)) {
+    return err({type: 'badRequest', reason: `${DEADLINE_HEADER} is invalid`});
+  }
+  return ok(deadline);
+}
+
+function repeatableOf(
+  message: IncomingMessage,
+  serviceClass: ServiceClass,
+  pool: Pool | undefined,
+  path: string,
+): Result<boolean, Failure> {
+  const value = one(message, REPEATABLE_HEADER);
+  if (value !== undefined && value !== 'true' && value !== 'false') {
+    return err({
+      type: 'badRequest',
+      reason: `${REPEATABLE_HEADER} must be true or false`,
+    });
+  }
+  if (value === 'false' || !serviceClass.repeatable) return ok(false);
+  if (pool?.kind === 'service') {
+    const marked = pool.notRepeatable.some(prefix => path.startsWith(prefix));
+    if (marked) return ok(false);
+  }
+  return ok(true);
+}
+
+/** What the path of a request says about it. */
+export type Target =
+  | {type: 'chat' | 'completion'; path: string}
+  | {type: 'service'; service: string; path: string};
+
+function promptOf(body: z.infer<typeof generationSchema>): string {
+  if (body.messages !== undefined) {
+    return body.messages
+      .map(({role, content}) => `${role}\n${contentText(content)}\n`)
+      .join('');
+  }
+  return Array.isArray(body.prompt)
+    ? body.prompt.join('\n')
+    : (body.prompt ?? '');
+}
+
+function contentText(
+  content: z.infer<typeof messageSchema>['content'],
+): string {
+  return typeof content === 'string' ? content : JSON.stringify(content ?? '');
+}
+
+function parseGeneration(
+  target: Target,
+  body: Buffer,
+): Result<Demand, Failure> {
+  let json: unknown;
+  try {
+    json = JSON.parse(body.toString('utf8'));
+  } catch {
+    return err({type: 'badRequest', reason: 'the body is not JSON'});
+  }
+  const parsed = generationSchema.safeParse(json);
+  if (!parsed.success) {
+    const issue = parsed.error.issues[0];
+    const reason = `${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`;
+    return err({type: 'badRequest', reason});
+  }
+  const {model, stream, max_tokens, max_completion_tokens} = parsed.data;
+  const needed = target.type === 'chat' ? 'messages' : 'prompt';
+  if (parsed.data[needed] === undefined) {
+    return err({type: 'badRequest', reason: `${needed} is required`});
+  }
+  const [name = '', adapter] = model.split(':', 2);
+  const maxTokens = max_completion_tokens ?? max_tokens ?? undefined;
+  return ok({
+    type: 'generation',
+    model: name,
+    prompt: promptOf(parsed.data),
+    stream: stream === true,
+    ...(adapter === undefined ? {} : {adapter}),
+    ...(maxTokens === undefined ? {} : {maxTokens}),
+  });
+}
+
+function poolOf(configuration: Configuration, demand: Demand) {
+  return configuration.pools.find(pool => {
+    if (pool.kind === 'service') {
+      return demand.type === 'service' && pool.service === demand.service;
+    }
+    return (
+      demand.type === 'generation' &&
+      pool.models.some(model => model.name === demand.model)
+    );
+  });
+}
+
+/** Parses and authenticates a request under the configuration in force. */
+export function parseWork(
+  message: IncomingMessage,
+  target: Target,
+  body: Buffer,
+  {version, document}: AcceptedConfiguration,
+  timer: Timer,
+): Result<Work, Failure> {
+  const workspace = authenticate(message, document);
+  if (workspace.isErr()) return err(workspace.error);
+  const serviceClass = chooseClass(message, workspace.value, document);
+  if (serviceClass.isErr()) return err(serviceClass.error);
+  const demand: Result<Demand, Failure> =
+    target.type === 'service'
+      ? ok({type: 'service', service: target.service})
+      : parseGeneration(target, body);
+  if (demand.isErr()) return err(demand.error);
+  const pool = poolOf(document, demand.value);
+  if (pool === undefined) return err(missing(demand.value));
+  const deadline = deadlineOf(message, serviceClass.value);
+  if (deadline.isErr()) return err(deadline.error);
+  const repeatable = repeatableOf(
+    message,
+    serviceClass.value,
+    pool,
+    target.path,
+  );
+  if (repeatable.isErr()) return err(repeatable.error);
+  const key = one(message, KEY_HEADER);
+  const arrivedAt = timer.now();
+  return ok({
+    id: uuidv7(),
+    workspace: workspace.value,
+    serviceClass: serviceClass.value,
+    configurationVersion: version,
+    demand: demand.value,
+    method: message.method ?? 'POST',
+    path: target.path,
+    contentType: message.headers['content-type'] ?? 'application/json',
+    body,
+    repeatable: repeatable.value,
+    ...(key === undefined ? {} : {idempotencyKey: key}),
+    arrivedAt,
+    deadlineAt: arrivedAt + deadline.value,
+    priorAttempts: Number(one(message, ATTEMPT_HEADER) ?? 0) || 0,
+  });
+}
+
+function missing(demand: Demand): Failure {
+  switch (demand.type) {
+    case 'generation':
+      return {type: 'unknownModel', model: demand.model};
+    case 'service':
+      return {type: 'unknownService', service: demand.service};
+  }
+}
--- /dev/null
+++ b/src/telemetry/index.ts
@@ -0,0 +1,1 @@
+export {Level, logOf, openLogger, Part} from './logger.js';
--- /dev/null
+++ b/src/timer/index.ts
@@ -0,0 +1,2 @@
+export {ManualTimer, SystemTimer} from './timer.js';
+export type {Subscription, Timer} from './timer.js';
--- /dev/null
+++ b/src/upstream/directory.ts
@@ -0,0 +1,73 @@
+import type {Configuration} from '../config/index.js';
+import type {Demand} from '../request/work.js';
+import {Upstream} from './upstream.js';
+
+/** All upstreams of the configuration in force. */
+export class Directory {
+  private upstreams = new Map<string, Upstream>();
+
+  /** Follows a configuration: keeps, adds and closes upstreams. */
+  apply(configuration: Configuration): void {
+    const next = new Map<string, Upstream>();
+    for (const pool of configuration.pools) {
+      for (const {name, zone, url} of pool.upstreams) {
+        const known = this.upstreams.get(name);
+        const same = known?.url === url && known.zone === zone;
+        const upstream = same ? known : new Upstream(name, zone, url, pool);
+        upstream.pool = pool;
+        next.set(name, upstream);
+      }
+    }
+    for (const [name, upstream] of this.upstreams) {
+      if (next.get(name) !== upstream) void upstream.close();
+    }
+    this.upstreams = next;
+  }
+
+  /** Every upstream, in the order of the configuration. */
+  all(): Upstream[] {
+    return [...this.upstreams.values()];
+  }
+
+  /** Whether any pool serves the demand, whatever the state of the pool. */
+  serves(demand: Demand): boolean {
+    return this.all().some(upstream => offers(upstream, demand));
+  }
+
+  /** Upstreams that serve the demand and take new work. */
+  candidates(demand: Demand): Upstream[] {
+    return this.all().filter(
+      upstream => offers(upstream, demand) && takesWork(upstream),
+    );
+  }
+
+  /** Closes every connection once running attempts have finished. */
+  async close(): Promise<void> {
+    await Promise.all(this.all().map(upstream => upstream.close()));
+  }
+}
+
+/** Whether an upstream's pool serves the demand. */
+export function offers(upstream: Upstream, demand: Demand): boolean {
+  const pool = upstream.pool;
+  switch (pool.kind) {
+    case 'runner':
+      if (demand.type !== 'generation') return false;
+      return pool.models.some(
+        model =>
+          model.name === demand.model &&
+          (demand.adapter === undefined ||
+            model.adapters.includes(demand.adapter)),
+      );
+    case 'service':
+      return demand.type === 'service' && pool.service === demand.service;
+  }
+}
+
+/** Whether an upstream may be given new work. */
+export function takesWork(upstream: Upstream): boolean {
+  const pool = upstream.pool;
+  if (pool.contract.state !== 'active') return false;
+  if (pool.leaving.includes(upstream.name)) return false;
+  return upstream.load?.leaving !== true;
+}
--- /dev/null
+++ b/src/upstream/index.ts
@@ -0,0 +1,3 @@
+export {Directory, offers, takesWork} from './directory.js';
+export {Upstream} from './upstream.js';
+export type {LoadReport} from './upstream.js';
--- /dev/null
+++ b/src/upstream/upstream.ts
@@ -0,0 +1,48 @@
+import {Pool as Connections} from 'undici';
+import type {Pool} from '../config/index.js';
+
+/** Connections an instance opens to one upstream at most. */
+const CONNECTIONS_PER_UPSTREAM = 256;
+const KEEP_ALIVE_MS = 30_000;
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** Load that an upstream reported about itself, and when it arrived here. */
+export interface LoadReport {
+  running: number;
+  waiting: number;
+  /** Share of KV memory in use, 0 to 1. */
+  memory: number;
+  /** Whether the upstream said it is leaving. */
+  leaving: boolean;
+  /** Monotonic ms. */
+  receivedAt: number;
+}
+
+/** A runner or an instance of a plain service, as this instance sees it. */
+export class Upstream {
+  /** Attempts of this instance that run on the upstream now. */
+  inflight = 0;
+  /** The newest load report, if any arrived. */
+  load?: LoadReport;
+  readonly connections: Connections;
+
+  constructor(
+    readonly name: string,
+    readonly zone: string,
+    readonly url: string,
+    /** The pool as configured when the upstream was last updated. */
+    public pool: Pool,
+  ) {
+    this.connections = new Connections(new URL(url).origin, {
+      connections: CONNECTIONS_PER_UPSTREAM,
+      pipelining: 1,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+    });
+  }
+
+  /** Closes idle connections and lets running attempts finish. */
+  async close(): Promise<void> {
+    await this.connections.close();
+  }
+}
--- /dev/null
+++ b/stand-ins/main.ts
@@ -0,0 +1,40 @@
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {startEngine} from './engine.js';
+import type {StandIn} from './http.js';
+import {startLog} from './log.js';
+import {startService} from './service.js';
+
+/** Kinds of stand-ins that can be started as a process. */
+enum Kind {
+  Log = 'log',
+  Engine = 'engine',
+  Service = 'service',
+}
+
+function start(kind: Kind, port: number, behaviour: object): Promise<StandIn> {
+  switch (kind) {
+    case Kind.Log:
+      return startLog(port, behaviour);
+    case Kind.Engine:
+      return startEngine(port, behaviour);
+    case Kind.Service:
+      return startService(port, behaviour);
+  }
+}
+
+const args = await yargs(hideBin(process.argv))
+  .scriptName('stand-in')
+  .option('kind', {choices: Object.values(Kind), demandOption: true})
+  .option('port', {type: 'number', default: 0})
+  .option('behaviour', {type: 'string', default: '{}'})
+  .strict()
+  .parseAsync();
+
+const standIn = await start(
+  args.kind,
+  args.port,
+  JSON.parse(args.behaviour) as object,
+);
+process.stdout.write(`${JSON.stringify({port: standIn.port})}\n`);
+process.on('SIGTERM', () => process.exit(0));
--- /dev/null
+++ b/test/path.test.ts
@@ -0,0 +1,104 @@
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {call} from '../bench/caller.js';
+import {demoKey, Deployment, exampleOf} from '../bench/deployment.js';
+import {startEmbedded, type Embedded} from '../src/cli/dev.js';
+import {Level} from '../src/telemetry/index.js';
+import {outputTokens} from '../stand-ins/index.js';
+
+let embedded: Embedded;
+
+beforeAll(async () => {
+  embedded = await startEmbedded(exampleOf(Deployment.Nilecoil), {
+    port: 0,
+    logLevel: Level.Silent,
+  });
+});
+
+afterAll(() => embedded.stop());
+
+const chat = (content: string, stream = true) => ({
+  model: 'tube-7b',
+  stream,
+  messages: [{role: 'user', content}],
+});
+
+const send = (body: unknown, key = demoKey('glue-lab'), headers = {}) =>
+  call({
+    url: embedded.url,
+    path: '/v1/chat/completions',
+    key,
+    headers,
+    body,
+  });
+
+describe('the whole path', () => {
+  it('streams the whole answer to the request, byte by byte', async () => {
+    const body = chat('Which glue for four plies?');
+    const reply = await send(body);
+    expect(reply.ended).toBe(true);
+    expect(reply.outcome).toBe('completed');
+    expect(reply.text).toBe(outputTokens(body).join(''));
+  });
+
+  it('answers each of many concurrent callers with its own answer', async () => {
+    const bodies = Array.from({length: 40}, (_, n) => chat(`Question ${n}`));
+    const replies = await Promise.all(bodies.map(body => send(body)));
+    expect(replies.map(reply => reply.text)).toEqual(
+      bodies.map(body => outputTokens(body).join('')),
+    );
+  });
+
+  it('answers without streaming', async () => {
+    const body = chat('Short', false);
+    const reply = await send(body);
+    const answer = JSON.parse(reply.text);
+    expect(reply.outcome).toBe('completed');
+    expect(answer.choices[0].message.content).toBe(outputTokens(body).join(''));
+  });
+
+  it('refuses bad requests as not run with a typed error', async () => {
+    const cases = [
+      await send(chat('x'), 'wrong key'),
+      await send('{'),
+      await send({model: 'tube-7b'}),
+      await send({...chat('x'), model: 'nothing'}),
+      await send(chat('x'), undefined, {'gypsumcourse-class': 'spec-review'}),
+      await send(chat('x'), undefined, {'gypsumcourse-deadline-ms': '-1'}),
+    ];
+    expect(cases.map(({status, error, outcome}) => ({status, error, outcome})))
+      .toMatchInlineSnapshot(`
+      [
+        {
+          "error": "unauthenticated",
+          "outcome": "not_run",
+          "status": 401,
+        },
+        {
+          "error": "badRequest",
+          "outcome": "not_run",
+          "status": 400,
+        },
+        {
+          "error": "badRequest",
+          "outcome": "not_run",
+          "status": 400,
+        },
+        {
+          "error": "unknownModel",
+          "outcome": "not_run",
+          "status": 404,
+        },
+        {
+          "error": "forbiddenClass",
+          "outcome": "not_run",
+          "status": 403,
+        },
+        {
+          "error": "badRequest",
+          "outcome": "not_run",
+          "status": 400,
+        },
+      ]
+    `);
+  });
+});
