Add the seams between parts, and a harness of real processes

Cause: the parts that follow (claims, admission, membership, reports) need fixed interfaces to be built side by side, and one harness to be tested on. Change: Membership, PeerServer/PeerClient (json-rpc-2.0 over HTTP with an HMAC), Recorder with typed decisions, a proxy that tells sources apart by address and carries TCP and UDP, a list stand-in, and bench/cluster.ts. Secrets are taken out of the environment before flags are parsed, since yargs rejected them. Conclusion: routers bind and connect from their own address, so one proxy can fail the traffic of each router by itself.

--- /dev/null
+++ b/bench/process.ts
@@ -0,0 +1,91 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {createInterface} from 'node:readline';
+import {join} from 'node:path';
+import {packageRoot} from '../src/cli/root.js';
+
+/** The line a process prints once it listens. */
+export interface Listening {
+  port: number;
+  peerPort?: number;
+  operatorPort?: number;
+}
+
+/** A process of a cluster under test, started and signalled by the bench. */
+export class Process {
+  private constructor(
+    private readonly child: ChildProcess,
+    readonly listening: Listening,
+    /** The last lines it wrote to standard error. */
+    readonly errors: string[],
+    private readonly exited: Promise<number | null>,
+  ) {}
+
+  /** Starts a compiled module and waits until it listens. */
+  static async start(
+    module: string,
+    args: string[],
+    env: NodeJS.ProcessEnv = {},
+  ): Promise<Process> {
+    const child = spawn(
+      process.execPath,
+      [join(packageRoot(), 'build', module), ...args],
+      {stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, ...env}},
+    );
+    const errors: string[] = [];
+    createInterface({input: child.stderr}).on('line', line => {
+      errors.push(line);
+      if (errors.length > 200) errors.shift();
+    });
+    const exited = new Promise<number | null>(resolve => {
+      child.once('exit', code => resolve(code));
+    });
+    const listening = await firstLine(child, errors);
+    return new Process(child, listening, errors, exited);
+  }
+
+  get pid(): number {
+    return this.child.pid ?? 0;
+  }
+
+  /** Ends the process at once. */
+  async kill(): Promise<void> {
+    this.child.kill('SIGKILL');
+    await this.exited;
+  }
+
+  /** Asks the process to shut down and returns its exit code. */
+  async terminate(): Promise<number | null> {
+    this.child.kill('SIGTERM');
+    return this.exited;
+  }
+
+  pause(): void {
+    this.child.kill('SIGSTOP');
+  }
+
+  resume(): void {
+    this.child.kill('SIGCONT');
+  }
+}
+
+function firstLine(child: ChildProcess, errors: string[]): Promise<Listening> {
+  return new Promise((resolve, reject) => {
+    if (child.stdout === null) return;
+    createInterface({input: child.stdout}).once('line', line => {
+      resolve(JSON.parse(line) as Listening);
+    });
+    child.once('exit', code => {
+      reject(new StartFailure(code, errors));
+    });
+  });
+}
+
+/** A process ended before it listened. */
+export class StartFailure extends Error {
+  constructor(
+    readonly code: number | null,
+    readonly errors: readonly string[],
+  ) {
+    super(`process ended with ${code}: ${errors.slice(-3).join(' ')}`);
+  }
+}
--- a/src/cli/dev.ts
+++ b/src/cli/dev.ts
@@ -48,6 +48,7 @@
     instance: 'dev',
     zone: document.zones[0]?.name,
     port: options.port,
+    peerPort: 0,
     logUrl: log.url,
     logLevel: options.logLevel,
   });
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,11 +7,13 @@
 import {ExitCode, leave} from './exit.js';
 import {packageRoot} from './root.js';
 import {serve} from './serve.js';
-import {declareSettings} from './settings.js';
+import {declareSettings, takeEnvironment} from './settings.js';
 import {Level} from '../telemetry/index.js';
 
 const VERSION = '0.1.0';
 
+const env = takeEnvironment();
+
 await yargs(hideBin(process.argv))
   .scriptName('gypsumcourse')
   .env('GYPSUMCOURSE')
@@ -20,7 +22,7 @@
     'serve',
     'run one instance of the router',
     argv => declareSettings(argv),
-    argv => serve(argv),
+    argv => serve(argv, env),
   )
   .command(
     'dev',
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -5,8 +5,11 @@
 import {collectSettings} from './settings.js';
 
 /** Returns checked settings or ends the process with one line. */
-export function settingsOrExit(flags: Record<string, unknown>): Settings {
-  const checked = checkSettings(collectSettings(flags, process.env));
+export function settingsOrExit(
+  flags: Record<string, unknown>,
+  env: NodeJS.ProcessEnv,
+): Settings {
+  const checked = checkSettings(collectSettings(flags, env));
   if (checked.isOk()) return checked.value;
   const problems = checked.error.problems
     .map(({setting, reason}) => `${setting}: ${reason}`)
@@ -15,12 +18,17 @@
 }
 
 /** Runs an instance until it is told to stop, then drains and exits 0. */
-export async function serve(flags: Record<string, unknown>): Promise<void> {
-  const settings = settingsOrExit(flags);
+export async function serve(
+  flags: Record<string, unknown>,
+  env: NodeJS.ProcessEnv,
+): Promise<void> {
+  const settings = settingsOrExit(flags, env);
   const root = openLogger(settings.logLevel);
   const logger = logOf(root, Part.Router);
   const router = await startRouter(settings, root);
-  process.stdout.write(`${JSON.stringify({port: router.port})}\n`);
+  process.stdout.write(
+    `${JSON.stringify({port: router.port, peerPort: router.peerPort})}\n`,
+  );
   const stop = () => {
     logger.info('Draining.');
     void router.stop().then(() => process.exit(ExitCode.Done));
--- a/src/cli/settings.ts
+++ b/src/cli/settings.ts
@@ -13,6 +13,10 @@
     .option('instance', {type: 'string', describe: 'name of this instance'})
     .option('zone', {type: 'string', describe: 'its availability zone'})
     .option('host', {type: 'string', describe: 'address to listen on'})
+    .option('advertise', {
+      type: 'string',
+      describe: 'host:port peers are told to use, if not host and peer port',
+    })
     .option('port', {type: 'number', describe: 'port for callers'})
     .option('peer-port', {type: 'number', describe: 'port for peers'})
     .option('operator-port', {type: 'number', describe: 'port for operators'})
@@ -52,6 +56,24 @@
   };
 }
 
+const SECRET_VARIABLES = [
+  'GYPSUMCOURSE_PEER_SECRETS',
+  'GYPSUMCOURSE_OPERATOR_SECRET',
+];
+
+/**
+ * Takes the secrets out of the process's environment and returns the whole
+ * environment as it was, so that secrets are never parsed as flags.
+ */
+export function takeEnvironment(): NodeJS.ProcessEnv {
+  const env = {...process.env};
+  for (const name of SECRET_VARIABLES) {
+    delete process.env[name];
+    delete process.env[`${name}_FILE`];
+  }
+  return env;
+}
+
 function readSecrets(env: NodeJS.ProcessEnv): Secrets {
   const peer = readSecret(env, 'GYPSUMCOURSE_PEER_SECRETS') ?? '';
   const operator = readSecret(env, 'GYPSUMCOURSE_OPERATOR_SECRET');
--- /dev/null
+++ b/src/instance/credential.ts
@@ -0,0 +1,33 @@
+import {createHmac, timingSafeEqual} from 'node:crypto';
+
+/** Header with the authentication code of a message between peers. */
+export const CODE_HEADER = 'gypsumcourse-code';
+
+/**
+ * Authenticates messages between peers with a shared secret. During rotation
+ * it accepts every secret it holds and signs with the first.
+ */
+export class Credential {
+  constructor(private readonly secrets: readonly string[]) {}
+
+  /** Returns the authentication code of a message. */
+  sign(message: string | Buffer): string {
+    return code(this.secrets[0] ?? '', message).toString('base64url');
+  }
+
+  /** Tells whether any of the secrets gave `signature` for the message. */
+  verify(message: string | Buffer, signature: string): boolean {
+    const given = Buffer.from(signature, 'base64url');
+    const secrets = this.secrets.length > 0 ? this.secrets : [''];
+    return secrets.some(secret => {
+      const expected = code(secret, message);
+      return (
+        given.length === expected.length && timingSafeEqual(given, expected)
+      );
+    });
+  }
+}
+
+function code(secret: string, message: string | Buffer): Buffer {
+  return createHmac('sha256', secret).update(message).digest();
+}
--- a/src/instance/entrance.ts
+++ b/src/instance/entrance.ts
@@ -21,6 +21,7 @@
   type Scheduler,
   type Target,
 } from '../request/index.js';
+import type {Recorder} from '../telemetry/index.js';
 import type {Timer} from '../timer/index.js';
 
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -30,6 +31,7 @@
 
 /** What an [[Entrance]] needs of the rest of the instance. */
 export interface EntranceParts {
+  recorder: Recorder;
   follower: Follower;
   scheduler: Scheduler;
   timer: Timer;
--- a/src/instance/index.ts
+++ b/src/instance/index.ts
@@ -1,4 +1,10 @@
+export {Credential} from './credential.js';
 export {Entrance} from './entrance.js';
 export type {EntranceParts} from './entrance.js';
+export {MemberState} from './member.js';
+export type {Member, Membership, MemberStatus} from './member.js';
+export {PeerClient, PeerServer} from './peer.js';
+export type {PeerAddress, PeerFailure, PeerHandler, PeerUsage} from './peer.js';
 export {checkSettings, settingsSchema} from './settings.js';
 export type {InvalidSettings, Settings} from './settings.js';
+export {LoneMembership} from './static.js';
--- a/src/instance/settings.ts
+++ b/src/instance/settings.ts
@@ -12,6 +12,11 @@
   zone: z.string().min(1),
   /** Address to listen on and to be reached at by peers. */
   host: z.string().min(1).default('127.0.0.1'),
+  /** Address and port peers are told to use, as host:port. */
+  advertise: z
+    .string()
+    .regex(/^[^:]+:\d+$/)
+    .optional(),
   /** Port for callers. */
   port: port.default(8080),
   /** Port for peers, TCP and UDP. */
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -1,1 +1,8 @@
+export {nullRecorder, ShedReason, WasteCause} from './decision.js';
+export type {
+  Decision,
+  Observation,
+  Recorder,
+  WeighedUpstream,
+} from './decision.js';
 export {Level, logOf, openLogger, Part} from './logger.js';
--- a/src/upstream/directory.ts
+++ b/src/upstream/directory.ts
@@ -6,6 +6,9 @@
 export class Directory {
   private upstreams = new Map<string, Upstream>();
 
+  /** Connections to upstreams are opened from `localAddress`. */
+  constructor(private readonly localAddress: string) {}
+
   /** Follows a configuration: keeps, adds and closes upstreams. */
   apply(configuration: Configuration): void {
     const next = new Map<string, Upstream>();
@@ -13,7 +16,9 @@
       for (const {name, zone, url} of pool.upstreams) {
         const known = this.upstreams.get(name);
         const same = known?.url === url && known.zone === zone;
-        const upstream = same ? known : new Upstream(name, zone, url, pool);
+        const upstream = same
+          ? known
+          : new Upstream(name, zone, url, pool, this.localAddress);
         upstream.pool = pool;
         next.set(name, upstream);
       }
--- a/src/upstream/upstream.ts
+++ b/src/upstream/upstream.ts
@@ -32,12 +32,14 @@
     readonly url: string,
     /** The pool as configured when the upstream was last updated. */
     public pool: Pool,
+    /** Local address connections are opened from. */
+    localAddress: string,
   ) {
     this.connections = new Connections(new URL(url).origin, {
       connections: CONNECTIONS_PER_UPSTREAM,
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
-      connect: {timeout: CONNECT_TIMEOUT_MS},
+      connect: {timeout: CONNECT_TIMEOUT_MS, localAddress},
     });
   }
 
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -1,10 +1,18 @@
 import {Agent} from 'undici';
 import type {Logger} from 'pino';
 import {Follower} from './config/index.js';
-import {Entrance, type Settings} from './instance/index.js';
+import {
+  Credential,
+  Entrance,
+  LoneMembership,
+  PeerClient,
+  PeerServer,
+  type PeerAddress,
+  type Settings,
+} from './instance/index.js';
 import {HttpLog} from './platform/index.js';
 import {RoundRobin} from './request/index.js';
-import {logOf, Part} from './telemetry/index.js';
+import {logOf, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Timer} from './timer/index.js';
 import {Directory} from './upstream/index.js';
 
@@ -14,6 +22,8 @@
 export interface Router {
   /** Port callers reach the instance at. */
   port: number;
+  /** Port peers reach the instance at. */
+  peerPort: number;
   /** Drains: resolves when every request in flight has ended. */
   stop(): Promise<void>;
 }
@@ -27,28 +37,58 @@
   root: Logger,
   timer: Timer = new SystemTimer(),
 ): Promise<Router> {
-  const platform = new Agent({connections: PLATFORM_CONNECTIONS});
+  const localAddress = settings.host;
+  const platform = new Agent({
+    connections: PLATFORM_CONNECTIONS,
+    connect: {localAddress},
+  });
   const log = new HttpLog(settings.logUrl, platform);
-  const directory = new Directory();
+  const directory = new Directory(localAddress);
   const follower = new Follower(log, timer, logOf(root, Part.Config));
   follower.subscribe(({document}) => directory.apply(document));
   const scheduler = new RoundRobin(directory);
+  const recorder = nullRecorder;
   const entrance = new Entrance({
+    recorder,
     follower,
     scheduler,
     timer,
     logger: logOf(root, Part.Request),
   });
+  const credential = new Credential(settings.peerSecrets);
+  const peerServer = new PeerServer(credential);
+  const peerClient = new PeerClient(credential, localAddress);
+  const peerPort = await peerServer.listen(settings.host, settings.peerPort);
+  const membership = new LoneMembership({
+    name: settings.instance,
+    incarnation: timer.wallNow(),
+    zone: settings.zone,
+    ...advertised(settings, peerPort),
+  });
+  follower.subscribe(({version}) =>
+    membership.report({configurationVersion: version}),
+  );
   follower.start();
   const port = await entrance.listen(settings.host, settings.port);
   logOf(root, Part.Router).info({port}, 'Listening for callers.');
   return {
     port,
+    peerPort,
     stop: async () => {
       await entrance.drain();
       await follower.stop();
+      await peerServer.close();
+      await peerClient.close();
       await directory.close();
       await platform.close();
     },
   };
 }
+
+function advertised(settings: Settings, peerPort: number): PeerAddress {
+  const [host, port] = (settings.advertise ?? '').split(':');
+  if (host === undefined || port === undefined) {
+    return {host: settings.host, port: peerPort};
+  }
+  return {host, port: Number(port)};
+}
--- a/stand-ins/index.ts
+++ b/stand-ins/index.ts
@@ -7,8 +7,10 @@
 export type {StandIn} from './http.js';
 export {startLog} from './log.js';
 export type {LogBehaviour, LogStandIn} from './log.js';
-export {serveControl, startProxy} from './proxy.js';
-export type {Proxy, ProxyBehaviour} from './proxy.js';
+export {startList} from './list.js';
+export type {ListBehaviour, ListedInstance, ListStandIn} from './list.js';
+export {NO_FAULTS, Proxy} from './proxy.js';
+export type {Faults, Silence} from './proxy.js';
 export {startService} from './service.js';
 export type {
   ServiceBehaviour,
--- a/stand-ins/main.ts
+++ b/stand-ins/main.ts
@@ -2,6 +2,7 @@
 import {hideBin} from 'yargs/helpers';
 import {startEngine} from './engine.js';
 import type {StandIn} from './http.js';
+import {startList} from './list.js';
 import {startLog} from './log.js';
 import {startService} from './service.js';
 
@@ -10,6 +11,7 @@
   Log = 'log',
   Engine = 'engine',
   Service = 'service',
+  List = 'list',
 }
 
 function start(kind: Kind, port: number, behaviour: object): Promise<StandIn> {
@@ -20,6 +22,8 @@
       return startEngine(port, behaviour);
     case Kind.Service:
       return startService(port, behaviour);
+    case Kind.List:
+      return startList(port, behaviour);
   }
 }
 
--- a/stand-ins/proxy.ts
+++ b/stand-ins/proxy.ts
@@ -1,65 +1,82 @@
-import {createServer, connect, type AddressInfo, type Socket} from 'node:net';
-import findMyWay from 'find-my-way';
-import {jsonOf, sendJson, serveRoutes} from './http.js';
+import {createSocket, type Socket as Datagrams} from 'node:dgram';
+import {
+  connect,
+  createServer,
+  type AddressInfo,
+  type Server,
+  type Socket,
+} from 'node:net';
 
-/** Faults a proxy injects into connections. */
-export interface ProxyBehaviour {
+/** Faults a proxy injects into the traffic of one source. */
+export interface Faults {
   /** Delay of every chunk, each way, in ms. */
   delayMs: number;
   /** Capacity each way in bytes per second; 0 is without limit. */
   bytesPerSecond: number;
-  /** While true, new connections are reset and open ones cut. */
+  /** While true, traffic is lost: connections neither open nor answer. */
   cut: boolean;
-  /** While true, new connections go silent from their first byte on. */
-  silentNew: boolean;
+  /** While true, connections are reset when they are opened. */
+  refuse: boolean;
+  /** Share of datagrams that are dropped. */
+  dropShare: number;
 }
 
-/** A running proxy in front of one target. */
-export interface Proxy {
-  url: string;
-  port: number;
-  behaviour: ProxyBehaviour;
-  /** Makes open connections silent for good; new ones work. */
-  silence(direction: 'both' | 'answers'): void;
-  /** Resets every open connection. */
-  reset(): void;
-  close(): Promise<void>;
-}
+/** Faults that change nothing. */
+export const NO_FAULTS: Faults = {
+  delayMs: 0,
+  bytesPerSecond: 0,
+  cut: false,
+  refuse: false,
+  dropShare: 0,
+};
+
+/** Which way a connection goes silent. */
+export type Silence = 'requests' | 'answers' | 'both';
 
 /** One direction of a connection, with delay, capacity and silence. */
 class Direction {
   silent = false;
+  /** Bytes passed on so far. */
+  bytes = 0;
   private freeAt = 0;
 
   constructor(
     from: Socket,
-    to: Socket,
-    private readonly behaviour: ProxyBehaviour,
+    private readonly to: Socket,
+    private readonly faults: () => Faults,
   ) {
     from.on('data', (chunk: Buffer) => {
-      const wait = this.delayOf(chunk.length);
-      if (wait === 0) this.forward(to, chunk);
-      else setTimeout(() => this.forward(to, chunk), wait);
-    });
-    from.on('end', () => {
-      setTimeout(() => {
-        if (!this.silent) to.end();
-      }, this.delayOf(0));
+      this.later(chunk.length, () => this.forward(chunk));
     });
+    from.on('end', () => this.later(0, () => this.end()));
+  }
+
+  private forward(chunk: Buffer): void {
+    if (this.lost || this.to.destroyed) return;
+    this.bytes += chunk.length;
+    this.to.write(chunk);
+  }
+
+  private end(): void {
+    if (!this.lost) this.to.end();
   }
 
-  private forward(to: Socket, chunk: Buffer): void {
-    if (!this.silent && !to.destroyed) to.write(chunk);
+  /** A connection that lost bytes never comes back. */
+  private get lost(): boolean {
+    this.silent ||= this.faults().cut;
+    return this.silent;
   }
 
-  private delayOf(bytes: number): number {
-    const {bytesPerSecond, delayMs} = this.behaviour;
-    if (bytesPerSecond === 0 && delayMs === 0 && this.freeAt === 0) return 0;
+  private later(bytes: number, deliver: () => void): void {
+    const {bytesPerSecond, delayMs} = this.faults();
     const now = performance.now();
-    const start = Math.max(now, this.freeAt);
+    if (bytesPerSecond === 0 && delayMs === 0 && this.freeAt <= now) {
+      deliver();
+      return;
+    }
     const busy = bytesPerSecond > 0 ? (bytes / bytesPerSecond) * 1000 : 0;
-    this.freeAt = start + busy;
-    return this.freeAt - now + delayMs;
+    this.freeAt = Math.max(now, this.freeAt) + busy;
+    setTimeout(deliver, this.freeAt - now + delayMs);
   }
 }
 
@@ -69,92 +86,210 @@
   readonly answers: Direction;
 
   constructor(
+    readonly source: string,
     private readonly client: Socket,
     private readonly target: Socket,
-    behaviour: ProxyBehaviour,
+    faults: () => Faults,
   ) {
-    this.requests = new Direction(client, target, behaviour);
-    this.answers = new Direction(target, client, behaviour);
-    const end = () => {
-      if (this.answers.silent) return;
-      client.destroy();
-      target.destroy();
-    };
-    client.on('error', end).on('close', end);
-    target.on('error', end).on('close', end);
+    this.requests = new Direction(client, target, faults);
+    this.answers = new Direction(target, client, faults);
+    client
+      .on('error', () => this.endQuietly())
+      .on('close', () => {
+        if (!this.requests.silent) target.destroy();
+      });
+    target
+      .on('error', () => this.endQuietly())
+      .on('close', () => {
+        if (!this.answers.silent) client.destroy();
+      });
+  }
+
+  silence(which: Silence): void {
+    if (which !== 'answers') this.requests.silent = true;
+    if (which !== 'requests') this.answers.silent = true;
   }
 
   reset(): void {
     this.client.resetAndDestroy();
     this.target.resetAndDestroy();
   }
+
+  private endQuietly(): void {
+    if (this.answers.silent || this.requests.silent) return;
+    this.client.destroy();
+    this.target.destroy();
+  }
 }
 
-/** Starts a proxy to `target`, given as host:port, on `port` or an ephemeral one. */
-export async function startProxy(target: string, port = 0): Promise<Proxy> {
-  const [host = '127.0.0.1', targetPort = '0'] = target.split(':');
-  const behaviour: ProxyBehaviour = {
-    delayMs: 0,
-    bytesPerSecond: 0,
-    cut: false,
-    silentNew: false,
-  };
-  const open = new Set<Connection>();
-  const server = createServer({noDelay: true}, client => {
-    if (behaviour.cut) {
+/**
+ * A proxy in front of one target, TCP and UDP on the same port. It knows the
+ * sender of traffic by its source address, and can treat each differently.
+ */
+export class Proxy {
+  private readonly bySource = new Map<string, Faults>();
+  private readonly open = new Set<Connection>();
+  private readonly flows = new Map<string, Datagrams>();
+  private common: Faults = {...NO_FAULTS};
+  private passed = 0;
+  private targetHost = '127.0.0.1';
+  private targetPort = 0;
+
+  private constructor(
+    readonly host: string,
+    readonly port: number,
+    private readonly server: Server,
+    private readonly datagrams: Datagrams,
+    private readonly random: () => number,
+  ) {}
+
+  /**
+   * Opens a proxy on an ephemeral port of `host`. The target may be set later,
+   * when it is known. `random` decides on dropped datagrams.
+   */
+  static async open(
+    host = '127.0.0.1',
+    random: () => number = Math.random,
+  ): Promise<Proxy> {
+    for (;;) {
+      const server = createServer({noDelay: true});
+      await new Promise<void>(resolve => server.listen(0, host, resolve));
+      const {port} = server.address() as AddressInfo;
+      const datagrams = createSocket('udp4');
+      const bound = await new Promise<boolean>(resolve => {
+        datagrams.once('error', () => resolve(false));
+        datagrams.bind(port, host, () => resolve(true));
+      });
+      if (!bound) {
+        server.close();
+        continue;
+      }
+      const proxy = new Proxy(host, port, server, datagrams, random);
+      server.on('connection', client => proxy.accept(client));
+      datagrams.on('message', (message, from) => {
+        proxy.relay(message, from.address, from.port);
+      });
+      return proxy;
+    }
+  }
+
+  get url(): string {
+    return `http://${this.host}:${this.port}`;
+  }
+
+  get address(): string {
+    return `${this.host}:${this.port}`;
+  }
+
+  /** Bytes passed on over TCP and UDP, both ways. */
+  get bytes(): number {
+    let sum = this.passed;
+    for (const {requests, answers} of this.open) {
+      sum += requests.bytes + answers.bytes;
+    }
+    return sum;
+  }
+
+  /** Sets where traffic goes, given as host:port. */
+  aim(target: string): void {
+    const [host = '127.0.0.1', port = '0'] = target.split(':');
+    this.targetHost = host;
+    this.targetPort = Number(port);
+  }
+
+  /** Changes faults for one source address, or for all that have none. */
+  set(faults: Partial<Faults>, source?: string): void {
+    if (source === undefined) Object.assign(this.common, faults);
+    else this.bySource.set(source, {...this.faultsOf(source), ...faults});
+  }
+
+  /** Ends all faults, on new traffic; connections gone silent stay so. */
+  heal(): void {
+    this.common = {...NO_FAULTS};
+    this.bySource.clear();
+  }
+
+  /** Makes open connections silent for good, of one source or of all. */
+  silence(which: Silence, source?: string): number {
+    let count = 0;
+    for (const connection of this.open) {
+      if (source !== undefined && connection.source !== source) continue;
+      connection.silence(which);
+      count++;
+    }
+    return count;
+  }
+
+  /** Resets every open connection, of one source or of all. */
+  reset(source?: string): void {
+    for (const connection of this.open) {
+      if (source !== undefined && connection.source !== source) continue;
+      connection.reset();
+    }
+  }
+
+  async close(): Promise<void> {
+    for (const flow of this.flows.values()) flow.close();
+    this.datagrams.close();
+    await new Promise<void>(resolve => {
+      this.server.close(() => resolve());
+      this.reset();
+    });
+  }
+
+  private faultsOf(source: string): Faults {
+    return this.bySource.get(source) ?? this.common;
+  }
+
+  private accept(client: Socket): void {
+    const source = client.remoteAddress ?? '';
+    client.on('error', () => undefined);
+    if (this.faultsOf(source).refuse) {
       client.resetAndDestroy();
       return;
     }
-    const upstream = connect({host, port: Number(targetPort), noDelay: true});
-    const connection = new Connection(client, upstream, behaviour);
-    connection.answers.silent = behaviour.silentNew;
-    open.add(connection);
-    client.once('close', () => open.delete(connection));
-  });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, '127.0.0.1', resolve);
-  });
-  const address = server.address() as AddressInfo;
-  const reset = () => {
-    for (const connection of open) connection.reset();
-  };
-  return {
-    url: `http://127.0.0.1:${address.port}`,
-    port: address.port,
-    behaviour,
-    reset,
-    silence: direction => {
-      for (const connection of open) {
-        connection.answers.silent = true;
-        if (direction === 'both') connection.requests.silent = true;
-      }
-    },
-    close: () =>
-      new Promise(resolve => {
-        server.close(() => resolve());
-        reset();
-      }),
-  };
-}
+    const target = connect({
+      host: this.targetHost,
+      port: this.targetPort,
+      localAddress: this.host,
+      noDelay: true,
+    });
+    const connection = new Connection(source, client, target, () =>
+      this.faultsOf(source),
+    );
+    this.open.add(connection);
+    client.once('close', () => {
+      if (!this.open.delete(connection)) return;
+      this.passed += connection.requests.bytes + connection.answers.bytes;
+    });
+  }
 
-/** Serves control of a set of proxies over HTTP, for use across processes. */
-export async function serveControl(proxies: Map<string, Proxy>, port = 0) {
-  const routes = findMyWay();
-  routes.on('PUT', '/proxies/:name', async (message, response, params) => {
-    const proxy = proxies.get(params['name'] ?? '');
-    if (proxy === undefined) return sendJson(response, 404, {});
-    Object.assign(proxy.behaviour, await jsonOf(message));
-    if (proxy.behaviour.cut) proxy.reset();
-    sendJson(response, 200, proxy.behaviour);
-  });
-  routes.on('POST', '/proxies/:name/silence', (_message, response, params) => {
-    proxies.get(params['name'] ?? '')?.silence('both');
-    sendJson(response, 200, {});
-  });
-  routes.on('POST', '/proxies/:name/reset', (_message, response, params) => {
-    proxies.get(params['name'] ?? '')?.reset();
-    sendJson(response, 200, {});
-  });
-  return serveRoutes(routes, port);
+  private relay(message: Buffer, source: string, port: number): void {
+    if (this.dropped(source)) return;
+    const flow = this.flowOf(source, port);
+    setTimeout(() => {
+      this.passed += message.length;
+      flow.send(message, this.targetPort, this.targetHost);
+    }, this.faultsOf(source).delayMs);
+  }
+
+  private flowOf(source: string, port: number): Datagrams {
+    const name = `${source}:${port}`;
+    const known = this.flows.get(name);
+    if (known !== undefined) return known;
+    const flow = createSocket('udp4');
+    flow.on('error', () => undefined);
+    flow.on('message', answer => {
+      if (this.dropped(source)) return;
+      this.passed += answer.length;
+      this.datagrams.send(answer, port, source);
+    });
+    this.flows.set(name, flow);
+    return flow;
+  }
+
+  private dropped(source: string): boolean {
+    const faults = this.faultsOf(source);
+    return faults.cut || this.random() < faults.dropShare;
+  }
 }
--- /dev/null
+++ b/test/cluster.test.ts
@@ -0,0 +1,50 @@
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {call} from '../bench/caller.js';
+import {Cluster} from '../bench/cluster.js';
+import {demoKey, Deployment, exampleOf} from '../bench/deployment.js';
+import {outputTokens} from '../stand-ins/index.js';
+
+let cluster: Cluster;
+
+beforeAll(async () => {
+  cluster = await Cluster.start({
+    document: exampleOf(Deployment.Nilecoil),
+    routers: 2,
+  });
+});
+
+afterAll(() => cluster.stop());
+
+const chat = {
+  model: 'tube-7b',
+  stream: true,
+  messages: [{role: 'user', content: 'Hello'}],
+  metadata: {output_tokens: '200'},
+};
+
+const send = (router: number, body: unknown = chat) =>
+  call({
+    url: cluster.routers[router]?.url ?? '',
+    path: '/v1/chat/completions',
+    key: demoKey('glue-lab'),
+    body,
+  });
+
+describe('real processes', () => {
+  it('serve through every router', async () => {
+    const replies = await Promise.all([send(0), send(1)]);
+    const text = outputTokens(chat).join('');
+    expect(replies.map(reply => reply.text)).toEqual([text, text]);
+  });
+
+  it('finish every request in flight on SIGTERM and then exit 0', async () => {
+    const running = Array.from({length: 10}, () => send(1));
+    await new Promise(resolve => setTimeout(resolve, 100));
+    const code = await cluster.routers[1]?.process?.terminate();
+    const replies = await Promise.all(running);
+    expect(replies.map(reply => reply.outcome)).toEqual(
+      Array(10).fill('completed'),
+    );
+    expect(code).toBe(0);
+  });
+});
