Keep membership by probes and gossip between instances

Cause: an instance knew only itself, so neither key homes nor configuration passed between peers nor leaving upstreams could be agreed on. Change: json-rpc-2.0 messages behind an authentication code over UDP, on the same port as TCP: probes, indirect probes, suspicion, incarnations, bounded piggybacked updates, urgent news to three peers; comparisons of digests over TCP for joining and repair; the platform's list as addresses only. Conclusion: the base for home selection, passing on and leaving is there.

--- /dev/null
+++ b/src/instance/gossip.ts
@@ -0,0 +1,92 @@
+import type {MemberRecord, StatusRecord, TopicItem} from './message.js';
+
+/** Retransmissions of one update, times the logarithm of the fleet's size. */
+const RETRANSMIT_FACTOR = 4;
+/** Space for updates in one datagram, in bytes of JSON. */
+const UPDATES_BYTES = 320;
+/** Space for status records within it. */
+const STATUSES_BYTES = 180;
+
+/** One update waiting to be told to peers. */
+interface Update<Value> {
+  value: Value;
+  bytes: number;
+  sent: number;
+}
+
+/** Updates picked for one datagram. */
+export interface Selection {
+  members: MemberRecord[];
+  statuses: StatusRecord[];
+  items: TopicItem[];
+}
+
+/**
+ * Updates on their way through the fleet. Each is sent a bounded number of
+ * times, the least sent first; a newer update of the same subject replaces the
+ * older one. Membership goes before topics, and both before load.
+ */
+export class Gossip {
+  private readonly members = new Map<string, Update<MemberRecord>>();
+  private readonly statuses = new Map<string, Update<StatusRecord>>();
+  private readonly items = new Map<string, Update<TopicItem>>();
+
+  addMember(record: MemberRecord): void {
+    this.members.set(record.name, fresh(record));
+  }
+
+  addStatus(record: StatusRecord): void {
+    this.statuses.set(record.name, fresh(record));
+  }
+
+  addItem(item: TopicItem): void {
+    this.items.set(`${item.topic} ${item.key}`, fresh(item));
+  }
+
+  /** Updates that still wait, of all kinds. */
+  get size(): number {
+    return this.members.size + this.statuses.size + this.items.size;
+  }
+
+  /** Picks the updates of the next datagram in a fleet of `size` instances. */
+  select(size: number): Selection {
+    const limit = retransmissions(size);
+    const members = pick(this.members, UPDATES_BYTES, limit);
+    const items = pick(this.items, UPDATES_BYTES - members.bytes, limit);
+    const rest = UPDATES_BYTES - members.bytes - items.bytes;
+    const space = Math.min(STATUSES_BYTES, rest);
+    const statuses = pick(this.statuses, space, limit);
+    return {
+      members: members.values,
+      statuses: statuses.values,
+      items: items.values,
+    };
+  }
+}
+
+/** How often each update is sent in a fleet of `size` instances. */
+export function retransmissions(size: number): number {
+  return RETRANSMIT_FACTOR * Math.ceil(Math.log10(size + 1));
+}
+
+function fresh<Value>(value: Value): Update<Value> {
+  return {value, bytes: JSON.stringify(value).length + 1, sent: 0};
+}
+
+function pick<Value>(
+  updates: Map<string, Update<Value>>,
+  space: number,
+  limit: number,
+): {values: Value[]; bytes: number} {
+  const values: Value[] = [];
+  let bytes = 0;
+  const waiting = [...updates].sort(([, a], [, b]) => a.sent - b.sent);
+  for (const [key, update] of waiting) {
+    if (bytes + update.bytes > space) continue;
+    bytes += update.bytes;
+    values.push(update.value);
+    update.sent++;
+    if (update.sent >= limit) updates.delete(key);
+  }
+  return {values, bytes};
+}
--- /dev/null
+++ b/src/instance/membership.ts
@@ -0,0 +1,423 @@
+import type {Logger} from 'pino';
+import type {Timer} from '../timer/index.js';
+import {Allowance} from './allowance.js';
+import type {DatagramPort} from './datagram.js';
+import {Gossip} from './gossip.js';
+import {
+  MemberState,
+  type Member,
+  type Membership,
+  type MemberStatus,
+} from './member.js';
+import {
+  exchangeSchema,
+  relayedSchema,
+  relaySchema,
+  type Exchange,
+  type MemberRecord,
+  type StatusRecord,
+  type TopicItem,
+} from './message.js';
+import {ProbeRing, sample} from './probe.js';
+import {recordOf, Roster} from './roster.js';
+import {Suspicions, suspicionTimeout} from './suspicion.js';
+import type {Topic} from './topic.js';
+
+/** Time between two probes of an instance, in ms. */
+export const PROBE_PERIOD_MS = 1_000;
+const DIRECT_TIMEOUT_MS = 400;
+const RELAY_TIMEOUT_MS = 500;
+/** Instances asked to probe a peer that did not answer. */
+const RELAYS = 3;
+/** Peers told at once of urgent news. */
+const NEWS_FANOUT = 3;
+/** Changes in shedding told at once, and the time until one more may be. */
+const BURSTS = 4;
+const BURST_PERIOD_MS = 2_000;
+/** Time for the last datagrams to go out before the process ends, in ms. */
+const LEAVE_GRACE_MS = 50;
+/** Share of rounds in which one dead member is probed as well. */
+const DEAD_PROBE_SHARE = 0.1;
+/** How long members that are gone are remembered, in ms. */
+const GONE_RETENTION_MS = 2 * 3_600_000;
+/** A round this late means that this process was paused, in ms. */
+const PAUSE_MS = 3 * PROBE_PERIOD_MS;
+
+/** What a [[Fleet]] works with. */
+export interface FleetParts {
+  datagrams: DatagramPort;
+  timer: Timer;
+  logger: Logger;
+  random: () => number;
+}
+
+/** Who an instance is when it starts. */
+export type Identity = Omit<Member, 'state' | 'status'>;
+
+/**
+ * The membership of a fleet of equal instances. Each probes one peer a period,
+ * directly and then through others, and tells what it learns along with its
+ * probes, so that the cost for an instance does not grow with the fleet.
+ */
+export class Fleet implements Membership {
+  readonly roster = new Roster();
+  private readonly gossip = new Gossip();
+  private readonly ring: ProbeRing;
+  private readonly suspicions: Suspicions;
+  private readonly bursts: Allowance;
+  private readonly listeners = new Set<(member: Member) => void>();
+  private readonly topics = new Map<string, Topic>();
+  private readonly stopping = new AbortController();
+  private readonly me: Member;
+  private sequence = 0;
+  private joined = false;
+  private newsPending = false;
+  private newestVersion = 0;
+  private task?: Promise<void>;
+
+  constructor(
+    identity: Identity,
+    private readonly parts: FleetParts,
+  ) {
+    this.me = {
+      ...identity,
+      state: MemberState.Alive,
+      status: {configurationVersion: 0, queued: 0, running: 0},
+    };
+    this.ring = new ProbeRing(parts.random);
+    this.suspicions = new Suspicions(parts.timer);
+    this.bursts = new Allowance(BURSTS, BURST_PERIOD_MS, parts.timer);
+    const {datagrams} = parts;
+    datagrams.handle('ping', params => this.answerPing(params));
+    datagrams.handle('relay', params => this.answerRelay(params));
+    datagrams.handle('news', params => {
+      this.take(exchangeSchema.parse(params));
+    });
+  }
+
+  self(): Member {
+    return this.me;
+  }
+
+  live(): Member[] {
+    return this.all().filter(
+      ({state}) => state === MemberState.Alive || state === MemberState.Suspect,
+    );
+  }
+
+  all(): Member[] {
+    return [this.me, ...this.roster.all().map(({member}) => member)];
+  }
+
+  report(status: Partial<MemberStatus>): void {
+    const {shedTier} = this.me.status;
+    Object.assign(this.me.status, status);
+    if (status.shedTier === undefined && 'shedTier' in status) {
+      delete this.me.status.shedTier;
+    }
+    this.sequence++;
+    this.tell(this.me);
+    this.spreadStatus(this.me.status, shedTier);
+  }
+
+  subscribe(listener: (member: Member) => void): void {
+    this.listeners.add(listener);
+  }
+
+  /** Adds a kind of fact to what this instance spreads. */
+  addTopic(topic: Topic): void {
+    this.topics.set(topic.name, topic);
+  }
+
+  /** Spreads an item of a topic that originates here. */
+  spread(item: TopicItem): void {
+    this.gossip.addItem(item);
+    this.spreadNews();
+  }
+
+  /** Records of all members, this instance included. */
+  records(): MemberRecord[] {
+    return [recordOf(this.me), ...this.roster.records()];
+  }
+
+  /** Every item of all topics, for an instance that joins. */
+  items(): TopicItem[] {
+    return [...this.topics.values()].flatMap(topic => topic.snapshot());
+  }
+
+  start(): void {
+    this.task ??= this.run();
+  }
+
+  /**
+   * Tells peers that this instance leaves and takes no new work. Resolves when
+   * they had time to hear it.
+   */
+  async leave(): Promise<void> {
+    if (this.me.state !== MemberState.Alive) return;
+    this.me.state = MemberState.Leaving;
+    this.gossip.addMember(recordOf(this.me));
+    this.tell(this.me);
+    this.spreadNews();
+    if (this.live().length > 0) await this.parts.timer.sleep(LEAVE_GRACE_MS);
+  }
+
+  /** Ends all tasks. Peers that were not told by [[leave]] will suspect it. */
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    this.suspicions.clear();
+    await this.task;
+  }
+
+  /** Takes in records of members, from any source. */
+  learn(records: readonly MemberRecord[], items: readonly TopicItem[]): void {
+    for (const record of records) this.learnMember(record);
+    for (const item of items) this.learnItem(item);
+  }
+
+  /** Marks the end of joining: from now on the own name is taken. */
+  settle(): void {
+    this.joined = true;
+  }
+
+  private async run(): Promise<void> {
+    const {timer, random, logger} = this.parts;
+    const {signal} = this.stopping;
+    await timer.sleep(random() * PROBE_PERIOD_MS, signal);
+    while (!signal.aborted) {
+      const start = timer.now();
+      await Promise.all([this.probeNext(), this.probeDead()]);
+      const rest = PROBE_PERIOD_MS - (timer.now() - start);
+      await timer.sleep(Math.max(0, rest), signal);
+      if (timer.now() - start > PAUSE_MS) logger.warn('Process was paused.');
+      this.roster.expire(timer.now() - GONE_RETENTION_MS);
+    }
+  }
+
+  private async probeNext(): Promise<void> {
+    const peers = this.all().filter(
+      member => member !== this.me && member.state !== MemberState.Dead,
+    );
+    const peer = this.ring.next(peers);
+    if (peer === undefined) return;
+    const {incarnation} = peer;
+    const start = this.parts.timer.now();
+    if (await this.ping(peer)) return;
+    if (await this.pingThrough(peer, peers)) return;
+    const paused = this.parts.timer.now() - start > PAUSE_MS;
+    if (paused || this.stopping.signal.aborted) return;
+    this.suspect(peer.name, incarnation);
+  }
+
+  /** Finds out, at a bounded rate, whether a dead member came back. */
+  private async probeDead(): Promise<void> {
+    if (this.parts.random() >= DEAD_PROBE_SHARE) return;
+    const dead = this.all().filter(({state}) => state === MemberState.Dead);
+    const [member] = sample(dead, 1, this.parts.random);
+    if (member !== undefined) await this.ping(member);
+  }
+
+  private async ping(peer: Member): Promise<boolean> {
+    const answer = await this.parts.datagrams.call(
+      peer,
+      'ping',
+      this.exchange(peer),
+      DIRECT_TIMEOUT_MS,
+    );
+    if (answer.isErr()) return false;
+    const parsed = exchangeSchema.safeParse(answer.value);
+    if (!parsed.success) return false;
+    this.take(parsed.data);
+    return parsed.data.from.name === peer.name;
+  }
+
+  private async pingThrough(
+    peer: Member,
+    peers: readonly Member[],
+  ): Promise<boolean> {
+    const others = peers.filter(
+      other => other !== peer && other.state === MemberState.Alive,
+    );
+    const relays = sample(others, RELAYS, this.parts.random);
+    const target = {host: peer.host, port: peer.port};
+    const answers = await Promise.all(
+      relays.map(relay =>
+        this.parts.datagrams.call(
+          relay,
+          'relay',
+          {...this.exchange(relay), target},
+          RELAY_TIMEOUT_MS,
+        ),
+      ),
+    );
+    return answers.some(answer => {
+      const parsed = relayedSchema.safeParse(answer.unwrapOr(undefined));
+      if (!parsed.success) return false;
+      this.take(parsed.data);
+      return parsed.data.reached;
+    });
+  }
+
+  private answerPing(params: unknown): Exchange {
+    const exchange = exchangeSchema.parse(params);
+    this.take(exchange);
+    return this.exchange(exchange.from);
+  }
+
+  private async answerRelay(params: unknown): Promise<unknown> {
+    const relay = relaySchema.parse(params);
+    this.take(relay);
+    const answer = await this.parts.datagrams.call(
+      relay.target,
+      'ping',
+      this.exchange(),
+      DIRECT_TIMEOUT_MS,
+    );
+    const parsed = exchangeSchema.safeParse(answer.unwrapOr(undefined));
+    if (parsed.success) this.take(parsed.data);
+    return {...this.exchange(relay.from), reached: parsed.success};
+  }
+
+  /** Builds the body of a datagram; `to` learns what is held against it. */
+  private exchange(to?: MemberRecord): Exchange {
+    const selection = this.gossip.select(this.roster.size + 1);
+    const view = to === undefined ? undefined : this.roster.get(to.name);
+    if (to !== undefined && view !== undefined && disputes(view.member, to)) {
+      selection.members.push(recordOf(view.member));
+    }
+    return {from: recordOf(this.me), status: this.statusOfSelf(), ...selection};
+  }
+
+  private statusOfSelf(): StatusRecord {
+    const {name, incarnation, status} = this.me;
+    return {name, incarnation, sequence: this.sequence, status};
+  }
+
+  /** Takes in a datagram, unless a newer incarnation of the sender is known. */
+  private take(exchange: Exchange): void {
+    const known = this.roster.get(exchange.from.name)?.member.incarnation ?? 0;
+    if (exchange.from.incarnation < known) return;
+    this.learn([exchange.from, ...exchange.members], exchange.items);
+    for (const record of [exchange.status, ...exchange.statuses]) {
+      this.learnStatus(record);
+    }
+  }
+
+  private learnMember(record: MemberRecord): void {
+    if (record.name === this.me.name) {
+      this.learnOfSelf(record);
+      return;
+    }
+    if (!this.roster.merge(record, this.parts.timer.now())) return;
+    this.gossip.addMember(record);
+    if (record.state === MemberState.Suspect) this.awaitRefutation(record);
+    else this.suspicions.lift(record.name);
+    const entry = this.roster.get(record.name);
+    if (entry !== undefined) this.tell(entry.member);
+    const {name, state, incarnation} = record;
+    this.parts.logger.info({name, state, incarnation}, 'Member changed.');
+  }
+
+  private learnStatus(record: StatusRecord): void {
+    const shedTier = this.roster.get(record.name)?.member.status.shedTier;
+    if (!this.roster.mergeStatus(record)) return;
+    this.gossip.addStatus(record);
+    const entry = this.roster.get(record.name);
+    if (entry === undefined) return;
+    this.tell(entry.member);
+    this.spreadStatus(entry.member.status, shedTier);
+  }
+
+  /** Spreads at once what must not wait: a new version, a change in shedding. */
+  private spreadStatus(status: MemberStatus, shedTier?: number): void {
+    if (status.configurationVersion > this.newestVersion) {
+      this.newestVersion = status.configurationVersion;
+      this.spreadNews();
+    } else if (status.shedTier !== shedTier && this.bursts.take()) {
+      this.spreadNews();
+    }
+  }
+
+  private learnItem(item: TopicItem): void {
+    const isNews = this.topics.get(item.topic)?.merge(item.key, item.value);
+    if (isNews !== true) return;
+    this.spread(item);
+  }
+
+  /**
+   * Refutes what is told of this instance while it is not so. An incarnation
+   * higher than its own is a successor under the same name: this one ends.
+   */
+  private learnOfSelf(record: MemberRecord): void {
+    if (record.incarnation < this.me.incarnation) return;
+    if (record.incarnation > this.me.incarnation && this.joined) {
+      this.yieldToSuccessor(record);
+      return;
+    }
+    const higher = record.incarnation > this.me.incarnation;
+    if (!higher && record.state === this.me.state) return;
+    if (!higher && this.me.state === MemberState.Leaving) return;
+    if (!higher && record.state === MemberState.Alive) return;
+    this.me.incarnation = record.incarnation + 1;
+    this.gossip.addMember(recordOf(this.me));
+    this.parts.logger.info(
+      {told: record.state, incarnation: this.me.incarnation},
+      'Told peers that this instance is alive.',
+    );
+  }
+
+  private yieldToSuccessor(record: MemberRecord): void {
+    if (this.me.state === MemberState.Dead) return;
+    this.me.state = MemberState.Dead;
+    this.stopping.abort();
+    this.tell(this.me);
+    this.parts.logger.error(
+      {successor: record.incarnation, incarnation: this.me.incarnation},
+      'Another instance runs under this name; left the fleet to it.',
+    );
+  }
+
+  private suspect(name: string, incarnation: number): void {
+    const entry = this.roster.get(name);
+    if (entry === undefined) return;
+    if (entry.member.incarnation !== incarnation) return;
+    const state =
+      entry.member.state === MemberState.Leaving
+        ? MemberState.Dead
+        : MemberState.Suspect;
+    this.learnMember({...recordOf(entry.member), state});
+  }
+
+  private awaitRefutation(record: MemberRecord): void {
+    const timeoutMs = suspicionTimeout(this.live().length);
+    this.suspicions.raise(record.name, timeoutMs, () => {
+      const entry = this.roster.get(record.name);
+      if (entry?.member.incarnation !== record.incarnation) return;
+      this.learnMember({...recordOf(entry.member), state: MemberState.Dead});
+    });
+  }
+
+  /** Tells a few peers at once, who do the same if it is news to them. */
+  private spreadNews(): void {
+    if (this.newsPending || this.stopping.signal.aborted) return;
+    this.newsPending = true;
+    queueMicrotask(() => {
+      this.newsPending = false;
+      const peers = this.live().filter(member => member !== this.me);
+      for (const peer of sample(peers, NEWS_FANOUT, this.parts.random)) {
+        this.parts.datagrams.notify(peer, 'news', this.exchange(peer));
+      }
+    });
+  }
+
+  private tell(member: Member): void {
+    for (const listener of this.listeners) listener(member);
+  }
+}
+
+/** Whether a member must be told of the view held of it. */
+function disputes(view: Member, member: MemberRecord): boolean {
+  return (
+    view.state !== MemberState.Alive || view.incarnation > member.incarnation
+  );
+}
--- a/src/instance/peer.ts
+++ b/src/instance/peer.ts
@@ -29,6 +29,12 @@
   port: number;
 }
 
+/** Parses an address given as host:port. */
+export function addressOf(text: string): PeerAddress {
+  const colon = text.lastIndexOf(':');
+  return {host: text.slice(0, colon), port: Number(text.slice(colon + 1))};
+}
+
 /** Why a call to a peer failed. */
 export type PeerFailure =
   /** No answer in time; the call may have taken effect. */
@@ -50,7 +56,7 @@
 
 /** Serves JSON-RPC calls of authenticated peers over HTTP. */
 export class PeerServer {
-  private readonly rpc = new JSONRPCServer();
+  private readonly rpc = new JSONRPCServer({errorListener: () => undefined});
   private readonly server: Server;
 
   constructor(private readonly credential: Credential) {
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,3 +1,5 @@
+export {HttpInstanceList} from './list.js';
+export type {InstanceList, ListedInstance} from './list.js';
 export {HttpLog} from './log.js';
 export type {
   Log,
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -2,15 +2,20 @@
 import type {Logger} from 'pino';
 import {Follower} from './config/index.js';
 import {
+  addressOf,
   Credential,
+  DatagramPort,
+  Discovery,
   Entrance,
-  LoneMembership,
+  Fleet,
+  openPeerPorts,
   PeerClient,
   PeerServer,
+  Synchronizer,
   type PeerAddress,
   type Settings,
 } from './instance/index.js';
-import {HttpLog} from './platform/index.js';
+import {HttpInstanceList, HttpLog} from './platform/index.js';
 import {RoundRobin} from './request/index.js';
 import {logOf, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Timer} from './timer/index.js';
@@ -58,16 +63,47 @@
   const credential = new Credential(settings.peerSecrets);
   const peerServer = new PeerServer(credential);
   const peerClient = new PeerClient(credential, localAddress);
-  const peerPort = await peerServer.listen(settings.host, settings.peerPort);
-  const membership = new LoneMembership({
-    name: settings.instance,
-    incarnation: timer.wallNow(),
-    zone: settings.zone,
-    ...advertised(settings, peerPort),
-  });
+  const datagrams = new DatagramPort(credential, timer);
+  const peerPort = await openPeerPorts(peerServer, datagrams, settings);
+  const random = Math.random;
+  const memberLogger = logOf(root, Part.Member);
+  const membership = new Fleet(
+    {
+      name: settings.instance,
+      incarnation: timer.wallNow(),
+      zone: settings.zone,
+      ...advertised(settings, peerPort),
+    },
+    {datagrams, timer, logger: memberLogger, random},
+  );
+  const synchronizer = new Synchronizer(
+    membership,
+    settings.seeds.map(addressOf),
+    {
+      client: peerClient,
+      server: peerServer,
+      timer,
+      logger: memberLogger,
+      random,
+    },
+  );
+  const discovery =
+    settings.listUrl === undefined
+      ? undefined
+      : new Discovery({
+          list: new HttpInstanceList(settings.listUrl, platform),
+          membership,
+          synchronizer,
+          timer,
+          logger: memberLogger,
+          random,
+        });
   follower.subscribe(({version}) =>
     membership.report({configurationVersion: version}),
   );
+  membership.start();
+  await synchronizer.start();
+  discovery?.start();
   follower.start();
   const port = await entrance.listen(settings.host, settings.port);
   logOf(root, Part.Router).info({port}, 'Listening for callers.');
@@ -75,8 +111,13 @@
     port,
     peerPort,
     stop: async () => {
+      await membership.leave();
       await entrance.drain();
+      await discovery?.stop();
       await follower.stop();
+      await synchronizer.stop();
+      await membership.stop();
+      datagrams.close();
       await peerServer.close();
       await peerClient.close();
       await directory.close();
@@ -86,9 +127,7 @@
 }
 
 function advertised(settings: Settings, peerPort: number): PeerAddress {
-  const [host, port] = (settings.advertise ?? '').split(':');
-  if (host === undefined || port === undefined) {
-    return {host: settings.host, port: peerPort};
-  }
-  return {host, port: Number(port)};
+  return settings.advertise === undefined
+    ? {host: settings.host, port: peerPort}
+    : addressOf(settings.advertise);
 }
