Give the stand-in engine a batch, a cache, streams and orders

Cause: the stand-in decoded from slots only, so a scheduler met no queue that depends on prompts, no prefix cache, no resume and nothing to order. Change: small modules for the batch (memory in blocks, chunked prefill, preemption of the lowest priority), the prefix cache and its late events, streams that outlive a connection, KV transfer, models and orders with fencing enforced or ignored. The block hash lives in src/upstream/prefix.ts, where the router and the stand-in both take it; the prompt's text moved there from the intake.

--- a/src/request/intake.ts
+++ b/src/request/intake.ts
@@ -11,6 +11,7 @@
   Workspace,
 } from '../config/index.js';
 import type {Timer} from '../timer/index.js';
+import {promptText} from '../upstream/index.js';
 import type {Failure} from './outcome.js';
 import type {Demand, Work} from './work.js';
 
@@ -156,23 +157,6 @@
   | {type: 'chat' | 'completion'; path: string}
   | {type: 'service'; service: string; path: string};
 
-function promptOf(body: z.infer<typeof generationSchema>): string {
-  if (body.messages !== undefined) {
-    return body.messages
-      .map(({role, content}) => `${role}\n${contentText(content)}\n`)
-      .join('');
-  }
-  return Array.isArray(body.prompt)
-    ? body.prompt.join('\n')
-    : (body.prompt ?? '');
-}
-
-function contentText(
-  content: z.infer<typeof messageSchema>['content'],
-): string {
-  return typeof content === 'string' ? content : JSON.stringify(content ?? '');
-}
-
 function parseGeneration(
   target: Target,
   body: Buffer,
@@ -199,7 +183,7 @@
   return ok({
     type: 'generation',
     model: name,
-    prompt: promptOf(parsed.data),
+    prompt: promptText(parsed.data),
     stream: stream === true,
     ...(adapter === undefined ? {} : {adapter}),
     ...(maxTokens === undefined ? {} : {maxTokens}),
--- a/stand-ins/engine.ts
+++ b/stand-ins/engine.ts
@@ -1,230 +1,204 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import findMyWay from 'find-my-way';
-import {bodyOf, jsonOf, sendJson, serveRoutes, type StandIn} from './http.js';
-import {outputTokens, type GenerationBody} from './text.js';
+import {BLOCK_CHARACTERS} from '../src/upstream/index.js';
+import {Batch} from './batch.js';
+import {ENGINE_DEFAULTS, type EngineBehaviour} from './behaviour.js';
+import {CacheEvents, PrefixCache} from './cache.js';
+import {Generation} from './generation.js';
+import {
+  jsonOf,
+  sendJson,
+  serveRoutes,
+  type Routes,
+  type StandIn,
+} from './http.js';
+import {KvTransfer} from './kv.js';
+import {Models, type EngineOrder} from './models.js';
+import {Orders, OrderVerdict, type JournaledOrder} from './orders.js';
+import {LaggingReport} from './report.js';
+import type {EngineExecution} from './sequence.js';
+import {Streams} from './streams.js';
+
+const EVENTS_PER_PAGE = 1_000;
 
-/** How a stand-in engine behaves. */
-export interface EngineBehaviour {
-  /** Sequences decoded at once. */
-  slots: number;
-  /** Duration of a decoding step in ms. */
-  stepMs: number;
-  /** Factor on the duration of every step; above 1 it is a straggler. */
-  slowness: number;
-  /** Whether it announces that it is leaving. */
-  leaving: boolean;
-}
-
-const DEFAULTS: EngineBehaviour = {
-  slots: 16,
-  stepMs: 2,
-  slowness: 1,
-  leaving: false,
-};
-
-/** One execution, as the engine's journal keeps it. */
-export interface EngineExecution {
-  id: string;
-  priority: number;
-  tokens: number;
-  startedAt: number;
-  endedAt?: number;
-  cancelled: boolean;
-}
-
-/** A request waiting for a slot or decoding in one. */
-interface Sequence {
-  execution: EngineExecution;
-  tokens: string[];
-  emit(token: string, index: number): void;
-  finish(): void;
+/** The running stand-in engine. */
+export interface EngineStandIn extends StandIn {
+  behaviour: EngineBehaviour;
+  journal: EngineExecution[];
+  orders: JournaledOrder[];
 }
 
-/** Decodes sequences in steps, highest priority first into free slots. */
-class Batch {
-  readonly journal: EngineExecution[] = [];
-  private waiting: Sequence[] = [];
-  private running: Sequence[] = [];
-  private timer?: NodeJS.Timeout;
-
-  constructor(private readonly behaviour: EngineBehaviour) {}
+/** The parts of a stand-in engine, connected. */
+class Engine {
+  readonly events: CacheEvents;
+  readonly cache: PrefixCache;
+  readonly batch: Batch;
+  readonly streams: Streams;
+  readonly models: Models;
+  readonly orders: Orders;
+  readonly kv: KvTransfer;
+  readonly generation: Generation;
+  readonly report;
+
+  constructor(
+    readonly behaviour: EngineBehaviour,
+    private readonly crash: () => void,
+  ) {
+    this.events = new CacheEvents(behaviour);
+    this.cache = new PrefixCache(behaviour, this.events);
+    this.batch = new Batch(behaviour, this.cache);
+    this.streams = new Streams(behaviour, this.batch);
+    this.models = new Models(behaviour);
+    this.orders = new Orders(behaviour, this.models);
+    this.kv = new KvTransfer(behaviour, this.cache);
+    this.generation = new Generation(
+      behaviour,
+      this.batch,
+      this.streams,
+      this.models,
+    );
+    this.report = new LaggingReport(
+      () => this.batch.load(),
+      () => behaviour.reportLagMs,
+    );
+  }
 
-  add(sequence: Sequence): void {
-    this.waiting.push(sequence);
-    this.waiting.sort((a, b) => a.execution.priority - b.execution.priority);
-    this.schedule();
+  /** Routes for callers. */
+  routeGeneration(routes: Routes): void {
+    for (const path of ['/v1/chat/completions', '/v1/completions'] as const) {
+      routes.on('POST', path, (message, response) =>
+        this.generation.serve(message, response),
+      );
+    }
+    routes.on('GET', '/v1/streams/:id', (message, response, params) =>
+      this.resume(message, response, params['id'] ?? ''),
+    );
+    routes.on('POST', '/v1/streams/:id/cancel', (_message, response, params) =>
+      this.streams.cancel(params['id'] ?? '')
+        ? sendJson(response, 200, {})
+        : sendJson(response, 404, {error: 'unknownStream'}),
+    );
   }
 
-  cancel(sequence: Sequence): void {
-    sequence.execution.cancelled = true;
-    this.waiting = this.waiting.filter(other => other !== sequence);
-    this.running = this.running.filter(other => other !== sequence);
+  /** Routes for the router's control of the engine. */
+  routeControl(routes: Routes): void {
+    routes.on('GET', '/load', (_message, response) => {
+      sendJson(response, 200, this.report.read());
+    });
+    routes.on('GET', '/cache/events', (message, response) => {
+      const query = new URL(message.url ?? '', 'http://engine').searchParams;
+      const from = Number(query.get('from') ?? 0);
+      const page = this.events.page(from, EVENTS_PER_PAGE);
+      sendJson(response, 200, {blockCharacters: BLOCK_CHARACTERS, ...page});
+    });
+    routes.on('POST', '/kv/export', (message, response) =>
+      this.kv.export(message, response),
+    );
+    routes.on('POST', '/kv/import', (message, response) =>
+      this.kv.import(message, response),
+    );
+    routes.on('POST', '/orders', (message, response) =>
+      this.order(message, response),
+    );
+    routes.on('GET', '/orders', (_message, response) => {
+      sendJson(response, 200, this.orders.journal);
+    });
+    routes.on('GET', '/models', (_message, response) => {
+      sendJson(response, 200, this.held());
+    });
   }
 
-  load() {
-    return {
-      running: this.running.length,
-      waiting: this.waiting.length,
-      memory: this.running.length / this.behaviour.slots,
-      leaving: this.behaviour.leaving,
-    };
+  /** Routes for tests. */
+  routeTests(routes: Routes): void {
+    routes.on('GET', '/journal', (_message, response) => {
+      sendJson(response, 200, this.batch.journal);
+    });
+    routes.on('GET', '/usage', (_message, response) => {
+      const {refused} = this.generation;
+      sendJson(response, 200, {refused, kv: this.kv.usage});
+    });
+    routes.on('PUT', '/behaviour', async (message, response) => {
+      Object.assign(this.behaviour, await jsonOf(message));
+      sendJson(response, 200, this.behaviour);
+    });
+    routes.on('POST', '/crash', () => this.crash());
   }
 
-  private schedule(): void {
-    const {stepMs, slowness} = this.behaviour;
-    this.timer ??= setTimeout(() => this.step(), stepMs * slowness);
+  close(): void {
+    this.batch.stop();
+    this.streams.close();
+    this.report.close();
   }
 
-  private step(): void {
-    delete this.timer;
-    while (this.running.length < this.behaviour.slots) {
-      const next = this.waiting.shift();
-      if (next === undefined) break;
-      next.execution.startedAt = Date.now();
-      this.journal.push(next.execution);
-      this.running.push(next);
+  private resume(
+    message: IncomingMessage,
+    response: ServerResponse,
+    id: string,
+  ): void {
+    const stream = this.streams.find(id);
+    if (stream === undefined) {
+      return sendJson(response, 404, {error: 'unknownStream'});
     }
-    for (const sequence of [...this.running]) this.decode(sequence);
-    if (this.running.length + this.waiting.length > 0) this.schedule();
+    const last = Number(message.headers['last-event-id'] ?? -1);
+    stream.attach(response, last + 1);
   }
 
-  private decode(sequence: Sequence): void {
-    const index = sequence.execution.tokens++;
-    sequence.emit(sequence.tokens[index] ?? '', index);
-    if (sequence.execution.tokens < sequence.tokens.length) return;
-    this.running = this.running.filter(other => other !== sequence);
-    sequence.execution.endedAt = Date.now();
-    sequence.finish();
+  private held() {
+    const {loaded, pending, failed, role} = this.models;
+    const fencing = this.orders.highest;
+    const {modelSlots} = this.behaviour;
+    return {loaded, pending, failed, role, modelSlots, fencing};
   }
-}
 
-/** The running stand-in engine. */
-export interface EngineStandIn extends StandIn {
-  behaviour: EngineBehaviour;
-  journal: EngineExecution[];
+  private async order(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const order = (await jsonOf(message)) as unknown as EngineOrder;
+    if (!this.orders.permits(message.headers.authorization)) {
+      return sendJson(response, 403, {error: 'unknownSender'});
+    }
+    const verdict = this.orders.take(order);
+    switch (verdict) {
+      case OrderVerdict.Executed:
+      case OrderVerdict.Repeated:
+        return sendJson(response, 202, {verdict, ...this.held()});
+      case OrderVerdict.Stale: {
+        const {highest} = this.orders;
+        return sendJson(response, 409, {error: 'staleFencing', highest});
+      }
+      case OrderVerdict.NoRoom:
+        return sendJson(response, 507, {error: 'noRoom'});
+    }
+  }
 }
 
 /**
- * Starts a stand-in model engine with an OpenAI-compatible API.
- * `GET /load` reports load, `GET /journal` what was run, and
- * `PUT /behaviour` changes [[EngineBehaviour]].
+ * Starts a stand-in model engine with an OpenAI-compatible API and the control
+ * routes of docs/design/upstreams.md. `GET /journal` tells what was run,
+ * `PUT /behaviour` changes [[EngineBehaviour]], and `POST /crash` calls
+ * `crash`, which ends the process when the engine has one of its own.
  */
 export async function startEngine(
   port = 0,
   initial: Partial<EngineBehaviour> = {},
+  crash?: () => void,
 ): Promise<EngineStandIn> {
-  const behaviour = {...DEFAULTS, ...initial};
-  const batch = new Batch(behaviour);
+  const behaviour = {...ENGINE_DEFAULTS, ...initial};
   const routes = findMyWay();
-  for (const path of ['/v1/chat/completions', '/v1/completions'] as const) {
-    routes.on('POST', path, (message, response) =>
-      generate(batch, message, response),
-    );
-  }
-  routes.on('GET', '/load', (_message, response) => {
-    sendJson(response, 200, batch.load());
-  });
-  routes.on('GET', '/journal', (_message, response) => {
-    sendJson(response, 200, batch.journal);
-  });
-  routes.on('PUT', '/behaviour', async (message, response) => {
-    Object.assign(behaviour, await jsonOf(message));
-    sendJson(response, 200, behaviour);
-  });
-  const standIn = await serveRoutes(routes, port);
-  return {...standIn, behaviour, journal: batch.journal};
-}
-
-async function generate(
-  batch: Batch,
-  message: IncomingMessage,
-  response: ServerResponse,
-): Promise<void> {
-  const raw = await bodyOf(message);
-  const body = JSON.parse(raw.toString('utf8')) as GenerationBody & {
-    stream?: boolean;
-  };
-  const id = String(message.headers['x-request-id'] ?? '');
-  const sequence: Sequence = {
-    execution: {
-      id,
-      priority: Number(message.headers['x-priority'] ?? 0),
-      tokens: 0,
-      startedAt: 0,
-      cancelled: false,
-    },
-    tokens: outputTokens(body),
-    ...(body.stream === true
-      ? streamed(response, id, body)
-      : collected(response, id, body)),
-  };
-  response.once('close', () => {
-    if (sequence.execution.endedAt === undefined) batch.cancel(sequence);
-  });
-  batch.add(sequence);
-}
-
-function streamed(response: ServerResponse, id: string, body: GenerationBody) {
-  let count = 0;
-  const open = () => {
-    if (response.headersSent) return;
-    response.writeHead(200, {
-      'content-type': 'text/event-stream',
-      'x-request-id': id,
-    });
-  };
+  const engine = new Engine(behaviour, crash ?? (() => void served.close()));
+  engine.routeGeneration(routes);
+  engine.routeControl(routes);
+  engine.routeTests(routes);
+  const served = await serveRoutes(routes, port);
   return {
-    emit: (token: string, index: number) => {
-      open();
-      count++;
-      const chunk = {
-        id,
-        object: 'chat.completion.chunk',
-        model: body.model,
-        choices: [{index: 0, delta: {content: token}, finish_reason: null}],
-      };
-      response.write(`id: ${index}\ndata: ${JSON.stringify(chunk)}\n\n`);
-    },
-    finish: () => {
-      const chunk = {
-        id,
-        object: 'chat.completion.chunk',
-        model: body.model,
-        choices: [{index: 0, delta: {}, finish_reason: 'stop'}],
-        usage: {completion_tokens: count},
-      };
-      response.end(`data: ${JSON.stringify(chunk)}\n\ndata: [DONE]\n\n`);
-    },
-  };
-}
-
-function collected(response: ServerResponse, id: string, body: GenerationBody) {
-  const tokens: string[] = [];
-  return {
-    emit: (token: string) => {
-      tokens.push(token);
-    },
-    finish: () => {
-      const content = tokens.join('');
-      sendJson(
-        response,
-        200,
-        {
-          id,
-          object: 'chat.completion',
-          model: body.model,
-          choices: [
-            {
-              index: 0,
-              message: {role: 'assistant', content},
-              text: content,
-              finish_reason: 'stop',
-            },
-          ],
-          usage: {completion_tokens: tokens.length},
-        },
-        {'x-request-id': id},
-      );
+    ...served,
+    behaviour,
+    journal: engine.batch.journal,
+    orders: engine.orders.journal,
+    close: () => {
+      engine.close();
+      return served.close();
     },
   };
 }
--- /dev/null
+++ b/stand-ins/generation.ts
@@ -0,0 +1,161 @@
+import {randomUUID} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  BLOCK_TOKENS,
+  prefixBlocks,
+  promptText,
+  promptTokens,
+  type PromptBody,
+} from '../src/upstream/index.js';
+import type {Batch} from './batch.js';
+import {Refusal, type EngineBehaviour} from './behaviour.js';
+import {bodyOf, sendJson} from './http.js';
+import type {Models} from './models.js';
+import {Sequence, type SequenceSink} from './sequence.js';
+import {usageOf, type Streams} from './streams.js';
+import {outputTokens, type GenerationBody} from './text.js';
+
+/** Tells the caller that nothing was run. */
+const NOT_RUN = {'x-not-run': 'true'};
+const RETRY_AFTER = {'retry-after': '1'};
+
+/** An OpenAI-compatible generation request. */
+type GenerationRequest = GenerationBody & PromptBody & {stream?: boolean};
+
+/** Takes generation requests of callers and queues them on the batch. */
+export class Generation {
+  /** Requests refused as not run. */
+  refused = 0;
+
+  constructor(
+    private readonly behaviour: EngineBehaviour,
+    private readonly batch: Batch,
+    private readonly streams: Streams,
+    private readonly models: Models,
+  ) {}
+
+  async serve(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = await requestOf(message);
+    if (body === undefined) {
+      this.refused++;
+      return sendJson(response, 400, {error: 'badRequest'}, NOT_RUN);
+    }
+    if (this.refuse(body, response)) return;
+    const sequence = sequenceOf(message, body);
+    const {id, promptTokens} = sequence.execution;
+    const size = promptTokens + sequence.tokens.length;
+    if (size > this.behaviour.kvBlocks * BLOCK_TOKENS) {
+      this.refused++;
+      return sendJson(response, 400, {error: 'contextTooLong'}, NOT_RUN);
+    }
+    if (body.stream === true) {
+      this.streams.open(sequence, response);
+    } else {
+      sequence.sink = collected(sequence, response, id);
+      response.once('close', () => this.batch.cancel(sequence));
+    }
+    this.batch.add(sequence);
+  }
+
+  /** Answers a request that will not be run; tells whether it did. */
+  private refuse(body: GenerationRequest, response: ServerResponse): boolean {
+    const refusal = this.refusalOf(body);
+    if (refusal === undefined) return false;
+    this.refused++;
+    const {status, error, notRun} = refusal;
+    sendJson(
+      response,
+      status,
+      {error},
+      {
+        ...RETRY_AFTER,
+        ...(notRun ? NOT_RUN : {}),
+      },
+    );
+    return true;
+  }
+
+  private refusalOf(body: GenerationRequest) {
+    switch (this.behaviour.refusal) {
+      case Refusal.Busy:
+        return {status: 429, error: 'busy', notRun: true};
+      case Refusal.Leaving:
+        return {status: 503, error: 'leaving', notRun: true};
+      case Refusal.Error:
+        return {status: 503, error: 'failed', notRun: false};
+      case Refusal.Off:
+        break;
+    }
+    if (this.batch.load().waiting >= this.behaviour.maxWaiting) {
+      return {status: 429, error: 'queueFull', notRun: true};
+    }
+    if (this.behaviour.requireLoaded && !this.models.serves(body.model)) {
+      return {status: 404, error: 'notLoaded', notRun: true};
+    }
+    return undefined;
+  }
+}
+
+async function requestOf(
+  message: IncomingMessage,
+): Promise<GenerationRequest | undefined> {
+  const raw = await bodyOf(message);
+  try {
+    return JSON.parse(raw.toString('utf8')) as GenerationRequest;
+  } catch {
+    return undefined;
+  }
+}
+
+function sequenceOf(message: IncomingMessage, body: GenerationRequest) {
+  const {headers} = message;
+  const text = promptText(body);
+  const key = headers['idempotency-key'];
+  return new Sequence(
+    {
+      id: String(headers['x-request-id'] ?? randomUUID()),
+      ...(typeof key === 'string' ? {key} : {}),
+      priority: Number(headers['x-priority'] ?? 0),
+      model: body.model,
+      promptTokens: promptTokens(text),
+      cachedTokens: 0,
+      computedTokens: 0,
+      tokens: 0,
+      startedAt: 0,
+      cancelled: false,
+      preempted: 0,
+    },
+    outputTokens(body),
+    prefixBlocks(body.model, text),
+  );
+}
+
+function collected(
+  sequence: Sequence,
+  response: ServerResponse,
+  id: string,
+): SequenceSink {
+  return {
+    token: () => undefined,
+    end: () => {
+      const content = sequence.tokens.join('');
+      const choice = {
+        index: 0,
+        message: {role: 'assistant', content},
+        text: content,
+        finish_reason: 'stop',
+      };
+      const answer = {
+        id,
+        object: 'chat.completion',
+        model: sequence.execution.model,
+        choices: [choice],
+        usage: usageOf(sequence),
+      };
+      sendJson(response, 200, answer, {'x-request-id': id});
+    },
+  };
+}
--- a/stand-ins/index.ts
+++ b/stand-ins/index.ts
@@ -1,9 +1,16 @@
+export {ENGINE_DEFAULTS, Fencing, Refusal} from './behaviour.js';
+export type {EngineBehaviour, LoadedModel} from './behaviour.js';
+export type {EngineLoad} from './batch.js';
+export type {CacheEvent, CacheEventPage} from './cache.js';
 export {startEngine} from './engine.js';
-export type {
-  EngineBehaviour,
-  EngineExecution,
-  EngineStandIn,
-} from './engine.js';
+export type {EngineStandIn} from './engine.js';
+export type {EngineOrder, EngineRole, EngineTask} from './models.js';
+export {OrderVerdict} from './orders.js';
+export type {JournaledOrder} from './orders.js';
+export {ReseedableRandom, seededRandom} from './random.js';
+export type {Random} from './random.js';
+export type {EngineExecution} from './sequence.js';
+export type {Usage} from './streams.js';
 export type {StandIn} from './http.js';
 export {startLog} from './log.js';
 export type {LogBehaviour, LogStandIn} from './log.js';
--- /dev/null
+++ b/stand-ins/kv.ts
@@ -0,0 +1,66 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {BLOCK_TOKENS} from '../src/upstream/index.js';
+import type {EngineBehaviour} from './behaviour.js';
+import type {PrefixCache} from './cache.js';
+import {jsonOf, sendJson} from './http.js';
+
+/** Counts KV cache moved between engines, in blocks and bytes. */
+export interface KvUsage {
+  exportedBlocks: number;
+  exportedBytes: number;
+  importedBlocks: number;
+  importedBytes: number;
+}
+
+/** Exports and imports cached blocks, of which only the sizes are real. */
+export class KvTransfer {
+  readonly usage: KvUsage = {
+    exportedBlocks: 0,
+    exportedBytes: 0,
+    importedBlocks: 0,
+    importedBytes: 0,
+  };
+
+  constructor(
+    private readonly behaviour: EngineBehaviour,
+    private readonly cache: PrefixCache,
+  ) {}
+
+  /** Answers which leading blocks it has, and how large they are. */
+  async export(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const asked = await blocksOf(message);
+    const blocks = asked.slice(0, this.cache.match(asked));
+    const bytes = await this.move(blocks.length);
+    this.usage.exportedBlocks += blocks.length;
+    this.usage.exportedBytes += bytes;
+    sendJson(response, 200, {blocks, bytes});
+  }
+
+  /** Stores blocks that another engine exported. */
+  async import(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const blocks = await blocksOf(message);
+    const bytes = await this.move(blocks.length);
+    this.cache.store(blocks);
+    this.usage.importedBlocks += blocks.length;
+    this.usage.importedBytes += bytes;
+    sendJson(response, 200, {blocks, bytes});
+  }
+
+  private async move(blocks: number): Promise<number> {
+    const bytes = blocks * BLOCK_TOKENS * this.behaviour.kvBytesPerToken;
+    const delayMs = bytes / this.behaviour.kvBytesPerMs;
+    await new Promise(resolve => setTimeout(resolve, delayMs));
+    return bytes;
+  }
+}
+
+async function blocksOf(message: IncomingMessage): Promise<string[]> {
+  const {blocks} = await jsonOf(message);
+  return Array.isArray(blocks) ? blocks.map(String) : [];
+}
--- a/stand-ins/main.ts
+++ b/stand-ins/main.ts
@@ -19,7 +19,7 @@
     case Kind.Log:
       return startLog(port, behaviour);
     case Kind.Engine:
-      return startEngine(port, behaviour);
+      return startEngine(port, behaviour, () => process.exit(1));
     case Kind.Service:
       return startService(port, behaviour);
     case Kind.List:
--- /dev/null
+++ b/stand-ins/models.ts
@@ -0,0 +1,152 @@
+import type {EngineBehaviour, LoadedModel} from './behaviour.js';
+
+/** What an engine can be told to do. */
+export type EngineOrder = {
+  /** Chosen by the sender; the same id is executed once. */
+  id: string;
+  /** Fencing number of the sender's lease. */
+  fencing: number;
+  /** Name of the sender. */
+  sender: string;
+} & EngineTask;
+
+/** The task of an [[EngineOrder]]. */
+export type EngineTask =
+  | {type: 'loadModel'; model: string; version: string}
+  | {type: 'loadVersion'; model: string; version: string}
+  | {type: 'loadAdapter'; model: string; adapter: string}
+  | {type: 'unloadModel'; model: string}
+  | {type: 'changeRole'; role: EngineRole};
+
+/** Work an engine specialises on. */
+export type EngineRole = 'general' | 'prefill' | 'decode';
+
+/** A load that has begun. */
+export interface PendingLoad {
+  model: string;
+  version?: string;
+  adapter?: string;
+}
+
+/** A load that failed, with the reason. */
+export interface FailedLoad extends PendingLoad {
+  reason: string;
+  at: number;
+}
+
+const FAILURES_KEPT = 20;
+
+/** The models in an engine's memory, and those on their way into it. */
+export class Models {
+  readonly loaded: LoadedModel[];
+  readonly pending: PendingLoad[] = [];
+  readonly failed: FailedLoad[] = [];
+  role: EngineRole = 'general';
+
+  constructor(private readonly behaviour: EngineBehaviour) {
+    this.loaded = structuredClone(behaviour.loaded);
+  }
+
+  /** Whether a model, given as `model` or `model:adapter`, is loaded. */
+  serves(name: string): boolean {
+    const [model, adapter] = name.split(':', 2);
+    return this.loaded.some(
+      loaded =>
+        loaded.model === model &&
+        (adapter === undefined || loaded.adapters.includes(adapter)),
+    );
+  }
+
+  /** Whether one more model fits into memory. */
+  get full(): boolean {
+    const models = new Set([
+      ...this.loaded.map(({model}) => model),
+      ...this.pending.map(({model}) => model),
+    ]);
+    return models.size >= this.behaviour.modelSlots;
+  }
+
+  knows(model: string): boolean {
+    return (
+      this.loaded.some(loaded => loaded.model === model) ||
+      this.pending.some(pending => pending.model === model)
+    );
+  }
+
+  /** Executes a task; a load goes on after the call returns. */
+  execute(task: EngineTask): void {
+    switch (task.type) {
+      case 'loadModel':
+      case 'loadVersion':
+        void this.load({model: task.model, version: task.version});
+        return;
+      case 'loadAdapter':
+        void this.load({model: task.model, adapter: task.adapter});
+        return;
+      case 'unloadModel': {
+        const index = this.loaded.findIndex(({model}) => model === task.model);
+        if (index !== -1) this.loaded.splice(index, 1);
+        return;
+      }
+      case 'changeRole':
+        this.role = task.role;
+        return;
+    }
+  }
+
+  private async load(load: PendingLoad): Promise<void> {
+    if (this.holds(load)) return;
+    if (this.pending.some(other => sameLoad(other, load))) return;
+    this.pending.push(load);
+    const reason = await this.fetch(load);
+    this.pending.splice(this.pending.indexOf(load), 1);
+    if (reason === undefined) this.install(load);
+    else this.failed.push({...load, reason, at: Date.now()});
+    if (this.failed.length > FAILURES_KEPT) this.failed.shift();
+  }
+
+  private holds({model, version, adapter}: PendingLoad): boolean {
+    const loaded = this.loaded.find(other => other.model === model);
+    if (loaded === undefined) return false;
+    if (adapter !== undefined) return loaded.adapters.includes(adapter);
+    return loaded.version === version;
+  }
+
+  /** Fetches the weights; returns the reason when that failed. */
+  private async fetch(load: PendingLoad): Promise<string | undefined> {
+    const {weightsUrl, loadMs} = this.behaviour;
+    if (weightsUrl !== '') {
+      const name = load.adapter ?? load.model;
+      const version = load.version ?? 'adapter';
+      try {
+        const path = `/weights/${load.model}/${name}/${version}`;
+        const answer = await fetch(`${weightsUrl}${path}`);
+        await answer.arrayBuffer();
+        if (!answer.ok) return `weight store answered ${answer.status}`;
+      } catch {
+        return 'weight store unreachable';
+      }
+    }
+    await new Promise(resolve => setTimeout(resolve, loadMs));
+    return undefined;
+  }
+
+  private install({model, version, adapter}: PendingLoad): void {
+    const loaded = this.loaded.find(other => other.model === model);
+    if (adapter !== undefined) {
+      loaded?.adapters.push(adapter);
+    } else if (loaded !== undefined) {
+      loaded.version = version ?? loaded.version;
+    } else {
+      this.loaded.push({model, version: version ?? '1', adapters: []});
+    }
+  }
+}
+
+function sameLoad(one: PendingLoad, other: PendingLoad): boolean {
+  return (
+    one.model === other.model &&
+    one.version === other.version &&
+    one.adapter === other.adapter
+  );
+}
--- /dev/null
+++ b/stand-ins/report.ts
@@ -0,0 +1,43 @@
+const SAMPLE_PERIOD_MS = 10;
+
+interface Sample<Report> {
+  at: number;
+  report: Report;
+}
+
+/** A report that tells the state of some time ago. */
+export class LaggingReport<Report> {
+  private samples: Array<Sample<Report>> = [];
+  private sampler?: NodeJS.Timeout;
+
+  constructor(
+    private readonly current: () => Report,
+    private readonly lagMs: () => number,
+  ) {}
+
+  /** The state as of the lag ago; sampling starts with the first read. */
+  read(): Report {
+    if (this.lagMs() <= 0) return this.current();
+    this.start();
+    const limit = performance.now() - this.lagMs();
+    while ((this.samples[1]?.at ?? Infinity) <= limit) this.samples.shift();
+    return this.samples[0]?.report ?? this.current();
+  }
+
+  close(): void {
+    clearInterval(this.sampler);
+  }
+
+  private start(): void {
+    if (this.sampler !== undefined) return;
+    this.sample();
+    this.sampler = setInterval(() => this.sample(), SAMPLE_PERIOD_MS);
+    this.sampler.unref();
+  }
+
+  private sample(): void {
+    const limit = performance.now() - this.lagMs();
+    while ((this.samples[1]?.at ?? Infinity) <= limit) this.samples.shift();
+    this.samples.push({at: performance.now(), report: this.current()});
+  }
+}
--- /dev/null
+++ b/test/standin-engine.test.ts
@@ -0,0 +1,323 @@
+import {request} from 'undici';
+import {afterEach, describe, expect, it} from 'vitest';
+import {
+  outputTokens,
+  Refusal,
+  startEngine,
+  type CacheEventPage,
+  type EngineBehaviour,
+  type EngineLoad,
+  type EngineStandIn,
+} from '../stand-ins/index.js';
+import {BLOCK_CHARACTERS, prefixBlocks} from '../src/upstream/index.js';
+
+const engines: EngineStandIn[] = [];
+
+afterEach(async () => {
+  await Promise.all(engines.splice(0).map(engine => engine.close()));
+});
+
+async function open(behaviour: Partial<EngineBehaviour> = {}) {
+  const engine = await startEngine(0, behaviour);
+  engines.push(engine);
+  return engine;
+}
+
+const body = (prompt: string, length: number, stream = false) => ({
+  model: 'm',
+  prompt,
+  stream,
+  metadata: {output_tokens: String(length)},
+});
+
+const send = (
+  engine: EngineStandIn,
+  content: object,
+  headers: Record<string, string> = {},
+) =>
+  request(`${engine.url}/v1/completions`, {
+    method: 'POST',
+    headers,
+    body: JSON.stringify(content),
+  });
+
+async function usage(engine: EngineStandIn, content: object) {
+  const response = await send(engine, content);
+  return ((await response.body.json()) as {usage: object}).usage;
+}
+
+async function read<Value>(engine: EngineStandIn, path: string) {
+  const response = await request(`${engine.url}${path}`);
+  return (await response.body.json()) as Value;
+}
+
+const post = (engine: EngineStandIn, path: string, content: object = {}) =>
+  request(`${engine.url}${path}`, {
+    method: 'POST',
+    body: JSON.stringify(content),
+  });
+
+const until = async (condition: () => boolean) => {
+  while (!condition()) await new Promise(resolve => setTimeout(resolve, 5));
+};
+
+/** Tokens of an event stream, by the ids of their events. */
+function tokensOf(text: string): Map<number, string> {
+  const tokens = new Map<number, string>();
+  for (const [, id, data] of text.matchAll(/id: (\d+)\ndata: (.*)\n/g)) {
+    const chunk = JSON.parse(data ?? '');
+    tokens.set(Number(id), chunk.choices[0].delta.content as string);
+  }
+  return tokens;
+}
+
+describe('the prefix cache', () => {
+  const shared = 'catalogue '.repeat(100);
+
+  it('spares a prompt the blocks it shares with an earlier one', async () => {
+    const engine = await open();
+    expect([
+      await usage(engine, body(`${shared}one`, 2)),
+      await usage(engine, body(`${shared}two`, 2)),
+    ]).toMatchInlineSnapshot(`
+      [
+        {
+          "completion_tokens": 2,
+          "prompt_tokens": 251,
+          "prompt_tokens_details": {
+            "cached_tokens": 0,
+          },
+          "total_tokens": 253,
+        },
+        {
+          "completion_tokens": 2,
+          "prompt_tokens": 251,
+          "prompt_tokens_details": {
+            "cached_tokens": 224,
+          },
+          "total_tokens": 253,
+        },
+      ]
+    `);
+  });
+
+  it('evicts the blocks not used for longest, and publishes it', async () => {
+    const engine = await open({cacheBlocks: 8});
+    await usage(engine, body(`a${shared}`, 1));
+    await usage(engine, body(`b${shared}`, 1));
+    const again = await usage(engine, body(`a${shared}`, 1));
+    expect(again).toMatchObject({prompt_tokens_details: {cached_tokens: 32}});
+    const page = await read<CacheEventPage>(engine, '/cache/events?from=0');
+    const stored = page.events[0];
+    expect(stored?.blocks).toEqual(prefixBlocks('m', `a${shared}`));
+    expect(
+      page.events.map(({sequence, type, blocks}) => [
+        sequence,
+        type,
+        blocks.length,
+      ]),
+    ).toMatchInlineSnapshot(`
+      [
+        [
+          0,
+          "stored",
+          7,
+        ],
+        [
+          1,
+          "stored",
+          7,
+        ],
+        [
+          2,
+          "evicted",
+          6,
+        ],
+        [
+          3,
+          "stored",
+          6,
+        ],
+        [
+          4,
+          "evicted",
+          6,
+        ],
+      ]
+    `);
+  });
+
+  it('shows by sequence numbers that events are missing', async () => {
+    const engine = await open({eventGapShare: 0.5, seed: 7});
+    for (let n = 0; n < 10; n++) await usage(engine, body(n + shared, 1));
+    const page = await read<CacheEventPage>(engine, '/cache/events?from=0');
+    const numbers = page.events.map(({sequence}) => sequence);
+    expect(numbers.length).toBeGreaterThan(0);
+    expect(numbers.length).toBeLessThan(10);
+  });
+
+  it('takes over blocks that another engine exports', async () => {
+    const [from, to] = [await open(), await open()];
+    await usage(from, body(shared, 1));
+    const blocks = prefixBlocks('m', shared);
+    const exported = await post(from, '/kv/export', {blocks});
+    const answer = (await exported.body.json()) as {blocks: string[]};
+    await post(to, '/kv/import', answer);
+    expect(answer.blocks).toHaveLength(
+      Math.floor(shared.length / BLOCK_CHARACTERS),
+    );
+    expect(await usage(to, body(shared, 1))).toMatchObject({
+      prompt_tokens_details: {cached_tokens: 224},
+    });
+  });
+});
+
+describe('the batch', () => {
+  it('starts waiting requests by priority', async () => {
+    const engine = await open({slots: 1});
+    const first = send(engine, body('first', 50));
+    await until(() => engine.journal.length === 1);
+    const rest = ['low', 'high', 'middle'].map((id, index) =>
+      send(engine, body(id, 1), {
+        'x-request-id': id,
+        'x-priority': String([5, 0, 2][index]),
+      }),
+    );
+    await Promise.all([first, ...rest]);
+    expect(engine.journal.map(({id}) => id).slice(1)).toEqual([
+      'high',
+      'middle',
+      'low',
+    ]);
+  });
+
+  it('preempts the lowest priority when memory is short', async () => {
+    const engine = await open({kvBlocks: 10});
+    const low = body('x'.repeat(BLOCK_CHARACTERS * 6), 60);
+    const high = body('y'.repeat(BLOCK_CHARACTERS * 6), 4);
+    const first = send(engine, low, {'x-priority': '4'});
+    await until(() => (engine.journal[0]?.tokens ?? 0) > 0);
+    const second = await send(engine, high, {'x-priority': '0'});
+    await second.body.dump();
+    const answer = await (await first).body.json();
+    expect(answer).toMatchObject({
+      choices: [{text: outputTokens(low).join('')}],
+    });
+    expect(
+      engine.journal.map(({priority, preempted}) => ({priority, preempted})),
+    ).toEqual([
+      {priority: 4, preempted: 1},
+      {priority: 0, preempted: 0},
+    ]);
+  });
+
+  it('takes time for the tokens of a prompt that are not cached', async () => {
+    const engine = await open({prefillTokensPerMs: 10});
+    const long = body('z'.repeat(8_000), 1);
+    const start = performance.now();
+    await usage(engine, long);
+    const cold = performance.now() - start;
+    expect(cold).toBeGreaterThan(190);
+    await usage(engine, long);
+    expect(performance.now() - start - cold).toBeLessThan(cold / 2);
+  });
+
+  it('reports its load late', async () => {
+    const engine = await open({reportLagMs: 150, slots: 1});
+    expect((await read<EngineLoad>(engine, '/load')).running).toBe(0);
+    const running = send(engine, body('long', 400));
+    await until(() => engine.journal.length === 1);
+    expect((await read<EngineLoad>(engine, '/load')).running).toBe(0);
+    await new Promise(resolve => setTimeout(resolve, 250));
+    expect((await read<EngineLoad>(engine, '/load')).running).toBe(1);
+    await running;
+  });
+});
+
+describe('refusals', () => {
+  it('say that the request was not run, unless it may have been', async () => {
+    const engine = await open({requireLoaded: true, loaded: []});
+    const answers = [];
+    for (const refusal of Object.values(Refusal)) {
+      engine.behaviour.refusal = refusal;
+      const {statusCode, headers} = await send(engine, body('x', 1));
+      answers.push([refusal, statusCode, headers['x-not-run']]);
+    }
+    expect(engine.journal).toEqual([]);
+    expect(answers).toMatchInlineSnapshot(`
+      [
+        [
+          "off",
+          404,
+          "true",
+        ],
+        [
+          "busy",
+          429,
+          "true",
+        ],
+        [
+          "leaving",
+          503,
+          "true",
+        ],
+        [
+          "error",
+          503,
+          undefined,
+        ],
+      ]
+    `);
+  });
+});
+
+describe('a stream', () => {
+  const long = body('stream', 60, true);
+  const headers = {'x-request-id': 'one'};
+
+  async function begin(engine: EngineStandIn) {
+    const response = await send(engine, long, headers);
+    await until(() => (engine.journal[0]?.tokens ?? 0) >= 5);
+    return response;
+  }
+
+  it('resumes at the offset where the caller lost it', async () => {
+    const engine = await open();
+    (await begin(engine)).body.destroy();
+    const resumed = await request(`${engine.url}/v1/streams/one`, {
+      headers: {'last-event-id': '2'},
+    });
+    expect(resumed.headers['x-request-id']).toBe('one');
+    const text = await resumed.body.text();
+    const expected = outputTokens(long).map((token, n) => [n, token] as const);
+    expect([...tokensOf(text)]).toEqual(expected.slice(3));
+    expect(text.endsWith('data: [DONE]\n\n')).toBe(true);
+    expect(engine.journal).toMatchObject([{tokens: 60, cancelled: false}]);
+  });
+
+  it('can be read to the end after it has ended', async () => {
+    const engine = await open();
+    await (await begin(engine)).body.text();
+    const resumed = await request(`${engine.url}/v1/streams/one`, {
+      headers: {'last-event-id': '58'},
+    });
+    expect([...tokensOf(await resumed.body.text()).keys()]).toEqual([59]);
+  });
+
+  it('is cancelled when nobody resumes it in time', async () => {
+    const engine = await open({resumeHoldMs: 30, stepMs: 10});
+    (await begin(engine)).body.destroy();
+    await until(() => engine.journal[0]?.cancelled === true);
+    expect(engine.journal[0]?.tokens).toBeLessThan(60);
+    const gone = await request(`${engine.url}/v1/streams/one`);
+    expect(gone.statusCode).toBe(404);
+  });
+
+  it('is cancelled at once on request', async () => {
+    const engine = await open();
+    const response = await begin(engine);
+    await post(engine, '/v1/streams/one/cancel');
+    expect(engine.journal[0]).toMatchObject({cancelled: true});
+    await expect(response.body.text()).rejects.toThrow();
+  });
+});
