Add the weight store, and seeded faults of log and service

Cause: the log lost answers by an unseeded source and only after they took effect, the service never failed, and there was no store to load weights from. Change: seeded shares of lost answers, lost appends and stale replica reads in the log; refusals, errors and lost answers with a bounded number of calls in the service; a weight store whose readers share one rate. Conclusion: faults of the platform repeat with their seed.

--- a/stand-ins/index.ts
+++ b/stand-ins/index.ts
@@ -26,3 +26,9 @@
 } from './service.js';
 export {outputLength, outputTokens} from './text.js';
 export type {GenerationBody} from './text.js';
+export {startWeights} from './weights.js';
+export type {
+  WeightsBehaviour,
+  WeightsFetch,
+  WeightsStandIn,
+} from './weights.js';
--- a/stand-ins/log.ts
+++ b/stand-ins/log.ts
@@ -1,6 +1,7 @@
 import {EventEmitter} from 'node:events';
 import findMyWay from 'find-my-way';
 import {bodyOf, jsonOf, sendJson, serveRoutes, type StandIn} from './http.js';
+import {ReseedableRandom} from './random.js';
 
 /** How the stand-in log behaves. */
 export interface LogBehaviour {
@@ -14,6 +15,14 @@
   down: boolean;
   /** Share of appends that take effect while their answer is lost. */
   lostAnswerShare: number;
+  /** Share of appends that are lost before they take effect, without answer. */
+  lostAppendShare: number;
+  /** Share of reads that a replica answers. */
+  staleReadShare: number;
+  /** How far the replica's records are behind, in ms. */
+  replicaLagMs: number;
+  /** Seed of everything random. */
+  seed: number;
 }
 
 const DEFAULTS: LogBehaviour = {
@@ -22,6 +31,10 @@
   delayMs: 1,
   down: false,
   lostAnswerShare: 0,
+  lostAppendShare: 0,
+  staleReadShare: 0,
+  replicaLagMs: 0,
+  seed: 1,
 };
 
 interface StoredRecord {
@@ -53,13 +66,15 @@
     return this.records[0]?.offset ?? this.next;
   }
 
-  page(from: number, limit: number) {
+  /** Records from an offset on that were appended before `until`. */
+  page(from: number, limit: number, until = Infinity) {
     const start = Math.max(0, from - this.first);
-    return {
-      records: this.records.slice(start, start + limit),
-      first: this.first,
-      next: this.next,
-    };
+    const seen = this.records
+      .slice(start, start + limit)
+      .filter(({time}) => time <= until);
+    const hidden = this.records.find(({time}) => time > until);
+    const next = hidden?.offset ?? this.next;
+    return {records: seen, first: Math.min(this.first, next), next};
   }
 }
 
@@ -109,6 +124,9 @@
   news.setMaxListeners(0);
   const quota = new Quota(behaviour.appendsPerSecond);
   const usage = {appends: 0, refused: 0, reads: 0};
+  const random = new ReseedableRandom(behaviour.seed);
+  const happens = (share: number) =>
+    share > 0 && random.next(behaviour.seed) < share;
 
   const streamOf = (name: string): Stream => {
     const stream = streams.get(name) ?? new Stream();
@@ -126,11 +144,15 @@
       return sendJson(response, 429, {error: 'too many appends'});
     }
     const name = p['name'] ?? '';
+    if (happens(behaviour.lostAppendShare)) {
+      response.destroy();
+      return;
+    }
     usage.appends++;
     const offset = streamOf(name).append(JSON.parse(body.toString('utf8')));
     news.emit(name);
     await sleep(behaviour.delayMs);
-    if (Math.random() < behaviour.lostAnswerShare) {
+    if (happens(behaviour.lostAnswerShare)) {
       response.destroy();
       return;
     }
@@ -149,7 +171,9 @@
     }
     await sleep(behaviour.delayMs);
     if (behaviour.down) return sendJson(response, 503, {error: 'down'});
-    sendJson(response, 200, streamOf(name).page(from, limit));
+    const stale = happens(behaviour.staleReadShare);
+    const until = stale ? Date.now() - behaviour.replicaLagMs : Infinity;
+    sendJson(response, 200, streamOf(name).page(from, limit, until));
   });
   routes.on('PUT', '/behaviour', async (message, response) => {
     Object.assign(behaviour, await jsonOf(message));
--- a/stand-ins/main.ts
+++ b/stand-ins/main.ts
@@ -5,6 +5,7 @@
 import {startList} from './list.js';
 import {startLog} from './log.js';
 import {startService} from './service.js';
+import {startWeights} from './weights.js';
 
 /** Kinds of stand-ins that can be started as a process. */
 enum Kind {
@@ -12,6 +13,7 @@
   Engine = 'engine',
   Service = 'service',
   List = 'list',
+  Weights = 'weights',
 }
 
 function start(kind: Kind, port: number, behaviour: object): Promise<StandIn> {
@@ -21,9 +23,11 @@
     case Kind.Engine:
       return startEngine(port, behaviour, () => process.exit(1));
     case Kind.Service:
-      return startService(port, behaviour);
+      return startService(port, behaviour, () => process.exit(1));
     case Kind.List:
       return startList(port, behaviour);
+    case Kind.Weights:
+      return startWeights(port, behaviour);
   }
 }
 
--- a/stand-ins/service.ts
+++ b/stand-ins/service.ts
@@ -1,14 +1,43 @@
 import {createHash} from 'node:crypto';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import findMyWay from 'find-my-way';
 import {bodyOf, jsonOf, sendJson, serveRoutes, type StandIn} from './http.js';
+import {ReseedableRandom} from './random.js';
+import {LaggingReport} from './report.js';
 
 /** How a stand-in service behaves. */
 export interface ServiceBehaviour {
   /** Time a call takes in ms. */
   delayMs: number;
+  /** Calls executed at once; more wait. */
+  slots: number;
+  /** Calls waiting at most; more are refused as not run. */
+  maxWaiting: number;
+  /** Share of calls refused as not run, with 503. */
+  refusedShare: number;
+  /** Share of calls that are executed and then answered with 500. */
+  errorShare: number;
+  /** Share of calls that are executed while their answer is lost. */
+  lostAnswerShare: number;
+  /** Age of what `GET /load` tells, in ms. */
+  reportLagMs: number;
   leaving: boolean;
+  /** Seed of everything random. */
+  seed: number;
 }
 
+const DEFAULTS: ServiceBehaviour = {
+  delayMs: 5,
+  slots: 256,
+  maxWaiting: 10_000,
+  refusedShare: 0,
+  errorShare: 0,
+  lostAnswerShare: 0,
+  reportLagMs: 0,
+  leaving: false,
+  seed: 1,
+};
+
 /** One execution, as the service's journal keeps it. */
 export interface ServiceExecution {
   id: string;
@@ -16,6 +45,7 @@
   path: string;
   key?: string;
   digest: string;
+  /** Wall-clock ms at which it took effect. */
   at: number;
 }
 
@@ -25,6 +55,89 @@
   journal: ServiceExecution[];
 }
 
+/** Executes calls, a bounded number at once. */
+class Service {
+  readonly journal: ServiceExecution[] = [];
+  refused = 0;
+  private running = 0;
+  private readonly waiting: Array<() => void> = [];
+  private readonly random: ReseedableRandom;
+
+  constructor(readonly behaviour: ServiceBehaviour) {
+    this.random = new ReseedableRandom(behaviour.seed);
+  }
+
+  load() {
+    const {leaving, slots} = this.behaviour;
+    const waiting = this.waiting.length;
+    return {running: this.running, waiting, memory: 0, slots, leaving};
+  }
+
+  async serve(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = await bodyOf(message);
+    if (this.refuses()) {
+      this.refused++;
+      const headers = {'x-not-run': 'true', 'retry-after': '1'};
+      return sendJson(response, 503, {error: 'busy'}, headers);
+    }
+    await this.slot();
+    const execution = this.execute(message, body);
+    await new Promise(resolve => setTimeout(resolve, this.behaviour.delayMs));
+    this.running--;
+    this.waiting.shift()?.();
+    this.answer(response, execution);
+  }
+
+  private refuses(): boolean {
+    const {maxWaiting, refusedShare} = this.behaviour;
+    if (this.waiting.length >= maxWaiting) return true;
+    return this.happens(refusedShare);
+  }
+
+  private happens(share: number): boolean {
+    return share > 0 && this.random.next(this.behaviour.seed) < share;
+  }
+
+  private async slot(): Promise<void> {
+    if (this.running >= this.behaviour.slots) {
+      await new Promise<void>(resolve => this.waiting.push(resolve));
+    }
+    this.running++;
+  }
+
+  private execute(message: IncomingMessage, body: Buffer) {
+    const key = message.headers['idempotency-key'];
+    const execution: ServiceExecution = {
+      id: String(message.headers['x-request-id'] ?? ''),
+      method: message.method ?? '',
+      path: message.url ?? '',
+      ...(typeof key === 'string' ? {key} : {}),
+      digest: createHash('sha256').update(body).digest('hex'),
+      at: Date.now(),
+    };
+    this.journal.push(execution);
+    return {...execution, number: this.journal.length};
+  }
+
+  private answer(
+    response: ServerResponse,
+    {id, path, digest, number}: ServiceExecution & {number: number},
+  ): void {
+    if (this.happens(this.behaviour.lostAnswerShare)) {
+      response.destroy();
+      return;
+    }
+    const headers = {'x-request-id': id};
+    if (this.happens(this.behaviour.errorShare)) {
+      return sendJson(response, 500, {error: 'failed'}, headers);
+    }
+    sendJson(response, 200, {path, digest, execution: number}, headers);
+  }
+}
+
 /**
  * Starts a stand-in application service. It executes every call it reads, even
  * one repeated with the same key, so that its journal shows repetitions.
@@ -33,44 +146,41 @@
 export async function startService(
   port = 0,
   initial: Partial<ServiceBehaviour> = {},
+  crash?: () => void,
 ): Promise<ServiceStandIn> {
-  const behaviour = {delayMs: 5, leaving: false, ...initial};
-  const journal: ServiceExecution[] = [];
-  let running = 0;
+  const behaviour = {...DEFAULTS, ...initial};
+  const service = new Service(behaviour);
+  const report = new LaggingReport(
+    () => service.load(),
+    () => behaviour.reportLagMs,
+  );
   const routes = findMyWay({
     defaultRoute: (message, response) => {
-      void (async () => {
-        const body = await bodyOf(message);
-        const digest = createHash('sha256').update(body).digest('hex');
-        const id = String(message.headers['x-request-id'] ?? '');
-        const key = message.headers['idempotency-key'];
-        journal.push({
-          id,
-          method: message.method ?? '',
-          path: message.url ?? '',
-          ...(typeof key === 'string' ? {key} : {}),
-          digest,
-          at: Date.now(),
-        });
-        running++;
-        await new Promise(resolve => setTimeout(resolve, behaviour.delayMs));
-        running--;
-        const answer = {path: message.url, digest, execution: journal.length};
-        sendJson(response, 200, answer, {'x-request-id': id});
-      })();
+      void service.serve(message, response);
     },
   });
   routes.on('GET', '/load', (_message, response) => {
-    const {leaving} = behaviour;
-    sendJson(response, 200, {running, waiting: 0, memory: 0, leaving});
+    sendJson(response, 200, report.read());
   });
   routes.on('GET', '/journal', (_message, response) => {
-    sendJson(response, 200, journal);
+    sendJson(response, 200, service.journal);
+  });
+  routes.on('GET', '/usage', (_message, response) => {
+    sendJson(response, 200, {refused: service.refused});
   });
   routes.on('PUT', '/behaviour', async (message, response) => {
     Object.assign(behaviour, await jsonOf(message));
     sendJson(response, 200, behaviour);
   });
+  routes.on('POST', '/crash', () => crash?.());
   const standIn = await serveRoutes(routes, port);
-  return {...standIn, behaviour, journal};
+  return {
+    ...standIn,
+    behaviour,
+    journal: service.journal,
+    close: () => {
+      report.close();
+      return standIn.close();
+    },
+  };
 }
--- /dev/null
+++ b/stand-ins/weights.ts
@@ -0,0 +1,118 @@
+import findMyWay from 'find-my-way';
+import {jsonOf, sendJson, serveRoutes, type StandIn} from './http.js';
+
+/** How the stand-in weight store behaves. */
+export interface WeightsBehaviour {
+  /** Bytes a second that all readers share. */
+  bytesPerSecond: number;
+  /** Size of a model's weights, in bytes. */
+  modelBytes: number;
+  /** Size of an adapter's weights, in bytes. */
+  adapterBytes: number;
+  /** While true, every call is refused with 503. */
+  down: boolean;
+  /** Readers at once; more are refused with 429. */
+  maxReaders: number;
+}
+
+const DEFAULTS: WeightsBehaviour = {
+  bytesPerSecond: 2_000_000_000,
+  modelBytes: 20_000_000,
+  adapterBytes: 1_000_000,
+  down: false,
+  maxReaders: 64,
+};
+
+/** A fetch of weights, as the store's journal keeps it. */
+export interface WeightsFetch {
+  /** `MODEL/NAME/VERSION`; NAME is an adapter's or the model's. */
+  weights: string;
+  bytes: number;
+  /** Wall-clock ms. */
+  startedAt: number;
+  endedAt?: number;
+}
+
+/** The running stand-in weight store. */
+export interface WeightsStandIn extends StandIn {
+  behaviour: WeightsBehaviour;
+  journal: WeightsFetch[];
+}
+
+/** Serves fetches one after the other at the store's rate. */
+class Store {
+  readonly journal: WeightsFetch[] = [];
+  private freeAt = 0;
+  private readers = 0;
+
+  constructor(readonly behaviour: WeightsBehaviour) {}
+
+  get load() {
+    const {down, maxReaders, bytesPerSecond} = this.behaviour;
+    const backlogMs = Math.max(0, this.freeAt - performance.now());
+    const {readers} = this;
+    return {down, readers, maxReaders, bytesPerSecond, backlogMs};
+  }
+
+  get full(): boolean {
+    return this.readers >= this.behaviour.maxReaders;
+  }
+
+  /** Resolves when weights have been read; undefined if the store went down. */
+  async fetch(
+    weights: string,
+    adapter: boolean,
+  ): Promise<WeightsFetch | undefined> {
+    const {modelBytes, adapterBytes, bytesPerSecond} = this.behaviour;
+    const bytes = adapter ? adapterBytes : modelBytes;
+    const entry: WeightsFetch = {weights, bytes, startedAt: Date.now()};
+    this.journal.push(entry);
+    this.readers++;
+    const now = performance.now();
+    const durationMs = (bytes / bytesPerSecond) * 1000;
+    this.freeAt = Math.max(now, this.freeAt) + durationMs;
+    await new Promise(resolve => setTimeout(resolve, this.freeAt - now));
+    this.readers--;
+    if (this.behaviour.down) return undefined;
+    entry.endedAt = Date.now();
+    return entry;
+  }
+}
+
+/**
+ * Starts a stand-in weight store. `GET /weights/MODEL/NAME/VERSION` answers
+ * once the weights would have been read at the store's rate, with their size
+ * in place of their bytes; `GET /status` tells its condition.
+ */
+export async function startWeights(
+  port = 0,
+  initial: Partial<WeightsBehaviour> = {},
+): Promise<WeightsStandIn> {
+  const behaviour = {...DEFAULTS, ...initial};
+  const store = new Store(behaviour);
+  const routes = findMyWay();
+  routes.on(
+    'GET',
+    '/weights/:model/:name/:version',
+    async (_message, response, {model = '', name = '', version = ''}) => {
+      if (behaviour.down) return sendJson(response, 503, {error: 'down'});
+      if (store.full) return sendJson(response, 429, {error: 'busy'});
+      const weights = `${model}/${name}/${version}`;
+      const read = await store.fetch(weights, model !== name);
+      if (read === undefined) return sendJson(response, 503, {error: 'down'});
+      sendJson(response, 200, {weights, bytes: read.bytes});
+    },
+  );
+  routes.on('GET', '/status', (_message, response) => {
+    sendJson(response, behaviour.down ? 503 : 200, store.load);
+  });
+  routes.on('GET', '/journal', (_message, response) => {
+    sendJson(response, 200, store.journal);
+  });
+  routes.on('PUT', '/behaviour', async (message, response) => {
+    Object.assign(behaviour, await jsonOf(message));
+    sendJson(response, 200, behaviour);
+  });
+  const standIn = await serveRoutes(routes, port);
+  return {...standIn, behaviour, journal: store.journal};
+}
--- /dev/null
+++ b/test/standin-platform.test.ts
@@ -0,0 +1,105 @@
+import {Agent, request} from 'undici';
+import {afterEach, describe, expect, it} from 'vitest';
+import {HttpLog} from '../src/platform/index.js';
+import {
+  startLog,
+  startService,
+  startWeights,
+  type LogBehaviour,
+  type StandIn,
+} from '../stand-ins/index.js';
+
+const open: StandIn[] = [];
+const agents: Agent[] = [];
+
+afterEach(async () => {
+  await Promise.all(agents.splice(0).map(agent => agent.destroy()));
+  await Promise.all(open.splice(0).map(standIn => standIn.close()));
+});
+
+function kept<Kind extends StandIn>(standIn: Kind): Kind {
+  open.push(standIn);
+  return standIn;
+}
+
+async function openLog(behaviour: Partial<LogBehaviour>) {
+  const standIn = kept(await startLog(0, behaviour));
+  const agent = new Agent();
+  agents.push(agent);
+  return {standIn, log: new HttpLog(standIn.url, agent)};
+}
+
+const valuesOf = async (log: HttpLog) =>
+  (await log.read('s', {from: 0}))
+    ._unsafeUnwrap()
+    .records.map(({value}) => value);
+
+describe('the stand-in log', () => {
+  it('loses answers and appends by its seed, the same every time', async () => {
+    const run = async () => {
+      const {log} = await openLog({
+        lostAnswerShare: 0.3,
+        lostAppendShare: 0.3,
+        seed: 5,
+      });
+      const answered: number[] = [];
+      for (let n = 0; n < 12; n++) {
+        if ((await log.append('s', n)).isOk()) answered.push(n);
+      }
+      return {answered, stored: await valuesOf(log)};
+    };
+    const [one, other] = [await run(), await run()];
+    expect(other).toEqual(one);
+    expect(one.stored.length).toBeLessThan(12);
+    expect(one.answered.length).toBeLessThan(one.stored.length);
+    expect(one.stored).toEqual(expect.arrayContaining(one.answered));
+  });
+
+  it('drops records by age and keeps their offsets', async () => {
+    const {log} = await openLog({retentionMs: 60});
+    await log.append('s', 'old');
+    await new Promise(resolve => setTimeout(resolve, 90));
+    await log.append('s', 'new');
+    const page = (await log.read('s', {from: 0}))._unsafeUnwrap();
+    expect(page).toMatchObject({first: 1, next: 2, records: [{offset: 1}]});
+  });
+
+  it('answers from a replica that is behind', async () => {
+    const {standIn, log} = await openLog({replicaLagMs: 60_000});
+    await log.append('s', 'late');
+    standIn.behaviour.staleReadShare = 1;
+    expect(await valuesOf(log)).toEqual([]);
+    standIn.behaviour.staleReadShare = 0;
+    expect(await valuesOf(log)).toEqual(['late']);
+  });
+});
+
+describe('the stand-in service', () => {
+  it('executes what it answers with an error, and not what it refuses', async () => {
+    const service = kept(await startService(0, {delayMs: 0}));
+    const call = async () => {
+      const answer = await request(`${service.url}/x`, {method: 'POST'});
+      await answer.body.dump();
+      return [answer.statusCode, answer.headers['x-not-run']];
+    };
+    service.behaviour.errorShare = 1;
+    expect(await call()).toEqual([500, undefined]);
+    service.behaviour.refusedShare = 1;
+    expect(await call()).toEqual([503, 'true']);
+    expect(service.journal).toHaveLength(1);
+  });
+});
+
+describe('the stand-in weight store', () => {
+  it('shares its rate between readers and fails when down', async () => {
+    const store = kept(
+      await startWeights(0, {modelBytes: 1_000, bytesPerSecond: 10_000}),
+    );
+    const fetchModel = () => fetch(`${store.url}/weights/m/m/1`);
+    const start = performance.now();
+    await Promise.all([fetchModel(), fetchModel()]);
+    expect(performance.now() - start).toBeGreaterThan(180);
+    store.behaviour.down = true;
+    expect((await fetchModel()).status).toBe(503);
+  });
+});
