Look up classes, keys and pools of a configuration by index

Cause: intake compared each request's key with every key of the document and searched classes and pools linearly, which grows with 10,000 workspaces. Change: a Lookup built once per configuration; keys are indexed by the start of their hash and the candidates compared in constant time. Conclusion: intake cost no longer grows with the document.

--- a/src/config/index.ts
+++ b/src/config/index.ts
@@ -25,3 +25,4 @@
 } from './ledger.js';
 export {Follower} from './follower.js';
 export type {ConfigurationListener} from './follower.js';
+export {Lookup} from './lookup.js';
--- a/src/request/intake.ts
+++ b/src/request/intake.ts
@@ -1,14 +1,15 @@
-import {createHash, timingSafeEqual} from 'node:crypto';
+import {createHash} from 'node:crypto';
 import type {IncomingMessage} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import {v7 as uuidv7} from 'uuid';
 import {z} from 'zod';
-import type {
-  AcceptedConfiguration,
-  Configuration,
-  Pool,
-  ServiceClass,
-  Workspace,
+import {
+  Lookup,
+  type AcceptedConfiguration,
+  type Configuration,
+  type Pool,
+  type ServiceClass,
+  type Workspace,
 } from '../config/index.js';
 import type {Timer} from '../timer/index.js';
 import type {Failure} from './outcome.js';
@@ -83,14 +84,7 @@
     return err({type: 'unauthenticated'});
   }
   const digest = createHash('sha256').update(key).digest();
-  let found: Workspace | undefined;
-  for (const workspace of configuration.workspaces) {
-    for (const {sha256} of workspace.keys) {
-      if (timingSafeEqual(Buffer.from(sha256, 'hex'), digest)) {
-        found = workspace;
-      }
-    }
-  }
+  const found = Lookup.of(configuration).workspace(digest);
   if (found === undefined) return err({type: 'unauthenticated'});
   return ok(found);
 }
@@ -110,7 +104,7 @@
     workspace.defaultClass ??
     workspace.classes[0] ??
     '';
-  const found = configuration.classes.find(item => item.name === name);
+  const found = Lookup.of(configuration).serviceClass(name);
   if (found === undefined || !workspace.classes.includes(name)) {
     return err({type: 'forbiddenClass', name});
   }
@@ -206,16 +200,17 @@
   });
 }
 
-function poolOf(configuration: Configuration, demand: Demand) {
-  return configuration.pools.find(pool => {
-    if (pool.kind === 'service') {
-      return demand.type === 'service' && pool.service === demand.service;
-    }
-    return (
-      demand.type === 'generation' &&
-      pool.models.some(model => model.name === demand.model)
-    );
-  });
+function poolOf(
+  configuration: Configuration,
+  demand: Demand,
+): Pool | undefined {
+  const lookup = Lookup.of(configuration);
+  switch (demand.type) {
+    case 'generation':
+      return lookup.poolOfModel(demand.model);
+    case 'service':
+      return lookup.poolOfService(demand.service);
+  }
 }
 
 /** Parses and authenticates a request under the configuration in force. */
