--- a/bench/latency.ts
+++ b/bench/latency.ts
@@ -166,12 +166,19 @@
 });
 const {seconds} = args;
 const moderate = await compare(cluster, {
+  callers: 4,
+  stream: true,
+  tokens: 16,
+  seconds,
+});
+print('Moderate load: 4 callers, streams of 16 tokens', moderate);
+const busy = await compare(cluster, {
   callers: 16,
   stream: true,
   tokens: 16,
   seconds,
 });
-print('Moderate load: 16 callers, streams of 16 tokens', moderate);
+print('Busy: 16 callers, streams of 16 tokens', busy);
 const heavy = await compare(cluster, {
   callers: 192,
   stream: false,
@@ -181,5 +188,5 @@
 print('Heavy load: 192 callers, short answers', heavy);
 await cluster.stop();
 if (args.json) {
-  process.stdout.write(`${JSON.stringify({moderate, heavy})}\n`);
+  process.stdout.write(`${JSON.stringify({moderate, busy, heavy})}\n`);
 }
--- a/bench/process.ts
+++ b/bench/process.ts
@@ -10,6 +10,13 @@
   operatorPort?: number;
 }
 
+const running = new Set<ChildProcess>();
+
+// A bench that fails half way leaves no process behind.
+process.on('exit', () => {
+  for (const child of running) child.kill('SIGKILL');
+});
+
 /** A process of a cluster under test, started and signalled by the bench. */
 export class Process {
   private constructor(
@@ -31,6 +38,8 @@
       [join(packageRoot(), 'build', module), ...args],
       {stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, ...env}},
     );
+    running.add(child);
+    child.once('exit', () => running.delete(child));
     const errors: string[] = [];
     createInterface({input: child.stderr}).on('line', line => {
       errors.push(line);
