Measure each answer and tell the recorder how its request ended

Cause: nothing told the recorder of requests, so no report could be built. Change: AnswerMeasure stands between an attempt and its caller and notes the first and last token; the entrance records arrival, end and observation.

--- a/src/instance/entrance.ts
+++ b/src/instance/entrance.ts
@@ -10,6 +10,7 @@
 import {v7 as uuidv7} from 'uuid';
 import type {AcceptedConfiguration, Follower} from '../config/index.js';
 import {
+  AnswerMeasure,
   CallerAnswer,
   execute,
   Outcome,
@@ -168,7 +169,7 @@
     target: Target,
     configuration: AcceptedConfiguration,
   ): Promise<void> {
-    const {timer, scheduler, logger} = this.parts;
+    const {timer, scheduler, logger, recorder} = this.parts;
     const body = await readBody(message, timer);
     if (body.isErr()) {
       refuse(response, body.error);
@@ -182,13 +183,29 @@
     const gone = new AbortController();
     response.once('close', () => gone.abort());
     const answer = new CallerAnswer(response, work.value.id);
+    const measure = new AnswerMeasure(work.value, answer, timer);
+    recorder.decide(work.value.id, {
+      type: 'arrived',
+      class: work.value.serviceClass.name,
+      tier: work.value.serviceClass.tier,
+      workspace: work.value.workspace.name,
+    });
     const conclusion = await execute(
       work.value,
       scheduler,
-      answer,
+      measure,
       gone.signal,
       timer,
     );
+    const observation = measure.observation(conclusion.outcome);
+    recorder.observe(observation);
+    const failure = failureOf(conclusion)?.type;
+    recorder.decide(work.value.id, {
+      type: 'ended',
+      outcome: conclusion.outcome,
+      ms: observation.completionMs,
+      ...(failure === undefined ? {} : {failure}),
+    });
     answer.conclude(conclusion);
     logger.debug(
       {
@@ -196,7 +213,7 @@
         workspace: work.value.workspace.name,
         class: work.value.serviceClass.name,
         outcome: conclusion.outcome,
-        failure: failureOf(conclusion)?.type,
+        failure,
         ms: Math.round(timer.now() - work.value.arrivedAt),
       },
       'Request ended.',
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -19,3 +19,4 @@
 export {AttemptEnd} from './placement.js';
 export type {Placement, PlacementHistory, Scheduler} from './placement.js';
 export type {Demand, Work} from './work.js';
+export {AnswerMeasure} from './measure.js';
--- /dev/null
+++ b/src/request/measure.ts
@@ -0,0 +1,75 @@
+import type {EventSourceMessage} from 'eventsource-parser';
+import type {Observation} from '../telemetry/index.js';
+import {meetsTargets} from '../telemetry/index.js';
+import type {Timer} from '../timer/index.js';
+import type {AnswerSink} from './attempt.js';
+import {Outcome} from './outcome.js';
+import type {Work} from './work.js';
+
+/** Matches the field of a stream event that carries generated text. */
+const TEXT_FIELD = /"(?:content|text)":\s*"/;
+/** Matches the count of generated tokens in a whole answer. */
+const USAGE_FIELD = /"completion_tokens":\s*(\d+)/;
+/** Engines put the usage at the end of a whole answer. */
+const USAGE_TAIL_BYTES = 512;
+
+/**
+ * Passes an answer on to its caller and measures it on the way: the time of
+ * the first and last token, and the number of tokens.
+ */
+export class AnswerMeasure implements AnswerSink {
+  private tokens = 0;
+  private firstAt?: number;
+  private lastAt?: number;
+
+  constructor(
+    private readonly work: Work,
+    private readonly sink: AnswerSink,
+    private readonly timer: Timer,
+  ) {}
+
+  head(status: number, contentType: string): void {
+    this.sink.head(status, contentType);
+  }
+
+  event(event: EventSourceMessage): Promise<void> {
+    if (TEXT_FIELD.test(event.data)) {
+      this.tokens++;
+      this.lastAt = this.timer.now();
+      this.firstAt ??= this.lastAt;
+    }
+    return this.sink.event(event);
+  }
+
+  whole(body: Buffer): void {
+    this.firstAt ??= this.timer.now();
+    const tail = body.subarray(-USAGE_TAIL_BYTES).toString('utf8');
+    this.tokens = Number(USAGE_FIELD.exec(tail)?.[1] ?? 0);
+    this.sink.whole(body);
+  }
+
+  /** Sums the request up once it has ended with `outcome`. */
+  observation(outcome: Outcome): Observation {
+    const {serviceClass, workspace, arrivedAt} = this.work;
+    const now = this.timer.now();
+    const times = {...this.tokenTimes(), completionMs: now - arrivedAt};
+    const met = meetsTargets(serviceClass.targets, times, this.timer.wallNow());
+    return {
+      class: serviceClass.name,
+      tier: serviceClass.tier,
+      workspace: workspace.name,
+      outcome,
+      attained: outcome === Outcome.Completed && met,
+      ...times,
+      tokens: this.tokens,
+    };
+  }
+
+  private tokenTimes() {
+    if (this.firstAt === undefined) return {};
+    const firstTokenMs = this.firstAt - this.work.arrivedAt;
+    if (this.lastAt === undefined || this.tokens < 2) return {firstTokenMs};
+    const betweenTokensMs = (this.lastAt - this.firstAt) / (this.tokens - 1);
+    return {firstTokenMs, betweenTokensMs};
+  }
+}
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -6,3 +6,5 @@
   WeighedUpstream,
 } from './decision.js';
 export {Level, logOf, openLogger, Part} from './logger.js';
+export {describeTargets, meetsTargets} from './targets.js';
+export type {RequestTimes} from './targets.js';
--- /dev/null
+++ b/src/telemetry/targets.ts
@@ -0,0 +1,69 @@
+import type {Targets} from '../config/index.js';
+
+const DAY_MS = 24 * 3_600_000;
+const MINUTE_MS = 60_000;
+
+/** Times of one request that targets are compared with, in ms. */
+export interface RequestTimes {
+  /** From arrival to the first token. */
+  firstTokenMs?: number;
+  /** Mean time between tokens. */
+  betweenTokensMs?: number;
+  /** From arrival to the end. */
+  completionMs: number;
+}
+
+/**
+ * Tells whether a request that ended at `endedAt` (wall-clock ms) met every
+ * target of its class. A target on a moment that the request did not have,
+ * such as the time between tokens of a one-token answer, counts as met.
+ */
+export function meetsTargets(
+  targets: Targets,
+  times: RequestTimes,
+  endedAt: number,
+): boolean {
+  return (
+    within(times.firstTokenMs, targets.firstTokenMs) &&
+    within(times.betweenTokensMs, targets.betweenTokensMs) &&
+    within(times.completionMs, targets.completionMs) &&
+    doneInTime(targets.doneBy, endedAt - times.completionMs, endedAt)
+  );
+}
+
+function within(value: number | undefined, limit: number | undefined): boolean {
+  return value === undefined || limit === undefined || value <= limit;
+}
+
+function doneInTime(
+  doneBy: string | undefined,
+  arrivedAt: number,
+  endedAt: number,
+): boolean {
+  if (doneBy === undefined) return true;
+  return endedAt <= nextTimeOfDay(doneBy, arrivedAt);
+}
+
+/** Returns the first moment at or after `from` with the UTC time `HH:MM`. */
+export function nextTimeOfDay(time: string, from: number): number {
+  const [hours = 0, minutes = 0] = time.split(':').map(Number);
+  const midnight = Math.floor(from / DAY_MS) * DAY_MS;
+  const moment = midnight + (hours * 60 + minutes) * MINUTE_MS;
+  return moment >= from ? moment : moment + DAY_MS;
+}
+
+/** Writes targets as one short phrase for tables. */
+export function describeTargets(targets: Targets): string {
+  const parts = [
+    phrase('first token', targets.firstTokenMs),
+    phrase('between tokens', targets.betweenTokensMs),
+    phrase('completion', targets.completionMs),
+    targets.doneBy === undefined ? undefined : `done by ${targets.doneBy} UTC`,
+  ];
+  const given = parts.filter(part => part !== undefined);
+  return given.length === 0 ? 'a whole answer' : given.join(', ');
+}
+
+function phrase(what: string, limitMs: number | undefined): string | undefined {
+  return limitMs === undefined ? undefined : `${what} ${limitMs} ms`;
+}
