Publish steps against a version, and keep what is in force from reverting

Cause: a whole document of 10,000 workspaces per change breaks 2 KB/s a node; a fresh instance took the log's first answer for current; the log's retention would have dropped the only copy; a lost answer left the operator guessing. Change: named steps with a base version, typed conflicts with the revisions since the base, read-back by submission id, checkpoints on a stream of their own renewed in turn by rendezvous rank, passing on by peers, jittered back-off, nine watchers at the log and wake-up by gossip for the rest. Conclusion: acceptance depends on order and base alone, so nothing reverts.

--- a/src/cli/config.ts
+++ b/src/cli/config.ts
@@ -1,21 +1,30 @@
 import {readFileSync} from 'node:fs';
-import {err, ok, type Result} from 'neverthrow';
-import {Agent} from 'undici';
-import {v7 as uuidv7} from 'uuid';
 import {
   checkDocument,
-  CONFIGURATION_STREAM,
-  Follower,
-  type Verdict,
+  diff,
+  type Change,
+  type Problem,
+  type PublishFailure,
 } from '../config/index.js';
-import {HttpLog} from '../platform/index.js';
-import {Level, logOf, openLogger, Part} from '../telemetry/index.js';
-import {SystemTimer} from '../timer/index.js';
 import {ExitCode, leave} from './exit.js';
+import {awaitRollout} from './rollout.js';
+import {LogSession} from './session.js';
+import {collectSettings} from './settings.js';
 
-const VERDICT_TIMEOUT_MS = 10_000;
-const VERDICT_POLL_MS = 20;
-const CATCH_UP_MS = 300;
+const ROLLOUT_TIMEOUT_MS = 10_000;
+
+/** How to publish a document. */
+export interface PublishArguments {
+  file: string;
+  logUrl: string;
+  /** Version the document was made from; the one in force by default. */
+  base?: number;
+  author?: string;
+  /** Id of the submission, to repeat one whose outcome is not known. */
+  id?: string;
+  /** host:port of an instance to ask who has the new version. */
+  peer?: string;
+}
 
 function readDocument(file: string): unknown {
   try {
@@ -25,64 +34,131 @@
   }
 }
 
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+function printProblems(problems: readonly Problem[]): void {
+  for (const {path, reason} of problems) print(`${path}: ${reason}`);
+}
+
+function printChanges(changes: readonly Change[]): void {
+  for (const {path, value} of changes) {
+    const place = path.join('.');
+    if (value === undefined) print(`- ${place}`);
+    else print(`+ ${place} = ${JSON.stringify(value)}`);
+  }
+}
+
+async function openLog(logUrl: string): Promise<LogSession> {
+  const session = await LogSession.open(logUrl);
+  if (session !== undefined) return session;
+  leave(ExitCode.Unavailable, 'the log cannot be read');
+}
+
 /** Checks a document and prints every problem in it. */
 export function checkFile(file: string): ExitCode {
   const checked = checkDocument(readDocument(file));
   if (checked.isOk()) {
-    process.stdout.write(`${file} is valid.\n`);
+    print(`${file} is valid.`);
     return ExitCode.Done;
   }
-  for (const {path, reason} of checked.error.problems) {
-    process.stdout.write(`${path}: ${reason}\n`);
-  }
+  printProblems(checked.error.problems);
   return ExitCode.Fault;
 }
 
-/** Publishing got no verdict in time. */
-interface VerdictTimeout {
-  type: 'verdictTimeout';
+/** Prints the document in force, and its version on standard error. */
+export async function show(logUrl: string): Promise<ExitCode> {
+  const session = await openLog(logUrl);
+  const current = session.follower.current();
+  await session.close();
+  if (current === undefined) {
+    leave(ExitCode.Fault, 'there is no configuration yet');
+  }
+  process.stderr.write(`version ${current.version}\n`);
+  print(JSON.stringify(current.document, null, 2));
+  return ExitCode.Done;
 }
 
-/** Publishes a document on the log and waits for the verdict on it. */
-export async function publishFile(
+/** Prints what a document would change of the one in force. */
+export async function showDifference(
   file: string,
   logUrl: string,
 ): Promise<ExitCode> {
-  const document = readDocument(file);
-  const verdict = await publish(document, logUrl);
-  if (verdict.isErr()) {
-    leave(ExitCode.Unavailable, 'no verdict in time; the log may be down');
+  const checked = checkDocument(readDocument(file));
+  if (checked.isErr()) {
+    printProblems(checked.error.problems);
+    return ExitCode.Fault;
   }
-  process.stdout.write(`${JSON.stringify(verdict.value)}\n`);
-  return verdict.value.type === 'accepted' ? ExitCode.Done : ExitCode.Fault;
+  const session = await openLog(logUrl);
+  const current = session.follower.current();
+  await session.close();
+  printChanges(diff(current?.document ?? {}, checked.value));
+  return ExitCode.Done;
 }
 
-async function publish(
-  document: unknown,
-  logUrl: string,
-): Promise<Result<Verdict, VerdictTimeout>> {
-  const agent = new Agent();
-  const log = new HttpLog(logUrl, agent);
-  const timer = new SystemTimer();
-  const root = openLogger(Level.Silent);
-  const follower = new Follower(log, timer, logOf(root, Part.Cli));
-  follower.start();
-  await timer.sleep(CATCH_UP_MS);
-  const id = uuidv7();
-  const base = follower.current()?.version ?? 0;
-  await log.append(CONFIGURATION_STREAM, {
-    type: 'submission',
-    id,
-    base,
-    document,
-  });
-  const end = timer.now() + VERDICT_TIMEOUT_MS;
-  let verdict = follower.verdictOn(id);
-  while (verdict === undefined && timer.now() < end) {
-    await timer.sleep(VERDICT_POLL_MS);
-    verdict = follower.verdictOn(id);
+/** Publishes a document, and tells which instances have it in force. */
+export async function publishFile(
+  args: PublishArguments,
+  env: NodeJS.ProcessEnv,
+): Promise<ExitCode> {
+  const document = readDocument(args.file);
+  const session = await openLog(args.logUrl);
+  const {author, id} = args;
+  const base = args.base ?? session.follower.current()?.version ?? 0;
+  const draft = {base, document, ...(author === undefined ? {} : {author})};
+  const result = await session.publish(draft, id === undefined ? {} : {id});
+  await session.close();
+  if (result.isErr()) return explainFailure(result.error);
+  print(JSON.stringify(result.value));
+  if (args.peer === undefined) return ExitCode.Done;
+  return tellRollout(result.value.version, args.peer, env);
+}
+
+async function tellRollout(
+  version: number,
+  peer: string,
+  env: NodeJS.ProcessEnv,
+): Promise<ExitCode> {
+  const secrets = collectSettings({}, env)['peerSecrets'] as string[];
+  const rollout = await awaitRollout(
+    version,
+    peer,
+    secrets,
+    ROLLOUT_TIMEOUT_MS,
+  );
+  if (rollout === undefined) {
+    leave(ExitCode.Unavailable, `${peer} did not tell of the fleet`);
+  }
+  print(`In force on ${rollout.done.length}: ${rollout.done.join(', ')}`);
+  for (const {name, version: old} of rollout.waiting) {
+    print(`Not on ${name}, which has version ${old}`);
+  }
+  return rollout.waiting.length === 0 ? ExitCode.Done : ExitCode.Fault;
+}
+
+function explainFailure(failure: PublishFailure): ExitCode {
+  switch (failure.type) {
+    case 'invalid':
+      printProblems(failure.problems);
+      return ExitCode.Fault;
+    case 'conflict':
+      print(
+        `Conflict: made from version ${failure.base}, while version ` +
+          `${failure.current} is in force. Changed since:`,
+      );
+      for (const {version, author = 'unknown', changes} of failure.changed ??
+        []) {
+        print(`version ${version} by ${author}:`);
+        printChanges(changes);
+      }
+      return ExitCode.Fault;
+    case 'verdictTimeout':
+      leave(
+        ExitCode.Unavailable,
+        failure.sent
+          ? `no verdict in time; repeat with --id ${failure.id} to learn it`
+          : 'not published: the log took no record',
+      );
   }
-  await follower.stop();
-  await agent.close();
-  return verdict === undefined ? err({type: 'verdictTimeout'}) : ok(verdict);
 }
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -2,7 +2,7 @@
 import {join} from 'node:path';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
-import {checkFile, publishFile} from './config.js';
+import {checkFile, publishFile, show, showDifference} from './config.js';
 import {dev} from './dev.js';
 import {ExitCode, leave} from './exit.js';
 import {packageRoot} from './root.js';
@@ -52,14 +52,53 @@
         },
       )
       .command(
-        'publish <file>',
-        'publish a document on the log',
+        'show',
+        'print the document in force',
+        sub => sub.option('log-url', {type: 'string', demandOption: true}),
+        async ({logUrl}) => {
+          process.exitCode = await show(logUrl);
+        },
+      )
+      .command(
+        'diff <file>',
+        'print what a document would change',
         sub =>
           sub
             .positional('file', {type: 'string', demandOption: true})
             .option('log-url', {type: 'string', demandOption: true}),
         async ({file, logUrl}) => {
-          process.exitCode = await publishFile(file, logUrl);
+          process.exitCode = await showDifference(file, logUrl);
+        },
+      )
+      .command(
+        'publish <file>',
+        'publish a document on the log',
+        sub =>
+          sub
+            .positional('file', {type: 'string', demandOption: true})
+            .option('log-url', {type: 'string', demandOption: true})
+            .option('base', {
+              type: 'number',
+              describe: 'version the document was made from',
+            })
+            .option('author', {type: 'string', describe: 'who publishes'})
+            .option('id', {type: 'string', describe: 'id of an earlier try'})
+            .option('peer', {
+              type: 'string',
+              describe: 'host:port of an instance to ask who has it in force',
+            }),
+        async ({file, logUrl, base, author, id, peer}) => {
+          process.exitCode = await publishFile(
+            {
+              file,
+              logUrl,
+              ...(base === undefined ? {} : {base}),
+              ...(author === undefined ? {} : {author}),
+              ...(id === undefined ? {} : {id}),
+              ...(peer === undefined ? {} : {peer}),
+            },
+            env,
+          );
         },
       )
       .demandCommand(1),
--- /dev/null
+++ b/src/cli/session.ts
@@ -0,0 +1,51 @@
+import {Agent} from 'undici';
+import {
+  Follower,
+  publish,
+  type Draft,
+  type PublishOptions,
+} from '../config/index.js';
+import {HttpLog} from '../platform/index.js';
+import {Level, logOf, openLogger, Part} from '../telemetry/index.js';
+import {SystemTimer} from '../timer/index.js';
+
+const CATCH_UP_TIMEOUT_MS = 10_000;
+const CATCH_UP_POLL_MS = 20;
+
+/** An operator's connection to the log: reads the configuration, publishes. */
+export class LogSession {
+  private readonly agent = new Agent();
+  private readonly timer = new SystemTimer();
+  private readonly log: HttpLog;
+  readonly follower: Follower;
+
+  private constructor(logUrl: string) {
+    this.log = new HttpLog(logUrl, this.agent);
+    const logger = logOf(openLogger(Level.Silent), Part.Cli);
+    this.follower = new Follower(this.log, this.timer, logger);
+  }
+
+  /** Reads the log to its end; undefined when it can't be read in time. */
+  static async open(logUrl: string): Promise<LogSession | undefined> {
+    const session = new LogSession(logUrl);
+    session.follower.start();
+    const end = session.timer.now() + CATCH_UP_TIMEOUT_MS;
+    while (session.timer.now() < end) {
+      if (await session.follower.readToEnd()) return session;
+      await session.timer.sleep(CATCH_UP_POLL_MS);
+    }
+    await session.close();
+    return undefined;
+  }
+
+  publish(draft: Draft, options?: PublishOptions) {
+    const {log, follower, timer} = this;
+    return publish(draft, {log, follower, timer}, options);
+  }
+
+  async close(): Promise<void> {
+    const stopped = this.follower.stop();
+    await this.agent.destroy();
+    await stopped;
+  }
+}
--- a/src/cli/settings.ts
+++ b/src/cli/settings.ts
@@ -21,6 +21,10 @@
     .option('peer-port', {type: 'number', describe: 'port for peers'})
     .option('operator-port', {type: 'number', describe: 'port for operators'})
     .option('log-url', {type: 'string', describe: "the platform's log"})
+    .option('log-retention-ms', {
+      type: 'number',
+      describe: 'how long the log keeps a record',
+    })
     .option('list-url', {type: 'string', describe: 'list of live instances'})
     .option('weights-url', {type: 'string', describe: 'the weight store'})
     .option('seeds', {
--- a/src/config/index.ts
+++ b/src/config/index.ts
@@ -1,5 +1,7 @@
 export {checkDocument} from './check.js';
 export type {InvalidDocument, Problem} from './check.js';
+export {applyChanges, diff} from './delta.js';
+export type {Change, UnknownPath} from './delta.js';
 export {documentSchema} from './document.js';
 export type {
   Configuration,
@@ -12,17 +14,30 @@
   Workspace,
   Zone,
 } from './document.js';
+export {checkAccepted, hashKey, Ledger} from './ledger.js';
+export type {AcceptedConfiguration, Revision, Verdict} from './ledger.js';
+export {Follower} from './follower.js';
+export type {ConfigurationListener, KnownCheckpoint} from './follower.js';
+export {Lookup} from './lookup.js';
+export {noPeers} from './peers.js';
+export type {
+  ConfigurationPeers,
+  PassedConfiguration,
+  PeersAnswer,
+} from './peers.js';
+export {publish} from './publish.js';
+export type {
+  Draft,
+  Publication,
+  PublishFailure,
+  PublishOptions,
+  PublishParts,
+} from './publish.js';
 export {
+  CHECKPOINT_STREAM,
   CONFIGURATION_STREAM,
   configurationRecordSchema,
-  hashKey,
-  Ledger,
-} from './ledger.js';
-export type {
-  AcceptedConfiguration,
-  ConfigurationRecord,
-  Verdict,
-} from './ledger.js';
-export {Follower} from './follower.js';
-export type {ConfigurationListener} from './follower.js';
-export {Lookup} from './lookup.js';
+} from './record.js';
+export type {Checkpoint, ConfigurationRecord, Submission} from './record.js';
+export {Renewal} from './renewal.js';
+export type {RenewalParts} from './renewal.js';
--- a/src/config/ledger.ts
+++ b/src/config/ledger.ts
@@ -1,36 +1,12 @@
 import {createHash} from 'node:crypto';
-import {z} from 'zod';
-import {checkDocument, type Problem} from './check.js';
+import {err, ok, type Result} from 'neverthrow';
+import {checkDocument, type InvalidDocument, type Problem} from './check.js';
+import {applyChanges, diff, type Change} from './delta.js';
 import type {Configuration} from './document.js';
+import type {Submission} from './record.js';
 
-/** Stream of the platform's log that carries configuration. */
-export const CONFIGURATION_STREAM = 'configuration';
-
-const submissionSchema = z.object({
-  type: z.literal('submission'),
-  /** Identifies the submission, so that a lost answer can be found again. */
-  id: z.string(),
-  /** Version the submission is based on; 0 when there is none yet. */
-  base: z.number().int(),
-  document: z.unknown(),
-});
-
-const checkpointSchema = z.object({
-  type: z.literal('checkpoint'),
-  /** The writer had read the stream up to and including this offset. */
-  upTo: z.number().int(),
-  version: z.number().int(),
-  document: z.unknown(),
-});
-
-/** A record of [[CONFIGURATION_STREAM]]. */
-export const configurationRecordSchema = z.discriminatedUnion('type', [
-  submissionSchema,
-  checkpointSchema,
-]);
-
-/** A record of [[CONFIGURATION_STREAM]]. */
-export type ConfigurationRecord = z.infer<typeof configurationRecordSchema>;
+/** Accepted submissions whose steps are kept. */
+const HISTORY_LIMIT = 64;
 
 /** A configuration in force, under the version the log's order gave it. */
 export interface AcceptedConfiguration {
@@ -45,40 +21,113 @@
   | {type: 'conflict'; id: string; base: number; current: number}
   | {type: 'invalid'; id: string; problems: Problem[]};
 
+/** An accepted submission, as told to operators in a conflict. */
+export interface Revision {
+  base: number;
+  version: number;
+  author?: string;
+  changes: Change[];
+}
+
 /**
- * Applies records in offset order. Two ledgers that read the same offsets hold
- * the same configuration and gave the same verdicts. A ledger that starts in
- * the middle of the stream waits for a checkpoint whose `upTo` is not before
- * the place it started at, and replays from there.
+ * Applies submissions in offset order. Acceptance depends on the submission
+ * and the document in force alone, so two ledgers that agree on one version
+ * agree on every later one, wherever they started. A submission that stands in
+ * the log twice is accepted once, as its base is over by then.
  */
 export class Ledger {
   private accepted?: AcceptedConfiguration;
+  private history: Revision[] = [];
 
   /** The newest accepted configuration, or undefined before the first. */
   current(): AcceptedConfiguration | undefined {
     return this.accepted;
   }
 
+  /** Version of the newest accepted configuration; 0 before the first. */
+  get version(): number {
+    return this.accepted?.version ?? 0;
+  }
+
   /** Installs a configuration that a checkpoint or a peer proves accepted. */
   install(configuration: AcceptedConfiguration): boolean {
-    if (configuration.version <= (this.accepted?.version ?? 0)) return false;
+    if (configuration.version <= this.version) return false;
     this.accepted = configuration;
+    this.history = [];
     return true;
   }
 
   /** Applies one submission found at `offset`. */
-  submit(offset: number, record: z.infer<typeof submissionSchema>): Verdict {
-    const current = this.accepted?.version ?? 0;
-    if (record.base !== current) {
-      return {type: 'conflict', id: record.id, base: record.base, current};
-    }
-    const checked = checkDocument(record.document);
+  submit(offset: number, submission: Submission): Verdict {
+    const {id, base} = submission;
+    const current = this.version;
+    if (base !== current) return {type: 'conflict', id, base, current};
+    const checked = this.documentOf(submission);
     if (checked.isErr()) {
-      return {type: 'invalid', id: record.id, problems: checked.error.problems};
+      return {type: 'invalid', id, problems: checked.error.problems};
     }
-    this.accepted = {version: offset + 1, document: checked.value};
-    return {type: 'accepted', id: record.id, version: offset + 1};
+    const version = offset + 1;
+    this.remember(submission, version, checked.value);
+    this.accepted = {version, document: checked.value};
+    return {type: 'accepted', id, version};
   }
+
+  /**
+   * The accepted submissions since a version, oldest first, or undefined when
+   * they are no longer known one by one.
+   */
+  since(version: number): Revision[] | undefined {
+    if (version === this.version) return [];
+    const start = this.history.findIndex(({base}) => base === version);
+    return start === -1 ? undefined : this.history.slice(start);
+  }
+
+  private documentOf(
+    submission: Submission,
+  ): Result<Configuration, InvalidDocument> {
+    switch (submission.type) {
+      case 'submission':
+        return checkDocument(submission.document);
+      case 'delta':
+        return applyChanges(this.accepted?.document ?? {}, submission.changes)
+          .mapErr(({path}) => unknownPath(path))
+          .andThen(document => checkDocument(document));
+    }
+  }
+
+  private remember(
+    submission: Submission,
+    version: number,
+    document: Configuration,
+  ): void {
+    const {base, author} = submission;
+    const changes =
+      submission.type === 'delta'
+        ? submission.changes
+        : diff(this.accepted?.document ?? {}, document);
+    this.history.push({
+      base,
+      version,
+      changes,
+      ...(author === undefined ? {} : {author}),
+    });
+    if (this.history.length > HISTORY_LIMIT) this.history.shift();
+  }
+}
+
+function unknownPath(path: string[]): InvalidDocument {
+  const problem = {path: path.join('.'), reason: 'there is no such value'};
+  return {type: 'invalidDocument', problems: [problem]};
+}
+
+/** Validates a document that a checkpoint or a peer holds for accepted. */
+export function checkAccepted(
+  version: number,
+  document: unknown,
+): Result<AcceptedConfiguration, InvalidDocument> {
+  const checked = checkDocument(document);
+  if (checked.isErr()) return err(checked.error);
+  return ok({version, document: checked.value});
 }
 
 /** SHA-256 of a workspace key, as the configuration stores it. */
--- a/src/instance/settings.ts
+++ b/src/instance/settings.ts
@@ -25,6 +25,8 @@
   operatorPort: port.default(8082),
   /** Base URL of the platform's log. */
   logUrl: z.url(),
+  /** How long the log keeps a record, in ms. */
+  logRetentionMs: z.coerce.number().int().min(60_000).default(3_600_000),
   /** Base URL of the platform's list of live and leaving instances. */
   listUrl: z.url().optional(),
   /** Base URL of the platform's weight store. */
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -1,6 +1,6 @@
 import {Agent} from 'undici';
 import type {Logger} from 'pino';
-import {Follower} from './config/index.js';
+import {Follower, Renewal} from './config/index.js';
 import {
   addressOf,
   Credential,
@@ -9,8 +9,10 @@
   Entrance,
   Fleet,
   openPeerPorts,
+  Passing,
   PeerClient,
   PeerServer,
+  serveMembers,
   Synchronizer,
   type PeerAddress,
   type Settings,
@@ -48,18 +50,6 @@
     connect: {localAddress},
   });
   const log = new HttpLog(settings.logUrl, platform);
-  const directory = new Directory(localAddress);
-  const follower = new Follower(log, timer, logOf(root, Part.Config));
-  follower.subscribe(({document}) => directory.apply(document));
-  const scheduler = new RoundRobin(directory);
-  const recorder = nullRecorder;
-  const entrance = new Entrance({
-    recorder,
-    follower,
-    scheduler,
-    timer,
-    logger: logOf(root, Part.Request),
-  });
   const credential = new Credential(settings.peerSecrets);
   const peerServer = new PeerServer(credential);
   const peerClient = new PeerClient(credential, localAddress);
@@ -98,13 +88,41 @@
           logger: memberLogger,
           random,
         });
+  const directory = new Directory(localAddress);
+  const peers = new Passing(membership, peerClient, random);
+  const configLogger = logOf(root, Part.Config);
+  const follower = new Follower(log, timer, configLogger, peers, random);
+  peers.serve(peerServer, follower);
+  serveMembers(peerServer, membership);
+  const renewal = new Renewal({
+    log,
+    follower,
+    peers,
+    timer,
+    logger: configLogger,
+    retentionMs: settings.logRetentionMs,
+  });
+  follower.subscribe(({document}) => directory.apply(document));
+  const scheduler = new RoundRobin(directory);
+  const recorder = nullRecorder;
+  const entrance = new Entrance({
+    recorder,
+    follower,
+    scheduler,
+    timer,
+    logger: logOf(root, Part.Request),
+  });
   follower.subscribe(({version}) =>
     membership.report({configurationVersion: version}),
   );
+  membership.subscribe(({status}) => {
+    void follower.wake(status.configurationVersion);
+  });
   membership.start();
   await synchronizer.start();
   discovery?.start();
   follower.start();
+  renewal.start();
   const port = await entrance.listen(settings.host, settings.port);
   logOf(root, Part.Router).info({port}, 'Listening for callers.');
   return {
@@ -114,6 +132,7 @@
       await membership.leave();
       await entrance.drain();
       await discovery?.stop();
+      await renewal.stop();
       await follower.stop();
       await synchronizer.stop();
       await membership.stop();
--- /dev/null
+++ b/test/support/documents.ts
@@ -0,0 +1,29 @@
+import type {ConfigurationDraft} from '../../src/config/index.js';
+
+/** A small valid document, told apart by its number. */
+export function documentOf(number: number): ConfigurationDraft {
+  return {
+    format: 1,
+    name: `document-${number}`,
+    regions: [{name: 'delta'}],
+    zones: [{name: 'delta-a', region: 'delta'}],
+    classes: [{name: 'chat', tier: 0, targets: {firstTokenMs: 300}}],
+    workspaces: [workspaceOf(0)],
+    pools: [
+      {
+        kind: 'runner',
+        name: 'runners',
+        models: [{name: 'tube-7b'}],
+        upstreams: [
+          {name: 'runner-1', zone: 'delta-a', url: 'http://10.0.0.1:80'},
+        ],
+      },
+    ],
+  };
+}
+
+/** A workspace with a key of its own. */
+export function workspaceOf(index: number) {
+  const sha256 = index.toString(16).padStart(64, '0');
+  return {name: `workspace-${index}`, keys: [{sha256}], classes: ['chat']};
+}
