Stop new work to a leaving upstream from the first notice of any source

Cause: only the configuration and each instance's own look at a load report kept work away, and late news could bring an upstream back. Change: a register of notices by source with versions, spread at once to three peers and on, operators' commands through any instance, the platform's list; a return needs the source itself to say so for longer than its lag, a newer configuration that brings the upstream back, or an operator. Conclusion: any one notice suffices, and late ones revive nothing.

--- a/bench/cluster.ts
+++ b/bench/cluster.ts
@@ -99,6 +99,7 @@
   ) {}
 
   static readonly operatorSecret = OPERATOR_SECRET;
+  static readonly peerSecret = PEER_SECRET;
 
   static async start(spec: ClusterSpec): Promise<Cluster> {
     const {logBehaviour = {}, listBehaviour = {}} = spec;
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,6 +7,7 @@
 import {ExitCode, leave} from './exit.js';
 import {packageRoot} from './root.js';
 import {serve} from './serve.js';
+import {listUpstreams, setLeaving} from './upstream.js';
 import {declareSettings, takeEnvironment} from './settings.js';
 import {Level} from '../telemetry/index.js';
 
@@ -103,6 +104,32 @@
       )
       .demandCommand(1),
   )
+  .command('upstream', 'make upstreams leave and return', argv =>
+    argv
+      .option('peer', {
+        type: 'string',
+        demandOption: true,
+        describe: 'host:port of any instance',
+      })
+      .command(
+        'list',
+        'print the upstreams and whether they take work',
+        sub => sub,
+        async ({peer}) => {
+          process.exitCode = await listUpstreams(peer, env);
+        },
+      )
+      .command(
+        ['leave <name>', 'return <name>'],
+        'send an upstream no new work, or work again',
+        sub => sub.positional('name', {type: 'string', demandOption: true}),
+        async ({name, peer, _: words}) => {
+          const leaving = words[1] === 'leave';
+          process.exitCode = await setLeaving(name, leaving, peer, env);
+        },
+      )
+      .demandCommand(1),
+  )
   .demandCommand(1)
   .strict()
   .fail((message, error) => {
--- a/src/instance/index.ts
+++ b/src/instance/index.ts
@@ -4,6 +4,13 @@
 export {Discovery} from './discovery.js';
 export {Entrance} from './entrance.js';
 export type {EntranceParts} from './entrance.js';
+export {
+  commandLeaving,
+  connectLeaving,
+  markUpstreams,
+  readUpstreams,
+} from './leaving.js';
+export type {LeavingParts, UpstreamView} from './leaving.js';
 export {MemberState} from './member.js';
 export type {Member, Membership, MemberStatus} from './member.js';
 export {Fleet, PROBE_PERIOD_MS} from './membership.js';
--- a/src/upstream/directory.ts
+++ b/src/upstream/directory.ts
@@ -74,5 +74,6 @@
   const pool = upstream.pool;
   if (pool.contract.state !== 'active') return false;
   if (pool.leaving.includes(upstream.name)) return false;
+  if (upstream.leaving) return false;
   return upstream.load?.leaving !== true;
 }
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -8,5 +8,7 @@
   promptTokens,
 } from './prefix.js';
 export type {PromptBody, PromptMessage} from './prefix.js';
+export {LeavingRegister, NoticeSource} from './leaving.js';
+export type {KeyedNotice, LeavingListener, Notice} from './leaving.js';
 export {Upstream} from './upstream.js';
 export type {LoadReport} from './upstream.js';
--- a/src/upstream/upstream.ts
+++ b/src/upstream/upstream.ts
@@ -22,6 +22,8 @@
 export class Upstream {
   /** Attempts of this instance that run on the upstream now. */
   inflight = 0;
+  /** Whether anyone but the configuration said that it is leaving. */
+  leaving = false;
   /** The newest load report, if any arrived. */
   load?: LoadReport;
   readonly connections: Connections;
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -3,11 +3,13 @@
 import {Follower, Renewal} from './config/index.js';
 import {
   addressOf,
+  connectLeaving,
   Credential,
   DatagramPort,
   Discovery,
   Entrance,
   Fleet,
+  markUpstreams,
   openPeerPorts,
   Passing,
   PeerClient,
@@ -21,7 +23,7 @@
 import {RoundRobin} from './request/index.js';
 import {logOf, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Timer} from './timer/index.js';
-import {Directory} from './upstream/index.js';
+import {Directory, LeavingRegister} from './upstream/index.js';
 
 const PLATFORM_CONNECTIONS = 8;
 
@@ -102,7 +104,20 @@
     logger: configLogger,
     retentionMs: settings.logRetentionMs,
   });
-  follower.subscribe(({document}) => directory.apply(document));
+  const leaving = {
+    register: new LeavingRegister(timer),
+    directory,
+    fleet: membership,
+    server: peerServer,
+    timer,
+    ...(discovery === undefined ? {} : {discovery}),
+  };
+  const looking = connectLeaving(leaving);
+  follower.subscribe(({document}) => {
+    directory.apply(document);
+    leaving.register.configure(document);
+    markUpstreams(leaving);
+  });
   const scheduler = new RoundRobin(directory);
   const recorder = nullRecorder;
   const entrance = new Entrance({
@@ -131,6 +146,7 @@
     stop: async () => {
       await membership.leave();
       await entrance.drain();
+      looking.end();
       await discovery?.stop();
       await renewal.stop();
       await follower.stop();
