Claim keyed requests on the log, and make outcomes honest

Cause: a call sent twice with one key ran twice, a 4xx of an upstream was told as not run without proof, and a deadline bounded no wait.

Change: src/claim appends claims to 16 streams of the log through the home instance of a key (rendezvous hashing), which batches them within its share of 200 appends a second; the lowest offset not superseded by a release wins and only its holder dispatches. An append whose answer was lost is found again by its batch id. Other attempts attach to the holder or get the recorded result. Not repeatable work goes out once, on a new connection that answered a probe. Retries draw on a budget for each class and upstream.

Figures: of 9 concurrent calls with one key over 3 instances one runs, also with every append answer lost; in a log outage a fresh key is refused as not run and a retried one as unknown.

Conclusion: at most once rests on the order of the log alone.

--- /dev/null
+++ b/src/claim/desk.ts
@@ -0,0 +1,121 @@
+import type {Membership, PeerClient, PeerServer} from '../instance/index.js';
+import type {Log} from '../platform/index.js';
+import type {Timer} from '../timer/index.js';
+import {AppendBudget, FLEET_APPENDS_PER_SECOND} from './budget.js';
+import {Homes} from './home.js';
+import {partitionOf} from './key.js';
+import {
+  SUBMIT_METHOD,
+  submitSchema,
+  submittedSchema,
+  type Submission,
+  type Submitted,
+} from './message.js';
+import {Partition, type ClaimUsage} from './partition.js';
+import type {Entry} from './record.js';
+import type {KeyState} from './view.js';
+
+const HOME_TIMEOUT_MS = 800;
+
+/** What a [[Desk]] needs of the rest of the instance. */
+export interface DeskParts {
+  log: Log;
+  timer: Timer;
+  membership: Membership;
+  client: PeerClient;
+  server: PeerServer;
+}
+
+/**
+ * Gets entries into the claims streams: through the home instance of their
+ * partition, which batches them with those of others, or, when the home does
+ * not answer, by appending them itself. An entry appended twice counts once.
+ */
+export class Desk {
+  readonly usage: ClaimUsage = {appends: 0, entries: 0, reads: 0, repeats: 0};
+  private readonly partitions = new Map<number, Partition>();
+  private readonly homes = new Homes();
+  private readonly budget: AppendBudget;
+
+  constructor(private readonly parts: DeskParts) {
+    this.budget = new AppendBudget(
+      parts.timer,
+      () => FLEET_APPENDS_PER_SECOND / parts.membership.live().length,
+    );
+    parts.server.handle(SUBMIT_METHOD, params =>
+      this.serve(submitSchema.parse(params)),
+    );
+  }
+
+  /** Submits an entry; an urgent one is not held back for a fuller batch. */
+  async submit(entry: Entry, urgent: boolean): Promise<Submitted> {
+    const partition = partitionOf(entry.key);
+    const submission = {partition, entry, urgent};
+    const {membership, client} = this.parts;
+    const home = this.homes.of(partition, membership.live());
+    if (home === undefined || home.name === membership.self().name) {
+      return this.serve(submission);
+    }
+    const answer = await client.call(
+      home,
+      SUBMIT_METHOD,
+      submission,
+      HOME_TIMEOUT_MS,
+    );
+    const parsed = submittedSchema.safeParse(answer.unwrapOr(undefined));
+    if (parsed.success && parsed.data.type !== 'failed') return parsed.data;
+    return this.serve(submission);
+  }
+
+  /** Reads the log for the state of a key; undefined when it can't. */
+  async look(key: string): Promise<KeyState | undefined> {
+    const state = await this.partition(partitionOf(key)).look(key);
+    return state.unwrapOr(undefined);
+  }
+
+  /** The state of a key as far as this instance has read. */
+  known(key: string): KeyState {
+    return this.partition(partitionOf(key)).known(key);
+  }
+
+  /** Forgets keys untouched since `before`, wall-clock ms. */
+  expire(before: number): void {
+    for (const partition of this.partitions.values()) partition.expire(before);
+  }
+
+  /** Number of keys remembered. */
+  get size(): number {
+    let sum = 0;
+    for (const {size} of this.partitions.values()) sum += size;
+    return sum;
+  }
+
+  private async serve({
+    partition,
+    entry,
+    urgent,
+  }: Submission): Promise<Submitted> {
+    const target = this.partition(partition);
+    if (entry.type === 'claim') {
+      const verdict = await target.claim(entry);
+      return verdict.unwrapOr({type: 'failed' as const});
+    }
+    const recorded = await target.record(entry, urgent);
+    return {type: recorded.isOk() ? 'recorded' : 'failed'};
+  }
+
+  private partition(number: number): Partition {
+    const known = this.partitions.get(number);
+    if (known !== undefined) return known;
+    const {log, timer} = this.parts;
+    const partition = new Partition(
+      number,
+      log,
+      timer,
+      this.budget,
+      this.usage,
+    );
+    this.partitions.set(number, partition);
+    return partition;
+  }
+}
--- a/src/cli/settings.ts
+++ b/src/cli/settings.ts
@@ -30,6 +30,10 @@
     .option('peer-cert', {type: 'string', describe: 'PEM certificate for TLS'})
     .option('peer-key', {type: 'string', describe: 'PEM key for TLS'})
     .option('peer-ca', {type: 'string', describe: 'PEM authority for TLS'})
+    .option('key-window-ms', {
+      type: 'number',
+      describe: 'how long an idempotency key may be used; below log retention',
+    })
     .option('policy', {
       choices: ['current', 'baseline'] as const,
       describe: 'how requests are scheduled',
--- a/src/instance/entrance.ts
+++ b/src/instance/entrance.ts
@@ -11,17 +11,16 @@
 import type {AcceptedConfiguration, Follower} from '../config/index.js';
 import {
   CallerAnswer,
-  execute,
+  failureOf,
+  isKeyedRetry,
   Outcome,
   parseWork,
   readBody,
   writeRefusal,
-  type Conclusion,
+  type Executor,
   type Failure,
-  type Scheduler,
   type Target,
 } from '../request/index.js';
-import type {Recorder} from '../telemetry/index.js';
 import type {Timer} from '../timer/index.js';
 
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -31,9 +30,8 @@
 
 /** What an [[Entrance]] needs of the rest of the instance. */
 export interface EntranceParts {
-  recorder: Recorder;
   follower: Follower;
-  scheduler: Scheduler;
+  executor: Executor;
   timer: Timer;
   logger: Logger;
 }
@@ -51,7 +49,10 @@
   constructor(private readonly parts: EntranceParts) {
     const routes = findMyWay({
       defaultRoute: (message, response) =>
-        refuse(response, {type: 'unknownPath', path: message.url ?? ''}),
+        refuse(message, response, {
+          type: 'unknownPath',
+          path: message.url ?? '',
+        }),
     });
     routes.on('GET', '/livez', (_message, response) => {
       response.end('ok\n');
@@ -111,6 +112,7 @@
         this.idle = resolve;
       });
     }
+    await this.parts.executor.settled();
     this.server.close();
     this.server.closeIdleConnections();
   }
@@ -126,7 +128,7 @@
   private models(message: IncomingMessage, response: ServerResponse): void {
     const configuration = this.parts.follower.current();
     if (configuration === undefined) {
-      refuse(response, {type: 'notReady'});
+      refuse(message, response, {type: 'notReady'});
       return;
     }
     const data = configuration.document.pools.flatMap(pool =>
@@ -150,7 +152,9 @@
   ): Promise<void> {
     const configuration = this.parts.follower.current();
     if (this.draining || configuration === undefined) {
-      refuse(response, {type: this.draining ? 'draining' : 'notReady'});
+      refuse(message, response, {
+        type: this.draining ? 'draining' : 'notReady',
+      });
       return;
     }
     this.inflight++;
@@ -168,27 +172,21 @@
     target: Target,
     configuration: AcceptedConfiguration,
   ): Promise<void> {
-    const {timer, scheduler, logger} = this.parts;
+    const {timer, executor, logger} = this.parts;
     const body = await readBody(message, timer);
     if (body.isErr()) {
-      refuse(response, body.error);
+      refuse(message, response, body.error);
       return;
     }
     const work = parseWork(message, target, body.value, configuration, timer);
     if (work.isErr()) {
-      refuse(response, work.error);
+      refuse(message, response, work.error);
       return;
     }
     const gone = new AbortController();
     response.once('close', () => gone.abort());
     const answer = new CallerAnswer(response, work.value.id);
-    const conclusion = await execute(
-      work.value,
-      scheduler,
-      answer,
-      gone.signal,
-      timer,
-    );
+    const conclusion = await executor.execute(work.value, answer, gone.signal);
     answer.conclude(conclusion);
     logger.debug(
       {
@@ -204,12 +202,15 @@
   }
 }
 
-function failureOf(conclusion: Conclusion): Failure | undefined {
-  return conclusion.outcome === Outcome.Completed
-    ? undefined
-    : conclusion.failure;
-}
-
-function refuse(response: ServerResponse, failure: Failure): void {
-  writeRefusal(response, uuidv7(), {outcome: Outcome.NotRun, failure});
+/**
+ * Refuses a request that was not run. Of a retry under a key an earlier attempt
+ * may have run, so nothing is said about it.
+ */
+function refuse(
+  message: IncomingMessage,
+  response: ServerResponse,
+  failure: Failure,
+): void {
+  const outcome = isKeyedRetry(message) ? Outcome.Unknown : Outcome.NotRun;
+  writeRefusal(response, uuidv7(), outcome, failure);
 }
--- a/src/instance/settings.ts
+++ b/src/instance/settings.ts
@@ -39,6 +39,8 @@
   peerCert: z.string().optional(),
   peerKey: z.string().optional(),
   peerCa: z.string().optional(),
+  /** Time after its issue during which an idempotency key may be used, ms. */
+  keyWindowMs: z.coerce.number().int().min(10_000).default(600_000),
   /** How requests are scheduled. */
   policy: z.enum(['current', 'baseline']).default('current'),
   logLevel: z.enum(Level).default(Level.Info),
--- a/src/request/answer.ts
+++ b/src/request/answer.ts
@@ -1,7 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {EventSourceMessage} from 'eventsource-parser';
 import type {AnswerSink} from './attempt.js';
-import type {Conclusion} from './execution.js';
 import {
   describe,
   Outcome,
@@ -10,13 +9,16 @@
   REQUEST_ID_HEADER,
   retryAfterMs,
   statusOf,
-  type Ending,
+  type Conclusion,
+  type Failure,
 } from './outcome.js';
+import {formatEvent} from './recording.js';
 
 /** Writes the answer of one request to its caller. */
 export class CallerAnswer implements AnswerSink {
   private streamed?: {status: number; contentType: string};
   private body?: Buffer;
+  private concluded = false;
 
   constructor(
     private readonly response: ServerResponse,
@@ -28,46 +30,49 @@
   }
 
   async event(event: EventSourceMessage): Promise<void> {
+    if (this.concluded) return;
     this.open();
-    const id = event.id === undefined ? '' : `id: ${event.id}\n`;
-    const type = event.event === undefined ? '' : `event: ${event.event}\n`;
-    await this.write(`${id}${type}data: ${event.data}\n\n`);
+    await this.write(formatEvent(event));
   }
 
   whole(body: Buffer): void {
     this.body = body;
   }
 
-  /** Ends the answer with its outcome. */
+  /** Ends the answer with its outcome; nothing is written after it. */
   conclude(conclusion: Conclusion): void {
+    if (this.concluded) return;
+    this.concluded = true;
     if (this.response.writableEnded || this.response.destroyed) return;
-    if (conclusion.outcome === Outcome.Completed) this.complete();
-    else if (this.response.headersSent) this.breakOff(conclusion);
-    else this.refuse(conclusion);
+    const {outcome, failure} = conclusion;
+    if (failure === undefined) this.complete();
+    else if (this.response.headersSent) this.breakOff(outcome, failure);
+    else writeRefusal(this.response, this.id, outcome, failure);
   }
 
   private complete(): void {
-    if (this.body !== undefined) {
-      this.response.writeHead(this.streamed?.status ?? 200, {
-        'content-type': this.streamed?.contentType ?? 'application/json',
-        'content-length': this.body.length,
-        [REQUEST_ID_HEADER]: this.id,
-        [OUTCOME_HEADER]: Outcome.Completed,
-      });
-      this.response.end(this.body);
+    if (this.body === undefined) {
+      this.open();
+      this.response.end(this.finalEvent(Outcome.Completed));
       return;
     }
-    this.open();
-    this.response.end(this.finalEvent(Outcome.Completed));
-  }
-
-  private breakOff(ending: Ending): void {
-    const error = JSON.stringify(errorBody(this.id, ending));
-    this.response.end(`data: ${error}\n\n${this.finalEvent(ending.outcome)}`);
+    const {status = 200, contentType = 'application/json'} =
+      this.streamed ?? {};
+    const isStream = contentType.startsWith('text/event-stream');
+    const end = isStream ? this.finalEvent(Outcome.Completed) : '';
+    this.response.writeHead(status, {
+      'content-type': contentType,
+      'content-length': this.body.length + Buffer.byteLength(end),
+      [REQUEST_ID_HEADER]: this.id,
+      [OUTCOME_HEADER]: Outcome.Completed,
+    });
+    this.response.write(this.body);
+    this.response.end(end);
   }
 
-  private refuse(ending: Ending): void {
-    writeRefusal(this.response, this.id, ending);
+  private breakOff(outcome: Outcome, failure: Failure): void {
+    const error = JSON.stringify(errorBody(this.id, outcome, failure));
+    this.response.end(`data: ${error}\n\n${this.finalEvent(outcome)}`);
   }
 
   private finalEvent(outcome: Outcome): string {
@@ -99,7 +104,7 @@
   }
 }
 
-function errorBody(id: string, {outcome, failure}: Ending) {
+function errorBody(id: string, outcome: Outcome, failure: Failure) {
   return {
     error: {
       type: failure.type,
@@ -115,18 +120,26 @@
 export function writeRefusal(
   response: ServerResponse,
   id: string,
-  ending: Ending,
+  outcome: Outcome,
+  failure: Failure,
 ): void {
-  const wait = retryAfterMs(ending.failure);
-  const body = JSON.stringify(errorBody(id, ending));
-  response.writeHead(statusOf(ending.failure), {
-    'content-type': 'application/json',
+  const wait = retryAfterMs(failure);
+  const {contentType, body} = refusalBody(id, outcome, failure);
+  response.writeHead(statusOf(failure), {
+    'content-type': contentType,
     'content-length': Buffer.byteLength(body),
     [REQUEST_ID_HEADER]: id,
-    [OUTCOME_HEADER]: ending.outcome,
+    [OUTCOME_HEADER]: outcome,
     ...(wait === undefined
       ? {}
       : {'retry-after': String(Math.ceil(wait / 1000))}),
   });
   response.end(body);
 }
+
+/** The upstream's own answer where it gave one, else a typed error. */
+function refusalBody(id: string, outcome: Outcome, failure: Failure) {
+  if (failure.type === 'upstreamRejected') return failure;
+  const body = JSON.stringify(errorBody(id, outcome, failure));
+  return {contentType: 'application/json', body};
+}
--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -1,15 +1,23 @@
-import {createParser, type EventSourceMessage} from 'eventsource-parser';
+import type {EventSourceMessage} from 'eventsource-parser';
+import type {Client, Dispatcher} from 'undici';
+import {type Recorder, WasteCause} from '../telemetry/index.js';
 import type {Timer} from '../timer/index.js';
-import {AttemptEnd, type Placement} from './placement.js';
+import {openVerified} from './connection.js';
 import type {Failure} from './outcome.js';
+import {AttemptEnd, type Placement} from './placement.js';
+import {relayEvents, STREAM_END, StreamProgress} from './relay.js';
+import {Watchdog, type SilenceLimits} from './watchdog.js';
 import type {Work} from './work.js';
 
 /** Header by which engines and services are told the id of a request. */
 export const UPSTREAM_ID_HEADER = 'x-request-id';
 /** Header by which engines are told the priority of a request. */
 export const PRIORITY_HEADER = 'x-priority';
-/** Data of the event that ends a whole streamed answer. */
-export const STREAM_END = '[DONE]';
+/** Header by which an upstream proves that it ran and will run nothing. */
+export const NOT_RUN_HEADER = 'x-not-run';
+
+const RESUMES_LIMIT = 2;
+const CANCEL_TIMEOUT_MS = 1_000;
 
 /** Where an attempt delivers what the upstream answers. */
 export interface AnswerSink {
@@ -26,216 +34,339 @@
   | {type: 'whole'}
   /** The upstream proved that it did not and will not run the request. */
   | {type: 'refused'; failure: Failure}
+  /** The upstream answered with an error that leaves no doubt. */
+  | {type: 'rejected'; failure: Failure}
   /** No byte of the request left this instance. */
   | {type: 'unsent'; failure: Failure}
   /** The attempt broke; `delivered` tells if the caller has seen any of it. */
   | {type: 'broken'; failure: Failure; delivered: boolean};
 
-/** Status and header by which an upstream proves that it ran nothing. */
-const NOT_RUN_HEADER = 'x-not-run';
-
-/** Errors of `undici` that arise before a request is written. */
-const UNSENT_CODES = new Set(['UND_ERR_CONNECT_TIMEOUT', 'ECONNREFUSED']);
-
-/** Sums up what an attempt has seen so far. */
-class Progress {
-  sent = false;
-  delivered = false;
+/** What one attempt needs to know. */
+export interface AttemptSpec {
+  work: Work;
+  placement: Placement;
+  sink: AnswerSink;
+  timer: Timer;
+  recorder: Recorder;
+  /** Id the upstream is told and must repeat. */
+  id: string;
+  /** Stops the attempt. */
+  signal: AbortSignal;
+  /** Stops what comes before the request is sent, if not `signal`. */
+  preparation?: AbortSignal;
+  /** Whether to use a new connection that was seen to work. */
+  verified: boolean;
+  /** Asked right before the request is sent; false withholds it. */
+  permit?: () => boolean;
 }
 
 /**
- * Runs one attempt of a request on its placement and delivers the answer.
- * Releases the placement in every case.
+ * Runs one attempt of a request on its placement and delivers the answer. A
+ * stream that breaks is continued at the exact place while the upstream holds
+ * it. Releases the placement in every case.
  */
-export async function runAttempt(
-  work: Work,
-  placement: Placement,
-  sink: AnswerSink,
-  timer: Timer,
-): Promise<AttemptResult> {
-  const progress = new Progress();
-  const watchdog = new Watchdog(timer, work, placement.signal);
-  try {
-    const result = await exchange(work, placement, sink, watchdog, progress);
-    placement.release(endOf(result));
+export async function runAttempt(spec: AttemptSpec): Promise<AttemptResult> {
+  const attempt = new Attempt(spec);
+  const result = await attempt.run();
+  spec.placement.release(attempt.endOf(result));
+  return result;
+}
+
+class Attempt {
+  private readonly stream = new StreamProgress();
+  private delivered = false;
+  private streaming = false;
+  private resuming = false;
+  /** Whether the silence was the connection's alone. */
+  private connectionAtFault = false;
+
+  constructor(private readonly spec: AttemptSpec) {}
+
+  async run(): Promise<AttemptResult> {
+    let result = await this.guarded(this.limits(), watchdog =>
+      this.send(watchdog),
+    );
+    for (let turn = 0; turn < RESUMES_LIMIT && this.mayResume(result); turn++) {
+      result = await this.resume(result);
+    }
+    if (result.type === 'broken') {
+      this.connectionAtFault = await this.isConnectionAtFault(result.failure);
+      this.abandon();
+    }
     return result;
-  } catch (cause) {
-    const silent = watchdog.expired;
-    placement.release(endOfFailure(silent, placement.signal.aborted));
-    if (isUnsent(cause)) {
-      return {
-        type: 'unsent',
-        failure: {type: 'upstreamLost', cause: String(cause)},
-      };
+  }
+
+  /** What the scheduler is told of the result. */
+  endOf(result: AttemptResult): AttemptEnd {
+    switch (result.type) {
+      case 'whole':
+      case 'rejected':
+        return AttemptEnd.Whole;
+      case 'refused':
+        return AttemptEnd.Refused;
+      case 'unsent':
+        return this.spec.signal.aborted
+          ? AttemptEnd.Cancelled
+          : AttemptEnd.Broken;
+      case 'broken':
+        if (this.spec.signal.aborted) return AttemptEnd.Cancelled;
+        if (this.connectionAtFault) return AttemptEnd.Cancelled;
+        return result.failure.type === 'upstreamSilent'
+          ? AttemptEnd.Silent
+          : AttemptEnd.Broken;
     }
-    const failure: Failure = silent
-      ? {type: 'upstreamSilent', limitMs: watchdog.limitMs}
-      : placement.signal.aborted
-        ? {type: 'cancelled'}
-        : {type: 'upstreamLost', cause: String(cause)};
-    return {type: 'broken', failure, delivered: progress.delivered};
-  } finally {
-    watchdog.end();
   }
-}
 
-function endOf(result: AttemptResult): AttemptEnd {
-  switch (result.type) {
-    case 'whole':
-      return AttemptEnd.Whole;
-    case 'refused':
-    case 'unsent':
-      return AttemptEnd.Refused;
-    case 'broken':
-      return AttemptEnd.Broken;
+  /**
+   * Tells whether an upstream that was silent answers on a new connection. A
+   * stream that stays silent after it was resumed is the upstream's fault.
+   */
+  private async isConnectionAtFault(failure: Failure): Promise<boolean> {
+    if (failure.type !== 'upstreamSilent' || this.resuming) return false;
+    const {placement, timer, signal} = this.spec;
+    const client = await openVerified(placement.upstream, timer, signal);
+    void client?.destroy();
+    return client !== undefined;
   }
-}
 
-function endOfFailure(silent: boolean, cancelled: boolean): AttemptEnd {
-  if (silent) return AttemptEnd.Silent;
-  return cancelled ? AttemptEnd.Cancelled : AttemptEnd.Broken;
-}
+  private limits(): SilenceLimits {
+    const {work, timer} = this.spec;
+    const {firstByteMs, idleMs} = work.serviceClass;
+    if (work.demand.type === 'generation' && !work.demand.stream) {
+      const half = (work.deadlineAt - timer.now()) / 2;
+      return {firstByteMs: Math.max(firstByteMs, half), idleMs};
+    }
+    return {firstByteMs, idleMs};
+  }
 
-function isUnsent(cause: unknown): boolean {
-  if (!(cause instanceof Error) || !('code' in cause)) return false;
-  return UNSENT_CODES.has(String(cause.code));
-}
+  /** Runs an exchange under a watchdog and turns its failures into results. */
+  private async guarded(
+    limits: SilenceLimits,
+    exchange: (watchdog: Watchdog) => Promise<AttemptResult>,
+  ): Promise<AttemptResult> {
+    const {timer, signal} = this.spec;
+    const watchdog = new Watchdog(timer, limits, signal);
+    try {
+      return await exchange(watchdog);
+    } catch (cause) {
+      const lost: Failure = {type: 'upstreamLost', cause: String(cause)};
+      const first = !this.resuming;
+      if (first && isUnsent(cause)) return {type: 'unsent', failure: lost};
+      const failure: Failure = watchdog.expired
+        ? {type: 'upstreamSilent', limitMs: watchdog.limitMs}
+        : signal.aborted
+          ? {type: 'cancelled'}
+          : lost;
+      return this.broken(failure);
+    } finally {
+      watchdog.end();
+    }
+  }
+
+  private broken(failure: Failure): AttemptResult {
+    return {type: 'broken', failure, delivered: this.delivered};
+  }
 
-async function exchange(
-  work: Work,
-  placement: Placement,
-  sink: AnswerSink,
-  watchdog: Watchdog,
-  progress: Progress,
-): Promise<AttemptResult> {
-  const response = await placement.upstream.connections.request({
-    method: work.method,
-    path: work.path,
-    headers: {
-      'content-type': work.contentType,
-      [UPSTREAM_ID_HEADER]: work.id,
-      [PRIORITY_HEADER]: String(placement.priority),
-      ...(work.idempotencyKey === undefined
-        ? {}
-        : {'idempotency-key': work.idempotencyKey}),
-    },
-    body: work.body.length === 0 ? null : work.body,
-    signal: watchdog.signal,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
-  watchdog.heard();
-  const headers = response.headers;
-  if (response.statusCode >= 400) {
-    const body = await response.body.text();
-    return judgeError(response.statusCode, headers[NOT_RUN_HEADER], body);
-  }
-  if (headers[UPSTREAM_ID_HEADER] !== work.id) {
-    await response.body.dump();
-    return {type: 'broken', failure: {type: 'wrongAnswer'}, delivered: false};
-  }
-  const contentType = String(headers['content-type'] ?? '');
-  if (contentType.startsWith('text/event-stream')) {
-    sink.head(response.statusCode, contentType);
-    const ended = await relay(
-      response.body,
+  private async send(watchdog: Watchdog): Promise<AttemptResult> {
+    const {
       placement,
-      sink,
-      watchdog,
-      progress,
-    );
-    if (ended) return {type: 'whole'};
-    const failure: Failure = {type: 'upstreamLost', cause: 'no end of stream'};
-    return {type: 'broken', failure, delivered: progress.delivered};
-  }
-  const whole = Buffer.from(await response.body.arrayBuffer());
-  placement.firstToken();
-  progress.delivered = true;
-  sink.head(response.statusCode, contentType);
-  sink.whole(whole);
-  return {type: 'whole'};
-}
+      verified,
+      timer,
+      signal,
+      preparation = signal,
+    } = this.spec;
+    const {upstream} = placement;
+    if (!verified) return this.dispatch(upstream.connections, watchdog);
+    const client = await openVerified(upstream, timer, preparation);
+    if (client === undefined) {
+      const failure: Failure = {
+        type: 'upstreamLost',
+        cause: 'no answer on a new connection',
+      };
+      return {type: 'unsent', failure};
+    }
+    watchdog.restart();
+    return this.closing(client, () => this.dispatch(client, watchdog));
+  }
 
-function judgeError(
-  status: number,
-  notRun: string | string[] | undefined,
-  body: string,
-): AttemptResult {
-  if (notRun === 'true' || (status < 500 && status !== 408)) {
-    return {type: 'refused', failure: {type: 'upstreamRefused', status, body}};
+  private async closing<Value>(
+    client: Client,
+    use: () => Promise<Value>,
+  ): Promise<Value> {
+    try {
+      return await use();
+    } finally {
+      void client.destroy();
+    }
   }
-  return {
-    type: 'broken',
-    failure: {type: 'upstreamFailed', status},
-    delivered: false,
-  };
-}
 
-/** Relays events until the stream ends; tells if it ended properly. */
-async function relay(
-  body: AsyncIterable<Buffer>,
-  placement: Placement,
-  sink: AnswerSink,
-  watchdog: Watchdog,
-  progress: Progress,
-): Promise<boolean> {
-  const pending: EventSourceMessage[] = [];
-  const decoder = new TextDecoder();
-  const parser = createParser({onEvent: event => pending.push(event)});
-  let ended = false;
-  for await (const chunk of body) {
+  private async dispatch(
+    dispatcher: Dispatcher,
+    watchdog: Watchdog,
+  ): Promise<AttemptResult> {
+    const {work, placement, id, permit, signal} = this.spec;
+    if (signal.aborted || permit?.() === false) {
+      return {type: 'unsent', failure: {type: 'deadlineExceeded'}};
+    }
+    const response = await dispatcher.request({
+      method: work.method,
+      path: work.path,
+      headers: {
+        'content-type': work.contentType,
+        [UPSTREAM_ID_HEADER]: id,
+        [PRIORITY_HEADER]: String(placement.priority),
+        ...(work.idempotencyKey === undefined
+          ? {}
+          : {'idempotency-key': work.idempotencyKey}),
+      },
+      body: work.body.length === 0 ? null : work.body,
+      signal: watchdog.signal,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
     watchdog.heard();
-    parser.feed(decoder.decode(chunk, {stream: true}));
-    for (const event of pending.splice(0)) {
-      if (event.data === STREAM_END) ended = true;
-      else if (!progress.delivered) placement.firstToken();
-      progress.delivered = true;
-      placement.progress(1);
-      await sink.event(event);
+    if (response.statusCode >= 400) return judgeError(response);
+    return this.receive(response, watchdog);
+  }
+
+  /** Delivers a successful answer after checking whose it is. */
+  private async receive(
+    {statusCode, headers, body}: Dispatcher.ResponseData,
+    watchdog: Watchdog,
+  ): Promise<AttemptResult> {
+    const {sink, placement, id} = this.spec;
+    if (headers[UPSTREAM_ID_HEADER] !== id) {
+      body.destroy();
+      return this.broken({type: 'wrongAnswer'});
+    }
+    const contentType = String(headers['content-type'] ?? '');
+    if (contentType.startsWith('text/event-stream')) {
+      if (!this.streaming) sink.head(statusCode, contentType);
+      this.streaming = true;
+      return this.relay(body, watchdog);
     }
+    const whole = Buffer.from(await body.arrayBuffer());
+    placement.firstToken();
+    this.delivered = true;
+    sink.head(statusCode, contentType);
+    sink.whole(whole);
+    return {type: 'whole'};
   }
-  return ended;
-}
 
-/** Aborts an attempt whose upstream stays silent for longer than allowed. */
-class Watchdog {
-  expired = false;
-  limitMs: number;
-  private readonly controller = new AbortController();
-  private last: number;
-  private readonly tick;
-  private readonly stop = () => this.controller.abort();
-
-  constructor(
-    timer: Timer,
-    private readonly work: Work,
-    private readonly outer: AbortSignal,
-  ) {
-    this.limitMs = work.serviceClass.firstByteMs;
-    this.last = timer.now();
-    this.tick = timer.every(this.limitMs / 8, () => {
-      if (timer.now() - this.last < this.limitMs) return;
-      this.expired = true;
-      this.stop();
-    });
-    this.now = () => timer.now();
-    if (outer.aborted) this.stop();
-    outer.addEventListener('abort', this.stop, {once: true});
+  private async relay(
+    body: Dispatcher.ResponseData['body'],
+    watchdog: Watchdog,
+  ): Promise<AttemptResult> {
+    const heard = () => watchdog.heard();
+    await relayEvents(body, this.stream, heard, event => this.deliver(event));
+    if (this.stream.ended) return {type: 'whole'};
+    return this.broken({type: 'upstreamLost', cause: 'no end of stream'});
+  }
+
+  private async deliver(event: EventSourceMessage): Promise<void> {
+    const {placement, sink} = this.spec;
+    if (!this.delivered && event.data !== STREAM_END) placement.firstToken();
+    this.delivered = true;
+    placement.progress(1);
+    await sink.event(event);
+  }
+
+  private mayResume(result: AttemptResult): boolean {
+    const {work, signal} = this.spec;
+    if (result.type !== 'broken' || signal.aborted) return false;
+    if (work.demand.type !== 'generation' || !work.demand.stream) return false;
+    return this.stream.resumable && result.failure.type !== 'upstreamFailed';
   }
 
-  private readonly now: () => number;
+  /** Continues the stream on a new connection; keeps `former` if it can't. */
+  private async resume(former: AttemptResult): Promise<AttemptResult> {
+    const {placement, timer, signal, recorder, work} = this.spec;
+    const client = await openVerified(placement.upstream, timer, signal);
+    if (client === undefined) return former;
+    this.resuming = true;
+    const {firstByteMs, idleMs} = work.serviceClass;
+    recorder.decide(work.id, {
+      type: 'resumed',
+      upstream: placement.upstream.name,
+      offset: this.stream.events,
+    });
+    return this.guarded({firstByteMs, idleMs}, watchdog =>
+      this.closing(client, async () => {
+        const response = await client.request({
+          method: 'GET',
+          path: `/v1/streams/${this.spec.id}`,
+          headers:
+            this.stream.lastEventId === undefined
+              ? {}
+              : {'last-event-id': this.stream.lastEventId},
+          signal: watchdog.signal,
+          headersTimeout: 0,
+          bodyTimeout: 0,
+        });
+        if (response.statusCode < 400) return this.receive(response, watchdog);
+        await response.body.dump();
+        return this.lost(former);
+      }),
+    );
+  }
 
-  get signal(): AbortSignal {
-    return this.controller.signal;
+  /** The upstream no longer holds the stream. */
+  private lost(former: AttemptResult): AttemptResult {
+    if (former.type !== 'broken') return former;
+    return this.broken({type: 'streamLost'});
   }
 
-  heard(): void {
-    this.last = this.now();
-    this.limitMs = this.work.serviceClass.idleMs;
+  /** Stops what the upstream may still be doing for a broken attempt. */
+  private abandon(): void {
+    const {work, placement, id, timer, recorder, signal} = this.spec;
+    if (this.stream.events > 0) {
+      const cause = signal.aborted ? WasteCause.Abandoned : WasteCause.Broken;
+      recorder.waste(cause, work.serviceClass.name, this.stream.events);
+    }
+    if (!work.repeatable) return;
+    if (work.demand.type !== 'generation' || !work.demand.stream) return;
+    const limit = new AbortController();
+    const alarm = timer.after(CANCEL_TIMEOUT_MS, () => limit.abort());
+    placement.upstream.connections
+      .request({
+        method: 'POST',
+        path: `/v1/streams/${id}/cancel`,
+        signal: limit.signal,
+      })
+      .then(answer => answer.body.dump())
+      .catch(() => undefined)
+      .finally(() => alarm.end());
   }
+}
 
-  end(): void {
-    this.tick.end();
-    this.outer.removeEventListener('abort', this.stop);
+/** Whether an error of `undici` arose before the request was written. */
+function isUnsent(cause: unknown): boolean {
+  if (!(cause instanceof Error) || !('code' in cause)) return false;
+  if ('syscall' in cause && cause.syscall === 'connect') return true;
+  return cause.code === 'UND_ERR_CONNECT_TIMEOUT';
+}
+
+/**
+ * Judges an error answer. Only the documented header proves that nothing ran;
+ * another client error is the upstream's answer, and a server error proves
+ * nothing.
+ */
+async function judgeError({
+  statusCode: status,
+  headers,
+  body,
+}: Dispatcher.ResponseData): Promise<AttemptResult> {
+  const text = await body.text();
+  if (headers[NOT_RUN_HEADER] === 'true') {
+    return {type: 'refused', failure: {type: 'upstreamRefused', status}};
   }
+  const failure: Failure = {type: 'upstreamFailed', status};
+  if (status >= 500 || status === 408) {
+    return {type: 'broken', failure, delivered: false};
+  }
+  const contentType = String(headers['content-type'] ?? 'text/plain');
+  return {
+    type: 'rejected',
+    failure: {type: 'upstreamRejected', status, contentType, body: text},
+  };
 }
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -1,13 +1,16 @@
 export {CallerAnswer, writeRefusal} from './answer.js';
 export {runAttempt} from './attempt.js';
-export type {AnswerSink, AttemptResult} from './attempt.js';
+export type {AnswerSink, AttemptResult, AttemptSpec} from './attempt.js';
 export {RoundRobin} from './direct.js';
-export {execute} from './execution.js';
-export type {Conclusion} from './execution.js';
-export {authenticate, parseWork, readBody} from './intake.js';
+export {Executor} from './executor.js';
+export type {ExecutionParts} from './execution.js';
+export type {KeyedParts} from './keyed.js';
+export {RetryBudget} from './retry.js';
+export {authenticate, isKeyedRetry, parseWork, readBody} from './intake.js';
 export type {Target} from './intake.js';
 export {
   describe,
+  failureOf,
   Outcome,
   OUTCOME_EVENT,
   OUTCOME_HEADER,
@@ -15,7 +18,7 @@
   retryAfterMs,
   statusOf,
 } from './outcome.js';
-export type {Ending, Failure} from './outcome.js';
+export type {Conclusion, Ending, Failure} from './outcome.js';
 export {AttemptEnd} from './placement.js';
 export type {Placement, PlacementHistory, Scheduler} from './placement.js';
 export type {Demand, Work} from './work.js';
--- a/src/request/intake.ts
+++ b/src/request/intake.ts
@@ -11,6 +11,7 @@
   type ServiceClass,
   type Workspace,
 } from '../config/index.js';
+import {KEY_TIME_HEADER, keyTime} from '../claim/index.js';
 import type {Timer} from '../timer/index.js';
 import type {Failure} from './outcome.js';
 import type {Demand, Work} from './work.js';
@@ -94,6 +95,18 @@
   return Array.isArray(value) ? value[0] : value;
 }
 
+/** Attempts that the caller says it made before. */
+function priorAttempts(message: IncomingMessage): number {
+  const count = Number(one(message, ATTEMPT_HEADER) ?? 0);
+  return Number.isSafeInteger(count) && count > 0 ? count : 0;
+}
+
+/** Whether an earlier attempt of the request may have run under its key. */
+export function isKeyedRetry(message: IncomingMessage): boolean {
+  const keyed = one(message, KEY_HEADER) !== undefined;
+  return keyed && priorAttempts(message) > 0;
+}
+
 function chooseClass(
   message: IncomingMessage,
   workspace: Workspace,
@@ -242,6 +255,8 @@
   );
   if (repeatable.isErr()) return err(repeatable.error);
   const key = one(message, KEY_HEADER);
+  const issuedAt =
+    key === undefined ? undefined : keyTime(key, one(message, KEY_TIME_HEADER));
   const arrivedAt = timer.now();
   return ok({
     id: uuidv7(),
@@ -255,9 +270,10 @@
     body,
     repeatable: repeatable.value,
     ...(key === undefined ? {} : {idempotencyKey: key}),
+    ...(issuedAt === undefined ? {} : {keyIssuedAt: issuedAt}),
     arrivedAt,
     deadlineAt: arrivedAt + deadline.value,
-    priorAttempts: Number(one(message, ATTEMPT_HEADER) ?? 0) || 0,
+    priorAttempts: priorAttempts(message),
   });
 }
 
--- a/src/request/outcome.ts
+++ b/src/request/outcome.ts
@@ -34,14 +34,27 @@
   | {type: 'noUpstream'; retryAfterMs: number}
   | {type: 'deadlineExceeded'}
   | {type: 'keyExpired'}
+  | {type: 'keyUndated'}
   | {type: 'keyConflict'}
   | {type: 'claimsUnavailable'; retryAfterMs: number}
-  | {type: 'claimedElsewhere'}
-  | {type: 'upstreamRefused'; status: number; body: string}
+  | {type: 'claimedElsewhere'; retryAfterMs: number}
+  /** The attempt that held the key ended with this failure. */
+  | {type: 'earlierAttempt'; cause: string}
+  /** The request completed under its key, but its answer is gone. */
+  | {type: 'answerGone'}
+  | {type: 'upstreamRefused'; status: number; retryAfterMs?: number}
+  | {
+      type: 'upstreamRejected';
+      status: number;
+      contentType: string;
+      body: string;
+    }
   | {type: 'upstreamFailed'; status: number}
   | {type: 'upstreamLost'; cause: string}
   | {type: 'upstreamSilent'; limitMs: number}
   | {type: 'wrongAnswer'}
+  /** The upstream no longer holds the stream that broke off. */
+  | {type: 'streamLost'}
   | {type: 'cancelled'};
 
 /** A request that ended without a whole answer. */
@@ -50,10 +63,20 @@
   failure: Failure;
 }
 
+/** How a request ended for its caller. */
+export type Conclusion =
+  {outcome: Outcome.Completed; failure?: {type: 'answerGone'}} | Ending;
+
+/** Returns the failure of a request that has one. */
+export function failureOf(conclusion: Conclusion): Failure | undefined {
+  return conclusion.failure;
+}
+
 /** Returns the HTTP status that a failure is answered with. */
 export function statusOf(failure: Failure): number {
   switch (failure.type) {
     case 'badRequest':
+    case 'keyUndated':
       return 400;
     case 'unauthenticated':
       return 401;
@@ -68,6 +91,8 @@
     case 'keyExpired':
     case 'claimedElsewhere':
       return 409;
+    case 'answerGone':
+      return 410;
     case 'bodyTooLarge':
       return 413;
     case 'keyConflict':
@@ -75,10 +100,13 @@
     case 'limited':
       return 429;
     case 'upstreamRefused':
+    case 'upstreamRejected':
       return failure.status;
+    case 'earlierAttempt':
     case 'upstreamFailed':
     case 'upstreamLost':
     case 'wrongAnswer':
+    case 'streamLost':
       return 502;
     case 'notReady':
     case 'draining':
@@ -127,12 +155,25 @@
       return 'The deadline of the request has passed.';
     case 'keyExpired':
       return 'The idempotency key is older than the retention period.';
+    case 'keyUndated':
+      return (
+        'The idempotency key tells no valid time of issue; use a UUIDv7 or ' +
+        'the header gypsumcourse-key-time.'
+      );
     case 'keyConflict':
       return 'The idempotency key was used with another body.';
     case 'claimsUnavailable':
       return 'Idempotency keys cannot be claimed at the moment.';
     case 'claimedElsewhere':
       return 'The idempotency key was claimed by another attempt.';
+    case 'earlierAttempt':
+      return `The attempt that held the key ended with ${failure.cause}.`;
+    case 'answerGone':
+      return 'The request completed, and its answer is no longer held.';
+    case 'upstreamRejected':
+      return `The upstream answered with ${failure.status}.`;
+    case 'streamLost':
+      return 'The upstream no longer holds the stream.';
     case 'upstreamRefused':
       return `The upstream refused the request with ${failure.status}.`;
     case 'upstreamFailed':
--- /dev/null
+++ b/src/request/retry.ts
@@ -0,0 +1,82 @@
+import type {Timer} from '../timer/index.js';
+
+/** Retries granted for each first attempt. */
+const RETRY_SHARE = 0.2;
+/** Retries that may be saved up. */
+const RESERVE = 20;
+/** Retries granted a second whatever the traffic. */
+const TRICKLE_PER_S = 1;
+const BACKOFF_MS = 25;
+const BACKOFF_LIMIT_MS = 1_000;
+/** Budgets kept at most; the least recently used go first. */
+const BUDGETS_LIMIT = 4_096;
+
+class Budget {
+  private tokens = RESERVE;
+
+  constructor(private at: number) {}
+
+  grant(): void {
+    this.tokens = Math.min(RESERVE, this.tokens + RETRY_SHARE);
+  }
+
+  has(now: number): boolean {
+    const gained = ((now - this.at) / 1000) * TRICKLE_PER_S;
+    this.tokens = Math.min(RESERVE, this.tokens + gained);
+    this.at = now;
+    return this.tokens >= 1;
+  }
+
+  take(): void {
+    this.tokens -= 1;
+  }
+}
+
+/**
+ * Bounds retries to a share of recent traffic, for each class and each
+ * upstream, so that retries never multiply an overload.
+ */
+export class RetryBudget {
+  private readonly budgets = new Map<string, Budget>();
+
+  /** `random` returns numbers from 0 to 1, for jitter. */
+  constructor(
+    private readonly timer: Timer,
+    private readonly random: () => number = Math.random,
+  ) {}
+
+  /** Counts a first attempt of a class on an upstream. */
+  attempted(className: string, upstream: string): void {
+    this.of(`class ${className}`).grant();
+    this.of(`upstream ${upstream}`).grant();
+  }
+
+  /** Takes a retry of a class after a failure on an upstream, if allowed. */
+  take(className: string, upstream: string): boolean {
+    const now = this.timer.now();
+    const budgets = [
+      this.of(`class ${className}`),
+      this.of(`upstream ${upstream}`),
+    ];
+    if (!budgets.every(budget => budget.has(now))) return false;
+    for (const budget of budgets) budget.take();
+    return true;
+  }
+
+  /** Delay before retry number `retry`, counted from 1, in ms. */
+  delayMs(retry: number): number {
+    const most = Math.min(BACKOFF_LIMIT_MS, BACKOFF_MS * 2 ** retry);
+    return most * this.random();
+  }
+
+  private of(name: string): Budget {
+    const budget = this.budgets.get(name) ?? new Budget(this.timer.now());
+    this.budgets.delete(name);
+    this.budgets.set(name, budget);
+    if (this.budgets.size > BUDGETS_LIMIT) {
+      const oldest = this.budgets.keys().next().value;
+      if (oldest !== undefined) this.budgets.delete(oldest);
+    }
+    return budget;
+  }
+}
--- a/src/request/work.ts
+++ b/src/request/work.ts
@@ -33,6 +33,8 @@
   /** Whether the request may be run more than once. */
   repeatable: boolean;
   idempotencyKey?: string;
+  /** When the key was issued, wall-clock ms, if it tells. */
+  keyIssuedAt?: number;
   /** Arrival and deadline in monotonic ms. */
   arrivedAt: number;
   deadlineAt: number;
--- a/src/upstream/upstream.ts
+++ b/src/upstream/upstream.ts
@@ -1,4 +1,4 @@
-import {Pool as Connections} from 'undici';
+import {Client, Pool as Connections} from 'undici';
 import type {Pool} from '../config/index.js';
 
 /** Connections an instance opens to one upstream at most. */
@@ -33,7 +33,7 @@
     /** The pool as configured when the upstream was last updated. */
     public pool: Pool,
     /** Local address connections are opened from. */
-    localAddress: string,
+    private readonly localAddress: string,
   ) {
     this.connections = new Connections(new URL(url).origin, {
       connections: CONNECTIONS_PER_UPSTREAM,
@@ -43,6 +43,17 @@
     });
   }
 
+  /** Returns a new connection, outside the kept ones, for its caller to end. */
+  openConnection(): Client {
+    return new Client(new URL(this.url).origin, {
+      pipelining: 1,
+      connect: {
+        timeout: CONNECT_TIMEOUT_MS,
+        localAddress: this.localAddress,
+      },
+    });
+  }
+
   /** Closes idle connections and lets running attempts finish. */
   async close(): Promise<void> {
     await this.connections.close();
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -11,7 +11,8 @@
   type Settings,
 } from './instance/index.js';
 import {HttpLog} from './platform/index.js';
-import {RoundRobin} from './request/index.js';
+import {Claims} from './claim/index.js';
+import {Executor, RetryBudget, RoundRobin} from './request/index.js';
 import {logOf, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Timer} from './timer/index.js';
 import {Directory} from './upstream/index.js';
@@ -48,13 +49,6 @@
   follower.subscribe(({document}) => directory.apply(document));
   const scheduler = new RoundRobin(directory);
   const recorder = nullRecorder;
-  const entrance = new Entrance({
-    recorder,
-    follower,
-    scheduler,
-    timer,
-    logger: logOf(root, Part.Request),
-  });
   const credential = new Credential(settings.peerSecrets);
   const peerServer = new PeerServer(credential);
   const peerClient = new PeerClient(credential, localAddress);
@@ -68,6 +62,29 @@
   follower.subscribe(({version}) =>
     membership.report({configurationVersion: version}),
   );
+  const claims = new Claims({
+    log,
+    timer,
+    membership,
+    client: peerClient,
+    server: peerServer,
+    logger: logOf(root, Part.Claim),
+    windowMs: settings.keyWindowMs,
+  });
+  const executor = new Executor({
+    recorder,
+    scheduler,
+    timer,
+    claims,
+    retries: new RetryBudget(timer),
+    committed: new Set(),
+  });
+  const entrance = new Entrance({
+    follower,
+    executor,
+    timer,
+    logger: logOf(root, Part.Request),
+  });
   follower.start();
   const port = await entrance.listen(settings.host, settings.port);
   logOf(root, Part.Router).info({port}, 'Listening for callers.');
