--- a/src/claim/partition.ts
+++ b/src/claim/partition.ts
@@ -21,6 +21,8 @@
 const APPEND_TRIES = 3;
 const THROTTLED_STATUS = 429;
 const THROTTLE_DELAY_MS = 60;
+const STALE_READS_LIMIT = 20;
+const STALE_DELAY_MS = 50;
 
 /** What the log's order decides about a claim. */
 export type Verdict =
@@ -36,6 +38,8 @@
 export type ClaimFailure =
   | {type: 'logFailed'; cause: PlatformFailure}
   | {type: 'turnTimeout'; limitMs: number}
+  /** Reads do not show a record that was appended. */
+  | {type: 'staleLog'}
   | {type: 'logPaused'};
 
 interface Waiting {
@@ -226,22 +230,25 @@
     return this.catchUp(offset + 1);
   }
 
-  /** Reads records up to `until`, or to the end of the stream. */
-  private async catchUp(until?: number): Promise<Result<void, ClaimFailure>> {
-    for (;;) {
-      if (until !== undefined && this.view.next >= until) return ok(undefined);
+  /**
+   * Reads records up to `until`, or to the end of the stream. A page may come
+   * from a replica that lags; what is known to be there is asked for again.
+   */
+  private async catchUp(until = 0): Promise<Result<void, ClaimFailure>> {
+    for (let stale = 0; stale < STALE_READS_LIMIT;) {
+      if (until > 0 && this.view.next >= until) return ok(undefined);
       const page = await this.log.read(this.stream, {from: this.view.next});
       this.usage.reads++;
       if (page.isErr()) return err({type: 'logFailed', cause: page.error});
-      this.applyAll(page.value.records);
-      if (
-        this.view.next >= page.value.next ||
-        page.value.records.length === 0
-      ) {
-        this.synced = true;
-        return ok(undefined);
-      }
+      const {records, next} = page.value;
+      this.applyAll(records);
+      if (records.length > 0 && this.view.next < next) continue;
+      this.synced = true;
+      if (this.view.next >= until) return ok(undefined);
+      stale++;
+      await this.timer.sleep(STALE_DELAY_MS);
     }
+    return err({type: 'staleLog'});
   }
 
   private applyAll(records: readonly LogRecord[]): void {
--- a/src/request/executor.ts
+++ b/src/request/executor.ts
@@ -2,6 +2,7 @@
 import type {Work} from './work.js';
 import type {AnswerSink} from './attempt.js';
 import {executeOnce, executeRepeatable} from './execution.js';
+import {AnswerMeasure} from './measure.js';
 import {executeKeyed, type KeyedParts} from './keyed.js';
 import {failureOf, Outcome, type Conclusion} from './outcome.js';
 
@@ -22,13 +23,16 @@
       tier: work.serviceClass.tier,
       workspace: work.workspace.name,
     });
-    const conclusion = await this.run(work, sink, gone);
+    const measure = new AnswerMeasure(work, sink, timer);
+    const conclusion = await this.run(work, measure, gone);
+    const observation = measure.observation(conclusion.outcome);
+    recorder.observe(observation);
     const failure = failureOf(conclusion)?.type;
     recorder.decide(work.id, {
       type: 'ended',
       outcome: conclusion.outcome,
+      ms: observation.completionMs,
       ...(failure === undefined ? {} : {failure}),
-      ms: timer.now() - work.arrivedAt,
     });
     return conclusion;
   }
