--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -19,8 +19,9 @@
   type PeerAddress,
   type Settings,
 } from './instance/index.js';
+import {Claims} from './claim/index.js';
 import {HttpInstanceList, HttpLog} from './platform/index.js';
-import {RoundRobin} from './request/index.js';
+import {Executor, RetryBudget, RoundRobin} from './request/index.js';
 import {logOf, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Timer} from './timer/index.js';
 import {Directory, LeavingRegister} from './upstream/index.js';
@@ -120,19 +121,35 @@
   });
   const scheduler = new RoundRobin(directory);
   const recorder = nullRecorder;
-  const entrance = new Entrance({
-    recorder,
-    follower,
-    scheduler,
-    timer,
-    logger: logOf(root, Part.Request),
-  });
   follower.subscribe(({version}) =>
     membership.report({configurationVersion: version}),
   );
   membership.subscribe(({status}) => {
     void follower.wake(status.configurationVersion);
   });
+  const claims = new Claims({
+    log,
+    timer,
+    membership,
+    client: peerClient,
+    server: peerServer,
+    logger: logOf(root, Part.Claim),
+    windowMs: settings.keyWindowMs,
+  });
+  const executor = new Executor({
+    recorder,
+    scheduler,
+    timer,
+    claims,
+    retries: new RetryBudget(timer),
+    committed: new Set(),
+  });
+  const entrance = new Entrance({
+    follower,
+    executor,
+    timer,
+    logger: logOf(root, Part.Request),
+  });
   membership.start();
   await synchronizer.start();
   discovery?.start();
