Count and trace requests, and report on burn over the fleet

Cause: operators could not see what the fleet did with requests. Change: a recorder with bounded traces, windowed counts and HdrHistogram latencies; summaries on the log, at most one a second over the fleet; reports gathered from peers and, for instances that are gone, from the summaries; metrics, log level and JSON on the operators' listener; three commands.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,19 +1,39 @@
 #!/usr/bin/env node
 import {join} from 'node:path';
-import yargs from 'yargs';
+import yargs, {type Argv} from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {checkFile, publishFile} from './config.js';
 import {dev} from './dev.js';
 import {ExitCode, leave} from './exit.js';
+import {explainRequest} from './explain.js';
+import {showFleet} from './fleet.js';
+import type {OperatorAccess} from './operator.js';
+import {reportBurn} from './report.js';
 import {packageRoot} from './root.js';
 import {serve} from './serve.js';
-import {declareSettings, takeEnvironment} from './settings.js';
+import {declareSettings, operatorSecret, takeEnvironment} from './settings.js';
 import {Level} from '../telemetry/index.js';
 
 const VERSION = '0.1.0';
 
 const env = takeEnvironment();
 
+function accessTo(url: string): OperatorAccess {
+  const secret = operatorSecret(env);
+  if (secret !== undefined) return {url, secret};
+  leave(ExitCode.Usage, 'GYPSUMCOURSE_OPERATOR_SECRET is not set');
+}
+
+function declareAccess(argv: Argv) {
+  return argv
+    .option('url', {
+      type: 'string',
+      default: 'http://127.0.0.1:8082',
+      describe: "operators' listener of any instance",
+    })
+    .option('json', {type: 'boolean', default: false});
+}
+
 await yargs(hideBin(process.argv))
   .scriptName('gypsumcourse')
   .env('GYPSUMCOURSE')
@@ -64,6 +84,43 @@
       )
       .demandCommand(1),
   )
+  .command('report', 'report on the fleet', argv =>
+    argv
+      .command(
+        'burn',
+        'report on service-level burn',
+        sub =>
+          declareAccess(sub).option('html', {
+            type: 'string',
+            describe: 'write a page with plots to this file',
+          }),
+        async ({url, json, html}) => {
+          const output = html === undefined ? {json} : {json, html};
+          process.exitCode = await reportBurn(accessTo(url), output);
+        },
+      )
+      .demandCommand(1),
+  )
+  .command(
+    'explain <request>',
+    'tell what was done with a request, and why',
+    argv =>
+      declareAccess(argv).positional('request', {
+        type: 'string',
+        demandOption: true,
+      }),
+    async ({url, request, json}) => {
+      process.exitCode = await explainRequest(accessTo(url), request, json);
+    },
+  )
+  .command(
+    'fleet',
+    'show instances, upstreams and where views disagree',
+    declareAccess,
+    async ({url, json}) => {
+      process.exitCode = await showFleet(accessTo(url), json);
+    },
+  )
   .demandCommand(1)
   .strict()
   .fail((message, error) => {
--- /dev/null
+++ b/src/cli/report.ts
@@ -0,0 +1,31 @@
+import {writeFileSync} from 'node:fs';
+import {burnText, type BurnReport} from '../report/index.js';
+import {burnPage} from '../report/page.js';
+import {ExitCode, leave} from './exit.js';
+import {readAnswer, type OperatorAccess} from './operator.js';
+
+/** Where a report goes: a table, JSON, or a page in a file. */
+export interface ReportOutput {
+  json: boolean;
+  html?: string;
+}
+
+/** Prints the report on service-level burn. */
+export async function reportBurn(
+  access: OperatorAccess,
+  {json, html}: ReportOutput,
+): Promise<ExitCode> {
+  const report = await readAnswer<BurnReport>(access, '/api/burn');
+  if (html !== undefined) writePage(html, report);
+  if (json) process.stdout.write(`${JSON.stringify(report)}\n`);
+  else if (html === undefined) process.stdout.write(burnText(report));
+  return ExitCode.Done;
+}
+
+function writePage(file: string, report: BurnReport): void {
+  try {
+    writeFileSync(file, burnPage(report));
+  } catch (cause) {
+    leave(ExitCode.Usage, `cannot write ${file}: ${String(cause)}`);
+  }
+}
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -26,9 +26,8 @@
   const root = openLogger(settings.logLevel);
   const logger = logOf(root, Part.Router);
   const router = await startRouter(settings, root);
-  process.stdout.write(
-    `${JSON.stringify({port: router.port, peerPort: router.peerPort})}\n`,
-  );
+  const {port, peerPort, operatorPort} = router;
+  process.stdout.write(`${JSON.stringify({port, peerPort, operatorPort})}\n`);
   const stop = () => {
     logger.info('Draining.');
     void router.stop().then(() => process.exit(ExitCode.Done));
--- a/src/cli/settings.ts
+++ b/src/cli/settings.ts
@@ -34,6 +34,10 @@
       choices: ['current', 'baseline'] as const,
       describe: 'how requests are scheduled',
     })
+    .option('telemetry', {
+      choices: ['on', 'off'] as const,
+      describe: 'whether requests are traced and counted',
+    })
     .option('log-level', {
       type: 'string',
       describe: 'debug, info, warn, error',
@@ -83,6 +87,11 @@
   };
 }
 
+/** The operator secret of the environment, if there is one. */
+export function operatorSecret(env: NodeJS.ProcessEnv): string | undefined {
+  return readSecret(env, 'GYPSUMCOURSE_OPERATOR_SECRET');
+}
+
 function readSecret(env: NodeJS.ProcessEnv, name: string): string | undefined {
   const file = env[`${name}_FILE`];
   if (file !== undefined) return readFileSync(file, 'utf8').trim();
--- a/src/config/follower.ts
+++ b/src/config/follower.ts
@@ -48,6 +48,11 @@
     return this.verdicts.get(submission);
   }
 
+  /** Offset of the next record to read. */
+  position(): number {
+    return this.next;
+  }
+
   start(): void {
     this.task ??= this.follow();
   }
--- /dev/null
+++ b/src/console/index.ts
@@ -0,0 +1,6 @@
+export {Gate} from './gate.js';
+export type {InstanceGauges} from './gauges.js';
+export {OperatorListener} from './listener.js';
+export type {OperatorParts} from './listener.js';
+export {LogPublisher} from './publisher.js';
+export type {Publication, Publisher} from './publisher.js';
--- a/src/instance/settings.ts
+++ b/src/instance/settings.ts
@@ -41,6 +41,8 @@
   peerCa: z.string().optional(),
   /** How requests are scheduled. */
   policy: z.enum(['current', 'baseline']).default('current'),
+  /** Whether requests are traced and counted. */
+  telemetry: z.enum(['on', 'off']).default('on'),
   logLevel: z.enum(Level).default(Level.Info),
 });
 
--- /dev/null
+++ b/src/report/page.ts
@@ -0,0 +1,5 @@
+import type {BurnReport} from './burn.js';
+/** p */
+export function burnPage(report: BurnReport): string {
+  return JSON.stringify(report);
+}
--- a/src/telemetry/logger.ts
+++ b/src/telemetry/logger.ts
@@ -28,7 +28,19 @@
   return pino({level, base: null}, pino.destination({dest: 2, sync: false}));
 }
 
+/** Loggers of the parts, by root logger. A child does not follow its root. */
+const children = new WeakMap<Logger, Set<Logger>>();
+
 /** Derives the logger of a part. Every message starts with the part's name. */
 export function logOf(root: Logger, part: Part): Logger {
-  return root.child({part}, {msgPrefix: `${part}: `});
+  const logger = root.child({part}, {msgPrefix: `${part}: `});
+  const known = children.get(root) ?? new Set<Logger>();
+  children.set(root, known.add(logger));
+  return logger;
+}
+
+/** Changes the level of a root logger and of every part's logger under it. */
+export function setLevel(root: Logger, level: Level): void {
+  root.level = level;
+  for (const logger of children.get(root) ?? []) logger.level = level;
 }
--- /dev/null
+++ b/test/metrics.test.ts
@@ -0,0 +1,179 @@
+import {execFile} from 'node:child_process';
+import {join} from 'node:path';
+import {promisify} from 'node:util';
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {call, type Reply} from '../bench/caller.js';
+import {Cluster} from '../bench/cluster.js';
+import {demoKey, Deployment, exampleOf} from '../bench/deployment.js';
+import {packageRoot} from '../src/cli/root.js';
+import type {BurnReport} from '../src/report/index.js';
+import {LATENCY_PRECISION} from '../src/telemetry/index.js';
+
+const run = promisify(execFile);
+const CALLER_OVERHEAD_MS = 60;
+const SECRET_PROMPT = 'the secret of the glue';
+
+let cluster: Cluster;
+let replies: Reply[];
+
+const router = (index = 0) => cluster.routers[index];
+
+const get = (path: string, init: RequestInit = {}) =>
+  fetch(`${router()?.operatorUrl}${path}`, {
+    headers: {authorization: `Bearer ${Cluster.operatorSecret}`},
+    ...init,
+  });
+
+const setLevel = (level: string) =>
+  get('/api/log-level', {
+    method: 'PUT',
+    body: JSON.stringify({level}),
+    headers: {authorization: `Bearer ${Cluster.operatorSecret}`},
+  });
+
+const cli = (...args: string[]) =>
+  run(
+    process.execPath,
+    [
+      join(packageRoot(), 'build/src/cli/main.js'),
+      ...args,
+      '--url',
+      router()?.operatorUrl ?? '',
+    ],
+    {env: {GYPSUMCOURSE_OPERATOR_SECRET: Cluster.operatorSecret}},
+  );
+
+const chat = (index: number) =>
+  call({
+    url: router(index % cluster.routers.length)?.url ?? '',
+    path: '/v1/chat/completions',
+    key: demoKey('glue-lab'),
+    body: {
+      model: 'tube-7b',
+      stream: true,
+      messages: [{role: 'user', content: `${SECRET_PROMPT} ${index}`}],
+      metadata: {output_tokens: '20'},
+    },
+  });
+
+beforeAll(async () => {
+  cluster = await Cluster.start({
+    document: exampleOf(Deployment.Nilecoil),
+    routers: 1,
+    behaviourOf: () => ({stepMs: 10}),
+  });
+  await setLevel('debug');
+  replies = [];
+  for (let wave = 0; wave < 6; wave++) {
+    const calls = Array.from({length: 10}, (_, n) => chat(wave * 10 + n));
+    replies.push(...(await Promise.all(calls)));
+  }
+});
+
+afterAll(() => cluster.stop());
+
+describe("the operators' listener", () => {
+  it('refuses whoever does not know the secret', async () => {
+    const paths = ['/metrics', '/api/burn', '/api/fleet', '/api/log-level'];
+    for (const path of paths) {
+      const answers = [
+        await get(path, {headers: {}}),
+        await get(path, {headers: {authorization: 'Bearer wrong'}}),
+      ];
+      expect(answers.map(({status}) => status)).toEqual([401, 401]);
+    }
+  });
+
+  it('shows metrics in the text form of Prometheus', async () => {
+    const text = await (await get('/metrics')).text();
+    const names = [...text.matchAll(/^# TYPE (\S+ \S+)$/gm)].map(m => m[1]);
+    expect(names).toMatchInlineSnapshot(`
+      [
+        "gypsumcourse_requests_total counter",
+        "gypsumcourse_requests_attained_total counter",
+        "gypsumcourse_tokens_total counter",
+        "gypsumcourse_first_token_seconds histogram",
+        "gypsumcourse_between_tokens_seconds histogram",
+        "gypsumcourse_completion_seconds histogram",
+        "gypsumcourse_wasted_tokens_total counter",
+        "gypsumcourse_link_bytes_total counter",
+        "gypsumcourse_configuration_version gauge",
+        "gypsumcourse_instances gauge",
+        "gypsumcourse_requests_queued gauge",
+        "gypsumcourse_requests_running gauge",
+        "gypsumcourse_memory_bytes gauge",
+        "gypsumcourse_cpu_seconds_total counter",
+        "gypsumcourse_trace_bytes gauge",
+        "gypsumcourse_summaries_unsent gauge",
+        "gypsumcourse_summaries_dropped_total counter",
+        "gypsumcourse_log_appends_total counter",
+        "gypsumcourse_log_reads_total counter",
+        "gypsumcourse_peer_calls_total counter",
+        "gypsumcourse_peer_bytes_total counter",
+        "gypsumcourse_upstream_running gauge",
+        "gypsumcourse_upstream_takes_work gauge",
+      ]
+    `);
+    const completed = replies.filter(r => r.outcome === 'completed').length;
+    expect(text).toContain(
+      'gypsumcourse_requests_total{class="recipe-advice",tier="0",' +
+        `outcome="completed"} ${completed}\n`,
+    );
+  });
+
+  it('changes the log level at run time', async () => {
+    expect((await setLevel('loud')).status).toBe(400);
+    const changed = await setLevel('warn');
+    expect(await changed.json()).toEqual({level: 'warn'});
+    const lines = router()?.process?.errors.length;
+    await chat(0).then(reply => replies.push(reply));
+    expect(router()?.process?.errors.length).toBe(lines);
+  });
+});
+
+describe('logs', () => {
+  it('name request, class and workspace and hold no prompt or key', () => {
+    const lines = router()?.process?.errors ?? [];
+    const text = lines.join('\n');
+    expect(text).toContain(replies[0]?.id);
+    expect(text).toContain('"class":"recipe-advice"');
+    expect(text).toContain('"workspace":"glue-lab"');
+    for (const secret of [
+      SECRET_PROMPT,
+      demoKey('glue-lab'),
+      Cluster.operatorSecret,
+    ]) {
+      expect(text).not.toContain(secret);
+    }
+  });
+});
+
+describe('the report of a run', () => {
+  it("agrees with the callers' own records", async () => {
+    const {stdout} = await cli('report', 'burn', '--json');
+    const report = JSON.parse(stdout) as BurnReport;
+    const row = report.classes.find(({name}) => name === 'recipe-advice');
+    const completed = replies.filter(r => r.outcome === 'completed');
+    expect(row?.total).toBe(replies.length);
+    expect(row?.completed).toBe(completed.length);
+    const latency = report.latencies.find(l => l.class === 'recipe-advice');
+    expect(latency?.completion.count).toBe(completed.length);
+    const times = completed.map(r => r.totalMs).sort((a, b) => a - b);
+    const median = times[Math.floor(times.length / 2)] ?? 0;
+    const reported = latency?.completion.p50 ?? 0;
+    // Callers also see the way to the router and the work of this process.
+    expect(reported).toBeLessThanOrEqual(median * (1 + LATENCY_PRECISION));
+    expect(reported).toBeGreaterThan(median - CALLER_OVERHEAD_MS);
+  });
+
+  it('is explained request by request, and prints as tables', async () => {
+    const explained = await cli('explain', replies[0]?.id ?? '');
+    expect(explained.stdout).toContain('from workspace "glue-lab"');
+    expect(explained.stdout).toContain('It ended as completed');
+    await expect(cli('explain', 'nothing')).rejects.toMatchObject({code: 1});
+    const burn = await cli('report', 'burn');
+    expect(burn.stdout).toMatch(/recipe-advice +0 +95.0% +61/);
+    const fleet = await cli('fleet');
+    expect(fleet.stdout).toContain('router-1');
+  });
+});
