--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -2,37 +2,27 @@
 import type {Logger} from 'pino';
 import {Follower} from './config/index.js';
 import {
-  Gate,
-  LogPublisher,
-  OperatorListener,
-  type InstanceGauges,
-} from './console/index.js';
-import {
+  addressOf,
   Credential,
+  DatagramPort,
+  Discovery,
   Entrance,
-  LoneMembership,
+  Fleet,
+  openPeerPorts,
   PeerClient,
   PeerServer,
-  type Membership,
+  Synchronizer,
   type PeerAddress,
   type Settings,
 } from './instance/index.js';
-import {HttpLog} from './platform/index.js';
+import {startOperators} from './operators.js';
+import {HttpInstanceList, HttpLog} from './platform/index.js';
 import {RoundRobin} from './request/index.js';
-import {observeFleet, Reporter} from './report/index.js';
-import {
-  logOf,
-  MeteredRecorder,
-  nullRecorder,
-  Part,
-  Summarizer,
-  type Backlog,
-} from './telemetry/index.js';
+import {logOf, MeteredRecorder, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Timer} from './timer/index.js';
-import {Directory, takesWork} from './upstream/index.js';
+import {Directory} from './upstream/index.js';
 
 const PLATFORM_CONNECTIONS = 8;
-const MICROSECONDS_PER_SECOND = 1_000_000;
 
 /** A running instance. */
 export interface Router {
@@ -76,13 +66,41 @@
   const credential = new Credential(settings.peerSecrets);
   const peerServer = new PeerServer(credential);
   const peerClient = new PeerClient(credential, localAddress);
-  const peerPort = await peerServer.listen(settings.host, settings.peerPort);
-  const membership = new LoneMembership({
-    name: settings.instance,
-    incarnation: timer.wallNow(),
-    zone: settings.zone,
-    ...advertised(settings, peerPort),
-  });
+  const datagrams = new DatagramPort(credential, timer);
+  const peerPort = await openPeerPorts(peerServer, datagrams, settings);
+  const random = Math.random;
+  const memberLogger = logOf(root, Part.Member);
+  const membership = new Fleet(
+    {
+      name: settings.instance,
+      incarnation: timer.wallNow(),
+      zone: settings.zone,
+      ...advertised(settings, peerPort),
+    },
+    {datagrams, timer, logger: memberLogger, random},
+  );
+  const synchronizer = new Synchronizer(
+    membership,
+    settings.seeds.map(addressOf),
+    {
+      client: peerClient,
+      server: peerServer,
+      timer,
+      logger: memberLogger,
+      random,
+    },
+  );
+  const discovery =
+    settings.listUrl === undefined
+      ? undefined
+      : new Discovery({
+          list: new HttpInstanceList(settings.listUrl, platform),
+          membership,
+          synchronizer,
+          timer,
+          logger: memberLogger,
+          random,
+        });
   follower.subscribe(({version}) =>
     membership.report({configurationVersion: version}),
   );
@@ -98,6 +116,9 @@
     peerServer,
     peerClient,
   });
+  membership.start();
+  await synchronizer.start();
+  discovery?.start();
   follower.start();
   const port = await entrance.listen(settings.host, settings.port);
   logOf(root, Part.Router).info({port}, 'Listening for callers.');
@@ -106,9 +127,14 @@
     peerPort,
     ...(operators.port === undefined ? {} : {operatorPort: operators.port}),
     stop: async () => {
+      await membership.leave();
       await entrance.drain();
       await operators.stop();
+      await discovery?.stop();
       await follower.stop();
+      await synchronizer.stop();
+      await membership.stop();
+      datagrams.close();
       await peerServer.close();
       await peerClient.close();
       await directory.close();
@@ -118,103 +144,7 @@
 }
 
 function advertised(settings: Settings, peerPort: number): PeerAddress {
-  const [host, port] = (settings.advertise ?? '').split(':');
-  if (host === undefined || port === undefined) {
-    return {host: settings.host, port: peerPort};
-  }
-  return {host, port: Number(port)};
-}
-
-/** The parts that operators see the instance through. */
-interface OperatorSight {
-  settings: Settings;
-  root: Logger;
-  timer: Timer;
-  log: HttpLog;
-  directory: Directory;
-  follower: Follower;
-  recorder: MeteredRecorder;
-  membership: Membership;
-  peerServer: PeerServer;
-  peerClient: PeerClient;
-}
-
-/** Starts summaries, reports and, with a secret, the operators' listener. */
-async function startOperators(
-  parts: OperatorSight,
-): Promise<{port?: number; stop(): Promise<void>}> {
-  const {settings, root, timer, log, directory} = parts;
-  const {follower, recorder, membership} = parts;
-  const summarizer = new Summarizer(
-    {
-      instance: settings.instance,
-      incarnation: membership.self().incarnation,
-    },
-    recorder,
-    log,
-    timer,
-    logOf(root, Part.Router),
-    () => membership.live().length,
-  );
-  const reporter = new Reporter({
-    ...parts,
-    view: () =>
-      observeFleet({
-        membership,
-        directory,
-        log,
-        timer,
-        configuration: () => follower.current(),
-        configurationPosition: () => follower.position(),
-        backlog: () => summarizer.backlog(),
-        leases: () => [],
-      }),
-  });
-  const listener =
-    settings.operatorSecret === undefined
-      ? undefined
-      : new OperatorListener({
-          gate: new Gate(settings.operatorSecret),
-          ...parts,
-          reporter,
-          gauges: () => gaugesOf(parts, summarizer.backlog()),
-          publisher: new LogPublisher(log, follower, timer),
-          logger: logOf(root, Part.Console),
-        });
-  const port = await listener?.listen(settings.host, settings.operatorPort);
-  return {
-    ...(port === undefined ? {} : {port}),
-    stop: async () => {
-      await summarizer.stop();
-      await listener?.close();
-    },
-  };
-}
-
-function gaugesOf(
-  {membership, log, peerClient, directory, recorder}: OperatorSight,
-  backlog: Backlog,
-): InstanceGauges {
-  const {status} = membership.self();
-  const cpu = process.cpuUsage();
-  return {
-    configurationVersion: status.configurationVersion,
-    liveInstances: membership.live().length,
-    queued: status.queued,
-    running: status.running,
-    memoryBytes: process.memoryUsage.rss(),
-    cpuSeconds: (cpu.user + cpu.system) / MICROSECONDS_PER_SECOND,
-    traceBytes: recorder.traceUsage().bytes,
-    summariesUnsent: backlog.unsent,
-    summariesDropped: backlog.dropped,
-    logAppends: log.usage.appends,
-    logReads: log.usage.reads,
-    peerCalls: peerClient.usage.calls,
-    peerBytes: peerClient.usage.bytesIn + peerClient.usage.bytesOut,
-    upstreams: directory.all().map(upstream => ({
-      name: upstream.name,
-      inflight: upstream.inflight,
-      takesWork: takesWork(upstream),
-    })),
-  };
+  return settings.advertise === undefined
+    ? {host: settings.host, port: peerPort}
+    : addressOf(settings.advertise);
 }
--- a/test/metrics.test.ts
+++ b/test/metrics.test.ts
@@ -43,9 +43,20 @@
     {env: {GYPSUMCOURSE_OPERATOR_SECRET: Cluster.operatorSecret}},
   );
 
+/** Asks for the report until it shows what is awaited, or time is up. */
+async function burnWhen(
+  shown: (report: BurnReport) => boolean,
+): Promise<BurnReport> {
+  const end = Date.now() + 10_000;
+  for (;;) {
+    const report = (await (await get('/api/burn')).json()) as BurnReport;
+    if (shown(report) || Date.now() > end) return report;
+  }
+}
+
 const chat = (index: number) =>
   call({
-    url: router(index % cluster.routers.length)?.url ?? '',
+    url: router(index % 3)?.url ?? '',
     path: '/v1/chat/completions',
     key: demoKey('glue-lab'),
     body: {
@@ -59,13 +70,13 @@
 beforeAll(async () => {
   cluster = await Cluster.start({
     document: exampleOf(Deployment.Nilecoil),
-    routers: 1,
+    routers: 3,
     behaviourOf: () => ({stepMs: 10}),
   });
   await setLevel('debug');
   replies = [];
-  for (let wave = 0; wave < 6; wave++) {
-    const calls = Array.from({length: 10}, (_, n) => chat(wave * 10 + n));
+  for (let wave = 0; wave < 5; wave++) {
+    const calls = Array.from({length: 12}, (_, n) => chat(wave * 12 + n));
     replies.push(...(await Promise.all(calls)));
   }
 });
@@ -114,10 +125,9 @@
         "gypsumcourse_upstream_takes_work gauge",
       ]
     `);
-    const completed = replies.filter(r => r.outcome === 'completed').length;
     expect(text).toContain(
       'gypsumcourse_requests_total{class="recipe-advice",tier="0",' +
-        `outcome="completed"} ${completed}\n`,
+        `outcome="completed"} ${replies.length / 3}\n`,
     );
   });
 
@@ -152,6 +162,10 @@
   it("agrees with the callers' own records", async () => {
     const {stdout} = await cli('report', 'burn', '--json');
     const report = JSON.parse(stdout) as BurnReport;
+    expect(report.silent).toEqual([]);
+    expect(report.sources.map(({source}) => source)).toEqual(
+      Array(3).fill('live'),
+    );
     const row = report.classes.find(({name}) => name === 'recipe-advice');
     const completed = replies.filter(r => r.outcome === 'completed');
     expect(row?.total).toBe(replies.length);
@@ -176,4 +190,33 @@
     const fleet = await cli('fleet');
     expect(fleet.stdout).toContain('router-1');
   });
+
+  it('keeps the share of a router that shut down and was replaced', async () => {
+    await router(1)?.process?.terminate();
+    await router(1)?.start();
+    const report = await burnWhen(({sources}) => sources.length === 4);
+    expect(report.sources.map(({source}) => source).sort()).toEqual([
+      'live',
+      'live',
+      'live',
+      'summaries',
+    ]);
+    const row = report.classes.find(({name}) => name === 'recipe-advice');
+    expect([row?.total, report.gaps]).toEqual([replies.length, []]);
+  });
+
+  it('says which router was silent and what is not counted', async () => {
+    router(2)?.process?.pause();
+    const report = await burnWhen(({gaps}) => gaps.length > 0);
+    router(2)?.process?.resume();
+    const [gap] = report.gaps;
+    expect([gap?.instance, gap?.reason]).toEqual(['router-3', 'silent']);
+  });
+
+  it('says that shares of routers that are gone miss without the log', async () => {
+    await cluster.behave(cluster.log, {down: true});
+    const {stdout} = await cli('report', 'burn');
+    await cluster.behave(cluster.log, {down: false});
+    expect(stdout).toContain('The log did not answer (refused)');
+  });
 });
