--- a/src/config/follower.ts
+++ b/src/config/follower.ts
@@ -98,6 +98,11 @@
     return this.ledger.since(version);
   }
 
+  /** Offset of the next record to read. */
+  position(): number {
+    return this.next;
+  }
+
   start(): void {
     this.task ??= this.follow();
   }
--- a/src/instance/index.ts
+++ b/src/instance/index.ts
@@ -20,4 +20,4 @@
 export {Synchronizer} from './sync.js';
 export type {Topic} from './topic.js';
 export {isLive, readMembers, serveMembers} from './view.js';
-export type {MemberView} from './view.js';
+export type {MemberSummary} from './view.js';
--- a/src/instance/settings.ts
+++ b/src/instance/settings.ts
@@ -45,6 +45,8 @@
   keyWindowMs: z.coerce.number().int().min(10_000).default(600_000),
   /** How requests are scheduled. */
   policy: z.enum(['current', 'baseline']).default('current'),
+  /** Whether requests are traced and counted. */
+  telemetry: z.enum(['on', 'off']).default('on'),
   logLevel: z.enum(Level).default(Level.Info),
 });
 
--- a/src/instance/view.ts
+++ b/src/instance/view.ts
@@ -11,7 +11,7 @@
 );
 
 /** A member as told to operators. */
-export type MemberView = z.output<typeof membersSchema>[number];
+export type MemberSummary = z.output<typeof membersSchema>[number];
 
 /** Answers peers and operators' tools with all members known here. */
 export function serveMembers(server: PeerServer, membership: Membership): void {
@@ -22,7 +22,7 @@
 export async function readMembers(
   client: PeerClient,
   instance: PeerAddress,
-): Promise<MemberView[] | undefined> {
+): Promise<MemberSummary[] | undefined> {
   const answer = await client.call(
     instance,
     MEMBERS_METHOD,
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -1,7 +1,7 @@
 import {Agent} from 'undici';
 import type {Logger} from 'pino';
 import {Claims} from './claim/index.js';
-import {Follower, Passing, Renewal} from './config/index.js';
+import {Follower, Renewal} from './config/index.js';
 import {
   addressOf,
   Credential,
@@ -10,6 +10,7 @@
   Entrance,
   Fleet,
   openPeerPorts,
+  Passing,
   PeerClient,
   PeerServer,
   serveMembers,
@@ -17,9 +18,10 @@
   type PeerAddress,
   type Settings,
 } from './instance/index.js';
+import {startOperators} from './operators.js';
 import {HttpInstanceList, HttpLog} from './platform/index.js';
 import {Executor, RetryBudget, RoundRobin} from './request/index.js';
-import {logOf, nullRecorder, Part} from './telemetry/index.js';
+import {logOf, MeteredRecorder, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Timer} from './timer/index.js';
 import {Directory} from './upstream/index.js';
 
@@ -31,6 +33,8 @@
   port: number;
   /** Port peers reach the instance at. */
   peerPort: number;
+  /** Port operators reach the instance at; absent without their secret. */
+  operatorPort?: number;
   /** Drains: resolves when every request in flight has ended. */
   stop(): Promise<void>;
 }
@@ -80,7 +84,8 @@
   const {follower} = configuring;
   const directory = new Directory(settings.host);
   follower.subscribe(({document}) => directory.apply(document));
-  const recorder = nullRecorder;
+  const metered = new MeteredRecorder(timer);
+  const recorder = settings.telemetry === 'on' ? metered : nullRecorder;
   const claims = new Claims({
     log,
     timer,
@@ -104,6 +109,18 @@
     timer,
     logger: logOf(root, Part.Request),
   });
+  const operators = await startOperators({
+    settings,
+    root,
+    timer,
+    log,
+    directory,
+    follower,
+    recorder: metered,
+    membership,
+    peerServer: peers.server,
+    peerClient: peers.client,
+  });
   await peers.start();
   configuring.start();
   const port = await entrance.listen(settings.host, settings.port);
@@ -111,9 +128,11 @@
   return {
     port,
     peerPort: peers.port,
+    ...(operators.port === undefined ? {} : {operatorPort: operators.port}),
     stop: async () => {
       await membership.leave();
       await entrance.drain();
+      await operators.stop();
       await configuring.stop();
       await peers.stop();
       await directory.close();
