Add leases of pools through the log

Cause: orders to engines need one sender at a time, and there is no coordination service to name it. Change: grants, renewals and releases on one stream. A grant is valid when no record of its pool lies between the offset its writer had read and itself, so readers agree without clocks; the term only decides when to ask. Lost answers are found by reading back.

--- /dev/null
+++ b/src/lease/record.ts
@@ -0,0 +1,48 @@
+import {z} from 'zod';
+
+/** Stream of the platform's log that carries leases. */
+export const LEASE_STREAM = 'leases';
+
+const heldSchema = z.object({
+  pool: z.string(),
+  /** Offset of the grant. */
+  fencing: z.number().int(),
+});
+
+const grantSchema = z.object({
+  type: z.literal('grant'),
+  /** Identifies the record, so that a lost answer can be found again. */
+  id: z.string(),
+  pool: z.string(),
+  holder: z.string(),
+  termMs: z.number().positive(),
+  /** The writer had read the stream up to and including this offset. */
+  upTo: z.number().int(),
+});
+
+const renewalSchema = z.object({
+  type: z.literal('renewal'),
+  id: z.string(),
+  holder: z.string(),
+  termMs: z.number().positive(),
+  leases: z.array(heldSchema),
+});
+
+const releaseSchema = z.object({
+  type: z.literal('release'),
+  id: z.string(),
+  holder: z.string(),
+  leases: z.array(heldSchema),
+});
+
+/** A record of [[LEASE_STREAM]]. */
+export const leaseRecordSchema = z.discriminatedUnion('type', [
+  grantSchema,
+  renewalSchema,
+  releaseSchema,
+]);
+
+/** A record of [[LEASE_STREAM]]. */
+export type LeaseRecord = z.infer<typeof leaseRecordSchema>;
+/** A request to become the holder of a pool's lease. */
+export type LeaseGrant = z.infer<typeof grantSchema>;
