--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -8,3 +8,5 @@
   LogRecord,
   PlatformFailure,
 } from './log.js';
+export {HttpWeightStore} from './weights.js';
+export type {WeightStore, WeightStoreStatus} from './weights.js';
--- a/stand-ins/behaviour.ts
+++ b/stand-ins/behaviour.ts
@@ -1,3 +1,5 @@
+import type {LoadedModel} from '../src/order/index.js';
+
 /** What an engine does with an order that carries an old fencing number. */
 export enum Fencing {
   /** Refuses it. */
@@ -20,13 +22,6 @@
   Error = 'error',
 }
 
-/** A model an engine holds in memory. */
-export interface LoadedModel {
-  model: string;
-  version: string;
-  adapters: string[];
-}
-
 /** How a stand-in engine behaves. */
 export interface EngineBehaviour {
   /** Sequences in the batch at most. */
--- a/stand-ins/engine.ts
+++ b/stand-ins/engine.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import findMyWay from 'find-my-way';
+import type {EngineOrder} from '../src/order/index.js';
 import {BLOCK_CHARACTERS} from '../src/upstream/index.js';
 import {Batch} from './batch.js';
 import {ENGINE_DEFAULTS, type EngineBehaviour} from './behaviour.js';
@@ -13,7 +14,7 @@
   type StandIn,
 } from './http.js';
 import {KvTransfer} from './kv.js';
-import {Models, type EngineOrder} from './models.js';
+import {Models} from './models.js';
 import {Orders, OrderVerdict, type JournaledOrder} from './orders.js';
 import {LaggingReport} from './report.js';
 import type {EngineExecution} from './sequence.js';
@@ -58,7 +59,7 @@
       this.models,
     );
     this.report = new LaggingReport(
-      () => this.batch.load(),
+      () => this.load(),
       () => behaviour.reportLagMs,
     );
   }
@@ -143,11 +144,14 @@
     stream.attach(response, last + 1);
   }
 
+  private load() {
+    const load = this.batch.load();
+    if (!this.behaviour.requireLoaded) return load;
+    return {...load, models: this.models.names()};
+  }
+
   private held() {
-    const {loaded, pending, failed, role} = this.models;
-    const fencing = this.orders.highest;
-    const {modelSlots} = this.behaviour;
-    return {loaded, pending, failed, role, modelSlots, fencing};
+    return {...this.models.state(), fencing: this.orders.highest};
   }
 
   private async order(
--- a/stand-ins/generation.ts
+++ b/stand-ins/generation.ts
@@ -43,6 +43,7 @@
       this.refused++;
       return sendJson(response, 400, {error: 'badRequest'}, NOT_RUN);
     }
+    this.models.count(body.model);
     if (this.refuse(body, response)) return;
     const sequence = sequenceOf(message, body);
     const {id, promptTokens} = sequence.execution;
--- a/stand-ins/index.ts
+++ b/stand-ins/index.ts
@@ -1,10 +1,9 @@
 export {ENGINE_DEFAULTS, Fencing, Refusal} from './behaviour.js';
-export type {EngineBehaviour, LoadedModel} from './behaviour.js';
+export type {EngineBehaviour} from './behaviour.js';
 export type {EngineLoad} from './batch.js';
 export type {CacheEvent, CacheEventPage} from './cache.js';
 export {startEngine} from './engine.js';
 export type {EngineStandIn} from './engine.js';
-export type {EngineOrder, EngineRole, EngineTask} from './models.js';
 export {OrderVerdict} from './orders.js';
 export type {JournaledOrder} from './orders.js';
 export {ReseedableRandom, seededRandom} from './random.js';
--- a/stand-ins/models.ts
+++ b/stand-ins/models.ts
@@ -1,32 +1,10 @@
-import type {EngineBehaviour, LoadedModel} from './behaviour.js';
-
-/** What an engine can be told to do. */
-export type EngineOrder = {
-  /** Chosen by the sender; the same id is executed once. */
-  id: string;
-  /** Fencing number of the sender's lease. */
-  fencing: number;
-  /** Name of the sender. */
-  sender: string;
-} & EngineTask;
-
-/** The task of an [[EngineOrder]]. */
-export type EngineTask =
-  | {type: 'loadModel'; model: string; version: string}
-  | {type: 'loadVersion'; model: string; version: string}
-  | {type: 'loadAdapter'; model: string; adapter: string}
-  | {type: 'unloadModel'; model: string}
-  | {type: 'changeRole'; role: EngineRole};
-
-/** Work an engine specialises on. */
-export type EngineRole = 'general' | 'prefill' | 'decode';
-
-/** A load that has begun. */
-export interface PendingLoad {
-  model: string;
-  version?: string;
-  adapter?: string;
-}
+import type {
+  EngineRole,
+  EngineTask,
+  LoadedModel,
+  PendingLoad,
+} from '../src/order/index.js';
+import type {EngineBehaviour} from './behaviour.js';
 
 /** A load that failed, with the reason. */
 export interface FailedLoad extends PendingLoad {
@@ -41,20 +19,42 @@
   readonly loaded: LoadedModel[];
   readonly pending: PendingLoad[] = [];
   readonly failed: FailedLoad[] = [];
+  /** Requests that came in, run or not, by the model they named. */
+  readonly asked: Record<string, number> = {};
   role: EngineRole = 'general';
 
   constructor(private readonly behaviour: EngineBehaviour) {
     this.loaded = structuredClone(behaviour.loaded);
   }
 
+  /** Counts a request for a model. */
+  count(name: string): void {
+    this.asked[name] = (this.asked[name] ?? 0) + 1;
+  }
+
+  /** Names that requests may give, adapters included. */
+  names(): string[] {
+    return this.loaded.flatMap(({model, adapters}) => [
+      model,
+      ...adapters.map(adapter => `${model}:${adapter}`),
+    ]);
+  }
+
+  /** What `GET /models` answers of them. */
+  state() {
+    const {loaded, pending, role, asked} = this;
+    const now = Date.now();
+    const failed = this.failed.map(({at, ...failure}) => ({
+      ...failure,
+      ageMs: now - at,
+    }));
+    const {modelSlots} = this.behaviour;
+    return {loaded, pending, failed, role, modelSlots, asked};
+  }
+
   /** Whether a model, given as `model` or `model:adapter`, is loaded. */
   serves(name: string): boolean {
-    const [model, adapter] = name.split(':', 2);
-    return this.loaded.some(
-      loaded =>
-        loaded.model === model &&
-        (adapter === undefined || loaded.adapters.includes(adapter)),
-    );
+    return this.names().includes(name);
   }
 
   /** Whether one more model fits into memory. */
--- a/stand-ins/orders.ts
+++ b/stand-ins/orders.ts
@@ -1,5 +1,6 @@
+import type {EngineOrder} from '../src/order/index.js';
 import {Fencing, type EngineBehaviour} from './behaviour.js';
-import type {EngineOrder, Models} from './models.js';
+import type {Models} from './models.js';
 
 /** What became of an order. */
 export enum OrderVerdict {
