Schedule requests by tier, target and workspace, and route by expected time

Cause: requests were placed round robin with no queue, limit, order or regard for load, cache or distance. Change: bounded queues by tier, class target and fair share with floors; an adaptive limit per upstream; choice by expected time to the first token from own attempts, load reports and cached prefixes; region first, with byte budgets on paid links; subsets for large pools. The round robin stays as policy 'baseline'.

--- /dev/null
+++ b/src/admission/entry.ts
@@ -0,0 +1,41 @@
+import type {Result} from 'neverthrow';
+import type {
+  Ending,
+  Placement,
+  PlacementHistory,
+  Work,
+} from '../request/index.js';
+import type {Ticket} from '../workspace/index.js';
+
+/** One request that waits for a placement. */
+export interface Entry {
+  work: Work;
+  history: PlacementHistory;
+  /** Aborts when the caller goes away. */
+  signal: AbortSignal;
+  /** Key of the upstreams that can serve it; see [[demandKey]]. */
+  lane: string;
+  /** Tokens of service expected, prompt and answer together. */
+  cost: number;
+  promptTokens: number;
+  /** Hashes of the prompt's full blocks. */
+  blocks: readonly string[];
+  queuedAt: number;
+  /** Latest start at which every target of its class can be met. */
+  latestStartAt: number;
+  /** Latest start at which it can be answered before its deadline. */
+  hopelessAt: number;
+  /** When a late request regains the order of its tier. */
+  urgentAt: number;
+  /** Place in its fair queue, while it waits. */
+  ticket?: Ticket<Entry>;
+  /** Whether it waits among those that can't meet their targets any more. */
+  late: boolean;
+  /** Ends the wait with a placement or an ending; later calls are ignored. */
+  settle(result: Result<Placement, Ending>): void;
+}
+
+/** Tier of a request; 0 is the highest. */
+export function tierOf(entry: Entry): number {
+  return entry.work.serviceClass.tier;
+}
--- /dev/null
+++ b/src/admission/running.ts
@@ -0,0 +1,197 @@
+import {AttemptEnd, type Placement} from '../request/index.js';
+import type {Recorder} from '../telemetry/index.js';
+import type {Timer} from '../timer/index.js';
+import type {PendingStart} from '../upstream/index.js';
+import type {LinkBudgets} from '../zone/index.js';
+import {
+  ANSWER_BYTES_PER_TOKEN,
+  REQUEST_OVERHEAD_BYTES,
+  type Choice,
+} from './choice.js';
+import {tierOf, type Entry} from './entry.js';
+
+/** Tokens over which the time between tokens is averaged. */
+const STEP_SAMPLE_TOKENS = 16;
+/** Bytes counted for a whole answer that is not streamed. */
+const WHOLE_ANSWER_BYTES = 600;
+
+/** Reason of an abort by which an attempt makes way for a higher tier. */
+export interface Preemption {
+  type: 'preempted';
+  /** Id of the request it makes way for. */
+  inFavourOf: string;
+}
+
+/** What a running attempt needs of the scheduler. */
+export interface RunningParts {
+  timer: Timer;
+  recorder: Recorder;
+  budgets: LinkBudgets;
+  /** Called once when the attempt has ended. */
+  ended(running: Running, end: AttemptEnd): void;
+}
+
+/** One attempt in progress, and what is learnt from it. */
+export class Running implements Placement {
+  /** Tokens received so far. */
+  tokens = 0;
+  readonly startedAt: number;
+  /** Inflight attempts on the upstream at the start, this one included. */
+  private readonly inflightAtStart: number;
+  private readonly controller = new AbortController();
+  private readonly pending: PendingStart;
+  private firstTokenAt?: number;
+  private sampledAt = 0;
+  private sampledTokens = 0;
+  private released = false;
+  private readonly abandon = () => this.controller.abort(this.outer.reason);
+
+  constructor(
+    readonly entry: Entry,
+    readonly choice: Choice,
+    /** Aborts when the caller goes away. */
+    private readonly outer: AbortSignal,
+    private readonly parts: RunningParts,
+  ) {
+    const {upstream, cachedTokens} = choice;
+    this.startedAt = parts.timer.now();
+    this.inflightAtStart = ++upstream.inflight;
+    const computed = Math.max(0, entry.promptTokens - cachedTokens);
+    this.pending = upstream.condition.begin(this.startedAt, computed);
+    if (!this.streamed) this.settleWhenExpected();
+    if (outer.aborted) this.abandon();
+    outer.addEventListener('abort', this.abandon, {once: true});
+    this.account('request', entry.work.body.length + REQUEST_OVERHEAD_BYTES);
+  }
+
+  get upstream() {
+    return this.choice.upstream;
+  }
+
+  get priority(): number {
+    return tierOf(this.entry);
+  }
+
+  get signal(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  /** Whether the answer arrives token by token. */
+  get streamed(): boolean {
+    const {demand} = this.entry.work;
+    return demand.type === 'generation' && demand.stream;
+  }
+
+  /** Whether any of the answer has arrived. */
+  get started(): boolean {
+    return this.firstTokenAt !== undefined;
+  }
+
+  /** Tokens generated so far; estimated where they are not seen. */
+  get answerTokens(): number {
+    if (this.streamed || this.entry.work.demand.type === 'service') {
+      return this.tokens;
+    }
+    const {stepMs} = this.upstream.condition.speed;
+    const elapsedMs = this.parts.timer.now() - this.startedAt;
+    const decodingMs = Math.max(0, elapsedMs - this.choice.firstTokenMs);
+    return Math.round(decodingMs / stepMs);
+  }
+
+  firstToken(): void {
+    if (this.firstTokenAt !== undefined) return;
+    const now = this.parts.timer.now();
+    this.firstTokenAt = now;
+    this.sampledAt = now;
+    this.upstream.condition.settle(this.pending);
+    this.upstream.condition.cache.store(this.entry.blocks);
+    this.learnLatency(now);
+  }
+
+  progress(tokens: number): void {
+    this.tokens += tokens;
+    this.account('answer', tokens * ANSWER_BYTES_PER_TOKEN);
+    const count = this.tokens - this.sampledTokens;
+    if (count < STEP_SAMPLE_TOKENS) return;
+    const now = this.parts.timer.now();
+    this.upstream.condition.speed.observeStep((now - this.sampledAt) / count);
+    this.sampledAt = now;
+    this.sampledTokens = this.tokens;
+  }
+
+  release(end: AttemptEnd): void {
+    if (this.released) return;
+    this.released = true;
+    this.outer.removeEventListener('abort', this.abandon);
+    this.upstream.inflight--;
+    this.upstream.condition.settle(this.pending);
+    this.learnEnd(end, this.parts.timer.now());
+    if (!this.streamed) this.account('answer', WHOLE_ANSWER_BYTES);
+    this.parts.ended(this, end);
+  }
+
+  /** Stops the attempt in favour of a request of a higher tier. */
+  preempt(inFavourOf: string): void {
+    const reason: Preemption = {type: 'preempted', inFavourOf};
+    this.controller.abort(reason);
+  }
+
+  /** Whether the attempt was stopped in favour of another request. */
+  get preempted(): boolean {
+    const reason = this.controller.signal.reason as Preemption | undefined;
+    return reason?.type === 'preempted';
+  }
+
+  private learnLatency(now: number): void {
+    const {demand} = this.entry.work;
+    const {speed, limit} = this.upstream.condition;
+    const ms = now - this.startedAt - 2 * this.choice.route.oneWayMs;
+    if (demand.type === 'service') {
+      speed.observeCall(ms);
+      limit.observe(ms, speed.stepMs, this.inflightAtStart, now);
+      return;
+    }
+    if (!this.streamed) return;
+    const computed = this.pending.promptTokens;
+    speed.observeFirstToken(ms, computed);
+    const unloadedMs = speed.unloadedMs(computed);
+    limit.observe(ms, unloadedMs, this.inflightAtStart, now);
+  }
+
+  private learnEnd(end: AttemptEnd, now: number): void {
+    const {health, limit, speed} = this.upstream.condition;
+    switch (end) {
+      case AttemptEnd.Whole:
+        if (health.succeeded()) limit.restart();
+        speed.observeService(now - this.startedAt);
+        break;
+      case AttemptEnd.Broken:
+      case AttemptEnd.Silent:
+        health.failed(now);
+        limit.decrease(now);
+        break;
+      case AttemptEnd.Refused:
+        limit.decrease(now);
+        break;
+      case AttemptEnd.Cancelled:
+        break;
+    }
+  }
+
+  /** The first token of an answer that is not streamed is never seen. */
+  private settleWhenExpected(): void {
+    const {timer} = this.parts;
+    timer.after(this.choice.firstTokenMs, () => {
+      this.upstream.condition.settle(this.pending);
+    });
+  }
+
+  private account(cause: string, bytes: number): void {
+    const {link} = this.choice.route;
+    if (link === undefined) return;
+    const {work, history} = this.entry;
+    this.parts.budgets.spend(link, bytes, this.parts.timer.now());
+    const label = history.tried.size > 0 ? `retried ${cause}` : cause;
+    this.parts.recorder.linkBytes(link, label, work.workspace.name, bytes);
+  }
+}
--- a/src/instance/member.ts
+++ b/src/instance/member.ts
@@ -14,7 +14,7 @@
   /** Version of the configuration in force there. */
   configurationVersion: number;
   /** Lowest priority tier that is shed there; undefined if none is. */
-  shedTier?: number;
+  shedTier?: number | undefined;
   /** Requests waiting there. */
   queued: number;
   /** Requests running there. */
--- a/src/instance/settings.ts
+++ b/src/instance/settings.ts
@@ -1,5 +1,6 @@
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
+import {Policy} from '../admission/policy.js';
 import {Level} from '../telemetry/index.js';
 
 const port = z.coerce.number().int().min(0).max(65_535);
@@ -40,7 +41,7 @@
   peerKey: z.string().optional(),
   peerCa: z.string().optional(),
   /** How requests are scheduled. */
-  policy: z.enum(['current', 'baseline']).default('current'),
+  policy: z.enum(Policy).default(Policy.Current),
   logLevel: z.enum(Level).default(Level.Info),
 });
 
--- a/src/upstream/directory.ts
+++ b/src/upstream/directory.ts
@@ -5,6 +5,7 @@
 /** All upstreams of the configuration in force. */
 export class Directory {
   private upstreams = new Map<string, Upstream>();
+  private changes = 0;
 
   /** Connections to upstreams are opened from `localAddress`. */
   constructor(private readonly localAddress: string) {}
@@ -27,6 +28,12 @@
       if (next.get(name) !== upstream) void upstream.close();
     }
     this.upstreams = next;
+    this.changes++;
+  }
+
+  /** Grows with every configuration that was applied. */
+  get version(): number {
+    return this.changes;
   }
 
   /** Every upstream, in the order of the configuration. */
@@ -39,11 +46,14 @@
     return this.all().some(upstream => offers(upstream, demand));
   }
 
+  /** Upstreams whose pool serves the demand, whatever their state. */
+  serving(demand: Demand): Upstream[] {
+    return this.all().filter(upstream => offers(upstream, demand));
+  }
+
   /** Upstreams that serve the demand and take new work. */
   candidates(demand: Demand): Upstream[] {
-    return this.all().filter(
-      upstream => offers(upstream, demand) && takesWork(upstream),
-    );
+    return this.serving(demand).filter(takesWork);
   }
 
   /** Closes every connection once running attempts have finished. */
--- a/src/upstream/upstream.ts
+++ b/src/upstream/upstream.ts
@@ -1,5 +1,6 @@
 import {Pool as Connections} from 'undici';
 import type {Pool} from '../config/index.js';
+import {Condition} from './condition.js';
 
 /** Connections an instance opens to one upstream at most. */
 const CONNECTIONS_PER_UPSTREAM = 256;
@@ -12,6 +13,8 @@
   waiting: number;
   /** Share of KV memory in use, 0 to 1. */
   memory: number;
+  /** Requests it runs at once at most, if it tells. */
+  slots?: number;
   /** Whether the upstream said it is leaving. */
   leaving: boolean;
   /** Monotonic ms. */
@@ -24,6 +27,8 @@
   inflight = 0;
   /** The newest load report, if any arrived. */
   load?: LoadReport;
+  /** What this instance has learnt of its speed, health and cache. */
+  readonly condition = new Condition();
   readonly connections: Connections;
 
   constructor(
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -1,5 +1,6 @@
 import {Agent} from 'undici';
 import type {Logger} from 'pino';
+import {scheduling} from './admission/index.js';
 import {Follower} from './config/index.js';
 import {
   addressOf,
@@ -16,7 +17,6 @@
   type Settings,
 } from './instance/index.js';
 import {HttpInstanceList, HttpLog} from './platform/index.js';
-import {RoundRobin} from './request/index.js';
 import {logOf, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Timer} from './timer/index.js';
 import {Directory} from './upstream/index.js';
@@ -51,15 +51,7 @@
   const directory = new Directory(localAddress);
   const follower = new Follower(log, timer, logOf(root, Part.Config));
   follower.subscribe(({document}) => directory.apply(document));
-  const scheduler = new RoundRobin(directory);
   const recorder = nullRecorder;
-  const entrance = new Entrance({
-    recorder,
-    follower,
-    scheduler,
-    timer,
-    logger: logOf(root, Part.Request),
-  });
   const credential = new Credential(settings.peerSecrets);
   const peerServer = new PeerServer(credential);
   const peerClient = new PeerClient(credential, localAddress);
@@ -101,9 +93,26 @@
   follower.subscribe(({version}) =>
     membership.report({configurationVersion: version}),
   );
+  const decisions = scheduling(settings.policy, {
+    directory,
+    membership,
+    timer,
+    recorder,
+    zone: settings.zone,
+    random,
+  });
+  follower.subscribe(({document}) => decisions.apply(document));
+  const entrance = new Entrance({
+    recorder,
+    follower,
+    scheduler: decisions.scheduler,
+    timer,
+    logger: logOf(root, Part.Request),
+  });
   membership.start();
   await synchronizer.start();
   discovery?.start();
+  decisions.start();
   follower.start();
   const port = await entrance.listen(settings.host, settings.port);
   logOf(root, Part.Router).info({port}, 'Listening for callers.');
@@ -113,6 +122,7 @@
     stop: async () => {
       await membership.leave();
       await entrance.drain();
+      decisions.stop();
       await discovery?.stop();
       await follower.stop();
       await synchronizer.stop();
