--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -1,5 +1,6 @@
 import {Agent} from 'undici';
 import type {Logger} from 'pino';
+import {scheduling} from './admission/index.js';
 import {Claims} from './claim/index.js';
 import {Follower, Renewal} from './config/index.js';
 import {
@@ -20,7 +21,7 @@
 } from './instance/index.js';
 import {startOperators} from './operators.js';
 import {HttpInstanceList, HttpLog} from './platform/index.js';
-import {Executor, RetryBudget, RoundRobin} from './request/index.js';
+import {Executor, RetryBudget} from './request/index.js';
 import {logOf, MeteredRecorder, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Timer} from './timer/index.js';
 import {Directory} from './upstream/index.js';
@@ -86,6 +87,15 @@
   follower.subscribe(({document}) => directory.apply(document));
   const metered = new MeteredRecorder(timer);
   const recorder = settings.telemetry === 'on' ? metered : nullRecorder;
+  const decisions = scheduling(settings.policy, {
+    directory,
+    membership,
+    timer,
+    recorder,
+    zone: settings.zone,
+    random: base.random,
+  });
+  follower.subscribe(({document}) => decisions.apply(document));
   const claims = new Claims({
     log,
     timer,
@@ -97,7 +107,7 @@
   });
   const executor = new Executor({
     recorder,
-    scheduler: new RoundRobin(directory),
+    scheduler: decisions.scheduler,
     timer,
     claims,
     retries: new RetryBudget(timer),
@@ -122,6 +132,7 @@
     peerClient: peers.client,
   });
   await peers.start();
+  decisions.start();
   configuring.start();
   const port = await entrance.listen(settings.host, settings.port);
   logOf(root, Part.Router).info({port}, 'Listening for callers.');
@@ -132,6 +143,7 @@
     stop: async () => {
       await membership.leave();
       await entrance.drain();
+      decisions.stop();
       await operators.stop();
       await configuring.stop();
       await peers.stop();
--- a/stand-ins/proxy.ts
+++ b/stand-ins/proxy.ts
@@ -244,7 +244,7 @@
   private accept(client: Socket): void {
     const source = client.remoteAddress ?? '';
     client.on('error', () => undefined);
-    if (this.faultsOf(source).refuse) {
+    if (this.faultsOf(source).refuse || this.targetPort === 0) {
       client.resetAndDestroy();
       return;
     }
@@ -265,7 +265,7 @@
   }
 
   private relay(message: Buffer, source: string, port: number): void {
-    if (this.dropped(source)) return;
+    if (this.targetPort === 0 || this.dropped(source)) return;
     const flow = this.flowOf(source, port);
     setTimeout(() => {
       this.passed += message.length;
