--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -5,11 +5,13 @@
 import {Follower, Renewal} from './config/index.js';
 import {
   addressOf,
+  connectLeaving,
   Credential,
   DatagramPort,
   Discovery,
   Entrance,
   Fleet,
+  markUpstreams,
   openPeerPorts,
   Passing,
   PeerClient,
@@ -23,8 +25,8 @@
 import {HttpInstanceList, HttpLog} from './platform/index.js';
 import {Executor, RetryBudget} from './request/index.js';
 import {logOf, MeteredRecorder, nullRecorder, Part} from './telemetry/index.js';
-import {SystemTimer, type Timer} from './timer/index.js';
-import {Directory} from './upstream/index.js';
+import {SystemTimer, type Subscription, type Timer} from './timer/index.js';
+import {Directory, LeavingRegister} from './upstream/index.js';
 
 const PLATFORM_CONNECTIONS = 8;
 
@@ -57,6 +59,7 @@
   server: PeerServer;
   client: PeerClient;
   membership: Fleet;
+  discovery?: Discovery;
   start(): Promise<void>;
   stop(): Promise<void>;
 }
@@ -84,7 +87,7 @@
   const configuring = openConfiguring(base, peers);
   const {follower} = configuring;
   const directory = new Directory(settings.host);
-  follower.subscribe(({document}) => directory.apply(document));
+  const looking = openLeaving(base, peers, directory, follower);
   const metered = new MeteredRecorder(timer);
   const recorder = settings.telemetry === 'on' ? metered : nullRecorder;
   const decisions = scheduling(settings.policy, {
@@ -143,6 +146,7 @@
     stop: async () => {
       await membership.leave();
       await entrance.drain();
+      looking.end();
       decisions.stop();
       await operators.stop();
       await configuring.stop();
@@ -189,6 +193,7 @@
     server,
     client,
     membership,
+    ...(discovery === undefined ? {} : {discovery}),
     start: async () => {
       membership.start();
       await synchronizer.start();
@@ -255,6 +260,29 @@
   };
 }
 
+function openLeaving(
+  {timer}: Base,
+  {membership, server, discovery}: Peers,
+  directory: Directory,
+  follower: Follower,
+): Subscription {
+  const parts = {
+    register: new LeavingRegister(timer),
+    directory,
+    fleet: membership,
+    server,
+    timer,
+    ...(discovery === undefined ? {} : {discovery}),
+  };
+  const looking = connectLeaving(parts);
+  follower.subscribe(({document}) => {
+    directory.apply(document);
+    parts.register.configure(document);
+    markUpstreams(parts);
+  });
+  return looking;
+}
+
 function advertised(settings: Settings, peerPort: number): PeerAddress {
   return settings.advertise === undefined
     ? {host: settings.host, port: peerPort}
