--- a/src/instance/index.ts
+++ b/src/instance/index.ts
@@ -10,7 +10,7 @@
   markUpstreams,
   readUpstreams,
 } from './leaving.js';
-export type {LeavingParts, UpstreamView} from './leaving.js';
+export type {LeavingParts, UpstreamSummary} from './leaving.js';
 export {MemberState} from './member.js';
 export type {Member, Membership, MemberStatus} from './member.js';
 export {Fleet, PROBE_PERIOD_MS} from './membership.js';
@@ -27,4 +27,4 @@
 export {Synchronizer} from './sync.js';
 export type {Topic} from './topic.js';
 export {isLive, readMembers, serveMembers} from './view.js';
-export type {MemberView} from './view.js';
+export type {MemberSummary} from './view.js';
--- a/src/instance/leaving.ts
+++ b/src/instance/leaving.ts
@@ -29,7 +29,7 @@
 );
 
 /** An upstream as an instance tells operators of it. */
-export type UpstreamView = z.output<typeof viewSchema>[number];
+export type UpstreamSummary = z.output<typeof viewSchema>[number];
 
 /** An operator's command named an upstream that is not configured. */
 export class UnknownUpstream extends Error {
@@ -94,7 +94,7 @@
     return Promise.resolve({upstream, leaving});
   });
   server.handle(LIST_METHOD, () => {
-    const views = directory.all().map((upstream): UpstreamView => ({
+    const views = directory.all().map((upstream): UpstreamSummary => ({
       upstream: upstream.name,
       pool: upstream.pool.name,
       takesWork: takesWork(upstream),
@@ -119,7 +119,7 @@
 export async function readUpstreams(
   client: PeerClient,
   instance: PeerAddress,
-): Promise<UpstreamView[] | undefined> {
+): Promise<UpstreamSummary[] | undefined> {
   const answer = await client.call(instance, LIST_METHOD, {}, CALL_TIMEOUT_MS);
   const parsed = viewSchema.safeParse(answer.unwrapOr(undefined));
   return parsed.success ? parsed.data : undefined;
