--- a/src/instance/peer.ts
+++ b/src/instance/peer.ts
@@ -4,7 +4,8 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {createServer as createTlsServer} from 'node:https';
+import type {AddressInfo, Socket} from 'node:net';
 import {
   createJSONRPCErrorResponse,
   createJSONRPCRequest,
@@ -15,12 +16,13 @@
 } from 'json-rpc-2.0';
 import {err, ok, type Result} from 'neverthrow';
 import {Agent, request} from 'undici';
+import {Meter, meteredConnector} from '../platform/index.js';
 import {CODE_HEADER, type Credential} from './credential.js';
+import {clientOptions, serverOptions, type TlsFiles} from './tls.js';
 
 /** Path at which peers take JSON-RPC requests. */
 const RPC_PATH = '/rpc';
 const BODY_LIMIT_BYTES = 8 * 1024 * 1024;
-const CONNECT_TIMEOUT_MS = 1_000;
 const CONNECTIONS_PER_PEER = 16;
 
 /** Where a peer is reached. */
@@ -57,12 +59,23 @@
 /** Serves JSON-RPC calls of authenticated peers over HTTP. */
 export class PeerServer {
   private readonly rpc = new JSONRPCServer({errorListener: () => undefined});
+  /** Counts the bytes of all connections. */
+  readonly meter = new Meter();
   private readonly server: Server;
 
-  constructor(private readonly credential: Credential) {
-    this.server = createServer({noDelay: true}, (message, response) => {
+  /** Peers must show a certificate of the authority in `tls` if it is given. */
+  constructor(
+    private readonly credential: Credential,
+    tls?: TlsFiles,
+  ) {
+    const answer = (message: IncomingMessage, response: ServerResponse) => {
       void this.answer(message, response);
-    });
+    };
+    this.server =
+      tls === undefined
+        ? createServer({noDelay: true}, answer)
+        : createTlsServer({noDelay: true, ...serverOptions(tls)}, answer);
+    this.server.on('connection', (socket: Socket) => this.meter.track(socket));
   }
 
   /** Offers a method to peers. */
@@ -142,16 +155,24 @@
 /** Calls methods of peers. Connections are kept and bound to `localAddress`. */
 export class PeerClient {
   readonly usage: PeerUsage = {calls: 0, bytesOut: 0, bytesIn: 0};
+  /** Counts the bytes of all connections. */
+  readonly meter = new Meter();
   private readonly agent: Agent;
+  private readonly scheme: 'http' | 'https';
   private sequence = 0;
 
   constructor(
     private readonly credential: Credential,
     localAddress: string,
+    tls?: TlsFiles,
   ) {
+    this.scheme = tls === undefined ? 'http' : 'https';
     this.agent = new Agent({
       connections: CONNECTIONS_PER_PEER,
-      connect: {timeout: CONNECT_TIMEOUT_MS, localAddress},
+      connect: meteredConnector(this.meter, {
+        localAddress,
+        ...(tls === undefined ? {} : clientOptions(tls)),
+      }),
     });
   }
 
@@ -169,7 +190,7 @@
     const signal = AbortSignal.timeout(timeoutMs);
     try {
       const response = await request(
-        `http://${peer.host}:${peer.port}${RPC_PATH}`,
+        `${this.scheme}://${peer.host}:${peer.port}${RPC_PATH}`,
         {
           method: 'POST',
           headers: {[CODE_HEADER]: this.credential.sign(body)},
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -10,3 +10,5 @@
 } from './log.js';
 export {HttpWeightStore} from './weights.js';
 export type {WeightStore, WeightStoreStatus} from './weights.js';
+export {Meter, meteredConnector} from './meter.js';
+export type {ConnectorOptions, Traffic} from './meter.js';
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -16,13 +16,20 @@
   Passing,
   PeerClient,
   PeerServer,
+  readTlsFiles,
   serveMembers,
+  serveUsage,
   Synchronizer,
   type PeerAddress,
   type Settings,
 } from './instance/index.js';
 import {startOperators} from './operators.js';
-import {HttpInstanceList, HttpLog} from './platform/index.js';
+import {
+  HttpInstanceList,
+  HttpLog,
+  Meter,
+  meteredConnector,
+} from './platform/index.js';
 import {Executor, RetryBudget} from './request/index.js';
 import {logOf, MeteredRecorder, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Subscription, type Timer} from './timer/index.js';
@@ -50,6 +57,8 @@
   random: () => number;
   /** Connections to the platform. */
   agent: Agent;
+  /** Counts the bytes of those connections. */
+  meter: Meter;
   log: HttpLog;
 }
 
@@ -158,19 +167,21 @@
 }
 
 function openBase(settings: Settings, root: Logger, timer: Timer): Base {
+  const meter = new Meter();
   const agent = new Agent({
     connections: PLATFORM_CONNECTIONS,
-    connect: {localAddress: settings.host},
+    connect: meteredConnector(meter, {localAddress: settings.host}),
   });
   const log = new HttpLog(settings.logUrl, agent);
-  return {settings, root, timer, random: Math.random, agent, log};
+  return {settings, root, timer, random: Math.random, agent, meter, log};
 }
 
 async function openPeers(base: Base): Promise<Peers> {
   const {settings, timer, random} = base;
   const credential = new Credential(settings.peerSecrets);
-  const server = new PeerServer(credential);
-  const client = new PeerClient(credential, settings.host);
+  const tls = readTlsFiles(settings);
+  const server = new PeerServer(credential, tls);
+  const client = new PeerClient(credential, settings.host, tls);
   const datagrams = new DatagramPort(credential, timer);
   const port = await openPeerPorts(server, datagrams, settings);
   const logger = logOf(base.root, Part.Member);
@@ -188,6 +199,7 @@
   const synchronizer = new Synchronizer(membership, seeds, parts);
   const discovery = openDiscovery(base, membership, synchronizer);
   serveMembers(server, membership);
+  serveUsage({datagrams, client, server, platform: base.meter});
   return {
     port,
     server,
