--- a/bench/slope/fleet.ts
+++ b/bench/slope/fleet.ts
@@ -1,9 +1,11 @@
 import {
   addressOf,
+  commandLeaving,
   Credential,
   isLive,
   PeerClient,
   readMembers,
+  readUpstreams,
   readUsage,
   type ControlUsage,
 } from '../../src/instance/index.js';
@@ -79,6 +81,25 @@
     return performance.now() - acceptedAt;
   }
 
+  /**
+   * Takes an upstream out by a command to one instance and returns the time
+   * until none sends it new work, in ms. Brings it back afterwards.
+   */
+  async takeOut(round: number): Promise<number> {
+    const {upstreams} = this.cluster;
+    const name = upstreams[round % upstreams.length]?.name ?? '';
+    const addresses = this.addresses;
+    const told = addresses[addresses.length - 1];
+    if (told === undefined) return NaN;
+    const start = performance.now();
+    await commandLeaving(this.client, told, name, true);
+    await until(() => this.allSee(name, false), PUBLISH_TIMEOUT_MS);
+    const took = performance.now() - start;
+    await commandLeaving(this.client, told, name, false);
+    await until(() => this.allSee(name, true), PUBLISH_TIMEOUT_MS);
+    return took;
+  }
+
   /** Measures what instances spend over some seconds. */
   async measure(seconds: number): Promise<Rates> {
     const before = await this.usages();
@@ -120,18 +141,36 @@
     }, JOIN_TIMEOUT_MS);
   }
 
+  private async allSee(upstream: string, open: boolean): Promise<boolean> {
+    const views = await Promise.all(
+      this.addresses.map(address => readUpstreams(this.client, address)),
+    );
+    return views.every(view => {
+      if (view === undefined) return true;
+      const seen = view.find(item => item.upstream === upstream);
+      return seen?.takesWork === open;
+    });
+  }
+
   private async allHave(version: number): Promise<boolean> {
     const ready = await Promise.all(
-      this.cluster.routers.map(async ({url}) => {
-        const answer = await fetch(`${url}/readyz`);
-        const body = (await answer.json()) as {version: number};
-        return body.version >= version;
-      }),
+      this.cluster.routers.map(router => hasVersion(router.url, version)),
     );
     return ready.every(value => value);
   }
 }
 
+/** Whether an instance has a version in force; true of one that is gone. */
+async function hasVersion(url: string, version: number): Promise<boolean> {
+  try {
+    const answer = await fetch(`${url}/readyz`);
+    const body = (await answer.json()) as {version: number};
+    return body.version >= version;
+  } catch {
+    return true;
+  }
+}
+
 function ratesOf(before: ControlUsage, after: ControlUsage): Rates {
   const seconds = (after.uptimeMs - before.uptimeMs) / 1_000;
   const rate = (kind: 'datagrams' | 'peerCalls' | 'platform') =>
--- a/src/instance/credential.ts
+++ b/src/instance/credential.ts
@@ -17,14 +17,26 @@
 
   /** Tells whether any of the secrets gave `signature` for the message. */
   verify(message: string | Buffer, signature: string): boolean {
+    return this.matching(message, signature) !== undefined;
+  }
+
+  /**
+   * Returns the credential of the one secret that gave `signature` for the
+   * message, to answer with: its sender may not have the newest secret yet.
+   */
+  matching(
+    message: string | Buffer,
+    signature: string,
+  ): Credential | undefined {
     const given = Buffer.from(signature, 'base64url');
     const secrets = this.secrets.length > 0 ? this.secrets : [''];
-    return secrets.some(secret => {
-      const expected = code(secret, message);
+    const secret = secrets.find(candidate => {
+      const expected = code(candidate, message);
       return (
         given.length === expected.length && timingSafeEqual(given, expected)
       );
     });
+    return secret === undefined ? undefined : new Credential([secret]);
   }
 }
 
--- a/src/instance/datagram.ts
+++ b/src/instance/datagram.ts
@@ -102,9 +102,13 @@
     delete this.socket;
   }
 
-  private send(peer: PeerAddress, message: unknown): void {
+  private send(
+    peer: PeerAddress,
+    message: unknown,
+    credential = this.credential,
+  ): void {
     const text = JSON.stringify(message);
-    const datagram = Buffer.from(this.credential.sign(text) + text);
+    const datagram = Buffer.from(credential.sign(text) + text);
     this.usage.sent++;
     this.usage.bytesOut += datagram.length + DATAGRAM_HEADER_BYTES;
     // A datagram that cannot be sent is a datagram lost.
@@ -116,10 +120,9 @@
     this.usage.bytesIn += datagram.length + DATAGRAM_HEADER_BYTES;
     const code = datagram.subarray(0, CODE_BYTES).toString('latin1');
     const body = datagram.subarray(CODE_BYTES);
-    const message = this.credential.verify(body, code)
-      ? parse(body)
-      : undefined;
-    if (message === undefined) {
+    const credential = this.credential.matching(body, code);
+    const message = credential === undefined ? undefined : parse(body);
+    if (credential === undefined || message === undefined) {
       this.usage.refused++;
       return;
     }
@@ -129,13 +132,17 @@
       }
       return;
     }
-    void this.answer(message as JSONRPCRequest, from);
+    void this.answer(message as JSONRPCRequest, from, credential);
   }
 
-  private async answer(call: JSONRPCRequest, from: RemoteInfo): Promise<void> {
+  private async answer(
+    call: JSONRPCRequest,
+    from: RemoteInfo,
+    credential: Credential,
+  ): Promise<void> {
     const answer = await this.rpc.receive(call);
     if (answer === null) return;
-    this.send({host: from.address, port: from.port}, answer);
+    this.send({host: from.address, port: from.port}, answer, credential);
   }
 }
 
--- a/src/instance/peer.ts
+++ b/src/instance/peer.ts
@@ -104,11 +104,14 @@
   ): Promise<void> {
     const body = await bounded(message);
     const code = message.headers[CODE_HEADER];
+    const credential =
+      body === undefined || typeof code !== 'string'
+        ? undefined
+        : this.credential.matching(body, code);
     if (
       body === undefined ||
-      typeof code !== 'string' ||
-      message.url !== RPC_PATH ||
-      !this.credential.verify(body, code)
+      credential === undefined ||
+      message.url !== RPC_PATH
     ) {
       response.writeHead(403).end();
       return;
@@ -118,7 +121,7 @@
     response.writeHead(200, {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(text),
-      [CODE_HEADER]: this.credential.sign(text),
+      [CODE_HEADER]: credential.sign(text),
     });
     response.end(text);
   }
