Place models on engines by orders of a lease's holder

Cause: nothing told engines which models, versions and adapters to hold. Change: the holder of a pool's lease reads what engines hold, compares it with configuration and demand (the engines' own counters), and gives few orders a round, each right after a check of its term, of the reading's age and of the engine's newest fencing number. Targets follow demand with hysteresis; room is made only from copies that can be spared; nothing is ordered while the weight store is down.

--- a/src/cli/settings.ts
+++ b/src/cli/settings.ts
@@ -5,6 +5,7 @@
 interface Secrets {
   peerSecrets: string[];
   operatorSecret?: string;
+  orderToken?: string;
 }
 
 /** Declares the flags of an instance; each has a `GYPSUMCOURSE_` variable. */
@@ -23,6 +24,10 @@
     .option('log-url', {type: 'string', describe: "the platform's log"})
     .option('list-url', {type: 'string', describe: 'list of live instances'})
     .option('weights-url', {type: 'string', describe: 'the weight store'})
+    .option('lease-term-ms', {
+      type: 'number',
+      describe: 'term of a lease, the same in the whole fleet',
+    })
     .option('seeds', {
       type: 'string',
       describe: 'peers to join first, host:port separated by commas',
@@ -59,6 +64,7 @@
 const SECRET_VARIABLES = [
   'GYPSUMCOURSE_PEER_SECRETS',
   'GYPSUMCOURSE_OPERATOR_SECRET',
+  'GYPSUMCOURSE_ORDER_TOKEN',
 ];
 
 /**
@@ -77,9 +83,11 @@
 function readSecrets(env: NodeJS.ProcessEnv): Secrets {
   const peer = readSecret(env, 'GYPSUMCOURSE_PEER_SECRETS') ?? '';
   const operator = readSecret(env, 'GYPSUMCOURSE_OPERATOR_SECRET');
+  const order = readSecret(env, 'GYPSUMCOURSE_ORDER_TOKEN');
   return {
     peerSecrets: peer.split(',').filter(secret => secret !== ''),
     ...(operator === undefined ? {} : {operatorSecret: operator}),
+    ...(order === undefined ? {} : {orderToken: order}),
   };
 }
 
--- a/src/index.ts
+++ b/src/index.ts
@@ -1,5 +1,7 @@
 export * from './config/index.js';
 export * from './instance/index.js';
+export * from './lease/index.js';
+export * from './order/index.js';
 export * from './platform/index.js';
 export * from './request/index.js';
 export * from './telemetry/index.js';
--- a/src/instance/settings.ts
+++ b/src/instance/settings.ts
@@ -35,6 +35,10 @@
   peerSecrets: z.array(z.string().min(16)).default([]),
   /** Secret operators authenticate with. */
   operatorSecret: z.string().min(16).optional(),
+  /** Secret sent to engines that check who gives them an order. */
+  orderToken: z.string().min(16).optional(),
+  /** Term of a lease in ms, the same in the whole fleet. */
+  leaseTermMs: z.coerce.number().int().min(2_000).default(15_000),
   /** PEM files for TLS between peers. */
   peerCert: z.string().optional(),
   peerKey: z.string().optional(),
--- a/src/lease/index.ts
+++ b/src/lease/index.ts
@@ -1,3 +1,4 @@
+export {Candidates} from './candidates.js';
 export {LeaseManager} from './manager.js';
 export type {HeldLease, LeaseParts} from './manager.js';
 export {LEASE_STREAM, leaseRecordSchema} from './record.js';
--- a/src/lease/manager.ts
+++ b/src/lease/manager.ts
@@ -90,10 +90,10 @@
   /** Releases every lease. No order may be under way any more. */
   async stop(): Promise<void> {
     this.stopping.abort();
+    this.follower.stop();
     await this.task;
     const leases = this.heldLeases();
     this.tenures.clear();
-    this.follower.stop();
     if (leases.length === 0) return;
     const {holder, log} = this.parts;
     this.usage.appends++;
--- a/src/telemetry/logger.ts
+++ b/src/telemetry/logger.ts
@@ -8,6 +8,7 @@
   Console = 'console',
   Lease = 'lease',
   Member = 'member',
+  Order = 'order',
   Platform = 'platform',
   Request = 'request',
   Router = 'router',
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -15,13 +15,16 @@
   type PeerAddress,
   type Settings,
 } from './instance/index.js';
-import {HttpInstanceList, HttpLog} from './platform/index.js';
+import {Candidates, LeaseManager} from './lease/index.js';
+import {EngineClient, OrderManager} from './order/index.js';
+import {HttpInstanceList, HttpLog, HttpWeightStore} from './platform/index.js';
 import {RoundRobin} from './request/index.js';
 import {logOf, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Timer} from './timer/index.js';
 import {Directory} from './upstream/index.js';
 
 const PLATFORM_CONNECTIONS = 8;
+const ORDER_ROUNDS_PER_TERM = 3;
 
 /** A running instance. */
 export interface Router {
@@ -98,12 +101,39 @@
           logger: memberLogger,
           random,
         });
+  const candidates = new Candidates(
+    settings.instance,
+    () => membership.live().map(({name}) => name),
+    timer,
+  );
+  const leases = new LeaseManager({
+    log,
+    timer,
+    logger: logOf(root, Part.Lease),
+    holder: `${settings.instance}/${timer.wallNow()}`,
+    termMs: settings.leaseTermMs,
+    rankOf: pool => candidates.rankOf(pool),
+  });
+  const orders = new OrderManager({
+    leases,
+    directory,
+    client: new EngineClient(settings.orderToken),
+    ...(settings.weightsUrl === undefined
+      ? {}
+      : {weights: new HttpWeightStore(settings.weightsUrl, platform)}),
+    timer,
+    logger: logOf(root, Part.Order),
+    instance: settings.instance,
+    roundMs: settings.leaseTermMs / ORDER_ROUNDS_PER_TERM,
+  });
+  follower.subscribe(({document}) => orders.apply(document));
   follower.subscribe(({version}) =>
     membership.report({configurationVersion: version}),
   );
   membership.start();
   await synchronizer.start();
   discovery?.start();
+  leases.start();
   follower.start();
   const port = await entrance.listen(settings.host, settings.port);
   logOf(root, Part.Router).info({port}, 'Listening for callers.');
@@ -112,7 +142,10 @@
     peerPort,
     stop: async () => {
       await membership.leave();
-      await entrance.drain();
+      const drained = entrance.drain();
+      await orders.stop();
+      await leases.stop();
+      await drained;
       await discovery?.stop();
       await follower.stop();
       await synchronizer.stop();
--- a/test/reference.test.ts
+++ b/test/reference.test.ts
@@ -17,7 +17,7 @@
 }
 
 /** Settings that come from the environment only, or have no flag. */
-const SECRETS = ['peerSecrets', 'operatorSecret'];
+const SECRETS = ['peerSecrets', 'operatorSecret', 'orderToken'];
 
 const page = readFileSync(
   join(packageRoot(), 'docs', 'CONFIGURATION.md'),
