--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -21,14 +21,17 @@
   type PeerAddress,
   type Settings,
 } from './instance/index.js';
+import {Candidates, LeaseManager} from './lease/index.js';
 import {startOperators} from './operators.js';
-import {HttpInstanceList, HttpLog} from './platform/index.js';
+import {EngineClient, OrderManager} from './order/index.js';
+import {HttpInstanceList, HttpLog, HttpWeightStore} from './platform/index.js';
 import {Executor, RetryBudget} from './request/index.js';
 import {logOf, MeteredRecorder, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Subscription, type Timer} from './timer/index.js';
 import {Directory, LeavingRegister} from './upstream/index.js';
 
 const PLATFORM_CONNECTIONS = 8;
+const ORDER_ROUNDS_PER_TERM = 3;
 
 /** A running instance. */
 export interface Router {
@@ -71,6 +74,12 @@
   stop(): Promise<void>;
 }
 
+/** The parts that give orders to engines. */
+interface Ordering {
+  start(): void;
+  stop(): Promise<void>;
+}
+
 /**
  * Constructs every part of an instance, connects them, and starts it. The only
  * module that knows all parts.
@@ -122,6 +131,7 @@
     timer,
     logger: logOf(root, Part.Request),
   });
+  const ordering = openOrdering(base, membership, directory, follower);
   const operators = await startOperators({
     settings,
     root,
@@ -136,6 +146,7 @@
   });
   await peers.start();
   decisions.start();
+  ordering.start();
   configuring.start();
   const port = await entrance.listen(settings.host, settings.port);
   logOf(root, Part.Router).info({port}, 'Listening for callers.');
@@ -145,7 +156,9 @@
     ...(operators.port === undefined ? {} : {operatorPort: operators.port}),
     stop: async () => {
       await membership.leave();
-      await entrance.drain();
+      const drained = entrance.drain();
+      await ordering.stop();
+      await drained;
       looking.end();
       decisions.stop();
       await operators.stop();
@@ -283,6 +296,48 @@
   return looking;
 }
 
+function openOrdering(
+  {settings, root, agent, log, timer}: Base,
+  membership: Fleet,
+  directory: Directory,
+  follower: Follower,
+): Ordering {
+  const candidates = new Candidates(
+    settings.instance,
+    () => membership.live().map(({name}) => name),
+    timer,
+  );
+  const leases = new LeaseManager({
+    log,
+    timer,
+    logger: logOf(root, Part.Lease),
+    holder: `${settings.instance}/${timer.wallNow()}`,
+    termMs: settings.leaseTermMs,
+    rankOf: pool => candidates.rankOf(pool),
+  });
+  const {weightsUrl} = settings;
+  const orders = new OrderManager({
+    leases,
+    directory,
+    client: new EngineClient(settings.orderToken),
+    ...(weightsUrl === undefined
+      ? {}
+      : {weights: new HttpWeightStore(weightsUrl, agent)}),
+    timer,
+    logger: logOf(root, Part.Order),
+    instance: settings.instance,
+    roundMs: settings.leaseTermMs / ORDER_ROUNDS_PER_TERM,
+  });
+  follower.subscribe(({document}) => orders.apply(document));
+  return {
+    start: () => leases.start(),
+    stop: async () => {
+      await orders.stop();
+      await leases.stop();
+    },
+  };
+}
+
 function advertised(settings: Settings, peerPort: number): PeerAddress {
   return settings.advertise === undefined
     ? {host: settings.host, port: peerPort}
