--- a/src/console/exchange.ts
+++ b/src/console/exchange.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
-import type {Markup} from './html.js';
+import type {Markup} from '../markup/index.js';
 
 const BODY_LIMIT_BYTES = 16 * 1024 * 1024;
 
--- a/src/console/layout.ts
+++ b/src/console/layout.ts
@@ -1,5 +1,5 @@
 import type {Session} from './gate.js';
-import {html, Markup, type Content} from './html.js';
+import {html, Markup, type Content} from '../markup/index.js';
 
 /** Name of the form field that carries the session's token. */
 export const FORM_TOKEN_FIELD = 'form-token';
