--- a/src/cli/settings.ts
+++ b/src/cli/settings.ts
@@ -21,6 +21,10 @@
     .option('peer-port', {type: 'number', describe: 'port for peers'})
     .option('operator-port', {type: 'number', describe: 'port for operators'})
     .option('log-url', {type: 'string', describe: "the platform's log"})
+    .option('log-retention-ms', {
+      type: 'number',
+      describe: 'how long the log keeps a record',
+    })
     .option('list-url', {type: 'string', describe: 'list of live instances'})
     .option('weights-url', {type: 'string', describe: 'the weight store'})
     .option('seeds', {
@@ -30,6 +34,10 @@
     .option('peer-cert', {type: 'string', describe: 'PEM certificate for TLS'})
     .option('peer-key', {type: 'string', describe: 'PEM key for TLS'})
     .option('peer-ca', {type: 'string', describe: 'PEM authority for TLS'})
+    .option('key-window-ms', {
+      type: 'number',
+      describe: 'how long an idempotency key may be used; below log retention',
+    })
     .option('policy', {
       choices: ['current', 'baseline'] as const,
       describe: 'how requests are scheduled',
--- a/src/index.ts
+++ b/src/index.ts
@@ -1,5 +1,4 @@
 export * from './config/index.js';
-export * from './console/index.js';
 export * from './instance/index.js';
 export * from './platform/index.js';
 export * from './request/index.js';
--- a/src/instance/settings.ts
+++ b/src/instance/settings.ts
@@ -25,6 +25,8 @@
   operatorPort: port.default(8082),
   /** Base URL of the platform's log. */
   logUrl: z.url(),
+  /** How long the log keeps a record, in ms. */
+  logRetentionMs: z.coerce.number().int().min(60_000).default(3_600_000),
   /** Base URL of the platform's list of live and leaving instances. */
   listUrl: z.url().optional(),
   /** Base URL of the platform's weight store. */
@@ -39,6 +41,8 @@
   peerCert: z.string().optional(),
   peerKey: z.string().optional(),
   peerCa: z.string().optional(),
+  /** Time after its issue during which an idempotency key may be used, ms. */
+  keyWindowMs: z.coerce.number().int().min(10_000).default(600_000),
   /** How requests are scheduled. */
   policy: z.enum(['current', 'baseline']).default('current'),
   /** Whether requests are traced and counted. */
