Add the fault run, with a checker for each promise

Cause: no run showed whether the promises hold when processes are killed, paused or cut off. The proxy kept no order of bytes when a delay ended; it does now. A key that was told as not run no longer counts as seen.

--- /dev/null
+++ b/bench/checker/answers.ts
@@ -0,0 +1,58 @@
+import {OperationKind, type History, type Operation} from '../history.js';
+import {PromiseKind, type Violation} from './violation.js';
+
+/** Checks that every answer is the request's own, and whole if said so. */
+export function checkAnswers({operations}: History): Violation[] {
+  return operations.flatMap(operation => {
+    const message = wrongIn(operation);
+    if (message === undefined) return [];
+    return [{promise: PromiseKind.Answers, message, trace: [operation]}];
+  });
+}
+
+function wrongIn(operation: Operation): string | undefined {
+  const {reply} = operation;
+  if (reply === undefined) return undefined;
+  const completed = reply.outcome === 'completed';
+  if (completed && !reply.ended) return 'completed without an end';
+  if (reply.status === 410) return undefined;
+  switch (operation.kind) {
+    case OperationKind.Chat: {
+      const expected = operation.expected ?? '';
+      if (completed && reply.text !== expected) return 'not the whole answer';
+      const isStream = reply.status === 200;
+      if (isStream && !expected.startsWith(reply.text)) return 'wrong answer';
+      return undefined;
+    }
+    case OperationKind.Completion:
+      if (!completed) return undefined;
+      return contentOf(reply.text) === operation.expected
+        ? undefined
+        : 'not the whole answer';
+    case OperationKind.Lookup:
+    case OperationKind.Order:
+    case OperationKind.UnkeyedOrder:
+      if (!completed) return undefined;
+      return digestIn(reply.text) === operation.digest
+        ? undefined
+        : 'answer to another call';
+  }
+}
+
+function contentOf(text: string): string | undefined {
+  const answer = parse(text) as
+    {choices?: Array<{message?: {content?: string}}>} | undefined;
+  return answer?.choices?.[0]?.message?.content;
+}
+
+function digestIn(text: string): string | undefined {
+  return (parse(text) as {digest?: string} | undefined)?.digest;
+}
+
+function parse(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- a/bench/cluster.ts
+++ b/bench/cluster.ts
@@ -35,6 +35,8 @@
   zone: string;
   kind: Pool['kind'] | 'log' | 'list';
   process: Process;
+  /** Behaviour it was started with. */
+  behaviour: object;
   /** What routers see. */
   proxy: Proxy;
   /** Direct access for the test itself. */
@@ -151,6 +153,15 @@
     return (await response.json()) as Entry[];
   }
 
+  /** Starts a new process in the place of an upstream's. */
+  async replaceUpstream(target: Proxied): Promise<void> {
+    const fresh = await startStandIn(target.kind, target.behaviour);
+    target.process = fresh;
+    const address = `127.0.0.1:${fresh.listening.port}`;
+    target.url = `http://${address}`;
+    target.proxy.aim(address);
+  }
+
   /** Waits until every router is ready. */
   async untilReady(): Promise<void> {
     const end = Date.now() + READY_TIMEOUT_MS;
@@ -186,24 +197,32 @@
   }
 }
 
-async function standIn(
+function startStandIn(
   kind: Proxied['kind'],
-  name: string,
-  zone: string,
   behaviour: object,
-  random?: () => number,
-): Promise<Proxied> {
+): Promise<Process> {
   const module = kind === 'runner' ? 'engine' : kind;
-  const process = await Process.start('stand-ins/main.js', [
+  return Process.start('stand-ins/main.js', [
     '--kind',
     module,
     '--behaviour',
     JSON.stringify(behaviour),
   ]);
+}
+
+async function standIn(
+  kind: Proxied['kind'],
+  name: string,
+  zone: string,
+  behaviour: object,
+  random?: () => number,
+): Promise<Proxied> {
+  const process = await startStandIn(kind, behaviour);
   const proxy = await Proxy.open('127.0.0.1', random);
   const target = `127.0.0.1:${process.listening.port}`;
   proxy.aim(target);
-  return {name, zone, kind, process, proxy, url: `http://${target}`};
+  const url = `http://${target}`;
+  return {name, zone, kind, process, behaviour, proxy, url};
 }
 
 async function startUpstreams(spec: ClusterSpec): Promise<Proxied[]> {
--- /dev/null
+++ b/bench/injector.ts
@@ -0,0 +1,455 @@
+import type {EngineExecution, ServiceExecution} from '../stand-ins/index.js';
+import {Proxy} from '../stand-ins/index.js';
+import type {Cluster, Proxied, RouterProcess} from './cluster.js';
+import {FaultKind, type Execution, type History} from './history.js';
+import type {Door} from './load.js';
+import type {PlannedFault} from './schedule.js';
+
+const SETTLE_MS = 150;
+const SHUTDOWN_LIMIT_MS = 40_000;
+const SIGHTING_PERIOD_MS = 200;
+const SLOW_LINK_MS = 80;
+const SLOWNESS = 20;
+
+/** A router under test, with the proxy its callers use. */
+class Station implements Door {
+  number = 0;
+  /** Whether a fault has its process in hand. */
+  busy = false;
+
+  constructor(
+    readonly target: RouterProcess,
+    readonly proxy: Proxy,
+  ) {}
+
+  get router(): string {
+    return this.target.name;
+  }
+
+  process(): number {
+    return this.number;
+  }
+
+  url(): string {
+    return this.proxy.url;
+  }
+
+  /** Sends callers to the process that runs now. */
+  aim(): void {
+    const port = this.target.process?.listening.port ?? 0;
+    this.proxy.aim(`${this.target.host}:${port}`);
+  }
+
+  async restart(): Promise<void> {
+    await this.target.start();
+    this.number++;
+    this.aim();
+  }
+}
+
+const sleep = (ms: number) => new Promise<void>(end => setTimeout(end, ms));
+
+/** Injects planned faults into a cluster and notes them in the history. */
+export class Injector {
+  private version = 1;
+  private watching = true;
+  private readonly active = new Map<string, number>();
+  private readonly held = new Set<Proxied>();
+
+  private constructor(
+    private readonly cluster: Cluster,
+    private readonly history: History,
+    readonly stations: readonly Station[],
+  ) {}
+
+  static async open(cluster: Cluster, history: History): Promise<Injector> {
+    const stations = await Promise.all(
+      cluster.routers.map(async (router, index) => {
+        const proxy = await Proxy.open(`127.0.3.${index + 1}`);
+        const station = new Station(router, proxy);
+        station.aim();
+        return station;
+      }),
+    );
+    history.publications.push({version: 1, base: 0, at: Date.now()});
+    const injector = new Injector(cluster, history, stations);
+    void injector.watch();
+    return injector;
+  }
+
+  /** Injects one fault and resolves when it has ended. */
+  async inject(planned: PlannedFault): Promise<void> {
+    const fault = {kind: planned.kind, target: '', from: Date.now(), to: 0};
+    const target = await this.strike(planned, name => {
+      fault.target = name;
+      this.history.faults.push({...fault, to: Infinity});
+    });
+    const noted = this.history.faults.find(
+      ({kind, target: name, to, from}) =>
+        kind === planned.kind &&
+        name === target &&
+        to === Infinity &&
+        from === fault.from,
+    );
+    if (noted !== undefined) noted.to = Date.now();
+  }
+
+  /** Reads the journals and ends the watch. */
+  async close(): Promise<void> {
+    this.watching = false;
+    for (const upstream of this.cluster.upstreams) {
+      await this.readJournal(upstream);
+    }
+    await Promise.all(this.stations.map(({proxy}) => proxy.close()));
+  }
+
+  private async strike(
+    planned: PlannedFault,
+    begin: (target: string) => void,
+  ): Promise<string> {
+    const {kind, durationMs} = planned;
+    const {log} = this.cluster;
+    switch (kind) {
+      case FaultKind.KillRouter:
+      case FaultKind.PauseRouter:
+      case FaultKind.ReplaceRouter:
+        return this.strikeRouter(planned, begin);
+      case FaultKind.KillUpstream:
+      case FaultKind.PauseUpstream:
+        return this.strikeUpstream(planned, begin);
+      case FaultKind.SilentUpstream: {
+        const target = this.pickUpstream(planned);
+        begin(target.name);
+        target.proxy.silence('both');
+        return target.name;
+      }
+      case FaultKind.SilentPeer: {
+        const station = this.pickStation(planned);
+        begin(station.router);
+        station.target.proxy.silence('both');
+        return station.router;
+      }
+      case FaultKind.SilentCaller: {
+        const station = this.pickStation(planned);
+        begin(station.router);
+        station.proxy.silence('answers');
+        return station.router;
+      }
+      case FaultKind.SilentLog:
+        begin(log.name);
+        log.proxy.silence('both');
+        return log.name;
+      case FaultKind.LogOutage:
+        return this.behaveLog(begin, durationMs, {down: true}, {down: false});
+      case FaultKind.LostAnswers:
+        return this.behaveLog(
+          begin,
+          durationMs,
+          {lostAnswerShare: 0.5},
+          {lostAnswerShare: 0},
+        );
+      case FaultKind.LostAppends:
+        return this.behaveLog(
+          begin,
+          durationMs,
+          {lostAppendShare: 0.5},
+          {lostAppendShare: 0},
+        );
+      case FaultKind.StaleReads:
+        return this.behaveLog(
+          begin,
+          durationMs,
+          {staleReadShare: 0.5, replicaLagMs: 800},
+          {staleReadShare: 0, replicaLagMs: 0},
+        );
+      case FaultKind.SlowLink:
+        return this.slowLink(planned, begin);
+      case FaultKind.RegionCut:
+        return this.cutRegion(durationMs, begin);
+      case FaultKind.LeavingUpstream:
+        return this.behaveUpstream(
+          planned,
+          begin,
+          {leaving: true},
+          {leaving: false},
+        );
+      case FaultKind.BusyUpstream:
+        return this.behaveUpstream(
+          planned,
+          begin,
+          {refusal: 'busy', refusedShare: 0.7},
+          {refusal: 'off', refusedShare: 0},
+        );
+      case FaultKind.FailingUpstream:
+        return this.behaveUpstream(
+          planned,
+          begin,
+          {refusal: 'error', errorShare: 0.5, lostAnswerShare: 0.3},
+          {refusal: 'off', errorShare: 0, lostAnswerShare: 0},
+        );
+      case FaultKind.SlowUpstream:
+        return this.behaveUpstream(
+          planned,
+          begin,
+          {slowness: SLOWNESS, delayMs: 600},
+          {slowness: 1, delayMs: 20},
+        );
+      case FaultKind.Publish:
+        begin('log');
+        await this.publish(1);
+        return 'log';
+      case FaultKind.PublishRace:
+        begin('log');
+        await this.publish(2);
+        return 'log';
+    }
+  }
+
+  private async strikeRouter(
+    {kind, durationMs, pick}: PlannedFault,
+    begin: (target: string) => void,
+  ): Promise<string> {
+    const free = this.stations.filter(({busy}) => !busy);
+    const station = free[Math.floor(pick * free.length)];
+    if (station === undefined) return '';
+    station.busy = true;
+    begin(station.router);
+    const {process} = station.target;
+    if (kind === FaultKind.KillRouter) {
+      await process?.kill();
+      await sleep(durationMs);
+      await station.restart();
+    } else if (kind === FaultKind.PauseRouter) {
+      process?.pause();
+      await sleep(durationMs);
+      process?.resume();
+    } else {
+      await this.replace(station);
+    }
+    station.busy = false;
+    return station.router;
+  }
+
+  private async replace(station: Station): Promise<void> {
+    const askedAt = Date.now();
+    const {process} = station.target;
+    const ended = process?.terminate() ?? Promise.resolve(null);
+    const late = sleep(SHUTDOWN_LIMIT_MS).then(() => -1);
+    const code = await Promise.race([ended, late]);
+    if (code === -1) await process?.kill();
+    this.history.shutdowns.push({
+      router: station.router,
+      process: station.number,
+      askedAt,
+      endedAt: Date.now(),
+      code,
+    });
+    await station.restart();
+  }
+
+  private async strikeUpstream(
+    planned: PlannedFault,
+    begin: (target: string) => void,
+  ): Promise<string> {
+    const target = this.pickUpstream(planned);
+    if (this.held.has(target)) return '';
+    this.held.add(target);
+    begin(target.name);
+    if (planned.kind === FaultKind.PauseUpstream) {
+      target.process.pause();
+      await sleep(planned.durationMs);
+      target.process.resume();
+    } else {
+      await this.killUpstream(target, planned.durationMs);
+    }
+    this.held.delete(target);
+    return target.name;
+  }
+
+  /** Cuts an upstream off, reads its journal, and only then kills it. */
+  private async killUpstream(target: Proxied, downMs: number): Promise<void> {
+    this.setAll(target, {cut: true});
+    await sleep(SETTLE_MS);
+    await this.readJournal(target);
+    await target.process.kill();
+    this.setAll(target, {cut: false, refuse: true});
+    target.proxy.reset();
+    await sleep(downMs);
+    await this.cluster.replaceUpstream(target);
+    this.setAll(target, {refuse: false});
+  }
+
+  private setAll(target: Proxied, faults: object): void {
+    target.proxy.set(faults);
+    for (const {target: router} of this.stations) {
+      target.proxy.set(faults, router.host);
+    }
+  }
+
+  private async behaveLog(
+    begin: (target: string) => void,
+    durationMs: number,
+    during: object,
+    after: object,
+  ): Promise<string> {
+    const {log} = this.cluster;
+    begin(log.name);
+    await this.behaveFor(log, durationMs, during, after);
+    return log.name;
+  }
+
+  private async behaveUpstream(
+    planned: PlannedFault,
+    begin: (target: string) => void,
+    during: object,
+    after: object,
+  ): Promise<string> {
+    const target = this.pickUpstream(planned);
+    if (this.held.has(target)) return '';
+    this.held.add(target);
+    begin(target.name);
+    await this.behaveFor(target, planned.durationMs, during, after);
+    this.held.delete(target);
+    return target.name;
+  }
+
+  /** Changes a behaviour, and changes it back when no other fault needs it. */
+  private async behaveFor(
+    target: Proxied,
+    durationMs: number,
+    during: object,
+    after: object,
+  ): Promise<void> {
+    const name = `${target.name} ${Object.keys(during).join()}`;
+    this.active.set(name, (this.active.get(name) ?? 0) + 1);
+    await this.cluster.behave(target, during);
+    await sleep(durationMs);
+    const left = (this.active.get(name) ?? 1) - 1;
+    this.active.set(name, left);
+    if (left === 0) await this.cluster.behave(target, after);
+  }
+
+  private async slowLink(
+    planned: PlannedFault,
+    begin: (target: string) => void,
+  ): Promise<string> {
+    const all = [...this.cluster.upstreams, this.cluster.log];
+    const target = all[Math.floor(planned.pick * all.length)];
+    if (target === undefined) return '';
+    begin(target.name);
+    this.setAll(target, {delayMs: SLOW_LINK_MS});
+    await sleep(planned.durationMs);
+    this.setAll(target, {delayMs: 0});
+    return target.name;
+  }
+
+  /** Cuts the region of the last zone off from the others and from the log. */
+  private async cutRegion(
+    durationMs: number,
+    begin: (target: string) => void,
+  ): Promise<string> {
+    const zone = this.cluster.document.zones.at(-1)?.name ?? '';
+    begin(zone);
+    this.setCut(zone, true);
+    await sleep(durationMs);
+    this.setCut(zone, false);
+    return zone;
+  }
+
+  private setCut(zone: string, cut: boolean): void {
+    const {upstreams, log, list} = this.cluster;
+    for (const {target: router} of this.stations) {
+      const inside = router.zone === zone;
+      for (const upstream of upstreams) {
+        if ((upstream.zone === zone) !== inside) {
+          upstream.proxy.set({cut}, router.host);
+        }
+      }
+      if (inside) {
+        log.proxy.set({cut}, router.host);
+        list.proxy.set({cut}, router.host);
+      }
+      for (const {target: peer} of this.stations) {
+        if ((peer.zone === zone) !== inside) {
+          peer.proxy.set({cut}, router.host);
+        }
+      }
+    }
+  }
+
+  /** Publishes documents that are all based on the newest version. */
+  private async publish(count: number): Promise<void> {
+    const base = this.version;
+    const {document} = this.cluster;
+    await Promise.all(
+      Array.from({length: count}, async () => {
+        try {
+          const version = await this.cluster.publish(document, base);
+          if (!Number.isInteger(version)) return;
+          const at = Date.now();
+          this.history.publications.push({version, base, at});
+        } catch {
+          return;
+        }
+      }),
+    );
+    const winner = this.history.publications
+      .filter(publication => publication.base === base)
+      .map(({version}) => version)
+      .sort((a, b) => a - b)[0];
+    this.version = winner ?? base;
+  }
+
+  /** Notes the version in force at every router, over and over. */
+  private async watch(): Promise<void> {
+    while (this.watching) {
+      await Promise.all(this.stations.map(station => this.look(station)));
+      await sleep(SIGHTING_PERIOD_MS);
+    }
+  }
+
+  private async look({target, number}: Station): Promise<void> {
+    const at = Date.now();
+    try {
+      const answer = await fetch(`${target.url}/readyz`, {
+        signal: AbortSignal.timeout(SIGHTING_PERIOD_MS),
+      });
+      const {version} = (await answer.json()) as {version: number};
+      const {name: router} = target;
+      this.history.sightings.push({router, process: number, version, at});
+    } catch {
+      return;
+    }
+  }
+
+  private async readJournal(target: Proxied): Promise<void> {
+    const entries = await this.cluster
+      .journal<EngineExecution | ServiceExecution>(target)
+      .catch(() => []);
+    for (const entry of entries) {
+      const execution = executionOf(target.name, entry);
+      if (execution.startedAt > 0) this.history.executions.push(execution);
+    }
+  }
+
+  private pickUpstream({pick}: PlannedFault): Proxied {
+    const {upstreams} = this.cluster;
+    return upstreams[Math.floor(pick * upstreams.length)] as Proxied;
+  }
+
+  private pickStation({pick}: PlannedFault): Station {
+    return this.stations[Math.floor(pick * this.stations.length)] as Station;
+  }
+}
+
+function executionOf(
+  upstream: string,
+  entry: EngineExecution | ServiceExecution,
+): Execution {
+  const {id, key} = entry;
+  const known = {upstream, id, ...(key === undefined ? {} : {key})};
+  if ('digest' in entry) {
+    return {...known, digest: entry.digest, startedAt: entry.at};
+  }
+  return {...known, startedAt: entry.startedAt};
+}
--- a/src/claim/claims.ts
+++ b/src/claim/claims.ts
@@ -41,6 +41,12 @@
   deadlineAt: number;
 }
 
+interface SeenKey {
+  attempt: string;
+  /** Monotonic ms. */
+  at: number;
+}
+
 /** The result of claiming a key. */
 export type Claimed =
   /** This attempt alone may be dispatched, once. */
@@ -67,8 +73,8 @@
   private readonly attachment: Attachment;
   private readonly timer: Timer;
   private readonly recording = new Set<Promise<void>>();
-  /** Keys attempted on this instance, and when, in monotonic ms. */
-  private readonly seen = new Map<string, number>();
+  /** Keys attempted on this instance, with their first attempt. */
+  private readonly seen = new Map<string, SeenKey>();
 
   constructor(private readonly parts: ClaimsParts) {
     this.timer = parts.timer;
@@ -86,7 +92,7 @@
   async claim(request: ClaimRequest): Promise<Claimed> {
     const age = this.timer.wallNow() - request.issuedAt;
     if (age > this.parts.windowMs) return {type: 'expired'};
-    const seen = this.noteSeen(request.key) || request.ordinal > 0;
+    const seen = this.noteSeen(request) || request.ordinal > 0;
     for (let turn = 0; turn < RECLAIM_LIMIT; turn++) {
       const attempt =
         turn === 0 ? request.attempt : `${request.attempt}.${turn}`;
@@ -111,6 +117,9 @@
    */
   abandon(flight: Flight): Promise<boolean> {
     flight.end({type: 'abandoned'});
+    if (this.seen.get(flight.key)?.attempt === flight.attempt) {
+      this.seen.delete(flight.key);
+    }
     flight.released ??= this.releaseOnce(flight);
     return flight.released;
   }
@@ -252,10 +261,11 @@
     this.parts.logger.warn('Result of a keyed request not recorded.');
   }
 
-  private noteSeen(key: string): boolean {
-    const known = this.seen.has(key);
-    this.seen.set(key, this.timer.now());
-    return known;
+  /** Tells whether the key was attempted here and may have run. */
+  private noteSeen({key, attempt}: ClaimRequest): boolean {
+    if (this.seen.has(key)) return true;
+    this.seen.set(key, {attempt, at: this.timer.now()});
+    return false;
   }
 
   private isKnown(key: string): boolean {
@@ -272,7 +282,7 @@
     this.desk.expire(this.timer.wallNow() - keepMs);
     const before = this.timer.now() - keepMs;
     this.flights.expire(before);
-    for (const [key, at] of this.seen) {
+    for (const [key, {at}] of this.seen) {
       if (at < before) this.seen.delete(key);
     }
   }
--- a/stand-ins/proxy.ts
+++ b/stand-ins/proxy.ts
@@ -39,6 +39,8 @@
   /** Bytes passed on so far. */
   bytes = 0;
   private freeAt = 0;
+  /** Deliveries whose time has not come, in the order of the stream. */
+  private readonly delayed: Array<() => void> = [];
 
   constructor(
     from: Socket,
@@ -70,13 +72,16 @@
   private later(bytes: number, deliver: () => void): void {
     const {bytesPerSecond, delayMs} = this.faults();
     const now = performance.now();
-    if (bytesPerSecond === 0 && delayMs === 0 && this.freeAt <= now) {
+    const unhindered =
+      bytesPerSecond === 0 && delayMs === 0 && this.freeAt <= now;
+    if (unhindered && this.delayed.length === 0) {
       deliver();
       return;
     }
     const busy = bytesPerSecond > 0 ? (bytes / bytesPerSecond) * 1000 : 0;
     this.freeAt = Math.max(now, this.freeAt) + busy;
-    setTimeout(deliver, this.freeAt - now + delayMs);
+    this.delayed.push(deliver);
+    setTimeout(() => this.delayed.shift()?.(), this.freeAt - now + delayMs);
   }
 }
 
