--- a/src/instance/settings.ts
+++ b/src/instance/settings.ts
@@ -1,5 +1,6 @@
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
+import {Policy} from '../admission/policy.js';
 import {Level} from '../telemetry/index.js';
 
 const port = z.coerce.number().int().min(0).max(65_535);
@@ -25,6 +26,8 @@
   operatorPort: port.default(8082),
   /** Base URL of the platform's log. */
   logUrl: z.url(),
+  /** How long the log keeps a record, in ms. */
+  logRetentionMs: z.coerce.number().int().min(60_000).default(3_600_000),
   /** Base URL of the platform's list of live and leaving instances. */
   listUrl: z.url().optional(),
   /** Base URL of the platform's weight store. */
@@ -42,7 +45,9 @@
   /** Time after its issue during which an idempotency key may be used, ms. */
   keyWindowMs: z.coerce.number().int().min(10_000).default(600_000),
   /** How requests are scheduled. */
-  policy: z.enum(['current', 'baseline']).default('current'),
+  policy: z.enum(Policy).default(Policy.Current),
+  /** Whether requests are traced and counted. */
+  telemetry: z.enum(['on', 'off']).default('on'),
   logLevel: z.enum(Level).default(Level.Info),
 });
 
--- /dev/null
+++ b/src/operators.ts
@@ -0,0 +1,121 @@
+import type {Logger} from 'pino';
+import type {Follower} from './config/index.js';
+import {
+  Gate,
+  LogPublisher,
+  OperatorListener,
+  type InstanceGauges,
+} from './console/index.js';
+import type {
+  Membership,
+  PeerClient,
+  PeerServer,
+  Settings,
+} from './instance/index.js';
+import type {HttpLog} from './platform/index.js';
+import {observeFleet, Reporter} from './report/index.js';
+import {
+  logOf,
+  Part,
+  Summarizer,
+  type Backlog,
+  type MeteredRecorder,
+} from './telemetry/index.js';
+import type {Timer} from './timer/index.js';
+import {takesWork, type Directory} from './upstream/index.js';
+
+const MICROSECONDS_PER_SECOND = 1_000_000;
+
+/** The parts that operators see the instance through. */
+export interface OperatorSight {
+  settings: Settings;
+  root: Logger;
+  timer: Timer;
+  log: HttpLog;
+  directory: Directory;
+  follower: Follower;
+  recorder: MeteredRecorder;
+  membership: Membership;
+  peerServer: PeerServer;
+  peerClient: PeerClient;
+}
+
+/** Starts summaries, reports and, with a secret, the operators' listener. */
+export async function startOperators(
+  parts: OperatorSight,
+): Promise<{port?: number; stop(): Promise<void>}> {
+  const {settings, root, timer, log, directory} = parts;
+  const {follower, recorder, membership} = parts;
+  const summarizer = new Summarizer(
+    {
+      instance: settings.instance,
+      incarnation: membership.self().incarnation,
+    },
+    recorder,
+    log,
+    timer,
+    logOf(root, Part.Router),
+    () => membership.live().length,
+  );
+  const reporter = new Reporter({
+    ...parts,
+    view: () =>
+      observeFleet({
+        membership,
+        directory,
+        log,
+        timer,
+        configuration: () => follower.current(),
+        configurationPosition: () => follower.position(),
+        backlog: () => summarizer.backlog(),
+        leases: () => [],
+      }),
+  });
+  const listener =
+    settings.operatorSecret === undefined
+      ? undefined
+      : new OperatorListener({
+          gate: new Gate(settings.operatorSecret),
+          ...parts,
+          reporter,
+          gauges: () => gaugesOf(parts, summarizer.backlog()),
+          publisher: new LogPublisher(log, follower, timer),
+          logger: logOf(root, Part.Console),
+        });
+  const port = await listener?.listen(settings.host, settings.operatorPort);
+  return {
+    ...(port === undefined ? {} : {port}),
+    stop: async () => {
+      await summarizer.stop();
+      await listener?.close();
+    },
+  };
+}
+
+function gaugesOf(
+  {membership, log, peerClient, directory, recorder}: OperatorSight,
+  backlog: Backlog,
+): InstanceGauges {
+  const {status} = membership.self();
+  const cpu = process.cpuUsage();
+  return {
+    configurationVersion: status.configurationVersion,
+    liveInstances: membership.live().length,
+    queued: status.queued,
+    running: status.running,
+    memoryBytes: process.memoryUsage.rss(),
+    cpuSeconds: (cpu.user + cpu.system) / MICROSECONDS_PER_SECOND,
+    traceBytes: recorder.traceUsage().bytes,
+    summariesUnsent: backlog.unsent,
+    summariesDropped: backlog.dropped,
+    logAppends: log.usage.appends,
+    logReads: log.usage.reads,
+    peerCalls: peerClient.usage.calls,
+    peerBytes: peerClient.usage.bytesIn + peerClient.usage.bytesOut,
+    upstreams: directory.all().map(upstream => ({
+      name: upstream.name,
+      inflight: upstream.inflight,
+      takesWork: takesWork(upstream),
+    })),
+  };
+}
--- a/src/platform/index.ts
+++ b/src/platform/index.ts
@@ -1,3 +1,5 @@
+export {HttpInstanceList} from './list.js';
+export type {InstanceList, ListedInstance} from './list.js';
 export {HttpLog} from './log.js';
 export type {
   Log,
@@ -6,3 +8,5 @@
   LogRecord,
   PlatformFailure,
 } from './log.js';
+export {HttpWeightStore} from './weights.js';
+export type {WeightStore, WeightStoreStatus} from './weights.js';
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -1,21 +1,32 @@
 import {Agent} from 'undici';
 import type {Logger} from 'pino';
-import {Follower} from './config/index.js';
+import {scheduling} from './admission/index.js';
+import {Claims} from './claim/index.js';
+import {Follower, Renewal} from './config/index.js';
 import {
+  addressOf,
+  connectLeaving,
   Credential,
+  DatagramPort,
+  Discovery,
   Entrance,
-  LoneMembership,
+  Fleet,
+  markUpstreams,
+  openPeerPorts,
+  Passing,
   PeerClient,
   PeerServer,
+  serveMembers,
+  Synchronizer,
   type PeerAddress,
   type Settings,
 } from './instance/index.js';
-import {HttpLog} from './platform/index.js';
-import {Claims} from './claim/index.js';
-import {Executor, RetryBudget, RoundRobin} from './request/index.js';
-import {logOf, nullRecorder, Part} from './telemetry/index.js';
-import {SystemTimer, type Timer} from './timer/index.js';
-import {Directory} from './upstream/index.js';
+import {startOperators} from './operators.js';
+import {HttpInstanceList, HttpLog} from './platform/index.js';
+import {Executor, RetryBudget} from './request/index.js';
+import {logOf, MeteredRecorder, nullRecorder, Part} from './telemetry/index.js';
+import {SystemTimer, type Subscription, type Timer} from './timer/index.js';
+import {Directory, LeavingRegister} from './upstream/index.js';
 
 const PLATFORM_CONNECTIONS = 8;
 
@@ -25,10 +36,41 @@
   port: number;
   /** Port peers reach the instance at. */
   peerPort: number;
+  /** Port operators reach the instance at; absent without their secret. */
+  operatorPort?: number;
   /** Drains: resolves when every request in flight has ended. */
   stop(): Promise<void>;
 }
 
+/** What every part is constructed with. */
+interface Base {
+  settings: Settings;
+  root: Logger;
+  timer: Timer;
+  random: () => number;
+  /** Connections to the platform. */
+  agent: Agent;
+  log: HttpLog;
+}
+
+/** The parts that talk to other instances. */
+interface Peers {
+  port: number;
+  server: PeerServer;
+  client: PeerClient;
+  membership: Fleet;
+  discovery?: Discovery;
+  start(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+/** The parts that keep the configuration in force. */
+interface Configuring {
+  follower: Follower;
+  start(): void;
+  stop(): Promise<void>;
+}
+
 /**
  * Constructs every part of an instance, connects them, and starts it. The only
  * module that knows all parts.
@@ -38,42 +80,37 @@
   root: Logger,
   timer: Timer = new SystemTimer(),
 ): Promise<Router> {
-  const localAddress = settings.host;
-  const platform = new Agent({
-    connections: PLATFORM_CONNECTIONS,
-    connect: {localAddress},
-  });
-  const log = new HttpLog(settings.logUrl, platform);
-  const directory = new Directory(localAddress);
-  const follower = new Follower(log, timer, logOf(root, Part.Config));
-  follower.subscribe(({document}) => directory.apply(document));
-  const scheduler = new RoundRobin(directory);
-  const recorder = nullRecorder;
-  const credential = new Credential(settings.peerSecrets);
-  const peerServer = new PeerServer(credential);
-  const peerClient = new PeerClient(credential, localAddress);
-  const peerPort = await peerServer.listen(settings.host, settings.peerPort);
-  const membership = new LoneMembership({
-    name: settings.instance,
-    incarnation: timer.wallNow(),
+  const base = openBase(settings, root, timer);
+  const {agent, log} = base;
+  const peers = await openPeers(base);
+  const {membership} = peers;
+  const configuring = openConfiguring(base, peers);
+  const {follower} = configuring;
+  const directory = new Directory(settings.host);
+  const looking = openLeaving(base, peers, directory, follower);
+  const metered = new MeteredRecorder(timer);
+  const recorder = settings.telemetry === 'on' ? metered : nullRecorder;
+  const decisions = scheduling(settings.policy, {
+    directory,
+    membership,
+    timer,
+    recorder,
     zone: settings.zone,
-    ...advertised(settings, peerPort),
+    random: base.random,
   });
-  follower.subscribe(({version}) =>
-    membership.report({configurationVersion: version}),
-  );
+  follower.subscribe(({document}) => decisions.apply(document));
   const claims = new Claims({
     log,
     timer,
     membership,
-    client: peerClient,
-    server: peerServer,
+    client: peers.client,
+    server: peers.server,
     logger: logOf(root, Part.Claim),
     windowMs: settings.keyWindowMs,
   });
   const executor = new Executor({
     recorder,
-    scheduler,
+    scheduler: decisions.scheduler,
     timer,
     claims,
     retries: new RetryBudget(timer),
@@ -85,27 +122,169 @@
     timer,
     logger: logOf(root, Part.Request),
   });
-  follower.start();
+  const operators = await startOperators({
+    settings,
+    root,
+    timer,
+    log,
+    directory,
+    follower,
+    recorder: metered,
+    membership,
+    peerServer: peers.server,
+    peerClient: peers.client,
+  });
+  await peers.start();
+  decisions.start();
+  configuring.start();
   const port = await entrance.listen(settings.host, settings.port);
   logOf(root, Part.Router).info({port}, 'Listening for callers.');
   return {
     port,
-    peerPort,
+    peerPort: peers.port,
+    ...(operators.port === undefined ? {} : {operatorPort: operators.port}),
     stop: async () => {
+      await membership.leave();
       await entrance.drain();
-      await follower.stop();
-      await peerServer.close();
-      await peerClient.close();
+      looking.end();
+      decisions.stop();
+      await operators.stop();
+      await configuring.stop();
+      await peers.stop();
       await directory.close();
-      await platform.close();
+      await agent.close();
     },
   };
 }
 
+function openBase(settings: Settings, root: Logger, timer: Timer): Base {
+  const agent = new Agent({
+    connections: PLATFORM_CONNECTIONS,
+    connect: {localAddress: settings.host},
+  });
+  const log = new HttpLog(settings.logUrl, agent);
+  return {settings, root, timer, random: Math.random, agent, log};
+}
+
+async function openPeers(base: Base): Promise<Peers> {
+  const {settings, timer, random} = base;
+  const credential = new Credential(settings.peerSecrets);
+  const server = new PeerServer(credential);
+  const client = new PeerClient(credential, settings.host);
+  const datagrams = new DatagramPort(credential, timer);
+  const port = await openPeerPorts(server, datagrams, settings);
+  const logger = logOf(base.root, Part.Member);
+  const membership = new Fleet(
+    {
+      name: settings.instance,
+      incarnation: timer.wallNow(),
+      zone: settings.zone,
+      ...advertised(settings, port),
+    },
+    {datagrams, timer, logger, random},
+  );
+  const seeds = settings.seeds.map(addressOf);
+  const parts = {client, server, timer, logger, random};
+  const synchronizer = new Synchronizer(membership, seeds, parts);
+  const discovery = openDiscovery(base, membership, synchronizer);
+  serveMembers(server, membership);
+  return {
+    port,
+    server,
+    client,
+    membership,
+    ...(discovery === undefined ? {} : {discovery}),
+    start: async () => {
+      membership.start();
+      await synchronizer.start();
+      discovery?.start();
+    },
+    stop: async () => {
+      await discovery?.stop();
+      await synchronizer.stop();
+      await membership.stop();
+      datagrams.close();
+      await server.close();
+      await client.close();
+    },
+  };
+}
+
+function openDiscovery(
+  {settings, agent, timer, root, random}: Base,
+  membership: Fleet,
+  synchronizer: Synchronizer,
+): Discovery | undefined {
+  if (settings.listUrl === undefined) return undefined;
+  return new Discovery({
+    list: new HttpInstanceList(settings.listUrl, agent),
+    membership,
+    synchronizer,
+    timer,
+    logger: logOf(root, Part.Member),
+    random,
+  });
+}
+
+function openConfiguring(base: Base, peers: Peers): Configuring {
+  const {log, timer, random, settings} = base;
+  const {membership} = peers;
+  const logger = logOf(base.root, Part.Config);
+  const passing = new Passing(membership, peers.client, random);
+  const follower = new Follower(log, timer, logger, passing, random);
+  passing.serve(peers.server, follower);
+  const renewal = new Renewal({
+    log,
+    follower,
+    peers: passing,
+    timer,
+    logger,
+    retentionMs: settings.logRetentionMs,
+  });
+  follower.subscribe(({version}) =>
+    membership.report({configurationVersion: version}),
+  );
+  membership.subscribe(({status}) => {
+    void follower.wake(status.configurationVersion);
+  });
+  return {
+    follower,
+    start: () => {
+      follower.start();
+      renewal.start();
+    },
+    stop: async () => {
+      await renewal.stop();
+      await follower.stop();
+    },
+  };
+}
+
+function openLeaving(
+  {timer}: Base,
+  {membership, server, discovery}: Peers,
+  directory: Directory,
+  follower: Follower,
+): Subscription {
+  const parts = {
+    register: new LeavingRegister(timer),
+    directory,
+    fleet: membership,
+    server,
+    timer,
+    ...(discovery === undefined ? {} : {discovery}),
+  };
+  const looking = connectLeaving(parts);
+  follower.subscribe(({document}) => {
+    directory.apply(document);
+    parts.register.configure(document);
+    markUpstreams(parts);
+  });
+  return looking;
+}
+
 function advertised(settings: Settings, peerPort: number): PeerAddress {
-  const [host, port] = (settings.advertise ?? '').split(':');
-  if (host === undefined || port === undefined) {
-    return {host: settings.host, port: peerPort};
-  }
-  return {host, port: Number(port)};
+  return settings.advertise === undefined
+    ? {host: settings.host, port: peerPort}
+    : addressOf(settings.advertise);
 }
