Add a bench of decisions under load, and bind connections to their address

Cause: nothing measured attainment, goodput and waste, and the address that upstream, peer and platform connections should be bound to was dropped by the client library, so that a proxy could not tell routers apart. Change: an open-loop bench over real processes with zones, one shared link between regions, stragglers and lagging reports; the address is passed where the library reads it. An equal share of each upstream's slots per instance, with borrowing of free ones.

--- /dev/null
+++ b/bench/summary.ts
@@ -0,0 +1,49 @@
+import type {PolicyRun} from './run.js';
+import type {Served} from './load.js';
+
+/** Describes a run in a few lines for people. */
+export function describeRun(policy: string, run: PolicyRun): string {
+  const {figures, served, work, routerCores} = run;
+  const measured = served.filter(item => item.measured);
+  const classes = Object.keys(figures.attainment);
+  const cores = routerCores.map(share => share.toFixed(2)).join(' ');
+  const lines = classes.map(name => {
+    const items = measured.filter(({arrival}) => arrival.class === name);
+    return classLine(name, figures.attainment[name] ?? 0, items);
+  });
+  return [
+    `${policy}: goodput ${figures.goodput.toFixed(2)}/s, ` +
+      `wasted ${percent(figures.wastedWork)} ` +
+      `(undelivered ${percent(work.undelivered / work.total)}, ` +
+      `recomputed ${percent(work.recomputed / work.total)}), ` +
+      `link ${(figures.linkBytes / 1e6).toFixed(2)} MB, ` +
+      `prefix hits ${percent(figures.prefixHitRate)}, router cores ${cores}`,
+    ...lines,
+    '',
+  ].join('\n');
+}
+
+function classLine(name: string, share: number, items: Served[]): string {
+  const first = items.flatMap(({reply}) => reply?.firstTokenMs ?? []);
+  const ends = new Map<string, number>();
+  for (const {reply} of items) {
+    const end = reply?.error ?? reply?.outcome ?? 'cut off';
+    ends.set(end, (ends.get(end) ?? 0) + 1);
+  }
+  const counts = [...ends].map(([end, count]) => `${end} ${count}`);
+  return (
+    `  ${name}: ${percent(share)} of ${items.length}, ` +
+    `first token p50 ${quantile(first, 0.5)} p95 ${quantile(first, 0.95)} ms` +
+    ` (${counts.join(', ')})`
+  );
+}
+
+function quantile(values: number[], share: number): string {
+  const sorted = [...values].sort((a, b) => a - b);
+  const index = Math.min(sorted.length - 1, Math.floor(share * sorted.length));
+  return (sorted[index] ?? NaN).toFixed(0);
+}
+
+function percent(share: number): string {
+  return `${(share * 100).toFixed(1)} %`;
+}
--- a/src/admission/choice.ts
+++ b/src/admission/choice.ts
@@ -1,3 +1,4 @@
+import type {Work} from '../request/index.js';
 import type {WeighedUpstream} from '../telemetry/index.js';
 import type {Timer} from '../timer/index.js';
 import {
@@ -7,7 +8,7 @@
   type Vicinities,
   type Vicinity,
 } from '../upstream/index.js';
-import {LinkBudgets, type Topology} from '../zone/index.js';
+import {Distance, type LinkBudgets, type Topology} from '../zone/index.js';
 import {tierOf, type Entry} from './entry.js';
 import {expect, type Expectation} from './expectation.js';
 import {hasRoom, type Share} from './room.js';
@@ -22,7 +23,12 @@
 /** Blocks that decide on the agreed home of a prefix. */
 const HOME_BLOCKS = 8;
 /** Share of a prompt presumed in the cache of the home of its prefix. */
-const HOME_PRESUMED_SHARE = 0.3;
+const HOME_PRESUMED_SHARE = 0.6;
+/**
+ * Weight of the time that computing a prompt takes from the other requests of
+ * its batch, relative to the time that it takes from its own.
+ */
+const BATCH_DELAY_WEIGHT = 2;
 /** Slack below which a request does not wait for a slot in its region. */
 const LINK_SLACK_MS = 150;
 /** Bytes of a streamed answer per token. */
@@ -36,8 +42,17 @@
   weighed: WeighedUpstream[];
 }
 
+/** Numbers of live instances that share upstreams. */
+export interface FleetSize {
+  /** In the whole fleet. */
+  all(): number;
+  /** In this instance's region. */
+  inRegion(): number;
+}
+
 /** What a choice depends on. */
 export interface ChoiceParts {
+  fleet: FleetSize;
   vicinities: Vicinities;
   topology: Topology;
   budgets: LinkBudgets;
@@ -132,7 +147,7 @@
     let best: Expectation | undefined;
     let lowest = Infinity;
     for (const expectation of weighed) {
-      if (!hasRoom(expectation.upstream, tierOf(entry), share)) continue;
+      if (!this.hasRoom(expectation, entry, share)) continue;
       const spread = 1 + JITTER_SHARE * this.parts.random();
       const score = scoreOf(expectation, entry) * spread;
       if (score >= lowest) continue;
@@ -142,6 +157,17 @@
     return best;
   }
 
+  private hasRoom(
+    {upstream, route}: Expectation,
+    entry: Entry,
+    share: Share,
+  ): boolean {
+    const {fleet} = this.parts;
+    const near = route.distance !== Distance.Remote;
+    const instances = near ? fleet.inRegion() : fleet.all();
+    return hasRoom(upstream, tierOf(entry), share, instances);
+  }
+
   /** Whether a request would miss its target on an upstream chosen now. */
   private misses({firstTokenMs}: Expectation, {work}: Entry): boolean {
     const target = work.serviceClass.targets.firstTokenMs;
@@ -207,10 +233,16 @@
   return a.firstTokenMs < b.firstTokenMs;
 }
 
-/** Expected time that counts for the class, in ms. */
-function scoreOf(
+/** What choosing an upstream costs this request and others, in ms. */
+function scoreOf(expectation: Expectation, {work}: Entry): number {
+  const {prefillMs} = expectation;
+  return ownTimeOf(expectation, work) + BATCH_DELAY_WEIGHT * prefillMs;
+}
+
+/** Expected time of the request itself that counts for its class, in ms. */
+function ownTimeOf(
   {firstTokenMs, completionMs, upstream}: Expectation,
-  {work}: Entry,
+  work: Work,
 ): number {
   const {targets} = work.serviceClass;
   const step = targets.betweenTokensMs;
@@ -240,11 +272,14 @@
   if (weighed.some(({cachedTokens}) => cachedTokens > 0)) return weighed;
   const [home] = ring.lookup(key, 1);
   return weighed.map(expectation => {
-    const {upstream, firstTokenMs} = expectation;
+    const {upstream, firstTokenMs, prefillMs} = expectation;
     if (upstream.name !== home) return expectation;
-    const tokens = entry.promptTokens * HOME_PRESUMED_SHARE;
-    const savedMs = tokens * upstream.condition.speed.prefillMsPerToken;
-    return {...expectation, firstTokenMs: firstTokenMs - savedMs};
+    const savedMs = prefillMs * HOME_PRESUMED_SHARE;
+    return {
+      ...expectation,
+      firstTokenMs: firstTokenMs - savedMs,
+      prefillMs: prefillMs - savedMs,
+    };
   });
 }
 
--- a/src/admission/expectation.ts
+++ b/src/admission/expectation.ts
@@ -16,6 +16,8 @@
   firstTokenMs: number;
   /** Time to the end of the answer, in ms. */
   completionMs: number;
+  /** Time to compute the part of the prompt that is not cached, in ms. */
+  prefillMs: number;
   /** Prompt tokens counted on in the prefix cache. */
   cachedTokens: number;
 }
@@ -50,9 +52,11 @@
   const cached = match.blocks * BLOCK_TOKENS * match.confidence;
   const cachedTokens = Math.min(cached, Math.max(0, entry.promptTokens - 1));
   const computedTokens = entry.promptTokens - cachedTokens;
+  const prefillMs = computedTokens * speed.prefillMsPerToken;
   const firstTokenMs =
     2 * route.oneWayMs +
-    speed.unloadedMs(computedTokens) +
+    speed.stepMs +
+    prefillMs +
     prefillAheadMs(upstream) +
     queueMs(upstream) +
     stallMs(upstream, now);
@@ -60,7 +64,14 @@
     entry.work.demand.type === 'service'
       ? firstTokenMs
       : firstTokenMs + answerTokens * speed.stepMs;
-  return {upstream, route, firstTokenMs, completionMs, cachedTokens};
+  return {
+    upstream,
+    route,
+    firstTokenMs,
+    completionMs,
+    prefillMs,
+    cachedTokens,
+  };
 }
 
 /** Time to compute the prompts that own attempts still wait for. */
--- a/src/admission/room.ts
+++ b/src/admission/room.ts
@@ -10,24 +10,29 @@
 }
 
 /** Share of the capacity that each tier leaves free for the tiers above. */
-const RESERVE_PER_TIER = 0.05;
-const RESERVE_LIMIT = 0.2;
-/** Share by which the highest tier may exceed the adaptive limit. */
+const RESERVE_PER_TIER = 0.08;
+const RESERVE_LIMIT = 0.25;
+/** Share by which the highest tier may exceed the slots of an upstream. */
 const TOP_TIER_EXCESS = 0.25;
-/** Requests beyond its slots that an upstream may be given, by tier. */
-const EXCESS_BY_TIER = [4, 2, 1];
 
-/** Whether an upstream may be given one more request of a tier. */
+/**
+ * Whether an upstream may be given one more request of a tier. Each instance
+ * has an equal share of the slots for itself, and borrows from the others'
+ * shares while the upstream reports free slots. The adaptive limit bounds
+ * both.
+ */
 export function hasRoom(
   upstream: Upstream,
   tier: number,
   share: Share,
+  instances: number,
 ): boolean {
   const usable = usableShare(tier, share);
-  const limit = upstream.condition.limit.value * usable;
-  if (upstream.inflight >= Math.max(1, limit)) return false;
-  const excess = EXCESS_BY_TIER[tier] ?? 0;
-  return loadOf(upstream) < Math.max(1, slotsOf(upstream) * usable) + excess;
+  const {inflight, condition} = upstream;
+  if (inflight === 0) return true;
+  if (inflight >= condition.limit.value * usable) return false;
+  const slots = slotsOf(upstream) * usable;
+  return inflight < slots / instances || loadOf(upstream) < slots;
 }
 
 /** Share of an upstream's capacity open to a tier. */
--- a/src/admission/running.ts
+++ b/src/admission/running.ts
@@ -11,7 +11,7 @@
 import {tierOf, type Entry} from './entry.js';
 
 /** Tokens over which the time between tokens is averaged. */
-const STEP_SAMPLE_TOKENS = 16;
+const STEP_SAMPLE_TOKENS = 8;
 /** Bytes counted for a whole answer that is not streamed. */
 const WHOLE_ANSWER_BYTES = 600;
 
--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -70,6 +70,7 @@
   private readonly floorShares = new Map<string, number>();
   private lowest = 0;
   private instances = 1;
+  private neighbours = 1;
   private fleet = '';
   private configuration?: Configuration;
   private subscription?: Subscription;
@@ -81,6 +82,7 @@
     this.limits = new Contracts(() => this.instances);
     this.chooser = new Chooser({
       vicinities: this.vicinities,
+      fleet: {all: () => this.instances, inRegion: () => this.neighbours},
       topology: new Topology(given.zone, {zones: [], links: []}),
       budgets: this.budgets,
       timer,
@@ -245,6 +247,8 @@
     }));
     const name = membership.self().name;
     const self = {name, zone, region: topology.regionOf(zone)};
+    const near = located.filter(({region}) => region === self.region);
+    this.neighbours = Math.max(1, near.length);
     this.chooser.relocate(topology);
     this.vicinities.apply({topology, self, instances: located});
   }
--- a/src/instance/peer.ts
+++ b/src/instance/peer.ts
@@ -151,7 +151,8 @@
   ) {
     this.agent = new Agent({
       connections: CONNECTIONS_PER_PEER,
-      connect: {timeout: CONNECT_TIMEOUT_MS, localAddress},
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+      localAddress,
     });
   }
 
--- a/src/upstream/upstream.ts
+++ b/src/upstream/upstream.ts
@@ -44,7 +44,8 @@
       connections: CONNECTIONS_PER_UPSTREAM,
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
-      connect: {timeout: CONNECT_TIMEOUT_MS, localAddress},
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+      localAddress,
     });
   }
 
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -45,7 +45,7 @@
   const localAddress = settings.host;
   const platform = new Agent({
     connections: PLATFORM_CONNECTIONS,
-    connect: {localAddress},
+    localAddress,
   });
   const log = new HttpLog(settings.logUrl, platform);
   const directory = new Directory(localAddress);
--- a/stand-ins/index.ts
+++ b/stand-ins/index.ts
@@ -1,6 +1,7 @@
 export {ENGINE_DEFAULTS, Fencing, Refusal} from './behaviour.js';
 export type {EngineBehaviour, LoadedModel} from './behaviour.js';
 export type {EngineLoad} from './batch.js';
+export {CacheEvents, PrefixCache} from './cache.js';
 export type {CacheEvent, CacheEventPage} from './cache.js';
 export {startEngine} from './engine.js';
 export type {EngineStandIn} from './engine.js';
@@ -16,8 +17,10 @@
 export type {LogBehaviour, LogStandIn} from './log.js';
 export {startList} from './list.js';
 export type {ListBehaviour, ListedInstance, ListStandIn} from './list.js';
-export {NO_FAULTS, Proxy} from './proxy.js';
-export type {Faults, Silence} from './proxy.js';
+export {Pipe} from './pipe.js';
+export {NO_FAULTS} from './connection.js';
+export type {Faults, Silence} from './connection.js';
+export {Proxy} from './proxy.js';
 export {startService} from './service.js';
 export type {
   ServiceBehaviour,
--- a/stand-ins/proxy.ts
+++ b/stand-ins/proxy.ts
@@ -7,120 +7,12 @@
   type Socket,
 } from 'node:net';
 
-/** Faults a proxy injects into the traffic of one source. */
-export interface Faults {
-  /** Delay of every chunk, each way, in ms. */
-  delayMs: number;
-  /** Capacity each way in bytes per second; 0 is without limit. */
-  bytesPerSecond: number;
-  /** While true, traffic is lost: connections neither open nor answer. */
-  cut: boolean;
-  /** While true, connections are reset when they are opened. */
-  refuse: boolean;
-  /** Share of datagrams that are dropped. */
-  dropShare: number;
-}
-
-/** Faults that change nothing. */
-export const NO_FAULTS: Faults = {
-  delayMs: 0,
-  bytesPerSecond: 0,
-  cut: false,
-  refuse: false,
-  dropShare: 0,
-};
-
-/** Which way a connection goes silent. */
-export type Silence = 'requests' | 'answers' | 'both';
-
-/** One direction of a connection, with delay, capacity and silence. */
-class Direction {
-  silent = false;
-  /** Bytes passed on so far. */
-  bytes = 0;
-  private freeAt = 0;
-
-  constructor(
-    from: Socket,
-    private readonly to: Socket,
-    private readonly faults: () => Faults,
-  ) {
-    from.on('data', (chunk: Buffer) => {
-      this.later(chunk.length, () => this.forward(chunk));
-    });
-    from.on('end', () => this.later(0, () => this.end()));
-  }
-
-  private forward(chunk: Buffer): void {
-    if (this.lost || this.to.destroyed) return;
-    this.bytes += chunk.length;
-    this.to.write(chunk);
-  }
-
-  private end(): void {
-    if (!this.lost) this.to.end();
-  }
-
-  /** A connection that lost bytes never comes back. */
-  private get lost(): boolean {
-    this.silent ||= this.faults().cut;
-    return this.silent;
-  }
-
-  private later(bytes: number, deliver: () => void): void {
-    const {bytesPerSecond, delayMs} = this.faults();
-    const now = performance.now();
-    if (bytesPerSecond === 0 && delayMs === 0 && this.freeAt <= now) {
-      deliver();
-      return;
-    }
-    const busy = bytesPerSecond > 0 ? (bytes / bytesPerSecond) * 1000 : 0;
-    this.freeAt = Math.max(now, this.freeAt) + busy;
-    setTimeout(deliver, this.freeAt - now + delayMs);
-  }
-}
-
-/** One proxied connection. */
-class Connection {
-  readonly requests: Direction;
-  readonly answers: Direction;
-
-  constructor(
-    readonly source: string,
-    private readonly client: Socket,
-    private readonly target: Socket,
-    faults: () => Faults,
-  ) {
-    this.requests = new Direction(client, target, faults);
-    this.answers = new Direction(target, client, faults);
-    client
-      .on('error', () => this.endQuietly())
-      .on('close', () => {
-        if (!this.requests.silent) target.destroy();
-      });
-    target
-      .on('error', () => this.endQuietly())
-      .on('close', () => {
-        if (!this.answers.silent) client.destroy();
-      });
-  }
-
-  silence(which: Silence): void {
-    if (which !== 'answers') this.requests.silent = true;
-    if (which !== 'requests') this.answers.silent = true;
-  }
-
-  reset(): void {
-    this.client.resetAndDestroy();
-    this.target.resetAndDestroy();
-  }
-
-  private endQuietly(): void {
-    if (this.answers.silent || this.requests.silent) return;
-    this.client.destroy();
-    this.target.destroy();
-  }
-}
+import {
+  Connection,
+  NO_FAULTS,
+  type Faults,
+  type Silence,
+} from './connection.js';
 
 /**
  * A proxy in front of one target, TCP and UDP on the same port. It knows the
@@ -267,10 +159,12 @@
   private relay(message: Buffer, source: string, port: number): void {
     if (this.dropped(source)) return;
     const flow = this.flowOf(source, port);
+    const {delayMs, requestPipe} = this.faultsOf(source);
+    requestPipe?.pass(message.length, performance.now());
     setTimeout(() => {
       this.passed += message.length;
       flow.send(message, this.targetPort, this.targetHost);
-    }, this.faultsOf(source).delayMs);
+    }, delayMs);
   }
 
   private flowOf(source: string, port: number): Datagrams {
@@ -282,6 +176,7 @@
     flow.on('message', answer => {
       if (this.dropped(source)) return;
       this.passed += answer.length;
+      this.faultsOf(source).answerPipe?.pass(answer.length, performance.now());
       this.datagrams.send(answer, port, source);
     });
     this.flows.set(name, flow);
