--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -173,7 +173,7 @@
 function openBase(settings: Settings, root: Logger, timer: Timer): Base {
   const agent = new Agent({
     connections: PLATFORM_CONNECTIONS,
-    connect: {localAddress: settings.host},
+    localAddress: settings.host,
   });
   const log = new HttpLog(settings.logUrl, agent);
   return {settings, root, timer, random: Math.random, agent, log};
