--- a/bench/slope/groups.ts
+++ b/bench/slope/groups.ts
@@ -9,6 +9,8 @@
 
 const SETTLE_MS = 12_000;
 const MEASURE_SECONDS = 15;
+/** Time each size of a document is measured, in s. */
+const DOCUMENT_SECONDS = 10;
 const PUBLISHES = 5;
 const CONTROL_BYTES = 2_048;
 const CONTROL_CPU_PERCENT = 1.8;
@@ -123,7 +125,7 @@
     const grow = against === 'runners' ? withRunners : withWorkspaces;
     await fleet.publish(grow(fleet.document, x));
     await sleep(SETTLE_MS / 2);
-    const rates = await fleet.measure(MEASURE_SECONDS);
+    const rates = await fleet.measure(DOCUMENT_SECONDS);
     runs.push({x, rates, inForceMs: NaN});
   }
   await fleet.stop();
--- a/src/instance/peer.ts
+++ b/src/instance/peer.ts
@@ -172,10 +172,11 @@
     this.scheme = tls === undefined ? 'http' : 'https';
     this.agent = new Agent({
       connections: CONNECTIONS_PER_PEER,
-      connect: meteredConnector(this.meter, {
-        localAddress,
-        ...(tls === undefined ? {} : clientOptions(tls)),
-      }),
+      connect: meteredConnector(
+        this.meter,
+        tls === undefined ? {} : clientOptions(tls),
+      ),
+      localAddress,
     });
   }
 
--- a/src/platform/meter.ts
+++ b/src/platform/meter.ts
@@ -41,7 +41,7 @@
 /** Opens connections that a meter counts. */
 export function meteredConnector(
   meter: Meter,
-  options: ConnectorOptions,
+  options: ConnectorOptions = {},
 ): buildConnector.connector {
   const connect = buildConnector({
     timeout: CONNECT_TIMEOUT_MS,
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -23,10 +23,13 @@
   type PeerAddress,
   type Settings,
 } from './instance/index.js';
+import {Candidates, LeaseManager} from './lease/index.js';
 import {startOperators} from './operators.js';
+import {EngineClient, OrderManager} from './order/index.js';
 import {
   HttpInstanceList,
   HttpLog,
+  HttpWeightStore,
   Meter,
   meteredConnector,
 } from './platform/index.js';
@@ -36,6 +39,7 @@
 import {Directory, LeavingRegister} from './upstream/index.js';
 
 const PLATFORM_CONNECTIONS = 8;
+const ORDER_ROUNDS_PER_TERM = 3;
 
 /** A running instance. */
 export interface Router {
@@ -80,6 +84,12 @@
   stop(): Promise<void>;
 }
 
+/** The parts that give orders to engines. */
+interface Ordering {
+  start(): void;
+  stop(): Promise<void>;
+}
+
 /**
  * Constructs every part of an instance, connects them, and starts it. The only
  * module that knows all parts.
@@ -131,6 +141,7 @@
     timer,
     logger: logOf(root, Part.Request),
   });
+  const ordering = openOrdering(base, membership, directory, follower);
   const operators = await startOperators({
     settings,
     root,
@@ -145,6 +156,7 @@
   });
   await peers.start();
   decisions.start();
+  ordering.start();
   configuring.start();
   const port = await entrance.listen(settings.host, settings.port);
   logOf(root, Part.Router).info({port}, 'Listening for callers.');
@@ -154,7 +166,9 @@
     ...(operators.port === undefined ? {} : {operatorPort: operators.port}),
     stop: async () => {
       await membership.leave();
-      await entrance.drain();
+      const drained = entrance.drain();
+      await ordering.stop();
+      await drained;
       looking.end();
       decisions.stop();
       await operators.stop();
@@ -170,7 +184,8 @@
   const meter = new Meter();
   const agent = new Agent({
     connections: PLATFORM_CONNECTIONS,
-    connect: meteredConnector(meter, {localAddress: settings.host}),
+    connect: meteredConnector(meter),
+    localAddress: settings.host,
   });
   const log = new HttpLog(settings.logUrl, agent);
   return {settings, root, timer, random: Math.random, agent, meter, log};
@@ -295,6 +310,48 @@
   return looking;
 }
 
+function openOrdering(
+  {settings, root, agent, log, timer}: Base,
+  membership: Fleet,
+  directory: Directory,
+  follower: Follower,
+): Ordering {
+  const candidates = new Candidates(
+    settings.instance,
+    () => membership.live().map(({name}) => name),
+    timer,
+  );
+  const leases = new LeaseManager({
+    log,
+    timer,
+    logger: logOf(root, Part.Lease),
+    holder: `${settings.instance}/${timer.wallNow()}`,
+    termMs: settings.leaseTermMs,
+    rankOf: pool => candidates.rankOf(pool),
+  });
+  const {weightsUrl} = settings;
+  const orders = new OrderManager({
+    leases,
+    directory,
+    client: new EngineClient(settings.orderToken),
+    ...(weightsUrl === undefined
+      ? {}
+      : {weights: new HttpWeightStore(weightsUrl, agent)}),
+    timer,
+    logger: logOf(root, Part.Order),
+    instance: settings.instance,
+    roundMs: settings.leaseTermMs / ORDER_ROUNDS_PER_TERM,
+  });
+  follower.subscribe(({document}) => orders.apply(document));
+  return {
+    start: () => leases.start(),
+    stop: async () => {
+      await orders.stop();
+      await leases.stop();
+    },
+  };
+}
+
 function advertised(settings: Settings, peerPort: number): PeerAddress {
   return settings.advertise === undefined
     ? {host: settings.host, port: peerPort}
