Let callers resume a lost stream through any instance

Cause: a caller that lost its connection had to send its prompt again. Change: streams carry a signed token; GET /v1/resume with it and Last-Event-ID continues the same stream at the exact event, while the engine holds it. A request marked resumable is not cancelled when its caller goes.

Conclusion: no instance needs to remember streams of its callers.

--- a/bench/caller.ts
+++ b/bench/caller.ts
@@ -7,7 +7,8 @@
   path: string;
   key: string;
   headers?: Record<string, string>;
-  body: unknown;
+  /** Absent when a stream is resumed. */
+  body?: unknown;
 }
 
 /** What a caller got back. */
@@ -18,6 +19,9 @@
   outcome?: string;
   /** Text generated, or the whole body of a plain answer. */
   text: string;
+  /** Id of the last event of a stream, and the token to resume it by. */
+  lastEventId?: string;
+  resumeToken?: string;
   /** Whether a stream ended with its proper end. */
   ended: boolean;
   error?: string;
@@ -37,6 +41,7 @@
   outcome?: string;
   error?: string;
   firstTokenMs?: number;
+  lastEventId?: string;
 
   constructor(private readonly start: number) {}
 
@@ -59,6 +64,7 @@
     this.firstTokenMs ??= performance.now() - this.start;
     this.tokens++;
     this.text += content;
+    if (event.id !== undefined) this.lastEventId = event.id;
   }
 }
 
@@ -72,19 +78,20 @@
 ): Promise<Reply> {
   const start = performance.now();
   const response = await request(new URL(path, url), {
-    method: 'POST',
+    method: body === undefined ? 'GET' : 'POST',
     headers: {
       'content-type': 'application/json',
       authorization: `Bearer ${key}`,
       ...headers,
     },
-    body: typeof body === 'string' ? body : JSON.stringify(body),
+    ...(body === undefined ? {} : {body: textOf(body)}),
     headersTimeout: 0,
     bodyTimeout: 0,
     ...options,
   });
   const id = String(response.headers['gypsumcourse-request-id'] ?? '');
   const type = String(response.headers['content-type'] ?? '');
+  const token = response.headers['gypsumcourse-resume-token'];
   if (type.startsWith('text/event-stream')) {
     const collector = new Collector(start);
     const parser = createParser({onEvent: event => collector.take(event)});
@@ -102,6 +109,10 @@
       ...(collector.outcome === undefined ? {} : {outcome: collector.outcome}),
       text: collector.text,
       ended: collector.ended,
+      ...(collector.lastEventId === undefined
+        ? {}
+        : {lastEventId: collector.lastEventId}),
+      ...(typeof token === 'string' ? {resumeToken: token} : {}),
       ...(collector.error === undefined ? {} : {error: collector.error}),
       ...(collector.firstTokenMs === undefined
         ? {}
@@ -114,6 +125,10 @@
   return plainReply(response, id, text, performance.now() - start);
 }
 
+function textOf(body: unknown): string {
+  return typeof body === 'string' ? body : JSON.stringify(body);
+}
+
 function plainReply(
   response: Dispatcher.ResponseData,
   id: string,
--- a/src/claim/claims.ts
+++ b/src/claim/claims.ts
@@ -1,5 +1,5 @@
 import type {Logger} from 'pino';
-import type {Timer} from '../timer/index.js';
+import type {Subscription, Timer} from '../timer/index.js';
 import {Attachment} from './attachment.js';
 import {Desk, type DeskParts} from './desk.js';
 import {Flight, Flights, type RecordedResult} from './flight.js';
@@ -72,6 +72,7 @@
   private readonly flights = new Flights();
   private readonly attachment: Attachment;
   private readonly timer: Timer;
+  private readonly sweeping: Subscription;
   private readonly recording = new Set<Promise<void>>();
   /** Keys attempted on this instance, with their first attempt. */
   private readonly seen = new Map<string, SeenKey>();
@@ -80,7 +81,7 @@
     this.timer = parts.timer;
     this.desk = new Desk(parts);
     this.attachment = new Attachment(parts, this.flights);
-    this.timer.every(SWEEP_PERIOD_MS, () => this.sweep());
+    this.sweeping = this.timer.every(SWEEP_PERIOD_MS, () => this.sweep());
   }
 
   /** Counters of appends and reads. */
@@ -145,6 +146,7 @@
 
   /** Waits a while for results that are still to be recorded. */
   async close(): Promise<void> {
+    this.sweeping.end();
     await Promise.race([
       Promise.all(this.recording),
       this.timer.sleep(CLOSE_TIMEOUT_MS),
--- a/src/instance/entrance.ts
+++ b/src/instance/entrance.ts
@@ -10,16 +10,20 @@
 import {v7 as uuidv7} from 'uuid';
 import type {AcceptedConfiguration, Follower} from '../config/index.js';
 import {
+  authenticate,
   CallerAnswer,
   failureOf,
   isKeyedRetry,
   Outcome,
   parseWork,
   readBody,
+  RESUME_TOKEN_HEADER,
   writeRefusal,
   type Executor,
   type Failure,
+  type Resumption,
   type Target,
+  type Work,
 } from '../request/index.js';
 import type {Timer} from '../timer/index.js';
 
@@ -32,6 +36,7 @@
 export interface EntranceParts {
   follower: Follower;
   executor: Executor;
+  resumption: Resumption;
   timer: Timer;
   logger: Logger;
 }
@@ -73,6 +78,9 @@
         path: '/v1/completions',
       }),
     );
+    routes.on('GET', '/v1/resume', (message, response) =>
+      this.resume(message, response),
+    );
     routes.all('/services/:service/*', (message, response, params) => {
       const service = params['service'] ?? '';
       const path = (message.url ?? '').slice(`/services/${service}`.length);
@@ -157,15 +165,66 @@
       });
       return;
     }
+    await this.counted(() =>
+      this.run(message, response, target, configuration),
+    );
+  }
+
+  /** Goes on with a stream that its caller lost. */
+  private async resume(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const configuration = this.parts.follower.current();
+    if (this.draining || configuration === undefined) {
+      refuse(message, response, {
+        type: this.draining ? 'draining' : 'notReady',
+      });
+      return;
+    }
+    const workspace = authenticate(message, configuration.document);
+    if (workspace.isErr()) {
+      refuse(message, response, workspace.error);
+      return;
+    }
+    const {resumption} = this.parts;
+    const token = String(message.headers[RESUME_TOKEN_HEADER] ?? '');
+    const ticket = resumption.ticketOf(token, workspace.value.name);
+    if (ticket === undefined) {
+      refuse(message, response, {type: 'invalidToken'});
+      return;
+    }
+    const answer = new CallerAnswer(response, ticket.request, () => token);
+    const last = message.headers['last-event-id'];
+    await this.counted(async () => {
+      const gone = goneSignal(response);
+      const lastId = typeof last === 'string' ? last : undefined;
+      answer.conclude(await resumption.resume(ticket, lastId, answer, gone));
+    });
+  }
+
+  /** Counts a request as in flight until `step` has ended. */
+  private async counted(step: () => Promise<void>): Promise<void> {
     this.inflight++;
     try {
-      await this.run(message, response, target, configuration);
+      await step();
     } finally {
       this.inflight--;
       if (this.inflight === 0) this.idle?.();
     }
   }
 
+  private answerOf(response: ServerResponse, work: Work): CallerAnswer {
+    const {id: request, workspace} = work;
+    return new CallerAnswer(response, request, source =>
+      this.parts.resumption.tokenOf({
+        request,
+        workspace: workspace.name,
+        ...source,
+      }),
+    );
+  }
+
   private async run(
     message: IncomingMessage,
     response: ServerResponse,
@@ -183,10 +242,12 @@
       refuse(message, response, work.error);
       return;
     }
-    const gone = new AbortController();
-    response.once('close', () => gone.abort());
-    const answer = new CallerAnswer(response, work.value.id);
-    const conclusion = await executor.execute(work.value, answer, gone.signal);
+    const answer = this.answerOf(response, work.value);
+    const conclusion = await executor.execute(
+      work.value,
+      answer,
+      goneSignal(response),
+    );
     answer.conclude(conclusion);
     logger.debug(
       {
@@ -202,6 +263,14 @@
   }
 }
 
+/** Returns a signal that aborts when the caller has gone. */
+function goneSignal(response: ServerResponse): AbortSignal {
+  const gone = new AbortController();
+  if (response.destroyed) gone.abort();
+  response.once('close', () => gone.abort());
+  return gone.signal;
+}
+
 /**
  * Refuses a request that was not run. Of a retry under a key an earlier attempt
  * may have run, so nothing is said about it.
--- a/src/request/answer.ts
+++ b/src/request/answer.ts
@@ -1,6 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {EventSourceMessage} from 'eventsource-parser';
-import type {AnswerSink} from './attempt.js';
+import type {AnswerSink, StreamSource} from './attempt.js';
 import {
   describe,
   Outcome,
@@ -13,20 +13,28 @@
   type Failure,
 } from './outcome.js';
 import {formatEvent} from './recording.js';
+import {RESUME_TOKEN_HEADER} from './resumption.js';
 
 /** Writes the answer of one request to its caller. */
 export class CallerAnswer implements AnswerSink {
-  private streamed?: {status: number; contentType: string};
+  private streamed?: {status: number; contentType: string; token?: string};
   private body?: Buffer;
   private concluded = false;
 
   constructor(
     private readonly response: ServerResponse,
     private readonly id: string,
+    /** Returns the resume token of a stream. */
+    private readonly tokenOf?: (source: StreamSource) => string,
   ) {}
 
-  head(status: number, contentType: string): void {
-    this.streamed = {status, contentType};
+  head(status: number, contentType: string, source?: StreamSource): void {
+    const token = source === undefined ? undefined : this.tokenOf?.(source);
+    this.streamed ??= {
+      status,
+      contentType,
+      ...(token === undefined ? {} : {token}),
+    };
   }
 
   async event(event: EventSourceMessage): Promise<void> {
@@ -86,6 +94,9 @@
       'content-type': this.streamed?.contentType ?? 'text/event-stream',
       'cache-control': 'no-store',
       [REQUEST_ID_HEADER]: this.id,
+      ...(this.streamed?.token === undefined
+        ? {}
+        : {[RESUME_TOKEN_HEADER]: this.streamed.token}),
     });
   }
 
--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -5,6 +5,7 @@
 import {openVerified} from './connection.js';
 import type {Failure} from './outcome.js';
 import {AttemptEnd, type Placement} from './placement.js';
+import {cancelStream, requestStream} from './stream.js';
 import {relayEvents, STREAM_END, StreamProgress} from './relay.js';
 import {Watchdog, type SilenceLimits} from './watchdog.js';
 import type {Work} from './work.js';
@@ -17,12 +18,18 @@
 export const NOT_RUN_HEADER = 'x-not-run';
 
 const RESUMES_LIMIT = 2;
-const CANCEL_TIMEOUT_MS = 1_000;
+
+/** Which stream of which upstream an answer comes from. */
+export interface StreamSource {
+  upstream: string;
+  /** Id of the stream at the upstream. */
+  stream: string;
+}
 
 /** Where an attempt delivers what the upstream answers. */
 export interface AnswerSink {
   /** Called once, before anything else, when the answer starts. */
-  head(status: number, contentType: string): void;
+  head(status: number, contentType: string, source?: StreamSource): void;
   /** Delivers one event of a stream; awaits the caller's back-pressure. */
   event(event: EventSourceMessage): Promise<void>;
   /** Delivers a whole answer that was not streamed. */
@@ -241,7 +248,8 @@
     }
     const contentType = String(headers['content-type'] ?? '');
     if (contentType.startsWith('text/event-stream')) {
-      if (!this.streaming) sink.head(statusCode, contentType);
+      const source = {upstream: placement.upstream.name, stream: id};
+      if (!this.streaming) sink.head(statusCode, contentType, source);
       this.streaming = true;
       return this.relay(body, watchdog);
     }
@@ -292,17 +300,12 @@
     });
     return this.guarded({firstByteMs, idleMs}, watchdog =>
       this.closing(client, async () => {
-        const response = await client.request({
-          method: 'GET',
-          path: `/v1/streams/${this.spec.id}`,
-          headers:
-            this.stream.lastEventId === undefined
-              ? {}
-              : {'last-event-id': this.stream.lastEventId},
-          signal: watchdog.signal,
-          headersTimeout: 0,
-          bodyTimeout: 0,
-        });
+        const response = await requestStream(
+          client,
+          this.spec.id,
+          this.stream.lastEventId,
+          watchdog.signal,
+        );
         if (response.statusCode < 400) return this.receive(response, watchdog);
         await response.body.dump();
         return this.lost(former);
@@ -325,17 +328,9 @@
     }
     if (!work.repeatable) return;
     if (work.demand.type !== 'generation' || !work.demand.stream) return;
-    const limit = new AbortController();
-    const alarm = timer.after(CANCEL_TIMEOUT_MS, () => limit.abort());
-    placement.upstream.connections
-      .request({
-        method: 'POST',
-        path: `/v1/streams/${id}/cancel`,
-        signal: limit.signal,
-      })
-      .then(answer => answer.body.dump())
-      .catch(() => undefined)
-      .finally(() => alarm.end());
+    // A caller that means to resume has the engine hold the stream.
+    if (signal.aborted && work.resumable) return;
+    void cancelStream(placement.upstream, id, timer);
   }
 }
 
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -1,10 +1,17 @@
 export {CallerAnswer, writeRefusal} from './answer.js';
 export {runAttempt} from './attempt.js';
-export type {AnswerSink, AttemptResult, AttemptSpec} from './attempt.js';
+export type {
+  AnswerSink,
+  AttemptResult,
+  AttemptSpec,
+  StreamSource,
+} from './attempt.js';
 export {RoundRobin} from './direct.js';
 export {Executor} from './executor.js';
 export type {ExecutionParts} from './execution.js';
 export type {KeyedParts} from './keyed.js';
+export {RESUME_TOKEN_HEADER, Resumption} from './resumption.js';
+export type {ResumptionParts, Signer, ResumeTicket} from './resumption.js';
 export {RetryBudget} from './retry.js';
 export {authenticate, isKeyedRetry, parseWork, readBody} from './intake.js';
 export type {Target} from './intake.js';
--- a/src/request/intake.ts
+++ b/src/request/intake.ts
@@ -25,6 +25,8 @@
 export const REPEATABLE_HEADER = 'gypsumcourse-repeatable';
 /** Header with the number of earlier attempts of the same request. */
 export const ATTEMPT_HEADER = 'gypsumcourse-prior-attempts';
+/** Header with which a caller asks that a stream it lost be held (`true`). */
+export const RESUMABLE_HEADER = 'gypsumcourse-resumable';
 /** Standard header with the idempotency key of a request. */
 export const KEY_HEADER = 'idempotency-key';
 
@@ -257,6 +259,7 @@
     ...(issuedAt === undefined ? {} : {keyIssuedAt: issuedAt}),
     arrivedAt,
     deadlineAt: arrivedAt + deadline.value,
+    resumable: one(message, RESUMABLE_HEADER) === 'true',
     priorAttempts: priorAttempts(message),
   });
 }
--- a/src/request/measure.ts
+++ b/src/request/measure.ts
@@ -2,7 +2,7 @@
 import type {Observation} from '../telemetry/index.js';
 import {meetsTargets} from '../telemetry/index.js';
 import type {Timer} from '../timer/index.js';
-import type {AnswerSink} from './attempt.js';
+import type {AnswerSink, StreamSource} from './attempt.js';
 import {Outcome} from './outcome.js';
 import type {Work} from './work.js';
 
@@ -28,8 +28,8 @@
     private readonly timer: Timer,
   ) {}
 
-  head(status: number, contentType: string): void {
-    this.sink.head(status, contentType);
+  head(status: number, contentType: string, source?: StreamSource): void {
+    this.sink.head(status, contentType, source);
   }
 
   event(event: EventSourceMessage): Promise<void> {
--- a/src/request/outcome.ts
+++ b/src/request/outcome.ts
@@ -53,6 +53,7 @@
   | {type: 'upstreamLost'; cause: string}
   | {type: 'upstreamSilent'; limitMs: number}
   | {type: 'wrongAnswer'}
+  | {type: 'invalidToken'}
   /** The upstream no longer holds the stream that broke off. */
   | {type: 'streamLost'}
   | {type: 'cancelled'};
@@ -80,6 +81,7 @@
       return 400;
     case 'unauthenticated':
       return 401;
+    case 'invalidToken':
     case 'forbiddenClass':
       return 403;
     case 'unknownModel':
@@ -172,6 +174,8 @@
       return 'The request completed, and its answer is no longer held.';
     case 'upstreamRejected':
       return `The upstream answered with ${failure.status}.`;
+    case 'invalidToken':
+      return 'The resume token is invalid or has expired.';
     case 'streamLost':
       return 'The upstream no longer holds the stream.';
     case 'upstreamRefused':
--- a/src/request/recording.ts
+++ b/src/request/recording.ts
@@ -1,6 +1,6 @@
 import type {EventSourceMessage} from 'eventsource-parser';
 import type {RecordedAnswer} from '../claim/index.js';
-import type {AnswerSink} from './attempt.js';
+import type {AnswerSink, StreamSource} from './attempt.js';
 
 const RECORDED_LIMIT_BYTES = 64 * 1024;
 
@@ -20,10 +20,10 @@
 
   constructor(private readonly sink: AnswerSink) {}
 
-  head(status: number, contentType: string): void {
+  head(status: number, contentType: string, source?: StreamSource): void {
     this.status = status;
     this.contentType = contentType;
-    this.sink.head(status, contentType);
+    this.sink.head(status, contentType, source);
   }
 
   async event(event: EventSourceMessage): Promise<void> {
--- a/src/request/work.ts
+++ b/src/request/work.ts
@@ -35,6 +35,8 @@
   idempotencyKey?: string;
   /** When the key was issued, wall-clock ms, if it tells. */
   keyIssuedAt?: number;
+  /** Whether the caller may come back for a stream it lost. */
+  resumable: boolean;
   /** Arrival and deadline in monotonic ms. */
   arrivedAt: number;
   deadlineAt: number;
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -23,7 +23,7 @@
 } from './instance/index.js';
 import {startOperators} from './operators.js';
 import {HttpInstanceList, HttpLog} from './platform/index.js';
-import {Executor, RetryBudget} from './request/index.js';
+import {Executor, Resumption, RetryBudget} from './request/index.js';
 import {logOf, MeteredRecorder, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Subscription, type Timer} from './timer/index.js';
 import {Directory, LeavingRegister} from './upstream/index.js';
@@ -116,9 +116,15 @@
     retries: new RetryBudget(timer),
     committed: new Set(),
   });
+  const resumption = new Resumption({
+    signer: new Credential(settings.peerSecrets),
+    timer,
+    upstream: name => directory.all().find(item => item.name === name),
+  });
   const entrance = new Entrance({
     follower,
     executor,
+    resumption,
     timer,
     logger: logOf(root, Part.Request),
   });
--- /dev/null
+++ b/test/outcome.test.ts
@@ -0,0 +1,223 @@
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {call} from '../bench/caller.js';
+import {Cluster} from '../bench/cluster.js';
+import {demoKey, Deployment, exampleOf} from '../bench/deployment.js';
+import {
+  outputTokens,
+  type EngineExecution,
+  type ServiceExecution,
+} from '../stand-ins/index.js';
+
+let cluster: Cluster;
+
+beforeAll(async () => {
+  cluster = await Cluster.start({
+    document: exampleOf(Deployment.Nilecoil),
+    routers: 2,
+    behaviourOf: (_name, kind) => (kind === 'runner' ? {stepMs: 5} : {}),
+  });
+});
+
+afterAll(() => cluster.stop());
+
+const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+const each = (kind: 'runner' | 'service') =>
+  cluster.upstreams.filter(upstream => upstream.kind === kind);
+
+const behave = (kind: 'runner' | 'service', behaviour: object) =>
+  Promise.all(each(kind).map(item => cluster.behave(item, behaviour)));
+
+const url = (router = 0) => cluster.routers[router]?.url ?? '';
+
+const chatOf = (content: string, tokens = 100) => ({
+  model: 'tube-7b',
+  stream: true,
+  messages: [{role: 'user', content}],
+  metadata: {output_tokens: String(tokens)},
+});
+
+const chat = (
+  body: unknown,
+  headers: Record<string, string> = {},
+  signal?: AbortSignal,
+) =>
+  call(
+    {
+      url: url(),
+      path: '/v1/chat/completions',
+      key: demoKey('glue-lab'),
+      headers,
+      body,
+    },
+    signal === undefined ? {} : {signal},
+  );
+
+const order = (item: string, headers: Record<string, string> = {}) =>
+  call({
+    url: url(),
+    path: '/services/stock/orders',
+    key: demoKey('winding-line'),
+    headers: {'gypsumcourse-class': 'reel-order', ...headers},
+    body: {item},
+  });
+
+const lookup = () =>
+  call({
+    url: url(),
+    path: '/services/stock/items',
+    key: demoKey('winding-line'),
+    headers: {'gypsumcourse-class': 'lookup'},
+    body: {item: 'reel'},
+  });
+
+const orders = async () => {
+  const journals = await Promise.all(
+    each('service').map(item => cluster.journal<ServiceExecution>(item)),
+  );
+  return journals.flat().filter(({path}) => path === '/orders').length;
+};
+
+const executions = async (id: string) => {
+  const journals = await Promise.all(
+    each('runner').map(item => cluster.journal<EngineExecution>(item)),
+  );
+  return journals.flat().filter(entry => entry.id.startsWith(id));
+};
+
+describe('outcomes of what is not repeatable', () => {
+  it('call only a documented refusal not run', async () => {
+    await behave('service', {refusedShare: 1});
+    const refused = await order('a');
+    await behave('service', {refusedShare: 0, errorShare: 1});
+    const failed = await order('b');
+    await behave('service', {errorShare: 0, lostAnswerShare: 1});
+    const lost = await order('c');
+    await behave('service', {lostAnswerShare: 0});
+    expect(
+      [refused, failed, lost].map(({outcome, error}) => [outcome, error]),
+    ).toEqual([
+      ['not_run', 'upstreamRefused'],
+      ['unknown', 'upstreamFailed'],
+      ['unknown', 'upstreamLost'],
+    ]);
+    expect(await orders()).toBe(2);
+  });
+
+  it('are not run when no connection answers', async () => {
+    const before = await orders();
+    for (const {proxy} of each('service')) proxy.set({refuse: true});
+    const reply = await order('d');
+    for (const {proxy} of each('service')) proxy.heal();
+    expect(reply.outcome).toBe('not_run');
+    expect(await orders()).toBe(before);
+  });
+
+  it('are told at the deadline, while the action is left to finish', async () => {
+    await behave('service', {delayMs: 600});
+    const before = await orders();
+    const start = Date.now();
+    const reply = await order('e', {'gypsumcourse-deadline-ms': '200'});
+    const tookMs = Date.now() - start;
+    await pause(800);
+    await behave('service', {delayMs: 5});
+    expect([reply.outcome, reply.error]).toEqual([
+      'unknown',
+      'deadlineExceeded',
+    ]);
+    expect(tookMs).toBeLessThan(500);
+    expect(await orders()).toBe(before + 1);
+  });
+});
+
+describe('repeatable requests', () => {
+  it('are retried elsewhere when an upstream fails or is silent', async () => {
+    const [first] = each('service');
+    first?.proxy.set({refuse: true});
+    const replies = await Promise.all(Array.from({length: 9}, lookup));
+    first?.proxy.heal();
+    expect(replies.map(({outcome}) => outcome)).toEqual(
+      Array(9).fill('completed'),
+    );
+  });
+
+  it('survive kept connections that went silent, within a bound', async () => {
+    await Promise.all(Array.from({length: 9}, lookup));
+    for (const {proxy} of each('service')) proxy.silence('both');
+    const replies = await Promise.all(Array.from({length: 6}, lookup));
+    expect(replies.map(({outcome}) => outcome)).toEqual(
+      Array(6).fill('completed'),
+    );
+    expect(Math.max(...replies.map(({totalMs}) => totalMs))).toBeLessThan(
+      4_000,
+    );
+  });
+
+  it('get a broken stream continued at the exact event', async () => {
+    const body = chatOf('Broken on the way', 200);
+    const running = chat(body);
+    await pause(300);
+    for (const {proxy} of each('runner')) proxy.reset();
+    const reply = await running;
+    expect(reply.outcome).toBe('completed');
+    expect(reply.text).toBe(outputTokens(body).join(''));
+    expect(await executions(reply.id)).toHaveLength(1);
+  });
+
+  it('are cancelled upstream when the caller has gone', async () => {
+    const gone = new AbortController();
+    const running = chat(chatOf('Going away', 400), {}, gone.signal);
+    await pause(300);
+    gone.abort();
+    const reply = await running;
+    await pause(200);
+    const [execution] = await executions(reply.id);
+    expect(execution?.cancelled).toBe(true);
+    expect(execution?.tokens).toBeLessThan(200);
+  });
+});
+
+describe('a lost stream', () => {
+  it('is resumed through another instance without a second run', async () => {
+    const body = chatOf('Lost and resumed', 300);
+    const gone = new AbortController();
+    const headers = {'gypsumcourse-resumable': 'true'};
+    const running = chat(body, headers, gone.signal);
+    await pause(300);
+    gone.abort();
+    const start = await running;
+    const rest = await call({
+      url: url(1),
+      path: '/v1/resume',
+      key: demoKey('glue-lab'),
+      headers: {
+        'gypsumcourse-resume-token': start.resumeToken ?? '',
+        'last-event-id': start.lastEventId ?? '',
+      },
+    });
+    expect(start.text.length).toBeGreaterThan(0);
+    expect(rest.outcome).toBe('completed');
+    expect(start.text + rest.text).toBe(outputTokens(body).join(''));
+    expect(await executions(start.id)).toHaveLength(1);
+  });
+
+  it('is not resumed by another workspace or with a forged token', async () => {
+    const reply = await chat(chatOf('Mine', 5));
+    const token = reply.resumeToken ?? '';
+    const resume = (key: string, value: string) =>
+      call({
+        url: url(1),
+        path: '/v1/resume',
+        key: demoKey(key),
+        headers: {'gypsumcourse-resume-token': value},
+      });
+    const replies = [
+      await resume('training', token),
+      await resume('glue-lab', `x${token}`),
+      await resume('glue-lab', ''),
+    ];
+    expect(replies.map(({status, error}) => [status, error])).toEqual(
+      Array(3).fill([403, 'invalidToken']),
+    );
+  });
+});
