--- a/bench/checker/answers.ts
+++ b/bench/checker/answers.ts
@@ -17,7 +17,8 @@
   if (completed && !reply.ended) return 'completed without an end';
   if (reply.status === 410) return undefined;
   switch (operation.kind) {
-    case OperationKind.Chat: {
+    case OperationKind.Chat:
+    case OperationKind.Resumed: {
       const expected = operation.expected ?? '';
       if (completed && reply.text !== expected) return 'not the whole answer';
       const isStream = reply.status === 200;
--- /dev/null
+++ b/bench/faultrun.ts
@@ -0,0 +1,58 @@
+import {Cluster} from './cluster.js';
+import {exampleOf, type Deployment} from './deployment.js';
+import {emptyHistory, type History} from './history.js';
+import {Injector} from './injector.js';
+import {Load} from './load.js';
+import {Random} from './random.js';
+import {planFaults} from './schedule.js';
+
+/** Concurrent callers of a run, unless told otherwise. */
+export const CALLERS = 16;
+
+const ROUTERS = 3;
+
+/** What a fault run is started with. */
+export interface FaultRun {
+  /** Source of the schedule, the load and the stand-ins' behaviour. */
+  seed: number;
+  seconds: number;
+  deployment: Deployment;
+  callers: number;
+}
+
+/** Runs a cluster under load and faults, and returns what was seen. */
+export async function runFaults({
+  seed,
+  seconds,
+  deployment,
+  callers,
+}: FaultRun): Promise<History> {
+  const random = new Random(seed);
+  const history = emptyHistory();
+  const document = exampleOf(deployment);
+  const cluster = await Cluster.start({
+    document,
+    routers: ROUTERS,
+    random: random.next,
+    logBehaviour: {seed},
+    behaviourOf: (_name, kind) =>
+      kind === 'service' ? {delayMs: 20, seed} : {stepMs: 4, seed},
+  });
+  const injector = await Injector.open(cluster, history);
+  const plan = planFaults(random, seconds * 1_000);
+  const load = new Load(document, injector.stations, history, random);
+  load.start(callers);
+  const injected = plan.map(async fault => {
+    await pause(fault.atMs);
+    await injector.inject(fault);
+  });
+  await Promise.all([...injected, pause(seconds * 1_000)]);
+  await load.stop();
+  await injector.close();
+  await cluster.stop();
+  return history;
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/bench/faults.ts
+++ b/bench/faults.ts
@@ -2,16 +2,10 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {checkAll, PromiseKind, type Violation} from './checker/index.js';
-import {Cluster} from './cluster.js';
-import {Deployment, exampleOf} from './deployment.js';
-import {emptyHistory, FaultKind, type History} from './history.js';
-import {Injector} from './injector.js';
-import {Load} from './load.js';
-import {Random} from './random.js';
-import {planFaults} from './schedule.js';
+import {Deployment} from './deployment.js';
+import {CALLERS, runFaults} from './faultrun.js';
+import {FaultKind, type History} from './history.js';
 
-const ROUTERS = 3;
-const CALLERS = 16;
 const TRACE_ENTRIES = 8;
 
 /** The result of a run, as it is printed. */
@@ -24,42 +18,6 @@
   availability: Record<string, number>;
 }
 
-async function run(
-  seed: number,
-  seconds: number,
-  deployment: Deployment,
-  callers: number,
-): Promise<History> {
-  const random = new Random(seed);
-  const history = emptyHistory();
-  const cluster = await Cluster.start({
-    document: exampleOf(deployment),
-    routers: ROUTERS,
-    random: random.next,
-    logBehaviour: {seed},
-    behaviourOf: (_name, kind) =>
-      kind === 'service' ? {delayMs: 20, seed} : {stepMs: 4, seed},
-  });
-  const injector = await Injector.open(cluster, history);
-  const plan = planFaults(random, seconds * 1_000);
-  const load = new Load(
-    exampleOf(deployment),
-    injector.stations,
-    history,
-    random,
-  );
-  load.start(callers);
-  const injected = plan.map(async fault => {
-    await pause(fault.atMs);
-    await injector.inject(fault);
-  });
-  await Promise.all([...injected, pause(seconds * 1_000)]);
-  await load.stop();
-  await injector.close();
-  await cluster.stop();
-  return history;
-}
-
 function summarize(
   seed: number,
   history: History,
@@ -134,10 +92,6 @@
   process.stdout.write(`${lines.join('\n')}\n`);
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
-
 const args = await yargs(hideBin(process.argv))
   .scriptName('faults')
   .option('seed', {type: 'number', default: 1})
@@ -155,12 +109,7 @@
   .strict()
   .parseAsync();
 
-const history = await run(
-  args.seed,
-  args.seconds,
-  args.deployment,
-  args.callers,
-);
+const history = await runFaults(args);
 if (args.history !== undefined) {
   writeFileSync(args.history, JSON.stringify(history));
 }
--- a/bench/history.ts
+++ b/bench/history.ts
@@ -4,6 +4,8 @@
 export enum OperationKind {
   Chat = 'chat',
   Completion = 'completion',
+  /** The rest of a chat whose stream broke off. */
+  Resumed = 'resumed',
   Lookup = 'lookup',
   /** A call that is not repeatable, with an idempotency key. */
   Order = 'order',
--- a/bench/load.ts
+++ b/bench/load.ts
@@ -83,7 +83,8 @@
     let prior = 0;
     for (let attempt = 0; attempt < ATTEMPTS_LIMIT; attempt++) {
       const operation = await this.send(draft, door, prior, key);
-      if (key === undefined || isSettled(operation)) return;
+      if (key === undefined) return this.mayResume(operation, draft);
+      if (isSettled(operation)) return;
       if (operation.reply?.outcome !== 'not_run') prior++;
       const others = this.doors.filter(other => other !== door);
       door = this.random.pick(others.length > 0 ? others : this.doors);
@@ -92,6 +93,28 @@
     }
   }
 
+  /** Resumes a stream that broke off, through another router. */
+  private async mayResume(former: Operation, draft: Draft): Promise<void> {
+    const {reply, expected, gaveUp} = former;
+    const token = reply?.resumeToken;
+    if (gaveUp || token === undefined || reply?.outcome !== undefined) return;
+    const others = this.doors.filter(({router}) => router !== former.router);
+    const last = reply?.lastEventId;
+    const headers = {
+      'gypsumcourse-resume-token': token,
+      ...(last === undefined ? {} : {'last-event-id': last}),
+    };
+    const rest = expected?.slice(reply?.text.length) ?? '';
+    const resumed: Draft = {
+      ...draft,
+      kind: OperationKind.Resumed,
+      path: '/v1/resume',
+      expected: rest,
+      headers,
+    };
+    await this.send(resumed, this.random.pick(others), 1, undefined);
+  }
+
   private async send(
     draft: Draft,
     door: Door,
@@ -123,7 +146,7 @@
           path: draft.path,
           key: demoKey(draft.workspace),
           headers: {...draft.headers, ...keyHeaders(key, prior)},
-          body,
+          ...(draft.kind === OperationKind.Resumed ? {} : {body}),
         },
         {dispatcher: this.agent, signal},
       );
@@ -201,7 +224,12 @@
 
   private common(kind: OperationKind, workspace: string, name: string) {
     const tier = this.classes.get(name)?.tier ?? 0;
-    const headers = {'gypsumcourse-class': name};
+    const headers = {
+      'gypsumcourse-class': name,
+      ...(kind === OperationKind.Chat
+        ? {'gypsumcourse-resumable': 'true'}
+        : {}),
+    };
     return {kind, class: name, tier, workspace, headers};
   }
 
--- a/src/instance/entrance.ts
+++ b/src/instance/entrance.ts
@@ -6,6 +6,7 @@
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
 import findMyWay from 'find-my-way';
+import {err, ok, type Result} from 'neverthrow';
 import type {Logger} from 'pino';
 import {v7 as uuidv7} from 'uuid';
 import type {AcceptedConfiguration, Follower} from '../config/index.js';
@@ -22,6 +23,7 @@
   type Executor,
   type Failure,
   type Resumption,
+  type ResumeTicket,
   type Target,
   type Work,
 } from '../request/index.js';
@@ -175,34 +177,37 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const configuration = this.parts.follower.current();
-    if (this.draining || configuration === undefined) {
-      refuse(message, response, {
-        type: this.draining ? 'draining' : 'notReady',
-      });
-      return;
-    }
-    const workspace = authenticate(message, configuration.document);
-    if (workspace.isErr()) {
-      refuse(message, response, workspace.error);
-      return;
-    }
-    const {resumption} = this.parts;
-    const token = String(message.headers[RESUME_TOKEN_HEADER] ?? '');
-    const ticket = resumption.ticketOf(token, workspace.value.name);
-    if (ticket === undefined) {
-      refuse(message, response, {type: 'invalidToken'});
+    const found = this.ticketOf(message);
+    if (found.isErr()) {
+      // The stream itself may well have run.
+      writeRefusal(response, uuidv7(), Outcome.Unknown, found.error);
       return;
     }
+    const {ticket, token} = found.value;
     const answer = new CallerAnswer(response, ticket.request, () => token);
     const last = message.headers['last-event-id'];
+    const lastId = typeof last === 'string' ? last : undefined;
     await this.counted(async () => {
       const gone = goneSignal(response);
-      const lastId = typeof last === 'string' ? last : undefined;
+      const {resumption} = this.parts;
       answer.conclude(await resumption.resume(ticket, lastId, answer, gone));
     });
   }
 
+  private ticketOf(
+    message: IncomingMessage,
+  ): Result<{ticket: ResumeTicket; token: string}, Failure> {
+    const configuration = this.parts.follower.current();
+    if (this.draining) return err({type: 'draining'});
+    if (configuration === undefined) return err({type: 'notReady'});
+    const token = String(message.headers[RESUME_TOKEN_HEADER] ?? '');
+    return authenticate(message, configuration.document).andThen(({name}) => {
+      const ticket = this.parts.resumption.ticketOf(token, name);
+      if (ticket === undefined) return err({type: 'invalidToken'} as const);
+      return ok({ticket, token});
+    });
+  }
+
   /** Counts a request as in flight until `step` has ended. */
   private async counted(step: () => Promise<void>): Promise<void> {
     this.inflight++;
