--- a/bench/load.ts
+++ b/bench/load.ts
@@ -1,5 +1,6 @@
 import {setMaxListeners} from 'node:events';
 import {Agent} from 'undici';
+import {v7 as uuidv7} from 'uuid';
 import type {ServiceClass} from '../src/config/index.js';
 import {meetsTargets} from '../src/telemetry/index.js';
 import {seededRandom, type Random} from '../stand-ins/index.js';
@@ -66,7 +67,10 @@
   }
 
   private async send(arrival: Arrival): Promise<Reply | undefined> {
-    const {workspace, path, headers, body, region} = arrival;
+    const {workspace, path, body, region} = arrival;
+    const headers = arrival.keyed
+      ? {...arrival.headers, 'idempotency-key': uuidv7()}
+      : arrival.headers;
     const url = this.routerOf(region).url;
     const key = demoKey(workspace);
     const options = {dispatcher: this.agent, signal: this.ending.signal};
--- a/src/index.ts
+++ b/src/index.ts
@@ -4,6 +4,7 @@
 export * from './instance/index.js';
 export * from './platform/index.js';
 export * from './request/index.js';
+export * from './report/index.js';
 export * from './telemetry/index.js';
 export * from './timer/index.js';
 export * from './upstream/index.js';
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -1,7 +1,8 @@
 import {Agent} from 'undici';
 import type {Logger} from 'pino';
-import {scheduling} from './admission/index.js';
-import {Follower} from './config/index.js';
+import {Policy, scheduling} from './admission/index.js';
+import {Claims} from './claim/index.js';
+import {Follower, Renewal} from './config/index.js';
 import {
   addressOf,
   Credential,
@@ -10,14 +11,18 @@
   Entrance,
   Fleet,
   openPeerPorts,
+  Passing,
   PeerClient,
   PeerServer,
+  serveMembers,
   Synchronizer,
   type PeerAddress,
   type Settings,
 } from './instance/index.js';
+import {startOperators} from './operators.js';
 import {HttpInstanceList, HttpLog} from './platform/index.js';
-import {logOf, nullRecorder, Part} from './telemetry/index.js';
+import {blindRetries, Executor, RetryBudget} from './request/index.js';
+import {logOf, MeteredRecorder, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Timer} from './timer/index.js';
 import {Directory} from './upstream/index.js';
 
@@ -29,10 +34,40 @@
   port: number;
   /** Port peers reach the instance at. */
   peerPort: number;
+  /** Port operators reach the instance at; absent without their secret. */
+  operatorPort?: number;
   /** Drains: resolves when every request in flight has ended. */
   stop(): Promise<void>;
 }
 
+/** What every part is constructed with. */
+interface Base {
+  settings: Settings;
+  root: Logger;
+  timer: Timer;
+  random: () => number;
+  /** Connections to the platform. */
+  agent: Agent;
+  log: HttpLog;
+}
+
+/** The parts that talk to other instances. */
+interface Peers {
+  port: number;
+  server: PeerServer;
+  client: PeerClient;
+  membership: Fleet;
+  start(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+/** The parts that keep the configuration in force. */
+interface Configuring {
+  follower: Follower;
+  start(): void;
+  stop(): Promise<void>;
+}
+
 /**
  * Constructs every part of an instance, connects them, and starts it. The only
  * module that knows all parts.
@@ -42,96 +77,183 @@
   root: Logger,
   timer: Timer = new SystemTimer(),
 ): Promise<Router> {
-  const localAddress = settings.host;
-  const platform = new Agent({
-    connections: PLATFORM_CONNECTIONS,
-    localAddress,
-  });
-  const log = new HttpLog(settings.logUrl, platform);
-  const directory = new Directory(localAddress);
-  const follower = new Follower(log, timer, logOf(root, Part.Config));
+  const base = openBase(settings, root, timer);
+  const {agent, log} = base;
+  const peers = await openPeers(base);
+  const {membership} = peers;
+  const configuring = openConfiguring(base, peers);
+  const {follower} = configuring;
+  const directory = new Directory(settings.host);
   follower.subscribe(({document}) => directory.apply(document));
-  const recorder = nullRecorder;
-  const credential = new Credential(settings.peerSecrets);
-  const peerServer = new PeerServer(credential);
-  const peerClient = new PeerClient(credential, localAddress);
-  const datagrams = new DatagramPort(credential, timer);
-  const peerPort = await openPeerPorts(peerServer, datagrams, settings);
-  const random = Math.random;
-  const memberLogger = logOf(root, Part.Member);
-  const membership = new Fleet(
-    {
-      name: settings.instance,
-      incarnation: timer.wallNow(),
-      zone: settings.zone,
-      ...advertised(settings, peerPort),
-    },
-    {datagrams, timer, logger: memberLogger, random},
-  );
-  const synchronizer = new Synchronizer(
-    membership,
-    settings.seeds.map(addressOf),
-    {
-      client: peerClient,
-      server: peerServer,
-      timer,
-      logger: memberLogger,
-      random,
-    },
-  );
-  const discovery =
-    settings.listUrl === undefined
-      ? undefined
-      : new Discovery({
-          list: new HttpInstanceList(settings.listUrl, platform),
-          membership,
-          synchronizer,
-          timer,
-          logger: memberLogger,
-          random,
-        });
-  follower.subscribe(({version}) =>
-    membership.report({configurationVersion: version}),
-  );
+  const metered = new MeteredRecorder(timer);
+  const recorder = settings.telemetry === 'on' ? metered : nullRecorder;
   const decisions = scheduling(settings.policy, {
     directory,
     membership,
     timer,
     recorder,
     zone: settings.zone,
-    random,
+    random: base.random,
   });
   follower.subscribe(({document}) => decisions.apply(document));
-  const entrance = new Entrance({
+  const claims = new Claims({
+    log,
+    timer,
+    membership,
+    client: peers.client,
+    server: peers.server,
+    logger: logOf(root, Part.Claim),
+    windowMs: settings.keyWindowMs,
+  });
+  const executor = new Executor({
     recorder,
-    follower,
     scheduler: decisions.scheduler,
     timer,
+    claims,
+    retries:
+      settings.policy === Policy.Baseline
+        ? blindRetries
+        : new RetryBudget(timer),
+    committed: new Set(),
+  });
+  const entrance = new Entrance({
+    follower,
+    executor,
+    timer,
     logger: logOf(root, Part.Request),
   });
-  membership.start();
-  await synchronizer.start();
-  discovery?.start();
+  const operators = await startOperators({
+    settings,
+    root,
+    timer,
+    log,
+    directory,
+    follower,
+    recorder: metered,
+    membership,
+    peerServer: peers.server,
+    peerClient: peers.client,
+  });
+  await peers.start();
   decisions.start();
-  follower.start();
+  configuring.start();
   const port = await entrance.listen(settings.host, settings.port);
   logOf(root, Part.Router).info({port}, 'Listening for callers.');
   return {
     port,
-    peerPort,
+    peerPort: peers.port,
+    ...(operators.port === undefined ? {} : {operatorPort: operators.port}),
     stop: async () => {
       await membership.leave();
       await entrance.drain();
       decisions.stop();
+      await operators.stop();
+      await configuring.stop();
+      await peers.stop();
+      await directory.close();
+      await agent.close();
+    },
+  };
+}
+
+function openBase(settings: Settings, root: Logger, timer: Timer): Base {
+  const agent = new Agent({
+    connections: PLATFORM_CONNECTIONS,
+    localAddress: settings.host,
+  });
+  const log = new HttpLog(settings.logUrl, agent);
+  return {settings, root, timer, random: Math.random, agent, log};
+}
+
+async function openPeers(base: Base): Promise<Peers> {
+  const {settings, timer, random} = base;
+  const credential = new Credential(settings.peerSecrets);
+  const server = new PeerServer(credential);
+  const client = new PeerClient(credential, settings.host);
+  const datagrams = new DatagramPort(credential, timer);
+  const port = await openPeerPorts(server, datagrams, settings);
+  const logger = logOf(base.root, Part.Member);
+  const membership = new Fleet(
+    {
+      name: settings.instance,
+      incarnation: timer.wallNow(),
+      zone: settings.zone,
+      ...advertised(settings, port),
+    },
+    {datagrams, timer, logger, random},
+  );
+  const seeds = settings.seeds.map(addressOf);
+  const parts = {client, server, timer, logger, random};
+  const synchronizer = new Synchronizer(membership, seeds, parts);
+  const discovery = openDiscovery(base, membership, synchronizer);
+  serveMembers(server, membership);
+  return {
+    port,
+    server,
+    client,
+    membership,
+    start: async () => {
+      membership.start();
+      await synchronizer.start();
+      discovery?.start();
+    },
+    stop: async () => {
       await discovery?.stop();
-      await follower.stop();
       await synchronizer.stop();
       await membership.stop();
       datagrams.close();
-      await peerServer.close();
-      await peerClient.close();
-      await directory.close();
-      await platform.close();
+      await server.close();
+      await client.close();
+    },
+  };
+}
+
+function openDiscovery(
+  {settings, agent, timer, root, random}: Base,
+  membership: Fleet,
+  synchronizer: Synchronizer,
+): Discovery | undefined {
+  if (settings.listUrl === undefined) return undefined;
+  return new Discovery({
+    list: new HttpInstanceList(settings.listUrl, agent),
+    membership,
+    synchronizer,
+    timer,
+    logger: logOf(root, Part.Member),
+    random,
+  });
+}
+
+function openConfiguring(base: Base, peers: Peers): Configuring {
+  const {log, timer, random, settings} = base;
+  const {membership} = peers;
+  const logger = logOf(base.root, Part.Config);
+  const passing = new Passing(membership, peers.client, random);
+  const follower = new Follower(log, timer, logger, passing, random);
+  passing.serve(peers.server, follower);
+  const renewal = new Renewal({
+    log,
+    follower,
+    peers: passing,
+    timer,
+    logger,
+    retentionMs: settings.logRetentionMs,
+  });
+  follower.subscribe(({version}) =>
+    membership.report({configurationVersion: version}),
+  );
+  membership.subscribe(({status}) => {
+    void follower.wake(status.configurationVersion);
+  });
+  return {
+    follower,
+    start: () => {
+      follower.start();
+      renewal.start();
+    },
+    stop: async () => {
+      await renewal.stop();
+      await follower.stop();
     },
   };
 }
