Test routing, locality and links; weigh how full a batch is

Cause: a test showed that an instance kept to its own zone however full its upstreams were, since a batch with free slots counted as empty. Change: the choice weighs the share of the slots in use.

--- a/src/admission/choice.ts
+++ b/src/admission/choice.ts
@@ -10,7 +10,7 @@
 } from '../upstream/index.js';
 import {Distance, type LinkBudgets, type Topology} from '../zone/index.js';
 import {tierOf, type Entry} from './entry.js';
-import {expect, type Expectation} from './expectation.js';
+import {expect, loadOf, slotsOf, type Expectation} from './expectation.js';
 import {hasRoom, type Share} from './room.js';
 
 /** Upstreams that are all weighed; of more, a few are sampled. */
@@ -28,7 +28,9 @@
  * Weight of the time that computing a prompt takes from the other requests of
  * its batch, relative to the time that it takes from its own.
  */
-const BATCH_DELAY_WEIGHT = 2;
+const BATCH_DELAY_WEIGHT = 6;
+/** Steps by which a full batch is worse than an empty one. */
+const CROWDING_STEPS = 2;
 /** Slack below which a request does not wait for a slot in its region. */
 const LINK_SLACK_MS = 150;
 /** Bytes of a streamed answer per token. */
@@ -235,8 +237,12 @@
 
 /** What choosing an upstream costs this request and others, in ms. */
 function scoreOf(expectation: Expectation, {work}: Entry): number {
-  const {prefillMs} = expectation;
-  return ownTimeOf(expectation, work) + BATCH_DELAY_WEIGHT * prefillMs;
+  const {prefillMs, upstream} = expectation;
+  const occupied = loadOf(upstream) / slotsOf(upstream);
+  const crowdingMs =
+    CROWDING_STEPS * occupied * upstream.condition.speed.stepMs;
+  const batchDelayMs = BATCH_DELAY_WEIGHT * prefillMs;
+  return ownTimeOf(expectation, work) + batchDelayMs + crowdingMs;
 }
 
 /** Expected time of the request itself that counts for its class, in ms. */
@@ -245,9 +251,9 @@
   work: Work,
 ): number {
   const {targets} = work.serviceClass;
-  const step = targets.betweenTokensMs;
   const {stepMs} = upstream.condition.speed;
-  const slow = step !== undefined && stepMs > step ? completionMs : 0;
+  const pace = stepMs / (targets.betweenTokensMs ?? Infinity);
+  const slow = completionMs * Math.max(0, 2 * pace - 1);
   if (targets.firstTokenMs === undefined) return completionMs;
   if (targets.completionMs === undefined) return firstTokenMs + slow;
   const share = targets.firstTokenMs / targets.completionMs;
--- a/src/admission/preemption.ts
+++ b/src/admission/preemption.ts
@@ -1,3 +1,4 @@
+import {offers} from '../upstream/index.js';
 import {tierOf, type Entry} from './entry.js';
 import type {Running} from './running.js';
 
@@ -6,7 +7,7 @@
 /** Share of its expected duration up to which stopping an attempt is cheap. */
 const CHEAP_SHARE = 0.25;
 /** Slack below which a request is worth a preemption. */
-const PRESSING_MS = 100;
+const PRESSING_MS = 200;
 
 /** Whether a request that finds no slot is worth stopping another for. */
 export function mayPreempt(entry: Entry, now: number): boolean {
@@ -37,8 +38,9 @@
 }
 
 function isCheap(entry: Entry, running: Running, now: number): boolean {
-  const {work, lane} = running.entry;
-  if (lane !== entry.lane || running.preempted) return false;
+  const {work} = running.entry;
+  if (running.preempted) return false;
+  if (!offers(running.upstream, entry.work.demand)) return false;
   if (tierOf(running.entry) < tierOf(entry) + TIER_DISTANCE) return false;
   if (!work.repeatable || running.started) return false;
   if (running.entry.history.tried.size > 0) return false;
--- a/src/admission/room.ts
+++ b/src/admission/room.ts
@@ -12,8 +12,12 @@
 /** Share of the capacity that each tier leaves free for the tiers above. */
 const RESERVE_PER_TIER = 0.08;
 const RESERVE_LIMIT = 0.25;
-/** Share by which the highest tier may exceed the slots of an upstream. */
-const TOP_TIER_EXCESS = 0.25;
+/**
+ * Requests beyond its slots that an upstream may be given of the highest tier.
+ * Work owed by a floor may exceed them alike, since it would else never find
+ * room beside a highest tier that is always waiting.
+ */
+const SLOTS_EXCESS = 1;
 
 /**
  * Whether an upstream may be given one more request of a tier. Each instance
@@ -30,14 +34,17 @@
   const usable = usableShare(tier, share);
   const {inflight, condition} = upstream;
   if (inflight === 0) return true;
-  if (inflight >= condition.limit.value * usable) return false;
-  const slots = slotsOf(upstream) * usable;
-  return inflight < slots / instances || loadOf(upstream) < slots;
+  if (inflight >= condition.limit.value) return false;
+  const first = tier === 0 || share === Share.Floor;
+  const excess = first ? SLOTS_EXCESS : 0;
+  const slots = slotsOf(upstream);
+  const own = Math.floor((slots * usable) / instances);
+  const all = Math.floor(slots * usable) + excess;
+  return inflight < own || loadOf(upstream) < all;
 }
 
 /** Share of an upstream's capacity open to a tier. */
 function usableShare(tier: number, share: Share): number {
-  if (tier === 0) return 1 + TOP_TIER_EXCESS;
   if (share === Share.Floor) return 1;
   return 1 - Math.min(RESERVE_LIMIT, RESERVE_PER_TIER * tier);
 }
--- a/src/workspace/fair.ts
+++ b/src/workspace/fair.ts
@@ -16,7 +16,6 @@
   tickets: Array<Ticket<Item>>;
   /** Index of the first ticket that has not been taken. */
   head: number;
-  live: number;
   /** Virtual finish time of the last ticket. */
   finish: number;
 }
@@ -34,7 +33,8 @@
 /**
  * A start-time fair queue: flows share service in proportion to their weights,
  * whatever their number of items. Within a flow, order is first in, first out.
- * State is kept for flows with items, and for those ahead of their share.
+ * State is kept for flows with items, and for some that are ahead of their
+ * share.
  */
 export class FairQueue<Item> {
   private readonly flows = new Map<string, Flow<Item>>();
@@ -64,7 +64,6 @@
     const ticket: Ticket<Item> = {item, start, finish, queued: true};
     flow.finish = finish;
     flow.tickets.push(ticket);
-    flow.live++;
     this.count++;
     if (flow.tickets.length - flow.head === 1) this.heads.push(flow);
     this.tails.push({flow, ticket});
@@ -85,7 +84,7 @@
     const ticket = flow?.tickets[flow.head];
     if (flow === undefined || ticket === undefined) return undefined;
     this.virtual = Math.max(this.virtual, ticket.start);
-    this.forget(flow, ticket);
+    this.forget(ticket);
     this.next();
     return ticket.item;
   }
@@ -94,7 +93,7 @@
   remove(name: string, ticket: Ticket<Item>): void {
     const flow = this.flows.get(name);
     if (flow === undefined || !ticket.queued) return;
-    this.forget(flow, ticket);
+    this.forget(ticket);
   }
 
   /** Returns the item that is due last, and leaves it in the queue. */
@@ -118,15 +117,23 @@
   private flowOf(name: string): Flow<Item> {
     const known = this.flows.get(name);
     if (known !== undefined) return known;
-    const flow = {name, tickets: [], head: 0, live: 0, finish: this.virtual};
+    const flow = {name, tickets: [], head: 0, finish: this.virtual};
     this.flows.set(name, flow);
     return flow;
   }
 
-  private forget(flow: Flow<Item>, ticket: Ticket<Item>): void {
+  private forget(ticket: Ticket<Item>): void {
     ticket.queued = false;
-    flow.live--;
     this.count--;
+    if (this.count === 0) this.reset();
+  }
+
+  /** Forgets every flow; nobody is behind or ahead of an empty queue. */
+  private reset(): void {
+    this.flows.clear();
+    this.heads.retain(() => false);
+    this.tails.retain(() => false);
+    this.virtual = 0;
   }
 
   /** Returns the flow that is due next, after dropping taken tickets. */
@@ -157,10 +164,10 @@
     if (this.flows.size > limit) this.sweep();
   }
 
+  /** Forgets flows without items, those ahead of their share included. */
   private sweep(): void {
     for (const [name, flow] of this.flows) {
-      const idle = flow.tickets.length === 0;
-      if (idle && flow.finish <= this.virtual) this.flows.delete(name);
+      if (flow.tickets.length === 0) this.flows.delete(name);
     }
   }
 }
--- /dev/null
+++ b/test/support/scheduling.ts
@@ -0,0 +1,140 @@
+import {Deployment, exampleOf} from '../../bench/deployment.js';
+import {AdmissionScheduler} from '../../src/admission/index.js';
+import {
+  documentSchema,
+  type Configuration,
+  type ServiceClass,
+} from '../../src/config/index.js';
+import {LoneMembership, type Membership} from '../../src/instance/index.js';
+import type {Work} from '../../src/request/index.js';
+import type {Decision, Recorder} from '../../src/telemetry/index.js';
+import {ManualTimer} from '../../src/timer/index.js';
+import {Directory, type Upstream} from '../../src/upstream/index.js';
+import {seededRandom} from '../../stand-ins/index.js';
+
+/** Keeps decisions by request. */
+export class Decisions implements Recorder {
+  readonly list: Array<{request: string; decision: Decision}> = [];
+  readonly linkUse: Array<{link: string; workspace: string; bytes: number}> =
+    [];
+
+  decide(request: string, decision: Decision): void {
+    this.list.push({request, decision});
+  }
+
+  observe(): void {
+    return;
+  }
+
+  waste(): void {
+    return;
+  }
+
+  linkBytes(link: string, _cause: string, workspace: string, bytes: number) {
+    this.linkUse.push({link, workspace, bytes});
+  }
+
+  of(request: string, type: Decision['type']): Decision[] {
+    return this.list
+      .filter(item => item.request === request && item.decision.type === type)
+      .map(({decision}) => decision);
+  }
+}
+
+/** A scheduler over the runners of the example, driven by a manual timer. */
+export class Rig {
+  readonly timer = new ManualTimer();
+  readonly decisions = new Decisions();
+  readonly directory = new Directory('127.0.0.1');
+  readonly scheduler: AdmissionScheduler;
+  readonly configuration: Configuration;
+  private count = 0;
+
+  constructor(
+    change: (configuration: Configuration) => void = () => undefined,
+    {
+      zone = 'delta-1',
+      membership,
+    }: {zone?: string; membership?: Membership} = {},
+  ) {
+    this.configuration = documentSchema.parse(exampleOf(Deployment.Nilecoil));
+    change(this.configuration);
+    this.directory.apply(this.configuration);
+    this.scheduler = new AdmissionScheduler({
+      directory: this.directory,
+      membership: membership ?? lone(zone),
+      timer: this.timer,
+      recorder: this.decisions,
+      zone,
+      random: seededRandom(1),
+    });
+    this.scheduler.apply(this.configuration);
+  }
+
+  runners(): Upstream[] {
+    return this.directory.all().filter(({pool}) => pool.kind === 'runner');
+  }
+
+  upstream(name: string): Upstream {
+    return this.directory.all().find(item => item.name === name) as Upstream;
+  }
+
+  /** Tells the scheduler the load of every runner. */
+  report(slots: number, running = 0): void {
+    for (const runner of this.runners()) {
+      runner.load = {
+        running,
+        waiting: 0,
+        memory: 0,
+        slots,
+        leaving: false,
+        receivedAt: this.timer.now(),
+      };
+    }
+  }
+
+  work(className: string, change: Partial<Work> = {}): Work {
+    const serviceClass = this.configuration.classes.find(
+      ({name}) => name === className,
+    ) as ServiceClass;
+    const workspace = this.configuration.workspaces.find(({classes}) =>
+      classes.includes(className),
+    );
+    return {
+      id: `request-${this.count++}`,
+      workspace: workspace as Work['workspace'],
+      serviceClass,
+      configurationVersion: 1,
+      demand: {
+        type: 'generation',
+        model: 'tube-7b',
+        prompt: 'Which glue?',
+        stream: true,
+      },
+      method: 'POST',
+      path: '/v1/chat/completions',
+      contentType: 'application/json',
+      body: Buffer.from('{}'),
+      repeatable: true,
+      arrivedAt: this.timer.now(),
+      deadlineAt: this.timer.now() + serviceClass.deadlineMs,
+      priorAttempts: 0,
+      ...change,
+    };
+  }
+
+  acquire(work: Work, tried: string[] = []) {
+    const signal = new AbortController().signal;
+    return this.scheduler.acquire(work, {tried: new Set(tried)}, signal);
+  }
+}
+
+function lone(zone: string): Membership {
+  return new LoneMembership({
+    name: 'router-1',
+    incarnation: 1,
+    zone,
+    host: '127.0.0.1',
+    port: 1,
+  });
+}
