Measure the cost of one decision by runners and workspaces

Cause: the growth of the decision towards the target was unknown. Change: a micro-benchmark with as many instances as the target has for the runners, and peers' shedding looked at every 50 ms, not in every decision.

--- /dev/null
+++ b/bench/decide.ts
@@ -0,0 +1,183 @@
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {AdmissionScheduler} from '../src/admission/index.js';
+import {documentSchema, type Configuration} from '../src/config/index.js';
+import {
+  MemberState,
+  type Member,
+  type Membership,
+} from '../src/instance/index.js';
+import {AttemptEnd, type Work} from '../src/request/index.js';
+import {nullRecorder} from '../src/telemetry/index.js';
+import {SystemTimer} from '../src/timer/index.js';
+import {Directory} from '../src/upstream/index.js';
+import {seededRandom} from '../stand-ins/index.js';
+import {Deployment, exampleOf} from './deployment.js';
+
+/** One measured dependency, in the shape of the slopes report. */
+interface Slope {
+  name: string;
+  unit: string;
+  points: Array<[number, number]>;
+  /** Growth per unit of x between the first and the last point. */
+  slope: number;
+  /** Value at the largest x. */
+  atTarget: number;
+  budget: number;
+}
+
+const RUNNERS = [6, 60, 600, 2_600];
+const WORKSPACES = [10, 1_000, 10_000];
+/** The target has 340 instances before 2,600 runners. */
+const INSTANCES_PER_RUNNER = 340 / 2_600;
+const DECISIONS = 4_000;
+const WARM_UP = 2_000;
+/** Placements held at once, so that choices see load. */
+const HELD = 24;
+const BUDGET_US = 50;
+const PROMPT = 'A question on the catalogue of reels and cores. '.repeat(100);
+const MICROS_PER_MS = 1_000;
+
+function configurationOf(runners: number, workspaces: number): Configuration {
+  const document = documentSchema.parse(exampleOf(Deployment.Nilecoil));
+  const zones = document.zones.map(({name}) => name);
+  const [workspace] = document.workspaces;
+  if (workspace !== undefined) {
+    document.workspaces = Array.from({length: workspaces}, (_, index) => ({
+      ...workspace,
+      name: `workspace-${index}`,
+    }));
+  }
+  for (const pool of document.pools) {
+    if (pool.kind !== 'runner') continue;
+    pool.upstreams = Array.from({length: runners}, (_, index) => ({
+      name: `runner-${index}`,
+      zone: zones[index % zones.length] ?? '',
+      url: `http://127.0.0.1:${10_000 + index}`,
+    }));
+  }
+  return document;
+}
+
+function workOf(configuration: Configuration, index: number): Work {
+  const {classes, workspaces} = configuration;
+  const serviceClass = classes.find(({name}) => name === 'operator-chat');
+  const workspace = workspaces[(index * 7_919) % workspaces.length];
+  const now = performance.now();
+  return {
+    id: `request-${index}`,
+    workspace: workspace as Work['workspace'],
+    serviceClass: serviceClass as Work['serviceClass'],
+    configurationVersion: 1,
+    demand: {
+      type: 'generation',
+      model: 'tube-7b',
+      prompt: `${index % 50} ${PROMPT}`,
+      stream: true,
+    },
+    method: 'POST',
+    path: '/v1/chat/completions',
+    contentType: 'application/json',
+    body: Buffer.alloc(0),
+    repeatable: true,
+    arrivedAt: now,
+    deadlineAt: now + 60_000,
+    priorAttempts: 0,
+  };
+}
+
+/** As many instances as the target has for so many runners. */
+function fleetOf({zones}: Configuration, runners: number): Membership {
+  const count = Math.max(3, Math.round(runners * INSTANCES_PER_RUNNER));
+  const members = Array.from({length: count}, (_, index): Member => ({
+    name: `router-${index}`,
+    incarnation: 1,
+    zone: zones[index % zones.length]?.name ?? '',
+    host: '127.0.0.1',
+    port: 1,
+    state: MemberState.Alive,
+    status: {configurationVersion: 1, queued: 0, running: 0},
+  }));
+  return {
+    self: () => members[0] as Member,
+    live: () => members,
+    all: () => members,
+    report: () => undefined,
+    subscribe: () => undefined,
+  };
+}
+
+/** Median time of one decision in µs, from arrival to placement. */
+async function medianUs(runners: number, workspaces: number): Promise<number> {
+  const configuration = configurationOf(runners, workspaces);
+  const directory = new Directory('127.0.0.1');
+  directory.apply(configuration);
+  const scheduler = new AdmissionScheduler({
+    directory,
+    membership: fleetOf(configuration, runners),
+    timer: new SystemTimer(),
+    recorder: nullRecorder,
+    zone: configuration.zones[0]?.name ?? '',
+    random: seededRandom(1),
+  });
+  scheduler.apply(configuration);
+  const signal = new AbortController().signal;
+  const held = [];
+  const samples: number[] = [];
+  for (let index = 0; index < WARM_UP + DECISIONS; index++) {
+    const work = workOf(configuration, index);
+    const start = performance.now();
+    const pending = scheduler.acquire(work, {tried: new Set()}, signal);
+    const spent = performance.now() - start;
+    if (index >= WARM_UP) samples.push(spent * MICROS_PER_MS);
+    const placed = await pending;
+    if (placed.isErr()) continue;
+    placed.value.firstToken();
+    held.push(placed.value);
+    if (held.length > HELD) held.shift()?.release(AttemptEnd.Whole);
+  }
+  for (const placement of held) placement.release(AttemptEnd.Whole);
+  await directory.close();
+  samples.sort((a, b) => a - b);
+  return samples[Math.floor(samples.length / 2)] ?? NaN;
+}
+
+function slopeOf(name: string, points: Array<[number, number]>): Slope {
+  const [first = [0, 0], last = [0, 0]] = [points[0], points.at(-1)];
+  return {
+    name,
+    unit: 'µs',
+    points,
+    slope: (last[1] - first[1]) / (last[0] - first[0]),
+    atTarget: last[1],
+    budget: BUDGET_US,
+  };
+}
+
+const args = await yargs(hideBin(process.argv))
+  .scriptName('npm run decide --')
+  .usage('$0 [options]\n\nMeasures the cost of one decision.')
+  .option('json', {type: 'boolean', default: false})
+  .strict()
+  .parseAsync();
+
+const byRunners: Array<[number, number]> = [];
+for (const runners of RUNNERS) {
+  byRunners.push([runners, await medianUs(runners, WORKSPACES[0] ?? 1)]);
+}
+const byWorkspaces: Array<[number, number]> = [];
+for (const workspaces of WORKSPACES) {
+  byWorkspaces.push([workspaces, await medianUs(RUNNERS[0] ?? 1, workspaces)]);
+}
+const slopes = [
+  slopeOf('decision by runners', byRunners),
+  slopeOf('decision by workspaces', byWorkspaces),
+];
+if (args.json) process.stdout.write(`${JSON.stringify({slopes})}\n`);
+else {
+  for (const {name, points} of slopes) {
+    const list = points.map(([x, y]) => `${x}: ${y.toFixed(1)} µs`);
+    process.stdout.write(`${name}: ${list.join(', ')}\n`);
+  }
+}
+process.exit(0);
--- a/src/admission/pressure.ts
+++ b/src/admission/pressure.ts
@@ -4,6 +4,8 @@
 const PRESSURE_HOLD_MS = 2_000;
 /** Time that gossip takes to reach every instance, with a margin. */
 const SETTLE_MS = 2_000;
+/** Time between two looks at what peers shed. */
+const LOOK_INTERVAL_MS = 50;
 const NO_TIER = Number.POSITIVE_INFINITY;
 
 /**
@@ -15,6 +17,9 @@
   private tier = NO_TIER;
   private since = -Infinity;
   private seenAt = -Infinity;
+  /** Highest tier that peers shed, and when they were last looked at. */
+  private peersTier = NO_TIER;
+  private lookedAt = -Infinity;
 
   constructor(private readonly membership: Membership) {}
 
@@ -37,12 +42,20 @@
   /** Highest tier that an instance of the fleet sheds; tiers below wait. */
   heldBelow(now: number): number {
     this.expire(now);
-    let held = this.tier;
+    if (now - this.lookedAt >= LOOK_INTERVAL_MS) {
+      this.lookedAt = now;
+      this.peersTier = this.lookAtPeers();
+    }
+    return Math.min(this.tier, this.peersTier);
+  }
+
+  private lookAtPeers(): number {
+    let highest = NO_TIER;
     for (const {state, status} of this.membership.live()) {
       if (state !== MemberState.Alive) continue;
-      held = Math.min(held, status.shedTier ?? NO_TIER);
+      highest = Math.min(highest, status.shedTier ?? NO_TIER);
     }
-    return held;
+    return highest;
   }
 
   private expire(now: number): void {
