--- a/bench/load.ts
+++ b/bench/load.ts
@@ -1,112 +1,226 @@
-import {setMaxListeners} from 'node:events';
+import {createHash} from 'node:crypto';
 import {Agent} from 'undici';
 import {v7 as uuidv7} from 'uuid';
-import type {ServiceClass} from '../src/config/index.js';
-import {meetsTargets} from '../src/telemetry/index.js';
-import {seededRandom, type Random} from '../stand-ins/index.js';
-import {call, type Reply} from './caller.js';
-import type {Cluster, RouterProcess} from './cluster.js';
+import type {ConfigurationDraft} from '../src/config/index.js';
+import {outputTokens} from '../stand-ins/index.js';
+import {call} from './caller.js';
 import {demoKey} from './deployment.js';
-import {WARM_UP_SECONDS, type Arrival} from './mix.js';
-
-/** Time that requests are given after the last arrival, in ms. */
-const DRAIN_MS = 10_000;
-
-/** One request and what became of it, as its caller saw it. */
-export interface Served {
-  arrival: Arrival;
-  /** Absent when no answer began before the end of the run. */
-  reply?: Reply;
-  /** Whether it arrived in the measured time. */
-  measured: boolean;
-  /** Whether it was answered whole and within every target of its class. */
-  attained: boolean;
+import {OperationKind, type History, type Operation} from './history.js';
+import type {Random} from './random.js';
+
+const ATTEMPTS_LIMIT = 5;
+const THINK_MS = {least: 5, most: 80};
+const RETRY_MS = {least: 20, most: 200};
+/** Time after which a caller gives up, and the same for impatient callers. */
+const PATIENCE_MS = {least: 4_000, most: 9_000};
+const IMPATIENCE_MS = {least: 50, most: 1_000};
+const IMPATIENT_SHARE = 0.1;
+
+/** A router as callers reach it. */
+export interface Door {
+  router: string;
+  /** Number of the process behind it now. */
+  process(): number;
+  url(): string;
+}
+
+/** A request before it is sent. */
+interface Draft {
+  kind: OperationKind;
+  class: string;
+  tier: number;
+  workspace: string;
+  pool: string;
+  path: string;
+  body: unknown;
+  expected?: string;
+  headers: Record<string, string>;
 }
 
-/** Sends arrivals at their times, whatever became of earlier ones. */
-export class OpenLoad {
-  private readonly agent = new Agent({connections: null, pipelining: 1});
-  private readonly random: Random;
-  private readonly ending = new AbortController();
-  private readonly classes = new Map<string, ServiceClass>();
+type DraftClass = ConfigurationDraft['classes'][number];
+
+/** Concurrent callers that send every kind of request and retry elsewhere. */
+export class Load {
+  private readonly agent = new Agent({pipelining: 0, connections: null});
+  private readonly classes: Map<string, DraftClass>;
+  private sequence = 0;
+  private ended = false;
+  private readonly tasks: Array<Promise<void>> = [];
 
   constructor(
-    private readonly cluster: Cluster,
-    classes: readonly ServiceClass[],
-    /** Region of each zone. */
-    private readonly regions: ReadonlyMap<string, string>,
-    seed: number,
+    private readonly document: ConfigurationDraft,
+    private readonly doors: readonly Door[],
+    private readonly history: History,
+    private readonly random: Random,
   ) {
-    this.random = seededRandom(seed);
-    setMaxListeners(0, this.ending.signal);
-    for (const item of classes) this.classes.set(item.name, item);
+    this.classes = new Map(document.classes.map(item => [item.name, item]));
   }
 
-  /** Runs all arrivals and resolves once each has ended or was cut off. */
-  async run(arrivals: readonly Arrival[]): Promise<Served[]> {
-    const start = performance.now();
-    const running: Array<Promise<Served>> = [];
-    for (const arrival of arrivals) {
-      const waitMs = start + arrival.atMs - performance.now();
-      if (waitMs > 1) await new Promise(r => setTimeout(r, waitMs));
-      running.push(this.serve(arrival));
-    }
-    const cutOff = setTimeout(() => this.ending.abort(), DRAIN_MS);
-    const served = await Promise.all(running);
-    clearTimeout(cutOff);
+  /** Starts `count` callers. */
+  start(count: number): void {
+    for (let index = 0; index < count; index++) this.tasks.push(this.caller());
+  }
+
+  /** Ends once every caller has its last answer or has given up. */
+  async stop(): Promise<void> {
+    this.ended = true;
+    await Promise.all(this.tasks);
     await this.agent.destroy();
-    return served;
   }
 
-  private async serve(arrival: Arrival): Promise<Served> {
-    const measured = arrival.atMs >= WARM_UP_SECONDS * 1_000;
-    const reply = await this.send(arrival);
-    if (reply === undefined) return {arrival, measured, attained: false};
-    const attained = this.attains(arrival, reply);
-    return {arrival, reply, measured, attained};
+  private async caller(): Promise<void> {
+    while (!this.ended) {
+      await this.request();
+      await pause(this.random.between(THINK_MS.least, THINK_MS.most));
+    }
+  }
+
+  /** Makes one request, with retries through other routers if it has a key. */
+  private async request(): Promise<void> {
+    const draft = this.draft();
+    const key = draft.kind === OperationKind.Order ? uuidv7() : undefined;
+    let door = this.random.pick(this.doors);
+    let prior = 0;
+    for (let attempt = 0; attempt < ATTEMPTS_LIMIT; attempt++) {
+      const operation = await this.send(draft, door, prior, key);
+      if (key === undefined || isSettled(operation)) return;
+      if (operation.reply?.outcome !== 'not_run') prior++;
+      const others = this.doors.filter(other => other !== door);
+      door = this.random.pick(others.length > 0 ? others : this.doors);
+      const advised = operation.reply?.retryAfterMs ?? 0;
+      await pause(advised + this.random.between(RETRY_MS.least, RETRY_MS.most));
+    }
   }
 
-  private async send(arrival: Arrival): Promise<Reply | undefined> {
-    const {workspace, path, body, region} = arrival;
-    const headers = arrival.keyed
-      ? {...arrival.headers, 'idempotency-key': uuidv7()}
-      : arrival.headers;
-    const url = this.routerOf(region).url;
-    const key = demoKey(workspace);
-    const options = {dispatcher: this.agent, signal: this.ending.signal};
+  private async send(
+    draft: Draft,
+    door: Door,
+    prior: number,
+    key: string | undefined,
+  ): Promise<Operation> {
+    const body = JSON.stringify(draft.body);
+    const operation: Operation = {
+      kind: draft.kind,
+      class: draft.class,
+      tier: draft.tier,
+      pool: draft.pool,
+      router: door.router,
+      process: door.process(),
+      prior,
+      digest: createHash('sha256').update(body).digest('hex'),
+      ...(key === undefined ? {} : {key}),
+      ...(draft.expected === undefined ? {} : {expected: draft.expected}),
+      sentAt: Date.now(),
+      endedAt: 0,
+      gaveUp: false,
+    };
+    this.history.operations.push(operation);
+    const signal = AbortSignal.timeout(this.patience());
     try {
-      return await call({url, path, key, headers, body}, options);
-    } catch {
-      return undefined;
+      operation.reply = await call(
+        {
+          url: door.url(),
+          path: draft.path,
+          key: demoKey(draft.workspace),
+          headers: {...draft.headers, ...keyHeaders(key, prior)},
+          body,
+        },
+        {dispatcher: this.agent, signal},
+      );
+    } catch (cause) {
+      operation.lost = String(cause);
     }
+    operation.gaveUp = signal.aborted;
+    operation.endedAt = Date.now();
+    return operation;
   }
 
-  /** The balancer: any router of the caller's region. */
-  private routerOf(region: string | undefined): RouterProcess {
-    const {routers} = this.cluster;
-    const [first] = this.regions.values();
-    const home = region ?? first;
-    const near = routers.filter(({zone}) => this.regions.get(zone) === home);
-    const choice = near.length > 0 ? near : routers;
-    const index = Math.floor(this.random() * choice.length);
-    return choice[index] as RouterProcess;
+  private patience(): number {
+    const {least, most} =
+      this.random.next() < IMPATIENT_SHARE ? IMPATIENCE_MS : PATIENCE_MS;
+    return Math.round(this.random.between(least, most));
   }
 
-  private attains(arrival: Arrival, reply: Reply): boolean {
-    const targets = this.classes.get(arrival.class)?.targets;
-    if (targets === undefined || reply.outcome !== 'completed') return false;
-    if (!reply.ended) return false;
-    // The time of day by which batch work is done is the end of the run here.
-    const latencies = {...targets, doneBy: undefined};
-    return meetsTargets(latencies, timesOf(reply), Date.now());
+  private draft(): Draft {
+    const roll = this.random.next();
+    if (roll < 0.3) return this.generation(OperationKind.Chat);
+    if (roll < 0.4) return this.generation(OperationKind.Completion);
+    if (roll < 0.6) return this.service(OperationKind.Lookup);
+    if (roll < 0.9) return this.service(OperationKind.Order);
+    return this.service(OperationKind.UnkeyedOrder);
   }
+
+  private generation(kind: OperationKind): Draft {
+    const workspace = this.random.pick(
+      this.document.workspaces.filter(item =>
+        item.classes.some(name => this.isGeneration(name)),
+      ),
+    );
+    const name = this.random.pick(
+      workspace.classes.filter(item => this.isGeneration(item)),
+    );
+    const pool = this.document.pools.find(item => item.kind === 'runner');
+    const models = pool?.kind === 'runner' ? pool.models : [];
+    const body = {
+      model: this.random.pick(models).name,
+      stream: kind === OperationKind.Chat,
+      messages: [{role: 'user', content: `Question ${++this.sequence}`}],
+      metadata: {
+        output_tokens: String(Math.round(this.random.between(5, 200))),
+      },
+    };
+    return {
+      ...this.common(kind, workspace.name, name),
+      pool: pool?.name ?? '',
+      path: '/v1/chat/completions',
+      body,
+      expected: outputTokens(body).join(''),
+    };
+  }
+
+  private service(kind: OperationKind): Draft {
+    const pool = this.document.pools.find(item => item.kind === 'service');
+    const service = pool?.kind === 'service' ? pool.service : '';
+    const marked = pool?.kind === 'service' ? pool.notRepeatable?.[0] : '';
+    const path = kind === OperationKind.Lookup ? '/items' : (marked ?? '');
+    const wanted = (name: string) =>
+      kind === OperationKind.Lookup
+        ? name === 'lookup'
+        : this.classes.get(name)?.repeatable === false;
+    const workspace = this.random.pick(
+      this.document.workspaces.filter(item => item.classes.some(wanted)),
+    );
+    const name = workspace.classes.find(wanted) ?? '';
+    return {
+      ...this.common(kind, workspace.name, name),
+      pool: pool?.name ?? '',
+      path: `/services/${service}${path}`,
+      body: {item: `item ${++this.sequence}`},
+    };
+  }
+
+  private common(kind: OperationKind, workspace: string, name: string) {
+    const tier = this.classes.get(name)?.tier ?? 0;
+    const headers = {'gypsumcourse-class': name};
+    return {kind, class: name, tier, workspace, headers};
+  }
+
+  private isGeneration(name: string): boolean {
+    return name !== 'lookup' && this.classes.get(name)?.repeatable !== false;
+  }
+}
+
+function keyHeaders(key: string | undefined, prior: number) {
+  const tried =
+    prior > 0 ? {'gypsumcourse-prior-attempts': String(prior)} : undefined;
+  return {...(key === undefined ? {} : {'idempotency-key': key}), ...tried};
+}
+
+/** Whether a keyed request needs no other attempt. */
+function isSettled({reply}: Operation): boolean {
+  return reply?.outcome === 'completed' || reply?.outcome === 'failed';
 }
 
-function timesOf({firstTokenMs, totalMs, tokens}: Reply) {
-  const decodingMs = totalMs - (firstTokenMs ?? totalMs);
-  return {
-    ...(firstTokenMs === undefined ? {} : {firstTokenMs}),
-    ...(tokens > 1 ? {betweenTokensMs: decodingMs / (tokens - 1)} : {}),
-    completionMs: totalMs,
-  };
+function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
 }
--- a/bench/summary.ts
+++ b/bench/summary.ts
@@ -1,5 +1,5 @@
 import type {PolicyRun} from './run.js';
-import type {Served} from './load.js';
+import type {Served} from './arrivals.js';
 
 /** Describes a run in a few lines for people. */
 export function describeRun(policy: string, run: PolicyRun): string {
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -20,6 +20,8 @@
 export {Speed} from './speed.js';
 export {SUBSET_SIZE, subsetOf} from './subset.js';
 export type {Located} from './subset.js';
+export {LeavingRegister, NoticeSource} from './leaving.js';
+export type {KeyedNotice, LeavingListener, Notice} from './leaving.js';
 export {Upstream} from './upstream.js';
 export type {LoadReport} from './upstream.js';
 export {demandKey, Vicinities} from './vicinity.js';
