--- a/bench/waste.ts
+++ b/bench/waste.ts
@@ -29,6 +29,9 @@
   behaviour: EngineBehaviour;
 }
 
+/** Length of a request's id; ids of further attempts extend it. */
+const ID_LENGTH = 36;
+
 type Body = PromptBody & {model: string};
 
 /** A replay of what each runner's cache held, in the order of executions. */
@@ -85,7 +88,8 @@
     )
     .sort((a, b) => a.execution.startedAt - b.execution.startedAt);
   for (const {execution, own} of ordered) {
-    const {id, computedTokens, tokens, cachedTokens, promptTokens} = execution;
+    const id = execution.id.slice(0, ID_LENGTH);
+    const {computedTokens, tokens, cachedTokens, promptTokens} = execution;
     work.total += computedTokens + tokens;
     work.promptTokens += promptTokens;
     work.cachedTokens += cachedTokens;
--- a/src/request/direct.ts
+++ b/src/request/direct.ts
@@ -5,6 +5,8 @@
 import type {Work} from './work.js';
 
 const RETRY_AFTER_MS = 1_000;
+/** The same for all, so that engines serve first come, first served. */
+const FIRST_COME_PRIORITY = 0;
 
 /**
  * Places each request at once on the next live upstream in turn. The baseline
@@ -32,15 +34,15 @@
         }),
       );
     }
-    return Promise.resolve(ok(place(upstream, work, signal)));
+    return Promise.resolve(ok(place(upstream, signal)));
   }
 }
 
-function place(upstream: Upstream, work: Work, signal: AbortSignal): Placement {
+function place(upstream: Upstream, signal: AbortSignal): Placement {
   upstream.inflight++;
   return {
     upstream,
-    priority: work.serviceClass.tier,
+    priority: FIRST_COME_PRIORITY,
     signal,
     firstToken: () => undefined,
     progress: () => undefined,
--- a/src/upstream/upstream.ts
+++ b/src/upstream/upstream.ts
@@ -55,10 +55,8 @@
   openConnection(): Client {
     return new Client(new URL(this.url).origin, {
       pipelining: 1,
-      connect: {
-        timeout: CONNECT_TIMEOUT_MS,
-        localAddress: this.localAddress,
-      },
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+      localAddress: this.localAddress,
     });
   }
 
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -1,6 +1,6 @@
 import {Agent} from 'undici';
 import type {Logger} from 'pino';
-import {scheduling} from './admission/index.js';
+import {Policy, scheduling} from './admission/index.js';
 import {Claims} from './claim/index.js';
 import {Follower, Renewal} from './config/index.js';
 import {
@@ -25,7 +25,12 @@
 import {startOperators} from './operators.js';
 import {EngineClient, OrderManager} from './order/index.js';
 import {HttpInstanceList, HttpLog, HttpWeightStore} from './platform/index.js';
-import {Executor, Resumption, RetryBudget} from './request/index.js';
+import {
+  blindRetries,
+  Executor,
+  Resumption,
+  RetryBudget,
+} from './request/index.js';
 import {logOf, MeteredRecorder, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Subscription, type Timer} from './timer/index.js';
 import {Directory, LeavingRegister} from './upstream/index.js';
@@ -122,7 +127,10 @@
     scheduler: decisions.scheduler,
     timer,
     claims,
-    retries: new RetryBudget(timer),
+    retries:
+      settings.policy === Policy.Baseline
+        ? blindRetries
+        : new RetryBudget(timer),
     committed: new Set(),
   });
   const resumption = new Resumption({
