--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -16,7 +16,9 @@
   Passing,
   PeerClient,
   PeerServer,
+  readTlsFiles,
   serveMembers,
+  serveUsage,
   Synchronizer,
   type PeerAddress,
   type Settings,
@@ -24,7 +26,13 @@
 import {Candidates, LeaseManager} from './lease/index.js';
 import {startOperators} from './operators.js';
 import {EngineClient, OrderManager} from './order/index.js';
-import {HttpInstanceList, HttpLog, HttpWeightStore} from './platform/index.js';
+import {
+  HttpInstanceList,
+  HttpLog,
+  HttpWeightStore,
+  Meter,
+  meteredConnector,
+} from './platform/index.js';
 import {
   blindRetries,
   Executor,
@@ -58,6 +66,8 @@
   random: () => number;
   /** Connections to the platform. */
   agent: Agent;
+  /** Counts the bytes of those connections. */
+  meter: Meter;
   log: HttpLog;
 }
 
@@ -185,19 +195,22 @@
 }
 
 function openBase(settings: Settings, root: Logger, timer: Timer): Base {
+  const meter = new Meter();
   const agent = new Agent({
     connections: PLATFORM_CONNECTIONS,
+    connect: meteredConnector(meter),
     localAddress: settings.host,
   });
   const log = new HttpLog(settings.logUrl, agent);
-  return {settings, root, timer, random: Math.random, agent, log};
+  return {settings, root, timer, random: Math.random, agent, meter, log};
 }
 
 async function openPeers(base: Base): Promise<Peers> {
   const {settings, timer, random} = base;
   const credential = new Credential(settings.peerSecrets);
-  const server = new PeerServer(credential);
-  const client = new PeerClient(credential, settings.host);
+  const tls = readTlsFiles(settings);
+  const server = new PeerServer(credential, tls);
+  const client = new PeerClient(credential, settings.host, tls);
   const datagrams = new DatagramPort(credential, timer);
   const port = await openPeerPorts(server, datagrams, settings);
   const logger = logOf(base.root, Part.Member);
@@ -215,6 +228,7 @@
   const synchronizer = new Synchronizer(membership, seeds, parts);
   const discovery = openDiscovery(base, membership, synchronizer);
   serveMembers(server, membership);
+  serveUsage({datagrams, client, server, platform: base.meter});
   return {
     port,
     server,
