Route only to engines that hold the model

Cause: an engine that serves only what was loaded refused requests that the scheduler gave it for models it did not hold. Change: such engines tell the names they take in their load report; choices pass over an engine that tells it lacks the model, unless all do. The lease tests use the shared log in memory, also with stale reads.

--- a/src/admission/choice.ts
+++ b/src/admission/choice.ts
@@ -2,6 +2,7 @@
 import type {Timer} from '../timer/index.js';
 import {
   HealthState,
+  holds,
   takesWork,
   type Upstream,
   type Vicinities,
@@ -85,7 +86,9 @@
   /** Upstreams that take work and are not ejected; tried ones come last. */
   private usable(upstreams: readonly Upstream[], entry: Entry): Upstream[] {
     const now = this.parts.timer.now();
-    const live = upstreams.filter(takesWork);
+    const taking = upstreams.filter(takesWork);
+    const holding = taking.filter(other => holds(other, entry.work.demand));
+    const live = holding.length > 0 ? holding : taking;
     const healthy = live.filter(upstream => admits(upstream, now));
     const sound = healthy.length > 0 ? healthy : live;
     const untried = sound.filter(({name}) => !entry.history.tried.has(name));
--- a/src/upstream/directory.ts
+++ b/src/upstream/directory.ts
@@ -53,7 +53,9 @@
 
   /** Upstreams that serve the demand and take new work. */
   candidates(demand: Demand): Upstream[] {
-    return this.serving(demand).filter(takesWork);
+    const live = this.serving(demand).filter(takesWork);
+    const holding = live.filter(upstream => holds(upstream, demand));
+    return holding.length > 0 ? holding : live;
   }
 
   /** Closes every connection once running attempts have finished. */
@@ -86,3 +88,11 @@
   if (pool.leaving.includes(upstream.name)) return false;
   return upstream.load?.leaving !== true;
 }
+
+/** Whether an upstream holds what the demand needs, as far as it tells. */
+export function holds({load}: Upstream, demand: Demand): boolean {
+  if (load?.models === undefined || demand.type !== 'generation') return true;
+  const {model, adapter} = demand;
+  const name = adapter === undefined ? model : `${model}:${adapter}`;
+  return load.models.includes(name);
+}
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -2,7 +2,7 @@
 export type {CacheMatch} from './cache.js';
 export {Condition} from './condition.js';
 export type {PendingStart} from './condition.js';
-export {Directory, offers, takesWork} from './directory.js';
+export {Directory, holds, offers, takesWork} from './directory.js';
 export {
   BLOCK_CHARACTERS,
   BLOCK_TOKENS,
--- a/src/upstream/report.ts
+++ b/src/upstream/report.ts
@@ -11,6 +11,7 @@
   memory: z.number().min(0),
   slots: z.number().positive().optional(),
   leaving: z.boolean().default(false),
+  models: z.array(z.string()).optional(),
 });
 
 const eventsSchema = z.object({
@@ -53,10 +54,11 @@
   timer: Timer,
 ): Promise<Result<Fetched<LoadReport>, ReportFailure>> {
   const fetched = await fetchReport(upstream, '/load', reportSchema);
-  return fetched.map(({report: {slots, ...rest}, bytes}) => ({
+  return fetched.map(({report: {slots, models, ...rest}, bytes}) => ({
     report: {
       ...rest,
       ...(slots === undefined ? {} : {slots}),
+      ...(models === undefined ? {} : {models}),
       receivedAt: timer.now(),
     },
     bytes,
--- a/src/upstream/upstream.ts
+++ b/src/upstream/upstream.ts
@@ -17,6 +17,8 @@
   slots?: number;
   /** Whether the upstream said it is leaving. */
   leaving: boolean;
+  /** `MODEL` and `MODEL:ADAPTER` it holds, if it serves no others. */
+  models?: string[];
   /** Monotonic ms. */
   receivedAt: number;
 }
--- a/stand-ins/engine.ts
+++ b/stand-ins/engine.ts
@@ -89,7 +89,8 @@
     routes.on('GET', '/cache/events', (message, response) => {
       const query = new URL(message.url ?? '', 'http://engine').searchParams;
       const from = Number(query.get('from') ?? 0);
-      const page = this.events.page(from, EVENTS_PER_PAGE);
+      const limit = Number(query.get('limit') ?? EVENTS_PER_PAGE);
+      const page = this.events.page(from, Math.min(limit, EVENTS_PER_PAGE));
       sendJson(response, 200, {blockCharacters: BLOCK_CHARACTERS, ...page});
     });
     routes.on('POST', '/kv/export', (message, response) =>
--- a/test/lease.test.ts
+++ b/test/lease.test.ts
@@ -9,7 +9,8 @@
 } from '../src/lease/index.js';
 import {ManualTimer} from '../src/timer/index.js';
 import {seededRandom, type Random} from '../stand-ins/index.js';
-import {MemoryLog, PausableProcess} from './memory-log.js';
+import {MemoryLog} from './support/log.js';
+import {PausableProcess} from './support/pausable.js';
 
 const TERM_MS = 15_000;
 const TAKEOVER_LIMIT_MS = 20_000;
@@ -25,7 +26,7 @@
 /** Several instances on one log, in virtual time. */
 class Fleet {
   readonly timer = new ManualTimer();
-  readonly log = new MemoryLog();
+  readonly log = new MemoryLog(this.timer);
   readonly contenders: Contender[] = [];
   /** Times at which two instances held the lease. */
   readonly overlaps: number[] = [];
@@ -147,8 +148,8 @@
   it.each(['grant', 'renewal'])(
     'ends a term after the %s was asked for, not answered',
     async type => {
-      const {log} = openFleet(1);
-      log.answerDelayMs = 4_000;
+      const {log, contenders} = openFleet(1);
+      for (const {process} of contenders) process.answerDelayMs = 4_000;
       while (fleet.types().at(-1) !== type) await fleet.advance(STEP_MS);
       await fleet.advance(4_500);
       expect(fleet.holders()).toHaveLength(1);
@@ -166,7 +167,8 @@
   });
 
   it('is gained and kept although every answer is lost', async () => {
-    openFleet(2).log.losesAnswer = () => true;
+    const {contenders} = openFleet(2);
+    for (const {process} of contenders) process.losesAnswer = () => true;
     await fleet.advance(120_000);
     expect(fleet.fencing).toEqual([0]);
     expect(fleet.holders()).toHaveLength(1);
@@ -191,7 +193,7 @@
   it('is respected by an instance that cannot read how it began', async () => {
     const {log} = openFleet(1);
     await fleet.advance(60_000);
-    log.first = log.records(LEASE_STREAM).length;
+    log.expire(LEASE_STREAM, 0);
     const late = fleet.add();
     await fleet.advance(60_000);
     expect(late.manager.holderOf('pool')).toBe('instance-0');
@@ -217,9 +219,12 @@
   it.each(seeds)('never overlap, and numbers grow (seed %i)', async seed => {
     const random = seededRandom(seed);
     const {log, contenders} = openFleet(4);
-    log.losesAnswer = () => random() < 0.2;
+    for (const {process} of contenders) {
+      process.losesAnswer = () => random() < 0.2;
+    }
     for (let round = 0; round < 60; round++) {
       log.down = random() < 0.1;
+      log.hidden = random() < 0.2 ? Math.floor(random() * 4) : 0;
       for (const {process} of contenders) disturb(process, random);
       await fleet.advance(1_000 + Math.floor(random() * 15_000));
     }
--- a/test/order.test.ts
+++ b/test/order.test.ts
@@ -1,6 +1,7 @@
 import {afterEach, describe, expect, it} from 'vitest';
+import {call} from '../bench/caller.js';
 import {Cluster, type Proxied, type RouterProcess} from '../bench/cluster.js';
-import {Deployment, exampleOf} from '../bench/deployment.js';
+import {demoKey, Deployment, exampleOf} from '../bench/deployment.js';
 import {Process} from '../bench/process.js';
 import type {ConfigurationDraft} from '../src/config/index.js';
 import type {EngineState, EngineTask} from '../src/order/index.js';
@@ -33,7 +34,9 @@
         `--weights-url=${weightsUrl}`,
       ],
       behaviourOf: (_name, kind) =>
-        kind === 'runner' ? {fencing, weightsUrl, modelSlots: 2} : {},
+        kind === 'runner'
+          ? {fencing, weightsUrl, modelSlots: 2, requireLoaded: true}
+          : {},
     });
     return new Placed(cluster, store);
   }
@@ -134,6 +137,29 @@
     body: JSON.stringify({...task, id: 'late', fencing, sender: 'former'}),
   });
 
+/** Sends requests one after the other; returns what ends it. */
+function keepAsking({url}: RouterProcess): () => Promise<string[]> {
+  const stopping = new AbortController();
+  const outcomes: string[] = [];
+  const task = (async () => {
+    for (let n = 0; !stopping.signal.aborted; n++) {
+      const prompt = `Question ${n}`;
+      const reply = await call({
+        url,
+        path: '/v1/completions',
+        key: demoKey('glue-lab'),
+        body: {model: 'tube-7b', stream: true, prompt},
+      });
+      outcomes.push(reply.outcome ?? reply.error ?? 'none');
+    }
+  })();
+  return async () => {
+    stopping.abort();
+    await task;
+    return outcomes;
+  };
+}
+
 let placed: Placed;
 
 afterEach(() => placed.stop());
@@ -150,6 +176,7 @@
 
       const [former, next] = await placed.holder();
       const old = (await placed.orders()).at(-1)?.order.fencing ?? 0;
+      const asked = keepAsking(next);
       former.process?.pause();
       const relocated = placed.cluster.document;
       const changed = {
@@ -180,6 +207,7 @@
 
       former.process?.resume();
       await new Promise(resolve => setTimeout(resolve, 2 * LEASE_TERM_MS));
+      expect(new Set(await asked())).toEqual(new Set(['completed']));
       const senders = (await placed.orders())
         .filter(({order}) => order.fencing > old)
         .map(({order}) => order.sender);
--- a/test/memory-log.ts
+++ b/test/support/pausable.ts
@@ -1,61 +1,28 @@
-import {err, ok, type Result} from 'neverthrow';
+import {err, type Result} from 'neverthrow';
 import type {
   Log,
   LogPage,
   LogPosition,
-  LogRecord,
   PlatformFailure,
-} from '../src/platform/index.js';
-import type {Subscription, Timer} from '../src/timer/index.js';
+} from '../../src/platform/index.js';
+import type {Subscription, Timer} from '../../src/timer/index.js';
 
-/** A log in memory, shared by the instances of a test. */
-export class MemoryLog {
-  down = false;
-  /** Time after which an append that took effect is answered. */
-  answerDelayMs = 5;
-  /** Decides for each append whether its answer is lost. */
-  losesAnswer = (): boolean => false;
-  readonly streams = new Map<string, LogRecord[]>();
-  /** Offset below which records have been dropped. */
-  first = 0;
-  private listeners: Array<() => void> = [];
-
-  records(stream: string): LogRecord[] {
-    const records = this.streams.get(stream) ?? [];
-    this.streams.set(stream, records);
-    return records;
-  }
-
-  add(stream: string, value: unknown): number {
-    const records = this.records(stream);
-    const offset = records.length;
-    records.push({offset, time: 0, value});
-    for (const listener of this.listeners.splice(0)) listener();
-    return offset;
-  }
-
-  page(stream: string, from: number, limit: number): LogPage {
-    const records = this.records(stream);
-    const start = Math.max(from, this.first);
-    const page = records.slice(start, start + limit);
-    return {records: page, first: this.first, next: records.length};
-  }
-
-  onNews(listener: () => void): void {
-    this.listeners.push(listener);
-  }
-}
+const LOST_ANSWER_MS = 2_000;
 
 /**
  * The timer and the log as one process sees them. While it is paused, time
  * goes on but none of its alarms ring and none of its calls return.
  */
 export class PausableProcess implements Timer, Log {
+  /** Time after which an append that took effect is answered. */
+  answerDelayMs = 5;
+  /** Decides for each append whether its answer is lost. */
+  losesAnswer = (): boolean => false;
   private held?: Array<() => void>;
 
   constructor(
     private readonly timer: Timer,
-    private readonly log: MemoryLog,
+    private readonly log: Log,
   ) {}
 
   pause(): void {
@@ -113,30 +80,21 @@
     value: unknown,
   ): Promise<Result<number, PlatformFailure>> {
     await this.running();
-    if (this.log.down) return refused('append');
-    const offset = this.log.add(stream, value);
-    await this.sleep(this.log.answerDelayMs);
-    if (this.log.losesAnswer()) {
-      await this.sleep(2_000);
-      return err({type: 'timeout', operation: 'append'});
-    }
-    return ok(offset);
+    const appended = await this.log.append(stream, value);
+    await this.sleep(this.answerDelayMs);
+    if (appended.isErr() || !this.losesAnswer()) return appended;
+    await this.sleep(LOST_ANSWER_MS);
+    return err({type: 'timeout', operation: 'append'});
   }
 
   async read(
     stream: string,
-    {from, limit = 500, waitMs = 0}: LogPosition,
+    position: LogPosition,
   ): Promise<Result<LogPage, PlatformFailure>> {
-    if (!this.log.down && this.log.records(stream).length <= from) {
-      await Promise.race([
-        this.sleep(waitMs),
-        new Promise<void>(resolve => this.log.onNews(resolve)),
-      ]);
-    }
-    await this.sleep(5);
+    const page = await this.log.read(stream, position);
+    await this.sleep(1);
     await this.running();
-    if (this.log.down) return refused('read');
-    return ok(this.log.page(stream, from, limit));
+    return page;
   }
 
   private async running(): Promise<void> {
@@ -145,7 +103,3 @@
     }
   }
 }
-
-function refused(operation: string): Result<never, PlatformFailure> {
-  return err({type: 'refused', operation, status: 503});
-}
