Hold rounds less often while nothing changes, and measure orders

Cause: at 100 pools a holder that reads every engine three times a term spends more than its share of control traffic. Change: after 12 quiet rounds they become up to six times rarer, until a change of engines, configuration or holder; 24 candidates in place of 16.

--- /dev/null
+++ b/bench/orders.ts
@@ -0,0 +1,270 @@
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {documentSchema, type ConfigurationDraft} from '../src/config/index.js';
+import type {EngineState, EngineTask} from '../src/order/index.js';
+import type {JournaledOrder} from '../stand-ins/index.js';
+import {Cluster, type RouterProcess} from './cluster.js';
+import {Deployment, exampleOf} from './deployment.js';
+
+const STEADY_MS = 30_000;
+const SETTLED_MS = 6_000;
+const POLL_MS = 20;
+
+/** What a measurement is about. */
+enum Matter {
+  /** Records of leases a second, for pools and instances. */
+  Steady = 'steady',
+  /** Time from the end of a holder to the next one's grant. */
+  Takeover = 'takeover',
+  /** Orders that a change of the configuration takes. */
+  Changes = 'changes',
+}
+
+interface LeaseLine {
+  time: number;
+  value: {type: string; holder: string};
+}
+
+const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+async function leaseLines(cluster: Cluster): Promise<LeaseLine[]> {
+  const url = `${cluster.log.url}/streams/leases/records?limit=10000`;
+  const page = (await (await fetch(url)).json()) as {records: LeaseLine[]};
+  return page.records;
+}
+
+async function untilGranted(
+  cluster: Cluster,
+  known: number,
+): Promise<LeaseLine> {
+  for (;;) {
+    const grants = (await leaseLines(cluster)).filter(
+      ({value}) => value.type === 'grant',
+    );
+    const next = grants[known];
+    if (next !== undefined) return next;
+    await sleep(POLL_MS);
+  }
+}
+
+/** Splits the runners of a document into pools of one runner each. */
+function divided(document: ConfigurationDraft): ConfigurationDraft {
+  const pools = document.pools.flatMap<ConfigurationDraft['pools'][number]>(
+    pool =>
+      pool.kind === 'service'
+        ? [pool]
+        : pool.upstreams.map((upstream, index) => ({
+            ...pool,
+            name: `${pool.name}-${index}`,
+            models: pool.models.map(({copies: _copies, ...model}) => model),
+            upstreams: [upstream],
+          })),
+  );
+  return {...document, pools};
+}
+
+async function steady(routers: number, split: boolean, termMs: number) {
+  const whole = exampleOf(Deployment.Nilecoil);
+  const document = split ? divided(whole) : whole;
+  const flags = [`--lease-term-ms=${termMs}`];
+  const cluster = await Cluster.start({document, routers, flags});
+  try {
+    await sleep(SETTLED_MS);
+    const before = (await leaseLines(cluster)).length;
+    await sleep(STEADY_MS);
+    const lines = (await leaseLines(cluster)).slice(before);
+    const bytes = JSON.stringify(lines.map(({value}) => value)).length;
+    return {
+      routers,
+      termMs,
+      pools: document.pools.filter(({kind}) => kind === 'runner').length,
+      recordsPerSecond: (lines.length * 1_000) / STEADY_MS,
+      bytesPerRecord: Math.round(bytes / Math.max(1, lines.length)),
+    };
+  } finally {
+    await cluster.stop();
+  }
+}
+
+/** The log names a holder that is no router of the cluster. */
+class UnknownHolder extends Error {
+  constructor(readonly holder: string) {
+    super(`unknown holder ${holder}`);
+  }
+}
+
+function holderOf(cluster: Cluster, {value}: LeaseLine): RouterProcess {
+  const name = value.holder.split('/')[0];
+  const router = cluster.routers.find(other => other.name === name);
+  if (router === undefined) throw new UnknownHolder(value.holder);
+  return router;
+}
+
+async function takeover(routers: number, termMs: number) {
+  const document = exampleOf(Deployment.Nilecoil);
+  const flags = [`--lease-term-ms=${termMs}`];
+  const cluster = await Cluster.start({document, routers, flags});
+  const tookMs: Record<string, number[]> = {kill: [], pause: [], terminate: []};
+  try {
+    let grant = await untilGranted(cluster, 0);
+    for (const way of ['kill', 'pause', 'terminate'] as const) {
+      await sleep(SETTLED_MS);
+      const known = (await leaseLines(cluster)).filter(
+        ({value}) => value.type === 'grant',
+      ).length;
+      const router = holderOf(cluster, grant);
+      const at = Date.now();
+      if (way === 'pause') router.process?.pause();
+      else if (way === 'kill') await router.process?.kill();
+      else void router.process?.terminate();
+      grant = await untilGranted(cluster, known);
+      tookMs[way]?.push(grant.time - at);
+    }
+    return {routers, termMs, tookMs};
+  } finally {
+    for (const {process} of cluster.routers) process?.resume();
+    await cluster.stop();
+  }
+}
+
+/** Orders that engines got, by type. */
+async function ordersOf(cluster: Cluster): Promise<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  for (const {url, kind} of cluster.upstreams) {
+    if (kind !== 'runner') continue;
+    const journal = await (await fetch(`${url}/orders`)).json();
+    for (const {order} of journal as JournaledOrder[]) {
+      const type: EngineTask['type'] = order.type;
+      counts[type] = (counts[type] ?? 0) + 1;
+    }
+  }
+  return counts;
+}
+
+/** Waits until no engine has got an order or loads for a while. */
+async function untilQuiet(cluster: Cluster, quietMs: number): Promise<number> {
+  let last = '';
+  let since = Date.now();
+  while (Date.now() - since < quietMs) {
+    await sleep(POLL_MS);
+    const now = JSON.stringify([
+      await ordersOf(cluster),
+      await pendingOf(cluster),
+    ]);
+    if (now === last) continue;
+    last = now;
+    since = Date.now();
+  }
+  return since;
+}
+
+async function pendingOf(cluster: Cluster): Promise<number> {
+  let sum = 0;
+  for (const {url, kind} of cluster.upstreams) {
+    if (kind !== 'runner') continue;
+    const state = (await (await fetch(`${url}/models`)).json()) as EngineState;
+    sum += state.pending.length;
+  }
+  return sum;
+}
+
+/** A change of the runners' models. */
+type Change = (
+  model: ReturnType<typeof modelsOf>[number],
+) => ReturnType<typeof modelsOf>[number];
+
+function modelsOf(document: ConfigurationDraft) {
+  return document.pools.flatMap(pool =>
+    pool.kind === 'runner' ? pool.models : [],
+  );
+}
+
+function changed(document: ConfigurationDraft, change: Change) {
+  const pools = document.pools.map(pool =>
+    pool.kind === 'runner' ? {...pool, models: pool.models.map(change)} : pool,
+  );
+  return documentSchema.parse({...document, pools});
+}
+
+interface NamedChange {
+  name: string;
+  change: Change;
+}
+
+const CHANGES: NamedChange[] = [
+  {
+    name: 'one copy more of tube-7b',
+    change: model => (model.name === 'tube-7b' ? {...model, copies: 4} : model),
+  },
+  {
+    name: 'a new version of tube-7b',
+    change: model =>
+      model.name === 'tube-7b' ? {...model, version: '2', copies: 4} : model,
+  },
+];
+
+async function changes(routers: number, termMs: number) {
+  const flags = [`--lease-term-ms=${termMs}`];
+  const document = exampleOf(Deployment.Nilecoil);
+  const cluster = await Cluster.start({document, routers, flags});
+  const quietMs = 1.5 * termMs;
+  const results = [];
+  try {
+    const start = Date.now();
+    let settledAt = await untilQuiet(cluster, 2 * quietMs);
+    let before = await ordersOf(cluster);
+    results.push({change: 'first placement', ms: settledAt - start, ...before});
+    let base = 1;
+    for (const {name, change} of CHANGES) {
+      const at = Date.now();
+      base = await cluster.publish(changed(cluster.document, change), base);
+      settledAt = await untilQuiet(cluster, quietMs);
+      const after = await ordersOf(cluster);
+      results.push({
+        change: name,
+        ms: settledAt - at,
+        ...difference(after, before),
+      });
+      before = after;
+    }
+    return {routers, termMs, results};
+  } finally {
+    await cluster.stop();
+  }
+}
+
+function difference(
+  after: Record<string, number>,
+  before: Record<string, number>,
+) {
+  return Object.fromEntries(
+    Object.entries(after).map(([type, count]) => [
+      type,
+      count - (before[type] ?? 0),
+    ]),
+  );
+}
+
+async function measure(matter: Matter, routers: number, termMs: number) {
+  switch (matter) {
+    case Matter.Steady:
+      return [
+        await steady(routers, false, termMs),
+        await steady(routers, true, termMs),
+      ];
+    case Matter.Takeover:
+      return takeover(routers, termMs);
+    case Matter.Changes:
+      return changes(routers, termMs);
+  }
+}
+
+const args = await yargs(hideBin(process.argv))
+  .scriptName('orders')
+  .option('matter', {choices: Object.values(Matter), demandOption: true})
+  .option('routers', {type: 'number', default: 9})
+  .option('lease-term-ms', {type: 'number', default: 15_000})
+  .strict()
+  .parseAsync();
+const result = await measure(args.matter, args.routers, args.leaseTermMs);
+process.stdout.write(`${JSON.stringify(result)}\n`);
--- a/src/lease/candidates.ts
+++ b/src/lease/candidates.ts
@@ -2,7 +2,7 @@
 import type {Timer} from '../timer/index.js';
 
 /** Instances of the fleet that contend for leases at most. */
-const CANDIDATES_LIMIT = 16;
+const CANDIDATES_LIMIT = 24;
 const REFRESH_PERIOD_MS = 1_000;
 
 /**
--- a/src/order/pool.ts
+++ b/src/order/pool.ts
@@ -17,6 +17,10 @@
 const PLAN_AGE_LIMIT_MS = 2_000;
 /** Backlog of the weight store above which nothing is added to it. */
 const STORE_BACKLOG_LIMIT_MS = 30_000;
+/** Rounds without any change after which rounds become rarer. */
+const BUSY_ROUNDS = 12;
+/** Factor on the time between rounds when nothing changes for long. */
+const IDLE_FACTOR_LIMIT = 6;
 /** How long the copies of an engine that does not answer still count. */
 const UNREACHABLE_GRACE_MS = 60_000;
 
@@ -68,6 +72,9 @@
 export class PoolOrders {
   private pool?: RunnerPool;
   private tenure?: Tenure;
+  /** Rounds since anything changed, and ticks since the last round. */
+  private idleRounds = 0;
+  private skipped = 0;
   private readonly stopping = new AbortController();
   private task?: Promise<void>;
 
@@ -79,6 +86,7 @@
 
   apply(pool: RunnerPool): void {
     this.pool = pool;
+    this.idleRounds = 0;
   }
 
   start(): void {
@@ -100,14 +108,23 @@
       // An order of the holder before may still be on its way.
       if (timer.now() - lease.since < ORDER_TIMEOUT_MS) continue;
       if (signal.aborted) return;
-      await this.round(this.pool, lease);
+      if (this.isDue(lease)) await this.round(this.pool, lease);
     }
   }
 
+  /** Whether to hold a round now: less often while nothing changes. */
+  private isDue({fencing}: HeldLease): boolean {
+    if (this.tenure?.fencing !== fencing) this.idleRounds = 0;
+    const idle = Math.max(1, this.idleRounds - BUSY_ROUNDS);
+    const due = ++this.skipped >= Math.min(IDLE_FACTOR_LIMIT, idle);
+    if (due) this.skipped = 0;
+    return due;
+  }
+
   private async round(pool: RunnerPool, lease: HeldLease): Promise<void> {
     const tenure = this.tenureOf(lease);
     const reading = await this.read();
-    this.report(tenure, reading);
+    const changed = this.report(tenure, reading);
     tenure.demand.measure(reading.states, reading.readAt);
     const engines = tenure.viewsOf(reading);
     const orders = planOrders({
@@ -117,6 +134,9 @@
       complete: tenure.isComplete(reading),
       inUse: model => tenure.demand.inUse(model, reading.readAt),
     });
+    const loading = engines.some(({state}) => state.pending.length > 0);
+    const idle = !changed && !loading && orders.length === 0;
+    this.idleRounds = idle ? this.idleRounds + 1 : 0;
     for (const order of orders) {
       if (!(await this.send(order, lease.fencing, reading, tenure))) return;
     }
@@ -145,8 +165,9 @@
     return {upstreams, states, readAt};
   }
 
-  /** Tells of changes on engines that this holder did not order. */
-  private report({watch}: Tenure, {states}: Reading): void {
+  /** Tells of changes that this holder did not order; whether there are any. */
+  private report({watch}: Tenure, {states}: Reading): boolean {
+    const before = watch.noticed;
     for (const [engine, state] of states) {
       for (const change of watch.compare(engine, state)) {
         this.parts.logger.warn(
@@ -155,6 +176,7 @@
         );
       }
     }
+    return watch.noticed > before;
   }
 
   private wanted(
