--- a/src/upstream/upstream.ts
+++ b/src/upstream/upstream.ts
@@ -27,6 +27,8 @@
 export class Upstream {
   /** Attempts of this instance that run on the upstream now. */
   inflight = 0;
+  /** Whether anyone but the configuration said that it is leaving. */
+  leaving = false;
   /** The newest load report, if any arrived. */
   load?: LoadReport;
   /** What this instance has learnt of its speed, health and cache. */
@@ -46,7 +48,8 @@
       connections: CONNECTIONS_PER_UPSTREAM,
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
-      connect: {timeout: CONNECT_TIMEOUT_MS, localAddress},
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+      localAddress,
     });
   }
 
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -5,11 +5,13 @@
 import {Follower, Renewal} from './config/index.js';
 import {
   addressOf,
+  connectLeaving,
   Credential,
   DatagramPort,
   Discovery,
   Entrance,
   Fleet,
+  markUpstreams,
   openPeerPorts,
   Passing,
   PeerClient,
@@ -25,8 +27,8 @@
 import {HttpInstanceList, HttpLog, HttpWeightStore} from './platform/index.js';
 import {Executor, RetryBudget} from './request/index.js';
 import {logOf, MeteredRecorder, nullRecorder, Part} from './telemetry/index.js';
-import {SystemTimer, type Timer} from './timer/index.js';
-import {Directory} from './upstream/index.js';
+import {SystemTimer, type Subscription, type Timer} from './timer/index.js';
+import {Directory, LeavingRegister} from './upstream/index.js';
 
 const PLATFORM_CONNECTIONS = 8;
 const ORDER_ROUNDS_PER_TERM = 3;
@@ -60,6 +62,7 @@
   server: PeerServer;
   client: PeerClient;
   membership: Fleet;
+  discovery?: Discovery;
   start(): Promise<void>;
   stop(): Promise<void>;
 }
@@ -93,7 +96,7 @@
   const configuring = openConfiguring(base, peers);
   const {follower} = configuring;
   const directory = new Directory(settings.host);
-  follower.subscribe(({document}) => directory.apply(document));
+  const looking = openLeaving(base, peers, directory, follower);
   const metered = new MeteredRecorder(timer);
   const recorder = settings.telemetry === 'on' ? metered : nullRecorder;
   const decisions = scheduling(settings.policy, {
@@ -156,6 +159,7 @@
       const drained = entrance.drain();
       await ordering.stop();
       await drained;
+      looking.end();
       decisions.stop();
       await operators.stop();
       await configuring.stop();
@@ -169,7 +173,7 @@
 function openBase(settings: Settings, root: Logger, timer: Timer): Base {
   const agent = new Agent({
     connections: PLATFORM_CONNECTIONS,
-    connect: {localAddress: settings.host},
+    localAddress: settings.host,
   });
   const log = new HttpLog(settings.logUrl, agent);
   return {settings, root, timer, random: Math.random, agent, log};
@@ -202,6 +206,7 @@
     server,
     client,
     membership,
+    ...(discovery === undefined ? {} : {discovery}),
     start: async () => {
       membership.start();
       await synchronizer.start();
@@ -268,6 +273,29 @@
   };
 }
 
+function openLeaving(
+  {timer}: Base,
+  {membership, server, discovery}: Peers,
+  directory: Directory,
+  follower: Follower,
+): Subscription {
+  const parts = {
+    register: new LeavingRegister(timer),
+    directory,
+    fleet: membership,
+    server,
+    timer,
+    ...(discovery === undefined ? {} : {discovery}),
+  };
+  const looking = connectLeaving(parts);
+  follower.subscribe(({document}) => {
+    directory.apply(document);
+    parts.register.configure(document);
+    markUpstreams(parts);
+  });
+  return looking;
+}
+
 function openOrdering(
   {settings, root, agent, log, timer}: Base,
   membership: Fleet,
