--- a/src/console/editor.ts
+++ b/src/console/editor.ts
@@ -134,8 +134,8 @@
   const stale = current !== undefined && current.version !== draft.base;
   return [
     html`<p class="muted">
-      Based on version ${draft.base}; ${count} values changed, not published
-      yet.
+      Based on version ${draft.base}. Values changed and not yet published:
+      ${count}.
     </p>`,
     stale &&
       html`<p class="notice" role="status">
@@ -143,8 +143,7 @@
         Publishing will show both changes.
       </p>`,
     newKey !== undefined && keyNotice(view, newKey),
-    problems.length > 0 &&
-      problemList(`The draft has ${problems.length} problems:`, problems),
+    problems.length > 0 && problemList('The draft is not valid yet:', problems),
   ];
 }
 
--- a/src/console/review.ts
+++ b/src/console/review.ts
@@ -20,7 +20,7 @@
   const problems = checked.isErr() ? checked.error.problems : [];
   const mayPublish = problems.length === 0 && changes.length > 0;
   const body = html`<p>
-      ${changes.length} values differ from version ${draft.base}.
+      Values that differ from version ${draft.base}: ${changes.length}.
     </p>
     ${problems.length > 0 && problemList("The draft can't be published yet:", problems)}
     ${changes.length > 0 && changeTable(changes)}
--- a/src/console/sections.ts
+++ b/src/console/sections.ts
@@ -45,11 +45,7 @@
     field(`${path}.name`, 'Name', TEXT),
     field(`${path}.tier`, 'Tier', NUMBER, '0 is the highest, 6 the lowest'),
     field(`${path}.targets.firstTokenMs`, 'First token within (ms)', NUMBER),
-    field(
-      `${path}.targets.betweenTokensMs`,
-      'Between tokens at most (ms)',
-      NUMBER,
-    ),
+    field(`${path}.targets.betweenTokensMs`, 'Between tokens (ms)', NUMBER),
     field(`${path}.targets.completionMs`, 'Completed within (ms)', NUMBER),
     field(`${path}.targets.doneBy`, 'Done by (UTC)', TEXT, 'such as 05:30'),
     field(
@@ -66,9 +62,9 @@
     ),
     ...limitFields(path),
     field(`${path}.deadlineMs`, 'Longest request (ms)', NUMBER),
-    field(`${path}.firstByteMs`, 'Silence before first byte (ms)', NUMBER),
-    field(`${path}.idleMs`, 'Silence within an answer (ms)', NUMBER),
-    field(`${path}.repeatable`, 'May be run more than once', CHECK),
+    field(`${path}.firstByteMs`, 'First byte within (ms)', NUMBER),
+    field(`${path}.idleMs`, 'Silence at most (ms)', NUMBER),
+    field(`${path}.repeatable`, 'Repeatable', CHECK),
   ],
 };
 
--- a/src/console/style.ts
+++ b/src/console/style.ts
@@ -28,10 +28,11 @@
 fieldset fieldset { margin: 12px 0 0; background: var(--ground); }
 legend { font-weight: 600; padding: 0 6px; }
 .fields { display: grid; gap: 12px 16px;
-  grid-template-columns: repeat(auto-fill, minmax(200px, 1fr)); }
+  grid-template-columns: repeat(auto-fill, minmax(205px, 1fr)); }
 .field { display: flex; flex-direction: column; min-width: 0; }
 .field.check { flex-direction: row; flex-wrap: wrap; gap: 8px;
-  align-items: center; align-self: end; }
+  align-items: center; }
+.field.check label { flex: 1; }
 label, .label { font-size: .88rem; font-weight: 600; }
 .hint { font-size: .8rem; color: var(--muted); margin: 0; }
 input, select { font: inherit; padding: 6px 8px; border: 1px solid #8793a1;
@@ -45,6 +46,10 @@
 button.quiet { background: var(--paper); color: var(--accent); }
 button.remove { background: var(--paper); color: var(--bad);
   border-color: var(--bad); }
+figure { margin: 16px 0 28px; background: var(--paper); padding: 12px; }
+figcaption { font-weight: 600; }
+svg { width: 100%; height: auto; }
+td:first-child { white-space: nowrap; }
 .actions { display: flex; flex-wrap: wrap; gap: 8px; margin: 16px 0; }
 .notice { padding: 10px 14px; border-left: 4px solid var(--accent);
   background: var(--paper); }
--- a/src/report/page.ts
+++ b/src/report/page.ts
@@ -19,6 +19,7 @@
 table { border-collapse: collapse; font-size: .88rem; width: 100%; }
 th, td { border: 1px solid #d5dbe3; padding: 5px 9px; text-align: left; }
 th { background: #e9edf2; }
+td:first-child { white-space: nowrap; }
 td.number { text-align: right; font-variant-numeric: tabular-nums;
   white-space: nowrap; }
 .note { border-left: 4px solid #b3261e; padding: 6px 12px; background: #fbeeed; }
--- a/src/report/plots.ts
+++ b/src/report/plots.ts
@@ -7,6 +7,7 @@
 const MINUTE_MS = 60_000;
 /** Length of the sliding window of the plot of burn over time. */
 const BURN_WINDOW_MINUTES = 5;
+const SHORTEST_PLOT_MS = 10 * MINUTE_MS;
 const CURVE_POINTS = 101;
 const PERCENT = 100;
 
@@ -42,11 +43,13 @@
 }
 
 function burnPlot(report: BurnReport): Markup {
-  const first = report.minutes[0]?.at ?? report.at - MINUTE_MS;
+  const newest = Math.ceil(report.at / MINUTE_MS) * MINUTE_MS;
+  const oldest = report.minutes[0]?.at ?? newest;
+  const first = Math.min(oldest, newest - SHORTEST_PLOT_MS);
   const lines = report.classes.flatMap(row => burnLine(report, row, first));
   return linePlot(lines, {
     xMin: first,
-    xMax: Math.max(report.at, first + MINUTE_MS),
+    xMax: newest,
     xLabel: at => formatTime(at).slice(11, 16),
     yLabel: rate => String(rate),
     marks: [{y: 1, label: '1 uses the budget up'}],
--- a/src/report/svg.ts
+++ b/src/report/svg.ts
@@ -7,6 +7,8 @@
 const TOP = 12;
 const BOTTOM = 34;
 const TICKS = 5;
+/** Space above the highest value, as a factor. */
+const HEADROOM = 1.1;
 const LEGEND_ROW = 20;
 const LEGEND_COLUMNS = 4;
 const BAR_ROW = 30;
@@ -82,7 +84,7 @@
   const marks = axes.marks.map(({y}) => y);
   const ticks = axes.logarithmic
     ? decades(Math.min(...values), Math.max(...values))
-    : evenTicks(Math.max(...values, ...marks));
+    : evenTicks(Math.max(...values, ...marks) * HEADROOM);
   const low = transform(ticks[0] ?? 0, axes);
   const high = transform(ticks.at(-1) ?? 1, axes);
   const plotHeight = HEIGHT - TOP - BOTTOM;
@@ -137,8 +139,11 @@
           ${axes.yLabel(tick)}
         </text>`,
   );
-  const vertical = Array.from({length: TICKS + 1}, (_, index) => {
-    const x = axes.xMin + ((axes.xMax - axes.xMin) * index) / TICKS;
+  const xTicks = Array.from(
+    {length: TICKS + 1},
+    (_, index) => axes.xMin + ((axes.xMax - axes.xMin) * index) / TICKS,
+  );
+  const vertical = xTicks.map((x, index) => {
     return html`<text
       x="${fixed(scale.x(x))}"
       y="${HEIGHT - BOTTOM + 20}"
