--- /dev/null
+++ b/src/admission/room.ts
@@ -0,0 +1,43 @@
+import type {Upstream} from '../upstream/index.js';
+import {loadOf, slotsOf} from './expectation.js';
+
+/** On which account a request takes a slot. */
+export enum Share {
+  /** In the order of the queue. */
+  Order = 'order',
+  /** Owed to its class by its floor. */
+  Floor = 'floor',
+}
+
+/** Share of the capacity that each tier leaves free for the tiers above. */
+const RESERVE_PER_TIER = 0.08;
+const RESERVE_LIMIT = 0.25;
+/** Share by which the highest tier may exceed the slots of an upstream. */
+const TOP_TIER_EXCESS = 0.25;
+
+/**
+ * Whether an upstream may be given one more request of a tier. Each instance
+ * has an equal share of the slots for itself, and borrows from the others'
+ * shares while the upstream reports free slots. The adaptive limit bounds
+ * both.
+ */
+export function hasRoom(
+  upstream: Upstream,
+  tier: number,
+  share: Share,
+  instances: number,
+): boolean {
+  const usable = usableShare(tier, share);
+  const {inflight, condition} = upstream;
+  if (inflight === 0) return true;
+  if (inflight >= condition.limit.value * usable) return false;
+  const slots = slotsOf(upstream) * usable;
+  return inflight < slots / instances || loadOf(upstream) < slots;
+}
+
+/** Share of an upstream's capacity open to a tier. */
+function usableShare(tier: number, share: Share): number {
+  if (tier === 0) return 1 + TOP_TIER_EXCESS;
+  if (share === Share.Floor) return 1;
+  return 1 - Math.min(RESERVE_LIMIT, RESERVE_PER_TIER * tier);
+}
--- a/src/instance/settings.ts
+++ b/src/instance/settings.ts
@@ -1,5 +1,6 @@
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
+import {Policy} from '../admission/policy.js';
 import {Level} from '../telemetry/index.js';
 
 const port = z.coerce.number().int().min(0).max(65_535);
@@ -37,6 +38,10 @@
   peerSecrets: z.array(z.string().min(16)).default([]),
   /** Secret operators authenticate with. */
   operatorSecret: z.string().min(16).optional(),
+  /** Secret sent to engines that check who gives them an order. */
+  orderToken: z.string().min(16).optional(),
+  /** Term of a lease in ms, the same in the whole fleet. */
+  leaseTermMs: z.coerce.number().int().min(2_000).default(15_000),
   /** PEM files for TLS between peers. */
   peerCert: z.string().optional(),
   peerKey: z.string().optional(),
@@ -44,7 +49,7 @@
   /** Time after its issue during which an idempotency key may be used, ms. */
   keyWindowMs: z.coerce.number().int().min(10_000).default(600_000),
   /** How requests are scheduled. */
-  policy: z.enum(['current', 'baseline']).default('current'),
+  policy: z.enum(Policy).default(Policy.Current),
   /** Whether requests are traced and counted. */
   telemetry: z.enum(['on', 'off']).default('on'),
   logLevel: z.enum(Level).default(Level.Info),
