--- a/bench/summary.ts
+++ b/bench/summary.ts
@@ -6,10 +6,12 @@
   const {figures, served, work, routerCores} = run;
   const measured = served.filter(item => item.measured);
   const classes = Object.keys(figures.attainment);
+  const times = measured.map(({arrival}) => arrival.atMs);
+  const span = {from: times.at(0) ?? 0, to: times.at(-1) ?? 0};
   const cores = routerCores.map(share => share.toFixed(2)).join(' ');
   const lines = classes.map(name => {
     const items = measured.filter(({arrival}) => arrival.class === name);
-    return classLine(name, figures.attainment[name] ?? 0, items);
+    return classLine(name, figures.attainment[name] ?? 0, items, span);
   });
   return [
     `${policy}: goodput ${figures.goodput.toFixed(2)}/s, ` +
@@ -23,7 +25,12 @@
   ].join('\n');
 }
 
-function classLine(name: string, share: number, items: Served[]): string {
+function classLine(
+  name: string,
+  share: number,
+  items: Served[],
+  span: Span,
+): string {
   const first = items.flatMap(({reply}) => reply?.firstTokenMs ?? []);
   const ends = new Map<string, number>();
   for (const {reply} of items) {
@@ -34,10 +41,29 @@
   return (
     `  ${name}: ${percent(share)} of ${items.length}, ` +
     `first token p50 ${quantile(first, 0.5)} p95 ${quantile(first, 0.95)} ms` +
-    ` (${counts.join(', ')})`
+    ` (${counts.join(', ')}); missed by tenth of the run: ` +
+    missesByTenth(items, span).join(' ')
   );
 }
 
+interface Span {
+  from: number;
+  to: number;
+}
+
+const TENTHS = 10;
+
+function missesByTenth(items: readonly Served[], {from, to}: Span): number[] {
+  const counts = new Array<number>(TENTHS).fill(0);
+  for (const {attained, arrival} of items) {
+    if (attained) continue;
+    const share = (arrival.atMs - from) / (to - from + 1);
+    const tenth = Math.floor(share * TENTHS);
+    counts[tenth] = (counts[tenth] ?? 0) + 1;
+  }
+  return counts;
+}
+
 function quantile(values: number[], share: number): string {
   const sorted = [...values].sort((a, b) => a - b);
   const index = Math.min(sorted.length - 1, Math.floor(share * sorted.length));
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -1,6 +1,6 @@
 import {Agent} from 'undici';
 import type {Logger} from 'pino';
-import {scheduling} from './admission/index.js';
+import {Policy, scheduling} from './admission/index.js';
 import {Claims} from './claim/index.js';
 import {Follower, Renewal} from './config/index.js';
 import {
@@ -33,7 +33,12 @@
   Meter,
   meteredConnector,
 } from './platform/index.js';
-import {Executor, RetryBudget} from './request/index.js';
+import {
+  blindRetries,
+  Executor,
+  Resumption,
+  RetryBudget,
+} from './request/index.js';
 import {logOf, MeteredRecorder, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Subscription, type Timer} from './timer/index.js';
 import {Directory, LeavingRegister} from './upstream/index.js';
@@ -132,12 +137,21 @@
     scheduler: decisions.scheduler,
     timer,
     claims,
-    retries: new RetryBudget(timer),
+    retries:
+      settings.policy === Policy.Baseline
+        ? blindRetries
+        : new RetryBudget(timer),
     committed: new Set(),
   });
+  const resumption = new Resumption({
+    signer: new Credential(settings.peerSecrets),
+    timer,
+    upstream: name => directory.all().find(item => item.name === name),
+  });
   const entrance = new Entrance({
     follower,
     executor,
+    resumption,
     timer,
     logger: logOf(root, Part.Request),
   });
