Check what operators are told of a publish under faults

Cause: the fault run appended documents itself, noted nothing when an answer was lost, and so could not judge verdicts. Change: it publishes through the same function as the command line and the console, through the proxy of the log; a checker replays the log's order and compares it with what each operator was told and with every version seen. Conclusion: lost answers and races are judged by the log itself.

--- a/bench/checker/index.ts
+++ b/bench/checker/index.ts
@@ -4,6 +4,7 @@
 import {checkLeaving} from './leaving.js';
 import {checkNotRun} from './notrun.js';
 import {checkOnce} from './once.js';
+import {checkPublishing} from './publishing.js';
 import {checkServed} from './served.js';
 import {checkShutdown} from './shutdown.js';
 import {checkTiers} from './tiers.js';
@@ -22,7 +23,10 @@
     [PromiseKind.Once]: checkOnce,
     [PromiseKind.Leaving]: checkLeaving,
     [PromiseKind.Shutdown]: checkShutdown,
-    [PromiseKind.Configuration]: checkConfiguration,
+    [PromiseKind.Configuration]: history => [
+      ...checkConfiguration(history),
+      ...checkPublishing(history),
+    ],
   };
 
 /** Checks every promise. */
--- /dev/null
+++ b/bench/checker/publishing.ts
@@ -0,0 +1,74 @@
+import {Told, type History, type LogEntry, type Submitted} from '../history.js';
+import {PromiseKind, type Violation} from './violation.js';
+
+/**
+ * Checks that operators were told what the log's order decided, and that only
+ * accepted versions were ever in force.
+ */
+export function checkPublishing(history: History): Violation[] {
+  const winners = winnersOf(history.records);
+  return [
+    ...history.submissions.flatMap(item =>
+      checkSubmission(item, winners, history.records),
+    ),
+    ...unknownVersions(history, winners),
+  ];
+}
+
+/** Records that the order of the log accepts, by the version they became. */
+function winnersOf(records: readonly LogEntry[]): Map<number, LogEntry> {
+  const winners = new Map<number, LogEntry>();
+  let version = 0;
+  for (const record of records) {
+    if (record.base !== version) continue;
+    version = record.offset + 1;
+    winners.set(version, record);
+  }
+  return winners;
+}
+
+function checkSubmission(
+  submitted: Submitted,
+  winners: ReadonlyMap<number, LogEntry>,
+  records: readonly LogEntry[],
+): Violation[] {
+  const {id, told, version} = submitted;
+  const won = [...winners].find(([, record]) => record.id === id);
+  const sent = records.filter(record => record.id === id);
+  switch (told) {
+    case Told.Accepted:
+      if (won?.[0] === version) return [];
+      return [wrong('was told accepted and is not', submitted, sent)];
+    case Told.Refused:
+      if (won === undefined) return [];
+      return [wrong('was told refused and is in force', submitted, sent)];
+    case Told.NotSent:
+      if (sent.length === 0) return [];
+      return [wrong('was told not sent and is in the log', submitted, sent)];
+    case Told.Unknown:
+      return [];
+  }
+}
+
+function unknownVersions(
+  {sightings, records}: History,
+  winners: ReadonlyMap<number, LogEntry>,
+): Violation[] {
+  if (records.length === 0) return [];
+  const strange = sightings.find(
+    ({version}) => version !== 0 && !winners.has(version),
+  );
+  if (strange === undefined) return [];
+  const message = `${strange.router} had a version that was never accepted`;
+  return [{promise: PromiseKind.Configuration, message, trace: [strange]}];
+}
+
+function wrong(
+  what: string,
+  submitted: Submitted,
+  sent: readonly LogEntry[],
+): Violation {
+  const message = `submission ${submitted.id} ${what}`;
+  const trace = [submitted, ...sent];
+  return {promise: PromiseKind.Configuration, message, trace};
+}
--- a/bench/history.ts
+++ b/bench/history.ts
@@ -102,6 +102,31 @@
   at: number;
 }
 
+/** What an operator was told of a submission. */
+export enum Told {
+  Accepted = 'accepted',
+  /** A conflict, or an invalid document. */
+  Refused = 'refused',
+  /** The log took no record of it. */
+  NotSent = 'not_sent',
+  Unknown = 'unknown',
+}
+
+/** A submission as its operator knows it. */
+export interface Submitted {
+  id: string;
+  told: Told;
+  /** The version it became, when it was accepted. */
+  version?: number;
+}
+
+/** A submission as it stands in the log. */
+export interface LogEntry {
+  offset: number;
+  id: string;
+  base: number;
+}
+
 /** A router process that was asked to shut down. */
 export interface Shutdown {
   router: string;
@@ -118,6 +143,9 @@
   faults: Fault[];
   sightings: Sighting[];
   publications: Publication[];
+  submissions: Submitted[];
+  /** All submissions in the log at the end, in order. */
+  records: LogEntry[];
   shutdowns: Shutdown[];
 }
 
@@ -129,6 +157,8 @@
     faults: [],
     sightings: [],
     publications: [],
+    submissions: [],
+    records: [],
     shutdowns: [],
   };
 }
--- a/bench/injector.ts
+++ b/bench/injector.ts
@@ -3,6 +3,7 @@
 import type {Cluster, Proxied, RouterProcess} from './cluster.js';
 import {FaultKind, type Execution, type History} from './history.js';
 import type {Door} from './load.js';
+import {Publisher} from './publisher.js';
 import type {PlannedFault} from './schedule.js';
 
 const SETTLE_MS = 150;
@@ -51,7 +52,6 @@
 
 /** Injects planned faults into a cluster and notes them in the history. */
 export class Injector {
-  private version = 1;
   private watching = true;
   private readonly active = new Map<string, number>();
   private readonly held = new Set<Proxied>();
@@ -60,6 +60,7 @@
     private readonly cluster: Cluster,
     private readonly history: History,
     readonly stations: readonly Station[],
+    private readonly publisher: Publisher | undefined,
   ) {}
 
   static async open(cluster: Cluster, history: History): Promise<Injector> {
@@ -71,8 +72,8 @@
         return station;
       }),
     );
-    history.publications.push({version: 1, base: 0, at: Date.now()});
-    const injector = new Injector(cluster, history, stations);
+    const publisher = await Publisher.open(cluster, history);
+    const injector = new Injector(cluster, history, stations, publisher);
     void injector.watch();
     return injector;
   }
@@ -97,6 +98,7 @@
   /** Reads the journals and ends the watch. */
   async close(): Promise<void> {
     this.watching = false;
+    await this.publisher?.close();
     for (const upstream of this.cluster.upstreams) {
       await this.readJournal(upstream);
     }
@@ -196,11 +198,11 @@
         );
       case FaultKind.Publish:
         begin('log');
-        await this.publish(1);
+        await this.publisher?.publish(1);
         return 'log';
       case FaultKind.PublishRace:
         begin('log');
-        await this.publish(2);
+        await this.publisher?.publish(2);
         return 'log';
     }
   }
@@ -377,29 +379,6 @@
     }
   }
 
-  /** Publishes documents that are all based on the newest version. */
-  private async publish(count: number): Promise<void> {
-    const base = this.version;
-    const {document} = this.cluster;
-    await Promise.all(
-      Array.from({length: count}, async () => {
-        try {
-          const version = await this.cluster.publish(document, base);
-          if (!Number.isInteger(version)) return;
-          const at = Date.now();
-          this.history.publications.push({version, base, at});
-        } catch {
-          return;
-        }
-      }),
-    );
-    const winner = this.history.publications
-      .filter(publication => publication.base === base)
-      .map(({version}) => version)
-      .sort((a, b) => a - b)[0];
-    this.version = winner ?? base;
-  }
-
   /** Notes the version in force at every router, over and over. */
   private async watch(): Promise<void> {
     while (this.watching) {
--- /dev/null
+++ b/bench/publisher.ts
@@ -0,0 +1,85 @@
+import {v7 as uuidv7} from 'uuid';
+import {LogSession} from '../src/cli/session.js';
+import {
+  CONFIGURATION_STREAM,
+  type ConfigurationDraft,
+  type PublishFailure,
+} from '../src/config/index.js';
+import type {Cluster} from './cluster.js';
+import {Told, type History, type LogEntry} from './history.js';
+import {changed} from './slope/documents.js';
+
+/** Operators of a fault run, who publish through the log as it is. */
+export class Publisher {
+  private round = 0;
+
+  private constructor(
+    private readonly cluster: Cluster,
+    private readonly session: LogSession,
+    private readonly history: History,
+  ) {}
+
+  static async open(
+    cluster: Cluster,
+    history: History,
+  ): Promise<Publisher | undefined> {
+    const session = await LogSession.open(cluster.log.proxy.url);
+    if (session === undefined) return undefined;
+    const version = session.follower.current()?.version ?? 0;
+    history.publications.push({version, base: 0, at: Date.now()});
+    return new Publisher(cluster, session, history);
+  }
+
+  /** Publishes documents at the same moment, all based on the newest version. */
+  async publish(count: number): Promise<void> {
+    const base = this.session.follower.current()?.version ?? 0;
+    const documents = Array.from({length: count}, () =>
+      changed(this.cluster.document, ++this.round),
+    );
+    await Promise.all(
+      documents.map(document => this.publishOne(base, document)),
+    );
+  }
+
+  /** Notes what the log holds, and ends. */
+  async close(): Promise<void> {
+    this.history.records.push(...(await readRecords(this.cluster)));
+    await this.session.close();
+  }
+
+  private async publishOne(
+    base: number,
+    document: ConfigurationDraft,
+  ): Promise<void> {
+    const id = uuidv7();
+    const result = await this.session.publish({base, document}, {id});
+    if (result.isErr()) {
+      this.history.submissions.push({id, told: toldOf(result.error)});
+      return;
+    }
+    const {version} = result.value;
+    this.history.submissions.push({id, told: Told.Accepted, version});
+    this.history.publications.push({version, base, at: Date.now()});
+  }
+}
+
+function toldOf(failure: PublishFailure): Told {
+  switch (failure.type) {
+    case 'conflict':
+    case 'invalid':
+      return Told.Refused;
+    case 'verdictTimeout':
+      return failure.sent ? Told.Unknown : Told.NotSent;
+  }
+}
+
+async function readRecords(cluster: Cluster): Promise<LogEntry[]> {
+  const url = `${cluster.log.url}/streams/${CONFIGURATION_STREAM}/records`;
+  const answer = await fetch(`${url}?from=0&limit=10000`);
+  const page = (await answer.json()) as {
+    records: Array<{offset: number; value: {id?: string; base?: number}}>;
+  };
+  return page.records.flatMap(({offset, value: {id, base}}) =>
+    id === undefined || base === undefined ? [] : [{offset, id, base}],
+  );
+}
