Tell of a new configuration version in every datagram

Change: datagrams carry the newest version heard of, news pick the newest updates first, and one burst tells all its receivers the same.

--- a/src/instance/gossip.ts
+++ b/src/instance/gossip.ts
@@ -13,6 +13,8 @@
   value: Value;
   bytes: number;
   sent: number;
+  /** Grows with every update added. */
+  order: number;
 }
 
 /** Updates picked for one datagram. */
@@ -24,24 +26,25 @@
 
 /**
  * Updates on their way through the fleet. Each is sent a bounded number of
- * times, the least sent first; a newer update of the same subject replaces the
- * older one.
+ * times, the least sent first and of these the newest; a newer update of the
+ * same subject replaces the older one.
  */
 export class Gossip {
   private readonly members = new Map<string, Update<MemberRecord>>();
   private readonly statuses = new Map<string, Update<StatusRecord>>();
   private readonly items = new Map<string, Update<TopicItem>>();
+  private order = 0;
 
   addMember(record: MemberRecord): void {
-    this.members.set(record.name, fresh(record));
+    this.members.set(record.name, this.fresh(record));
   }
 
   addStatus(record: StatusRecord): void {
-    this.statuses.set(record.name, fresh(record));
+    this.statuses.set(record.name, this.fresh(record));
   }
 
   addItem(item: TopicItem): void {
-    this.items.set(`${item.topic} ${item.key}`, fresh(item));
+    this.items.set(`${item.topic} ${item.key}`, this.fresh(item));
   }
 
   /** Updates that still wait, of all kinds. */
@@ -58,6 +61,11 @@
       statuses: pick(this.statuses, SPACE.statuses, limit),
     };
   }
+
+  private fresh<Value>(value: Value): Update<Value> {
+    const bytes = JSON.stringify(value).length + 1;
+    return {value, bytes, sent: 0, order: ++this.order};
+  }
 }
 
 /** How often each update is sent in a fleet of `size` instances. */
@@ -65,10 +73,6 @@
   return RETRANSMIT_FACTOR * Math.ceil(Math.log10(size + 1));
 }
 
-function fresh<Value>(value: Value): Update<Value> {
-  return {value, bytes: JSON.stringify(value).length + 1, sent: 0};
-}
-
 function pick<Value>(
   updates: Map<string, Update<Value>>,
   space: number,
@@ -76,7 +80,9 @@
 ): Value[] {
   const values: Value[] = [];
   let bytes = 0;
-  const waiting = [...updates].sort(([, a], [, b]) => a.sent - b.sent);
+  const waiting = [...updates].sort(
+    ([, a], [, b]) => a.sent - b.sent || b.order - a.order,
+  );
   for (const [key, update] of waiting) {
     if (bytes + update.bytes > space) continue;
     bytes += update.bytes;
--- a/src/instance/membership.ts
+++ b/src/instance/membership.ts
@@ -77,6 +77,7 @@
   private readonly suspicions: Suspicions;
   private readonly bursts: Allowance;
   private readonly listeners = new Set<(member: Member) => void>();
+  private readonly versionListeners = new Set<(version: number) => void>();
   private readonly topics = new Map<string, Topic>();
   private readonly stopping = new AbortController();
   private readonly me: Member;
@@ -136,6 +137,11 @@
     this.listeners.add(listener);
   }
 
+  /** Subscribes to configuration versions that are in force elsewhere only. */
+  subscribeVersion(listener: (version: number) => void): void {
+    this.versionListeners.add(listener);
+  }
+
   /** Adds a kind of fact to what this instance spreads. */
   addTopic(topic: Topic): void {
     this.topics.set(topic.name, topic);
@@ -309,6 +315,7 @@
     const {members, statuses, items} = selection;
     return {
       from: recordOf(this.me),
+      version: this.newestVersion,
       ...(members.length === 0 ? {} : {members}),
       ...(statuses.length === 0 ? {} : {statuses}),
       ...(items.length === 0 ? {} : {items}),
@@ -321,9 +328,10 @@
   }
 
   /** Takes in a datagram, unless a newer incarnation of the sender is known. */
-  private take({from, members, statuses, items}: Exchange): void {
+  private take({from, version, members, statuses, items}: Exchange): void {
     const known = this.roster.get(from.name)?.member.incarnation ?? 0;
     if (from.incarnation < known) return;
+    this.learnVersion(version);
     this.learn({members: [from, ...members], statuses, items});
   }
 
@@ -354,12 +362,18 @@
 
   /** Spreads at once what must not wait: a new version, a change in shedding. */
   private spreadStatus(status: MemberStatus, shedTier?: number): void {
-    if (status.configurationVersion > this.newestVersion) {
-      this.newestVersion = status.configurationVersion;
-      this.spreadNews();
-    } else if (status.shedTier !== shedTier && this.bursts.take()) {
+    this.learnVersion(status.configurationVersion);
+    if (status.shedTier !== shedTier && this.bursts.take()) this.spreadNews();
+  }
+
+  /** Tells listeners of a version that is not in force here yet. */
+  private learnVersion(version: number): void {
+    if (version > this.newestVersion) {
+      this.newestVersion = version;
       this.spreadNews();
     }
+    if (version <= this.me.status.configurationVersion) return;
+    for (const listener of this.versionListeners) listener(version);
   }
 
   private learnItem(item: TopicItem): void {
@@ -428,8 +442,9 @@
     queueMicrotask(() => {
       this.newsPending = false;
       const peers = this.live().filter(member => member !== this.me);
+      const news = this.exchange();
       for (const peer of sample(peers, NEWS_FANOUT, this.parts.random)) {
-        this.parts.datagrams.notify(peer, 'news', this.exchange(peer));
+        this.parts.datagrams.notify(peer, 'news', news);
       }
     });
   }
--- a/src/instance/message.ts
+++ b/src/instance/message.ts
@@ -35,6 +35,8 @@
 /** What every datagram between instances carries. */
 export const exchangeSchema = z.object({
   from: memberRecordSchema,
+  /** Newest configuration version that the sender heard of. */
+  version: z.number().int().default(0),
   members: z.array(memberRecordSchema).default([]),
   statuses: z.array(statusRecordSchema).default([]),
   items: z.array(topicItemSchema).default([]),
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -285,8 +285,8 @@
   follower.subscribe(({version}) =>
     membership.report({configurationVersion: version}),
   );
-  membership.subscribe(({status}) => {
-    void follower.wake(status.configurationVersion);
+  membership.subscribeVersion(version => {
+    void follower.wake(version);
   });
   return {
     follower,
--- a/test/gossip.test.ts
+++ b/test/gossip.test.ts
@@ -61,6 +61,12 @@
     expect(gossip.size).toBe(0);
   });
 
+  it('that are new go before those that wait', () => {
+    const gossip = filled(50);
+    gossip.addStatus(statusOf(99));
+    expect(gossip.select(50).statuses).toEqual([statusOf(99)]);
+  });
+
   it('of a subject are replaced by newer ones', () => {
     const gossip = new Gossip();
     gossip.addStatus(statusOf(1));
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -151,3 +151,19 @@
     expect(stateOf(three, two)).toBe(MemberState.Alive);
   });
 });
+
+describe('a configuration version', () => {
+  it('is heard of everywhere at once', async () => {
+    all = await takePartAll(8);
+    await until(allLive);
+    const heard = new Set<string>();
+    for (const {name, fleet} of all) {
+      fleet.subscribeVersion(version => {
+        fleet.report({configurationVersion: version});
+        heard.add(name);
+      });
+    }
+    all[0]?.fleet.report({configurationVersion: 7});
+    expect(await until(() => heard.size === 7, 5_000)).toBe(true);
+  });
+});
