Split the prober from the fleet, and measure claims per append

Change: the task that probes is a class of its own; slopes against keyed requests; lines are fitted from nine instances on; the fleet's measurements. Conclusion: behaviour unchanged; the tests of membership pass as before.

--- a/bench/slope/groups.ts
+++ b/bench/slope/groups.ts
@@ -16,6 +16,8 @@
 const CONTROL_CPU_PERCENT = 1.8;
 const CONTROL_MB = 64;
 const IN_FORCE_MS = 6_000;
+/** Instances that wait at the log, and so have every duty by rank. */
+const WATCHERS = 9;
 
 /** Sizes at target. */
 const TARGET = {
@@ -35,8 +37,13 @@
 const pointsOf = (runs: Run[], y: (run: Run) => number): Point[] =>
   runs.map(run => [run.x, y(run)]);
 
-function controlSlopes(runs: Run[], against: string, target: number): Slope[] {
-  const bytes = {unit: 'B/s', against, target};
+function controlSlopes(
+  runs: Run[],
+  against: string,
+  target: number,
+  fitFrom = 0,
+): Slope[] {
+  const bytes = {unit: 'B/s', against, target, fitFrom};
   return [
     fit(
       {name: `control bytes by ${against}`, ...bytes, budget: CONTROL_BYTES},
@@ -60,6 +67,7 @@
         unit: '% of a core',
         against,
         target,
+        fitFrom,
         budget: CONTROL_CPU_PERCENT,
       },
       pointsOf(runs, ({rates}) => rates.cpuPercent),
@@ -70,12 +78,19 @@
         unit: 'MB',
         against,
         target,
+        fitFrom,
         budget: CONTROL_MB,
       },
       pointsOf(runs, ({rates}) => rates.heapMb),
     ),
     fit(
-      {name: `resident memory by ${against}`, unit: 'MB', against, target},
+      {
+        name: `resident memory by ${against}`,
+        unit: 'MB',
+        against,
+        target,
+        fitFrom,
+      },
       pointsOf(runs, ({rates}) => rates.residentMb),
     ),
   ];
@@ -98,11 +113,15 @@
       unit: 'ms',
       against: 'nodes',
       target: TARGET.nodes,
+      fitFrom: WATCHERS,
       budget: IN_FORCE_MS,
     },
     pointsOf(runs, run => run.inForceMs),
   );
-  return [...controlSlopes(runs, 'nodes', TARGET.nodes), inForceSlope];
+  return [
+    ...controlSlopes(runs, 'nodes', TARGET.nodes, WATCHERS),
+    inForceSlope,
+  ];
 }
 
 async function inForce(fleet: MeasuredFleet): Promise<number> {
--- a/bench/slope/slope.ts
+++ b/bench/slope/slope.ts
@@ -8,6 +8,11 @@
   /** What x counts. */
   against: string;
   points: Point[];
+  /**
+   * Smallest x on the line. Below nine instances each has every duty that goes
+   * by rank, so smaller fleets are no guide to larger ones.
+   */
+  fitFrom?: number;
   /** Growth of y for each x, by least squares. */
   slope: number;
   /** y at the target size, on the fitted line. */
@@ -23,11 +28,14 @@
 
 /** Fits a line through measured points and follows it to the target. */
 export function fit(spec: SlopeSpec, points: Point[]): Slope {
-  const count = points.length;
-  const meanX = points.reduce((sum, [x]) => sum + x, 0) / count;
-  const meanY = points.reduce((sum, [, y]) => sum + y, 0) / count;
-  const spread = points.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0);
-  const common = points.reduce(
+  const {fitFrom = -Infinity} = spec;
+  const above = points.filter(([x]) => x >= fitFrom);
+  const line = above.length > 1 ? above : points;
+  const count = line.length;
+  const meanX = line.reduce((sum, [x]) => sum + x, 0) / count;
+  const meanY = line.reduce((sum, [, y]) => sum + y, 0) / count;
+  const spread = line.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0);
+  const common = line.reduce(
     (sum, [x, y]) => sum + (x - meanX) * (y - meanY),
     0,
   );
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -1,6 +1,7 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {byChanges, byNodes, byRunners, byWorkspaces} from './slope/groups.js';
+import {byKeyedRequests} from './slope/claims.js';
 import {byDocumentSize} from './slope/ledger.js';
 import type {Slope} from './slope/slope.js';
 
@@ -11,6 +12,7 @@
   Runners = 'runners',
   Workspaces = 'workspaces',
   Changes = 'changes',
+  Claims = 'claims',
 }
 
 function measure(group: Group, sizes: readonly number[]): Promise<Slope[]> {
@@ -25,6 +27,8 @@
       return byWorkspaces([10, 1_000, 10_000]);
     case Group.Changes:
       return byChanges([1, 12, 60]);
+    case Group.Claims:
+      return byKeyedRequests();
   }
 }
 
--- a/src/instance/index.ts
+++ b/src/instance/index.ts
@@ -13,12 +13,13 @@
 export type {LeavingParts, UpstreamSummary} from './leaving.js';
 export {MemberState} from './member.js';
 export type {Member, Membership, MemberStatus} from './member.js';
-export {Fleet, PROBE_PERIOD_MS} from './membership.js';
+export {Fleet} from './membership.js';
 export type {FleetParts, Identity} from './membership.js';
 export type {TopicItem} from './message.js';
 export {Passing} from './passing.js';
 export {addressOf, PeerClient, PeerServer} from './peer.js';
 export type {PeerAddress, PeerFailure, PeerHandler, PeerUsage} from './peer.js';
+export {PROBE_PERIOD_MS} from './prober.js';
 export {openPeerPorts} from './ports.js';
 export type {PortsUnavailable} from './ports.js';
 export {checkSettings, settingsSchema} from './settings.js';
--- a/src/instance/membership.ts
+++ b/src/instance/membership.ts
@@ -12,25 +12,18 @@
 } from './member.js';
 import {
   exchangeSchema,
-  relayedSchema,
-  relaySchema,
   type Exchange,
   type MemberRecord,
   type SentExchange,
   type StatusRecord,
   type TopicItem,
 } from './message.js';
-import {ProbeRing, sample} from './probe.js';
+import {sample} from './probe.js';
+import {Prober} from './prober.js';
 import {recordOf, Roster} from './roster.js';
 import {Suspicions, suspicionTimeout} from './suspicion.js';
 import type {Topic} from './topic.js';
 
-/** Time between two probes of an instance, in ms. */
-export const PROBE_PERIOD_MS = 2_000;
-const DIRECT_TIMEOUT_MS = 400;
-const RELAY_TIMEOUT_MS = 500;
-/** Instances asked to probe a peer that did not answer. */
-const RELAYS = 3;
 /** Peers told at once of urgent news. */
 const NEWS_FANOUT = 3;
 /** Changes in shedding told at once, and the time until one more may be. */
@@ -38,14 +31,6 @@
 const BURST_PERIOD_MS = 2_000;
 /** Time for the last datagrams to go out before the process ends, in ms. */
 const LEAVE_GRACE_MS = 50;
-/** Share of rounds in which an unchanged status is told again. */
-const REFRESH_SHARE = 0.1;
-/** Share of rounds in which one dead member is probed as well. */
-const DEAD_PROBE_SHARE = 0.1;
-/** How long members that are gone are remembered, in ms. */
-const GONE_RETENTION_MS = 2 * 3_600_000;
-/** A round this late means that this process was paused, in ms. */
-const PAUSE_MS = 2 * PROBE_PERIOD_MS;
 
 /** What a [[Fleet]] works with. */
 export interface FleetParts {
@@ -73,19 +58,18 @@
 export class Fleet implements Membership {
   readonly roster = new Roster();
   private readonly gossip = new Gossip();
-  private readonly ring: ProbeRing;
+  private readonly prober: Prober;
   private readonly suspicions: Suspicions;
   private readonly bursts: Allowance;
   private readonly listeners = new Set<(member: Member) => void>();
   private readonly versionListeners = new Set<(version: number) => void>();
   private readonly topics = new Map<string, Topic>();
-  private readonly stopping = new AbortController();
   private readonly me: Member;
   private sequence = 0;
   private joined = false;
+  private stopped = false;
   private newsPending = false;
   private newestVersion = 0;
-  private task?: Promise<void>;
 
   constructor(
     identity: Identity,
@@ -96,12 +80,10 @@
       state: MemberState.Alive,
       status: {configurationVersion: 0, queued: 0, running: 0},
     };
-    this.ring = new ProbeRing(parts.random);
     this.suspicions = new Suspicions(parts.timer);
     this.bursts = new Allowance(BURSTS, BURST_PERIOD_MS, parts.timer);
+    this.prober = new Prober(this, parts);
     const {datagrams} = parts;
-    datagrams.handle('ping', params => this.answerPing(params));
-    datagrams.handle('relay', params => this.answerRelay(params));
     datagrams.handle('news', params => {
       this.take(exchangeSchema.parse(params));
     });
@@ -169,7 +151,7 @@
   }
 
   start(): void {
-    this.task ??= this.run();
+    this.prober.start();
   }
 
   /**
@@ -187,9 +169,9 @@
 
   /** Ends all tasks. Peers that were not told by [[leave]] will suspect it. */
   async stop(): Promise<void> {
-    this.stopping.abort();
+    this.stopped = true;
     this.suspicions.clear();
-    await this.task;
+    await this.prober.stop();
   }
 
   /** Takes in what a peer knows. */
@@ -204,109 +186,8 @@
     this.joined = true;
   }
 
-  private async run(): Promise<void> {
-    const {timer, random, logger} = this.parts;
-    const {signal} = this.stopping;
-    await timer.sleep(random() * PROBE_PERIOD_MS, signal);
-    while (!signal.aborted) {
-      const start = timer.now();
-      if (random() < REFRESH_SHARE) {
-        this.gossip.addStatus(this.statusOfSelf());
-      }
-      await Promise.all([this.probeNext(), this.probeDead()]);
-      const rest = PROBE_PERIOD_MS - (timer.now() - start);
-      await timer.sleep(Math.max(0, rest), signal);
-      if (timer.now() - start > PAUSE_MS) logger.warn('Process was paused.');
-      this.roster.expire(timer.now() - GONE_RETENTION_MS);
-    }
-  }
-
-  private async probeNext(): Promise<void> {
-    const peers = this.all().filter(
-      member => member !== this.me && member.state !== MemberState.Dead,
-    );
-    const peer = this.ring.next(peers);
-    if (peer === undefined) return;
-    const {incarnation} = peer;
-    const start = this.parts.timer.now();
-    if (await this.ping(peer)) return;
-    if (await this.pingThrough(peer, peers)) return;
-    const paused = this.parts.timer.now() - start > PAUSE_MS;
-    if (paused || this.stopping.signal.aborted) return;
-    this.suspect(peer.name, incarnation);
-  }
-
-  /** Finds out, at a bounded rate, whether a dead member came back. */
-  private async probeDead(): Promise<void> {
-    if (this.parts.random() >= DEAD_PROBE_SHARE) return;
-    const dead = this.all().filter(({state}) => state === MemberState.Dead);
-    const [member] = sample(dead, 1, this.parts.random);
-    if (member !== undefined) await this.ping(member);
-  }
-
-  private async ping(peer: Member): Promise<boolean> {
-    const answer = await this.parts.datagrams.call(
-      peer,
-      'ping',
-      this.exchange(peer),
-      DIRECT_TIMEOUT_MS,
-    );
-    if (answer.isErr()) return false;
-    const parsed = exchangeSchema.safeParse(answer.value);
-    if (!parsed.success) return false;
-    this.take(parsed.data);
-    return parsed.data.from.name === peer.name;
-  }
-
-  private async pingThrough(
-    peer: Member,
-    peers: readonly Member[],
-  ): Promise<boolean> {
-    const others = peers.filter(
-      other => other !== peer && other.state === MemberState.Alive,
-    );
-    const relays = sample(others, RELAYS, this.parts.random);
-    const target = {host: peer.host, port: peer.port};
-    const answers = await Promise.all(
-      relays.map(relay =>
-        this.parts.datagrams.call(
-          relay,
-          'relay',
-          {...this.exchange(relay), target},
-          RELAY_TIMEOUT_MS,
-        ),
-      ),
-    );
-    return answers.some(answer => {
-      const parsed = relayedSchema.safeParse(answer.unwrapOr(undefined));
-      if (!parsed.success) return false;
-      this.take(parsed.data);
-      return parsed.data.reached;
-    });
-  }
-
-  private answerPing(params: unknown): SentExchange {
-    const exchange = exchangeSchema.parse(params);
-    this.take(exchange);
-    return this.exchange(exchange.from);
-  }
-
-  private async answerRelay(params: unknown): Promise<unknown> {
-    const relay = relaySchema.parse(params);
-    this.take(relay);
-    const answer = await this.parts.datagrams.call(
-      relay.target,
-      'ping',
-      this.exchange(),
-      DIRECT_TIMEOUT_MS,
-    );
-    const parsed = exchangeSchema.safeParse(answer.unwrapOr(undefined));
-    if (parsed.success) this.take(parsed.data);
-    return {...this.exchange(relay.from), reached: parsed.success};
-  }
-
   /** Builds the body of a datagram; `to` learns what is held against it. */
-  private exchange(to?: MemberRecord): SentExchange {
+  exchange(to?: MemberRecord): SentExchange {
     const selection = this.gossip.select(this.roster.size + 1);
     const view = to === undefined ? undefined : this.roster.get(to.name);
     if (to !== undefined && view !== undefined && disputes(view.member, to)) {
@@ -322,13 +203,18 @@
     };
   }
 
+  /** Tells the own status again, for peers that missed it. */
+  refresh(): void {
+    this.gossip.addStatus(this.statusOfSelf());
+  }
+
   private statusOfSelf(): StatusRecord {
     const {name, incarnation, status} = this.me;
     return {name, incarnation, sequence: this.sequence, status};
   }
 
   /** Takes in a datagram, unless a newer incarnation of the sender is known. */
-  private take({from, version, members, statuses, items}: Exchange): void {
+  take({from, version, members, statuses, items}: Exchange): void {
     const known = this.roster.get(from.name)?.member.incarnation ?? 0;
     if (from.incarnation < known) return;
     this.learnVersion(version);
@@ -407,7 +293,8 @@
   private yieldToSuccessor(record: MemberRecord): void {
     if (this.me.state === MemberState.Dead) return;
     this.me.state = MemberState.Dead;
-    this.stopping.abort();
+    this.stopped = true;
+    void this.prober.stop();
     this.tell(this.me);
     this.parts.logger.error(
       {successor: record.incarnation, incarnation: this.me.incarnation},
@@ -415,7 +302,8 @@
     );
   }
 
-  private suspect(name: string, incarnation: number): void {
+  /** Takes on that nobody reached a member; a leaving one is gone then. */
+  suspect({name, incarnation}: MemberRecord): void {
     const entry = this.roster.get(name);
     if (entry === undefined) return;
     if (entry.member.incarnation !== incarnation) return;
@@ -437,7 +325,7 @@
 
   /** Tells a few peers at once, who do the same if it is news to them. */
   private spreadNews(): void {
-    if (this.newsPending || this.stopping.signal.aborted) return;
+    if (this.newsPending || this.stopped) return;
     this.newsPending = true;
     queueMicrotask(() => {
       this.newsPending = false;
