Test the commands of operators on real routers

Change: a test that runs the built command against two routers; slopes of calls between peers against keyed requests.

--- a/bench/slope/claims.ts
+++ b/bench/slope/claims.ts
@@ -1,8 +1,8 @@
 import {v7 as uuidv7} from 'uuid';
 import {call} from '../caller.js';
-import {Cluster} from '../cluster.js';
+import type {Cluster} from '../cluster.js';
 import {demoKey, Deployment, exampleOf} from '../deployment.js';
-import {sleep} from './fleet.js';
+import {MeasuredFleet, sleep} from './fleet.js';
 import {fit, type Point, type Slope} from './slope.js';
 
 const ROUTERS = 3;
@@ -49,16 +49,18 @@
 
 /** Appends to the log, against the rate of keyed requests. */
 export async function byKeyedRequests(): Promise<Slope[]> {
-  const cluster = await Cluster.start({
-    document: exampleOf(Deployment.Nilecoil),
-    routers: ROUTERS,
-  });
+  const document = exampleOf(Deployment.Nilecoil);
+  const fleet = await MeasuredFleet.start(ROUTERS, document);
+  if (fleet === undefined) return [];
   await sleep(SETTLE_MS);
   const appends: Point[] = [];
+  const peerBytes: Point[] = [];
   for (const rate of [1, 10, 50, 150]) {
-    appends.push([rate, await appendsAt(cluster, rate)]);
+    const measured = fleet.measure(SECONDS);
+    appends.push([rate, await appendsAt(fleet.cluster, rate)]);
+    peerBytes.push([rate, (await measured).peerCallBytes]);
   }
-  await cluster.stop();
+  await fleet.stop();
   const against = 'keyed requests a second';
   return [
     fit(
@@ -71,6 +73,15 @@
       },
       appends,
     ),
+    fit(
+      {
+        name: 'peer call bytes by keyed requests',
+        unit: 'B/s',
+        against,
+        target: TARGET_PER_SECOND,
+      },
+      peerBytes,
+    ),
     fit(
       {
         name: 'claims per append',
--- /dev/null
+++ b/test/config-cli.test.ts
@@ -0,0 +1,97 @@
+import {execFile} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {afterAll, beforeAll, describe, expect, it} from 'vitest';
+import {Cluster} from '../bench/cluster.js';
+import {Deployment, exampleOf} from '../bench/deployment.js';
+import {changed} from '../bench/slope/documents.js';
+import {packageRoot} from '../src/cli/root.js';
+
+const MAIN = join(packageRoot(), 'build', 'src', 'cli', 'main.js');
+const ROUTERS = 2;
+
+let cluster: Cluster;
+let folder: string;
+
+beforeAll(async () => {
+  folder = mkdtempSync(join(tmpdir(), 'gypsumcourse-'));
+  cluster = await Cluster.start({
+    document: exampleOf(Deployment.Hraunvik),
+    routers: ROUTERS,
+  });
+});
+
+afterAll(async () => {
+  await cluster.stop();
+  rmSync(folder, {recursive: true});
+});
+
+const run = (...args: string[]) =>
+  new Promise<{code: number; out: string}>(resolve => {
+    const env = {
+      ...process.env,
+      GYPSUMCOURSE_PEER_SECRETS: Cluster.peerSecret,
+    };
+    execFile(process.execPath, [MAIN, ...args], {env}, (error, out, errors) => {
+      const code = error === null ? 0 : Number(error.code);
+      resolve({code, out: out + errors});
+    });
+  });
+
+const peer = () => cluster.routers[0]?.proxy.address ?? '';
+
+const write = (name: string, document: unknown) => {
+  const file = join(folder, name);
+  writeFileSync(file, JSON.stringify(document));
+  return file;
+};
+
+describe('the command line', () => {
+  it('publishes, and tells which instances have it', async () => {
+    const logUrl = cluster.log.url;
+    const next = write('next.json', changed(cluster.document, 1));
+    const difference = await run('config', 'diff', next, '--log-url', logUrl);
+    expect(difference.out).toMatch(/^\+ workspaces\.[a-z-]+\.weight = 1\.01/);
+    const published = await run(
+      ...['config', 'publish', next, '--log-url', logUrl],
+      ...['--base', '1', '--author', 'ada', '--peer', peer()],
+    );
+    expect(published.out).toContain('"type":"accepted"');
+    expect(published.out).toMatch(/In force on 2: /);
+    expect(published.code).toBe(0);
+  });
+
+  it('tells of a conflict what changed and by whom', async () => {
+    const late = write('late.json', changed(cluster.document, 2));
+    const refused = await run(
+      ...['config', 'publish', late, '--log-url', cluster.log.url],
+      ...['--base', '1'],
+    );
+    expect(refused.code).toBe(1);
+    expect(refused.out).toContain('Conflict: made from version 1');
+    expect(refused.out).toContain('by ada:');
+  });
+
+  it('prints the document in force, and refuses an invalid one', async () => {
+    const shown = await run('config', 'show', '--log-url', cluster.log.url);
+    expect(shown.out).toContain('"weight": 1.01');
+    const broken = write('broken.json', {...cluster.document, zones: []});
+    const checked = await run('config', 'check', broken);
+    expect(checked).toMatchObject({code: 1});
+    expect(checked.out).toMatch(/^zones: /);
+  });
+
+  it('makes an upstream leave and return', async () => {
+    const name = cluster.upstreams[0]?.name ?? '';
+    const at = ['--peer', peer()];
+    const left = await run('upstream', 'leave', name, ...at);
+    expect(left).toEqual({code: 0, out: `${name} leaves.\n`});
+    const listed = await run('upstream', 'list', ...at);
+    expect(listed.out).toContain(`${name}: takes no new work (operator)`);
+    const back = await run('upstream', 'return', name, ...at);
+    expect(back).toEqual({code: 0, out: `${name} returns.\n`});
+    const unknown = await run('upstream', 'leave', 'nobody', ...at);
+    expect(unknown.code).toBe(1);
+  });
+});
