--- a/bench/slope/fleet.ts
+++ b/bench/slope/fleet.ts
@@ -8,6 +8,7 @@
   readUpstreams,
   readUsage,
   type ControlUsage,
+  type MemberState,
 } from '../../src/instance/index.js';
 import type {ConfigurationDraft} from '../../src/config/index.js';
 import {LogSession} from '../../src/cli/session.js';
@@ -118,6 +119,22 @@
     };
   }
 
+  /** The state of a member as each other router that answers sees it. */
+  async statesOf(name: string): Promise<MemberState[]> {
+    const others = this.cluster.routers.filter(router => router.name !== name);
+    const views = await Promise.all(
+      others.map(({host, process}) =>
+        readMembers(
+          this.client,
+          addressOf(`${host}:${process?.listening.peerPort ?? 0}`),
+        ),
+      ),
+    );
+    return views.flatMap(
+      view => view?.find(member => member.name === name)?.state ?? [],
+    );
+  }
+
   private get addresses() {
     return this.cluster.routers.map(({host, process}) =>
       addressOf(`${host}:${process?.listening.peerPort ?? 0}`),
@@ -131,7 +148,8 @@
     return usages.filter(usage => usage !== undefined);
   }
 
-  private async untilJoined(): Promise<void> {
+  /** Waits until each router knows all others as live. */
+  async untilJoined(): Promise<void> {
     const count = this.cluster.routers.length;
     await until(async () => {
       const views = await Promise.all(
