--- /dev/null
+++ b/bench/telemetry.ts
@@ -0,0 +1,111 @@
+/**
+ * Measures what telemetry costs: processor time of the recorder's calls for
+ * one request, the memory that it holds when full, and the size of a summary.
+ * Run with `--expose-gc`.
+ */
+import {v7 as uuidv7} from 'uuid';
+import {
+  MeteredRecorder,
+  nullRecorder,
+  type Figures,
+  type Recorder,
+} from '../src/telemetry/index.js';
+import {SystemTimer} from '../src/timer/index.js';
+
+const WARM_UP_REQUESTS = 20_000;
+const REQUESTS = 200_000;
+const CLASSES = 7;
+const WORKSPACES = 100;
+const WEIGHED = 6;
+const MICROSECONDS_PER_MS = 1_000;
+const BYTES_PER_MEBIBYTE = 1024 * 1024;
+
+/** Calls a recorder as the request path does for one placed request. */
+function recordRequest(recorder: Recorder, index: number): void {
+  const id = uuidv7();
+  const name = `class-${index % CLASSES}`;
+  const workspace = `workspace-${index % WORKSPACES}`;
+  const tier = index % CLASSES;
+  recorder.decide(id, {type: 'arrived', class: name, tier, workspace});
+  recorder.decide(id, {
+    type: 'placed',
+    upstream: 'runner-1',
+    waitedMs: 3,
+    weighed: Array.from({length: WEIGHED}, (_, n) => ({
+      name: `runner-${n}`,
+      zone: 'delta-1',
+      expectedMs: 100 + n,
+      cachedTokens: 128,
+      inflight: n,
+    })),
+  });
+  const upstream = 'runner-1';
+  const ms = 200 + (index % 900);
+  recorder.decide(id, {type: 'attempted', upstream, result: 'whole', ms});
+  recorder.observe({
+    class: name,
+    tier,
+    workspace,
+    outcome: 'completed',
+    attained: true,
+    firstTokenMs: 50 + (index % 300),
+    betweenTokensMs: 5 + (index % 60),
+    completionMs: ms,
+    tokens: 100,
+  });
+  recorder.decide(id, {type: 'ended', outcome: 'completed', ms});
+}
+
+/** Processor time of one request's calls, in microseconds. */
+function cpuPerRequest(recorder: Recorder): number {
+  for (let n = 0; n < WARM_UP_REQUESTS; n++) recordRequest(recorder, n);
+  const start = process.cpuUsage();
+  for (let n = 0; n < REQUESTS; n++) recordRequest(recorder, n);
+  const {user, system} = process.cpuUsage(start);
+  return (user + system) / REQUESTS;
+}
+
+function heapBytes(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed + process.memoryUsage().arrayBuffers;
+}
+
+function print(name: string, value: string): void {
+  process.stdout.write(`${name.padEnd(44)}${value}\n`);
+}
+
+/** Size of the figures that a summary of one minute carries, in bytes. */
+function summaryBytes(requests: number): number {
+  const recorder = new MeteredRecorder(new SystemTimer());
+  let figures: Figures | undefined;
+  recorder.subscribe(({counts}) => {
+    figures = counts.figures();
+  });
+  for (let n = 0; n < requests; n++) recordRequest(recorder, n);
+  recorder.cut();
+  return JSON.stringify(figures).length;
+}
+
+const off = cpuPerRequest(nullRecorder);
+const before = heapBytes();
+const recorder = new MeteredRecorder(new SystemTimer());
+const on = cpuPerRequest(recorder);
+const held = heapBytes() - before;
+const usage = recorder.traceUsage();
+const reportStart = performance.now();
+const account = JSON.stringify(recorder.account());
+const reportMs = performance.now() - reportStart;
+
+print('off, microseconds a request', off.toFixed(2));
+print('on, microseconds a request', on.toFixed(2));
+print('traces kept, requests', String(usage.requests));
+print('traces kept, MiB', (usage.bytes / BYTES_PER_MEBIBYTE).toFixed(2));
+print('held with full traces, MiB', (held / BYTES_PER_MEBIBYTE).toFixed(2));
+print('share of one instance in a report, bytes', String(account.length));
+print('time to draw that share up, ms', reportMs.toFixed(1));
+print('summary of 20 requests, bytes', String(summaryBytes(20)));
+print('summary of 1000 requests, bytes', String(summaryBytes(1_000)));
+print(
+  'share of a core at 16.5 requests a second',
+  `${(((on - off) * 16.5) / MICROSECONDS_PER_MS / 10).toFixed(4)}%`,
+);
--- a/src/console/index.ts
+++ b/src/console/index.ts
@@ -3,4 +3,4 @@
 export {OperatorListener} from './listener.js';
 export type {OperatorParts} from './listener.js';
 export {LogPublisher} from './publisher.js';
-export type {Publication, Publisher} from './publisher.js';
+export type {Publisher, PublishResult} from './publisher.js';
--- a/src/console/pages.ts
+++ b/src/console/pages.ts
@@ -5,6 +5,7 @@
   formatLog,
   formatMembers,
   formatMemory,
+  formatRemaining,
   formatTime,
   formatWindow,
   type BurnReport,
@@ -110,13 +111,13 @@
     )}
     <h2>Leases</h2>
     ${htmlTable(
-      ['Lease', 'Holder', 'Fencing number', 'Left (ms)', 'Seen by'],
+      ['Lease', 'Holder', 'Fencing number', 'Left', 'Seen by'],
       report.views.flatMap(view =>
         view.leases.map(lease => [
           lease.name,
           lease.holder,
-          lease.fencingNumber,
-          Math.round(lease.remainingMs),
+          lease.fencingNumber ?? '-',
+          formatRemaining(lease),
           view.instance,
         ]),
       ),
--- a/src/console/review.ts
+++ b/src/console/review.ts
@@ -6,7 +6,7 @@
 import {layout, tokenField} from './layout.js';
 import {textOf, type Json} from './paths.js';
 import {problemList} from './problems.js';
-import type {Publication} from './publisher.js';
+import type {PublishResult} from './publisher.js';
 import {actionButton, type Section} from './section.js';
 
 /** Shows what a draft changes, before it is published. */
@@ -37,7 +37,7 @@
 export function publicationPage(
   session: Session,
   draft: Draft,
-  publication: Publication,
+  publication: PublishResult,
   current: AcceptedConfiguration | undefined,
 ): Markup {
   switch (publication.type) {
--- a/src/console/section.ts
+++ b/src/console/section.ts
@@ -71,7 +71,7 @@
     <h2>${list.title}</h2>
     ${pager(list, document, range)} ${items}
     <p class="actions">
-      ${actionButton(`add:${list.path}`, `Add a ${list.noun}`, 'quiet')}
+      ${actionButton(`add:${list.path}`, `Add ${list.noun}`, 'quiet')}
     </p>
   </section>`;
 }
@@ -115,7 +115,7 @@
     <legend>${inner.title}</legend>
     ${items}
     <p class="actions">
-      ${actionButton(`add:${inner.path}`, `Add a ${inner.noun}`, 'quiet')}
+      ${actionButton(`add:${inner.path}`, `Add ${inner.noun}`, 'quiet')}
     </p>
   </fieldset>`;
 }
--- a/src/console/sections.ts
+++ b/src/console/sections.ts
@@ -142,11 +142,11 @@
         TEXT,
         'only while leaving, such as 2026-12-31T18:00:00Z',
       ),
-      field(`${path}.fencing`, 'Orders with old fencing numbers', {
+      field(`${path}.fencing`, 'Old fencing numbers', {
         type: 'choice',
         options: ['enforced', 'ignored', 'none'],
       }),
-      field(`${path}.checksSender`, 'Checks who gives orders', CHECK),
+      field(`${path}.checksSender`, 'Checks sender', CHECK),
       field(
         `${path}.leaving`,
         'Upstreams that are leaving',
--- a/src/operators.ts
+++ b/src/operators.ts
@@ -13,7 +13,7 @@
   Settings,
 } from './instance/index.js';
 import type {HttpLog} from './platform/index.js';
-import {observeFleet, Reporter} from './report/index.js';
+import {observeFleet, Reporter, type LeaseView} from './report/index.js';
 import {
   logOf,
   Part,
@@ -38,6 +38,8 @@
   membership: Membership;
   peerServer: PeerServer;
   peerClient: PeerClient;
+  /** Leases of pools, as far as this instance knows them. */
+  leases: () => LeaseView[];
 }
 
 /** Starts summaries, reports and, with a secret, the operators' listener. */
@@ -68,7 +70,7 @@
         configuration: () => follower.current(),
         configurationPosition: () => follower.position(),
         backlog: () => summarizer.backlog(),
-        leases: () => [],
+        leases: parts.leases,
       }),
   });
   const listener =
@@ -79,7 +81,7 @@
           ...parts,
           reporter,
           gauges: () => gaugesOf(parts, summarizer.backlog()),
-          publisher: new LogPublisher(log, follower, timer),
+          publisher: new LogPublisher(parts),
           logger: logOf(root, Part.Console),
         });
   const port = await listener?.listen(settings.host, settings.operatorPort);
--- a/src/report/fleettext.ts
+++ b/src/report/fleettext.ts
@@ -1,5 +1,10 @@
 import {textTable} from './table.js';
-import type {FleetReport, InstanceView, UpstreamView} from './view.js';
+import type {
+  FleetReport,
+  InstanceView,
+  LeaseView,
+  UpstreamView,
+} from './view.js';
 
 const BYTES_PER_MEBIBYTE = 1024 * 1024;
 
@@ -119,6 +124,11 @@
   );
 }
 
+/** Writes the time that a lease has left, where it is known. */
+export function formatRemaining({remainingMs}: LeaseView): string {
+  return remainingMs === undefined ? '-' : `${Math.round(remainingMs)} ms`;
+}
+
 function leaseTable(views: readonly InstanceView[]): string {
   const lines = views.flatMap(view =>
     view.leases.map(lease => ({...lease, seenBy: view.instance})),
@@ -131,12 +141,12 @@
       {
         title: 'fencing number',
         numeric: true,
-        value: line => String(line.fencingNumber),
+        value: line => String(line.fencingNumber ?? '-'),
       },
       {
         title: 'left',
         numeric: true,
-        value: line => `${Math.round(line.remainingMs)} ms`,
+        value: line => formatRemaining(line),
       },
       {title: 'seen by', value: line => line.seenBy},
     ],
--- a/src/report/index.ts
+++ b/src/report/index.ts
@@ -32,6 +32,7 @@
   formatLog,
   formatMembers,
   formatMemory,
+  formatRemaining,
 } from './fleettext.js';
 export {
   burnText,
--- a/src/report/view.ts
+++ b/src/report/view.ts
@@ -33,9 +33,10 @@
 const leaseViewSchema = z.object({
   name: z.string(),
   holder: z.string(),
-  fencingNumber: z.number(),
-  /** Time left, by the instance's clock. */
-  remainingMs: z.number(),
+  /** Known to the holder only. */
+  fencingNumber: z.number().optional(),
+  /** Time left, by the holder's clock. */
+  remainingMs: z.number().optional(),
 });
 
 /** What one instance sees of the fleet. */
@@ -95,12 +96,17 @@
         takesWork ? 'takes work' : 'takes no work',
       ]),
     ),
-    ...differing(views, 'lease', view =>
+    ...differing(viewsWithLeases(views), 'lease', view =>
       view.leases.map(({name, holder}) => [name, `held by ${holder}`]),
     ),
   ];
 }
 
+/** Instances that read the leases; the others have no opinion on them. */
+function viewsWithLeases(views: readonly InstanceView[]): InstanceView[] {
+  return views.filter(({leases}) => leases.length > 0);
+}
+
 /** Compares what the views say of each subject. */
 function differing(
   views: readonly InstanceView[],
--- a/src/telemetry/accumulator.ts
+++ b/src/telemetry/accumulator.ts
@@ -93,6 +93,7 @@
     workClass: string,
     tokens: number,
   ): void {
+    if (tokens === 0) return;
     const key = `${cause}/${workClass}`;
     const known = this.waste.get(key);
     if (known === undefined) {
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -25,6 +25,7 @@
 import {startOperators} from './operators.js';
 import {EngineClient, OrderManager} from './order/index.js';
 import {HttpInstanceList, HttpLog, HttpWeightStore} from './platform/index.js';
+import type {LeaseView} from './report/index.js';
 import {Executor, RetryBudget} from './request/index.js';
 import {logOf, MeteredRecorder, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Subscription, type Timer} from './timer/index.js';
@@ -76,6 +77,7 @@
 
 /** The parts that give orders to engines. */
 interface Ordering {
+  leases: LeaseManager;
   start(): void;
   stop(): Promise<void>;
 }
@@ -143,6 +145,7 @@
     membership,
     peerServer: peers.server,
     peerClient: peers.client,
+    leases: () => leaseViews(ordering.leases, follower, timer),
   });
   await peers.start();
   decisions.start();
@@ -330,6 +333,7 @@
   });
   follower.subscribe(({document}) => orders.apply(document));
   return {
+    leases,
     start: () => leases.start(),
     stop: async () => {
       await orders.stop();
@@ -343,3 +347,20 @@
     ? {host: settings.host, port: peerPort}
     : addressOf(settings.advertise);
 }
+
+/** The leases of pools, as far as this instance knows them. */
+function leaseViews(
+  leases: LeaseManager,
+  follower: Follower,
+  timer: Timer,
+): LeaseView[] {
+  const pools = follower.current()?.document.pools ?? [];
+  return pools.flatMap(({name}) => {
+    const holder = leases.holderOf(name);
+    if (holder === undefined) return [];
+    const held = leases.held(name);
+    if (held === undefined) return [{name, holder}];
+    const remainingMs = held.until - timer.now();
+    return [{name, holder, fencingNumber: held.fencing, remainingMs}];
+  });
+}
