--- a/src/operators.ts
+++ b/src/operators.ts
@@ -59,6 +59,7 @@
     logOf(root, Part.Router),
     () => membership.live().length,
   );
+  summarizer.start();
   const reporter = new Reporter({
     ...parts,
     view: () =>
--- a/src/report/text.ts
+++ b/src/report/text.ts
@@ -54,7 +54,7 @@
     case GapReason.SummaryLost:
       return 'a summary is missing on the log';
     case GapReason.EndedAbruptly:
-      return 'it ended without a last summary';
+      return 'it did not answer and left no last summary';
     case GapReason.Silent:
       return 'it did not answer';
     case GapReason.NoSummary:
--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -11,6 +11,23 @@
 /** Budgets kept at most; the least recently used go first. */
 const BUDGETS_LIMIT = 4_096;
 
+/** Decides on retries of failed attempts. */
+export interface Retries {
+  /** Counts a first attempt of a class on an upstream. */
+  attempted(className: string, upstream: string): void;
+  /** Takes a retry of a class after a failure on an upstream, if allowed. */
+  take(className: string, upstream: string): boolean;
+  /** Delay before retry number `retry`, counted from 1, in ms. */
+  delayMs(retry: number): number;
+}
+
+/** Retries every failure at once. The baseline of [[RetryBudget]]. */
+export const blindRetries: Retries = {
+  attempted: () => undefined,
+  take: () => true,
+  delayMs: () => 0,
+};
+
 class Budget {
   private tokens = RESERVE;
 
@@ -36,7 +53,7 @@
  * Bounds retries to a share of recent traffic, for each class and each
  * upstream, so that retries never multiply an overload.
  */
-export class RetryBudget {
+export class RetryBudget implements Retries {
   private readonly budgets = new Map<string, Budget>();
 
   /** `random` returns numbers from 0 to 1, for jitter. */
