Keep the environment of instances from failing other commands

Cause: after the README's exports, report, explain and fleet ended with 'Unknown arguments: seeds, logUrl', since every GYPSUMCOURSE_ variable was taken for a flag of whatever command ran. Change: a command reads the variables it knows, and no others. Conclusion: found by walking the README, which a test now does in part.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -17,7 +17,7 @@
 
 const VERSION = '0.1.0';
 
-const env = takeEnvironment();
+const env = takeEnvironment(hideBin(process.argv));
 
 function accessTo(url: string): OperatorAccess {
   const secret = operatorSecret(env);
--- a/src/cli/settings.ts
+++ b/src/cli/settings.ts
@@ -79,19 +79,40 @@
   'GYPSUMCOURSE_ORDER_TOKEN',
 ];
 
+/** Variables that a command other than `serve` reads, by its words. */
+const COMMAND_VARIABLES: ReadonlyArray<{command: RegExp; names: string[]}> = [
+  {
+    command: /^config (show|diff|publish)\b/,
+    names: ['GYPSUMCOURSE_LOG_URL'],
+  },
+  {command: /^(report|explain|fleet)\b/, names: ['GYPSUMCOURSE_URL']},
+];
+
 /**
- * Takes the secrets out of the process's environment and returns the whole
- * environment as it was, so that secrets are never parsed as flags.
+ * Takes the secrets, and variables that the command does not read, out of the
+ * process's environment and returns the whole environment as it was. Secrets
+ * are then never parsed as flags, and an environment set up for instances does
+ * not make other commands fail.
  */
-export function takeEnvironment(): NodeJS.ProcessEnv {
+export function takeEnvironment(words: readonly string[]): NodeJS.ProcessEnv {
   const env = {...process.env};
-  for (const name of SECRET_VARIABLES) {
-    delete process.env[name];
-    delete process.env[`${name}_FILE`];
+  for (const name of Object.keys(env)) {
+    if (name.startsWith('GYPSUMCOURSE_') && !isRead(name, words)) {
+      delete process.env[name];
+    }
   }
   return env;
 }
 
+function isRead(name: string, words: readonly string[]): boolean {
+  if (SECRET_VARIABLES.includes(name.replace(/_FILE$/, ''))) return false;
+  if (words[0] === 'serve') return true;
+  const command = words.join(' ');
+  return COMMAND_VARIABLES.some(
+    item => item.command.test(command) && item.names.includes(name),
+  );
+}
+
 function readSecrets(env: NodeJS.ProcessEnv): Secrets {
   const peer = readSecret(env, 'GYPSUMCOURSE_PEER_SECRETS') ?? '';
   const operator = readSecret(env, 'GYPSUMCOURSE_OPERATOR_SECRET');
--- a/test/metrics.test.ts
+++ b/test/metrics.test.ts
@@ -40,7 +40,14 @@
       '--url',
       router()?.operatorUrl ?? '',
     ],
-    {env: {GYPSUMCOURSE_OPERATOR_SECRET: Cluster.operatorSecret}},
+    {
+      env: {
+        GYPSUMCOURSE_OPERATOR_SECRET: Cluster.operatorSecret,
+        // Set up for instances, and not to disturb other commands.
+        GYPSUMCOURSE_SEEDS: '127.0.0.1:1',
+        GYPSUMCOURSE_LOG_URL: 'http://127.0.0.1:1',
+      },
+    },
   );
 
 /** Asks for the report until it shows what is awaited, or time is up. */
