--- a/src/admission/entry.ts
+++ b/src/admission/entry.ts
@@ -23,7 +23,7 @@
   queuedAt: number;
   /** Latest start at which every target of its class can be met. */
   latestStartAt: number;
-  /** Latest start at which it can be answered before its deadline. */
+  /** Latest start at which any answer can begin before its deadline. */
   hopelessAt: number;
   /** When a late request regains the order of its tier. */
   urgentAt: number;
--- a/src/admission/estimate.ts
+++ b/src/admission/estimate.ts
@@ -6,8 +6,6 @@
 
 /** Prompt blocks considered for prefix locality at most. */
 const BLOCKS_LIMIT = 128;
-/** Share of its expected duration that a request is sure to take. */
-const CERTAIN_SHARE = 0.5;
 /** Duration expected of a call to a plain service at most, in ms. */
 const SERVICE_CALL_LIMIT_MS = 20;
 
@@ -33,7 +31,7 @@
     blocks: prompt.blocks,
     queuedAt: parts.timer.now(),
     latestStartAt: latest,
-    hopelessAt: work.deadlineAt - expected.completionMs * CERTAIN_SHARE,
+    hopelessAt: work.deadlineAt - expected.firstTokenMs,
     urgentAt: (Math.max(latest, work.arrivedAt) + work.deadlineAt) / 2,
     late: false,
     settle,
--- a/src/admission/line.ts
+++ b/src/admission/line.ts
@@ -35,6 +35,8 @@
   /** Requests held back by a limit of their class or workspace. */
   private readonly parked = new Set<Entry>();
   private readonly preempted = new WeakSet<Work>();
+  /** Waiting requests that another was preempted for; one each at most. */
+  private readonly favoured = new WeakSet<Entry>();
   private draining = false;
 
   constructor(private readonly parts: AdmissionParts) {
@@ -58,7 +60,7 @@
       ahead: this.queue.sizeFrom(tierOf(entry)) - 1,
       depth: this.waiting,
     });
-    this.shedExcess();
+    this.shedExcess(entry);
   }
 
   /** Takes a request out whose caller went away or whose time is up. */
@@ -172,10 +174,11 @@
 
   private preemptFor(entry: Entry): void {
     const now = this.parts.timer.now();
-    if (!mayPreempt(entry, now)) return;
+    if (this.favoured.has(entry) || !mayPreempt(entry, now)) return;
     const running = preemptible(entry, this.preemptionCandidates(), now);
     if (running === undefined) return;
     this.preempted.add(running.entry.work);
+    this.favoured.add(entry);
     this.parts.recorder.decide(running.entry.work.id, {
       type: 'preempted',
       upstream: running.upstream.name,
@@ -200,11 +203,11 @@
     this.end(entry, {type: 'deadlineExceeded'});
   }
 
-  private shedExcess(): void {
+  private shedExcess(arrived: Entry): void {
     while (this.exceeds(1)) {
       const victim = this.queue.leastGain();
       if (victim === undefined || !this.mayShed(victim)) return;
-      this.shed(victim);
+      this.shed(victim, arrived);
     }
   }
 
@@ -223,10 +226,11 @@
     return settled || this.exceeds(UNSETTLED_FACTOR);
   }
 
-  private shed(victim: Entry): void {
+  private shed(victim: Entry, arrived: Entry): void {
     this.parts.recorder.decide(victim.work.id, {
       type: 'shed',
       reason: ShedReason.QueueFull,
+      ...(victim === arrived ? {} : {inFavourOf: arrived.work.id}),
     });
     const retryAfterMs = this.retryAfterMs(tierOf(victim));
     this.end(victim, {type: 'overloaded', retryAfterMs});
--- a/src/admission/scheduler.ts
+++ b/src/admission/scheduler.ts
@@ -106,10 +106,10 @@
   apply(configuration: Configuration): void {
     this.configuration = configuration;
     this.floorShares.clear();
-    for (const {name, floorShare, tier} of configuration.classes) {
+    for (const {name, floorShare} of configuration.classes) {
       this.floorShares.set(name, floorShare);
-      this.lowest = Math.max(this.lowest, tier);
     }
+    this.lowest = Math.max(...configuration.classes.map(({tier}) => tier));
     this.locate(configuration);
     this.drain();
   }
