Compute the prefix of a job once

Cause: requests of one job arrive together, and each computed the shared prefix for itself, since a prefix counted as cached only after the first answer, for answers that are not streamed only at their end. Change: work with time to spare waits while its prefix is being computed for another; a prefix counts as cached from the expected first token. Figures: five requests of a job computed it five times, now once (test).

--- a/src/admission/choice.ts
+++ b/src/admission/choice.ts
@@ -9,7 +9,7 @@
   type Vicinity,
 } from '../upstream/index.js';
 import {Distance, type LinkBudgets, type Topology} from '../zone/index.js';
-import {tierOf, type Entry} from './entry.js';
+import {prefixKey, tierOf, type Entry} from './entry.js';
 import {expect, loadOf, slotsOf, type Expectation} from './expectation.js';
 import {hasRoom, type Share} from './room.js';
 
@@ -20,8 +20,6 @@
 const RECORDED_LIMIT = 4;
 /** Spread of scores, so that instances don't choose alike. */
 const JITTER_SHARE = 0.1;
-/** Blocks that decide on the agreed home of a prefix. */
-const HOME_BLOCKS = 8;
 /** Share of a prompt presumed in the cache of the home of its prefix. */
 const HOME_PRESUMED_SHARE = 0.6;
 /**
@@ -31,6 +29,10 @@
 const BATCH_DELAY_WEIGHT = 6;
 /** Steps by which a full batch is worse than an empty one. */
 const CROWDING_STEPS = 2;
+/** Slack above which a request waits for its prefix to be computed. */
+const PREFIX_PATIENCE_MS = 2_000;
+/** Share of a prompt in a cache from which waiting for more saves nothing. */
+const PREFIX_SHARE = 0.4;
 /** Slack below which a request does not wait for a slot in its region. */
 const LINK_SLACK_MS = 150;
 /** Bytes of a streamed answer per token. */
@@ -88,6 +90,7 @@
     const home = this.usable(vicinity.home, entry);
     const candidates = this.sample(home, vicinity, entry);
     const weighed = this.weigh(candidates, entry, answerTokens, vicinity);
+    if (this.awaitsPrefix(weighed, entry)) return undefined;
     const best = this.best(weighed, entry, share);
     if (best !== undefined && !this.misses(best, entry)) {
       return this.chosen(best, weighed);
@@ -115,7 +118,7 @@
     entry: Entry,
   ): Upstream[] {
     if (upstreams.length <= WEIGH_ALL_LIMIT) return upstreams;
-    const key = homeKey(entry);
+    const key = prefixKey(entry);
     const names = key === undefined ? [] : ring.lookup(key, SAMPLED_HOMES);
     const chosen = new Set(upstreams.filter(({name}) => names.includes(name)));
     while (chosen.size < SAMPLED_HOMES + SAMPLED_OTHERS) {
@@ -159,6 +162,20 @@
     return best;
   }
 
+  /**
+   * Whether a request with time to spare should wait, because its prefix is
+   * being computed for another and nowhere in a cache yet.
+   */
+  private awaitsPrefix(weighed: readonly Expectation[], entry: Entry): boolean {
+    const key = prefixKey(entry);
+    if (key === undefined) return false;
+    const slackMs = entry.latestStartAt - this.parts.timer.now();
+    if (slackMs < PREFIX_PATIENCE_MS) return false;
+    const needed = entry.promptTokens * PREFIX_SHARE;
+    if (weighed.some(({cachedTokens}) => cachedTokens >= needed)) return false;
+    return weighed.some(({upstream}) => upstream.condition.computes(key));
+  }
+
   private hasRoom(
     {upstream, route}: Expectation,
     entry: Entry,
@@ -260,10 +277,6 @@
   return firstTokenMs + share * completionMs;
 }
 
-function homeKey({blocks}: Entry): string | undefined {
-  return blocks[Math.min(HOME_BLOCKS, blocks.length) - 1];
-}
-
 /**
  * Where no upstream is known to hold the prompt's prefix, presumes part of it
  * at the agreed home, since other instances send the prefix there.
@@ -273,7 +286,7 @@
   entry: Entry,
   {ring}: Vicinity,
 ): Expectation[] {
-  const key = homeKey(entry);
+  const key = prefixKey(entry);
   if (key === undefined) return weighed;
   if (weighed.some(({cachedTokens}) => cachedTokens > 0)) return weighed;
   const [home] = ring.lookup(key, 1);
--- a/src/admission/entry.ts
+++ b/src/admission/entry.ts
@@ -39,3 +39,11 @@
 export function tierOf(entry: Entry): number {
   return entry.work.serviceClass.tier;
 }
+
+/** Blocks that decide on the agreed home of a prefix. */
+const PREFIX_BLOCKS = 8;
+
+/** Key of the prefix a prompt shares with others; none if it is short. */
+export function prefixKey({blocks}: Entry): string | undefined {
+  return blocks[Math.min(PREFIX_BLOCKS, blocks.length) - 1];
+}
--- a/src/admission/running.ts
+++ b/src/admission/running.ts
@@ -8,7 +8,7 @@
   REQUEST_OVERHEAD_BYTES,
   type Choice,
 } from './choice.js';
-import {tierOf, type Entry} from './entry.js';
+import {prefixKey, tierOf, type Entry} from './entry.js';
 
 /** Tokens over which the time between tokens is averaged. */
 const STEP_SAMPLE_TOKENS = 8;
@@ -57,7 +57,12 @@
     this.startedAt = parts.timer.now();
     this.inflightAtStart = ++upstream.inflight;
     const computed = Math.max(0, entry.promptTokens - cachedTokens);
-    this.pending = upstream.condition.begin(this.startedAt, computed);
+    this.pending = {
+      startedAt: this.startedAt,
+      promptTokens: computed,
+      prefixKey: prefixKey(entry),
+    };
+    upstream.condition.begin(this.pending);
     if (!this.streamed) this.settleWhenExpected();
     if (outer.aborted) this.abandon();
     outer.addEventListener('abort', this.abandon, {once: true});
@@ -183,6 +188,9 @@
     const {timer} = this.parts;
     timer.after(this.choice.firstTokenMs, () => {
       this.upstream.condition.settle(this.pending);
+      if (!this.released) {
+        this.upstream.condition.cache.store(this.entry.blocks);
+      }
     });
   }
 
--- a/src/upstream/condition.ts
+++ b/src/upstream/condition.ts
@@ -9,6 +9,8 @@
   readonly startedAt: number;
   /** Prompt tokens that are not expected in the cache. */
   readonly promptTokens: number;
+  /** Key of the prompt's prefix, if it is long enough to have one. */
+  readonly prefixKey: string | undefined;
 }
 
 /** What an instance has learnt of an upstream's present condition. */
@@ -24,12 +26,18 @@
   /** Attempts that have no first token yet, oldest first. */
   private readonly pending = new Set<PendingStart>();
 
-  /** Notes the start of an attempt that computes `promptTokens`. */
-  begin(startedAt: number, promptTokens: number): PendingStart {
-    const start = {startedAt, promptTokens};
+  /** Notes the start of an attempt. */
+  begin(start: PendingStart): void {
     this.pending.add(start);
-    this.pendingTokens += promptTokens;
-    return start;
+    this.pendingTokens += start.promptTokens;
+  }
+
+  /** Whether an own attempt is computing a prefix now. */
+  computes(prefixKey: string): boolean {
+    for (const start of this.pending) {
+      if (start.prefixKey === prefixKey) return true;
+    }
+    return false;
   }
 
   /** Notes that the first token of an attempt arrived, or never will. */
--- a/test/locality.test.ts
+++ b/test/locality.test.ts
@@ -59,6 +59,35 @@
   });
 });
 
+describe('a job of requests with one prefix', () => {
+  it('computes the prefix once, and then runs together', async () => {
+    const rig = new Rig();
+    rig.report(8);
+    const placements: Placement[] = [];
+    const send = (n: number) => {
+      const prompt = `${catalogue('spec')} question ${n}`;
+      const demand = {
+        type: 'generation' as const,
+        model: 'spec-13b',
+        prompt,
+        stream: false,
+      };
+      void rig.acquire(rig.work('spec-review', {demand})).then(result => {
+        if (result.isOk()) placements.push(result.value);
+      });
+    };
+    for (let n = 0; n < 5; n++) send(n);
+    await rig.timer.advance(1);
+    expect(placements).toHaveLength(1);
+    await rig.timer.advance(1_000);
+    rig.scheduler.drain();
+    await rig.timer.advance(1);
+    expect(placements).toHaveLength(5);
+    const names = new Set(placements.map(({upstream}) => upstream.name));
+    expect(names.size).toBe(1);
+  });
+});
+
 describe('the blocks expected in a cache', () => {
   const blocks = ['a', 'b', 'c', 'd'];
 
