--- a/bench/arrivals.ts
+++ b/bench/arrivals.ts
@@ -1,108 +1,214 @@
-import {setMaxListeners} from 'node:events';
-import {Agent} from 'undici';
-import type {ServiceClass} from '../src/config/index.js';
-import {meetsTargets} from '../src/telemetry/index.js';
 import {seededRandom, type Random} from '../stand-ins/index.js';
-import {call, type Reply} from './caller.js';
-import type {Cluster, RouterProcess} from './cluster.js';
-import {demoKey} from './deployment.js';
-import {WARM_UP_SECONDS, type Arrival} from './mix.js';
-
-/** Time that requests are given after the last arrival, in ms. */
-const DRAIN_MS = 10_000;
-
-/** One request and what became of it, as its caller saw it. */
-export interface Served {
-  arrival: Arrival;
-  /** Absent when no answer began before the end of the run. */
-  reply?: Reply;
-  /** Whether it arrived in the measured time. */
-  measured: boolean;
-  /** Whether it was answered whole and within every target of its class. */
-  attained: boolean;
+import type {Deployment} from './deployment.js';
+import {capacityOf, type EngineProfile} from './engines.js';
+import {
+  mixOf,
+  type CallLoad,
+  type GenerationLoad,
+  type Mix,
+  type OutputLengths,
+} from './mix.js';
+
+/** One request at its time. */
+export interface Arrival {
+  /** Time since the start, in ms. */
+  atMs: number;
+  class: string;
+  workspace: string;
+  region?: string;
+  path: string;
+  headers: Record<string, string>;
+  /** Whether it is sent with an idempotency key. */
+  keyed: boolean;
+  body: unknown;
 }
 
-/** Sends arrivals at their times, whatever became of earlier ones. */
-export class OpenLoad {
-  private readonly agent = new Agent({connections: null, pipelining: 1});
-  private readonly random: Random;
-  private readonly ending = new AbortController();
-  private readonly classes = new Map<string, ServiceClass>();
-
-  constructor(
-    private readonly cluster: Cluster,
-    classes: readonly ServiceClass[],
-    /** Region of each zone. */
-    private readonly regions: ReadonlyMap<string, string>,
-    seed: number,
-  ) {
-    this.random = seededRandom(seed);
-    setMaxListeners(0, this.ending.signal);
-    for (const item of classes) this.classes.set(item.name, item);
-  }
+/** Factor by which the load of one class steps up. */
+export const STEP_FACTOR = 5;
+/** Start and end of the step, as shares of the measured time. */
+export const STEP = {from: 0.4, to: 0.6};
+/** Time before the measured time, in which caches fill, in seconds. */
+export const WARM_UP_SECONDS = 5;
 
-  /** Runs all arrivals and resolves once each has ended or was cut off. */
-  async run(arrivals: readonly Arrival[]): Promise<Served[]> {
-    const start = performance.now();
-    const running: Array<Promise<Served>> = [];
-    for (const arrival of arrivals) {
-      const waitMs = start + arrival.atMs - performance.now();
-      if (waitMs > 1) await new Promise(r => setTimeout(r, waitMs));
-      running.push(this.serve(arrival));
-    }
-    const cutOff = setTimeout(() => this.ending.abort(), DRAIN_MS);
-    const served = await Promise.all(running);
-    clearTimeout(cutOff);
-    await this.agent.destroy();
-    return served;
-  }
+const CHARACTERS_PER_TOKEN = 4;
 
-  private async serve(arrival: Arrival): Promise<Served> {
-    const measured = arrival.atMs >= WARM_UP_SECONDS * 1_000;
-    const reply = await this.send(arrival);
-    if (reply === undefined) return {arrival, measured, attained: false};
-    const attained = this.attains(arrival, reply);
-    return {arrival, reply, measured, attained};
-  }
+/** The open-loop arrivals of a run; a function of its arguments alone. */
+export function arrivalsOf(
+  deployment: Deployment,
+  engines: readonly EngineProfile[],
+  load: number,
+  seconds: number,
+  seed: number,
+): Arrival[] {
+  const mix = mixOf(deployment);
+  const generations = mix.generations.flatMap((item, index) =>
+    generationArrivals(
+      mix,
+      item,
+      rateOf(item, engines) * load,
+      seconds,
+      seededRandom(seed * 1_000 + index),
+    ),
+  );
+  const calls = mix.calls.flatMap((item, index) =>
+    callArrivals(
+      mix,
+      item,
+      item.perSecond * load,
+      seconds,
+      seededRandom(seed * 1_000 + 500 + index),
+    ),
+  );
+  return [...generations, ...calls].sort((a, b) => a.atMs - b.atMs);
+}
+
+/** Mean requests per second by which a class uses its share at load 1. */
+function rateOf(
+  item: GenerationLoad,
+  engines: readonly EngineProfile[],
+): number {
+  const outputTokens = meanLength(item.output);
+  const {uniqueTokens} = item;
+  return item.share * capacityOf(engines, {uniqueTokens, outputTokens});
+}
 
-  private async send(arrival: Arrival): Promise<Reply | undefined> {
-    const {workspace, path, headers, body, region} = arrival;
-    const url = this.routerOf(region).url;
-    const key = demoKey(workspace);
-    const options = {dispatcher: this.agent, signal: this.ending.signal};
-    try {
-      return await call({url, path, key, headers, body}, options);
-    } catch {
-      return undefined;
+function generationArrivals(
+  mix: Mix,
+  item: GenerationLoad,
+  rate: number,
+  seconds: number,
+  random: Random,
+): Arrival[] {
+  const stepShare = STEP.to - STEP.from;
+  const base = item.steps ? rate / (1 + (STEP_FACTOR - 1) * stepShare) : rate;
+  const meanClump = (1 + item.clump) / 2;
+  const rateAt = (share: number) =>
+    item.steps && share >= STEP.from && share < STEP.to
+      ? base * STEP_FACTOR
+      : base;
+  const arrivals: Arrival[] = [];
+  for (const atMs of times(
+    share => rateAt(share) / meanClump,
+    seconds,
+    random,
+  )) {
+    const count = 1 + Math.floor(random() * item.clump);
+    const workspace = pick(item.workspaces, random);
+    const prefix = Math.floor(item.prefixes * random() ** 2);
+    for (let index = 0; index < count; index++) {
+      arrivals.push(generation(mix, item, {workspace, prefix, atMs}, random));
     }
   }
+  return arrivals;
+}
+
+/** Requests that arrive together, for one workspace and with one prefix. */
+interface Job {
+  workspace: string;
+  prefix: number;
+  atMs: number;
+}
 
-  /** The balancer: any router of the caller's region. */
-  private routerOf(region: string | undefined): RouterProcess {
-    const {routers} = this.cluster;
-    const [first] = this.regions.values();
-    const home = region ?? first;
-    const near = routers.filter(({zone}) => this.regions.get(zone) === home);
-    const choice = near.length > 0 ? near : routers;
-    const index = Math.floor(this.random() * choice.length);
-    return choice[index] as RouterProcess;
+function generation(
+  mix: Mix,
+  item: GenerationLoad,
+  {workspace, prefix, atMs}: Job,
+  random: Random,
+): Arrival {
+  const system = textOf(
+    `${item.model}/${item.prefixTokens}/${prefix}`,
+    item.prefixTokens,
+  );
+  const user = textOf(String(random()), item.uniqueTokens);
+  return {
+    atMs,
+    class: item.class,
+    workspace,
+    ...regionOf(mix, workspace),
+    path: '/v1/chat/completions',
+    headers: {'gypsumcourse-class': item.class},
+    keyed: false,
+    body: {
+      model: item.model,
+      stream: item.stream,
+      metadata: {output_tokens: String(lengthOf(item.output, random))},
+      messages: [
+        {role: 'system', content: system},
+        {role: 'user', content: user},
+      ],
+    },
+  };
+}
+
+function callArrivals(
+  mix: Mix,
+  item: CallLoad,
+  rate: number,
+  seconds: number,
+  random: Random,
+): Arrival[] {
+  return times(() => rate, seconds, random).map((atMs, index) => {
+    const workspace = pick(item.workspaces, random);
+    return {
+      atMs,
+      class: item.class,
+      workspace,
+      ...regionOf(mix, workspace),
+      path: item.path,
+      headers: {'gypsumcourse-class': item.class},
+      keyed: item.keyed,
+      body: {item: index},
+    };
+  });
+}
+
+/** Times of a Poisson process whose rate depends on the measured time. */
+function times(
+  rateAt: (share: number) => number,
+  seconds: number,
+  random: Random,
+): number[] {
+  const total = WARM_UP_SECONDS + seconds;
+  const found: number[] = [];
+  let at = 0;
+  for (;;) {
+    const rate = rateAt((at - WARM_UP_SECONDS) / seconds);
+    at += -Math.log(1 - random()) / rate;
+    if (at >= total) return found;
+    found.push(at * 1_000);
   }
+}
 
-  private attains(arrival: Arrival, reply: Reply): boolean {
-    const targets = this.classes.get(arrival.class)?.targets;
-    if (targets === undefined || reply.outcome !== 'completed') return false;
-    if (!reply.ended) return false;
-    // The time of day by which batch work is done is the end of the run here.
-    const latencies = {...targets, doneBy: undefined};
-    return meetsTargets(latencies, timesOf(reply), Date.now());
+function regionOf({regions}: Mix, workspace: string) {
+  const region = regions[workspace];
+  return region === undefined ? {} : {region};
+}
+
+function pick<Item>(items: readonly Item[], random: Random): Item {
+  return items[Math.floor(random() * items.length)] as Item;
+}
+
+function lengthOf({median, sigma, cap}: OutputLengths, random: Random): number {
+  const normal =
+    Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
+  const length = median * Math.exp(sigma * normal);
+  return Math.max(2, Math.min(cap, Math.round(length)));
+}
+
+const MEAN_SAMPLES = 20_000;
+
+function meanLength(lengths: OutputLengths): number {
+  const random = seededRandom(1);
+  let sum = 0;
+  for (let index = 0; index < MEAN_SAMPLES; index++) {
+    sum += lengthOf(lengths, random);
   }
+  return sum / MEAN_SAMPLES;
 }
 
-function timesOf({firstTokenMs, totalMs, tokens}: Reply) {
-  const decodingMs = totalMs - (firstTokenMs ?? totalMs);
-  return {
-    ...(firstTokenMs === undefined ? {} : {firstTokenMs}),
-    ...(tokens > 1 ? {betweenTokensMs: decodingMs / (tokens - 1)} : {}),
-    completionMs: totalMs,
-  };
+/** A text of `tokens` tokens that differs between names from its start on. */
+function textOf(name: string, tokens: number): string {
+  const unit = `${name} `;
+  const length = tokens * CHARACTERS_PER_TOKEN;
+  return unit.repeat(Math.ceil(length / unit.length)).slice(0, length);
 }
--- a/bench/openload.ts
+++ b/bench/openload.ts
@@ -7,7 +7,7 @@
 import {call, type Reply} from './caller.js';
 import type {Cluster, RouterProcess} from './cluster.js';
 import {demoKey} from './deployment.js';
-import {WARM_UP_SECONDS, type Arrival} from './mix.js';
+import {WARM_UP_SECONDS, type Arrival} from './arrivals.js';
 
 /** Time that requests are given after the last arrival, in ms. */
 const DRAIN_MS = 10_000;
--- a/src/admission/choice.ts
+++ b/src/admission/choice.ts
@@ -1,4 +1,3 @@
-import type {Work} from '../request/index.js';
 import type {WeighedUpstream} from '../telemetry/index.js';
 import type {Timer} from '../timer/index.js';
 import {
@@ -10,7 +9,8 @@
 } from '../upstream/index.js';
 import {Distance, type LinkBudgets, type Topology} from '../zone/index.js';
 import {prefixKey, tierOf, type Entry} from './entry.js';
-import {expect, loadOf, slotsOf, type Expectation} from './expectation.js';
+import {costOf, presumeHome} from './cost.js';
+import {expect, type Expectation} from './expectation.js';
 import {hasRoom, type Share} from './room.js';
 
 /** Upstreams that are all weighed; of more, a few are sampled. */
@@ -20,15 +20,6 @@
 const RECORDED_LIMIT = 4;
 /** Spread of scores, so that instances don't choose alike. */
 const JITTER_SHARE = 0.1;
-/** Share of a prompt presumed in the cache of the home of its prefix. */
-const HOME_PRESUMED_SHARE = 0.6;
-/**
- * Weight of the time that computing a prompt takes from the other requests of
- * its batch, relative to the time that it takes from its own.
- */
-const BATCH_DELAY_WEIGHT = 6;
-/** Steps by which a full batch is worse than an empty one. */
-const CROWDING_STEPS = 2;
 /** Slack above which a request waits for its prefix to be computed. */
 const PREFIX_PATIENCE_MS = 2_000;
 /** Share of a prompt in a cache from which waiting for more saves nothing. */
@@ -154,7 +145,7 @@
     for (const expectation of weighed) {
       if (!this.hasRoom(expectation, entry, share)) continue;
       const spread = 1 + JITTER_SHARE * this.parts.random();
-      const score = scoreOf(expectation, entry) * spread;
+      const score = costOf(expectation, entry) * spread;
       if (score >= lowest) continue;
       best = expectation;
       lowest = score;
@@ -252,56 +243,6 @@
   return a.firstTokenMs < b.firstTokenMs;
 }
 
-/** What choosing an upstream costs this request and others, in ms. */
-function scoreOf(expectation: Expectation, {work}: Entry): number {
-  const {prefillMs, upstream} = expectation;
-  const occupied = loadOf(upstream) / slotsOf(upstream);
-  const crowdingMs =
-    CROWDING_STEPS * occupied * upstream.condition.speed.stepMs;
-  const batchDelayMs = BATCH_DELAY_WEIGHT * prefillMs;
-  return ownTimeOf(expectation, work) + batchDelayMs + crowdingMs;
-}
-
-/** Expected time of the request itself that counts for its class, in ms. */
-function ownTimeOf(
-  {firstTokenMs, completionMs, upstream}: Expectation,
-  work: Work,
-): number {
-  const {targets} = work.serviceClass;
-  const {stepMs} = upstream.condition.speed;
-  const pace = stepMs / (targets.betweenTokensMs ?? Infinity);
-  const slow = completionMs * Math.max(0, 2 * pace - 1);
-  if (targets.firstTokenMs === undefined) return completionMs;
-  if (targets.completionMs === undefined) return firstTokenMs + slow;
-  const share = targets.firstTokenMs / targets.completionMs;
-  return firstTokenMs + share * completionMs;
-}
-
-/**
- * Where no upstream is known to hold the prompt's prefix, presumes part of it
- * at the agreed home, since other instances send the prefix there.
- */
-function presumeHome(
-  weighed: Expectation[],
-  entry: Entry,
-  {ring}: Vicinity,
-): Expectation[] {
-  const key = prefixKey(entry);
-  if (key === undefined) return weighed;
-  if (weighed.some(({cachedTokens}) => cachedTokens > 0)) return weighed;
-  const [home] = ring.lookup(key, 1);
-  return weighed.map(expectation => {
-    const {upstream, firstTokenMs, prefillMs} = expectation;
-    if (upstream.name !== home) return expectation;
-    const savedMs = prefillMs * HOME_PRESUMED_SHARE;
-    return {
-      ...expectation,
-      firstTokenMs: firstTokenMs - savedMs,
-      prefillMs: prefillMs - savedMs,
-    };
-  });
-}
-
 function recorded(expectation: Expectation): WeighedUpstream {
   const {upstream, firstTokenMs, cachedTokens} = expectation;
   return {
