Keep slots for higher tiers by their recent demand

The adaptive limit also took the prefill of own requests ahead for queueing. Change: lower tiers leave free what higher ones used in the last seconds; queueing counts beyond the prompts known to be ahead, from 200 ms.

--- a/src/admission/choice.ts
+++ b/src/admission/choice.ts
@@ -175,7 +175,8 @@
     const {fleet} = this.parts;
     const near = route.distance !== Distance.Remote;
     const instances = near ? fleet.inRegion() : fleet.all();
-    return hasRoom(upstream, tierOf(entry), share, instances);
+    const now = this.parts.timer.now();
+    return hasRoom(upstream, tierOf(entry), share, instances, now);
   }
 
   /** Whether a request would miss its target on an upstream chosen now. */
--- a/src/admission/room.ts
+++ b/src/admission/room.ts
@@ -22,14 +22,15 @@
 /**
  * Whether an upstream may be given one more request of a tier. Each instance
  * has an equal share of the slots for itself, and borrows from the others'
- * shares while the upstream reports free slots. The adaptive limit bounds
- * both.
+ * shares while the upstream reports free slots. Slots that higher tiers used
+ * lately are kept free for them. The adaptive limit bounds both.
  */
 export function hasRoom(
   upstream: Upstream,
   tier: number,
   share: Share,
   instances: number,
+  now: number,
 ): boolean {
   const usable = usableShare(tier, share);
   const {inflight, condition} = upstream;
@@ -38,8 +39,9 @@
   const first = tier === 0 || share === Share.Floor;
   const excess = first ? SLOTS_EXCESS : 0;
   const slots = slotsOf(upstream);
-  const own = Math.floor((slots * usable) / instances);
-  const all = Math.floor(slots * usable) + excess;
+  const kept = first ? 0 : condition.demand.unused(tier, now);
+  const own = Math.floor((slots * usable) / instances - kept);
+  const all = Math.floor(slots * usable - kept) + excess;
   return inflight < own || loadOf(upstream) < all;
 }
 
--- a/src/admission/running.ts
+++ b/src/admission/running.ts
@@ -40,6 +40,8 @@
   private readonly inflightAtStart: number;
   private readonly controller = new AbortController();
   private readonly pending: PendingStart;
+  /** Prompt tokens of own attempts to be computed before this one's. */
+  private readonly tokensAhead: number;
   private firstTokenAt?: number;
   private sampledAt = 0;
   private sampledTokens = 0;
@@ -62,7 +64,9 @@
       promptTokens: computed,
       prefixKey: prefixKey(entry),
     };
+    this.tokensAhead = upstream.condition.pendingTokens;
     upstream.condition.begin(this.pending);
+    upstream.condition.demand.started(this.priority, this.startedAt);
     if (!this.streamed) this.settleWhenExpected();
     if (outer.aborted) this.abandon();
     outer.addEventListener('abort', this.abandon, {once: true});
@@ -129,8 +133,10 @@
     this.released = true;
     this.outer.removeEventListener('abort', this.abandon);
     this.upstream.inflight--;
+    const now = this.parts.timer.now();
     this.upstream.condition.settle(this.pending);
-    this.learnEnd(end, this.parts.timer.now());
+    this.upstream.condition.demand.ended(this.priority, now);
+    this.learnEnd(end, now);
     if (!this.streamed) this.account('answer', WHOLE_ANSWER_BYTES);
     this.parts.ended(this, end);
   }
@@ -159,7 +165,7 @@
     if (!this.streamed) return;
     const computed = this.pending.promptTokens;
     speed.observeFirstToken(ms, computed);
-    const unloadedMs = speed.unloadedMs(computed);
+    const unloadedMs = speed.unloadedMs(computed + this.tokensAhead);
     limit.observe(ms, unloadedMs, this.inflightAtStart, now);
   }
 
--- a/src/upstream/condition.ts
+++ b/src/upstream/condition.ts
@@ -1,4 +1,5 @@
 import {CachedBlocks} from './cache.js';
+import {TierDemand} from './demand.js';
 import {Health} from './health.js';
 import {AdaptiveLimit} from './limit.js';
 import {Speed} from './speed.js';
@@ -19,6 +20,7 @@
   readonly speed = new Speed();
   readonly health = new Health();
   readonly cache = new CachedBlocks();
+  readonly demand = new TierDemand();
   /** Own attempts in flight when the newest load report arrived. */
   inflightAtReport = 0;
   /** Prompt tokens that own attempts without a first token wait for. */
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -2,6 +2,7 @@
 export type {CacheMatch} from './cache.js';
 export {Condition} from './condition.js';
 export type {PendingStart} from './condition.js';
+export {TierDemand} from './demand.js';
 export {Directory, offers, takesWork} from './directory.js';
 export {
   BLOCK_CHARACTERS,
--- a/src/upstream/limit.ts
+++ b/src/upstream/limit.ts
@@ -5,7 +5,7 @@
 /** Share of the limit that must be in use before it grows. */
 const GROWTH_UTILIZATION = 0.7;
 /** Queueing that is tolerated before the limit shrinks, in ms. */
-const QUEUEING_TOLERANCE_MS = 60;
+const QUEUEING_TOLERANCE_MS = 200;
 /** Queueing tolerated as a multiple of the unloaded latency. */
 const QUEUEING_TOLERANCE_FACTOR = 1;
 /** Time between two decreases at least, in ms. */
--- a/test/routing.test.ts
+++ b/test/routing.test.ts
@@ -7,6 +7,7 @@
   Ring,
   SUBSET_SIZE,
   subsetOf,
+  TierDemand,
   type Located,
 } from '../src/upstream/index.js';
 import {Rig} from './support/scheduling.js';
@@ -128,6 +129,15 @@
     expect(Math.min(...counts)).toBeGreaterThan(4);
   });
 
+  it('keeps slots free that higher tiers used a moment ago', () => {
+    const demand = new TierDemand();
+    for (let n = 0; n < 4; n++) demand.started(1, 0);
+    for (let n = 0; n < 3; n++) demand.ended(1, 100);
+    expect(demand.unused(3, 100)).toBeCloseTo(3, 0);
+    expect(demand.unused(1, 100)).toBe(0);
+    expect(demand.unused(3, 30_000)).toBeLessThan(0.1);
+  });
+
   it('leaves the last slots to higher tiers', async () => {
     const rig = new Rig();
     rig.report(8);
