--- a/bench/decide.ts
+++ b/bench/decide.ts
@@ -80,6 +80,7 @@
     contentType: 'application/json',
     body: Buffer.alloc(0),
     repeatable: true,
+    resumable: false,
     arrivedAt: now,
     deadlineAt: now + 60_000,
     priorAttempts: 0,
--- a/src/admission/choice.ts
+++ b/src/admission/choice.ts
@@ -2,6 +2,7 @@
 import type {Timer} from '../timer/index.js';
 import {
   HealthState,
+  holds,
   takesWork,
   type Upstream,
   type Vicinities,
@@ -93,10 +94,15 @@
     return best === undefined ? undefined : this.chosen(best, weighed);
   }
 
-  /** Upstreams that take work and are not ejected; tried ones come last. */
+  /**
+   * Upstreams that take work and are not ejected. Those that do not hold the
+   * model, and those tried before, are left for when there are no others.
+   */
   private usable(upstreams: readonly Upstream[], entry: Entry): Upstream[] {
     const now = this.parts.timer.now();
-    const live = upstreams.filter(takesWork);
+    const taking = upstreams.filter(takesWork);
+    const holding = taking.filter(other => holds(other, entry.work.demand));
+    const live = holding.length > 0 ? holding : taking;
     const healthy = live.filter(upstream => admits(upstream, now));
     const sound = healthy.length > 0 ? healthy : live;
     const untried = sound.filter(({name}) => !entry.history.tried.has(name));
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -3,7 +3,7 @@
 export {Condition} from './condition.js';
 export type {PendingStart} from './condition.js';
 export {TierDemand} from './demand.js';
-export {Directory, offers, takesWork} from './directory.js';
+export {Directory, holds, offers, takesWork} from './directory.js';
 export {
   BLOCK_CHARACTERS,
   BLOCK_TOKENS,
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -16,7 +16,9 @@
   Passing,
   PeerClient,
   PeerServer,
+  readTlsFiles,
   serveMembers,
+  serveUsage,
   Synchronizer,
   type PeerAddress,
   type Settings,
@@ -24,8 +26,19 @@
 import {Candidates, LeaseManager} from './lease/index.js';
 import {startOperators} from './operators.js';
 import {EngineClient, OrderManager} from './order/index.js';
-import {HttpInstanceList, HttpLog, HttpWeightStore} from './platform/index.js';
-import {blindRetries, Executor, RetryBudget} from './request/index.js';
+import {
+  HttpInstanceList,
+  HttpLog,
+  HttpWeightStore,
+  Meter,
+  meteredConnector,
+} from './platform/index.js';
+import {
+  blindRetries,
+  Executor,
+  Resumption,
+  RetryBudget,
+} from './request/index.js';
 import {logOf, MeteredRecorder, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Subscription, type Timer} from './timer/index.js';
 import {Directory, LeavingRegister} from './upstream/index.js';
@@ -53,6 +66,8 @@
   random: () => number;
   /** Connections to the platform. */
   agent: Agent;
+  /** Counts the bytes of those connections. */
+  meter: Meter;
   log: HttpLog;
 }
 
@@ -128,9 +143,15 @@
         : new RetryBudget(timer),
     committed: new Set(),
   });
+  const resumption = new Resumption({
+    signer: new Credential(settings.peerSecrets),
+    timer,
+    upstream: name => directory.all().find(item => item.name === name),
+  });
   const entrance = new Entrance({
     follower,
     executor,
+    resumption,
     timer,
     logger: logOf(root, Part.Request),
   });
@@ -174,19 +195,22 @@
 }
 
 function openBase(settings: Settings, root: Logger, timer: Timer): Base {
+  const meter = new Meter();
   const agent = new Agent({
     connections: PLATFORM_CONNECTIONS,
+    connect: meteredConnector(meter),
     localAddress: settings.host,
   });
   const log = new HttpLog(settings.logUrl, agent);
-  return {settings, root, timer, random: Math.random, agent, log};
+  return {settings, root, timer, random: Math.random, agent, meter, log};
 }
 
 async function openPeers(base: Base): Promise<Peers> {
   const {settings, timer, random} = base;
   const credential = new Credential(settings.peerSecrets);
-  const server = new PeerServer(credential);
-  const client = new PeerClient(credential, settings.host);
+  const tls = readTlsFiles(settings);
+  const server = new PeerServer(credential, tls);
+  const client = new PeerClient(credential, settings.host, tls);
   const datagrams = new DatagramPort(credential, timer);
   const port = await openPeerPorts(server, datagrams, settings);
   const logger = logOf(base.root, Part.Member);
@@ -204,6 +228,7 @@
   const synchronizer = new Synchronizer(membership, seeds, parts);
   const discovery = openDiscovery(base, membership, synchronizer);
   serveMembers(server, membership);
+  serveUsage({datagrams, client, server, platform: base.meter});
   return {
     port,
     server,
--- a/test/support/scheduling.ts
+++ b/test/support/scheduling.ts
@@ -116,6 +116,7 @@
       contentType: 'application/json',
       body: Buffer.from('{}'),
       repeatable: true,
+      resumable: false,
       arrivedAt: this.timer.now(),
       deadlineAt: this.timer.now() + serviceClass.deadlineMs,
       priorAttempts: 0,
