Keep a margin before a target, and wait for a slot here, not at the engine

Change: a fifth of a latency target is a margin; the first tier waits here for the first slot of any upstream.

--- a/src/admission/room.ts
+++ b/src/admission/room.ts
@@ -12,13 +12,6 @@
 /** Share of the capacity that each tier leaves free for the tiers above. */
 const RESERVE_PER_TIER = 0.08;
 const RESERVE_LIMIT = 0.25;
-/**
- * Requests beyond its slots that an upstream may be given of the highest tier.
- * Work owed by a floor may exceed them alike, since it would else never find
- * room beside a highest tier that is always waiting.
- */
-const SLOTS_EXCESS = 1;
-
 /**
  * Whether an upstream may be given one more request of a tier. Each instance
  * has an equal share of the slots for itself, and borrows from the others'
@@ -37,11 +30,10 @@
   if (inflight === 0) return true;
   if (inflight >= condition.limit.value) return false;
   const first = tier === 0 || share === Share.Floor;
-  const excess = first ? SLOTS_EXCESS : 0;
   const slots = slotsOf(upstream);
   const kept = first ? 0 : condition.demand.unused(tier, now);
   const own = Math.floor((slots * usable) / instances - kept);
-  const all = Math.floor(slots * usable - kept) + excess;
+  const all = Math.floor(slots * usable - kept);
   return inflight < own || loadOf(upstream) < all;
 }
 
--- a/src/contract/target.ts
+++ b/src/contract/target.ts
@@ -2,6 +2,12 @@
 import {nextTimeOfDay} from '../telemetry/targets.js';
 import type {Timer} from '../timer/index.js';
 
+/**
+ * Share of a latency target kept as a margin, since the expected durations are
+ * means. Without it, requests are started when they are just about to miss.
+ */
+const MARGIN_SHARE = 0.2;
+
 /** Expected durations of a request, counted from its start on an upstream. */
 export interface ExpectedDuration {
   /** Time to the first token, in ms. */
@@ -22,11 +28,13 @@
   const {firstTokenMs, completionMs, doneBy} = work.serviceClass.targets;
   let latest = work.deadlineAt - expected.completionMs;
   if (firstTokenMs !== undefined) {
-    const limit = work.arrivedAt + firstTokenMs - expected.firstTokenMs;
+    const usableMs = firstTokenMs * (1 - MARGIN_SHARE);
+    const limit = work.arrivedAt + usableMs - expected.firstTokenMs;
     latest = Math.min(latest, limit);
   }
   if (completionMs !== undefined) {
-    const limit = work.arrivedAt + completionMs - expected.completionMs;
+    const usableMs = completionMs * (1 - MARGIN_SHARE);
+    const limit = work.arrivedAt + usableMs - expected.completionMs;
     latest = Math.min(latest, limit);
   }
   if (doneBy !== undefined) {
