Let the limit grow on answers that are not streamed

Cause: only first tokens of streams moved the adaptive limit, so an upstream that runs batch work alone stayed at the initial limit of 8. Change: a whole answer that was not streamed grows the limit unless the upstream reports a queue. Figures: in the new test the limit passes 12 where it stayed at 8.

--- a/src/admission/running.ts
+++ b/src/admission/running.ts
@@ -175,6 +175,7 @@
       case AttemptEnd.Whole:
         if (health.succeeded()) limit.restart();
         speed.observeService(now - this.startedAt);
+        this.learnQueue(now);
         break;
       case AttemptEnd.Broken:
       case AttemptEnd.Silent:
@@ -189,6 +190,17 @@
     }
   }
 
+  /**
+   * Lets the limit follow answers that are not streamed. Their latency does
+   * not tell of a queue, so the upstream's report has to.
+   */
+  private learnQueue(now: number): void {
+    if (this.streamed || this.entry.work.demand.type === 'service') return;
+    const {limit} = this.upstream.condition;
+    if ((this.upstream.load?.waiting ?? 0) > 0) limit.decrease(now);
+    else limit.observe(0, 0, this.inflightAtStart, now);
+  }
+
   /** The first token of an answer that is not streamed is never seen. */
   private settleWhenExpected(): void {
     const {timer} = this.parts;
--- a/test/routing.test.ts
+++ b/test/routing.test.ts
@@ -129,6 +129,31 @@
     expect(Math.min(...counts)).toBeGreaterThan(4);
   });
 
+  it('grows the limit on answers that are not streamed, too', async () => {
+    const rig = new Rig();
+    rig.report(64);
+    const running: Placement[] = [];
+    const demand = {
+      type: 'generation' as const,
+      model: 'spec-13b',
+      prompt: 'Review.',
+      stream: false,
+    };
+    for (let n = 0; n < 400; n++) {
+      void rig.acquire(rig.work('spec-review', {demand})).then(result => {
+        if (result.isOk()) running.push(result.value);
+      });
+    }
+    for (let round = 0; round < 60; round++) {
+      await rig.timer.advance(10);
+      for (const placement of running.splice(0, 8)) {
+        placement.release(AttemptEnd.Whole);
+      }
+    }
+    const limits = rig.runners().map(({condition}) => condition.limit.value);
+    expect(Math.max(...limits)).toBeGreaterThan(12);
+  });
+
   it('keeps slots free that higher tiers used a moment ago', () => {
     const demand = new TierDemand();
     for (let n = 0; n < 4; n++) demand.started(1, 0);
