--- a/src/admission/choice.ts
+++ b/src/admission/choice.ts
@@ -1,15 +1,17 @@
+import type {Work} from '../request/index.js';
 import type {WeighedUpstream} from '../telemetry/index.js';
 import type {Timer} from '../timer/index.js';
 import {
   HealthState,
+  holds,
   takesWork,
   type Upstream,
   type Vicinities,
   type Vicinity,
 } from '../upstream/index.js';
-import {LinkBudgets, type Topology} from '../zone/index.js';
+import {Distance, type LinkBudgets, type Topology} from '../zone/index.js';
 import {tierOf, type Entry} from './entry.js';
-import {expect, type Expectation} from './expectation.js';
+import {expect, loadOf, slotsOf, type Expectation} from './expectation.js';
 import {hasRoom, type Share} from './room.js';
 
 /** Upstreams that are all weighed; of more, a few are sampled. */
@@ -22,7 +24,14 @@
 /** Blocks that decide on the agreed home of a prefix. */
 const HOME_BLOCKS = 8;
 /** Share of a prompt presumed in the cache of the home of its prefix. */
-const HOME_PRESUMED_SHARE = 0.3;
+const HOME_PRESUMED_SHARE = 0.6;
+/**
+ * Weight of the time that computing a prompt takes from the other requests of
+ * its batch, relative to the time that it takes from its own.
+ */
+const BATCH_DELAY_WEIGHT = 6;
+/** Steps by which a full batch is worse than an empty one. */
+const CROWDING_STEPS = 2;
 /** Slack below which a request does not wait for a slot in its region. */
 const LINK_SLACK_MS = 150;
 /** Bytes of a streamed answer per token. */
@@ -36,8 +45,17 @@
   weighed: WeighedUpstream[];
 }
 
+/** Numbers of live instances that share upstreams. */
+export interface FleetSize {
+  /** In the whole fleet. */
+  all(): number;
+  /** In this instance's region. */
+  inRegion(): number;
+}
+
 /** What a choice depends on. */
 export interface ChoiceParts {
+  fleet: FleetSize;
   vicinities: Vicinities;
   topology: Topology;
   budgets: LinkBudgets;
@@ -85,7 +103,9 @@
   /** Upstreams that take work and are not ejected; tried ones come last. */
   private usable(upstreams: readonly Upstream[], entry: Entry): Upstream[] {
     const now = this.parts.timer.now();
-    const live = upstreams.filter(takesWork);
+    const taking = upstreams.filter(takesWork);
+    const holding = taking.filter(other => holds(other, entry.work.demand));
+    const live = holding.length > 0 ? holding : taking;
     const healthy = live.filter(upstream => admits(upstream, now));
     const sound = healthy.length > 0 ? healthy : live;
     const untried = sound.filter(({name}) => !entry.history.tried.has(name));
@@ -132,7 +152,7 @@
     let best: Expectation | undefined;
     let lowest = Infinity;
     for (const expectation of weighed) {
-      if (!hasRoom(expectation.upstream, tierOf(entry), share)) continue;
+      if (!this.hasRoom(expectation, entry, share)) continue;
       const spread = 1 + JITTER_SHARE * this.parts.random();
       const score = scoreOf(expectation, entry) * spread;
       if (score >= lowest) continue;
@@ -142,6 +162,17 @@
     return best;
   }
 
+  private hasRoom(
+    {upstream, route}: Expectation,
+    entry: Entry,
+    share: Share,
+  ): boolean {
+    const {fleet} = this.parts;
+    const near = route.distance !== Distance.Remote;
+    const instances = near ? fleet.inRegion() : fleet.all();
+    return hasRoom(upstream, tierOf(entry), share, instances);
+  }
+
   /** Whether a request would miss its target on an upstream chosen now. */
   private misses({firstTokenMs}: Expectation, {work}: Entry): boolean {
     const target = work.serviceClass.targets.firstTokenMs;
@@ -207,15 +238,25 @@
   return a.firstTokenMs < b.firstTokenMs;
 }
 
-/** Expected time that counts for the class, in ms. */
-function scoreOf(
+/** What choosing an upstream costs this request and others, in ms. */
+function scoreOf(expectation: Expectation, {work}: Entry): number {
+  const {prefillMs, upstream} = expectation;
+  const occupied = loadOf(upstream) / slotsOf(upstream);
+  const crowdingMs =
+    CROWDING_STEPS * occupied * upstream.condition.speed.stepMs;
+  const batchDelayMs = BATCH_DELAY_WEIGHT * prefillMs;
+  return ownTimeOf(expectation, work) + batchDelayMs + crowdingMs;
+}
+
+/** Expected time of the request itself that counts for its class, in ms. */
+function ownTimeOf(
   {firstTokenMs, completionMs, upstream}: Expectation,
-  {work}: Entry,
+  work: Work,
 ): number {
   const {targets} = work.serviceClass;
-  const step = targets.betweenTokensMs;
   const {stepMs} = upstream.condition.speed;
-  const slow = step !== undefined && stepMs > step ? completionMs : 0;
+  const pace = stepMs / (targets.betweenTokensMs ?? Infinity);
+  const slow = completionMs * Math.max(0, 2 * pace - 1);
   if (targets.firstTokenMs === undefined) return completionMs;
   if (targets.completionMs === undefined) return firstTokenMs + slow;
   const share = targets.firstTokenMs / targets.completionMs;
@@ -240,11 +281,14 @@
   if (weighed.some(({cachedTokens}) => cachedTokens > 0)) return weighed;
   const [home] = ring.lookup(key, 1);
   return weighed.map(expectation => {
-    const {upstream, firstTokenMs} = expectation;
+    const {upstream, firstTokenMs, prefillMs} = expectation;
     if (upstream.name !== home) return expectation;
-    const tokens = entry.promptTokens * HOME_PRESUMED_SHARE;
-    const savedMs = tokens * upstream.condition.speed.prefillMsPerToken;
-    return {...expectation, firstTokenMs: firstTokenMs - savedMs};
+    const savedMs = prefillMs * HOME_PRESUMED_SHARE;
+    return {
+      ...expectation,
+      firstTokenMs: firstTokenMs - savedMs,
+      prefillMs: prefillMs - savedMs,
+    };
   });
 }
 
--- a/src/index.ts
+++ b/src/index.ts
@@ -2,6 +2,8 @@
 export * from './config/index.js';
 export * from './contract/index.js';
 export * from './instance/index.js';
+export * from './lease/index.js';
+export * from './order/index.js';
 export * from './platform/index.js';
 export * from './request/index.js';
 export * from './report/index.js';
--- a/src/request/execution.ts
+++ b/src/request/execution.ts
@@ -15,7 +15,7 @@
   type Failure,
 } from './outcome.js';
 import {AttemptEnd, type Placement, type Scheduler} from './placement.js';
-import type {RetryBudget} from './retry.js';
+import type {Retries} from './retry.js';
 import {Scope} from './scope.js';
 import type {Work} from './work.js';
 
@@ -29,7 +29,7 @@
   scheduler: Scheduler;
   timer: Timer;
   recorder: Recorder;
-  retries: RetryBudget;
+  retries: Retries;
   /** Dispatched work that goes on after its caller was answered. */
   committed: Set<Promise<unknown>>;
 }
@@ -84,7 +84,7 @@
   ) {}
 
   async run(): Promise<Conclusion> {
-    const limit = Math.max(1, ATTEMPTS_LIMIT - this.work.priorAttempts);
+    let limit = Math.max(1, ATTEMPTS_LIMIT - this.work.priorAttempts);
     let last: Ending | undefined;
     for (let turn = 0; turn < limit; turn++) {
       const placed = await place(this.parts, this.work, this.tried, this.scope);
@@ -95,6 +95,10 @@
       if (result.type === 'whole') return {outcome: Outcome.Completed};
       last = this.note(result);
       if (this.scope.signal.aborted) return this.givenUp();
+      if (isPreempted(placement, result)) {
+        limit++;
+        continue;
+      }
       if (turn + 1 === limit) break;
       if (!(await this.mayRetry(result, placement, turn + 1))) break;
     }
@@ -158,6 +162,11 @@
   }
 }
 
+/** Whether an attempt made way for another before anything was delivered. */
+function isPreempted({signal}: Placement, result: Failed): boolean {
+  return signal.aborted && result.type === 'broken' && !result.delivered;
+}
+
 /** Whether another attempt elsewhere may well succeed. */
 function isTransient(result: Failed): boolean {
   switch (result.type) {
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -12,7 +12,8 @@
 export type {KeyedParts} from './keyed.js';
 export {RESUME_TOKEN_HEADER, Resumption} from './resumption.js';
 export type {ResumptionParts, Signer, ResumeTicket} from './resumption.js';
-export {RetryBudget} from './retry.js';
+export {blindRetries, RetryBudget} from './retry.js';
+export type {Retries} from './retry.js';
 export {authenticate, isKeyedRetry, parseWork, readBody} from './intake.js';
 export type {Target} from './intake.js';
 export {
--- a/src/upstream/upstream.ts
+++ b/src/upstream/upstream.ts
@@ -17,6 +17,8 @@
   slots?: number;
   /** Whether the upstream said it is leaving. */
   leaving: boolean;
+  /** `MODEL` and `MODEL:ADAPTER` it holds, if it serves no others. */
+  models?: string[];
   /** Monotonic ms. */
   receivedAt: number;
 }
@@ -46,7 +48,8 @@
       connections: CONNECTIONS_PER_UPSTREAM,
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
-      connect: {timeout: CONNECT_TIMEOUT_MS, localAddress},
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+      localAddress,
     });
   }
 
@@ -54,10 +57,8 @@
   openConnection(): Client {
     return new Client(new URL(this.url).origin, {
       pipelining: 1,
-      connect: {
-        timeout: CONNECT_TIMEOUT_MS,
-        localAddress: this.localAddress,
-      },
+      connect: {timeout: CONNECT_TIMEOUT_MS},
+      localAddress: this.localAddress,
     });
   }
 
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -1,6 +1,6 @@
 import {Agent} from 'undici';
 import type {Logger} from 'pino';
-import {scheduling} from './admission/index.js';
+import {Policy, scheduling} from './admission/index.js';
 import {Claims} from './claim/index.js';
 import {Follower, Renewal} from './config/index.js';
 import {
@@ -16,19 +16,35 @@
   Passing,
   PeerClient,
   PeerServer,
+  readTlsFiles,
   serveMembers,
+  serveUsage,
   Synchronizer,
   type PeerAddress,
   type Settings,
 } from './instance/index.js';
+import {Candidates, LeaseManager} from './lease/index.js';
 import {startOperators} from './operators.js';
-import {HttpInstanceList, HttpLog} from './platform/index.js';
-import {Executor, Resumption, RetryBudget} from './request/index.js';
+import {EngineClient, OrderManager} from './order/index.js';
+import {
+  HttpInstanceList,
+  HttpLog,
+  HttpWeightStore,
+  Meter,
+  meteredConnector,
+} from './platform/index.js';
+import {
+  blindRetries,
+  Executor,
+  Resumption,
+  RetryBudget,
+} from './request/index.js';
 import {logOf, MeteredRecorder, nullRecorder, Part} from './telemetry/index.js';
 import {SystemTimer, type Subscription, type Timer} from './timer/index.js';
 import {Directory, LeavingRegister} from './upstream/index.js';
 
 const PLATFORM_CONNECTIONS = 8;
+const ORDER_ROUNDS_PER_TERM = 3;
 
 /** A running instance. */
 export interface Router {
@@ -50,6 +66,8 @@
   random: () => number;
   /** Connections to the platform. */
   agent: Agent;
+  /** Counts the bytes of those connections. */
+  meter: Meter;
   log: HttpLog;
 }
 
@@ -71,6 +89,12 @@
   stop(): Promise<void>;
 }
 
+/** The parts that give orders to engines. */
+interface Ordering {
+  start(): void;
+  stop(): Promise<void>;
+}
+
 /**
  * Constructs every part of an instance, connects them, and starts it. The only
  * module that knows all parts.
@@ -113,7 +137,10 @@
     scheduler: decisions.scheduler,
     timer,
     claims,
-    retries: new RetryBudget(timer),
+    retries:
+      settings.policy === Policy.Baseline
+        ? blindRetries
+        : new RetryBudget(timer),
     committed: new Set(),
   });
   const resumption = new Resumption({
@@ -128,6 +155,7 @@
     timer,
     logger: logOf(root, Part.Request),
   });
+  const ordering = openOrdering(base, membership, directory, follower);
   const operators = await startOperators({
     settings,
     root,
@@ -142,6 +170,7 @@
   });
   await peers.start();
   decisions.start();
+  ordering.start();
   configuring.start();
   const port = await entrance.listen(settings.host, settings.port);
   logOf(root, Part.Router).info({port}, 'Listening for callers.');
@@ -151,7 +180,9 @@
     ...(operators.port === undefined ? {} : {operatorPort: operators.port}),
     stop: async () => {
       await membership.leave();
-      await entrance.drain();
+      const drained = entrance.drain();
+      await ordering.stop();
+      await drained;
       looking.end();
       decisions.stop();
       await operators.stop();
@@ -164,19 +195,22 @@
 }
 
 function openBase(settings: Settings, root: Logger, timer: Timer): Base {
+  const meter = new Meter();
   const agent = new Agent({
     connections: PLATFORM_CONNECTIONS,
-    connect: {localAddress: settings.host},
+    connect: meteredConnector(meter),
+    localAddress: settings.host,
   });
   const log = new HttpLog(settings.logUrl, agent);
-  return {settings, root, timer, random: Math.random, agent, log};
+  return {settings, root, timer, random: Math.random, agent, meter, log};
 }
 
 async function openPeers(base: Base): Promise<Peers> {
   const {settings, timer, random} = base;
   const credential = new Credential(settings.peerSecrets);
-  const server = new PeerServer(credential);
-  const client = new PeerClient(credential, settings.host);
+  const tls = readTlsFiles(settings);
+  const server = new PeerServer(credential, tls);
+  const client = new PeerClient(credential, settings.host, tls);
   const datagrams = new DatagramPort(credential, timer);
   const port = await openPeerPorts(server, datagrams, settings);
   const logger = logOf(base.root, Part.Member);
@@ -194,6 +228,7 @@
   const synchronizer = new Synchronizer(membership, seeds, parts);
   const discovery = openDiscovery(base, membership, synchronizer);
   serveMembers(server, membership);
+  serveUsage({datagrams, client, server, platform: base.meter});
   return {
     port,
     server,
@@ -289,6 +324,48 @@
   return looking;
 }
 
+function openOrdering(
+  {settings, root, agent, log, timer}: Base,
+  membership: Fleet,
+  directory: Directory,
+  follower: Follower,
+): Ordering {
+  const candidates = new Candidates(
+    settings.instance,
+    () => membership.live().map(({name}) => name),
+    timer,
+  );
+  const leases = new LeaseManager({
+    log,
+    timer,
+    logger: logOf(root, Part.Lease),
+    holder: `${settings.instance}/${timer.wallNow()}`,
+    termMs: settings.leaseTermMs,
+    rankOf: pool => candidates.rankOf(pool),
+  });
+  const {weightsUrl} = settings;
+  const orders = new OrderManager({
+    leases,
+    directory,
+    client: new EngineClient(settings.orderToken),
+    ...(weightsUrl === undefined
+      ? {}
+      : {weights: new HttpWeightStore(weightsUrl, agent)}),
+    timer,
+    logger: logOf(root, Part.Order),
+    instance: settings.instance,
+    roundMs: settings.leaseTermMs / ORDER_ROUNDS_PER_TERM,
+  });
+  follower.subscribe(({document}) => orders.apply(document));
+  return {
+    start: () => leases.start(),
+    stop: async () => {
+      await orders.stop();
+      await leases.stop();
+    },
+  };
+}
+
 function advertised(settings: Settings, peerPort: number): PeerAddress {
   return settings.advertise === undefined
     ? {host: settings.host, port: peerPort}
