Take the published configurations of a fault run from the log

Ruled out: a late router, since all three held version 2 from 1.9 s on. Change: publications are read from the log's stream at the end, and the base of the next one too. Conclusion: a fault of the harness; the check and its bounds are as before.

--- a/bench/injector.ts
+++ b/bench/injector.ts
@@ -1,7 +1,13 @@
 import type {EngineExecution, ServiceExecution} from '../stand-ins/index.js';
 import {Proxy} from '../stand-ins/index.js';
 import type {Cluster, Proxied, RouterProcess} from './cluster.js';
-import {FaultKind, type Execution, type History} from './history.js';
+import {accepted} from './checker/configuration.js';
+import {
+  FaultKind,
+  type Execution,
+  type History,
+  type Publication,
+} from './history.js';
 import type {Door} from './load.js';
 import type {PlannedFault} from './schedule.js';
 
@@ -10,6 +16,14 @@
 const SIGHTING_PERIOD_MS = 200;
 const SLOW_LINK_MS = 80;
 const SLOWNESS = 20;
+const RECORDS_LIMIT = 1_000;
+
+/** A record of the configuration stream, as the log has it. */
+interface SubmissionRecord {
+  offset: number;
+  time: number;
+  value: {type: string; base: number};
+}
 
 /** A router under test, with the proxy its callers use. */
 class Station implements Door {
@@ -51,7 +65,6 @@
 
 /** Injects planned faults into a cluster and notes them in the history. */
 export class Injector {
-  private version = 1;
   private watching = true;
   private readonly active = new Map<string, number>();
   private readonly held = new Set<Proxied>();
@@ -71,7 +84,6 @@
         return station;
       }),
     );
-    history.publications.push({version: 1, base: 0, at: Date.now()});
     const injector = new Injector(cluster, history, stations);
     void injector.watch();
     return injector;
@@ -97,6 +109,7 @@
   /** Reads the journals and ends the watch. */
   async close(): Promise<void> {
     this.watching = false;
+    this.history.publications.push(...(await this.readPublications()));
     for (const upstream of this.cluster.upstreams) {
       await this.readJournal(upstream);
     }
@@ -379,25 +392,30 @@
 
   /** Publishes documents that are all based on the newest version. */
   private async publish(count: number): Promise<void> {
-    const base = this.version;
+    const base = accepted(await this.readPublications()).at(-1)?.version;
+    if (base === undefined) return;
     const {document} = this.cluster;
-    await Promise.all(
-      Array.from({length: count}, async () => {
-        try {
-          const version = await this.cluster.publish(document, base);
-          if (!Number.isInteger(version)) return;
-          const at = Date.now();
-          this.history.publications.push({version, base, at});
-        } catch {
-          return;
-        }
-      }),
+    await Promise.allSettled(
+      Array.from({length: count}, () => this.cluster.publish(document, base)),
     );
-    const winner = this.history.publications
-      .filter(publication => publication.base === base)
-      .map(({version}) => version)
-      .sort((a, b) => a - b)[0];
-    this.version = winner ?? base;
+  }
+
+  /**
+   * Reads what the log has taken, which includes submissions whose answer was
+   * lost. Empty while the log is down.
+   */
+  private async readPublications(): Promise<Publication[]> {
+    const stream = `${this.cluster.log.url}/streams/configuration/records`;
+    const answer = await fetch(`${stream}?from=0&limit=${RECORDS_LIMIT}`);
+    if (!answer.ok) return [];
+    const {records} = (await answer.json()) as {records: SubmissionRecord[]};
+    return records
+      .filter(({value}) => value.type === 'submission')
+      .map(({offset, time, value}) => ({
+        version: offset + 1,
+        base: value.base,
+        at: time,
+      }));
   }
 
   /** Notes the version in force at every router, over and over. */
