--- a/src/claim/view.ts
+++ b/src/claim/view.ts
@@ -27,8 +27,8 @@
 
 /**
  * The state of every key of one claims stream, as the order of its records
- * decides it. Two views that applied the same records agree; entries repeated
- * by a second append of the same batch change nothing.
+ * decides it. Two views that applied the same records agree; a second append
+ * of the same batch changes nothing.
  */
 export class View {
   /** Offset of the next record to apply. */
@@ -41,7 +41,7 @@
     if (offset < this.next) return;
     this.next = offset + 1;
     const parsed = claimsRecordSchema.safeParse(value);
-    if (!parsed.success) return;
+    if (!parsed.success || this.batches.has(parsed.data.id)) return;
     this.batches.set(parsed.data.id, time);
     for (const entry of parsed.data.entries) this.take(entry, offset, time);
   }
--- a/src/request/retry.ts
+++ b/src/request/retry.ts
@@ -1,11 +1,11 @@
 import type {Timer} from '../timer/index.js';
 
-/** Retries granted for each first attempt. */
-const RETRY_SHARE = 0.2;
-/** Retries that may be saved up. */
-const RESERVE = 20;
-/** Retries granted a second whatever the traffic. */
-const TRICKLE_PER_S = 1;
+/** First attempts that together grant one retry; what a retry costs. */
+const ATTEMPTS_PER_RETRY = 5;
+/** First attempts whose grants may be saved up. */
+const RESERVE_ATTEMPTS = 20 * ATTEMPTS_PER_RETRY;
+/** First attempts that each second counts for, whatever the traffic. */
+const TRICKLE_PER_S = ATTEMPTS_PER_RETRY;
 const BACKOFF_MS = 25;
 const BACKOFF_LIMIT_MS = 1_000;
 /** Budgets kept at most; the least recently used go first. */
@@ -29,23 +29,23 @@
 };
 
 class Budget {
-  private tokens = RESERVE;
+  private granted = RESERVE_ATTEMPTS;
 
   constructor(private at: number) {}
 
   grant(): void {
-    this.tokens = Math.min(RESERVE, this.tokens + RETRY_SHARE);
+    this.granted = Math.min(RESERVE_ATTEMPTS, this.granted + 1);
   }
 
   has(now: number): boolean {
     const gained = ((now - this.at) / 1000) * TRICKLE_PER_S;
-    this.tokens = Math.min(RESERVE, this.tokens + gained);
+    this.granted = Math.min(RESERVE_ATTEMPTS, this.granted + gained);
     this.at = now;
-    return this.tokens >= 1;
+    return this.granted >= ATTEMPTS_PER_RETRY;
   }
 
   take(): void {
-    this.tokens -= 1;
+    this.granted -= ATTEMPTS_PER_RETRY;
   }
 }
 
