Split running requests and injecting faults into smaller modules

Cause: execution, attempt and injector had grown to 302, 367 and 455 lines. Change: repeatable and single runs, the judgement of answers, the sink, the stations and the observer each have their module; no behaviour changed.

--- a/bench/injector.ts
+++ b/bench/injector.ts
@@ -1,71 +1,21 @@
-import type {EngineExecution, ServiceExecution} from '../stand-ins/index.js';
 import {Proxy} from '../stand-ins/index.js';
-import type {Cluster, Proxied, RouterProcess} from './cluster.js';
+import type {Cluster, Proxied} from './cluster.js';
 import {accepted} from './checker/configuration.js';
-import {
-  FaultKind,
-  type Execution,
-  type History,
-  type Publication,
-} from './history.js';
-import type {Door} from './load.js';
+import {FaultKind, type History} from './history.js';
+import {Observer} from './observer.js';
 import type {PlannedFault} from './schedule.js';
+import {Station} from './station.js';
 
 const SETTLE_MS = 150;
 const SHUTDOWN_LIMIT_MS = 40_000;
-const SIGHTING_PERIOD_MS = 200;
 const SLOW_LINK_MS = 80;
 const SLOWNESS = 20;
-const RECORDS_LIMIT = 1_000;
-
-/** A record of the configuration stream, as the log has it. */
-interface SubmissionRecord {
-  offset: number;
-  time: number;
-  value: {type: string; base: number};
-}
-
-/** A router under test, with the proxy its callers use. */
-class Station implements Door {
-  number = 0;
-  /** Whether a fault has its process in hand. */
-  busy = false;
-
-  constructor(
-    readonly target: RouterProcess,
-    readonly proxy: Proxy,
-  ) {}
-
-  get router(): string {
-    return this.target.name;
-  }
-
-  process(): number {
-    return this.number;
-  }
-
-  url(): string {
-    return this.proxy.url;
-  }
-
-  /** Sends callers to the process that runs now. */
-  aim(): void {
-    const port = this.target.process?.listening.port ?? 0;
-    this.proxy.aim(`${this.target.host}:${port}`);
-  }
-
-  async restart(): Promise<void> {
-    await this.target.start();
-    this.number++;
-    this.aim();
-  }
-}
 
 const sleep = (ms: number) => new Promise<void>(end => setTimeout(end, ms));
 
 /** Injects planned faults into a cluster and notes them in the history. */
 export class Injector {
-  private watching = true;
+  private readonly observer: Observer;
   private readonly active = new Map<string, number>();
   private readonly held = new Set<Proxied>();
 
@@ -73,7 +23,9 @@
     private readonly cluster: Cluster,
     private readonly history: History,
     readonly stations: readonly Station[],
-  ) {}
+  ) {
+    this.observer = new Observer(cluster, history, stations);
+  }
 
   static async open(cluster: Cluster, history: History): Promise<Injector> {
     const stations = await Promise.all(
@@ -85,7 +37,7 @@
       }),
     );
     const injector = new Injector(cluster, history, stations);
-    void injector.watch();
+    void injector.observer.watch();
     return injector;
   }
 
@@ -106,13 +58,9 @@
     if (noted !== undefined) noted.to = Date.now();
   }
 
-  /** Reads the journals and ends the watch. */
+  /** Reads what is left to be noted. */
   async close(): Promise<void> {
-    this.watching = false;
-    this.history.publications.push(...(await this.readPublications()));
-    for (const upstream of this.cluster.upstreams) {
-      await this.readJournal(upstream);
-    }
+    await this.observer.close();
     await Promise.all(this.stations.map(({proxy}) => proxy.close()));
   }
 
@@ -283,7 +231,7 @@
   private async killUpstream(target: Proxied, downMs: number): Promise<void> {
     this.setAll(target, {cut: true});
     await sleep(SETTLE_MS);
-    await this.readJournal(target);
+    await this.observer.readJournal(target);
     await target.process.kill();
     this.setAll(target, {cut: false, refuse: true});
     target.proxy.reset();
@@ -392,7 +340,9 @@
 
   /** Publishes documents that are all based on the newest version. */
   private async publish(count: number): Promise<void> {
-    const base = accepted(await this.readPublications()).at(-1)?.version;
+    const base = accepted(await this.observer.readPublications()).at(
+      -1,
+    )?.version;
     if (base === undefined) return;
     const {document} = this.cluster;
     await Promise.allSettled(
@@ -400,56 +350,6 @@
     );
   }
 
-  /**
-   * Reads what the log has taken, which includes submissions whose answer was
-   * lost. Empty while the log is down.
-   */
-  private async readPublications(): Promise<Publication[]> {
-    const stream = `${this.cluster.log.url}/streams/configuration/records`;
-    const answer = await fetch(`${stream}?from=0&limit=${RECORDS_LIMIT}`);
-    if (!answer.ok) return [];
-    const {records} = (await answer.json()) as {records: SubmissionRecord[]};
-    return records
-      .filter(({value}) => value.type === 'submission')
-      .map(({offset, time, value}) => ({
-        version: offset + 1,
-        base: value.base,
-        at: time,
-      }));
-  }
-
-  /** Notes the version in force at every router, over and over. */
-  private async watch(): Promise<void> {
-    while (this.watching) {
-      await Promise.all(this.stations.map(station => this.look(station)));
-      await sleep(SIGHTING_PERIOD_MS);
-    }
-  }
-
-  private async look({target, number}: Station): Promise<void> {
-    const at = Date.now();
-    try {
-      const answer = await fetch(`${target.url}/readyz`, {
-        signal: AbortSignal.timeout(SIGHTING_PERIOD_MS),
-      });
-      const {version} = (await answer.json()) as {version: number};
-      const {name: router} = target;
-      this.history.sightings.push({router, process: number, version, at});
-    } catch {
-      return;
-    }
-  }
-
-  private async readJournal(target: Proxied): Promise<void> {
-    const entries = await this.cluster
-      .journal<EngineExecution | ServiceExecution>(target)
-      .catch(() => []);
-    for (const entry of entries) {
-      const execution = executionOf(target.name, entry);
-      if (execution.startedAt > 0) this.history.executions.push(execution);
-    }
-  }
-
   private pickUpstream({pick}: PlannedFault): Proxied {
     const {upstreams} = this.cluster;
     return upstreams[Math.floor(pick * upstreams.length)] as Proxied;
@@ -459,15 +359,3 @@
     return this.stations[Math.floor(pick * this.stations.length)] as Station;
   }
 }
-
-function executionOf(
-  upstream: string,
-  entry: EngineExecution | ServiceExecution,
-): Execution {
-  const {id, key} = entry;
-  const known = {upstream, id, ...(key === undefined ? {} : {key})};
-  if ('digest' in entry) {
-    return {...known, digest: entry.digest, startedAt: entry.at};
-  }
-  return {...known, startedAt: entry.startedAt};
-}
--- a/src/request/answer.ts
+++ b/src/request/answer.ts
@@ -1,6 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {EventSourceMessage} from 'eventsource-parser';
-import type {AnswerSink, StreamSource} from './attempt.js';
+import type {AnswerSink, StreamSource} from './sink.js';
 import {
   describe,
   Outcome,
--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -3,10 +3,12 @@
 import {type Recorder, WasteCause} from '../telemetry/index.js';
 import type {Timer} from '../timer/index.js';
 import {openVerified} from './connection.js';
+import {isUnsent, judgeError, type AttemptResult} from './judge.js';
 import type {Failure} from './outcome.js';
 import {AttemptEnd, type Placement} from './placement.js';
 import {cancelStream, requestStream} from './stream.js';
 import {relayEvents, STREAM_END, StreamProgress} from './relay.js';
+import type {AnswerSink} from './sink.js';
 import {Watchdog, type SilenceLimits} from './watchdog.js';
 import type {Work} from './work.js';
 
@@ -14,40 +16,9 @@
 export const UPSTREAM_ID_HEADER = 'x-request-id';
 /** Header by which engines are told the priority of a request. */
 export const PRIORITY_HEADER = 'x-priority';
-/** Header by which an upstream proves that it ran and will run nothing. */
-export const NOT_RUN_HEADER = 'x-not-run';
 
 const RESUMES_LIMIT = 2;
 
-/** Which stream of which upstream an answer comes from. */
-export interface StreamSource {
-  upstream: string;
-  /** Id of the stream at the upstream. */
-  stream: string;
-}
-
-/** Where an attempt delivers what the upstream answers. */
-export interface AnswerSink {
-  /** Called once, before anything else, when the answer starts. */
-  head(status: number, contentType: string, source?: StreamSource): void;
-  /** Delivers one event of a stream; awaits the caller's back-pressure. */
-  event(event: EventSourceMessage): Promise<void>;
-  /** Delivers a whole answer that was not streamed. */
-  whole(body: Buffer): void;
-}
-
-/** The result of one attempt. */
-export type AttemptResult =
-  | {type: 'whole'}
-  /** The upstream proved that it did not and will not run the request. */
-  | {type: 'refused'; failure: Failure}
-  /** The upstream answered with an error that leaves no doubt. */
-  | {type: 'rejected'; failure: Failure}
-  /** No byte of the request left this instance. */
-  | {type: 'unsent'; failure: Failure}
-  /** The attempt broke; `delivered` tells if the caller has seen any of it. */
-  | {type: 'broken'; failure: Failure; delivered: boolean};
-
 /** What one attempt needs to know. */
 export interface AttemptSpec {
   work: Work;
@@ -333,35 +304,3 @@
     void cancelStream(placement.upstream, id, timer);
   }
 }
-
-/** Whether an error of `undici` arose before the request was written. */
-function isUnsent(cause: unknown): boolean {
-  if (!(cause instanceof Error) || !('code' in cause)) return false;
-  if ('syscall' in cause && cause.syscall === 'connect') return true;
-  return cause.code === 'UND_ERR_CONNECT_TIMEOUT';
-}
-
-/**
- * Judges an error answer. Only the documented header proves that nothing ran;
- * another client error is the upstream's answer, and a server error proves
- * nothing.
- */
-async function judgeError({
-  statusCode: status,
-  headers,
-  body,
-}: Dispatcher.ResponseData): Promise<AttemptResult> {
-  const text = await body.text();
-  if (headers[NOT_RUN_HEADER] === 'true') {
-    return {type: 'refused', failure: {type: 'upstreamRefused', status}};
-  }
-  const failure: Failure = {type: 'upstreamFailed', status};
-  if (status >= 500 || status === 408) {
-    return {type: 'broken', failure, delivered: false};
-  }
-  const contentType = String(headers['content-type'] ?? 'text/plain');
-  return {
-    type: 'rejected',
-    failure: {type: 'upstreamRejected', status, contentType, body: text},
-  };
-}
--- a/src/request/executor.ts
+++ b/src/request/executor.ts
@@ -1,7 +1,8 @@
 import {CLOCK_SKEW_MS} from '../claim/index.js';
 import type {Work} from './work.js';
-import type {AnswerSink} from './attempt.js';
-import {executeOnce, executeRepeatable} from './execution.js';
+import type {AnswerSink} from './sink.js';
+import {executeOnce} from './once.js';
+import {executeRepeatable} from './repeatable.js';
 import {AnswerMeasure} from './measure.js';
 import {executeKeyed, type KeyedParts} from './keyed.js';
 import {failureOf, Outcome, type Conclusion} from './outcome.js';
--- a/src/request/index.ts
+++ b/src/request/index.ts
@@ -1,11 +1,8 @@
 export {CallerAnswer, writeRefusal} from './answer.js';
 export {runAttempt} from './attempt.js';
-export type {
-  AnswerSink,
-  AttemptResult,
-  AttemptSpec,
-  StreamSource,
-} from './attempt.js';
+export type {AttemptSpec} from './attempt.js';
+export type {AttemptResult} from './judge.js';
+export type {AnswerSink, StreamSource} from './sink.js';
 export {RoundRobin} from './direct.js';
 export {Executor} from './executor.js';
 export type {ExecutionParts} from './execution.js';
--- a/src/request/keyed.ts
+++ b/src/request/keyed.ts
@@ -6,8 +6,9 @@
   type Flight,
   type RecordedResult,
 } from '../claim/index.js';
-import type {AnswerSink} from './attempt.js';
-import {executeOnce, type ExecutionParts} from './execution.js';
+import type {AnswerSink} from './sink.js';
+import type {ExecutionParts} from './execution.js';
+import {executeOnce} from './once.js';
 import {Outcome, type Conclusion, type Ending} from './outcome.js';
 import {Recording} from './recording.js';
 import type {Work} from './work.js';
--- a/src/request/measure.ts
+++ b/src/request/measure.ts
@@ -2,7 +2,7 @@
 import type {Observation} from '../telemetry/index.js';
 import {meetsTargets} from '../telemetry/index.js';
 import type {Timer} from '../timer/index.js';
-import type {AnswerSink, StreamSource} from './attempt.js';
+import type {AnswerSink, StreamSource} from './sink.js';
 import {Outcome} from './outcome.js';
 import type {Work} from './work.js';
 
--- a/src/request/recording.ts
+++ b/src/request/recording.ts
@@ -1,6 +1,6 @@
 import type {EventSourceMessage} from 'eventsource-parser';
 import type {RecordedAnswer} from '../claim/index.js';
-import type {AnswerSink, StreamSource} from './attempt.js';
+import type {AnswerSink, StreamSource} from './sink.js';
 
 const RECORDED_LIMIT_BYTES = 64 * 1024;
 
--- /dev/null
+++ b/src/request/repeatable.ts
@@ -0,0 +1,148 @@
+import {WasteCause} from '../telemetry/index.js';
+import type {AttemptResult} from './judge.js';
+import {
+  ATTEMPTS_LIMIT,
+  endingOf,
+  place,
+  runRecorded,
+  type ExecutionParts,
+  type Failed,
+} from './execution.js';
+import {Outcome, type Conclusion, type Ending} from './outcome.js';
+import type {Placement} from './placement.js';
+import {Scope} from './scope.js';
+import type {AnswerSink} from './sink.js';
+import type {Work} from './work.js';
+
+/** Server errors that another upstream would answer alike. */
+const PERMANENT_STATUSES = new Set([501, 505]);
+
+/**
+ * Runs a request that may be run more than once: acquires placements, runs
+ * attempts, and retries where the outcome and the retry budget permit it.
+ */
+export async function executeRepeatable(
+  parts: ExecutionParts,
+  work: Work,
+  sink: AnswerSink,
+  gone: AbortSignal,
+): Promise<Conclusion> {
+  const scope = new Scope(parts.timer, work.deadlineAt, gone);
+  try {
+    return await new RepeatableRun(parts, work, sink, scope).run();
+  } finally {
+    scope.end();
+  }
+}
+
+class RepeatableRun {
+  private readonly tried = new Set<string>();
+  /** How the last attempt that may have run ended. */
+  private ran?: Ending;
+  private fresh = false;
+
+  constructor(
+    private readonly parts: ExecutionParts,
+    private readonly work: Work,
+    private readonly sink: AnswerSink,
+    private readonly scope: Scope,
+  ) {}
+
+  async run(): Promise<Conclusion> {
+    let limit = Math.max(1, ATTEMPTS_LIMIT - this.work.priorAttempts);
+    let last: Ending | undefined;
+    for (let turn = 0; turn < limit; turn++) {
+      const placed = await place(this.parts, this.work, this.tried, this.scope);
+      if (placed === undefined) return this.givenUp();
+      if (placed.isErr()) return this.ran ?? last ?? placed.error;
+      const placement = placed.value;
+      const result = await this.attempt(placement, turn);
+      if (result.type === 'whole') return {outcome: Outcome.Completed};
+      last = this.note(result);
+      if (this.scope.signal.aborted) return this.givenUp();
+      if (isPreempted(placement, result)) {
+        limit++;
+        continue;
+      }
+      if (turn + 1 === limit) break;
+      if (!(await this.mayRetry(result, placement, turn + 1))) break;
+    }
+    return this.ran ?? last ?? this.givenUp();
+  }
+
+  private async attempt(
+    placement: Placement,
+    turn: number,
+  ): Promise<AttemptResult> {
+    const {work, scope, parts} = this;
+    const {name} = placement.upstream;
+    if (turn === 0) parts.retries.attempted(work.serviceClass.name, name);
+    return runRecorded({
+      work,
+      placement,
+      sink: this.sink,
+      timer: parts.timer,
+      recorder: parts.recorder,
+      id: turn === 0 ? work.id : `${work.id}-${turn}`,
+      signal: AbortSignal.any([placement.signal, scope.signal]),
+      verified: this.fresh,
+    });
+  }
+
+  private note(result: Failed): Ending {
+    const ending = endingOf(result, Outcome.Failed);
+    if (ending.outcome !== Outcome.NotRun) this.ran = ending;
+    return ending;
+  }
+
+  /** The ending of a request whose time or caller has gone. */
+  private givenUp(): Ending {
+    const failure = this.scope.failure ?? {type: 'cancelled'};
+    if (this.ran === undefined) return {outcome: Outcome.NotRun, failure};
+    return {outcome: this.ran.outcome, failure};
+  }
+
+  /** Decides on a retry, and waits for its back-off. */
+  private async mayRetry(
+    result: Failed,
+    placement: Placement,
+    retry: number,
+  ): Promise<boolean> {
+    if (!isTransient(result)) return false;
+    const {work, parts, scope} = this;
+    const {name} = placement.upstream;
+    if (!parts.retries.take(work.serviceClass.name, name)) return false;
+    const delayMs = parts.retries.delayMs(retry);
+    const left = work.deadlineAt - parts.timer.now();
+    if (delayMs >= left) return false;
+    if (result.failure.type === 'upstreamSilent') this.fresh = true;
+    this.tried.add(name);
+    const reason = result.failure.type;
+    parts.recorder.decide(work.id, {type: 'retried', reason, delayMs});
+    if (result.type === 'broken') {
+      parts.recorder.waste(WasteCause.Retry, work.serviceClass.name, 0);
+    }
+    await parts.timer.sleep(delayMs, scope.signal);
+    return !scope.signal.aborted;
+  }
+}
+
+/** Whether an attempt made way for another before anything was delivered. */
+function isPreempted({signal}: Placement, result: Failed): boolean {
+  return signal.aborted && result.type === 'broken' && !result.delivered;
+}
+
+/** Whether another attempt elsewhere may well succeed. */
+function isTransient(result: Failed): boolean {
+  switch (result.type) {
+    case 'unsent':
+    case 'refused':
+      return true;
+    case 'rejected':
+      return false;
+    case 'broken':
+      if (result.delivered) return false;
+      if (result.failure.type !== 'upstreamFailed') return true;
+      return !PERMANENT_STATUSES.has(result.failure.status);
+  }
+}
--- a/src/request/resumption.ts
+++ b/src/request/resumption.ts
@@ -1,7 +1,8 @@
 import {z} from 'zod';
 import type {Timer} from '../timer/index.js';
 import type {Upstream} from '../upstream/index.js';
-import {UPSTREAM_ID_HEADER, type AnswerSink} from './attempt.js';
+import {UPSTREAM_ID_HEADER} from './attempt.js';
+import type {AnswerSink} from './sink.js';
 import {openVerified} from './connection.js';
 import {Outcome, type Conclusion, type Failure} from './outcome.js';
 import {relayEvents, StreamProgress} from './relay.js';
