Test the death of a holder and of a key's home

Change: a retry after its holder was killed during the run is answered as unknown in less than 5 s, with one execution; keys homed on the dead instance are claimed by the others. A waste entry of no tokens is no longer recorded at a retry.

--- a/src/request/repeatable.ts
+++ b/src/request/repeatable.ts
@@ -1,4 +1,3 @@
-import {WasteCause} from '../telemetry/index.js';
 import type {AttemptResult} from './judge.js';
 import {
   ATTEMPTS_LIMIT,
@@ -119,9 +118,6 @@
     this.tried.add(name);
     const reason = result.failure.type;
     parts.recorder.decide(work.id, {type: 'retried', reason, delayMs});
-    if (result.type === 'broken') {
-      parts.recorder.waste(WasteCause.Retry, work.serviceClass.name, 0);
-    }
     await parts.timer.sleep(delayMs, scope.signal);
     return !scope.signal.aborted;
   }
--- a/test/claim.test.ts
+++ b/test/claim.test.ts
@@ -118,4 +118,36 @@
     expect(again.text).toBe(reply.text);
     expect(await runs(key)).toBe(1);
   });
+
+  it('is answered as unknown once its holder died during the run', async () => {
+    const services = cluster.upstreams.filter(({kind}) => kind === 'service');
+    const slow = (delayMs: number) =>
+      Promise.all(services.map(item => cluster.behave(item, {delayMs})));
+    await slow(1_500);
+    const key = uuidv7();
+    const lost = order(0, key).catch(() => undefined);
+    await new Promise(resolve => setTimeout(resolve, 500));
+    await cluster.routers[0]?.process?.kill();
+    await lost;
+    const start = Date.now();
+    const retried = await order(1, key, {'gypsumcourse-prior-attempts': '1'});
+    const tookMs = Date.now() - start;
+    await slow(50);
+    expect([retried.outcome, retried.error]).toEqual([
+      'unknown',
+      'claimedElsewhere',
+    ]);
+    expect(tookMs).toBeLessThan(5_000);
+    expect(await runs(key)).toBe(1);
+  });
+
+  it('goes on to be claimed after the home of its key died', async () => {
+    const keys = Array.from({length: 16}, () => uuidv7());
+    const replies = await Promise.all(
+      keys.map((key, n) => order(1 + (n % 2), key)),
+    );
+    expect(new Set(replies.map(({outcome}) => outcome))).toEqual(
+      new Set(['completed']),
+    );
+  });
 });
