--- a/bench/injector.ts
+++ b/bench/injector.ts
@@ -1,8 +1,8 @@
 import {Proxy} from '../stand-ins/index.js';
+import {Observer} from './observer.js';
+import {Publisher} from './publisher.js';
 import type {Cluster, Proxied} from './cluster.js';
-import {accepted} from './checker/configuration.js';
 import {FaultKind, type History} from './history.js';
-import {Observer} from './observer.js';
 import type {PlannedFault} from './schedule.js';
 import {Station} from './station.js';
 
@@ -23,6 +23,7 @@
     private readonly cluster: Cluster,
     private readonly history: History,
     readonly stations: readonly Station[],
+    private readonly publisher: Publisher | undefined,
   ) {
     this.observer = new Observer(cluster, history, stations);
   }
@@ -36,7 +37,8 @@
         return station;
       }),
     );
-    const injector = new Injector(cluster, history, stations);
+    const publisher = await Publisher.open(cluster, history);
+    const injector = new Injector(cluster, history, stations, publisher);
     void injector.observer.watch();
     return injector;
   }
@@ -60,6 +62,7 @@
 
   /** Reads what is left to be noted. */
   async close(): Promise<void> {
+    await this.publisher?.close();
     await this.observer.close();
     await Promise.all(this.stations.map(({proxy}) => proxy.close()));
   }
@@ -157,11 +160,11 @@
         );
       case FaultKind.Publish:
         begin('log');
-        await this.publish(1);
+        await this.publisher?.publish(1);
         return 'log';
       case FaultKind.PublishRace:
         begin('log');
-        await this.publish(2);
+        await this.publisher?.publish(2);
         return 'log';
     }
   }
@@ -338,18 +341,6 @@
     }
   }
 
-  /** Publishes documents that are all based on the newest version. */
-  private async publish(count: number): Promise<void> {
-    const base = accepted(await this.observer.readPublications()).at(
-      -1,
-    )?.version;
-    if (base === undefined) return;
-    const {document} = this.cluster;
-    await Promise.allSettled(
-      Array.from({length: count}, () => this.cluster.publish(document, base)),
-    );
-  }
-
   private pickUpstream({pick}: PlannedFault): Proxied {
     const {upstreams} = this.cluster;
     return upstreams[Math.floor(pick * upstreams.length)] as Proxied;
--- a/src/instance/gossip.ts
+++ b/src/instance/gossip.ts
@@ -2,16 +2,19 @@
 
 /** Retransmissions of one update, times the logarithm of the fleet's size. */
 const RETRANSMIT_FACTOR = 4;
-/** Space for updates in one datagram, in bytes of JSON. */
-const UPDATES_BYTES = 320;
-/** Space for status records within it. */
-const STATUSES_BYTES = 180;
+/**
+ * Space in one datagram for each kind of update, in bytes of JSON. Each has its
+ * own, so that many changes of members can't hold up an item of a topic.
+ */
+const SPACE = {members: 240, items: 400, statuses: 150};
 
 /** One update waiting to be told to peers. */
 interface Update<Value> {
   value: Value;
   bytes: number;
   sent: number;
+  /** Grows with every update added. */
+  order: number;
 }
 
 /** Updates picked for one datagram. */
@@ -23,24 +26,25 @@
 
 /**
  * Updates on their way through the fleet. Each is sent a bounded number of
- * times, the least sent first; a newer update of the same subject replaces the
- * older one. Membership goes before topics, and both before load.
+ * times, the least sent first and of these the newest; a newer update of the
+ * same subject replaces the older one.
  */
 export class Gossip {
   private readonly members = new Map<string, Update<MemberRecord>>();
   private readonly statuses = new Map<string, Update<StatusRecord>>();
   private readonly items = new Map<string, Update<TopicItem>>();
+  private order = 0;
 
   addMember(record: MemberRecord): void {
-    this.members.set(record.name, fresh(record));
+    this.members.set(record.name, this.fresh(record));
   }
 
   addStatus(record: StatusRecord): void {
-    this.statuses.set(record.name, fresh(record));
+    this.statuses.set(record.name, this.fresh(record));
   }
 
   addItem(item: TopicItem): void {
-    this.items.set(`${item.topic} ${item.key}`, fresh(item));
+    this.items.set(`${item.topic} ${item.key}`, this.fresh(item));
   }
 
   /** Updates that still wait, of all kinds. */
@@ -51,17 +55,17 @@
   /** Picks the updates of the next datagram in a fleet of `size` instances. */
   select(size: number): Selection {
     const limit = retransmissions(size);
-    const members = pick(this.members, UPDATES_BYTES, limit);
-    const items = pick(this.items, UPDATES_BYTES - members.bytes, limit);
-    const rest = UPDATES_BYTES - members.bytes - items.bytes;
-    const space = Math.min(STATUSES_BYTES, rest);
-    const statuses = pick(this.statuses, space, limit);
     return {
-      members: members.values,
-      statuses: statuses.values,
-      items: items.values,
+      members: pick(this.members, SPACE.members, limit),
+      items: pick(this.items, SPACE.items, limit),
+      statuses: pick(this.statuses, SPACE.statuses, limit),
     };
   }
+
+  private fresh<Value>(value: Value): Update<Value> {
+    const bytes = JSON.stringify(value).length + 1;
+    return {value, bytes, sent: 0, order: ++this.order};
+  }
 }
 
 /** How often each update is sent in a fleet of `size` instances. */
@@ -69,18 +73,16 @@
   return RETRANSMIT_FACTOR * Math.ceil(Math.log10(size + 1));
 }
 
-function fresh<Value>(value: Value): Update<Value> {
-  return {value, bytes: JSON.stringify(value).length + 1, sent: 0};
-}
-
 function pick<Value>(
   updates: Map<string, Update<Value>>,
   space: number,
   limit: number,
-): {values: Value[]; bytes: number} {
+): Value[] {
   const values: Value[] = [];
   let bytes = 0;
-  const waiting = [...updates].sort(([, a], [, b]) => a.sent - b.sent);
+  const waiting = [...updates].sort(
+    ([, a], [, b]) => a.sent - b.sent || b.order - a.order,
+  );
   for (const [key, update] of waiting) {
     if (bytes + update.bytes > space) continue;
     bytes += update.bytes;
@@ -88,5 +90,5 @@
     update.sent++;
     if (update.sent >= limit) updates.delete(key);
   }
-  return {values, bytes};
+  return values;
 }
