--- a/src/admission/entry.ts
+++ b/src/admission/entry.ts
@@ -23,7 +23,7 @@
   queuedAt: number;
   /** Latest start at which every target of its class can be met. */
   latestStartAt: number;
-  /** Latest start at which it can be answered before its deadline. */
+  /** Latest start at which any answer can begin before its deadline. */
   hopelessAt: number;
   /** When a late request regains the order of its tier. */
   urgentAt: number;
@@ -39,3 +39,11 @@
 export function tierOf(entry: Entry): number {
   return entry.work.serviceClass.tier;
 }
+
+/** Blocks that decide on the agreed home of a prefix. */
+const PREFIX_BLOCKS = 8;
+
+/** Key of the prefix a prompt shares with others; none if it is short. */
+export function prefixKey({blocks}: Entry): string | undefined {
+  return blocks[Math.min(PREFIX_BLOCKS, blocks.length) - 1];
+}
--- a/src/admission/running.ts
+++ b/src/admission/running.ts
@@ -8,7 +8,7 @@
   REQUEST_OVERHEAD_BYTES,
   type Choice,
 } from './choice.js';
-import {tierOf, type Entry} from './entry.js';
+import {prefixKey, tierOf, type Entry} from './entry.js';
 
 /** Tokens over which the time between tokens is averaged. */
 const STEP_SAMPLE_TOKENS = 8;
@@ -40,6 +40,8 @@
   private readonly inflightAtStart: number;
   private readonly controller = new AbortController();
   private readonly pending: PendingStart;
+  /** Prompt tokens of own attempts to be computed before this one's. */
+  private readonly tokensAhead: number;
   private firstTokenAt?: number;
   private sampledAt = 0;
   private sampledTokens = 0;
@@ -57,7 +59,14 @@
     this.startedAt = parts.timer.now();
     this.inflightAtStart = ++upstream.inflight;
     const computed = Math.max(0, entry.promptTokens - cachedTokens);
-    this.pending = upstream.condition.begin(this.startedAt, computed);
+    this.pending = {
+      startedAt: this.startedAt,
+      promptTokens: computed,
+      prefixKey: prefixKey(entry),
+    };
+    this.tokensAhead = upstream.condition.pendingTokens;
+    upstream.condition.begin(this.pending);
+    upstream.condition.demand.started(this.priority, this.startedAt);
     if (!this.streamed) this.settleWhenExpected();
     if (outer.aborted) this.abandon();
     outer.addEventListener('abort', this.abandon, {once: true});
@@ -124,8 +133,10 @@
     this.released = true;
     this.outer.removeEventListener('abort', this.abandon);
     this.upstream.inflight--;
+    const now = this.parts.timer.now();
     this.upstream.condition.settle(this.pending);
-    this.learnEnd(end, this.parts.timer.now());
+    this.upstream.condition.demand.ended(this.priority, now);
+    this.learnEnd(end, now);
     if (!this.streamed) this.account('answer', WHOLE_ANSWER_BYTES);
     this.parts.ended(this, end);
   }
@@ -154,7 +165,7 @@
     if (!this.streamed) return;
     const computed = this.pending.promptTokens;
     speed.observeFirstToken(ms, computed);
-    const unloadedMs = speed.unloadedMs(computed);
+    const unloadedMs = speed.unloadedMs(computed + this.tokensAhead);
     limit.observe(ms, unloadedMs, this.inflightAtStart, now);
   }
 
@@ -164,6 +175,7 @@
       case AttemptEnd.Whole:
         if (health.succeeded()) limit.restart();
         speed.observeService(now - this.startedAt);
+        this.learnQueue(now);
         break;
       case AttemptEnd.Broken:
       case AttemptEnd.Silent:
@@ -178,11 +190,25 @@
     }
   }
 
+  /**
+   * Lets the limit follow answers that are not streamed. Their latency does
+   * not tell of a queue, so the upstream's report has to.
+   */
+  private learnQueue(now: number): void {
+    if (this.streamed || this.entry.work.demand.type === 'service') return;
+    const {limit} = this.upstream.condition;
+    if ((this.upstream.load?.waiting ?? 0) > 0) limit.decrease(now);
+    else limit.observe(0, 0, this.inflightAtStart, now);
+  }
+
   /** The first token of an answer that is not streamed is never seen. */
   private settleWhenExpected(): void {
     const {timer} = this.parts;
     timer.after(this.choice.firstTokenMs, () => {
       this.upstream.condition.settle(this.pending);
+      if (!this.released) {
+        this.upstream.condition.cache.store(this.entry.blocks);
+      }
     });
   }
 
