Test the wake-up of an instance that does not wait at the log

Cause: 331 of 340 instances learn of a version this way, and no test held it. Change: a test on virtual time. Figures: one read and at most 1.1 s after the wake-up at 340 instances (npx vitest run test/config.test.ts).

--- a/test/config.test.ts
+++ b/test/config.test.ts
@@ -309,6 +309,21 @@
     await Promise.all(renewals.map(renewal => settle(timer, renewal.stop())));
   });
 
+  it('reaches an instance that does not wait at the log by a wake-up', async () => {
+    const {timer, log} = setUp();
+    await log.append(CONFIGURATION_STREAM, whole(0, 1));
+    const peers = {rank: () => 20, size: () => 340};
+    const follower = follow(timer, log, peers);
+    await timer.advance(5_000);
+    log.reads = 0;
+    await log.append(CONFIGURATION_STREAM, whole(1, 2));
+    await timer.advance(2_000);
+    expect([versionOf(follower), log.reads]).toEqual([1, 0]);
+    void follower.wake(2);
+    await timer.advance(1_100);
+    expect([versionOf(follower), log.reads]).toEqual([2, 1]);
+  });
+
   it('costs the log few reads over an outage of an hour', async () => {
     const {timer, log} = setUp();
     await log.append(CONFIGURATION_STREAM, whole(0, 1));
