Check orders of former holders in the fault run's history

Cause: no fault paused a holder past its term, and no checker looked at orders. Change: a fault that pauses the holder, publishes a change for its successor, and lets an order of the former holder arrive late; journals of orders in the history and a checker of them.

--- a/bench/checker/index.ts
+++ b/bench/checker/index.ts
@@ -4,6 +4,7 @@
 import {checkLeaving} from './leaving.js';
 import {checkNotRun} from './notrun.js';
 import {checkOnce} from './once.js';
+import {checkOrders} from './orders.js';
 import {checkServed} from './served.js';
 import {checkShutdown} from './shutdown.js';
 import {checkTiers} from './tiers.js';
@@ -23,6 +24,7 @@
     [PromiseKind.Leaving]: checkLeaving,
     [PromiseKind.Shutdown]: checkShutdown,
     [PromiseKind.Configuration]: checkConfiguration,
+    [PromiseKind.Orders]: checkOrders,
   };
 
 /** Checks every promise. */
--- /dev/null
+++ b/bench/checker/orders.ts
@@ -0,0 +1,31 @@
+import {OrderVerdict} from '../../stand-ins/index.js';
+import type {History, OrderJournal} from '../history.js';
+import {LATE_SENDER} from '../holder.js';
+import {PromiseKind, type Violation} from './violation.js';
+
+/**
+ * Checks that no engine executed an order of a former holder after one of its
+ * successor. Orders held up on their way may be executed only by engines that
+ * ignore fencing numbers.
+ */
+export function checkOrders({orders}: History): Violation[] {
+  return orders.flatMap(journal => staleIn(journal));
+}
+
+function staleIn({upstream, enforced, orders}: OrderJournal): Violation[] {
+  let newest: OrderJournal['orders'][number] | undefined;
+  const violations: Violation[] = [];
+  for (const entry of orders) {
+    if (entry.verdict !== OrderVerdict.Executed) continue;
+    const {fencing, sender} = entry.order;
+    const highest = newest?.order.fencing ?? -1;
+    const excused = sender === LATE_SENDER && !enforced;
+    if (fencing < highest && !excused) {
+      const message = `${upstream} executed an order of a former holder`;
+      const trace = [newest, entry];
+      violations.push({promise: PromiseKind.Orders, message, trace});
+    }
+    if (fencing > highest) newest = entry;
+  }
+  return violations;
+}
--- a/bench/checker/violation.ts
+++ b/bench/checker/violation.ts
@@ -16,6 +16,8 @@
   Shutdown = 'shutdown',
   /** An accepted configuration is in force everywhere and stays so. */
   Configuration = 'configuration',
+  /** An engine obeys no order older than one it has obeyed. */
+  Orders = 'orders',
 }
 
 /** A promise that was not kept, with what shows it. */
--- a/bench/history.ts
+++ b/bench/history.ts
@@ -1,3 +1,4 @@
+import type {JournaledOrder} from '../stand-ins/index.js';
 import type {Reply} from './caller.js';
 
 /** Kinds of calls that the callers of a fault run make. */
@@ -54,6 +55,8 @@
 export enum FaultKind {
   KillRouter = 'kill_router',
   PauseRouter = 'pause_router',
+  /** Pauses the holder of a lease past its term; its order comes late. */
+  PauseHolder = 'pause_holder',
   ReplaceRouter = 'replace_router',
   KillUpstream = 'kill_upstream',
   PauseUpstream = 'pause_upstream',
@@ -109,6 +112,14 @@
   code: number | null;
 }
 
+/** The orders that one process of an engine got, oldest first. */
+export interface OrderJournal {
+  upstream: string;
+  /** Whether the engine checks fencing numbers. */
+  enforced: boolean;
+  orders: JournaledOrder[];
+}
+
 /** All that a fault run saw, for the checkers. */
 export interface History {
   operations: Operation[];
@@ -117,6 +128,7 @@
   sightings: Sighting[];
   publications: Publication[];
   shutdowns: Shutdown[];
+  orders: OrderJournal[];
 }
 
 /** Returns a history with nothing in it. */
@@ -128,5 +140,6 @@
     sightings: [],
     publications: [],
     shutdowns: [],
+    orders: [],
   };
 }
--- a/bench/injector.ts
+++ b/bench/injector.ts
@@ -1,7 +1,9 @@
 import type {EngineExecution, ServiceExecution} from '../stand-ins/index.js';
+import type {ConfigurationDraft} from '../src/config/index.js';
 import {Proxy} from '../stand-ins/index.js';
 import type {Cluster, Proxied, RouterProcess} from './cluster.js';
 import {FaultKind, type Execution, type History} from './history.js';
+import {giveLateOrder, holderOf, ordersOf, withCopies} from './holder.js';
 import type {Door} from './load.js';
 import type {PlannedFault} from './schedule.js';
 
@@ -114,6 +116,8 @@
       case FaultKind.PauseRouter:
       case FaultKind.ReplaceRouter:
         return this.strikeRouter(planned, begin);
+      case FaultKind.PauseHolder:
+        return this.pauseHolder(planned, begin);
       case FaultKind.KillUpstream:
       case FaultKind.PauseUpstream:
         return this.strikeUpstream(planned, begin);
@@ -230,6 +234,42 @@
     return station.router;
   }
 
+  /**
+   * Pauses the holder of a lease past its term, has its successor give orders,
+   * and lets an order of the former holder arrive late.
+   */
+  private async pauseHolder(
+    {durationMs, pick}: PlannedFault,
+    begin: (target: string) => void,
+  ): Promise<string> {
+    const holder = await holderOf(this.cluster);
+    const station = this.stations.find(
+      ({router, busy}) => router === holder?.router && !busy,
+    );
+    if (station === undefined || holder === undefined) return '';
+    station.busy = true;
+    begin(station.router);
+    station.target.process?.pause();
+    const {document} = this.cluster;
+    await this.publish(1, withCopies(document, pick < 0.5 ? 1 : -1));
+    await sleep(durationMs);
+    await this.orderLate(holder.fencing, pick);
+    station.target.process?.resume();
+    station.busy = false;
+    return station.router;
+  }
+
+  private async orderLate(fencing: number, pick: number): Promise<void> {
+    const {upstreams, document} = this.cluster;
+    const engines = upstreams.filter(({kind}) => kind === 'runner');
+    const engine = engines[Math.floor(pick * engines.length)];
+    const pool = document.pools.find(({kind}) => kind === 'runner');
+    const model = pool?.kind === 'runner' ? pool.models[0]?.name : undefined;
+    if (engine === undefined || model === undefined) return;
+    // An engine that is down just then gets no late order.
+    await giveLateOrder(engine, fencing, model).catch(() => undefined);
+  }
+
   private async replace(station: Station): Promise<void> {
     const askedAt = Date.now();
     const {process} = station.target;
@@ -378,9 +418,11 @@
   }
 
   /** Publishes documents that are all based on the newest version. */
-  private async publish(count: number): Promise<void> {
+  private async publish(
+    count: number,
+    document: ConfigurationDraft = this.cluster.document,
+  ): Promise<void> {
     const base = this.version;
-    const {document} = this.cluster;
     await Promise.all(
       Array.from({length: count}, async () => {
         try {
@@ -423,6 +465,7 @@
   }
 
   private async readJournal(target: Proxied): Promise<void> {
+    if (target.kind === 'runner') await this.readOrders(target);
     const entries = await this.cluster
       .journal<EngineExecution | ServiceExecution>(target)
       .catch(() => []);
@@ -432,6 +475,16 @@
     }
   }
 
+  private async readOrders(target: Proxied): Promise<void> {
+    const {name: upstream} = target;
+    const pool = this.cluster.document.pools.find(({upstreams}) =>
+      upstreams.some(({name}) => name === upstream),
+    );
+    const enforced = pool?.fencing === 'enforced';
+    const orders = await ordersOf(target).catch(() => []);
+    this.history.orders.push({upstream, enforced, orders});
+  }
+
   private pickUpstream({pick}: PlannedFault): Proxied {
     const {upstreams} = this.cluster;
     return upstreams[Math.floor(pick * upstreams.length)] as Proxied;
--- a/bench/orders.ts
+++ b/bench/orders.ts
@@ -2,9 +2,9 @@
 import {hideBin} from 'yargs/helpers';
 import {documentSchema, type ConfigurationDraft} from '../src/config/index.js';
 import type {EngineState, EngineTask} from '../src/order/index.js';
-import type {JournaledOrder} from '../stand-ins/index.js';
 import {Cluster, type RouterProcess} from './cluster.js';
 import {Deployment, exampleOf} from './deployment.js';
+import {grantsOf, leaseLines, ordersOf, type Grant} from './holder.js';
 
 const STEADY_MS = 30_000;
 const SETTLED_MS = 6_000;
@@ -20,28 +20,11 @@
   Changes = 'changes',
 }
 
-interface LeaseLine {
-  time: number;
-  value: {type: string; holder: string};
-}
-
 const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
-async function leaseLines(cluster: Cluster): Promise<LeaseLine[]> {
-  const url = `${cluster.log.url}/streams/leases/records?limit=10000`;
-  const page = (await (await fetch(url)).json()) as {records: LeaseLine[]};
-  return page.records;
-}
-
-async function untilGranted(
-  cluster: Cluster,
-  known: number,
-): Promise<LeaseLine> {
+async function untilGranted(cluster: Cluster, known: number): Promise<Grant> {
   for (;;) {
-    const grants = (await leaseLines(cluster)).filter(
-      ({value}) => value.type === 'grant',
-    );
-    const next = grants[known];
+    const next = (await grantsOf(cluster))[known];
     if (next !== undefined) return next;
     await sleep(POLL_MS);
   }
@@ -93,10 +76,9 @@
   }
 }
 
-function holderOf(cluster: Cluster, {value}: LeaseLine): RouterProcess {
-  const name = value.holder.split('/')[0];
-  const router = cluster.routers.find(other => other.name === name);
-  if (router === undefined) throw new UnknownHolder(value.holder);
+function routerOf({routers}: Cluster, grant: Grant): RouterProcess {
+  const router = routers.find(({name}) => name === grant.router);
+  if (router === undefined) throw new UnknownHolder(grant.router);
   return router;
 }
 
@@ -109,16 +91,14 @@
     let grant = await untilGranted(cluster, 0);
     for (const way of ['kill', 'pause', 'terminate'] as const) {
       await sleep(SETTLED_MS);
-      const known = (await leaseLines(cluster)).filter(
-        ({value}) => value.type === 'grant',
-      ).length;
-      const router = holderOf(cluster, grant);
+      const known = (await grantsOf(cluster)).length;
+      const router = routerOf(cluster, grant);
       const at = Date.now();
       if (way === 'pause') router.process?.pause();
       else if (way === 'kill') await router.process?.kill();
       else void router.process?.terminate();
       grant = await untilGranted(cluster, known);
-      tookMs[way]?.push(grant.time - at);
+      tookMs[way]?.push(grant.at - at);
     }
     return {routers, termMs, tookMs};
   } finally {
@@ -128,12 +108,11 @@
 }
 
 /** Orders that engines got, by type. */
-async function ordersOf(cluster: Cluster): Promise<Record<string, number>> {
+async function countOrders(cluster: Cluster): Promise<Record<string, number>> {
   const counts: Record<string, number> = {};
-  for (const {url, kind} of cluster.upstreams) {
-    if (kind !== 'runner') continue;
-    const journal = await (await fetch(`${url}/orders`)).json();
-    for (const {order} of journal as JournaledOrder[]) {
+  for (const upstream of cluster.upstreams) {
+    if (upstream.kind !== 'runner') continue;
+    for (const {order} of await ordersOf(upstream)) {
       const type: EngineTask['type'] = order.type;
       counts[type] = (counts[type] ?? 0) + 1;
     }
@@ -148,7 +127,7 @@
   while (Date.now() - since < quietMs) {
     await sleep(POLL_MS);
     const now = JSON.stringify([
-      await ordersOf(cluster),
+      await countOrders(cluster),
       await pendingOf(cluster),
     ]);
     if (now === last) continue;
@@ -212,14 +191,14 @@
   try {
     const start = Date.now();
     let settledAt = await untilQuiet(cluster, 2 * quietMs);
-    let before = await ordersOf(cluster);
+    let before = await countOrders(cluster);
     results.push({change: 'first placement', ms: settledAt - start, ...before});
     let base = 1;
     for (const {name, change} of CHANGES) {
       const at = Date.now();
       base = await cluster.publish(changed(cluster.document, change), base);
       settledAt = await untilQuiet(cluster, quietMs);
-      const after = await ordersOf(cluster);
+      const after = await countOrders(cluster);
       results.push({
         change: name,
         ms: settledAt - at,
--- a/src/order/pool.ts
+++ b/src/order/pool.ts
@@ -17,6 +17,8 @@
 const PLAN_AGE_LIMIT_MS = 2_000;
 /** Backlog of the weight store above which nothing is added to it. */
 const STORE_BACKLOG_LIMIT_MS = 30_000;
+/** Time between two rounds while there is something to do, in ms. */
+const BUSY_ROUND_MS = 1_000;
 /** Rounds without any change after which rounds become rarer. */
 const BUSY_ROUNDS = 12;
 /** Factor on the time between rounds when nothing changes for long. */
@@ -102,7 +104,9 @@
     const {timer, roundMs} = this.parts;
     const {signal} = this.stopping;
     while (!signal.aborted) {
-      await timer.sleep(roundMs, signal);
+      const busy = this.idleRounds === 0;
+      const pauseMs = busy ? Math.min(roundMs, BUSY_ROUND_MS) : roundMs;
+      await timer.sleep(pauseMs, signal);
       const lease = this.parts.leases.held(this.name);
       if (lease === undefined || this.pool === undefined) continue;
       // An order of the holder before may still be on its way.
--- a/test/console.test.ts
+++ b/test/console.test.ts
@@ -107,7 +107,9 @@
     expect((await browser.open('/console/sign-in', wrong)).status).toBe(403);
     const {status, cookie} = await browser.signIn();
     expect(status).toBe(303);
-    expect(cookie?.replace(/=[^;]+/, '=…')).toMatchInlineSnapshot(`"gypsumcourse-session=…; Path=/; Max-Age=28800; HttpOnly; SameSite=Strict"`);
+    expect(cookie?.replace(/=[^;]+/, '=…')).toMatchInlineSnapshot(
+      `"gypsumcourse-session=…; Path=/; Max-Age=28800; HttpOnly; SameSite=Strict"`,
+    );
     expect((await browser.open('/console')).status).toBe(200);
   });
 
