--- a/src/admission/line.ts
+++ b/src/admission/line.ts
@@ -1,5 +1,10 @@
 import {err, ok} from 'neverthrow';
-import {Outcome, type AttemptEnd, type Failure} from '../request/index.js';
+import {
+  Outcome,
+  type AttemptEnd,
+  type Failure,
+  type Work,
+} from '../request/index.js';
 import {ShedReason} from '../telemetry/index.js';
 import {Floors} from './floors.js';
 import {tierOf, type Entry} from './entry.js';
@@ -29,6 +34,7 @@
   private readonly throughput: Throughput;
   /** Requests held back by a limit of their class or workspace. */
   private readonly parked = new Set<Entry>();
+  private readonly preempted = new WeakSet<Work>();
   private draining = false;
 
   constructor(private readonly parts: AdmissionParts) {
@@ -167,8 +173,9 @@
   private preemptFor(entry: Entry): void {
     const now = this.parts.timer.now();
     if (!mayPreempt(entry, now)) return;
-    const running = preemptible(entry, this.running, now);
+    const running = preemptible(entry, this.preemptionCandidates(), now);
     if (running === undefined) return;
+    this.preempted.add(running.entry.work);
     this.parts.recorder.decide(running.entry.work.id, {
       type: 'preempted',
       upstream: running.upstream.name,
@@ -177,6 +184,13 @@
     running.preempt(entry.work.id);
   }
 
+  /** Running attempts; a request is preempted only once. */
+  private *preemptionCandidates(): Generator<Running> {
+    for (const running of this.running) {
+      if (!this.preempted.has(running.entry.work)) yield running;
+    }
+  }
+
   /** Ends requests that can't be answered before their deadline. */
   private giveUp(entry: Entry): void {
     this.parts.recorder.decide(entry.work.id, {
