--- a/bench/faultrun.ts
+++ b/bench/faultrun.ts
@@ -4,12 +4,16 @@
 import {Injector} from './injector.js';
 import {Load} from './load.js';
 import {Random} from './random.js';
-import {planFaults} from './schedule.js';
+import {withFencing} from './holder.js';
+import {planFaults, planHolderPauses} from './schedule.js';
 
 /** Concurrent callers of a run, unless told otherwise. */
 export const CALLERS = 16;
 
 const ROUTERS = 3;
+const LEASE_TERM_MS = 2_000;
+/** Keeps the pauses of holders apart from the other randomness of a run. */
+const HOLDER_SEED = 1_000_003;
 
 /** What a fault run is started with. */
 export interface FaultRun {
@@ -20,7 +24,10 @@
   callers: number;
 }
 
-/** Runs a cluster under load and faults, and returns what was seen. */
+/**
+ * Runs a cluster under load and faults, and returns what was seen. Engines
+ * check fencing numbers when the seed is odd, and ignore them when it is even.
+ */
 export async function runFaults({
   seed,
   seconds,
@@ -29,17 +36,23 @@
 }: FaultRun): Promise<History> {
   const random = new Random(seed);
   const history = emptyHistory();
-  const document = exampleOf(deployment);
+  const fencing = seed % 2 === 0 ? 'ignored' : 'enforced';
+  const document = withFencing(exampleOf(deployment), fencing);
   const cluster = await Cluster.start({
     document,
     routers: ROUTERS,
+    flags: [`--lease-term-ms=${LEASE_TERM_MS}`],
     random: random.next,
     logBehaviour: {seed},
     behaviourOf: (_name, kind) =>
-      kind === 'service' ? {delayMs: 20, seed} : {stepMs: 4, seed},
+      kind === 'service' ? {delayMs: 20, seed} : {stepMs: 4, fencing, seed},
   });
   const injector = await Injector.open(cluster, history);
-  const plan = planFaults(random, seconds * 1_000);
+  const runMs = seconds * 1_000;
+  const plan = [
+    ...planFaults(random, runMs),
+    ...planHolderPauses(new Random(seed + HOLDER_SEED), runMs),
+  ];
   const load = new Load(document, injector.stations, history, random);
   load.start(callers);
   const injected = plan.map(async fault => {
--- a/src/order/manager.ts
+++ b/src/order/manager.ts
@@ -10,9 +10,9 @@
 
 /** What an [[OrderManager]] needs. */
 export interface OrderParts {
-  leases: LeaseManager;
+  leases: Pick<LeaseManager, 'held' | 'contend'>;
   directory: Directory;
-  client: EngineClient;
+  client: Pick<EngineClient, 'state' | 'order'>;
   /** Absent where engines have weights of their own. */
   weights?: WeightStore;
   timer: Timer;
--- a/src/order/plan.ts
+++ b/src/order/plan.ts
@@ -134,9 +134,11 @@
 }
 
 function planCopies(input: PlanInput): PlannedOrder[] {
+  const taken = new Set<string>();
   return lacking(input).flatMap(model => {
-    const engine = bestEngine(model, input.engines);
+    const engine = bestEngine(model, input.engines, taken);
     if (engine === undefined) return [];
+    taken.add(engine.name);
     const {name, version} = model;
     const task: EngineTask = {type: 'loadModel', model: name, version};
     return [{engine: engine.name, task}];
@@ -147,6 +149,7 @@
 function bestEngine(
   {name}: WantedModel,
   engines: readonly EngineView[],
+  taken: ReadonlySet<string>,
 ): EngineView | undefined {
   const inZone = (zone: string) =>
     copiesOf(
@@ -157,6 +160,7 @@
     .filter(
       engine =>
         takesOrders(engine) &&
+        !taken.has(engine.name) &&
         !holds(engine, name) &&
         hasRoom(engine) &&
         !failedOn(engine.state, name),
