--- a/bench/run.ts
+++ b/bench/run.ts
@@ -9,7 +9,7 @@
 import {exampleOf, type Deployment} from './deployment.js';
 import {behaviourOf, ENGINES} from './engines.js';
 import {arrangeLinks, type LinkPipes} from './links.js';
-import {OpenLoad, type Served} from './arrivals.js';
+import {OpenLoad, type Served} from './openload.js';
 import {arrivalsOf, WARM_UP_SECONDS} from './mix.js';
 import {usageOf} from './usage.js';
 import {engineWork, type EngineWork} from './waste.js';
--- a/bench/waste.ts
+++ b/bench/waste.ts
@@ -10,7 +10,7 @@
   type EngineBehaviour,
   type EngineExecution,
 } from '../stand-ins/index.js';
-import type {Served} from './arrivals.js';
+import type {Served} from './openload.js';
 
 /** Work that engines did, in tokens computed or generated. */
 export interface EngineWork {
