--- a/bench/observer.ts
+++ b/bench/observer.ts
@@ -1,6 +1,7 @@
 import type {EngineExecution, ServiceExecution} from '../stand-ins/index.js';
 import type {Cluster, Proxied} from './cluster.js';
 import type {Execution, History, Publication} from './history.js';
+import {ordersOf} from './holder.js';
 import type {Station} from './station.js';
 
 const SIGHTING_PERIOD_MS = 200;
@@ -76,6 +77,7 @@
 
   /** Notes the executions of an upstream. */
   async readJournal(target: Proxied): Promise<void> {
+    if (target.kind === 'runner') await this.readOrders(target);
     const entries = await this.cluster
       .journal<EngineExecution | ServiceExecution>(target)
       .catch(() => []);
@@ -84,6 +86,17 @@
       if (execution.startedAt > 0) this.history.executions.push(execution);
     }
   }
+
+  /** Notes the orders that an engine took. */
+  private async readOrders(target: Proxied): Promise<void> {
+    const {name: upstream} = target;
+    const pool = this.cluster.document.pools.find(({upstreams}) =>
+      upstreams.some(({name}) => name === upstream),
+    );
+    const enforced = pool?.fencing === 'enforced';
+    const orders = await ordersOf(target).catch(() => []);
+    this.history.orders.push({upstream, enforced, orders});
+  }
 }
 
 function executionOf(
