--- a/bench/checker/index.ts
+++ b/bench/checker/index.ts
@@ -5,6 +5,7 @@
 import {checkNotRun} from './notrun.js';
 import {checkOnce} from './once.js';
 import {checkPublishing} from './publishing.js';
+import {checkOrders} from './orders.js';
 import {checkServed} from './served.js';
 import {checkShutdown} from './shutdown.js';
 import {checkTiers} from './tiers.js';
@@ -27,6 +28,7 @@
       ...checkConfiguration(history),
       ...checkPublishing(history),
     ],
+    [PromiseKind.Orders]: checkOrders,
   };
 
 /** Checks every promise. */
--- a/bench/injector.ts
+++ b/bench/injector.ts
@@ -3,6 +3,7 @@
 import {Publisher} from './publisher.js';
 import type {Cluster, Proxied} from './cluster.js';
 import {FaultKind, type History} from './history.js';
+import {giveLateOrder, holderOf, withCopies} from './holder.js';
 import type {PlannedFault} from './schedule.js';
 import {Station} from './station.js';
 
@@ -78,6 +79,8 @@
       case FaultKind.PauseRouter:
       case FaultKind.ReplaceRouter:
         return this.strikeRouter(planned, begin);
+      case FaultKind.PauseHolder:
+        return this.pauseHolder(planned, begin);
       case FaultKind.KillUpstream:
       case FaultKind.PauseUpstream:
         return this.strikeUpstream(planned, begin);
@@ -194,6 +197,44 @@
     return station.router;
   }
 
+  /**
+   * Pauses the holder of a lease past its term, has its successor give orders,
+   * and lets an order of the former holder arrive late.
+   */
+  private async pauseHolder(
+    {durationMs, pick}: PlannedFault,
+    begin: (target: string) => void,
+  ): Promise<string> {
+    const holder = await holderOf(this.cluster);
+    const station = this.stations.find(
+      ({router, busy}) => router === holder?.router && !busy,
+    );
+    if (station === undefined || holder === undefined) return '';
+    station.busy = true;
+    begin(station.router);
+    station.target.process?.pause();
+    const {document} = this.cluster;
+    const wanted = withCopies(document, pick < 0.5 ? 1 : -1);
+    const published = this.publisher?.publish(1, wanted);
+    await sleep(durationMs);
+    await this.orderLate(holder.fencing, pick);
+    station.target.process?.resume();
+    station.busy = false;
+    await published;
+    return station.router;
+  }
+
+  private async orderLate(fencing: number, pick: number): Promise<void> {
+    const {upstreams, document} = this.cluster;
+    const engines = upstreams.filter(({kind}) => kind === 'runner');
+    const engine = engines[Math.floor(pick * engines.length)];
+    const pool = document.pools.find(({kind}) => kind === 'runner');
+    const model = pool?.kind === 'runner' ? pool.models[0]?.name : undefined;
+    if (engine === undefined || model === undefined) return;
+    // An engine that is down just then gets no late order.
+    await giveLateOrder(engine, fencing, model).catch(() => undefined);
+  }
+
   private async replace(station: Station): Promise<void> {
     const askedAt = Date.now();
     const {process} = station.target;
--- a/bench/publisher.ts
+++ b/bench/publisher.ts
@@ -28,15 +28,19 @@
     return new Publisher(cluster, session, history);
   }
 
-  /** Publishes documents at the same moment, all based on the newest version. */
-  async publish(count: number): Promise<void> {
+  /**
+   * Publishes variants of a document at the same moment, all based on the
+   * newest version.
+   */
+  async publish(
+    count: number,
+    document: ConfigurationDraft = this.cluster.document,
+  ): Promise<void> {
     const base = this.session.follower.current()?.version ?? 0;
     const documents = Array.from({length: count}, () =>
-      changed(this.cluster.document, ++this.round),
-    );
-    await Promise.all(
-      documents.map(document => this.publishOne(base, document)),
+      changed(document, ++this.round),
     );
+    await Promise.all(documents.map(variant => this.publishOne(base, variant)));
   }
 
   /** Notes what the log holds, and ends. */
