--- a/src/admission/choice.ts
+++ b/src/admission/choice.ts
@@ -1,4 +1,3 @@
-import type {Work} from '../request/index.js';
 import type {WeighedUpstream} from '../telemetry/index.js';
 import type {Timer} from '../timer/index.js';
 import {
@@ -10,8 +9,9 @@
   type Vicinity,
 } from '../upstream/index.js';
 import {Distance, type LinkBudgets, type Topology} from '../zone/index.js';
-import {tierOf, type Entry} from './entry.js';
-import {expect, loadOf, slotsOf, type Expectation} from './expectation.js';
+import {prefixKey, tierOf, type Entry} from './entry.js';
+import {costOf, presumeHome} from './cost.js';
+import {expect, type Expectation} from './expectation.js';
 import {hasRoom, type Share} from './room.js';
 
 /** Upstreams that are all weighed; of more, a few are sampled. */
@@ -21,17 +21,10 @@
 const RECORDED_LIMIT = 4;
 /** Spread of scores, so that instances don't choose alike. */
 const JITTER_SHARE = 0.1;
-/** Blocks that decide on the agreed home of a prefix. */
-const HOME_BLOCKS = 8;
-/** Share of a prompt presumed in the cache of the home of its prefix. */
-const HOME_PRESUMED_SHARE = 0.6;
-/**
- * Weight of the time that computing a prompt takes from the other requests of
- * its batch, relative to the time that it takes from its own.
- */
-const BATCH_DELAY_WEIGHT = 6;
-/** Steps by which a full batch is worse than an empty one. */
-const CROWDING_STEPS = 2;
+/** Slack above which a request waits for its prefix to be computed. */
+const PREFIX_PATIENCE_MS = 2_000;
+/** Share of a prompt in a cache from which waiting for more saves nothing. */
+const PREFIX_SHARE = 0.4;
 /** Slack below which a request does not wait for a slot in its region. */
 const LINK_SLACK_MS = 150;
 /** Bytes of a streamed answer per token. */
@@ -89,6 +82,7 @@
     const home = this.usable(vicinity.home, entry);
     const candidates = this.sample(home, vicinity, entry);
     const weighed = this.weigh(candidates, entry, answerTokens, vicinity);
+    if (this.awaitsPrefix(weighed, entry)) return undefined;
     const best = this.best(weighed, entry, share);
     if (best !== undefined && !this.misses(best, entry)) {
       return this.chosen(best, weighed);
@@ -100,7 +94,10 @@
     return best === undefined ? undefined : this.chosen(best, weighed);
   }
 
-  /** Upstreams that take work and are not ejected; tried ones come last. */
+  /**
+   * Upstreams that take work and are not ejected. Those that do not hold the
+   * model, and those tried before, are left for when there are no others.
+   */
   private usable(upstreams: readonly Upstream[], entry: Entry): Upstream[] {
     const now = this.parts.timer.now();
     const taking = upstreams.filter(takesWork);
@@ -118,7 +115,7 @@
     entry: Entry,
   ): Upstream[] {
     if (upstreams.length <= WEIGH_ALL_LIMIT) return upstreams;
-    const key = homeKey(entry);
+    const key = prefixKey(entry);
     const names = key === undefined ? [] : ring.lookup(key, SAMPLED_HOMES);
     const chosen = new Set(upstreams.filter(({name}) => names.includes(name)));
     while (chosen.size < SAMPLED_HOMES + SAMPLED_OTHERS) {
@@ -154,7 +151,7 @@
     for (const expectation of weighed) {
       if (!this.hasRoom(expectation, entry, share)) continue;
       const spread = 1 + JITTER_SHARE * this.parts.random();
-      const score = scoreOf(expectation, entry) * spread;
+      const score = costOf(expectation, entry) * spread;
       if (score >= lowest) continue;
       best = expectation;
       lowest = score;
@@ -162,6 +159,20 @@
     return best;
   }
 
+  /**
+   * Whether a request with time to spare should wait, because its prefix is
+   * being computed for another and nowhere in a cache yet.
+   */
+  private awaitsPrefix(weighed: readonly Expectation[], entry: Entry): boolean {
+    const key = prefixKey(entry);
+    if (key === undefined) return false;
+    const slackMs = entry.latestStartAt - this.parts.timer.now();
+    if (slackMs < PREFIX_PATIENCE_MS) return false;
+    const needed = entry.promptTokens * PREFIX_SHARE;
+    if (weighed.some(({cachedTokens}) => cachedTokens >= needed)) return false;
+    return weighed.some(({upstream}) => upstream.condition.computes(key));
+  }
+
   private hasRoom(
     {upstream, route}: Expectation,
     entry: Entry,
@@ -170,7 +181,8 @@
     const {fleet} = this.parts;
     const near = route.distance !== Distance.Remote;
     const instances = near ? fleet.inRegion() : fleet.all();
-    return hasRoom(upstream, tierOf(entry), share, instances);
+    const now = this.parts.timer.now();
+    return hasRoom(upstream, tierOf(entry), share, instances, now);
   }
 
   /** Whether a request would miss its target on an upstream chosen now. */
@@ -238,60 +250,6 @@
   return a.firstTokenMs < b.firstTokenMs;
 }
 
-/** What choosing an upstream costs this request and others, in ms. */
-function scoreOf(expectation: Expectation, {work}: Entry): number {
-  const {prefillMs, upstream} = expectation;
-  const occupied = loadOf(upstream) / slotsOf(upstream);
-  const crowdingMs =
-    CROWDING_STEPS * occupied * upstream.condition.speed.stepMs;
-  const batchDelayMs = BATCH_DELAY_WEIGHT * prefillMs;
-  return ownTimeOf(expectation, work) + batchDelayMs + crowdingMs;
-}
-
-/** Expected time of the request itself that counts for its class, in ms. */
-function ownTimeOf(
-  {firstTokenMs, completionMs, upstream}: Expectation,
-  work: Work,
-): number {
-  const {targets} = work.serviceClass;
-  const {stepMs} = upstream.condition.speed;
-  const pace = stepMs / (targets.betweenTokensMs ?? Infinity);
-  const slow = completionMs * Math.max(0, 2 * pace - 1);
-  if (targets.firstTokenMs === undefined) return completionMs;
-  if (targets.completionMs === undefined) return firstTokenMs + slow;
-  const share = targets.firstTokenMs / targets.completionMs;
-  return firstTokenMs + share * completionMs;
-}
-
-function homeKey({blocks}: Entry): string | undefined {
-  return blocks[Math.min(HOME_BLOCKS, blocks.length) - 1];
-}
-
-/**
- * Where no upstream is known to hold the prompt's prefix, presumes part of it
- * at the agreed home, since other instances send the prefix there.
- */
-function presumeHome(
-  weighed: Expectation[],
-  entry: Entry,
-  {ring}: Vicinity,
-): Expectation[] {
-  const key = homeKey(entry);
-  if (key === undefined) return weighed;
-  if (weighed.some(({cachedTokens}) => cachedTokens > 0)) return weighed;
-  const [home] = ring.lookup(key, 1);
-  return weighed.map(expectation => {
-    const {upstream, firstTokenMs, prefillMs} = expectation;
-    if (upstream.name !== home) return expectation;
-    const savedMs = prefillMs * HOME_PRESUMED_SHARE;
-    return {
-      ...expectation,
-      firstTokenMs: firstTokenMs - savedMs,
-      prefillMs: prefillMs - savedMs,
-    };
-  });
-}
-
 function recorded(expectation: Expectation): WeighedUpstream {
   const {upstream, firstTokenMs, cachedTokens} = expectation;
   return {
--- a/src/report/contribution.ts
+++ b/src/report/contribution.ts
@@ -20,7 +20,7 @@
 export enum GapReason {
   /** A summary between two others is not on the log. */
   SummaryLost = 'summary_lost',
-  /** The instance ended without writing its last summary. */
+  /** The instance is not known to be live, and wrote no last summary. */
   EndedAbruptly = 'ended_abruptly',
   /** The instance did not answer, and its newest figures are with it. */
   Silent = 'silent',
--- a/src/telemetry/summary.ts
+++ b/src/telemetry/summary.ts
@@ -67,20 +67,29 @@
   private sequence = 0;
   private dropped = 0;
   private sending?: Promise<void>;
-  private readonly tick: Subscription;
+  private tick?: Subscription;
 
   constructor(
     private readonly author: SummaryAuthor,
     private readonly recorder: MeteredRecorder,
     private readonly log: Log,
-    timer: Timer,
+    private readonly timer: Timer,
     private readonly logger: Logger,
     private readonly instances: () => number,
   ) {
     this.from = recorder.startedAt;
     this.to = this.from;
     recorder.subscribe(slice => this.take(slice));
-    this.tick = timer.every(SUMMARY_PERIOD_MS, () => this.beat());
+  }
+
+  /**
+   * Starts writing. The first summary is empty and written at once: it tells
+   * readers of an incarnation that may end before it has written another.
+   */
+  start(): void {
+    this.close(false);
+    this.flush();
+    this.tick = this.timer.every(SUMMARY_PERIOD_MS, () => this.beat());
   }
 
   /** What has not reached the log. */
@@ -90,7 +99,7 @@
 
   /** Writes the last summary; makes one attempt at each waiting one. */
   async stop(): Promise<void> {
-    this.tick.end();
+    this.tick?.end();
     this.recorder.cut();
     this.close(true);
     await this.sending;
@@ -108,6 +117,10 @@
     // The timer's ticks jitter, so half a tick short of the period counts.
     const elapsed = this.to - this.from + SUMMARY_PERIOD_MS / 2;
     if (elapsed >= period) this.close(false);
+    this.flush();
+  }
+
+  private flush(): void {
     this.sending ??= this.send().finally(() => {
       delete this.sending;
     });
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -33,6 +33,7 @@
   Meter,
   meteredConnector,
 } from './platform/index.js';
+import type {LeaseView} from './report/index.js';
 import {
   blindRetries,
   Executor,
@@ -91,6 +92,7 @@
 
 /** The parts that give orders to engines. */
 interface Ordering {
+  leases: LeaseManager;
   start(): void;
   stop(): Promise<void>;
 }
@@ -167,6 +169,7 @@
     membership,
     peerServer: peers.server,
     peerClient: peers.client,
+    leases: () => leaseViews(ordering.leases, follower, timer),
   });
   await peers.start();
   decisions.start();
@@ -285,8 +288,8 @@
   follower.subscribe(({version}) =>
     membership.report({configurationVersion: version}),
   );
-  membership.subscribe(({status}) => {
-    void follower.wake(status.configurationVersion);
+  membership.subscribeVersion(version => {
+    void follower.wake(version);
   });
   return {
     follower,
@@ -358,6 +361,7 @@
   });
   follower.subscribe(({document}) => orders.apply(document));
   return {
+    leases,
     start: () => leases.start(),
     stop: async () => {
       await orders.stop();
@@ -371,3 +375,20 @@
     ? {host: settings.host, port: peerPort}
     : addressOf(settings.advertise);
 }
+
+/** The leases of pools, as far as this instance knows them. */
+function leaseViews(
+  leases: LeaseManager,
+  follower: Follower,
+  timer: Timer,
+): LeaseView[] {
+  const pools = follower.current()?.document.pools ?? [];
+  return pools.flatMap(({name}) => {
+    const holder = leases.holderOf(name);
+    if (holder === undefined) return [];
+    const held = leases.held(name);
+    if (held === undefined) return [{name, holder}];
+    const remainingMs = held.until - timer.now();
+    return [{name, holder, fencingNumber: held.fencing, remainingMs}];
+  });
+}
