--- a/bench/injector.ts
+++ b/bench/injector.ts
@@ -1,9 +1,9 @@
 import {Proxy} from '../stand-ins/index.js';
-import {giveLateOrder, holderOf, withCopies} from './holder.js';
 import {Observer} from './observer.js';
 import {Publisher} from './publisher.js';
 import type {Cluster, Proxied} from './cluster.js';
 import {FaultKind, type History} from './history.js';
+import {giveLateOrder, holderOf, withCopies} from './holder.js';
 import type {PlannedFault} from './schedule.js';
 import {Station} from './station.js';
 
@@ -214,8 +214,8 @@
     begin(station.router);
     station.target.process?.pause();
     const {document} = this.cluster;
-    const change = withCopies(document, pick < 0.5 ? 1 : -1);
-    const published = this.publisher?.publish(1, change);
+    const wanted = withCopies(document, pick < 0.5 ? 1 : -1);
+    const published = this.publisher?.publish(1, wanted);
     await sleep(durationMs);
     await this.orderLate(holder.fencing, pick);
     station.target.process?.resume();
--- a/bench/observer.ts
+++ b/bench/observer.ts
@@ -75,7 +75,7 @@
       }));
   }
 
-  /** Notes the executions of an upstream, and an engine's orders. */
+  /** Notes the executions of an upstream. */
   async readJournal(target: Proxied): Promise<void> {
     if (target.kind === 'runner') await this.readOrders(target);
     const entries = await this.cluster
@@ -87,6 +87,7 @@
     }
   }
 
+  /** Notes the orders that an engine took. */
   private async readOrders(target: Proxied): Promise<void> {
     const {name: upstream} = target;
     const pool = this.cluster.document.pools.find(({upstreams}) =>
--- a/bench/publisher.ts
+++ b/bench/publisher.ts
@@ -28,7 +28,10 @@
     return new Publisher(cluster, session, history);
   }
 
-  /** Publishes documents at the same moment, all based on the newest version. */
+  /**
+   * Publishes variants of a document at the same moment, all based on the
+   * newest version.
+   */
   async publish(
     count: number,
     document: ConfigurationDraft = this.cluster.document,
@@ -37,9 +40,7 @@
     const documents = Array.from({length: count}, () =>
       changed(document, ++this.round),
     );
-    await Promise.all(
-      documents.map(document => this.publishOne(base, document)),
-    );
+    await Promise.all(documents.map(variant => this.publishOne(base, variant)));
   }
 
   /** Notes what the log holds, and ends. */
