Divide the wiring by groups of parts; drop datagrams of closed proxies

Change: src/wiring holds one module a group of parts; the proxy checks again when a delayed datagram is due, with a test for both cases. Conclusion: construction is still in one place, and readable.

--- a/src/cli/dev.ts
+++ b/src/cli/dev.ts
@@ -3,7 +3,7 @@
 import {CONFIGURATION_STREAM} from '../config/index.js';
 import {checkSettings} from '../instance/index.js';
 import {openLogger, type Level} from '../telemetry/index.js';
-import {startRouter, type Router} from '../wiring.js';
+import {startRouter, type Router} from '../wiring/index.js';
 import {
   startEngine,
   startLog,
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -1,6 +1,6 @@
 import {checkSettings, type Settings} from '../instance/index.js';
 import {logOf, openLogger, Part} from '../telemetry/index.js';
-import {startRouter} from '../wiring.js';
+import {startRouter} from '../wiring/index.js';
 import {ExitCode, leave} from './exit.js';
 import {collectSettings} from './settings.js';
 
--- a/src/index.ts
+++ b/src/index.ts
@@ -12,5 +12,5 @@
 export * from './upstream/index.js';
 export * from './workspace/index.js';
 export * from './zone/index.js';
-export {startRouter} from './wiring.js';
-export type {Router} from './wiring.js';
+export {startRouter} from './wiring/index.js';
+export type {Router} from './wiring/index.js';
--- /dev/null
+++ b/src/wiring/base.ts
@@ -0,0 +1,32 @@
+import {Agent} from 'undici';
+import type {Logger} from 'pino';
+import type {Settings} from '../instance/index.js';
+import {HttpLog, Meter, meteredConnector} from '../platform/index.js';
+import type {Timer} from '../timer/index.js';
+
+const PLATFORM_CONNECTIONS = 8;
+
+/** What every part is constructed with. */
+export interface Base {
+  settings: Settings;
+  root: Logger;
+  timer: Timer;
+  random: () => number;
+  /** Connections to the platform. */
+  agent: Agent;
+  /** Counts the bytes of those connections. */
+  meter: Meter;
+  log: HttpLog;
+}
+
+/** Opens the connections to the platform. */
+export function openBase(settings: Settings, root: Logger, timer: Timer): Base {
+  const meter = new Meter();
+  const agent = new Agent({
+    connections: PLATFORM_CONNECTIONS,
+    connect: meteredConnector(meter),
+    localAddress: settings.host,
+  });
+  const log = new HttpLog(settings.logUrl, agent);
+  return {settings, root, timer, random: Math.random, agent, meter, log};
+}
--- /dev/null
+++ b/src/wiring/index.ts
@@ -0,0 +1,2 @@
+export {startRouter} from './router.js';
+export type {Router} from './router.js';
--- a/src/operators.ts
+++ b/src/wiring/operators.ts
@@ -1,28 +1,28 @@
 import type {Logger} from 'pino';
-import type {Follower} from './config/index.js';
+import type {Follower} from '../config/index.js';
 import {
   Gate,
   LogPublisher,
   OperatorListener,
   type InstanceGauges,
-} from './console/index.js';
+} from '../console/index.js';
 import type {
   Membership,
   PeerClient,
   PeerServer,
   Settings,
-} from './instance/index.js';
-import type {HttpLog} from './platform/index.js';
-import {observeFleet, Reporter, type LeaseView} from './report/index.js';
+} from '../instance/index.js';
+import type {HttpLog} from '../platform/index.js';
+import {observeFleet, Reporter, type LeaseView} from '../report/index.js';
 import {
   logOf,
   Part,
   Summarizer,
   type Backlog,
   type MeteredRecorder,
-} from './telemetry/index.js';
-import type {Timer} from './timer/index.js';
-import {takesWork, type Directory} from './upstream/index.js';
+} from '../telemetry/index.js';
+import type {Timer} from '../timer/index.js';
+import {takesWork, type Directory} from '../upstream/index.js';
 
 const MICROSECONDS_PER_SECOND = 1_000_000;
 
--- /dev/null
+++ b/src/wiring/router.ts
@@ -0,0 +1,158 @@
+import type {Logger} from 'pino';
+import {Policy, scheduling, type Scheduling} from '../admission/index.js';
+import {Claims} from '../claim/index.js';
+import type {Follower} from '../config/index.js';
+import {Credential, Entrance, type Settings} from '../instance/index.js';
+import {
+  blindRetries,
+  Executor,
+  Resumption,
+  RetryBudget,
+} from '../request/index.js';
+import {
+  logOf,
+  MeteredRecorder,
+  nullRecorder,
+  Part,
+  type Recorder,
+} from '../telemetry/index.js';
+import {SystemTimer, type Timer} from '../timer/index.js';
+import {Directory} from '../upstream/index.js';
+import {openBase, type Base} from './base.js';
+import {openConfiguring} from './configuring.js';
+import {openLeaving} from './leaving.js';
+import {startOperators} from './operators.js';
+import {leaseViews, openOrdering} from './ordering.js';
+import {openPeers, type Peers} from './peers.js';
+
+/** A running instance. */
+export interface Router {
+  /** Port callers reach the instance at. */
+  port: number;
+  /** Port peers reach the instance at. */
+  peerPort: number;
+  /** Port operators reach the instance at; absent without their secret. */
+  operatorPort?: number;
+  /** Drains: resolves when every request in flight has ended. */
+  stop(): Promise<void>;
+}
+
+/** The parts that serve callers. */
+interface Serving {
+  entrance: Entrance;
+  decisions: Scheduling;
+}
+
+/**
+ * Constructs every part of an instance, connects them, and starts it. The
+ * modules of this folder are the only ones that know all parts.
+ */
+export async function startRouter(
+  settings: Settings,
+  root: Logger,
+  timer: Timer = new SystemTimer(),
+): Promise<Router> {
+  const base = openBase(settings, root, timer);
+  const peers = await openPeers(base);
+  const {membership} = peers;
+  const configuring = openConfiguring(base, peers);
+  const {follower} = configuring;
+  const directory = new Directory(settings.host);
+  const looking = openLeaving(base, peers, directory, follower);
+  const metered = new MeteredRecorder(timer);
+  const recorder = settings.telemetry === 'on' ? metered : nullRecorder;
+  const {entrance, decisions} = openServing(
+    base,
+    peers,
+    directory,
+    follower,
+    recorder,
+  );
+  const ordering = openOrdering(base, membership, directory, follower);
+  const operators = await startOperators({
+    settings,
+    root,
+    timer,
+    log: base.log,
+    directory,
+    follower,
+    recorder: metered,
+    membership,
+    peerServer: peers.server,
+    peerClient: peers.client,
+    leases: () => leaseViews(ordering.leases, follower, timer),
+  });
+  await peers.start();
+  decisions.start();
+  ordering.start();
+  configuring.start();
+  const port = await entrance.listen(settings.host, settings.port);
+  logOf(root, Part.Router).info({port}, 'Listening for callers.');
+  return {
+    port,
+    peerPort: peers.port,
+    ...(operators.port === undefined ? {} : {operatorPort: operators.port}),
+    stop: async () => {
+      await membership.leave();
+      const drained = entrance.drain();
+      await ordering.stop();
+      await drained;
+      looking.end();
+      decisions.stop();
+      await operators.stop();
+      await configuring.stop();
+      await peers.stop();
+      await directory.close();
+      await base.agent.close();
+    },
+  };
+}
+
+function openServing(
+  {settings, root, timer, log, random}: Base,
+  {membership, client, server}: Peers,
+  directory: Directory,
+  follower: Follower,
+  recorder: Recorder,
+): Serving {
+  const decisions = scheduling(settings.policy, {
+    directory,
+    membership,
+    timer,
+    recorder,
+    zone: settings.zone,
+    random,
+  });
+  follower.subscribe(({document}) => decisions.apply(document));
+  const claims = new Claims({
+    log,
+    timer,
+    membership,
+    client,
+    server,
+    logger: logOf(root, Part.Claim),
+    windowMs: settings.keyWindowMs,
+  });
+  const blind = settings.policy === Policy.Baseline;
+  const executor = new Executor({
+    recorder,
+    scheduler: decisions.scheduler,
+    timer,
+    claims,
+    retries: blind ? blindRetries : new RetryBudget(timer),
+    committed: new Set(),
+  });
+  const resumption = new Resumption({
+    signer: new Credential(settings.peerSecrets),
+    timer,
+    upstream: name => directory.all().find(item => item.name === name),
+  });
+  const entrance = new Entrance({
+    follower,
+    executor,
+    resumption,
+    timer,
+    logger: logOf(root, Part.Request),
+  });
+  return {entrance, decisions};
+}
--- a/stand-ins/proxy.ts
+++ b/stand-ins/proxy.ts
@@ -24,6 +24,7 @@
   private readonly flows = new Map<string, Datagrams>();
   private common: Faults = {...NO_FAULTS};
   private passed = 0;
+  private closed = false;
   private targetHost = '127.0.0.1';
   private targetPort = 0;
 
@@ -121,6 +122,7 @@
   }
 
   async close(): Promise<void> {
+    this.closed = true;
     for (const flow of this.flows.values()) flow.close();
     this.datagrams.close();
     await new Promise<void>(resolve => {
@@ -162,6 +164,7 @@
     const {delayMs, requestPipe} = this.faultsOf(source);
     requestPipe?.pass(message.length, performance.now());
     setTimeout(() => {
+      if (this.closed || this.targetPort === 0) return;
       this.passed += message.length;
       flow.send(message, this.targetPort, this.targetHost);
     }, delayMs);
--- /dev/null
+++ b/test/proxy.test.ts
@@ -0,0 +1,39 @@
+import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
+import {describe, expect, it} from 'vitest';
+import {Proxy} from '../stand-ins/index.js';
+
+const sleep = (ms: number) => new Promise(end => setTimeout(end, ms));
+
+describe('a proxy for datagrams', () => {
+  it('drops what arrives before its target is known', async () => {
+    const target = createSocket('udp4').bind(0, '127.0.0.1');
+    await once(target, 'listening');
+    const received: string[] = [];
+    target.on('message', message => received.push(message.toString()));
+    const proxy = await Proxy.open();
+    const sender = createSocket('udp4');
+    sender.send('early', proxy.port, proxy.host);
+    await sleep(50);
+    proxy.aim(`127.0.0.1:${target.address().port}`);
+    sender.send('late', proxy.port, proxy.host);
+    await sleep(50);
+    expect(received).toEqual(['late']);
+    sender.close();
+    target.close();
+    await proxy.close();
+  });
+
+  it('drops delayed datagrams once it is closed', async () => {
+    const proxy = await Proxy.open();
+    proxy.aim('127.0.0.1:9');
+    proxy.set({delayMs: 40});
+    const sender = createSocket('udp4');
+    sender.send('on its way', proxy.port, proxy.host);
+    await sleep(20);
+    await proxy.close();
+    await sleep(40);
+    expect(proxy.bytes).toBe(0);
+    sender.close();
+  });
+});
