Open the console in dev

Cause: a newcomer who started with dev had no console, since no operator secret was passed on. Change: dev takes the secret of the environment or makes one, and prints the address.

--- a/src/cli/dev.ts
+++ b/src/cli/dev.ts
@@ -1,3 +1,4 @@
+import {randomBytes} from 'node:crypto';
 import {readFileSync} from 'node:fs';
 import type {ConfigurationDraft} from '../config/index.js';
 import {CONFIGURATION_STREAM} from '../config/index.js';
@@ -12,6 +13,8 @@
 } from '../../stand-ins/index.js';
 import {ExitCode, leave} from './exit.js';
 
+const SECRET_BYTES = 16;
+
 /** A router with stand-ins for everything around it, in one process. */
 export interface Embedded {
   router: Router;
@@ -21,13 +24,22 @@
   stop(): Promise<void>;
 }
 
+/** How an embedded router is reached. */
+export interface EmbeddedOptions {
+  /** Port for callers; 0 picks a free one. */
+  port: number;
+  logLevel: Level;
+  /** Opens the operators' listener, on a free port. */
+  operatorSecret?: string;
+}
+
 /**
  * Starts a router with an embedded log, engines and services on ephemeral
  * ports, and publishes `document` with its upstreams replaced by them.
  */
 export async function startEmbedded(
   document: ConfigurationDraft,
-  options: {port: number; logLevel: Level},
+  options: EmbeddedOptions,
 ): Promise<Embedded> {
   const log = await startLog();
   const standIns: StandIn[] = [log];
@@ -49,6 +61,8 @@
     zone: document.zones[0]?.name,
     port: options.port,
     peerPort: 0,
+    operatorPort: 0,
+    operatorSecret: options.operatorSecret,
     logUrl: log.url,
     logLevel: options.logLevel,
   });
@@ -91,14 +105,18 @@
 /** Runs an embedded router until the process is told to stop. */
 export async function dev(
   file: string,
-  options: {port: number; logLevel: Level},
+  options: EmbeddedOptions,
 ): Promise<void> {
+  const operatorSecret =
+    options.operatorSecret ?? randomBytes(SECRET_BYTES).toString('hex');
   const document = JSON.parse(readFileSync(file, 'utf8')) as ConfigurationDraft;
-  const embedded = await startEmbedded(document, options);
+  const embedded = await startEmbedded(document, {...options, operatorSecret});
   const workspace = document.workspaces[0]?.name ?? '';
   process.stdout.write(
     `Serving ${document.name} at ${embedded.url}. Workspace keys are ` +
-      `demo-key-WORKSPACE, such as demo-key-${workspace}.\n`,
+      `demo-key-WORKSPACE, such as demo-key-${workspace}.\n` +
+      `Console at http://127.0.0.1:${embedded.router.operatorPort ?? 0}, ` +
+      `with operator secret ${operatorSecret}.\n`,
   );
   const stop = () => {
     void embedded.stop().then(() => process.exit(ExitCode.Done));
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -60,7 +60,11 @@
           choices: Object.values(Level),
           default: Level.Info,
         }),
-    ({document, port, logLevel}) => dev(document, {port, logLevel}),
+    ({document, port, logLevel}) => {
+      const secret = operatorSecret(env);
+      const access = secret === undefined ? {} : {operatorSecret: secret};
+      return dev(document, {port, logLevel, ...access});
+    },
   )
   .command('config', 'check and publish configuration documents', argv =>
     argv
