--- a/bench/checker/leaving.ts
+++ b/bench/checker/leaving.ts
@@ -2,7 +2,7 @@
 import {PromiseKind, type Violation} from './violation.js';
 
 /** Time after which an upstream that leaves gets no new work, in ms. */
-const GRACE_MS = 5_000;
+const GRACE_MS = 3_000;
 
 /** Checks that upstreams that said they leave received no new work. */
 export function checkLeaving({faults, executions}: History): Violation[] {
--- a/bench/decide.ts
+++ b/bench/slope/decision.ts
@@ -1,30 +1,17 @@
-import yargs from 'yargs';
-import {hideBin} from 'yargs/helpers';
-import {AdmissionScheduler} from '../src/admission/index.js';
-import {documentSchema, type Configuration} from '../src/config/index.js';
+import {AdmissionScheduler} from '../../src/admission/index.js';
+import {documentSchema, type Configuration} from '../../src/config/index.js';
 import {
   MemberState,
   type Member,
   type Membership,
-} from '../src/instance/index.js';
-import {AttemptEnd, type Work} from '../src/request/index.js';
-import {nullRecorder} from '../src/telemetry/index.js';
-import {SystemTimer} from '../src/timer/index.js';
-import {Directory} from '../src/upstream/index.js';
-import {seededRandom} from '../stand-ins/index.js';
-import {Deployment, exampleOf} from './deployment.js';
-
-/** One measured dependency, in the shape of the slopes report. */
-interface Slope {
-  name: string;
-  unit: string;
-  points: Array<[number, number]>;
-  /** Growth per unit of x between the first and the last point. */
-  slope: number;
-  /** Value at the largest x. */
-  atTarget: number;
-  budget: number;
-}
+} from '../../src/instance/index.js';
+import {AttemptEnd, type Work} from '../../src/request/index.js';
+import {nullRecorder} from '../../src/telemetry/index.js';
+import {SystemTimer} from '../../src/timer/index.js';
+import {Directory} from '../../src/upstream/index.js';
+import {seededRandom} from '../../stand-ins/index.js';
+import {Deployment, exampleOf} from '../deployment.js';
+import {fit, type Point, type Slope} from './slope.js';
 
 const RUNNERS = [6, 60, 600, 2_600];
 const WORKSPACES = [10, 1_000, 10_000];
@@ -143,42 +130,38 @@
   return samples[Math.floor(samples.length / 2)] ?? NaN;
 }
 
-function slopeOf(name: string, points: Array<[number, number]>): Slope {
-  const [first = [0, 0], last = [0, 0]] = [points[0], points.at(-1)];
-  return {
-    name,
-    unit: 'µs',
-    points,
-    slope: (last[1] - first[1]) / (last[0] - first[0]),
-    atTarget: last[1],
-    budget: BUDGET_US,
-  };
-}
-
-const args = await yargs(hideBin(process.argv))
-  .scriptName('npm run decide --')
-  .usage('$0 [options]\n\nMeasures the cost of one decision.')
-  .option('json', {type: 'boolean', default: false})
-  .strict()
-  .parseAsync();
-
-const byRunners: Array<[number, number]> = [];
-for (const runners of RUNNERS) {
-  byRunners.push([runners, await medianUs(runners, WORKSPACES[0] ?? 1)]);
-}
-const byWorkspaces: Array<[number, number]> = [];
-for (const workspaces of WORKSPACES) {
-  byWorkspaces.push([workspaces, await medianUs(RUNNERS[0] ?? 1, workspaces)]);
-}
-const slopes = [
-  slopeOf('decision by runners', byRunners),
-  slopeOf('decision by workspaces', byWorkspaces),
-];
-if (args.json) process.stdout.write(`${JSON.stringify({slopes})}\n`);
-else {
-  for (const {name, points} of slopes) {
-    const list = points.map(([x, y]) => `${x}: ${y.toFixed(1)} µs`);
-    process.stdout.write(`${name}: ${list.join(', ')}\n`);
+/** Cost of one decision, by the number of runners and of workspaces. */
+export async function byDecision(): Promise<Slope[]> {
+  const byRunners: Point[] = [];
+  for (const runners of RUNNERS) {
+    byRunners.push([runners, await medianUs(runners, WORKSPACES[0] ?? 1)]);
+  }
+  const byWorkspaces: Point[] = [];
+  for (const workspaces of WORKSPACES) {
+    byWorkspaces.push([
+      workspaces,
+      await medianUs(RUNNERS[0] ?? 1, workspaces),
+    ]);
   }
+  const common = {unit: 'µs', budget: BUDGET_US};
+  return [
+    fit(
+      {
+        ...common,
+        name: 'decision cost by runners',
+        against: 'runners',
+        target: 2_600,
+      },
+      byRunners,
+    ),
+    fit(
+      {
+        ...common,
+        name: 'decision cost by workspaces',
+        against: 'workspaces',
+        target: 10_000,
+      },
+      byWorkspaces,
+    ),
+  ];
 }
-process.exit(0);
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -2,6 +2,7 @@
 import {hideBin} from 'yargs/helpers';
 import {byChanges, byNodes, byRunners, byWorkspaces} from './slope/groups.js';
 import {byKeyedRequests} from './slope/claims.js';
+import {byDecision} from './slope/decision.js';
 import {byDocumentSize} from './slope/ledger.js';
 import type {Slope} from './slope/slope.js';
 
@@ -13,6 +14,7 @@
   Workspaces = 'workspaces',
   Changes = 'changes',
   Claims = 'claims',
+  Decision = 'decision',
 }
 
 function measure(group: Group, sizes: readonly number[]): Promise<Slope[]> {
@@ -29,6 +31,8 @@
       return byChanges([6, 30, 60]);
     case Group.Claims:
       return byKeyedRequests();
+    case Group.Decision:
+      return byDecision();
   }
 }
 
