Do not abort what has already ended

Cause: short answers through one process had fallen to 2,900 a second; a profile showed 10% of the time in abort signals. Every answered request aborted the signal of its caller when its connection closed, which builds an exception with a stack, and every attempt joined two signals of which one contains the other. Change: the caller's signal aborts only before the answer ended; an attempt uses its placement's signal, which by contract follows the one given to acquire.

--- a/src/instance/entrance.ts
+++ b/src/instance/entrance.ts
@@ -268,11 +268,13 @@
   }
 }
 
-/** Returns a signal that aborts when the caller has gone. */
+/** Returns a signal that aborts when the caller goes before its answer ended. */
 function goneSignal(response: ServerResponse): AbortSignal {
   const gone = new AbortController();
   if (response.destroyed) gone.abort();
-  response.once('close', () => gone.abort());
+  response.once('close', () => {
+    if (!response.writableFinished) gone.abort();
+  });
   return gone.signal;
 }
 
--- a/src/request/placement.ts
+++ b/src/request/placement.ts
@@ -22,7 +22,10 @@
   upstream: Upstream;
   /** Priority to tell the engine; 0 is the highest. */
   priority: number;
-  /** Aborts when the attempt must stop, such as on preemption. */
+  /**
+   * Aborts when the attempt must stop: on preemption, and when the signal given
+   * to [[Scheduler.acquire]] aborts.
+   */
   signal: AbortSignal;
   /** Tells that the first token or byte of the answer arrived. */
   firstToken(): void;
--- a/src/request/repeatable.ts
+++ b/src/request/repeatable.ts
@@ -73,7 +73,7 @@
     placement: Placement,
     turn: number,
   ): Promise<AttemptResult> {
-    const {work, scope, parts} = this;
+    const {work, parts} = this;
     const {name} = placement.upstream;
     if (turn === 0) parts.retries.attempted(work.serviceClass.name, name);
     return runRecorded({
@@ -83,7 +83,7 @@
       timer: parts.timer,
       recorder: parts.recorder,
       id: turn === 0 ? work.id : `${work.id}-${turn}`,
-      signal: AbortSignal.any([placement.signal, scope.signal]),
+      signal: placement.signal,
       verified: this.fresh,
     });
   }
