--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -4,6 +4,11 @@
 import {ExitCode, leave} from './exit.js';
 import {collectSettings} from './settings.js';
 
+/** The flag of a setting, such as `--log-url` of `logUrl`. */
+function flagOf(setting: string): string {
+  return `--${setting.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`)}`;
+}
+
 /** Returns checked settings or ends the process with one line. */
 export function settingsOrExit(
   flags: Record<string, unknown>,
@@ -12,7 +17,7 @@
   const checked = checkSettings(collectSettings(flags, env));
   if (checked.isOk()) return checked.value;
   const problems = checked.error.problems
-    .map(({setting, reason}) => `${setting}: ${reason}`)
+    .map(({setting, reason}) => `${flagOf(setting)} ${reason}`)
     .join('; ');
   leave(ExitCode.Usage, `bad settings: ${problems}`);
 }
--- a/src/instance/settings.ts
+++ b/src/instance/settings.ts
@@ -8,7 +8,12 @@
 /** Settings of one instance, from flags or `GYPSUMCOURSE_` variables. */
 export const settingsSchema = z.object({
   /** Name of the instance; stable over restarts at the same address. */
-  instance: z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/),
+  instance: z
+    .string()
+    .regex(
+      /^[a-z0-9][a-z0-9.-]{0,62}$/,
+      'must be lower-case letters, digits, dots and dashes, 1-63',
+    ),
   /** Availability zone the instance runs in. */
   zone: z.string().min(1),
   /** Address to listen on and to be reached at by peers. */
@@ -72,7 +77,17 @@
   if (parsed.success) return ok(parsed.data);
   const problems = parsed.error.issues.map(issue => ({
     setting: issue.path.join('.'),
-    reason: issue.message,
+    reason: missing(issue, candidate) ? 'is required' : issue.message,
   }));
   return err({type: 'invalidSettings', problems});
 }
+
+function missing(issue: z.core.$ZodIssue, candidate: unknown): boolean {
+  const [name] = issue.path;
+  return (
+    issue.code === 'invalid_type' &&
+    issue.path.length === 1 &&
+    typeof candidate === 'object' &&
+    (candidate as Record<PropertyKey, unknown>)[name ?? ''] === undefined
+  );
+}
--- a/test/checker.test.ts
+++ b/test/checker.test.ts
@@ -175,7 +175,7 @@
       from: 0,
       to: 9_000,
     });
-    const executions = [run({startedAt: 4_900}), run({startedAt: 5_100})];
+    const executions = [run({startedAt: 2_900}), run({startedAt: 3_100})];
     expect(found({faults: [leaving], executions})).toEqual([
       'leaving: stock-1 got 1 requests while leaving',
     ]);
