--- a/bench/latency.ts
+++ b/bench/latency.ts
@@ -40,6 +40,7 @@
 const MICROS = 1000;
 const ENGINE = {slots: 512, stepMs: 1};
 const SLICE_SECONDS = 2;
+const SOAK_CALLERS = 64;
 
 function bodyOf(load: Load, n: number) {
   return {
@@ -135,6 +136,24 @@
   ];
 }
 
+/** Short answers through the router for a while, with its memory on the way. */
+async function soak(cluster: Cluster, seconds: number): Promise<void> {
+  const router = cluster.routers[0];
+  const pid = router?.process?.pid ?? 0;
+  const load = {callers: SOAK_CALLERS, stream: false, tokens: 2, seconds};
+  const agent = new Agent({connections: SOAK_CALLERS});
+  const tally = new Tally(Route.Routed);
+  for (let at = 0; at < seconds; at += SLICE_SECONDS) {
+    await runSlice(tally, load, [router?.url ?? ''], agent);
+    const {requests, lost, perSecond} = tally.phase();
+    const memory = usageOf(pid).residentMb.toFixed(0);
+    process.stdout.write(
+      `${requests} requests, ${perSecond}/s, ${lost} lost, ${memory} MB\n`,
+    );
+  }
+  await agent.close();
+}
+
 function print(title: string, phases: Phase[]): void {
   process.stdout.write(`${title}\n`);
   for (const phase of phases) {
@@ -154,6 +173,10 @@
 
 const args = await yargs(hideBin(process.argv))
   .option('seconds', {type: 'number', default: 16})
+  .option('soak', {
+    type: 'number',
+    describe: 'seconds of short answers only, with memory on the way',
+  })
   .option('json', {type: 'boolean', default: false})
   .strict()
   .parseAsync();
@@ -164,6 +187,11 @@
   behaviourOf: (_name, kind) => (kind === 'runner' ? ENGINE : {}),
   direct: true,
 });
+if (args.soak !== undefined) {
+  await soak(cluster, args.soak);
+  await cluster.stop();
+  process.exit(0);
+}
 const {seconds} = args;
 const moderate = await compare(cluster, {
   callers: 4,
