Survive an upstream that answers another request

Cause: nothing tested answers that are not whole or not their own. The first test of a wrong response id ended the process: the attempt destroyed the body, and a body destroyed early emits an error without a listener. A resumed stream that the engine refuses left its body in the same state. Conclusion: a fault of one upstream stays with one request.

--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -214,7 +214,8 @@
   ): Promise<AttemptResult> {
     const {sink, placement, id} = this.spec;
     if (headers[UPSTREAM_ID_HEADER] !== id) {
-      body.destroy();
+      // A body that is destroyed early emits an error that nobody awaits.
+      body.on('error', () => undefined).destroy();
       return this.broken({type: 'wrongAnswer'});
     }
     const contentType = String(headers['content-type'] ?? '');
--- a/src/request/resumption.ts
+++ b/src/request/resumption.ts
@@ -114,6 +114,8 @@
         progress.lastEventId,
         watchdog.signal,
       );
+      // A body that is left unread emits an error when its client is closed.
+      body.on('error', () => undefined);
       if (statusCode >= 400) return {type: 'streamLost'};
       if (headers[UPSTREAM_ID_HEADER] !== stream) return {type: 'wrongAnswer'};
       sink.head(statusCode, String(headers['content-type'] ?? ''));
