--- /dev/null
+++ b/src/forward/attempt.ts
@@ -0,0 +1,208 @@
+import type {Dispatcher} from 'undici';
+import type {Timer} from '../timer/index.js';
+import type {Endpoint} from './endpoint.js';
+import type {AnswerHead, Envelope, Protocol, RequestHead} from './protocol.js';
+
+/** Bodies up to this size are delivered only once they are whole, in bytes. */
+const WHOLE_LIMIT_BYTES = 256 * 1024;
+
+/** The head of an upstream's answer. */
+export interface Head extends AnswerHead {
+  status: number;
+}
+
+/** An answer that has arrived as a whole. */
+export interface WholeAnswer {
+  head: Head;
+  body: Buffer;
+}
+
+/** Receives an answer as it arrives. */
+export interface Sink {
+  /**
+   * Takes the head of a successful answer that is delivered as it arrives.
+   * False breaks the attempt off.
+   */
+  start(head: Head): boolean;
+  /** Takes bytes; false asks to be sent no more until `resume` is called. */
+  data(chunk: Buffer, resume: () => void): boolean;
+}
+
+/** How an attempt ended. */
+export type AttemptResult =
+  /** Nothing of the request can have reached the upstream. */
+  | {type: 'unsent'; cause: string}
+  /** The upstream says that it did not run the request. */
+  | {type: 'refused'; status: number}
+  /** An answer that was not given to the sink. */
+  | {type: 'whole'; answer: WholeAnswer}
+  /** The sink has the whole answer. */
+  | {type: 'delivered'; head: Head}
+  /** The request may have run. */
+  | {type: 'broken'; cause: string; started: boolean};
+
+/** What one attempt needs to know. */
+export interface AttemptSpec {
+  endpoint: Endpoint;
+  protocol: Protocol;
+  request: RequestHead;
+  envelope: Envelope;
+  body: Buffer;
+  sink: Sink;
+  timer: Timer;
+  /** Breaks the attempt off. */
+  signal: AbortSignal;
+}
+
+/** Sends a request to one upstream and receives the answer. */
+export function runAttempt(spec: AttemptSpec): Promise<AttemptResult> {
+  return new Promise(resolve => new Attempt(spec, resolve).send());
+}
+
+class Attempt implements Dispatcher.DispatchHandler {
+  private controller?: Dispatcher.DispatchController;
+  private head?: Head;
+  private started = false;
+  private ended = false;
+  private readonly chunks: Buffer[] = [];
+  private bytes = 0;
+  private readonly stop = () => this.abort('broken off');
+
+  constructor(
+    private readonly spec: AttemptSpec,
+    private readonly resolve: (result: AttemptResult) => void,
+  ) {}
+
+  send(): void {
+    const {endpoint, protocol, request, envelope, body, signal} = this.spec;
+    if (signal.aborted) {
+      this.end({type: 'unsent', cause: 'broken off before it was sent'});
+      return;
+    }
+    signal.addEventListener('abort', this.stop, {once: true});
+    try {
+      endpoint.connections.dispatch(
+        {
+          method: request.method,
+          path: request.target,
+          headers: protocol.writeRequest(request, envelope),
+          body: body.length === 0 ? null : body,
+        },
+        this,
+      );
+    } catch (cause) {
+      this.end({type: 'unsent', cause: String(cause)});
+    }
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.controller = controller;
+    if (this.ended) controller.abort(new Interruption());
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
+    if (status < 200 || this.ended) return;
+    const {protocol, request, endpoint, timer, sink} = this.spec;
+    const now = timer.now();
+    endpoint.heardAt = now;
+    const head = {...protocol.readAnswer(status, headers), status};
+    if (head.load !== undefined) endpoint.report(head.load, now);
+    this.head = head;
+    if (head.request !== undefined && head.request !== request.id) {
+      this.abort('answered another request');
+      return;
+    }
+    if (head.notRun || status < 200 || status >= 300) return;
+    if (!head.sealed || head.request === undefined || head.encoded) {
+      this.abort('answer without the marks of its upstream');
+      return;
+    }
+    if (!head.isEventStream) return;
+    this.started = true;
+    if (!sink.start(head)) this.abort('the stream does not fit its caller');
+    else if (controller.aborted) this.abort('broken off');
+  }
+
+  onResponseData(
+    controller: Dispatcher.DispatchController,
+    chunk: Buffer,
+  ): void {
+    if (this.ended) return;
+    this.spec.endpoint.heardAt = this.spec.timer.now();
+    if (!this.started) {
+      this.chunks.push(chunk);
+      this.bytes += chunk.length;
+      if (this.bytes > WHOLE_LIMIT_BYTES) this.pour(controller);
+      return;
+    }
+    this.pass(controller, chunk);
+  }
+
+  onResponseEnd(): void {
+    const {head} = this;
+    if (head === undefined) {
+      this.end({type: 'broken', cause: 'no answer', started: false});
+    } else if (head.notRun) {
+      this.end({type: 'refused', status: head.status});
+    } else if (this.started) {
+      this.end({type: 'delivered', head});
+    } else {
+      const body = Buffer.concat(this.chunks);
+      this.end({type: 'whole', answer: {head, body}});
+    }
+  }
+
+  onResponseError(
+    _controller: Dispatcher.DispatchController | undefined,
+    error: Error,
+  ): void {
+    const cause = `${error.name}: ${error.message}`;
+    if (this.controller === undefined) this.end({type: 'unsent', cause});
+    else if (this.head?.notRun === true) {
+      this.end({type: 'refused', status: this.head.status});
+    } else this.end({type: 'broken', cause, started: this.started});
+  }
+
+  /** Delivers a large body as it arrives. */
+  private pour(controller: Dispatcher.DispatchController): void {
+    const {head} = this;
+    if (head === undefined || head.status >= 300 || head.notRun) return;
+    this.started = true;
+    if (!this.spec.sink.start(head)) {
+      this.abort('the answer does not fit its caller');
+      return;
+    }
+    for (const chunk of this.chunks.splice(0)) this.pass(controller, chunk);
+  }
+
+  private pass(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    const more = this.spec.sink.data(chunk, () => controller.resume());
+    if (!more) controller.pause();
+  }
+
+  private abort(cause: string): void {
+    const {controller, started} = this;
+    this.end(
+      controller === undefined
+        ? {type: 'unsent', cause}
+        : {type: 'broken', cause, started},
+    );
+    controller?.abort(new Interruption());
+  }
+
+  private end(result: AttemptResult): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.spec.signal.removeEventListener('abort', this.stop);
+    this.resolve(result);
+  }
+}
+
+/** The reason given to a connection that is closed in mid-answer. */
+class Interruption extends Error {
+  override name = 'Interruption';
+}
--- /dev/null
+++ b/src/forward/endpoints.ts
@@ -0,0 +1,59 @@
+import {EntryState, isSameStart, type Entry} from '../registry/index.js';
+import type {RoutingTable} from '../route/index.js';
+import {Endpoint} from './endpoint.js';
+
+/** The upstreams that requests may be sent to, by service. */
+export class Endpoints {
+  private readonly known = new Map<string, Endpoint>();
+  private services = new Map<string, Endpoint[]>();
+
+  constructor(private readonly localAddress: string) {}
+
+  /** Upstreams of a service that take new work. */
+  of(service: string): readonly Endpoint[] {
+    return this.services.get(service) ?? [];
+  }
+
+  /** Every upstream that is known. */
+  all(): Iterable<Endpoint> {
+    return this.known.values();
+  }
+
+  /** Follows the registered entries. */
+  apply(entries: Iterable<Entry>, table: RoutingTable | undefined): void {
+    const present = new Set<string>();
+    for (const entry of entries) {
+      present.add(entry.id);
+      this.take(entry);
+      const engine = table?.service(entry.service)?.engine;
+      this.known.get(entry.id)?.configure(engine);
+    }
+    for (const [id, endpoint] of this.known) {
+      if (present.has(id)) continue;
+      endpoint.retire();
+      this.known.delete(id);
+    }
+    this.index();
+  }
+
+  private take(entry: Entry): void {
+    const known = this.known.get(entry.id);
+    if (known !== undefined && isSameStart(known.entry, entry)) {
+      known.entry = entry;
+      return;
+    }
+    known?.retire();
+    this.known.set(entry.id, new Endpoint(entry, this.localAddress));
+  }
+
+  private index(): void {
+    this.services = new Map();
+    for (const endpoint of this.known.values()) {
+      const {service, state} = endpoint.entry;
+      if (state !== EntryState.Ready) continue;
+      const list = this.services.get(service) ?? [];
+      list.push(endpoint);
+      this.services.set(service, list);
+    }
+  }
+}
--- /dev/null
+++ b/src/forward/exchange.ts
@@ -0,0 +1,402 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {Repetition, type Route, type RoutingTable} from '../route/index.js';
+import {runAttempt, type AttemptResult, type WholeAnswer} from './attempt.js';
+import {readBody} from './body.js';
+import {isSensitive} from './choice.js';
+import {Deadline, StopCause} from './deadline.js';
+import type {Ending} from './ending.js';
+import type {Endpoint} from './endpoint.js';
+import {Sign} from './health.js';
+import type {Want} from './line.js';
+import type {RequestHead} from './protocol.js';
+import {NotRunCause, type Refusal} from './refusal.js';
+import {Reply} from './reply.js';
+import type {Lane} from './lane.js';
+import {StreamSink} from './sink.js';
+import {Silence} from './silence.js';
+import type {ForwardParts} from './parts.js';
+
+/** Time a caller waits that doesn't say, in ms; the route's time-out bounds it. */
+const PATIENCE_MS = 60_000;
+/** Sends beyond the route's limit that refusals which ran nothing allow. */
+const REFUSED_SENDS = 2;
+/** Shortest time in which another attempt is worth sending, in ms. */
+const ATTEMPT_MINIMUM_MS = 40;
+
+/** One request of a caller, from its arrival to its end. */
+export class Exchange {
+  private readonly arrivedAt: number;
+  private readonly reply: Reply;
+  private readonly tried = new Set<string>();
+  private sends = 0;
+  private runs = 0;
+  private mayHaveRun = false;
+  private failure?: WholeAnswer;
+
+  constructor(
+    private readonly parts: ForwardParts,
+    private readonly message: IncomingMessage,
+    private readonly response: ServerResponse,
+  ) {
+    this.arrivedAt = parts.timer.now();
+    this.reply = new Reply(response, parts.closing);
+  }
+
+  /** Serves the request; resolves once its answer is written. */
+  async run(): Promise<void> {
+    const {routing, protocol, logger, timer} = this.parts;
+    const request = protocol.readRequest(this.message);
+    const table = routing.current();
+    const ending =
+      table === undefined
+        ? this.refuse({type: 'notReady'})
+        : await this.serve(request, table);
+    const ms = Math.round(timer.now() - this.arrivedAt);
+    this.parts.metrics.ended(ending, ms);
+    logger.info(
+      {
+        event: 'ended',
+        request: request.id,
+        version: table?.version,
+        ...ending,
+        sends: this.sends,
+        ms,
+      },
+      'Request ended.',
+    );
+  }
+
+  private async serve(
+    request: RequestHead,
+    table: RoutingTable,
+  ): Promise<Ending> {
+    const query = request.target.indexOf('?');
+    const path = query < 0 ? request.target : request.target.slice(0, query);
+    const route = table.match(request.host, path);
+    if (route === undefined) return this.refuse({type: 'unknownRoute'});
+    const admittance = table.admit(route, request.key);
+    if (admittance.type === 'unauthenticated') {
+      return this.refuse({type: 'unauthenticated'}, route);
+    }
+    const workspace =
+      admittance.type === 'workspace' ? admittance.workspace : undefined;
+    const patienceMs = request.patienceMs ?? PATIENCE_MS;
+    const limitMs = Math.min(patienceMs, route.timeoutMs);
+    const deadline = new Deadline(this.parts.timer, this.arrivedAt + limitMs);
+    const leave = () => {
+      if (!this.response.writableFinished) deadline.stop(StopCause.Gone);
+    };
+    this.response.once('close', leave);
+    try {
+      const body = await this.readBody(table, deadline);
+      if ('type' in body) return this.refuse(body, route);
+      const lane = this.parts.laneOf(table.pick(route, this.parts.random()));
+      const task: Task = {
+        request,
+        route,
+        table,
+        lane,
+        deadline,
+        body,
+        tier: workspace?.tier ?? route.tier,
+        ...(workspace === undefined ? {} : {workspace: workspace.name}),
+      };
+      return await this.forward(task);
+    } finally {
+      deadline.end();
+      this.response.off('close', leave);
+    }
+  }
+
+  private async readBody(
+    {limits}: RoutingTable,
+    deadline: Deadline,
+  ): Promise<Buffer | Refusal> {
+    const reading = readBody(this.message, limits.bodyBytes);
+    const stopped = new Promise<undefined>(resolve => {
+      if (deadline.signal.aborted) resolve(undefined);
+      deadline.signal.addEventListener('abort', () => resolve(undefined), {
+        once: true,
+      });
+    });
+    const body = await Promise.race([reading, stopped]);
+    if (body === undefined) return {type: 'incomplete'};
+    return body.isOk() ? body.value : body.error;
+  }
+
+  /** Sends the request to upstreams until one answers or none is left. */
+  private async forward(task: Task): Promise<Ending> {
+    const {route, deadline, lane} = task;
+    const sink = new StreamSink(this.reply, task.request.lastEvent, route);
+    for (;;) {
+      const place = await lane.line.acquire(this.wantOf(task));
+      if (place.type === 'gone') return this.stopped(task);
+      if (place.type === 'notRun') return this.giveUp(task, place);
+      const result = await this.attempt(task, sink, place);
+      const ending = this.conclude(task, sink, result);
+      if (ending !== undefined) return ending;
+      if (deadline.signal.aborted) return this.stopped(task);
+      if (!this.mayRepeat(task, sink, result)) {
+        return this.giveUp(task, lane.line.refusal(causeOf(result)), result);
+      }
+      this.parts.logger.info(
+        {
+          event: 'repeats',
+          request: task.request.id,
+          after: result.type,
+          cause: 'cause' in result ? result.cause : undefined,
+          lastEvent: sink.lastEvent,
+          repeatsLeft: lane.allowance.left(this.parts.timer.now()),
+        },
+        'The request is sent to another upstream.',
+      );
+    }
+  }
+
+  private wantOf({request, route, table, tier, deadline, lane}: Task): Want {
+    const pauses = table.pausesOf(lane.service);
+    return {
+      request: request.id,
+      tier,
+      dueAt: this.arrivedAt + route.targetMs,
+      deadlineAt: deadline.at,
+      signal: deadline.signal,
+      tried: this.tried,
+      sensitive: isSensitive(route.pauseMs, pauses),
+      ...(request.prompt === undefined ? {} : {prompt: request.prompt}),
+    };
+  }
+
+  private async attempt(
+    task: Task,
+    sink: StreamSink,
+    {endpoint, freshTokens}: {endpoint: Endpoint; freshTokens: number},
+  ): Promise<AttemptResult> {
+    const {request, deadline, lane, route, body, workspace, tier} = task;
+    const {timer, protocol} = this.parts;
+    const sentAt = timer.now();
+    this.tried.add(endpoint.id);
+    if (this.sends === 0) lane.allowance.sent(sentAt);
+    this.sends++;
+    const load = lane.take(endpoint, request.prompt, freshTokens, sentAt);
+    sink.begin(() => load.started(timer.now()));
+    const isSafe = route.repetition !== Repetition.AtMostOnce;
+    const silence = new Silence({
+      timer,
+      endpoint,
+      route,
+      freshTokens,
+      speeds: lane.speeds,
+      active: isSafe && this.sends < route.attemptsLimit,
+    });
+    // What may not be repeated is left to finish when its caller goes.
+    const isKept = !isSafe && !route.streaming;
+    const signal = AbortSignal.any([
+      isKept ? timeOutOnly(deadline) : deadline.signal,
+      silence.signal,
+    ]);
+    try {
+      const result = await runAttempt({
+        endpoint,
+        protocol,
+        request,
+        envelope: {
+          upstream: endpoint.id,
+          remainingMs: Math.max(1, Math.floor(deadline.at - sentAt)),
+          ...(workspace === undefined ? {} : {workspace}),
+          ...(request.prompt === undefined ? {} : {tier}),
+          ...(sink.lastEvent === undefined ? {} : {lastEvent: sink.lastEvent}),
+        },
+        body,
+        sink,
+        timer,
+        signal,
+      });
+      this.observe(task, endpoint, result, silence.expired);
+      if (result.type === 'whole') lane.speeds.served(timer.now() - sentAt);
+      return result;
+    } finally {
+      silence.end();
+      load.end();
+      lane.line.look();
+    }
+  }
+
+  /** Takes in what an attempt tells of an upstream's health. */
+  private observe(
+    {deadline, request}: Task,
+    endpoint: Endpoint,
+    result: AttemptResult,
+    silent: boolean,
+  ): void {
+    const {timer, logger} = this.parts;
+    const sign = signOf(result);
+    if (sign === undefined || (deadline.signal.aborted && !silent)) return;
+    const {health} = endpoint;
+    const now = timer.now();
+    const outMs = silent ? health.eject(now) : health.observe(sign, now);
+    if (outMs === undefined) return;
+    logger.warn(
+      {
+        event: 'health',
+        upstream: endpoint.id,
+        request: request.id,
+        sign,
+        silent,
+        cause: 'cause' in result ? result.cause : undefined,
+        heardMsAgo: Math.round(now - endpoint.heardAt),
+        outMs,
+      },
+      'Upstream is out of use for a while.',
+    );
+  }
+
+  /** Ends the request if the result is final. */
+  private conclude(
+    {route}: Task,
+    sink: StreamSink,
+    result: AttemptResult,
+  ): Ending | undefined {
+    switch (result.type) {
+      case 'delivered':
+        sink.finish();
+        return {
+          outcome: 'answered',
+          status: result.head.status,
+          route: route.name,
+        };
+      case 'whole': {
+        const {answer} = result;
+        const {status} = answer.head;
+        if (status >= 200 && status < 300) {
+          this.reply.deliver(answer);
+          return {outcome: 'answered', status, route: route.name};
+        }
+        this.mayHaveRun = true;
+        this.runs++;
+        this.failure = answer;
+        return undefined;
+      }
+      case 'broken':
+        this.mayHaveRun = true;
+        this.runs++;
+        return undefined;
+      case 'refused':
+      case 'unsent':
+        return undefined;
+    }
+  }
+
+  /** Whether the request may be sent to another upstream after a result. */
+  private mayRepeat(
+    {route, deadline, lane}: Task,
+    sink: StreamSink,
+    result: AttemptResult,
+  ): boolean {
+    const now = this.parts.timer.now();
+    if (deadline.at - now < ATTEMPT_MINIMUM_MS) return false;
+    const isRun = result.type === 'broken' || result.type === 'whole';
+    if (isRun) {
+      if (route.repetition === Repetition.AtMostOnce) return false;
+      if (this.runs >= route.attemptsLimit) return false;
+      if (!sink.resumable) return false;
+    }
+    if (this.sends >= route.attemptsLimit + REFUSED_SENDS) return false;
+    if (result.type === 'refused' && result.status === 400) return false;
+    return result.type === 'unsent' || lane.allowance.take(now);
+  }
+
+  /** Ends a request that its caller left or that has run out of time. */
+  private stopped({route, deadline, lane}: Task): Ending {
+    if (deadline.cause === StopCause.Gone) {
+      return {outcome: 'gone', route: route.name};
+    }
+    if (this.mayHaveRun || this.sends > 0) {
+      return this.refuse({type: 'timedOut'}, route);
+    }
+    return this.refuse(lane.line.refusal(NotRunCause.Waited), route);
+  }
+
+  /** Ends a request for which no attempt is left. */
+  private giveUp(
+    {route}: Task,
+    notRun: Refusal & {type: 'notRun'},
+    last?: AttemptResult,
+  ): Ending {
+    const {failure} = this;
+    if (failure !== undefined && !this.reply.started) {
+      return this.passFailure(failure, route);
+    }
+    if (last?.type === 'refused' && last.status === 400) {
+      return this.refuse({type: 'incomplete'}, route);
+    }
+    if (!this.mayHaveRun) return this.refuse(notRun, route);
+    const cause =
+      last !== undefined && 'cause' in last ? last.cause : notRun.cause;
+    return this.refuse({type: 'broken', cause}, route);
+  }
+
+  /** Passes an upstream's own failure on, unless it promises what isn't so. */
+  private passFailure(failure: WholeAnswer, route: Route): Ending {
+    const {status} = failure.head;
+    if (this.parts.protocol.promisesNotRun(status)) {
+      return this.refuse(
+        {type: 'broken', cause: `upstream answered ${status}`},
+        route,
+      );
+    }
+    this.reply.deliver(failure);
+    return {outcome: 'failed', status, route: route.name};
+  }
+
+  private refuse(refusal: Refusal, route?: Route): Ending {
+    const outcome = this.reply.started ? 'broken' : 'refused';
+    this.reply.refuse(refusal);
+    return {
+      outcome,
+      cause: 'cause' in refusal ? refusal.cause : refusal.type,
+      ...(route === undefined ? {} : {route: route.name}),
+    };
+  }
+}
+
+/** What is known of a request once it has been read. */
+interface Task {
+  request: RequestHead;
+  route: Route;
+  table: RoutingTable;
+  lane: Lane;
+  deadline: Deadline;
+  body: Buffer;
+  tier: number;
+  workspace?: string;
+}
+
+function timeOutOnly(deadline: Deadline): AbortSignal {
+  const controller = new AbortController();
+  deadline.signal.addEventListener('abort', () => {
+    if (deadline.cause === StopCause.TimedOut) controller.abort();
+  });
+  return controller.signal;
+}
+
+function causeOf(result: AttemptResult): NotRunCause {
+  return result.type === 'unsent'
+    ? NotRunCause.Unreachable
+    : NotRunCause.Refused;
+}
+
+function signOf(result: AttemptResult): Sign | undefined {
+  switch (result.type) {
+    case 'delivered':
+      return Sign.Good;
+    case 'whole':
+      return result.answer.head.status >= 500 ? Sign.Failure : Sign.Good;
+    case 'refused':
+      return Sign.Full;
+    case 'unsent':
+      return Sign.Unreachable;
+    case 'broken':
+      return Sign.Broken;
+  }
+}
--- /dev/null
+++ b/src/forward/health.ts
@@ -0,0 +1,83 @@
+/** Failures in a row that eject an upstream. */
+const FAILURES_LIMIT = 3;
+/** First time out of use, in ms; doubles with each ejection in a row. */
+const EJECTION_MS = 500;
+/** Longest time out of use, in ms. */
+const EJECTION_LIMIT_MS = 4_000;
+/** Weight of the newest answer in the share of failures. */
+const FAILURE_WEIGHT = 0.1;
+/** Time after a refusal for being full in which nothing more is sent, in ms. */
+const FULL_PAUSE_MS = 60;
+
+/** How one answer of an upstream counts. */
+export enum Sign {
+  /** A whole answer of its own. */
+  Good = 'good',
+  /** A failure of its own, such as a status of 500. */
+  Failure = 'failure',
+  /** No answer, or not a whole one. */
+  Broken = 'broken',
+  /** No connection. */
+  Unreachable = 'unreachable',
+  /** Refused for being full. */
+  Full = 'full',
+}
+
+/** What an instance believes of an upstream's health, from its own requests. */
+export class Health {
+  /** Smoothed share of requests that failed, 0 to 1. */
+  failing = 0;
+  private inRow = 0;
+  private ejections = 0;
+  private outUntil = -Infinity;
+  private fullUntil = -Infinity;
+
+  /** Takes in an answer; returns the time out of use if it ejects, in ms. */
+  observe(sign: Sign, now: number): number | undefined {
+    switch (sign) {
+      case Sign.Full:
+        this.fullUntil = now + FULL_PAUSE_MS;
+        return undefined;
+      case Sign.Good:
+        this.inRow = 0;
+        this.ejections = 0;
+        this.smooth(0);
+        return undefined;
+      case Sign.Failure:
+        this.smooth(1);
+        return undefined;
+      case Sign.Broken:
+        this.smooth(1);
+        return this.failed(now);
+      case Sign.Unreachable:
+        this.smooth(1);
+        return this.eject(now);
+    }
+  }
+
+  isOut(now: number): boolean {
+    return now < this.outUntil;
+  }
+
+  isFull(now: number): boolean {
+    return now < this.fullUntil;
+  }
+
+  /** Takes an upstream that does not answer out of use. */
+  eject(now: number): number {
+    const ms = Math.min(EJECTION_LIMIT_MS, EJECTION_MS * 2 ** this.ejections);
+    this.ejections++;
+    this.inRow = 0;
+    this.outUntil = now + ms;
+    return ms;
+  }
+
+  private failed(now: number): number | undefined {
+    this.inRow++;
+    return this.inRow >= FAILURES_LIMIT ? this.eject(now) : undefined;
+  }
+
+  private smooth(value: number): void {
+    this.failing += FAILURE_WEIGHT * (value - this.failing);
+  }
+}
--- /dev/null
+++ b/src/forward/listener.ts
@@ -0,0 +1,91 @@
+import {createServer, type Server} from 'node:http';
+import type {RoutingTable} from '../route/index.js';
+import {Exchange} from './exchange.js';
+import type {ForwardParts} from './parts.js';
+
+/** Connections that may wait to be accepted. */
+const BACKLOG = 2_048;
+/** Largest head of a request, in bytes; the configured limit is below it. */
+const HEAD_LIMIT_BYTES = 64 * 1024;
+/** How often time-outs of callers' connections are checked, in ms. */
+const CHECK_PERIOD_MS = 1_000;
+/** Time-out of a head before a configuration is known, in ms. */
+const HEADER_TIMEOUT_MS = 5_000;
+/** Idle time of a connection beyond what callers are told, in ms. */
+const IDLE_MARGIN_MS = 1_000;
+
+/** An address to listen on. */
+export interface Address {
+  host: string;
+  port: number;
+}
+
+/** Opens a server's port. */
+export function listen(server: Server, {host, port}: Address): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen({host, port, backlog: BACKLOG}, resolve);
+  });
+}
+
+/** Accepts callers' connections and runs one task for each request. */
+export class Listener {
+  private readonly server: Server;
+  /** Requests that are being served. */
+  inflight = 0;
+
+  constructor(parts: ForwardParts) {
+    this.server = createServer(
+      {
+        maxHeaderSize: HEAD_LIMIT_BYTES,
+        connectionsCheckingInterval: CHECK_PERIOD_MS,
+        headersTimeout: HEADER_TIMEOUT_MS,
+        requestTimeout: 0,
+        noDelay: true,
+      },
+      (message, response) => {
+        this.inflight++;
+        const exchange = new Exchange(parts, message, response);
+        exchange
+          .run()
+          .catch((cause: unknown) => {
+            parts.logger.error(
+              {event: 'defect', cause: String(cause)},
+              'Serving a request failed unexpectedly.',
+            );
+            response.destroy();
+          })
+          .finally(() => {
+            this.inflight--;
+          });
+      },
+    );
+    this.server.on('clientError', (_cause, socket) => {
+      // What did not parse was not run; there is no request to answer.
+      if (socket.writable) {
+        socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n');
+      } else socket.destroy();
+    });
+    parts.routing.subscribe(table => this.bound(table));
+  }
+
+  async listen(address: Address): Promise<void> {
+    await listen(this.server, address);
+  }
+
+  /** Closes connections that no request uses. */
+  closeIdle(): void {
+    this.server.closeIdleConnections();
+  }
+
+  /** Stops accepting connections. */
+  close(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  private bound({limits}: RoutingTable): void {
+    this.server.headersTimeout = limits.headerMs;
+    this.server.keepAliveTimeout = limits.idleMs + IDLE_MARGIN_MS;
+  }
+}
--- /dev/null
+++ b/src/forward/parts.ts
@@ -0,0 +1,21 @@
+import type {Logger} from 'pino';
+import type {Routing} from '../route/index.js';
+import type {Timer} from '../timer/index.js';
+import type {Lane} from './lane.js';
+import type {ForwardMetrics} from './metrics.js';
+import type {Protocol} from './protocol.js';
+
+/** What forwarding needs of the rest of the instance. */
+export interface ForwardParts {
+  routing: Routing;
+  protocol: Protocol;
+  timer: Timer;
+  logger: Logger;
+  metrics: ForwardMetrics;
+  /** Source of randomness in [0, 1). */
+  random: () => number;
+  /** What is kept for a service. */
+  laneOf(service: string): Lane;
+  /** Whether callers' connections are to be closed after their answers. */
+  closing: () => boolean;
+}
--- /dev/null
+++ b/src/forward/silence.ts
@@ -0,0 +1,71 @@
+import type {Route} from '../route/index.js';
+import type {Subscription, Timer} from '../timer/index.js';
+import type {Endpoint} from './endpoint.js';
+import type {Speeds} from './speeds.js';
+
+/** How often silence is looked at, in ms. */
+const LOOK_MS = 100;
+/** Shortest silence of an engine that counts, in ms. */
+const ENGINE_MINIMUM_MS = 1_000;
+/** Silence that counts, in times of reading the prompt. */
+const READING_FACTOR = 3;
+/** Silence that counts, in times of the route's target. */
+const TARGET_FACTOR = 0.75;
+/** Silence of a plain service that counts, in times of the route's target. */
+const PLAIN_TARGET_FACTOR = 1.5;
+
+/** What a [[Silence]] watches. */
+export interface SilenceSpec {
+  timer: Timer;
+  endpoint: Endpoint;
+  route: Route;
+  freshTokens: number;
+  speeds: Speeds;
+  /** Whether the request could go to another upstream. */
+  active: boolean;
+}
+
+/**
+ * Breaks an attempt off when its upstream sends nothing to anyone for too long.
+ * An upstream that others hear from is busy, not gone.
+ */
+export class Silence {
+  private readonly controller = new AbortController();
+  private readonly tick?: Subscription;
+  private readonly since: number;
+  /** Whether the upstream was silent for too long. */
+  expired = false;
+
+  constructor(private readonly spec: SilenceSpec) {
+    this.since = spec.timer.now();
+    if (spec.active) this.tick = spec.timer.every(LOOK_MS, () => this.look());
+  }
+
+  get signal(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  end(): void {
+    this.tick?.end();
+  }
+
+  private look(): void {
+    const {timer, endpoint} = this.spec;
+    const heardAt = Math.max(this.since, endpoint.heardAt);
+    if (timer.now() - heardAt < this.limitMs()) return;
+    this.expired = true;
+    this.end();
+    this.controller.abort();
+  }
+
+  private limitMs(): number {
+    const {route, freshTokens, speeds} = this.spec;
+    if (!route.streaming) return route.targetMs * PLAIN_TARGET_FACTOR;
+    const readingMs = freshTokens / speeds.pace(1).tokensPerMs;
+    return Math.max(
+      ENGINE_MINIMUM_MS,
+      readingMs * READING_FACTOR,
+      route.targetMs * TARGET_FACTOR,
+    );
+  }
+}
--- /dev/null
+++ b/src/forward/sink.ts
@@ -0,0 +1,64 @@
+import {Repetition, type Route} from '../route/index.js';
+import type {Head, Sink} from './attempt.js';
+import {EventCutter} from './events.js';
+import type {Reply} from './reply.js';
+
+/**
+ * Delivers a stream to its caller. A stream that can be resumed is delivered in
+ * whole events, so that another upstream can go on after the last of them.
+ */
+export class StreamSink implements Sink {
+  /** Id of the last event the caller has; undefined if there is none. */
+  lastEvent?: string;
+  private cutter?: EventCutter;
+  private started?: () => void;
+  /** Whether bytes were delivered since which no event had an id. */
+  private unmarked = false;
+
+  constructor(
+    private readonly reply: Reply,
+    lastEvent: string | undefined,
+    private readonly route: Route,
+  ) {
+    if (lastEvent !== undefined) this.lastEvent = lastEvent;
+  }
+
+  /** Whether another upstream can go on where the last one stopped. */
+  get resumable(): boolean {
+    return !this.unmarked;
+  }
+
+  /** Begins another attempt; `started` is called at its first bytes. */
+  begin(started: () => void): void {
+    this.started = started;
+    delete this.cutter;
+  }
+
+  start(head: Head): boolean {
+    const isResumable = this.route.repetition === Repetition.Resumable;
+    if (head.isEventStream && isResumable) this.cutter = new EventCutter();
+    if (this.reply.gone) return false;
+    if (!this.reply.started) this.reply.start(head);
+    return true;
+  }
+
+  data(chunk: Buffer, resume: () => void): boolean {
+    this.started?.();
+    delete this.started;
+    if (this.cutter === undefined) {
+      this.unmarked = true;
+      return this.reply.data(chunk, resume);
+    }
+    const {bytes, events, lastEvent} = this.cutter.push(chunk);
+    if (lastEvent !== undefined) this.lastEvent = lastEvent;
+    else if (events > 0) this.unmarked = true;
+    return this.reply.data(bytes, resume);
+  }
+
+  /** Ends the answer after its last byte. */
+  finish(): void {
+    const rest = this.cutter?.remainder();
+    if (rest !== undefined) this.reply.data(rest, () => undefined);
+    this.reply.finish();
+  }
+}
--- /dev/null
+++ b/src/forward/speeds.ts
@@ -0,0 +1,66 @@
+import type {Pace} from './choice.js';
+
+/** Prompt tokens a ms that engines read until they were seen to, a low guess. */
+const TOKENS_PER_MS = 30;
+/** Time of a plain request until one was seen, in ms. */
+const SERVICE_MS = 30;
+/** Weight of the newest sample in smoothed times. */
+const SAMPLE_WEIGHT = 0.1;
+/** Weight of a sample that shows a higher speed: waiting only adds time. */
+const FASTER_WEIGHT = 0.5;
+/** Weight of a sample that shows a lower speed. */
+const SLOWER_WEIGHT = 0.01;
+/** Prompt tokens from which a sample tells the speed of reading. */
+const SAMPLE_TOKENS = 1_500;
+/** Weight of the newest request in the shares of work. */
+const SHARE_WEIGHT = 0.02;
+/** Room that sensitive kinds get beyond their share of work. */
+const SHIELD_HEADROOM = 2;
+/** Largest share of upstreams kept for sensitive kinds. */
+const SHIELD_LIMIT = 0.5;
+
+/** What an instance has learnt of the speeds of one service's upstreams. */
+export class Speeds {
+  private tokensPerMs = TOKENS_PER_MS;
+  private serviceMs = SERVICE_MS;
+  private sensitiveTokens = 0;
+  private otherTokens = 0;
+
+  /** What is believed, for a service with so many upstreams. */
+  pace(upstreams: number): Pace {
+    return {
+      tokensPerMs: this.tokensPerMs,
+      serviceMs: this.serviceMs,
+      shielded: this.shielded(upstreams),
+    };
+  }
+
+  /** Takes in the time that a plain request took, in ms. */
+  served(ms: number): void {
+    this.serviceMs += SAMPLE_WEIGHT * (ms - this.serviceMs);
+  }
+
+  /** Takes in the time to the first event of a prompt, in ms. */
+  started(freshTokens: number, ms: number): void {
+    if (freshTokens < SAMPLE_TOKENS || ms <= 0) return;
+    const speed = freshTokens / ms;
+    const weight = speed > this.tokensPerMs ? FASTER_WEIGHT : SLOWER_WEIGHT;
+    this.tokensPerMs += weight * (speed - this.tokensPerMs);
+  }
+
+  /** Takes in what a request asks of an engine. */
+  asked(sensitive: boolean, tokens: number): void {
+    this.sensitiveTokens +=
+      SHARE_WEIGHT * ((sensitive ? tokens : 0) - this.sensitiveTokens);
+    this.otherTokens +=
+      SHARE_WEIGHT * ((sensitive ? 0 : tokens) - this.otherTokens);
+  }
+
+  private shielded(upstreams: number): number {
+    const total = this.sensitiveTokens + this.otherTokens;
+    if (upstreams < 2 || total === 0 || this.sensitiveTokens === 0) return 0;
+    const share = (this.sensitiveTokens / total) * SHIELD_HEADROOM;
+    const count = Math.round(upstreams * Math.min(SHIELD_LIMIT, share));
+    return Math.max(1, count);
+  }
+}
--- /dev/null
+++ b/src/registry/feed.ts
@@ -0,0 +1,48 @@
+import type {Result} from 'neverthrow';
+
+/** A topic of the platform's store that keeps the newest record of each key. */
+export enum Topic {
+  /** What operators publish. */
+  Configuration = 'configuration',
+  /** What upstreams say of themselves. */
+  Upstreams = 'upstreams',
+}
+
+/** One record. Without a value, its key was removed. */
+export interface KeyedRecord {
+  key: string;
+  value?: Buffer;
+  offset: number;
+}
+
+/** The newest record of each key. */
+export interface Snapshot {
+  records: KeyedRecord[];
+  /** Offset after the last record of the topic. */
+  end: number;
+}
+
+/** What a read from an offset found. */
+export type Page =
+  | {type: 'records'; records: KeyedRecord[]; end: number}
+  /** The records at that offset are no longer kept. */
+  | {type: 'expired'; first: number};
+
+/** Why a call to the store gave nothing. */
+export type FeedFailure =
+  | {type: 'unreachable'; cause: string}
+  | {type: 'timeout'; limitMs: number}
+  | {type: 'refused'; status: number}
+  | {type: 'malformed'; reason: string};
+
+/** Reads of keyed topics. */
+export interface Feed {
+  /** Reads the newest record of each key. */
+  snapshot(topic: Topic): Promise<Result<Snapshot, FeedFailure>>;
+  /** Reads records from an offset on; waits up to `waitMs` for the first. */
+  read(
+    topic: Topic,
+    from: number,
+    waitMs: number,
+  ): Promise<Result<Page, FeedFailure>>;
+}
--- /dev/null
+++ b/src/wiring/gateway.ts
@@ -0,0 +1,328 @@
+import {createServer, type Server} from 'node:http';
+import type {Logger} from 'pino';
+import {
+  Allowance,
+  Endpoints,
+  ForwardMetrics,
+  Lane,
+  Line,
+  listen,
+  Listener,
+  Speeds,
+  type Address,
+  type Protocol,
+} from '../forward/index.js';
+import {
+  Follower,
+  Registry,
+  Topic,
+  type Entry,
+  type Feed,
+  type KeyedRecord,
+} from '../registry/index.js';
+import {Routing, type RoutingDocument} from '../route/index.js';
+import {logOf, Part} from '../telemetry/index.js';
+import {SystemTimer, type Subscription, type Timer} from '../timer/index.js';
+
+/** Pause between reads of what upstreams say, in ms; a fifth of the time in
+ * which an upstream that leaves must get nothing more. */
+const UPSTREAMS_PACE_MS = 500;
+/** Pause between reads of configurations in quick succession, in ms. */
+const CONFIGURATION_PACE_MS = 100;
+/** Longest wait of a read, in ms; bounds how long a dead connection is used. */
+const READ_WAIT_MS = 1_000;
+/** How often lapsed entries are looked at, in ms. */
+const SWEEP_MS = 250;
+/** Time by which a tick is late when the process stood still, in ms. */
+const STALL_MS = 1_000;
+/** Time for which the balancer may still send connections while leaving, in ms. */
+const LEAVING_MS = 2_500;
+/** Share of the grace that is used at most. */
+const GRACE_SHARE = 0.94;
+/** How often it is checked whether every request has ended, in ms. */
+const DRAIN_LOOK_MS = 50;
+/** Time a closing connection gets for its last bytes, in ms. */
+const FLUSH_MS = 100;
+
+const SAME_ZONE_MS = 0.4;
+const SAME_REGION_MS = 3;
+/** Assumed of another region until its way is known. */
+const OTHER_REGION_MS = 26;
+
+/** Settings of one gateway, decoded. */
+export interface GatewaySettings {
+  instance: string;
+  /** Address that connections are opened from. */
+  host: string;
+  zone: string;
+  /** Region of each availability zone. */
+  regions: Record<string, string>;
+  callers: Address;
+  readiness: Address;
+  metrics?: Address;
+  /** Time from the signal to stop to the end of the process, in ms. */
+  graceMs: number;
+  retry: {ratio: number; windowMs: number};
+}
+
+/** What a platform brings to a gateway. */
+export interface Platform {
+  protocol: Protocol;
+  feed: Feed;
+  /** Path that the balancer asks for readiness. */
+  readinessPath: string;
+  /** Decodes an operator's record; undefined if it is about something else. */
+  configuration(
+    record: KeyedRecord,
+  ): RoutingDocument | {reason: string} | undefined;
+  /** Decodes what an upstream says of itself. */
+  entry(key: string, value: Buffer): Entry | {reason: string};
+}
+
+/** A running gateway. */
+export interface Gateway {
+  /** Takes settings that changed into use. */
+  reload(settings: GatewaySettings): void;
+  /** Drains; resolves when every request has ended or the grace is over. */
+  stop(): Promise<void>;
+}
+
+/** Constructs the parts of a gateway, connects them, and starts it. */
+export async function startGateway(
+  settings: GatewaySettings,
+  platform: Platform,
+  root: Logger,
+  timer: Timer = new SystemTimer(),
+): Promise<Gateway> {
+  const running = new RunningGateway(settings, platform, root, timer);
+  await running.start();
+  return running;
+}
+
+class RunningGateway implements Gateway {
+  private readonly logger: Logger;
+  private readonly routing: Routing;
+  private readonly registry: Registry;
+  private readonly endpoints: Endpoints;
+  private readonly lanes = new Map<string, Lane>();
+  private readonly metrics = new ForwardMetrics();
+  private readonly listener: Listener;
+  private readonly configurations: Follower;
+  private readonly upstreams: Follower;
+  private readonly subscriptions: Subscription[] = [];
+  private readonly servers: Server[] = [];
+  private leaving = false;
+  private listed = false;
+
+  constructor(
+    private settings: GatewaySettings,
+    private readonly platform: Platform,
+    root: Logger,
+    private readonly timer: Timer,
+  ) {
+    this.logger = logOf(root, Part.Router);
+    this.routing = new Routing(logOf(root, Part.Config));
+    this.endpoints = new Endpoints(settings.host);
+    const registryLog = logOf(root, Part.Upstream);
+    const follow = {
+      feed: platform.feed,
+      timer,
+      logger: logOf(root, Part.Platform),
+      random: Math.random,
+      waitMs: READ_WAIT_MS,
+    };
+    this.configurations = new Follower(
+      {...follow, topic: Topic.Configuration, paceMs: CONFIGURATION_PACE_MS},
+      {
+        replaced: records => this.configure(records),
+        added: records => this.configure(records),
+      },
+    );
+    this.registry = new Registry({
+      decode: (key, value) => platform.entry(key, value),
+      timer,
+      logger: registryLog,
+      steadyMs: () => this.upstreams.steadyMs(),
+      changed: () => this.reconcile(),
+    });
+    this.upstreams = new Follower(
+      {...follow, topic: Topic.Upstreams, paceMs: UPSTREAMS_PACE_MS},
+      {
+        replaced: records => {
+          this.listed = true;
+          this.registry.replace(records);
+        },
+        added: records => this.registry.add(records),
+      },
+    );
+    this.listener = new Listener({
+      routing: this.routing,
+      protocol: platform.protocol,
+      timer,
+      logger: logOf(root, Part.Request),
+      metrics: this.metrics,
+      random: Math.random,
+      laneOf: service => this.laneOf(service),
+      closing: () => this.leaving,
+    });
+    this.routing.subscribe(() => this.reconcile());
+  }
+
+  async start(): Promise<void> {
+    const {callers, readiness, metrics, instance, zone} = this.settings;
+    this.subscriptions.push(
+      this.configurations.start(),
+      this.upstreams.start(),
+      this.watch(),
+    );
+    await this.listener.listen(callers);
+    await this.serve(readiness, this.platform.readinessPath, () =>
+      this.ready(),
+    );
+    if (metrics !== undefined) {
+      await this.serve(metrics, '/metrics', () => ({
+        status: 200,
+        body: this.metrics.text(this.gauges()),
+      }));
+    }
+    this.logger.info({event: 'started', instance, zone}, 'Instance started.');
+  }
+
+  reload(settings: GatewaySettings): void {
+    this.settings = settings;
+    for (const {allowance} of this.lanes.values()) {
+      allowance.adjust(settings.retry);
+    }
+    this.logger.info({event: 'reloaded'}, 'Settings were read again.');
+  }
+
+  async stop(): Promise<void> {
+    const {timer, listener} = this;
+    const startedAt = timer.now();
+    this.leaving = true;
+    this.logger.info(
+      {event: 'stopping', inflight: listener.inflight},
+      'Leaving: not ready any more, finishing what is in flight.',
+    );
+    const endAt = startedAt + this.settings.graceMs * GRACE_SHARE;
+    while (timer.now() < endAt) {
+      await timer.sleep(DRAIN_LOOK_MS);
+      const left = timer.now() - startedAt;
+      if (left >= LEAVING_MS) {
+        listener.closeIdle();
+        if (listener.inflight === 0) break;
+      }
+    }
+    for (const subscription of this.subscriptions) subscription.end();
+    listener.close();
+    for (const server of this.servers) server.close();
+    await timer.sleep(FLUSH_MS);
+    this.logger.info(
+      {event: 'stopped', unfinished: listener.inflight},
+      'Instance stopped.',
+    );
+  }
+
+  /** Looks after entries that lapse, and after stand-stills of the process. */
+  private watch(): Subscription {
+    let last = this.timer.now();
+    let lastWall = this.timer.wallNow();
+    return this.timer.every(SWEEP_MS, () => {
+      const now = this.timer.now();
+      const wall = this.timer.wallNow();
+      const stoodMs = Math.max(now - last, wall - lastWall) - SWEEP_MS;
+      if (stoodMs > STALL_MS) {
+        this.logger.warn(
+          {event: 'stall', stoodMs: Math.round(stoodMs)},
+          'The process stood still; reading the store again.',
+        );
+        this.configurations.wake();
+        this.upstreams.wake();
+      }
+      last = now;
+      lastWall = wall;
+      this.registry.sweep();
+    });
+  }
+
+  private configure(records: KeyedRecord[]): void {
+    for (const record of records) {
+      const document = this.platform.configuration(record);
+      if (document === undefined) continue;
+      if ('reason' in document) {
+        this.logger.warn(
+          {event: 'configuration', offset: record.offset, ...document},
+          'Ignored a configuration that can not be used.',
+        );
+      } else this.routing.accept(document);
+    }
+  }
+
+  private reconcile(): void {
+    this.endpoints.apply(this.registry.usable(), this.routing.current());
+    for (const {line} of this.lanes.values()) line.look();
+  }
+
+  private laneOf(service: string): Lane {
+    const known = this.lanes.get(service);
+    if (known !== undefined) return known;
+    const speeds = new Speeds();
+    const line = new Line({
+      timer: this.timer,
+      logger: this.logger,
+      random: Math.random,
+      speeds,
+      endpoints: () => this.endpoints.of(service),
+      roundTripMs: zone => this.roundTripMs(zone),
+    });
+    const allowance = new Allowance(this.settings.retry);
+    const lane = new Lane(service, line, allowance, speeds);
+    this.lanes.set(service, lane);
+    return lane;
+  }
+
+  private roundTripMs(zone: string): number {
+    const {settings} = this;
+    if (zone === settings.zone) return SAME_ZONE_MS;
+    return settings.regions[zone] === settings.regions[settings.zone]
+      ? SAME_REGION_MS
+      : OTHER_REGION_MS;
+  }
+
+  private ready(): {status: number; body: string} {
+    const table = this.routing.current();
+    const isReady = !this.leaving && table !== undefined && this.listed;
+    return {
+      status: isReady ? 200 : 503,
+      body: JSON.stringify({ready: isReady, version: table?.version ?? null}),
+    };
+  }
+
+  private gauges(): Record<string, number> {
+    const usage = process.cpuUsage();
+    return {
+      configuration_version: this.routing.current()?.version ?? 0,
+      configuration_age_ms: this.configurations.ageMs() ?? -1,
+      upstreams_age_ms: this.upstreams.ageMs() ?? -1,
+      inflight: this.listener.inflight,
+      memory_bytes: process.memoryUsage.rss(),
+      cpu_seconds_total: (usage.user + usage.system) / 1e6,
+    };
+  }
+
+  /** Serves one small page, such as readiness. */
+  private async serve(
+    address: Address,
+    path: string,
+    page: () => {status: number; body: string},
+  ): Promise<void> {
+    const server = createServer((message, response) => {
+      const {status, body} =
+        message.url === path ? page() : {status: 404, body: ''};
+      response.writeHead(status, {'content-length': Buffer.byteLength(body)});
+      response.end(body);
+    });
+    this.servers.push(server);
+    await listen(server, address);
+  }
+}
