Never take a reset answer for a whole one; refuse what a stop would cut

Ruled out: the relay of bytes (the answers were whole up to the reset), and the balancer (it sends to stopping instances when a zone has no others).

Connections are now our own small pool, which sees resets before the client does. While an instance stops, it takes only what certainly ends in time.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  {ignores: ['build/', 'node_modules/', 'results/']},
+  {ignores: ['build/', 'target/', 'node_modules/', 'results/']},
   ...tseslint.configs.recommendedTypeChecked,
   {
     languageOptions: {
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,5 +1,6 @@
 import type {Dispatcher} from 'undici';
 import type {Timer} from '../timer/index.js';
+import type {Connection} from './connections.js';
 import type {Endpoint} from './endpoint.js';
 import type {AnswerHead, Envelope, Protocol, RequestHead} from './protocol.js';
 
@@ -67,21 +68,25 @@
   private readonly chunks: Buffer[] = [];
   private bytes = 0;
   private readonly stop = () => this.abort('broken off');
+  private readonly connection: Connection;
+  private framed = true;
 
   constructor(
     private readonly spec: AttemptSpec,
     private readonly resolve: (result: AttemptResult) => void,
-  ) {}
+  ) {
+    this.connection = spec.endpoint.connections.take();
+  }
 
   send(): void {
-    const {endpoint, protocol, request, envelope, body, signal} = this.spec;
+    const {protocol, request, envelope, body, signal} = this.spec;
     if (signal.aborted) {
       this.end({type: 'unsent', cause: 'broken off before it was sent'});
       return;
     }
     signal.addEventListener('abort', this.stop, {once: true});
     try {
-      endpoint.connections.dispatch(
+      this.connection.dispatch(
         {
           method: request.method,
           path: request.target,
@@ -98,6 +103,7 @@
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
     if (this.ended) controller.abort(new Interruption());
+    else this.connection.reset = false;
   }
 
   onResponseStart(
@@ -112,6 +118,9 @@
     const head = {...protocol.readAnswer(status, headers), status};
     if (head.load !== undefined) endpoint.report(head.load, now);
     this.head = head;
+    this.framed =
+      headers['content-length'] !== undefined ||
+      headers['transfer-encoding'] !== undefined;
     if (head.request !== undefined && head.request !== request.id) {
       this.abort('answered another request');
       return;
@@ -146,6 +155,9 @@
     const {head} = this;
     if (head === undefined) {
       this.end({type: 'broken', cause: 'no answer', started: false});
+    } else if (!this.framed && this.connection.reset) {
+      const cause = 'reset within an answer without length';
+      this.end({type: 'broken', cause, started: this.started});
     } else if (head.notRun) {
       this.end({type: 'refused', status: head.status});
     } else if (this.started) {
@@ -198,6 +210,8 @@
     if (this.ended) return;
     this.ended = true;
     this.spec.signal.removeEventListener('abort', this.stop);
+    const isSound = result.type !== 'broken' && result.type !== 'unsent';
+    this.spec.endpoint.connections.release(this.connection, isSound);
     this.resolve(result);
   }
 }
--- a/src/forward/endpoint.ts
+++ b/src/forward/endpoint.ts
@@ -1,20 +1,10 @@
-import {Pool} from 'undici';
 import type {Entry} from '../registry/index.js';
 import type {Engine} from '../route/index.js';
 import {CachedParts} from './cached.js';
+import {Connections} from './connections.js';
 import {Health} from './health.js';
 import type {LoadReport} from './protocol.js';
 
-/** Time in which a connection must be open, in ms. */
-const CONNECT_TIMEOUT_MS = 800;
-/**
- * Time before an upstream closes an idle connection in which it is not used
- * any more, in ms.
- */
-const KEEP_ALIVE_MARGIN_MS = 1_500;
-/** How long an idle connection is kept if the upstream doesn't say, in ms. */
-const KEEP_ALIVE_MS = 3_000;
-
 /** Load of an endpoint that others put on it. */
 export interface OtherLoad {
   running: number;
@@ -26,7 +16,7 @@
 /** One start of one upstream, its connections, and what is believed of it. */
 export class Endpoint {
   readonly health = new Health();
-  readonly connections: Pool;
+  readonly connections: Connections;
   /** Requests of this instance that are with it. */
   inflight = 0;
   /** Prompt tokens of this instance's requests before their first event. */
@@ -41,14 +31,10 @@
     public entry: Entry,
     localAddress: string,
   ) {
-    this.connections = new Pool(`http://${entry.host}:${entry.port}`, {
-      connect: {timeout: CONNECT_TIMEOUT_MS, localAddress},
-      pipelining: 1,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
+    this.connections = new Connections(
+      `http://${entry.host}:${entry.port}`,
+      localAddress,
+    );
   }
 
   get id(): string {
@@ -74,6 +60,6 @@
 
   /** Closes idle connections; those in use end with their requests. */
   retire(): void {
-    void this.connections.close();
+    this.connections.retire();
   }
 }
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -82,6 +82,9 @@
       admittance.type === 'workspace' ? admittance.workspace : undefined;
     const patienceMs = request.patienceMs ?? PATIENCE_MS;
     const limitMs = Math.min(patienceMs, route.timeoutMs);
+    if (!this.parts.admits(limitMs)) {
+      return this.refuse({type: 'leaving'}, route);
+    }
     const deadline = new Deadline(this.parts.timer, this.arrivedAt + limitMs);
     const leave = () => {
       if (!this.response.writableFinished) deadline.stop(StopCause.Gone);
--- a/src/forward/listener.ts
+++ b/src/forward/listener.ts
@@ -1,4 +1,5 @@
 import {createServer, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
 import type {RoutingTable} from '../route/index.js';
 import {Exchange} from './exchange.js';
 import type {ForwardParts} from './parts.js';
@@ -20,11 +21,13 @@
   port: number;
 }
 
-/** Opens a server's port. */
-export function listen(server: Server, {host, port}: Address): Promise<void> {
+/** Opens a server's port; 0 picks a free one. Resolves to the port. */
+export function listen(server: Server, {host, port}: Address): Promise<number> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
-    server.listen({host, port, backlog: BACKLOG}, resolve);
+    server.listen({host, port, backlog: BACKLOG}, () => {
+      resolve((server.address() as AddressInfo).port);
+    });
   });
 }
 
@@ -69,8 +72,8 @@
     parts.routing.subscribe(table => this.bound(table));
   }
 
-  async listen(address: Address): Promise<void> {
-    await listen(this.server, address);
+  listen(address: Address): Promise<number> {
+    return listen(this.server, address);
   }
 
   /** Closes connections that no request uses. */
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -16,6 +16,8 @@
   random: () => number;
   /** What is kept for a service. */
   laneOf(service: string): Lane;
+  /** Whether a request that may last so long can still be answered here. */
+  admits(limitMs: number): boolean;
   /** Whether callers' connections are to be closed after their answers. */
   closing: () => boolean;
 }
--- a/src/forward/refusal.ts
+++ b/src/forward/refusal.ts
@@ -1,6 +1,8 @@
 /** Why the instance itself ends a request without an upstream's answer. */
 export type Refusal =
   | {type: 'notReady'}
+  /** The instance stops before the request could be answered. */
+  | {type: 'leaving'}
   | {type: 'unknownRoute'}
   | {type: 'unauthenticated'}
   | {type: 'headTooLarge'; limitBytes: number}
@@ -44,6 +46,7 @@
     case 'broken':
       return 502;
     case 'notReady':
+    case 'leaving':
     case 'notRun':
       return 503;
     case 'timedOut':
@@ -54,6 +57,9 @@
 /** Time after which an instance without a configuration may have one, in ms. */
 const NOT_READY_RETRY_MS = 300;
 
+/** A caller that is turned away by one instance can go to another at once. */
+const LEAVING_RETRY_MS = 20;
+
 /** When the caller should come back, in ms; undefined if that is no use. */
 export function refusalRetryMs(refusal: Refusal): number | undefined {
   switch (refusal.type) {
@@ -61,6 +67,8 @@
       return refusal.retryAfterMs;
     case 'notReady':
       return NOT_READY_RETRY_MS;
+    case 'leaving':
+      return LEAVING_RETRY_MS;
     case 'unauthenticated':
     case 'unknownRoute':
     case 'bodyTooLarge':
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -81,6 +81,10 @@
 
 /** A running gateway. */
 export interface Gateway {
+  /** Port callers reach the gateway at. */
+  port: number;
+  /** Port the balancer asks for readiness. */
+  readinessPort: number;
   /** Takes settings that changed into use. */
   reload(settings: GatewaySettings): void;
   /** Drains; resolves when every request has ended or the grace is over. */
@@ -111,8 +115,11 @@
   private readonly upstreams: Follower;
   private readonly subscriptions: Subscription[] = [];
   private readonly servers: Server[] = [];
-  private leaving = false;
+  /** When the instance began to leave, in monotonic ms. */
+  private leavingAt?: number;
   private listed = false;
+  port = 0;
+  readinessPort = 0;
 
   constructor(
     private settings: GatewaySettings,
@@ -163,7 +170,8 @@
       metrics: this.metrics,
       random: Math.random,
       laneOf: service => this.laneOf(service),
-      closing: () => this.leaving,
+      admits: limitMs => this.admits(limitMs),
+      closing: () => this.leavingAt !== undefined,
     });
     this.routing.subscribe(() => this.reconcile());
   }
@@ -175,9 +183,11 @@
       this.upstreams.start(),
       this.watch(),
     );
-    await this.listener.listen(callers);
-    await this.serve(readiness, this.platform.readinessPath, () =>
-      this.ready(),
+    this.port = await this.listener.listen(callers);
+    this.readinessPort = await this.serve(
+      readiness,
+      this.platform.readinessPath,
+      () => this.ready(),
     );
     if (metrics !== undefined) {
       await this.serve(metrics, '/metrics', () => ({
@@ -198,17 +208,16 @@
 
   async stop(): Promise<void> {
     const {timer, listener} = this;
-    const startedAt = timer.now();
-    this.leaving = true;
+    const leavingAt = timer.now();
+    this.leavingAt = leavingAt;
     this.logger.info(
       {event: 'stopping', inflight: listener.inflight},
       'Leaving: not ready any more, finishing what is in flight.',
     );
-    const endAt = startedAt + this.settings.graceMs * GRACE_SHARE;
+    const endAt = this.endAt(leavingAt);
     while (timer.now() < endAt) {
       await timer.sleep(DRAIN_LOOK_MS);
-      const left = timer.now() - startedAt;
-      if (left >= LEAVING_MS) {
+      if (timer.now() - leavingAt >= LEAVING_MS) {
         listener.closeIdle();
         if (listener.inflight === 0) break;
       }
@@ -223,6 +232,22 @@
     );
   }
 
+  private endAt(leavingAt: number): number {
+    return leavingAt + this.settings.graceMs * GRACE_SHARE;
+  }
+
+  /**
+   * While the instance leaves, what the balancer still sends is served; later,
+   * only what will certainly have ended before the process does.
+   */
+  private admits(limitMs: number): boolean {
+    const {leavingAt} = this;
+    if (leavingAt === undefined) return true;
+    const now = this.timer.now();
+    if (now - leavingAt < LEAVING_MS) return true;
+    return now + limitMs < this.endAt(leavingAt);
+  }
+
   /** Looks after entries that lapse, and after stand-stills of the process. */
   private watch(): Subscription {
     let last = this.timer.now();
@@ -291,7 +316,8 @@
 
   private ready(): {status: number; body: string} {
     const table = this.routing.current();
-    const isReady = !this.leaving && table !== undefined && this.listed;
+    const isReady =
+      this.leavingAt === undefined && table !== undefined && this.listed;
     return {
       status: isReady ? 200 : 503,
       body: JSON.stringify({ready: isReady, version: table?.version ?? null}),
@@ -315,7 +341,7 @@
     address: Address,
     path: string,
     page: () => {status: number; body: string},
-  ): Promise<void> {
+  ): Promise<number> {
     const server = createServer((message, response) => {
       const {status, body} =
         message.url === path ? page() : {status: 404, body: ''};
@@ -323,6 +349,6 @@
       response.end(body);
     });
     this.servers.push(server);
-    await listen(server, address);
+    return listen(server, address);
   }
 }
--- /dev/null
+++ b/test/forward.test.ts
@@ -0,0 +1,214 @@
+import {afterEach, expect, test} from 'vitest';
+import {
+  call,
+  openGateway,
+  RawUpstream,
+  successHead,
+  type RawRequest,
+  type TestGateway,
+} from './support/gateway.js';
+
+const opened: RawUpstream[] = [];
+const gateways: TestGateway[] = [];
+
+afterEach(async () => {
+  for (const upstream of opened.splice(0)) upstream.close();
+  await Promise.all(gateways.splice(0).map(({gateway}) => gateway.stop()));
+});
+
+async function upstream(
+  service: string,
+  id: string,
+  answer: (request: RawRequest) => void,
+) {
+  const raw = new RawUpstream(answer);
+  opened.push(raw);
+  return {service, id, port: await raw.listen(), raw};
+}
+
+async function gatewayTo(
+  upstreams: Array<{service: string; id: string; port: number}>,
+  graceMs = 300,
+): Promise<TestGateway> {
+  const started = await openGateway(upstreams, graceMs);
+  gateways.push(started);
+  return started;
+}
+
+function answerWith(body: string) {
+  return ({id, socket}: RawRequest) => {
+    socket.write(
+      `${successHead(id, `Content-Length: ${body.length}\r\n`)}${body}`,
+    );
+  };
+}
+
+test('an answer reaches its caller with status, seal and body unchanged', async () => {
+  const plain = await upstream('plain', 'i-1', answerWith('hello'));
+  const {gateway} = await gatewayTo([plain]);
+  const answer = await call(gateway.port, '/look/a?b=%20c', 'r1');
+  expect({
+    status: answer?.status,
+    seal: answer?.headers['x-response-seal'],
+    body: answer?.body,
+  }).toMatchInlineSnapshot(`
+    {
+      "body": "hello",
+      "seal": "seal-of-r1",
+      "status": 200,
+    }
+  `);
+  const lines = plain.raw.seen[0]?.text.split('\r\n') ?? [];
+  expect(lines.filter(line => !line.startsWith('x-deadline-ms')).sort())
+    .toMatchInlineSnapshot(`
+    [
+      "",
+      "",
+      "GET /look/a?b=%20c HTTP/1.1",
+      "connection: keep-alive",
+      "host: shop.example",
+      "x-expect-instance: i-1",
+      "x-request-id: r1",
+      "x-tenant: shop-one",
+    ]
+  `);
+});
+
+test('an answer without length that is reset midway never looks whole', async () => {
+  const plain = await upstream('plain', 'i-1', ({id, socket}) => {
+    socket.write(`${successHead(id, 'Connection: close\r\n')}half of it`);
+    setTimeout(() => socket.resetAndDestroy(), 30);
+  });
+  const {gateway} = await gatewayTo([plain]);
+  const answer = await call(gateway.port, '/order/a', 'r1', {method: 'POST'});
+  expect(answer?.status).toBe(502);
+  expect(answer?.headers['x-response-seal']).toBeUndefined();
+});
+
+test('an answer without length that ends properly is delivered whole', async () => {
+  const plain = await upstream('plain', 'i-1', ({id, socket}) => {
+    socket.end(`${successHead(id, 'Connection: close\r\n')}all of it`);
+  });
+  const {gateway} = await gatewayTo([plain]);
+  const answer = await call(gateway.port, '/order/a', 'r1', {method: 'POST'});
+  expect([answer?.status, answer?.body]).toEqual([200, 'all of it']);
+});
+
+test('the answer to another request is never delivered', async () => {
+  const plain = await upstream('plain', 'i-1', ({socket}) => {
+    answerWith('of another')({id: 'other', socket} as RawRequest);
+  });
+  const {gateway} = await gatewayTo([plain]);
+  const answer = await call(gateway.port, '/order/a', 'r1', {method: 'POST'});
+  expect(answer?.status).toBe(502);
+});
+
+test('what may run once is not sent again after a reset', async () => {
+  const reset = ({socket}: RawRequest) => socket.resetAndDestroy();
+  const one = await upstream('plain', 'i-1', reset);
+  const two = await upstream('plain', 'i-2', reset);
+  const {gateway} = await gatewayTo([one, two]);
+  const answer = await call(gateway.port, '/order/a', 'r1', {method: 'POST'});
+  expect(answer?.status).toBe(502);
+  expect(one.raw.seen.length + two.raw.seen.length).toBe(1);
+});
+
+test('what may be repeated is sent to another upstream after a reset', async () => {
+  const one = await upstream('plain', 'i-1', ({socket}) =>
+    socket.resetAndDestroy(),
+  );
+  const two = await upstream('plain', 'i-2', answerWith('hello'));
+  const {gateway} = await gatewayTo([one, two]);
+  const answers = await Promise.all(
+    ['r1', 'r2'].map(id => call(gateway.port, '/look/a', id)),
+  );
+  expect(answers.some(answer => answer?.status === 200)).toBe(true);
+});
+
+test('a refusal by the upstream is a refusal to the caller', async () => {
+  const full = ({socket}: RawRequest) => {
+    socket.write(
+      'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n',
+    );
+  };
+  const plain = await upstream('plain', 'i-1', full);
+  const {gateway} = await gatewayTo([plain]);
+  const answer = await call(gateway.port, '/order/a', 'r1', {method: 'POST'});
+  expect(answer?.status).toBe(503);
+  expect(Number(answer?.headers['retry-after'])).toBeGreaterThan(0);
+});
+
+test('a 503 that does not say what ran is not passed on as a promise', async () => {
+  const plain = await upstream('plain', 'i-1', ({id, socket}) => {
+    socket.write(
+      `HTTP/1.1 503 No\r\nX-Request-Id: ${id}\r\nContent-Length: 0\r\n\r\n`,
+    );
+  });
+  const {gateway} = await gatewayTo([plain]);
+  const answer = await call(gateway.port, '/order/a', 'r1', {method: 'POST'});
+  expect(answer?.status).toBe(502);
+});
+
+const events = (from: number, to: number) =>
+  Array.from(
+    {length: to - from + 1},
+    (_, index) => `id: ${from + index}\ndata: x\n\n`,
+  ).join('');
+
+const STREAM = 'Content-Type: text/event-stream\r\n';
+
+test('a stream goes on after the last whole event at another upstream', async () => {
+  const serve = ({id, socket, text}: RawRequest) => {
+    const last = /last-event-id: (\d+)/i.exec(text)?.[1];
+    if (last === undefined) {
+      socket.write(
+        `${successHead(id, `${STREAM}Transfer-Encoding: chunked\r\n`)}`,
+      );
+      const bytes = `${events(1, 3)}id: 4\nda`;
+      socket.write(`${bytes.length.toString(16)}\r\n${bytes}\r\n`);
+      setTimeout(() => socket.resetAndDestroy(), 30);
+      return;
+    }
+    const bytes = events(Number(last) + 1, 6);
+    const length = `Content-Length: ${bytes.length}\r\n`;
+    socket.write(`${successHead(id, STREAM + length)}${bytes}`);
+  };
+  const one = await upstream('engine', 'i-1', serve);
+  const two = await upstream('engine', 'i-2', serve);
+  const {gateway} = await gatewayTo([one, two]);
+  const answer = await call(gateway.port, '/chat/a', 'r1', {
+    method: 'POST',
+    headers: {
+      'x-model': 'm',
+      'x-token-counts': '10,10',
+      'x-prompt-prefix': 'a:5,b:5',
+    },
+  });
+  expect([answer?.whole, answer?.body]).toEqual([true, events(1, 6)]);
+});
+
+test('a stopping instance refuses what it could not finish', async () => {
+  let finish = () => {};
+  const plain = await upstream('plain', 'i-1', request => {
+    finish = () => answerWith('late')(request);
+  });
+  const {gateway} = await gatewayTo([plain], 3_200);
+  const stopped = gateway.stop();
+  await new Promise(resolve => setTimeout(resolve, 1_600));
+  const early = call(gateway.port, '/order/a', 'early', {method: 'POST'});
+  await new Promise(resolve => setTimeout(resolve, 1_000));
+  const late = await call(gateway.port, '/order/a', 'late', {method: 'POST'});
+  expect([late?.status, late?.headers.connection]).toEqual([503, 'close']);
+  finish();
+  expect((await early)?.body).toBe('late');
+  await stopped;
+});
+
+test('callers without a key that is known are turned away', async () => {
+  const plain = await upstream('plain', 'i-1', answerWith('hello'));
+  const {gateway} = await gatewayTo([plain]);
+  const headers = {authorization: 'Bearer another'};
+  const refused = await call(gateway.port, '/look/a', 'r1', {headers});
+  const unknown = await call(gateway.port, '/nowhere/', 'r2');
+  expect([refused?.status, unknown?.status]).toEqual([401, 404]);
+});
