Limit unread prompts by tier, and queue by tier and due time

Each instance now bounds the prompts it has sent that are still unread, by a window that grows while requests start in time (src/forward/window.ts), queues the rest by tier and due time, and refuses at once what can't end before its deadline. A silent engine is asked on another connection before it is given up.

--- a/src/forward/connections.ts
+++ b/src/forward/connections.ts
@@ -96,7 +96,8 @@
     for (const connection of this.idle.splice(0)) connection.destroy();
   }
 
-  private create(): Connection {
+  /** Opens a connection that nothing was sent on yet. */
+  create(): Connection {
     this.opened++;
     return new Connection(this.origin, this.localAddress, connection => {
       const index = this.idle.indexOf(connection);
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -7,7 +7,7 @@
 import type {Ending} from './ending.js';
 import type {Endpoint} from './endpoint.js';
 import {Sign} from './health.js';
-import type {Want} from './line.js';
+import type {Placed, Want} from './line.js';
 import type {RequestHead} from './protocol.js';
 import {NotRunCause, type Refusal} from './refusal.js';
 import {Reply} from './reply.js';
@@ -132,10 +132,11 @@
     const {route, deadline, lane} = task;
     const sink = new StreamSink(this.reply, task.request.lastEvent, route);
     for (;;) {
-      const place = await lane.line.acquire(this.wantOf(task));
+      const want = this.wantOf(task);
+      const place = await lane.line.acquire(want);
       if (place.type === 'gone') return this.stopped(task);
       if (place.type === 'notRun') return this.giveUp(task, place);
-      const result = await this.attempt(task, sink, place);
+      const result = await this.attempt(task, sink, want, place);
       const ending = this.conclude(task, sink, result);
       if (ending !== undefined) return ending;
       if (deadline.signal.aborted) return this.stopped(task);
@@ -160,6 +161,7 @@
     const pauses = table.pausesOf(lane.service);
     return {
       request: request.id,
+      kind: route.name,
       tier,
       dueAt: this.arrivedAt + route.targetMs,
       deadlineAt: deadline.at,
@@ -173,24 +175,26 @@
   private async attempt(
     task: Task,
     sink: StreamSink,
-    {endpoint, freshTokens}: {endpoint: Endpoint; freshTokens: number},
+    want: Want,
+    place: Placed,
   ): Promise<AttemptResult> {
+    const {endpoint} = place;
     const {request, deadline, lane, route, body, workspace, tier} = task;
     const {timer, protocol} = this.parts;
     const sentAt = timer.now();
     this.tried.add(endpoint.id);
     if (this.sends === 0) lane.allowance.sent(sentAt);
     this.sends++;
-    const load = lane.take(endpoint, request.prompt, freshTokens, sentAt);
+    const load = lane.take(place, want, route.targetMs, sentAt);
     sink.begin(() => load.started(timer.now()));
     const isSafe = route.repetition !== Repetition.AtMostOnce;
     const silence = new Silence({
       timer,
       endpoint,
       route,
-      freshTokens,
-      speeds: lane.speeds,
+      readingMs: place.readingMs,
       active: isSafe && this.sends < route.attemptsLimit,
+      isAlive: () => this.parts.isAlive(endpoint),
     });
     // What may not be repeated is left to finish when its caller goes.
     const isKept = !isSafe && !route.streaming;
@@ -216,11 +220,13 @@
         signal,
       });
       this.observe(task, endpoint, result, silence.expired);
-      if (result.type === 'whole') lane.speeds.served(timer.now() - sentAt);
+      const tookMs = timer.now() - sentAt;
+      if (result.type === 'whole') lane.speeds.served(tookMs);
+      if (result.type === 'delivered') lane.speeds.lasted(route.name, tookMs);
       return result;
     } finally {
       silence.end();
-      load.end();
+      load.end(timer.now());
       lane.line.look();
     }
   }
--- a/src/forward/index.ts
+++ b/src/forward/index.ts
@@ -6,7 +6,9 @@
 export type {Address} from './listener.js';
 export {ForwardMetrics} from './metrics.js';
 export type {ForwardParts} from './parts.js';
+export {Probes} from './probe.js';
 export {Speeds} from './speeds.js';
+export {Window} from './window.js';
 export type {
   AnswerHead,
   AnswerHeaders,
--- a/src/forward/lane.ts
+++ b/src/forward/lane.ts
@@ -1,15 +1,14 @@
 import type {Allowance} from './allowance.js';
-import type {Endpoint} from './endpoint.js';
-import type {Line} from './line.js';
-import type {Prompt} from './protocol.js';
+import type {Line, Placed, Want} from './line.js';
 import type {Speeds} from './speeds.js';
+import type {Window} from './window.js';
 
 /** The load that one attempt puts on its upstream. */
 export interface AttemptLoad {
   /** Takes in the first bytes of the answer. */
   started(now: number): void;
   /** Takes the load off. */
-  end(): void;
+  end(now: number): void;
 }
 
 /** What an instance keeps for one service. */
@@ -19,30 +18,39 @@
     readonly line: Line,
     readonly allowance: Allowance,
     readonly speeds: Speeds,
+    readonly window: Window,
   ) {}
 
   /** Puts an attempt on an upstream's account. */
   take(
-    endpoint: Endpoint,
-    prompt: Prompt | undefined,
-    freshTokens: number,
+    {endpoint, freshTokens, readingMs}: Placed,
+    {prompt, tier}: Want,
+    targetMs: number,
     sentAt: number,
   ): AttemptLoad {
+    const {window, speeds} = this;
     endpoint.inflight++;
+    window.sent(tier, readingMs);
     endpoint.prefillTokens += freshTokens;
     if (prompt !== undefined) endpoint.cached?.add(prompt);
     let unread = freshTokens;
-    const read = () => {
+    const read = (now: number) => {
+      if (unread === 0) return;
       endpoint.prefillTokens -= unread;
       unread = 0;
+      window.read(tier, readingMs, now);
     };
     return {
       started: now => {
-        if (unread > 0) this.speeds.started(unread, now - sentAt);
-        read();
+        const startMs = now - sentAt;
+        if (unread > 0) speeds.started(unread, startMs);
+        if (readingMs > 0) {
+          window.started(tier, readingMs, startMs, targetMs, now);
+        }
+        read(now);
       },
-      end: () => {
-        read();
+      end: now => {
+        read(now);
         endpoint.inflight--;
       },
     };
--- a/src/forward/line.ts
+++ b/src/forward/line.ts
@@ -4,6 +4,7 @@
 import type {Endpoint} from './endpoint.js';
 import {NotRunCause} from './refusal.js';
 import type {Speeds} from './speeds.js';
+import type {Window} from './window.js';
 
 /** How often a line looks for room if nothing else wakes it, in ms. */
 const LOOK_MS = 25;
@@ -12,9 +13,19 @@
 /** Shortest Retry-After that is advised, in ms. */
 const RETRY_MINIMUM_MS = 50;
 
+/**
+ * Share of a kind's usual time that must be left for a request to be sent; some
+ * end sooner.
+ */
+const LASTING_SHARE = 0.6;
+/** Share of the time left that a request may be expected to wait. */
+const WAIT_SHARE = 0.5;
+
 /** A request that wants an upstream. */
 export interface Want extends Ask {
   request: string;
+  /** Requests of a kind last about as long. */
+  kind: string;
   tier: number;
   /** Latest time to start for the objective, in monotonic ms. */
   dueAt: number;
@@ -23,9 +34,18 @@
   signal: AbortSignal;
 }
 
+/** Where a request goes. */
+export interface Placed {
+  endpoint: Endpoint;
+  /** Prompt tokens that the upstream will have to read. */
+  freshTokens: number;
+  /** Time that takes, in ms; 0 if it doesn't count against the window. */
+  readingMs: number;
+}
+
 /** What a line gives a request. */
 export type Place =
-  | {type: 'placed'; endpoint: Endpoint; freshTokens: number}
+  | ({type: 'placed'} & Placed)
   | {type: 'notRun'; cause: NotRunCause; retryAfterMs: number}
   | {type: 'gone'};
 
@@ -35,6 +55,7 @@
   logger: Logger;
   random: () => number;
   speeds: Speeds;
+  window: Window;
   /** Upstreams of the service that take new work. */
   endpoints(): readonly Endpoint[];
   /** Way to a zone and back, in ms. */
@@ -44,9 +65,23 @@
 interface Waiting {
   want: Want;
   since: number;
+  /** Time to read the prompt, in ms, as far as known. */
+  readingMs: number;
   settle(place: Place): void;
 }
 
+/** Why a request has to wait. */
+enum WaitCause {
+  /** Every upstream has as much as it can take. */
+  Full = 'full',
+  /** No upstream takes work. */
+  NoUpstream = 'no_upstream',
+  /** Engines have enough to read. */
+  Window = 'window',
+  /** Others that wait go first. */
+  Behind = 'behind',
+}
+
 /** Requests of one service that wait for an upstream. */
 export class Line {
   private readonly waiting: Waiting[] = [];
@@ -61,30 +96,58 @@
   /** Resolves when the request has an upstream, or won't get one. */
   acquire(want: Want): Promise<Place> {
     return new Promise(resolve => {
-      const entry = {want, since: this.parts.timer.now(), settle: resolve};
-      const choice = this.try(entry);
-      if (choice !== undefined) this.enqueue(entry, choice);
+      const entry = {
+        want,
+        since: this.parts.timer.now(),
+        readingMs: 0,
+        settle: resolve,
+      };
+      const cause = this.isBehind(entry) ? WaitCause.Behind : this.try(entry);
+      if (cause !== undefined) this.enqueue(entry, cause);
     });
   }
 
   /** Looks for room, such as after a request has ended. */
   look(): void {
     const now = this.parts.timer.now();
+    this.waiting.sort((a, b) => order(a.want, b.want, now));
+    let blocked = false;
+    let aheadMs = 0;
     for (const entry of [...this.waiting]) {
       const {want} = entry;
       if (want.signal.aborted) this.leave(entry, {type: 'gone'});
-      else if (now >= want.deadlineAt) {
+      else if (this.isDoomed(entry, aheadMs, now)) {
         this.leave(entry, this.refusal(NotRunCause.Waited));
-      } else if (this.try(entry) === undefined) {
-        this.remove(entry);
+      } else if (!blocked || isUnbounded(want)) {
+        const cause = this.try(entry);
+        if (cause === undefined) this.remove(entry);
+        else blocked ||= cause === WaitCause.Window;
       }
+      if (blocked) aheadMs += entry.readingMs;
     }
   }
 
-  /** Places a request; returns why it can't be placed. */
-  private try(entry: Waiting): Choice | undefined {
-    const {timer, logger, random, speeds} = this.parts;
-    const {want, since} = entry;
+  /** Whether a request can't be answered before its deadline any more. */
+  private isDoomed({want}: Waiting, aheadMs: number, now: number): boolean {
+    const {window, speeds} = this.parts;
+    const waitMs = isUnbounded(want) ? 0 : window.waitMs(aheadMs);
+    const lastsMs = speeds.lastsMs(want.kind) * LASTING_SHARE;
+    return now + waitMs + lastsMs >= want.deadlineAt;
+  }
+
+  /** Whether another request that waits for the engines goes first. */
+  private isBehind({want}: Waiting): boolean {
+    if (isUnbounded(want)) return false;
+    const now = this.parts.timer.now();
+    return this.waiting.some(
+      other => !isUnbounded(other.want) && order(other.want, want, now) <= 0,
+    );
+  }
+
+  /** Places a request; returns why it has to wait. */
+  private try(entry: Waiting): WaitCause | undefined {
+    const {timer, random, speeds, window} = this.parts;
+    const {want} = entry;
     const now = timer.now();
     const endpoints = this.parts.endpoints();
     const candidates = endpoints.map(endpoint =>
@@ -92,10 +155,33 @@
     );
     const pace = speeds.pace(endpoints.length);
     const choice = choose(want, candidates, pace, random);
-    if (choice.type !== 'chosen') return choice;
-    const endpoint = endpoints.find(({id}) => id === choice.id);
-    if (endpoint === undefined) return {type: 'none'};
-    logger.info(
+    if (choice.type === 'full') return WaitCause.Full;
+    const endpoint =
+      choice.type === 'none'
+        ? undefined
+        : endpoints.find(({id}) => id === choice.id);
+    if (choice.type === 'none' || endpoint === undefined) {
+      return WaitCause.NoUpstream;
+    }
+    const {freshTokens} = choice;
+    const readingMs = isUnbounded(want) ? 0 : freshTokens / pace.tokensPerMs;
+    entry.readingMs = readingMs;
+    if (readingMs > 0 && !window.admits(want.tier, readingMs)) {
+      return WaitCause.Window;
+    }
+    this.record(entry, choice, endpoint, now);
+    speeds.asked(want.sensitive, freshTokens);
+    entry.settle({type: 'placed', endpoint, freshTokens, readingMs});
+    return undefined;
+  }
+
+  private record(
+    {want, since, readingMs}: Waiting,
+    choice: Choice & {type: 'chosen'},
+    {inflight, others}: Endpoint,
+    now: number,
+  ): void {
+    this.parts.logger.info(
       {
         event: 'placed',
         request: want.request,
@@ -103,16 +189,16 @@
         waitedMs: Math.round(now - since),
         costMs: choice.costMs,
         freshTokens: Math.round(choice.freshTokens),
-        inflight: endpoint.inflight,
+        readingMs: Math.round(readingMs),
+        windowMs: Math.round(this.parts.window.limitMs(want.tier)),
+        inflight,
         weighed: choice.weighed,
-        others: endpoint.others?.running,
-        othersAgeMs: Math.round(now - (endpoint.others?.at ?? now)),
+        others: others?.running,
+        othersAgeMs:
+          others === undefined ? undefined : Math.round(now - others.at),
       },
       'Placed the request where it costs least.',
     );
-    speeds.asked(want.sensitive, choice.freshTokens);
-    entry.settle({type: 'placed', endpoint, freshTokens: choice.freshTokens});
-    return undefined;
   }
 
   private candidateOf(
@@ -137,21 +223,37 @@
     };
   }
 
-  private enqueue(entry: Waiting, choice: Choice): void {
-    const {logger, timer} = this.parts;
+  private enqueue(entry: Waiting, cause: WaitCause): void {
+    const {logger, timer, window} = this.parts;
     const {want} = entry;
-    if (choice.type === 'none' && want.tried.size > 0) {
+    if (cause === WaitCause.NoUpstream && want.tried.size > 0) {
       entry.settle(this.refusal(NotRunCause.NoUpstream));
       return;
     }
-    const at = this.waiting.findIndex(other => isBefore(want, other.want));
-    this.waiting.splice(at < 0 ? this.waiting.length : at, 0, entry);
+    const now = timer.now();
+    const ahead = this.waiting.filter(
+      other => order(other.want, want, now) <= 0,
+    );
+    const aheadMs = ahead.reduce((sum, other) => sum + other.readingMs, 0);
+    const waitMs = Math.round(window.waitMs(aheadMs));
+    const leftMs = Math.round(want.deadlineAt - now);
+    if (waitMs > leftMs * WAIT_SHARE || this.isDoomed(entry, aheadMs, now)) {
+      logger.info(
+        {event: 'overloaded', request: want.request, waitMs, leftMs},
+        'Refused: the request would wait for too long.',
+      );
+      entry.settle(this.refusal(NotRunCause.Overloaded));
+      return;
+    }
+    this.waiting.push(entry);
     logger.info(
       {
         event: 'waits',
         request: want.request,
-        reason: choice.type,
-        ahead: at < 0 ? this.waiting.length - 1 : at,
+        cause,
+        ahead: ahead.length,
+        waitMs,
+        leftMs,
       },
       'The request waits for an upstream with room.',
     );
@@ -179,14 +281,32 @@
 
   /** A refusal with the time at which there may be room. */
   refusal(cause: NotRunCause): Place & {type: 'notRun'} {
-    const {speeds, random} = this.parts;
-    const aheadMs = this.waiting.length * speeds.pace(1).serviceMs;
-    const wait = Math.min(RETRY_LIMIT_MS, RETRY_MINIMUM_MS + aheadMs);
-    return {type: 'notRun', cause, retryAfterMs: wait * (1 + random() / 2)};
+    const {window, random} = this.parts;
+    const aheadMs = this.waiting.reduce(
+      (sum, {readingMs}) => sum + readingMs,
+      0,
+    );
+    const wait = RETRY_MINIMUM_MS + window.waitMs(aheadMs);
+    return {
+      type: 'notRun',
+      cause,
+      retryAfterMs: Math.min(RETRY_LIMIT_MS, wait * (1 + random() / 2)),
+    };
   }
 }
 
-/** Order of waiting: by tier, then by latest start. */
-function isBefore(a: Want, b: Want): boolean {
-  return a.tier === b.tier ? a.dueAt < b.dueAt : a.tier < b.tier;
+/** Whether the request does not count against the window of unread prompts. */
+function isUnbounded({prompt, sensitive}: Want): boolean {
+  return prompt === undefined || sensitive;
+}
+
+/**
+ * Order of waiting: by tier, then those that can still meet their objective,
+ * then by the time they are due.
+ */
+function order(a: Want, b: Want, now: number): number {
+  if (a.tier !== b.tier) return a.tier - b.tier;
+  const [isLate, isOtherLate] = [a.dueAt < now, b.dueAt < now];
+  if (isLate !== isOtherLate) return isLate ? 1 : -1;
+  return a.dueAt - b.dueAt;
 }
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -1,6 +1,7 @@
 import type {Logger} from 'pino';
 import type {Routing} from '../route/index.js';
 import type {Timer} from '../timer/index.js';
+import type {Endpoint} from './endpoint.js';
 import type {Lane} from './lane.js';
 import type {ForwardMetrics} from './metrics.js';
 import type {Protocol} from './protocol.js';
@@ -14,6 +15,8 @@
   metrics: ForwardMetrics;
   /** Source of randomness in [0, 1). */
   random: () => number;
+  /** Whether a silent upstream answers a question on another connection. */
+  isAlive(endpoint: Endpoint): Promise<boolean>;
   /** What is kept for a service. */
   laneOf(service: string): Lane;
   /** Whether a request that may last so long can still be answered here. */
--- a/src/forward/protocol.ts
+++ b/src/forward/protocol.ts
@@ -79,6 +79,8 @@
 
 /** The headers by which callers and upstreams say what they mean. */
 export interface Protocol {
+  /** Target at which engines answer at once, whatever their load. */
+  readonly reportTarget: string;
   readRequest(message: IncomingMessage): RequestHead;
   /** Headers of the request to the upstream: names and values by turns. */
   writeRequest(head: RequestHead, envelope: Envelope): string[];
--- a/src/forward/silence.ts
+++ b/src/forward/silence.ts
@@ -1,16 +1,13 @@
 import type {Route} from '../route/index.js';
 import type {Subscription, Timer} from '../timer/index.js';
 import type {Endpoint} from './endpoint.js';
-import type {Speeds} from './speeds.js';
 
 /** How often silence is looked at, in ms. */
 const LOOK_MS = 100;
 /** Shortest silence of an engine that counts, in ms. */
-const ENGINE_MINIMUM_MS = 1_000;
+const ENGINE_MINIMUM_MS = 800;
 /** Silence that counts, in times of reading the prompt. */
 const READING_FACTOR = 3;
-/** Silence that counts, in times of the route's target. */
-const TARGET_FACTOR = 0.75;
 /** Silence of a plain service that counts, in times of the route's target. */
 const PLAIN_TARGET_FACTOR = 1.5;
 
@@ -19,10 +16,12 @@
   timer: Timer;
   endpoint: Endpoint;
   route: Route;
-  freshTokens: number;
-  speeds: Speeds;
+  /** Time the upstream needs to read the prompt, in ms. */
+  readingMs: number;
   /** Whether the request could go to another upstream. */
   active: boolean;
+  /** Asks the upstream on another connection whether it is there. */
+  isAlive(): Promise<boolean>;
 }
 
 /**
@@ -32,7 +31,8 @@
 export class Silence {
   private readonly controller = new AbortController();
   private readonly tick?: Subscription;
-  private readonly since: number;
+  private since: number;
+  private asking = false;
   /** Whether the upstream was silent for too long. */
   expired = false;
 
@@ -52,20 +52,29 @@
   private look(): void {
     const {timer, endpoint} = this.spec;
     const heardAt = Math.max(this.since, endpoint.heardAt);
-    if (timer.now() - heardAt < this.limitMs()) return;
+    if (this.asking || timer.now() - heardAt < this.limitMs()) return;
+    if (this.spec.route.streaming) void this.ask();
+    else this.expire();
+  }
+
+  /** A busy engine may be silent for long; only a dead one is given up. */
+  private async ask(): Promise<void> {
+    this.asking = true;
+    const alive = await this.spec.isAlive();
+    this.asking = false;
+    this.since = this.spec.timer.now();
+    if (!alive) this.expire();
+  }
+
+  private expire(): void {
     this.expired = true;
     this.end();
     this.controller.abort();
   }
 
   private limitMs(): number {
-    const {route, freshTokens, speeds} = this.spec;
+    const {route, readingMs} = this.spec;
     if (!route.streaming) return route.targetMs * PLAIN_TARGET_FACTOR;
-    const readingMs = freshTokens / speeds.pace(1).tokensPerMs;
-    return Math.max(
-      ENGINE_MINIMUM_MS,
-      readingMs * READING_FACTOR,
-      route.targetMs * TARGET_FACTOR,
-    );
+    return Math.max(ENGINE_MINIMUM_MS, readingMs * READING_FACTOR);
   }
 }
--- a/src/forward/speeds.ts
+++ b/src/forward/speeds.ts
@@ -25,6 +25,7 @@
   private serviceMs = SERVICE_MS;
   private sensitiveTokens = 0;
   private otherTokens = 0;
+  private readonly lasting = new Map<string, number>();
 
   /** What is believed, for a service with so many upstreams. */
   pace(upstreams: number): Pace {
@@ -40,6 +41,17 @@
     this.serviceMs += SAMPLE_WEIGHT * (ms - this.serviceMs);
   }
 
+  /** Takes in how long a request of a kind took from its sending, in ms. */
+  lasted(kind: string, ms: number): void {
+    const known = this.lasting.get(kind) ?? ms;
+    this.lasting.set(kind, known + SAMPLE_WEIGHT * (ms - known));
+  }
+
+  /** How long requests of a kind take, in ms; 0 until one was seen. */
+  lastsMs(kind: string): number {
+    return this.lasting.get(kind) ?? 0;
+  }
+
   /** Takes in the time to the first event of a prompt, in ms. */
   started(freshTokens: number, ms: number): void {
     if (freshTokens < SAMPLE_TOKENS || ms <= 0) return;
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -7,6 +7,8 @@
   Lane,
   Line,
   listen,
+  Probes,
+  Window,
   Listener,
   Speeds,
   type Address,
@@ -105,11 +107,13 @@
 
 class RunningGateway implements Gateway {
   private readonly logger: Logger;
+  private readonly requestLog: Logger;
   private readonly routing: Routing;
   private readonly registry: Registry;
   private readonly endpoints: Endpoints;
   private readonly lanes = new Map<string, Lane>();
   private readonly metrics = new ForwardMetrics();
+  private readonly probes: Probes;
   private readonly listener: Listener;
   private readonly configurations: Follower;
   private readonly upstreams: Follower;
@@ -128,8 +132,10 @@
     private readonly timer: Timer,
   ) {
     this.logger = logOf(root, Part.Router);
+    this.requestLog = logOf(root, Part.Request);
     this.routing = new Routing(logOf(root, Part.Config));
     this.endpoints = new Endpoints(settings.host);
+    this.probes = new Probes(timer, platform.protocol.reportTarget);
     const registryLog = logOf(root, Part.Upstream);
     const follow = {
       feed: platform.feed,
@@ -166,10 +172,11 @@
       routing: this.routing,
       protocol: platform.protocol,
       timer,
-      logger: logOf(root, Part.Request),
+      logger: this.requestLog,
       metrics: this.metrics,
       random: Math.random,
       laneOf: service => this.laneOf(service),
+      isAlive: endpoint => this.probes.ask(endpoint),
       admits: limitMs => this.admits(limitMs),
       closing: () => this.leavingAt !== undefined,
     });
@@ -292,16 +299,18 @@
     const known = this.lanes.get(service);
     if (known !== undefined) return known;
     const speeds = new Speeds();
+    const window = new Window();
     const line = new Line({
+      window,
       timer: this.timer,
-      logger: this.logger,
+      logger: this.requestLog,
       random: Math.random,
       speeds,
       endpoints: () => this.endpoints.of(service),
       roundTripMs: zone => this.roundTripMs(zone),
     });
     const allowance = new Allowance(this.settings.retry);
-    const lane = new Lane(service, line, allowance, speeds);
+    const lane = new Lane(service, line, allowance, speeds, window);
     this.lanes.set(service, lane);
     return lane;
   }
