Let late starts of an urgent tier shrink the less urgent first

Cause: the middle tier's starts were late because of prompts of the lowest tier in the engines, and its own window shrank for it.

--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -29,6 +29,8 @@
   private readonly reply: Reply;
   private readonly tried = new Set<string>();
   private sends = 0;
+  /** Time from sending to the first bytes of a stream, in ms. */
+  private startMs?: number;
   private runs = 0;
   private mayHaveRun = false;
   private failure?: WholeAnswer;
@@ -60,6 +62,7 @@
         version: table?.version,
         ...ending,
         sends: this.sends,
+        startMs: this.startMs,
         ms,
       },
       'Request ended.',
@@ -186,7 +189,11 @@
     if (this.sends === 0) lane.allowance.sent(sentAt);
     this.sends++;
     const load = lane.take(place, want, route.targetMs, sentAt);
-    sink.begin(() => load.started(timer.now()));
+    sink.begin(() => {
+      const now = timer.now();
+      this.startMs ??= Math.round(now - sentAt);
+      load.started(now);
+    });
     const isSafe = route.repetition !== Repetition.AtMostOnce;
     const silence = new Silence({
       timer,
--- a/src/forward/window.ts
+++ b/src/forward/window.ts
@@ -15,6 +15,8 @@
 const MINIMUM_RATE = 0.05;
 /** Time over which the rate is smoothed, in ms. */
 const RATE_MS = 1_000;
+/** Time after a late start in which less urgent tiers don't grow, in ms. */
+const URGENT_LATE_MS = 1_500;
 /** Share of a target within which a request must start for the window to grow. */
 const START_SHARE = 0.5;
 
@@ -23,6 +25,8 @@
   limitMs: number;
   unreadMs: number;
   shrunkAt: number;
+  /** When a request of the tier last started late, in monotonic ms. */
+  lateAt: number;
 }
 
 /**
@@ -77,14 +81,36 @@
     now: number,
   ): void {
     const known = this.of(tier);
-    if (startMs <= targetMs * START_SHARE) {
+    if (startMs > targetMs * START_SHARE) {
+      known.lateAt = now;
+      this.shrink(tier, now);
+    } else if (!this.isUrgentLate(tier, now)) {
       known.limitMs = Math.min(LIMIT_MS, known.limitMs + readingMs * GROWTH);
-    } else if (now - known.shrunkAt >= SHRINK_PAUSE_MS) {
-      known.shrunkAt = now;
-      known.limitMs = Math.max(MINIMUM_MS, known.limitMs * SHRINK);
     }
   }
 
+  /** Takes from the less urgent first, and from the tier itself only then. */
+  private shrink(tier: number, now: number): void {
+    const less = [...this.tiers].filter(
+      ([other, {limitMs}]) => other > tier && limitMs > MINIMUM_MS,
+    );
+    const tiers =
+      less.length > 0 ? less.map(([, other]) => other) : [this.of(tier)];
+    for (const other of tiers) {
+      if (now - other.shrunkAt < SHRINK_PAUSE_MS) continue;
+      other.shrunkAt = now;
+      other.limitMs = Math.max(MINIMUM_MS, other.limitMs * SHRINK);
+    }
+  }
+
+  /** Whether something more urgent has started late of late. */
+  private isUrgentLate(tier: number, now: number): boolean {
+    for (const [other, {lateAt}] of this.tiers) {
+      if (other < tier && now - lateAt < URGENT_LATE_MS) return true;
+    }
+    return false;
+  }
+
   private unreadMs(tier: number): number {
     let sum = 0;
     for (const [other, {unreadMs}] of this.tiers) {
@@ -96,7 +122,12 @@
   private of(tier: number): Tier {
     const known = this.tiers.get(tier);
     if (known !== undefined) return known;
-    const fresh = {limitMs: START_MS, unreadMs: 0, shrunkAt: -Infinity};
+    const fresh = {
+      limitMs: START_MS,
+      unreadMs: 0,
+      shrunkAt: -Infinity,
+      lateAt: -Infinity,
+    };
     this.tiers.set(tier, fresh);
     return fresh;
   }
