Weigh the load of the whole fleet, and wait for an engine that holds a prompt

Cause: an instance saw a ninth of the traffic, so its choices and its window rested on guesses: it presumed that the agreed home held a prompt, even when nobody had sent it there, and knew nothing of what others had just sent.

Instances announce themselves at the store and tell each other by datagram what they sent where (src/fleet). Each bounds the reading of an engine by what the whole fleet gave it; a prompt waits for an engine that holds its shared parts, and goes elsewhere only where there is time to spare. The window is gone.

Ruled out: bounds without that wait.

--- a/src/forward/allowance.ts
+++ b/src/forward/allowance.ts
@@ -1,9 +1,9 @@
+import {SlidingSum} from './sliding.js';
+
 /** Share of the allowance that is used; the rest covers unlike clocks. */
 const USED_SHARE = 0.9;
 /** Repeats that an instance may send whatever its traffic. */
 const MINIMUM = 1;
-/** Buckets that a window is counted in. */
-const BUCKETS = 20;
 
 /** Bound on repeats over the whole fleet. */
 export interface AllowanceLimits {
@@ -13,45 +13,18 @@
   windowMs: number;
 }
 
-class Window {
-  private readonly counts = new Array<number>(BUCKETS).fill(0);
-  private bucket = 0;
-
-  constructor(private readonly lengthMs: number) {}
-
-  add(now: number): void {
-    this.turn(now);
-    const index = this.bucket % BUCKETS;
-    this.counts[index] = (this.counts[index] ?? 0) + 1;
-  }
-
-  sum(now: number): number {
-    this.turn(now);
-    return this.counts.reduce((total, count) => total + count, 0);
-  }
-
-  private turn(now: number): void {
-    const current = Math.floor((now / this.lengthMs) * BUCKETS);
-    const steps = Math.min(BUCKETS, current - this.bucket);
-    for (let step = 1; step <= steps; step++) {
-      this.counts[(current - steps + step) % BUCKETS] = 0;
-    }
-    this.bucket = current;
-  }
-}
-
 /**
  * The share of the fleet's retry budget that one instance may use for one
  * service. An instance stays within the ratio of its own traffic, so the fleet
  * stays within it without talk.
  */
 export class Allowance {
-  private readonly first: Window;
-  private readonly repeats: Window;
+  private readonly first: SlidingSum;
+  private readonly repeats: SlidingSum;
 
   constructor(private limits: AllowanceLimits) {
-    this.first = new Window(limits.windowMs);
-    this.repeats = new Window(limits.windowMs);
+    this.first = new SlidingSum(limits.windowMs);
+    this.repeats = new SlidingSum(limits.windowMs);
   }
 
   /** Takes a changed ratio into use. */
@@ -61,7 +34,7 @@
 
   /** Counts a request that is sent for the first time. */
   sent(now: number): void {
-    this.first.add(now);
+    this.first.add(now, 1);
   }
 
   /** Repeats that may be sent now. */
@@ -73,7 +46,7 @@
   /** Takes one repeat, if there is one left. */
   take(now: number): boolean {
     if (this.left(now) < 1) return false;
-    this.repeats.add(now);
+    this.repeats.add(now, 1);
     return true;
   }
 }
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -116,7 +116,6 @@
     const now = timer.now();
     endpoint.heardAt = now;
     const head = {...protocol.readAnswer(status, headers), status};
-    if (head.load !== undefined) endpoint.report(head.load, now);
     this.head = head;
     this.framed =
       headers['content-length'] !== undefined ||
--- a/src/forward/cached.ts
+++ b/src/forward/cached.ts
@@ -1,8 +1,8 @@
-import type {Prompt} from './protocol.js';
+import type {Prompt, PromptPart} from './protocol.js';
 
 /**
- * The parts of prompts that an engine is believed to hold, from what this
- * instance sent there. The least recently used yield.
+ * The parts of prompts that an engine is believed to hold, from what the
+ * instances sent there. The least recently used yield.
  */
 export class CachedParts {
   private readonly parts = new Map<string, number>();
@@ -20,9 +20,9 @@
     return held;
   }
 
-  /** Takes in a prompt that was sent to the engine. */
-  add(prompt: Prompt): void {
-    for (const {id, tokens} of prompt.parts) {
+  /** Takes in the parts of a prompt that was sent to the engine. */
+  add(parts: readonly PromptPart[]): void {
+    for (const {id, tokens} of parts) {
       this.total += tokens - (this.parts.get(id) ?? 0);
       this.parts.delete(id);
       this.parts.set(id, tokens);
--- a/src/forward/choice.ts
+++ b/src/forward/choice.ts
@@ -1,4 +1,5 @@
 import xxhash from 'xxhash-wasm';
+import {READING_WINDOW_MS} from './load.js';
 import type {Prompt} from './protocol.js';
 
 const hasher = await xxhash();
@@ -15,21 +16,38 @@
 const NEIGHBOUR_MS = 2;
 /** Cost of the share of failures of an upstream, in ms. */
 const FAILING_MS = 400;
-/** Share of cached tokens that an agreed home is presumed to hold. */
-const HOME_CONFIDENCE = 0.9;
-/** Age at which what an upstream said of its load counts half, in ms. */
-const LOAD_HALF_LIFE_MS = 600;
+/** Cost of reading a prompt away from its agreed home, in ms. */
+const AWAY_MS = 60;
+/** Weight of reading for the request beside the time it takes from others. */
+const READING_WEIGHT = 1.5;
+/** Share of a target within which a request must be expected to start. */
+const START_SHARE = 0.6;
+/**
+ * Share of an engine's time that the least urgent tier may fill with reading.
+ * An engine that always reads gives its streams one token a chunk.
+ */
+const READING_SHARE = 0.75;
+/** Share of the bounds for an engine that would read again what others hold. */
+const SPILL_FIT = 0.5;
+/** Share of the bounds for an engine that is kept for sensitive kinds. */
+const INTRUSION_FIT = 0.3;
+/** Share of the shared parts from which an engine counts as holding them. */
+const HOLDER_SHARE = 0.5;
+/** What each more urgent tier may fill beyond that. */
+const READING_SHARE_STEP = 0.15;
 
 /** An upstream as it is weighed. */
 export interface Candidate {
   id: string;
   slots: number;
   /** Requests of this instance that are with it. */
+  ownInflight: number;
+  /** Requests of all instances that are with it. */
   inflight: number;
-  /** Prompt tokens of this instance that it has yet to read. */
-  prefillTokens: number;
-  /** What it last said of the load of others, and how old that is. */
-  others?: {running: number; waiting: number; ageMs: number};
+  /** Prompt tokens it has yet to read that go before the request's. */
+  unreadTokens: number;
+  /** Prompt tokens it was given to read in the last second. */
+  recentTokens: number;
   /** Way there and back, in ms. */
   roundTripMs: number;
   /** Smoothed share of requests that failed. */
@@ -47,6 +65,10 @@
   prompt?: Prompt;
   /** Whether its kind has the shortest pauses of the service. */
   sensitive: boolean;
+  /** Objective of the request, in ms. */
+  targetMs: number;
+  /** Share of an engine's time that may be filled for requests of its tier. */
+  readingShare: number;
   /** Upstreams it was sent to before. */
   tried: ReadonlySet<string>;
 }
@@ -71,7 +93,10 @@
       freshTokens: number;
       weighed: number;
     }
+  /** Every upstream has as many requests as it can take. */
   | {type: 'full'}
+  /** Every engine has enough to read; `readingMs` is what the request adds. */
+  | {type: 'busy'; readingMs: number}
   | {type: 'none'};
 
 /** Whether a kind with this pause is disturbed by long prompts beside it. */
@@ -86,6 +111,11 @@
   return pauseMs <= shortest * SENSITIVE_SHARE;
 }
 
+/** Share of an engine's time that requests of a tier may fill with reading. */
+export function readingShareOf(tier: number, lowestTier: number): number {
+  return READING_SHARE + READING_SHARE_STEP * Math.max(0, lowestTier - tier);
+}
+
 /** The key by which instances agree on the home of a prompt without talk. */
 export function homeKey({parts}: Prompt): string {
   return (parts.at(-2) ?? parts.at(-1))?.id ?? '';
@@ -124,22 +154,36 @@
   const usable = sound.length > 0 ? sound : untried;
   if (usable.length === 0) return {type: 'none'};
   const open = usable.filter(
-    ({full, inflight, slots}) => !full && inflight < slots,
+    ({full, ownInflight, slots}) => !full && ownInflight < slots,
   );
   if (open.length === 0) return {type: 'full'};
   const ids = candidates.map(({id}) => id);
   const shielded = shieldedIds(ids, pace.shielded);
   const home = homeOf(ask, ids, shielded);
   const weighed = open.map(candidate => {
-    const isHome = candidate.id === home;
-    const freshTokens = freshOf(ask, candidate, isHome);
+    const freshTokens = Math.max(
+      0,
+      (ask.prompt?.tokens ?? 0) - candidate.heldTokens,
+    );
     const costMs =
       ask.prompt === undefined
         ? plainCost(candidate, pace)
-        : engineCost(ask, candidate, freshTokens, pace, shielded);
+        : engineCost(ask, candidate, freshTokens, pace, shielded, home);
     return {candidate, freshTokens, costMs: costMs + random()};
   });
-  const best = weighed.reduce((a, b) => (b.costMs < a.costMs ? b : a));
+  weighed.sort((a, b) => a.costMs - b.costMs);
+  const isHeld = weighed.some(
+    ({candidate}) =>
+      isHolder(ask, candidate) && shielded.has(candidate.id) === ask.sensitive,
+  );
+  const best = weighed.find(({candidate, freshTokens}) => {
+    const fit = fitOf(ask, candidate, shielded, isHeld);
+    return hasTime(ask, candidate, freshTokens, pace, fit);
+  });
+  if (best === undefined) {
+    const readingMs = (weighed[0]?.freshTokens ?? 0) / pace.tokensPerMs;
+    return {type: 'busy', readingMs};
+  }
   return {
     type: 'chosen',
     id: best.candidate.id,
@@ -149,7 +193,49 @@
   };
 }
 
-/** The upstream that all instances presume to hold a prompt's shared parts. */
+/** Whether an engine holds most of what a prompt shares with others. */
+function isHolder({prompt}: Ask, {heldTokens}: Candidate): boolean {
+  if (prompt === undefined) return false;
+  const own = prompt.parts.at(-1)?.tokens ?? 0;
+  const shared = prompt.tokens - own;
+  return shared > 0 && heldTokens >= shared * HOLDER_SHARE;
+}
+
+/**
+ * Share of the usual bounds that an engine may be filled to for a request. One
+ * that is not meant for it must have time to spare: what is read there is read
+ * again, or disturbs the streams of others.
+ */
+function fitOf(
+  ask: Ask,
+  candidate: Candidate,
+  shielded: ReadonlySet<string>,
+  isHeld: boolean,
+): number {
+  if (shielded.has(candidate.id) && !ask.sensitive) return INTRUSION_FIT;
+  return isHeld && !isHolder(ask, candidate) ? SPILL_FIT : 1;
+}
+
+/**
+ * Whether an engine has time to read a prompt soon enough and still gives its
+ * streams their tokens. An engine with nothing to read always has.
+ */
+function hasTime(
+  {prompt, sensitive, targetMs, readingShare}: Ask,
+  {unreadTokens, recentTokens}: Candidate,
+  freshTokens: number,
+  {tokensPerMs}: Pace,
+  fit: number,
+): boolean {
+  if (prompt === undefined || sensitive) return true;
+  const startMs = (unreadTokens + freshTokens) / tokensPerMs;
+  if (unreadTokens > 0 && startMs > targetMs * START_SHARE * fit) return false;
+  if (recentTokens === 0 && fit === 1) return true;
+  const busyMs = (recentTokens + freshTokens) / tokensPerMs;
+  return busyMs <= readingShare * fit * READING_WINDOW_MS;
+}
+
+/** The upstream at which all instances have a new prompt's parts read. */
 function homeOf(
   {prompt, sensitive}: Ask,
   ids: readonly string[],
@@ -160,55 +246,31 @@
   return byScore(homeKey(prompt), group.length > 0 ? group : ids)[0];
 }
 
-function freshOf(
-  {prompt}: Ask,
-  {heldTokens}: Candidate,
-  isHome: boolean,
-): number {
-  if (prompt === undefined) return 0;
-  const own = prompt.parts.at(-1)?.tokens ?? 0;
-  const shared = Math.max(0, prompt.tokens - own);
-  const presumed = isHome ? shared * HOME_CONFIDENCE : 0;
-  return Math.max(0, prompt.tokens - Math.max(heldTokens, presumed));
-}
-
 function plainCost(candidate: Candidate, pace: Pace): number {
   const {inflight, slots, roundTripMs, failing} = candidate;
-  const {running, waiting} = othersOf(candidate);
-  const load = inflight + running + waiting;
-  return roundTripMs + failing * FAILING_MS + (load / slots) * pace.serviceMs;
+  return (
+    roundTripMs + failing * FAILING_MS + (inflight / slots) * pace.serviceMs
+  );
 }
 
 function engineCost(
   {sensitive}: Ask,
-  candidate: Candidate,
+  {inflight, unreadTokens, heldTokens, roundTripMs, failing, id}: Candidate,
   freshTokens: number,
   pace: Pace,
   shielded: ReadonlySet<string>,
+  home: string | undefined,
 ): number {
-  const {inflight, prefillTokens, roundTripMs, failing, id} = candidate;
-  const {running, waiting} = othersOf(candidate);
-  const tokens = freshTokens + prefillTokens;
   const isShielded = shielded.has(id);
-  const apart = sensitive
-    ? isShielded
-      ? 0
-      : SHIELD_MS
-    : isShielded
-      ? INTRUSION_MS
-      : 0;
+  const apart =
+    isShielded === sensitive ? 0 : sensitive ? SHIELD_MS : INTRUSION_MS;
+  const away = heldTokens === 0 && id !== home ? AWAY_MS : 0;
   return (
     roundTripMs +
-    tokens / pace.tokensPerMs +
-    (inflight + running + waiting) * NEIGHBOUR_MS +
+    (freshTokens * READING_WEIGHT + unreadTokens) / pace.tokensPerMs +
+    inflight * NEIGHBOUR_MS +
     failing * FAILING_MS +
-    apart
+    apart +
+    away
   );
 }
-
-/** What others have there; counts less the older it is. */
-function othersOf({others}: Candidate): {running: number; waiting: number} {
-  if (others === undefined) return {running: 0, waiting: 0};
-  const trust = 2 ** (-others.ageMs / LOAD_HALF_LIFE_MS);
-  return {running: others.running * trust, waiting: others.waiting * trust};
-}
--- a/src/forward/endpoints.ts
+++ b/src/forward/endpoints.ts
@@ -1,6 +1,8 @@
 import {EntryState, isSameStart, type Entry} from '../registry/index.js';
 import type {RoutingTable} from '../route/index.js';
+import type {LoadNews} from '../fleet/index.js';
 import {Endpoint} from './endpoint.js';
+import type {PromptPart} from './protocol.js';
 
 /** The upstreams that requests may be sent to, by service. */
 export class Endpoints {
@@ -19,6 +21,27 @@
     return this.known.values();
   }
 
+  /** The load that this instance has put on upstreams, for the others. */
+  loads(now: number): LoadNews[] {
+    const loads: LoadNews[] = [];
+    for (const {id, own} of this.known.values()) {
+      const {inflight, unread, recentTokens} = own.view(now);
+      if (inflight === 0 && recentTokens === 0) continue;
+      loads.push({
+        upstream: id,
+        inflight,
+        unread: [...unread].map(([tier, tokens]) => [tier, Math.round(tokens)]),
+        recent: Math.round(recentTokens),
+      });
+    }
+    return loads;
+  }
+
+  /** Takes in a prompt that another instance sent to an upstream. */
+  learn(upstream: string, parts: readonly PromptPart[]): void {
+    this.known.get(upstream)?.cached?.add(parts);
+  }
+
   /** Follows the registered entries. */
   apply(entries: Iterable<Entry>, table: RoutingTable | undefined): void {
     const present = new Set<string>();
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -2,7 +2,7 @@
 import {Repetition, type Route, type RoutingTable} from '../route/index.js';
 import {runAttempt, type AttemptResult, type WholeAnswer} from './attempt.js';
 import {readBody} from './body.js';
-import {isSensitive} from './choice.js';
+import {isSensitive, readingShareOf} from './choice.js';
 import {Deadline, StopCause} from './deadline.js';
 import type {Ending} from './ending.js';
 import type {Endpoint} from './endpoint.js';
@@ -166,6 +166,8 @@
       request: request.id,
       kind: route.name,
       tier,
+      targetMs: route.targetMs,
+      readingShare: readingShareOf(tier, table.lowestTierOf(lane.service)),
       dueAt: this.arrivedAt + route.targetMs,
       deadlineAt: deadline.at,
       signal: deadline.signal,
@@ -188,7 +190,10 @@
     this.tried.add(endpoint.id);
     if (this.sends === 0) lane.allowance.sent(sentAt);
     this.sends++;
-    const load = lane.take(place, want, route.targetMs, sentAt);
+    if (request.prompt !== undefined) {
+      this.parts.sent(endpoint, request.prompt);
+    }
+    const load = lane.take(place, want, sentAt);
     sink.begin(() => {
       const now = timer.now();
       this.startMs ??= Math.round(now - sentAt);
@@ -233,7 +238,7 @@
       return result;
     } finally {
       silence.end();
-      load.end(timer.now());
+      load.end();
       lane.line.look();
     }
   }
--- a/src/forward/index.ts
+++ b/src/forward/index.ts
@@ -8,7 +8,7 @@
 export type {ForwardParts} from './parts.js';
 export {Probes} from './probe.js';
 export {Speeds} from './speeds.js';
-export {Window} from './window.js';
+export type {LoadView} from './load.js';
 export type {
   AnswerHead,
   AnswerHeaders,
--- a/src/forward/line.ts
+++ b/src/forward/line.ts
@@ -3,8 +3,9 @@
 import {choose, type Ask, type Candidate, type Choice} from './choice.js';
 import type {Endpoint} from './endpoint.js';
 import {NotRunCause} from './refusal.js';
+import {SlidingSum} from './sliding.js';
 import type {Speeds} from './speeds.js';
-import type {Window} from './window.js';
+import {unreadUpTo, type LoadView} from './load.js';
 
 /** How often a line looks for room if nothing else wakes it, in ms. */
 const LOOK_MS = 25;
@@ -18,6 +19,10 @@
  * end sooner.
  */
 const LASTING_SHARE = 0.6;
+/** Time over which the rate of placing is worked out, in ms. */
+const RATE_WINDOW_MS = 2_000;
+/** Least reading placed a ms that waits are worked out with; bounds them. */
+const MINIMUM_RATE = 0.1;
 /** Share of the time left that a request may be expected to wait. */
 const WAIT_SHARE = 0.5;
 
@@ -39,7 +44,7 @@
   endpoint: Endpoint;
   /** Prompt tokens that the upstream will have to read. */
   freshTokens: number;
-  /** Time that takes, in ms; 0 if it doesn't count against the window. */
+  /** Time that takes, in ms. */
   readingMs: number;
 }
 
@@ -55,7 +60,8 @@
   logger: Logger;
   random: () => number;
   speeds: Speeds;
-  window: Window;
+  /** Load that other instances have put on an upstream. */
+  othersOn(upstream: string): LoadView & {ageMs: number};
   /** Upstreams of the service that take new work. */
   endpoints(): readonly Endpoint[];
   /** Way to a zone and back, in ms. */
@@ -77,7 +83,7 @@
   /** No upstream takes work. */
   NoUpstream = 'no_upstream',
   /** Engines have enough to read. */
-  Window = 'window',
+  Busy = 'busy',
   /** Others that wait go first. */
   Behind = 'behind',
 }
@@ -85,6 +91,7 @@
 /** Requests of one service that wait for an upstream. */
 export class Line {
   private readonly waiting: Waiting[] = [];
+  private readonly placedMs = new SlidingSum(RATE_WINDOW_MS);
   private tick?: Subscription;
 
   constructor(private readonly parts: LineParts) {}
@@ -121,7 +128,7 @@
       } else if (!blocked || isUnbounded(want)) {
         const cause = this.try(entry);
         if (cause === undefined) this.remove(entry);
-        else blocked ||= cause === WaitCause.Window;
+        else blocked ||= cause === WaitCause.Busy;
       }
       if (blocked) aheadMs += entry.readingMs;
     }
@@ -129,8 +136,8 @@
 
   /** Whether a request can't be answered before its deadline any more. */
   private isDoomed({want}: Waiting, aheadMs: number, now: number): boolean {
-    const {window, speeds} = this.parts;
-    const waitMs = isUnbounded(want) ? 0 : window.waitMs(aheadMs);
+    const {speeds} = this.parts;
+    const waitMs = isUnbounded(want) ? 0 : this.waitMs(aheadMs);
     const lastsMs = speeds.lastsMs(want.kind) * LASTING_SHARE;
     return now + waitMs + lastsMs >= want.deadlineAt;
   }
@@ -146,7 +153,7 @@
 
   /** Places a request; returns why it has to wait. */
   private try(entry: Waiting): WaitCause | undefined {
-    const {timer, random, speeds, window} = this.parts;
+    const {timer, random, speeds} = this.parts;
     const {want} = entry;
     const now = timer.now();
     const endpoints = this.parts.endpoints();
@@ -156,6 +163,10 @@
     const pace = speeds.pace(endpoints.length);
     const choice = choose(want, candidates, pace, random);
     if (choice.type === 'full') return WaitCause.Full;
+    if (choice.type === 'busy') {
+      entry.readingMs = choice.readingMs;
+      return WaitCause.Busy;
+    }
     const endpoint =
       choice.type === 'none'
         ? undefined
@@ -164,23 +175,22 @@
       return WaitCause.NoUpstream;
     }
     const {freshTokens} = choice;
-    const readingMs = isUnbounded(want) ? 0 : freshTokens / pace.tokensPerMs;
-    entry.readingMs = readingMs;
-    if (readingMs > 0 && !window.admits(want.tier, readingMs)) {
-      return WaitCause.Window;
-    }
+    const readingMs = freshTokens / pace.tokensPerMs;
     this.record(entry, choice, endpoint, now);
     speeds.asked(want.sensitive, freshTokens);
+    if (!isUnbounded(want)) this.placedMs.add(now, readingMs);
     entry.settle({type: 'placed', endpoint, freshTokens, readingMs});
     return undefined;
   }
 
   private record(
-    {want, since, readingMs}: Waiting,
+    {want, since}: Waiting,
     choice: Choice & {type: 'chosen'},
-    {inflight, others}: Endpoint,
+    {own, id}: Endpoint,
     now: number,
   ): void {
+    const others = this.parts.othersOn(id);
+    const mine = own.view(now);
     this.parts.logger.info(
       {
         event: 'placed',
@@ -189,13 +199,10 @@
         waitedMs: Math.round(now - since),
         costMs: choice.costMs,
         freshTokens: Math.round(choice.freshTokens),
-        readingMs: Math.round(readingMs),
-        windowMs: Math.round(this.parts.window.limitMs(want.tier)),
-        inflight,
+        inflight: [mine.inflight, others.inflight],
+        recentTokens: [mine.recentTokens, others.recentTokens].map(Math.round),
+        othersAgeMs: Math.round(others.ageMs),
         weighed: choice.weighed,
-        others: others?.running,
-        othersAgeMs:
-          others === undefined ? undefined : Math.round(now - others.at),
       },
       'Placed the request where it costs least.',
     );
@@ -203,18 +210,19 @@
 
   private candidateOf(
     endpoint: Endpoint,
-    {prompt}: Want,
+    {prompt, tier}: Want,
     now: number,
   ): Candidate {
-    const {health, entry, inflight, prefillTokens, others, cached} = endpoint;
+    const {health, entry, own, cached, id} = endpoint;
+    const mine = own.view(now);
+    const others = this.parts.othersOn(id);
     return {
-      id: endpoint.id,
+      id,
       slots: entry.slots,
-      inflight,
-      prefillTokens,
-      ...(others === undefined
-        ? {}
-        : {others: {...others, ageMs: now - others.at}}),
+      ownInflight: mine.inflight,
+      inflight: mine.inflight + others.inflight,
+      unreadTokens: unreadUpTo(mine, tier) + unreadUpTo(others, tier),
+      recentTokens: mine.recentTokens + others.recentTokens,
       roundTripMs: this.parts.roundTripMs(entry.zone),
       failing: health.failing,
       out: health.isOut(now),
@@ -223,8 +231,15 @@
     };
   }
 
+  /** Time until so much that waits ahead has been sent, in ms. */
+  private waitMs(aheadMs: number): number {
+    const {timer} = this.parts;
+    const rate = this.placedMs.sum(timer.now()) / this.placedMs.lengthMs;
+    return aheadMs / Math.max(MINIMUM_RATE, rate);
+  }
+
   private enqueue(entry: Waiting, cause: WaitCause): void {
-    const {logger, timer, window} = this.parts;
+    const {logger, timer} = this.parts;
     const {want} = entry;
     if (cause === WaitCause.NoUpstream && want.tried.size > 0) {
       entry.settle(this.refusal(NotRunCause.NoUpstream));
@@ -235,7 +250,7 @@
       other => order(other.want, want, now) <= 0,
     );
     const aheadMs = ahead.reduce((sum, other) => sum + other.readingMs, 0);
-    const waitMs = Math.round(window.waitMs(aheadMs));
+    const waitMs = Math.round(this.waitMs(aheadMs));
     const leftMs = Math.round(want.deadlineAt - now);
     if (waitMs > leftMs * WAIT_SHARE || this.isDoomed(entry, aheadMs, now)) {
       logger.info(
@@ -281,12 +296,12 @@
 
   /** A refusal with the time at which there may be room. */
   refusal(cause: NotRunCause): Place & {type: 'notRun'} {
-    const {window, random} = this.parts;
+    const {random} = this.parts;
     const aheadMs = this.waiting.reduce(
       (sum, {readingMs}) => sum + readingMs,
       0,
     );
-    const wait = RETRY_MINIMUM_MS + window.waitMs(aheadMs);
+    const wait = RETRY_MINIMUM_MS + this.waitMs(aheadMs);
     return {
       type: 'notRun',
       cause,
@@ -295,7 +310,7 @@
   }
 }
 
-/** Whether the request does not count against the window of unread prompts. */
+/** Whether the request does not wait for engines to have time. */
 function isUnbounded({prompt, sensitive}: Want): boolean {
   return prompt === undefined || sensitive;
 }
--- /dev/null
+++ b/src/forward/load.ts
@@ -0,0 +1,59 @@
+import {SlidingSum} from './sliding.js';
+
+/** Time over which the reading given to an upstream is summed up, in ms. */
+export const READING_WINDOW_MS = 1_000;
+
+/** The load on an upstream, of one instance or of several. */
+export interface LoadView {
+  /** Requests that are with it. */
+  inflight: number;
+  /** Prompt tokens that it has yet to read, by tier. */
+  unread: ReadonlyMap<number, number>;
+  /** Prompt tokens it was given to read in the last window. */
+  recentTokens: number;
+}
+
+/** Prompt tokens yet to be read that are as urgent as a tier or more. */
+export function unreadUpTo({unread}: LoadView, tier: number): number {
+  let sum = 0;
+  for (const [other, tokens] of unread) {
+    if (other <= tier) sum += tokens;
+  }
+  return sum;
+}
+
+/** The load that this instance has put on an upstream. */
+export class OwnLoad {
+  private inflight = 0;
+  private readonly unread = new Map<number, number>();
+  private readonly recent = new SlidingSum(READING_WINDOW_MS);
+
+  sent(tier: number, freshTokens: number, now: number): void {
+    this.inflight++;
+    this.change(tier, freshTokens);
+    this.recent.add(now, freshTokens);
+  }
+
+  /** The upstream has read a prompt, or no longer has to. */
+  read(tier: number, freshTokens: number): void {
+    this.change(tier, -freshTokens);
+  }
+
+  ended(): void {
+    this.inflight--;
+  }
+
+  view(now: number): LoadView {
+    return {
+      inflight: this.inflight,
+      unread: this.unread,
+      recentTokens: this.recent.sum(now),
+    };
+  }
+
+  private change(tier: number, tokens: number): void {
+    const sum = (this.unread.get(tier) ?? 0) + tokens;
+    if (sum > 0) this.unread.set(tier, sum);
+    else this.unread.delete(tier);
+  }
+}
--- a/src/forward/parts.ts
+++ b/src/forward/parts.ts
@@ -4,7 +4,7 @@
 import type {Endpoint} from './endpoint.js';
 import type {Lane} from './lane.js';
 import type {ForwardMetrics} from './metrics.js';
-import type {Protocol} from './protocol.js';
+import type {Prompt, Protocol} from './protocol.js';
 
 /** What forwarding needs of the rest of the instance. */
 export interface ForwardParts {
@@ -17,6 +17,8 @@
   random: () => number;
   /** Whether a silent upstream answers a question on another connection. */
   isAlive(endpoint: Endpoint): Promise<boolean>;
+  /** Told of each prompt that is sent to an upstream. */
+  sent(endpoint: Endpoint, prompt: Prompt): void;
   /** What is kept for a service. */
   laneOf(service: string): Lane;
   /** Whether a request that may last so long can still be answered here. */
--- a/src/registry/feed.ts
+++ b/src/registry/feed.ts
@@ -6,6 +6,8 @@
   Configuration = 'configuration',
   /** What upstreams say of themselves. */
   Upstreams = 'upstreams',
+  /** Where instances say how the others reach them. */
+  Instances = 'instances',
 }
 
 /** One record. Without a value, its key was removed. */
@@ -35,10 +37,16 @@
   | {type: 'refused'; status: number}
   | {type: 'malformed'; reason: string};
 
-/** Reads of keyed topics. */
+/** Keyed topics of the platform's store. */
 export interface Feed {
   /** Reads the newest record of each key. */
   snapshot(topic: Topic): Promise<Result<Snapshot, FeedFailure>>;
+  /** Writes the newest record of a key of a topic of our own. */
+  put(
+    topic: Topic.Instances,
+    key: string,
+    value: Buffer,
+  ): Promise<Result<void, FeedFailure>>;
   /** Reads records from an offset on; waits up to `waitMs` for the first. */
   read(
     topic: Topic,
--- a/src/route/table.ts
+++ b/src/route/table.ts
@@ -19,6 +19,7 @@
   private readonly hosts = new Map<string, Map<string, Route>>();
   private readonly workspaces?: Map<string, Workspace>;
   private readonly services: Map<string, Service>;
+  private readonly lowestTiers = new Map<string, number>();
   private readonly pauses = new Map<string, number[]>();
 
   constructor(readonly document: RoutingDocument) {
@@ -27,7 +28,7 @@
     for (const route of document.routes) {
       const prefixes = this.hosts.get(route.host) ?? new Map<string, Route>();
       this.hosts.set(route.host, prefixes.set(route.prefix, route));
-      this.addPause(route);
+      this.account(route);
     }
     this.services = new Map(
       document.services.map(service => [service.name, service]),
@@ -63,9 +64,11 @@
       : {type: 'workspace', workspace};
   }
 
-  private addPause({pauseMs, splits}: Route): void {
-    if (pauseMs === undefined) return;
+  private account({pauseMs, splits, tier}: Route): void {
     for (const {service} of splits) {
+      const lowest = this.lowestTiers.get(service) ?? 0;
+      this.lowestTiers.set(service, Math.max(lowest, tier));
+      if (pauseMs === undefined) continue;
       const pauses = this.pauses.get(service) ?? [];
       pauses.push(pauseMs);
       this.pauses.set(service, pauses);
@@ -76,6 +79,11 @@
     return this.services.get(name);
   }
 
+  /** The least urgent tier of the routes to a service. */
+  lowestTierOf(service: string): number {
+    return this.lowestTiers.get(service) ?? 0;
+  }
+
   /** Longest pauses that the streaming routes of a service allow, in ms. */
   pausesOf(service: string): readonly number[] {
     return this.pauses.get(service) ?? [];
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -8,12 +8,15 @@
   Line,
   listen,
   Probes,
-  Window,
   Listener,
   Speeds,
   type Address,
+  type PromptPart,
   type Protocol,
 } from '../forward/index.js';
+import {Gossip} from '../fleet/index.js';
+import {Credential} from '../instance/credential.js';
+import {DatagramPort} from '../instance/datagram.js';
 import {
   Follower,
   Registry,
@@ -33,6 +36,12 @@
 const CONFIGURATION_PACE_MS = 100;
 /** Longest wait of a read, in ms; bounds how long a dead connection is used. */
 const READ_WAIT_MS = 1_000;
+/** Pause between reads of what instances announce, in ms. */
+const INSTANCES_PACE_MS = 1_000;
+/** Longest wait of a read of what instances announce, in ms. */
+const INSTANCES_WAIT_MS = 8_000;
+/** Pause after an announcement failed, in ms. */
+const ANNOUNCE_RETRY_MS = 1_000;
 /** How often lapsed entries are looked at, in ms. */
 const SWEEP_MS = 250;
 /** Time by which a tick is late when the process stood still, in ms. */
@@ -62,6 +71,8 @@
   callers: Address;
   readiness: Address;
   metrics?: Address;
+  /** Port that the instances of the fleet reach each other at, UDP. */
+  fleetPort: number;
   /** Time from the signal to stop to the end of the process, in ms. */
   graceMs: number;
   retry: {ratio: number; windowMs: number};
@@ -114,6 +125,9 @@
   private readonly lanes = new Map<string, Lane>();
   private readonly metrics = new ForwardMetrics();
   private readonly probes: Probes;
+  private readonly gossip: Gossip;
+  private readonly instances: Follower;
+  private readonly datagrams: DatagramPort;
   private readonly listener: Listener;
   private readonly configurations: Follower;
   private readonly upstreams: Follower;
@@ -168,6 +182,31 @@
         added: records => this.registry.add(records),
       },
     );
+    this.datagrams = new DatagramPort(new Credential([]), timer);
+    this.gossip = new Gossip({
+      name: settings.instance,
+      datagrams: this.datagrams,
+      timer,
+      logger: logOf(root, Part.Member),
+      loads: () => this.endpoints.loads(timer.now()),
+      learn: ({upstream, parts}) =>
+        this.endpoints.learn(
+          upstream,
+          parts.map(([id, tokens]) => ({id, tokens})),
+        ),
+    });
+    this.instances = new Follower(
+      {
+        ...follow,
+        topic: Topic.Instances,
+        paceMs: INSTANCES_PACE_MS,
+        waitMs: INSTANCES_WAIT_MS,
+      },
+      {
+        replaced: records => this.gossip.follow(records),
+        added: records => this.gossip.follow(records),
+      },
+    );
     this.listener = new Listener({
       routing: this.routing,
       protocol: platform.protocol,
@@ -176,6 +215,7 @@
       metrics: this.metrics,
       random: Math.random,
       laneOf: service => this.laneOf(service),
+      sent: (endpoint, {parts}) => this.noteReading(endpoint.id, parts),
       isAlive: endpoint => this.probes.ask(endpoint),
       admits: limitMs => this.admits(limitMs),
       closing: () => this.leavingAt !== undefined,
@@ -188,8 +228,11 @@
     this.subscriptions.push(
       this.configurations.start(),
       this.upstreams.start(),
+      this.instances.start(),
+      this.gossip.start(),
       this.watch(),
     );
+    await this.announce();
     this.port = await this.listener.listen(callers);
     this.readinessPort = await this.serve(
       readiness,
@@ -232,6 +275,7 @@
     for (const subscription of this.subscriptions) subscription.end();
     listener.close();
     for (const server of this.servers) server.close();
+    this.datagrams.close();
     await timer.sleep(FLUSH_MS);
     this.logger.info(
       {event: 'stopped', unfinished: listener.inflight},
@@ -255,6 +299,35 @@
     return now + limitMs < this.endAt(leavingAt);
   }
 
+  /** Tells the fleet where this instance is reached. */
+  private async announce(): Promise<void> {
+    const {host, fleetPort: port, instance} = this.settings;
+    if (!(await this.datagrams.bind(host, port))) {
+      this.logger.warn(
+        {event: 'peer', host, port},
+        'The port for the fleet is taken; going on alone.',
+      );
+      return;
+    }
+    void this.publish(instance, Buffer.from(JSON.stringify({host, port})));
+  }
+
+  private async publish(name: string, address: Buffer): Promise<void> {
+    while (this.leavingAt === undefined) {
+      const written = await this.platform.feed.put(
+        Topic.Instances,
+        name,
+        address,
+      );
+      if (written.isOk()) return;
+      this.logger.warn(
+        {event: 'peer', failure: written.error},
+        'Could not announce this instance yet.',
+      );
+      await this.timer.sleep(ANNOUNCE_RETRY_MS);
+    }
+  }
+
   /** Looks after entries that lapse, and after stand-stills of the process. */
   private watch(): Subscription {
     let last = this.timer.now();
@@ -290,6 +363,13 @@
     }
   }
 
+  private noteReading(upstream: string, parts: readonly PromptPart[]): void {
+    this.gossip.note({
+      upstream,
+      parts: parts.map(({id, tokens}) => [id, tokens]),
+    });
+  }
+
   private reconcile(): void {
     this.endpoints.apply(this.registry.usable(), this.routing.current());
     for (const {line} of this.lanes.values()) line.look();
@@ -299,9 +379,8 @@
     const known = this.lanes.get(service);
     if (known !== undefined) return known;
     const speeds = new Speeds();
-    const window = new Window();
     const line = new Line({
-      window,
+      othersOn: id => this.gossip.others.of(id, this.timer.now()),
       timer: this.timer,
       logger: this.requestLog,
       random: Math.random,
@@ -310,7 +389,7 @@
       roundTripMs: zone => this.roundTripMs(zone),
     });
     const allowance = new Allowance(this.settings.retry);
-    const lane = new Lane(service, line, allowance, speeds, window);
+    const lane = new Lane(service, line, allowance, speeds);
     this.lanes.set(service, lane);
     return lane;
   }
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -25,6 +25,7 @@
   readonly records: Record<Topic, KeyedRecord[]> = {
     [Topic.Configuration]: [],
     [Topic.Upstreams]: [],
+    [Topic.Instances]: [],
   };
 
   add(topic: Topic, key: string, value: unknown): void {
@@ -44,6 +45,16 @@
     return Promise.resolve(ok({records: present, end: records.length}));
   }
 
+  put(
+    topic: Topic.Instances,
+    key: string,
+    value: Buffer,
+  ): Promise<Result<void, FeedFailure>> {
+    const records = this.records[topic];
+    records.push({key, value, offset: records.length});
+    return Promise.resolve(ok(undefined));
+  }
+
   async read(
     topic: Topic,
     from: number,
@@ -249,6 +260,7 @@
       regions: {'zone-a': 'region-a'},
       callers: {host: HOST, port: 0},
       readiness: {host: HOST, port: 0},
+      fleetPort: 0,
       graceMs,
       retry: {ratio: 0.2, windowMs: 10_000},
     },
