Keep long prompts off the engines of the sensitive kind; count all that waits

Cause: a test of the line showed that what waits behind others counted as no work, so nobody was refused early; streams with short pauses were late because long prompts were read beside them; and their engines grew in number when others were refused, since only placed requests counted.

The expected wait counts every request; a prompt is read on an engine kept for the sensitive kind only if that takes a quarter of the pause; these engines follow what is asked, with 1.5 times the share.

--- a/src/forward/choice.ts
+++ b/src/forward/choice.ts
@@ -31,6 +31,8 @@
 const SPILL_FIT = 0.5;
 /** Share of the bounds for an engine that is kept for sensitive kinds. */
 const INTRUSION_FIT = 0.3;
+/** Share of the shortest pause that reading beside sensitive kinds may take. */
+const INTRUSION_PAUSE_SHARE = 0.25;
 /** Share of the shared parts from which an engine counts as holding them. */
 const HOLDER_SHARE = 0.5;
 /** What each more urgent tier may fill beyond that. */
@@ -65,6 +67,8 @@
   prompt?: Prompt;
   /** Whether its kind has the shortest pauses of the service. */
   sensitive: boolean;
+  /** Shortest pause that a kind of the service may make, in ms. */
+  shortestPauseMs: number;
   /** Objective of the request, in ms. */
   targetMs: number;
   /** Share of an engine's time that may be filled for requests of its tier. */
@@ -176,8 +180,16 @@
     ({candidate}) =>
       isHolder(ask, candidate) && shielded.has(candidate.id) === ask.sensitive,
   );
+  const hasOthers = open.some(({id}) => !shielded.has(id));
   const best = weighed.find(({candidate, freshTokens}) => {
-    const fit = fitOf(ask, candidate, shielded, isHeld);
+    const isIntruder = hasOthers && shielded.has(candidate.id);
+    const readingMs = freshTokens / pace.tokensPerMs;
+    const fit =
+      isIntruder && !ask.sensitive
+        ? intrusionFit(ask, readingMs)
+        : isHeld && !isHolder(ask, candidate)
+          ? SPILL_FIT
+          : 1;
     return hasTime(ask, candidate, freshTokens, pace, fit);
   });
   if (best === undefined) {
@@ -202,18 +214,13 @@
 }
 
 /**
- * Share of the usual bounds that an engine may be filled to for a request. One
- * that is not meant for it must have time to spare: what is read there is read
- * again, or disturbs the streams of others.
+ * Share of the bounds of an engine that is kept for sensitive kinds. A prompt
+ * that takes long to read is not read there, since it would hold up the streams
+ * for longer than they may pause.
  */
-function fitOf(
-  ask: Ask,
-  candidate: Candidate,
-  shielded: ReadonlySet<string>,
-  isHeld: boolean,
-): number {
-  if (shielded.has(candidate.id) && !ask.sensitive) return INTRUSION_FIT;
-  return isHeld && !isHolder(ask, candidate) ? SPILL_FIT : 1;
+function intrusionFit({shortestPauseMs}: Ask, readingMs: number): number {
+  if (readingMs > shortestPauseMs * INTRUSION_PAUSE_SHARE) return 0;
+  return INTRUSION_FIT;
 }
 
 /**
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -173,6 +173,7 @@
       signal: deadline.signal,
       tried: this.tried,
       sensitive: isSensitive(route.pauseMs, pauses),
+      shortestPauseMs: Math.min(...pauses),
       ...(request.prompt === undefined ? {} : {prompt: request.prompt}),
     };
   }
--- a/src/forward/line.ts
+++ b/src/forward/line.ts
@@ -106,9 +106,11 @@
       const entry = {
         want,
         since: this.parts.timer.now(),
-        readingMs: 0,
+        readingMs: this.leastReadingMs(want),
         settle: resolve,
       };
+      const {speeds} = this.parts;
+      speeds.asked(want.sensitive, entry.readingMs);
       const cause = this.isBehind(entry) ? WaitCause.Behind : this.try(entry);
       if (cause !== undefined) this.enqueue(entry, cause);
     });
@@ -151,6 +153,17 @@
     );
   }
 
+  /** Time to read a prompt where most of it is held, in ms. */
+  private leastReadingMs({prompt}: Want): number {
+    if (prompt === undefined) return 0;
+    const {speeds} = this.parts;
+    const held = this.parts
+      .endpoints()
+      .map(({cached}) => cached?.heldTokens(prompt) ?? 0);
+    const fresh = prompt.tokens - Math.max(0, ...held);
+    return Math.max(0, fresh) / speeds.pace(1).tokensPerMs;
+  }
+
   /** Places a request; returns why it has to wait. */
   private try(entry: Waiting): WaitCause | undefined {
     const {timer, random, speeds} = this.parts;
@@ -177,7 +190,6 @@
     const {freshTokens} = choice;
     const readingMs = freshTokens / pace.tokensPerMs;
     this.record(entry, choice, endpoint, now);
-    speeds.asked(want.sensitive, freshTokens);
     if (!isUnbounded(want)) this.placedMs.add(now, readingMs);
     entry.settle({type: 'placed', endpoint, freshTokens, readingMs});
     return undefined;
--- a/src/forward/speeds.ts
+++ b/src/forward/speeds.ts
@@ -13,9 +13,9 @@
 /** Prompt tokens from which a sample tells the speed of reading. */
 const SAMPLE_TOKENS = 1_500;
 /** Weight of the newest request in the shares of work. */
-const SHARE_WEIGHT = 0.02;
+const SHARE_WEIGHT = 0.04;
 /** Room that sensitive kinds get beyond their share of work. */
-const SHIELD_HEADROOM = 2;
+const SHIELD_HEADROOM = 1.5;
 /** Largest share of upstreams kept for sensitive kinds. */
 const SHIELD_LIMIT = 0.5;
 
@@ -23,8 +23,8 @@
 export class Speeds {
   private tokensPerMs = TOKENS_PER_MS;
   private serviceMs = SERVICE_MS;
-  private sensitiveTokens = 0;
-  private otherTokens = 0;
+  private sensitiveMs = 0;
+  private otherMs = 0;
   private readonly lasting = new Map<string, number>();
 
   /** What is believed, for a service with so many upstreams. */
@@ -60,18 +60,18 @@
     this.tokensPerMs += weight * (speed - this.tokensPerMs);
   }
 
-  /** Takes in what a request asks of an engine. */
-  asked(sensitive: boolean, tokens: number): void {
-    this.sensitiveTokens +=
-      SHARE_WEIGHT * ((sensitive ? tokens : 0) - this.sensitiveTokens);
-    this.otherTokens +=
-      SHARE_WEIGHT * ((sensitive ? 0 : tokens) - this.otherTokens);
+  /** Takes in the reading that a request asks of an engine, in ms. */
+  asked(sensitive: boolean, readingMs: number): void {
+    if (readingMs === 0) return;
+    const own = sensitive ? readingMs : 0;
+    this.sensitiveMs += SHARE_WEIGHT * (own - this.sensitiveMs);
+    this.otherMs += SHARE_WEIGHT * (readingMs - own - this.otherMs);
   }
 
   private shielded(upstreams: number): number {
-    const total = this.sensitiveTokens + this.otherTokens;
-    if (upstreams < 2 || total === 0 || this.sensitiveTokens === 0) return 0;
-    const share = (this.sensitiveTokens / total) * SHIELD_HEADROOM;
+    const total = this.sensitiveMs + this.otherMs;
+    if (upstreams < 2 || total === 0 || this.sensitiveMs === 0) return 0;
+    const share = (this.sensitiveMs / total) * SHIELD_HEADROOM;
     const count = Math.round(upstreams * Math.min(SHIELD_LIMIT, share));
     return Math.max(1, count);
   }
