Give answers without length none on the way; let small prompts pass large ones

An answer without length now ends with the caller's connection too. Requests of a tier pass one another; a prompt of any size is read where little else was.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -10,6 +10,8 @@
 /** The head of an upstream's answer. */
 export interface Head extends AnswerHead {
   status: number;
+  /** Whether the answer has a length; otherwise it ends with its connection. */
+  framed: boolean;
 }
 
 /** An answer that has arrived as a whole. */
@@ -69,7 +71,6 @@
   private bytes = 0;
   private readonly stop = () => this.abort('broken off');
   private readonly connection: Connection;
-  private framed = true;
 
   constructor(
     private readonly spec: AttemptSpec,
@@ -115,11 +116,11 @@
     const {protocol, request, endpoint, timer, sink} = this.spec;
     const now = timer.now();
     endpoint.heardAt = now;
-    const head = {...protocol.readAnswer(status, headers), status};
-    this.head = head;
-    this.framed =
+    const framed =
       headers['content-length'] !== undefined ||
       headers['transfer-encoding'] !== undefined;
+    const head = {...protocol.readAnswer(status, headers), status, framed};
+    this.head = head;
     if (head.request !== undefined && head.request !== request.id) {
       this.abort('answered another request');
       return;
@@ -154,7 +155,7 @@
     const {head} = this;
     if (head === undefined) {
       this.end({type: 'broken', cause: 'no answer', started: false});
-    } else if (!this.framed && this.connection.reset) {
+    } else if (!head.framed && this.connection.reset) {
       const cause = 'reset within an answer without length';
       this.end({type: 'broken', cause, started: this.started});
     } else if (head.notRun) {
--- a/src/forward/choice.ts
+++ b/src/forward/choice.ts
@@ -22,6 +22,10 @@
 const READING_WEIGHT = 1.5;
 /** Share of a target within which a request must be expected to start. */
 const START_SHARE = 0.6;
+/** Share of a target that a prompt of any size may wait for others. */
+const WAIT_MINIMUM_SHARE = 0.15;
+/** Share of its bound up to which an engine takes a prompt of any size. */
+const LARGE_SHARE = 0.4;
 /**
  * Share of an engine's time that the least urgent tier may fill with reading.
  * An engine that always reads gives its streams one token a chunk.
@@ -235,11 +239,18 @@
   fit: number,
 ): boolean {
   if (prompt === undefined || sensitive) return true;
-  const startMs = (unreadTokens + freshTokens) / tokensPerMs;
-  if (unreadTokens > 0 && startMs > targetMs * START_SHARE * fit) return false;
-  if (recentTokens === 0 && fit === 1) return true;
-  const busyMs = (recentTokens + freshTokens) / tokensPerMs;
-  return busyMs <= readingShare * fit * READING_WINDOW_MS;
+  const readingMs = freshTokens / tokensPerMs;
+  const waitMs = unreadTokens / tokensPerMs;
+  const waitLimitMs = Math.max(
+    targetMs * START_SHARE - readingMs,
+    targetMs * WAIT_MINIMUM_SHARE,
+  );
+  if (waitMs > waitLimitMs * fit) return false;
+  const busyMs = recentTokens / tokensPerMs;
+  const limitMs = readingShare * fit * READING_WINDOW_MS;
+  if (busyMs + readingMs <= limitMs) return true;
+  // What alone fills the window is read where little else was.
+  return fit === 1 && busyMs <= limitMs * LARGE_SHARE;
 }
 
 /** The upstream at which all instances have a new prompt's parts read. */
--- a/src/forward/line.ts
+++ b/src/forward/line.ts
@@ -22,7 +22,9 @@
 /** Time over which the rate of placing is worked out, in ms. */
 const RATE_WINDOW_MS = 2_000;
 /** Least reading placed a ms that waits are worked out with; bounds them. */
-const MINIMUM_RATE = 0.1;
+const MINIMUM_RATE = 0.05;
+/** Share of the engines' time that is sure to go to prompts that wait. */
+const PART_SHARE = 0.25;
 /** Share of the time left that a request may be expected to wait. */
 const WAIT_SHARE = 0.5;
 
@@ -62,6 +64,8 @@
   speeds: Speeds;
   /** Load that other instances have put on an upstream. */
   othersOn(upstream: string): LoadView & {ageMs: number};
+  /** Instances that share the upstreams, this one included. */
+  fleetSize(): number;
   /** Upstreams of the service that take new work. */
   endpoints(): readonly Endpoint[];
   /** Way to a zone and back, in ms. */
@@ -120,19 +124,22 @@
   look(): void {
     const now = this.parts.timer.now();
     this.waiting.sort((a, b) => order(a.want, b.want, now));
-    let blocked = false;
+    let busyTier = Infinity;
     let aheadMs = 0;
     for (const entry of [...this.waiting]) {
       const {want} = entry;
       if (want.signal.aborted) this.leave(entry, {type: 'gone'});
       else if (this.isDoomed(entry, aheadMs, now)) {
         this.leave(entry, this.refusal(NotRunCause.Waited));
-      } else if (!blocked || isUnbounded(want)) {
+      } else if (want.tier <= busyTier || isUnbounded(want)) {
         const cause = this.try(entry);
-        if (cause === undefined) this.remove(entry);
-        else blocked ||= cause === WaitCause.Busy;
+        if (cause === undefined) {
+          this.remove(entry);
+          continue;
+        }
+        if (cause === WaitCause.Busy) busyTier = Math.min(busyTier, want.tier);
       }
-      if (blocked) aheadMs += entry.readingMs;
+      aheadMs += entry.readingMs;
     }
   }
 
@@ -144,12 +151,11 @@
     return now + waitMs + lastsMs >= want.deadlineAt;
   }
 
-  /** Whether another request that waits for the engines goes first. */
+  /** Whether something more urgent waits for the engines. */
   private isBehind({want}: Waiting): boolean {
     if (isUnbounded(want)) return false;
-    const now = this.parts.timer.now();
     return this.waiting.some(
-      other => !isUnbounded(other.want) && order(other.want, want, now) <= 0,
+      other => !isUnbounded(other.want) && other.want.tier < want.tier,
     );
   }
 
@@ -243,11 +249,16 @@
     };
   }
 
-  /** Time until so much that waits ahead has been sent, in ms. */
+  /**
+   * Time until so much that waits ahead has been sent, in ms. An instance gets
+   * its part of the engines' time at least.
+   */
   private waitMs(aheadMs: number): number {
     const {timer} = this.parts;
     const rate = this.placedMs.sum(timer.now()) / this.placedMs.lengthMs;
-    return aheadMs / Math.max(MINIMUM_RATE, rate);
+    const part =
+      (this.parts.endpoints().length * PART_SHARE) / this.parts.fleetSize();
+    return aheadMs / Math.max(MINIMUM_RATE, part, rate);
   }
 
   private enqueue(entry: Waiting, cause: WaitCause): void {
--- a/src/forward/reply.ts
+++ b/src/forward/reply.ts
@@ -25,8 +25,8 @@
   }
 
   /** Starts an answer that is delivered as it arrives. */
-  start({status, passed}: Head): void {
-    this.response.writeHead(status, this.withClosing(passed));
+  start(head: Head): void {
+    this.response.writeHead(head.status, this.headersOf(head, head.passed));
     this.response.flushHeaders();
   }
 
@@ -49,8 +49,10 @@
     this.ended = true;
     const headers = withoutLength(head.passed);
     const hasBody = head.status !== 204 && head.status !== 304;
-    if (hasBody) headers.push('content-length', String(body.length));
-    this.response.writeHead(head.status, this.withClosing(headers));
+    if (hasBody && head.framed) {
+      headers.push('content-length', String(body.length));
+    }
+    this.response.writeHead(head.status, this.headersOf(head, headers));
     this.response.end(hasBody ? body : undefined);
   }
 
@@ -79,6 +81,16 @@
     this.response.end(body);
   }
 
+  /**
+   * An answer without a length may have been cut by the end of its upstream, so
+   * it must not get a length, or an end of its own, on the way.
+   */
+  private headersOf({framed}: Head, headers: string[]): string[] {
+    if (framed) return this.withClosing(headers);
+    this.response.useChunkedEncodingByDefault = false;
+    return [...headers, 'connection', 'close'];
+  }
+
   private withClosing(headers: string[]): string[] {
     return this.closing() ? [...headers, 'connection', 'close'] : headers;
   }
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -380,6 +380,7 @@
     if (known !== undefined) return known;
     const speeds = new Speeds();
     const line = new Line({
+      fleetSize: () => 1 + this.gossip.others.size(this.timer.now()),
       othersOn: id => this.gossip.others.of(id, this.timer.now()),
       timer: this.timer,
       logger: this.requestLog,
--- a/test/forward.test.ts
+++ b/test/forward.test.ts
@@ -92,6 +92,12 @@
   const {gateway} = await gatewayTo([plain]);
   const answer = await call(gateway.port, '/order/a', 'r1', {method: 'POST'});
   expect([answer?.status, answer?.body]).toEqual([200, 'all of it']);
+  // The end of the connection may have been a crash, so no length is claimed.
+  expect([
+    answer?.headers['content-length'],
+    answer?.headers['transfer-encoding'],
+    answer?.headers.connection,
+  ]).toEqual([undefined, undefined, 'close']);
 });
 
 test('the answer to another request is never delivered', async () => {
--- a/test/line.test.ts
+++ b/test/line.test.ts
@@ -32,6 +32,7 @@
     speeds: new Speeds(),
     endpoints: () => [endpoint],
     othersOn: () => NO_LOAD,
+    fleetSize: () => 1,
     roundTripMs: () => 1,
   });
   const want = (request: string, tier: number, change: Partial<Want> = {}) => ({
@@ -130,6 +131,7 @@
     speeds: new Speeds(),
     endpoints: () => [],
     othersOn: () => NO_LOAD,
+    fleetSize: () => 1,
     roundTripMs: () => 1,
   });
   const {want} = setUp();
@@ -137,3 +139,37 @@
   await timer.advance(600);
   expect(await waiting).toMatchObject({type: 'notRun', cause: 'waited'});
 });
+
+test('a large prompt that waits does not hold up small ones of its tier', async () => {
+  const {timer, line, want, take} = setUp();
+  await line.acquire(want('first', 2));
+  take(2);
+  const large = {
+    model: 'm',
+    parts: [{id: 'large', tokens: 90_000}],
+    tokens: 90_000,
+    outputTokens: 10,
+  };
+  const small = {...large, parts: [{id: 'small', tokens: 300}], tokens: 300};
+  void line.acquire(want('large', 1, {prompt: large}));
+  await timer.advance(1);
+  expect(line.length).toBe(1);
+  const place = await line.acquire(want('small', 1, {prompt: small}));
+  expect(place.type).toBe('placed');
+});
+
+test('an instance that placed nothing lately still gets its part of the time', async () => {
+  const {timer, line, want, take} = setUp();
+  await line.acquire(want('first', 2));
+  for (let index = 0; index < 3; index++) take(2);
+  await timer.advance(5_000);
+  void line.acquire(want('ahead', 2));
+  await timer.advance(1);
+  let place: Place | undefined;
+  void line.acquire(want('next', 2)).then(given => {
+    place = given;
+  });
+  await timer.advance(100);
+  // 400 ms of reading ahead, at a quarter of an engine's time, is no reason to refuse.
+  expect(place).toBeUndefined();
+});
