Let less urgent tiers yield to what waits anywhere in the fleet

Instances tell each other the most urgent tier that has waited for a fifth of its target; less urgent tiers then fill a third of an engine's time, not three quarters. Only late requests are refused by the expected wait while they wait.

--- a/src/fleet/gossip.ts
+++ b/src/fleet/gossip.ts
@@ -9,6 +9,7 @@
   parseAddress,
   type FleetAddress,
   type LoadNews,
+  type News,
   type ReadingNews,
 } from './message.js';
 
@@ -29,6 +30,8 @@
   logger: Logger;
   /** The load this instance has put on upstreams that have any. */
   loads(): LoadNews[];
+  /** Service and tier of the most urgent request that has waited for long. */
+  waiting(): Array<[string, number]>;
   /** Takes in a prompt that another instance sent to an upstream. */
   learn(reading: ReadingNews): void;
 }
@@ -80,10 +83,11 @@
     const now = timer.now();
     const periodMs = this.addresses.size * PERIOD_PER_INSTANCE_MS;
     if (now - this.sentAt < periodMs) return;
-    const news = {
+    const news: News = {
       from: name,
       loads: this.parts.loads(),
       readings: this.readings,
+      waiting: this.parts.waiting(),
     };
     const isIdle = news.loads.length === 0 && news.readings.length === 0;
     if (isIdle && this.wasIdle && now - this.sentAt < REPEAT_MS) return;
--- a/src/fleet/loads.ts
+++ b/src/fleet/loads.ts
@@ -3,6 +3,9 @@
 /** Age from which what an instance said does not count any more, in ms. */
 const AGE_LIMIT_MS = 1_500;
 
+/** Age from which a waiting request is taken to be gone, in ms. */
+const WAITING_AGE_LIMIT_MS = 500;
+
 /** Load that other instances have put on an upstream. */
 export interface FleetLoad {
   inflight: number;
@@ -34,6 +37,21 @@
     return count;
   }
 
+  /**
+   * The most urgent tier that has waited for long at another instance;
+   * `Infinity` if none has.
+   */
+  waitingTier(service: string, now: number): number {
+    let tier = Infinity;
+    for (const {news, at} of this.heard.values()) {
+      if (now - at > WAITING_AGE_LIMIT_MS) continue;
+      for (const [other, waiting] of news.waiting) {
+        if (other === service) tier = Math.min(tier, waiting);
+      }
+    }
+    return tier;
+  }
+
   /** The load that others have put on an upstream, as far as is known. */
   of(upstream: string, now: number): FleetLoad {
     const sum: FleetLoad = {
--- a/src/fleet/message.ts
+++ b/src/fleet/message.ts
@@ -22,6 +22,8 @@
   from: z.string(),
   loads: z.array(loadSchema),
   readings: z.array(readingSchema),
+  /** Service and tier of the most urgent request that has waited for long. */
+  waiting: z.array(z.tuple([z.string(), z.number()])),
 });
 
 export type News = z.output<typeof newsSchema>;
--- a/src/forward/line.ts
+++ b/src/forward/line.ts
@@ -19,12 +19,19 @@
  * end sooner.
  */
 const LASTING_SHARE = 0.6;
+/**
+ * Share of an engine's time that a tier may fill while something more urgent
+ * waits. It keeps every kind served.
+ */
+const YIELDING_SHARE = 0.35;
+/** Share of its target after which a request has waited for long. */
+const LONG_WAIT_SHARE = 0.2;
 /** Time over which the rate of placing is worked out, in ms. */
 const RATE_WINDOW_MS = 2_000;
 /** Least reading placed a ms that waits are worked out with; bounds them. */
 const MINIMUM_RATE = 0.05;
 /** Share of the engines' time that is sure to go to prompts that wait. */
-const PART_SHARE = 0.25;
+const PART_SHARE = 0.5;
 /** Share of the time left that a request may be expected to wait. */
 const WAIT_SHARE = 0.5;
 
@@ -62,6 +69,8 @@
   logger: Logger;
   random: () => number;
   speeds: Speeds;
+  /** The most urgent tier that waits at other instances. */
+  waitingElsewhere(): number;
   /** Load that other instances have put on an upstream. */
   othersOn(upstream: string): LoadView & {ageMs: number};
   /** Instances that share the upstreams, this one included. */
@@ -88,8 +97,6 @@
   NoUpstream = 'no_upstream',
   /** Engines have enough to read. */
   Busy = 'busy',
-  /** Others that wait go first. */
-  Behind = 'behind',
 }
 
 /** Requests of one service that wait for an upstream. */
@@ -115,7 +122,7 @@
       };
       const {speeds} = this.parts;
       speeds.asked(want.sensitive, entry.readingMs);
-      const cause = this.isBehind(entry) ? WaitCause.Behind : this.try(entry);
+      const cause = this.try(entry);
       if (cause !== undefined) this.enqueue(entry, cause);
     });
   }
@@ -124,36 +131,44 @@
   look(): void {
     const now = this.parts.timer.now();
     this.waiting.sort((a, b) => order(a.want, b.want, now));
-    let busyTier = Infinity;
     let aheadMs = 0;
     for (const entry of [...this.waiting]) {
       const {want} = entry;
       if (want.signal.aborted) this.leave(entry, {type: 'gone'});
       else if (this.isDoomed(entry, aheadMs, now)) {
         this.leave(entry, this.refusal(NotRunCause.Waited));
-      } else if (want.tier <= busyTier || isUnbounded(want)) {
-        const cause = this.try(entry);
-        if (cause === undefined) {
-          this.remove(entry);
-          continue;
-        }
-        if (cause === WaitCause.Busy) busyTier = Math.min(busyTier, want.tier);
-      }
-      aheadMs += entry.readingMs;
+      } else if (this.try(entry) === undefined) this.remove(entry);
+      else aheadMs += entry.readingMs;
+    }
+  }
+
+  /** The most urgent tier of which a request has waited for long here. */
+  waitingTier(): number {
+    const now = this.parts.timer.now();
+    let tier = Infinity;
+    for (const {want, since} of this.waiting) {
+      if (isUnbounded(want)) continue;
+      if (now - since < want.targetMs * LONG_WAIT_SHARE) continue;
+      tier = Math.min(tier, want.tier);
     }
+    return tier;
   }
 
   /** Whether a request can't be answered before its deadline any more. */
-  private isDoomed({want}: Waiting, aheadMs: number, now: number): boolean {
-    const {speeds} = this.parts;
-    const waitMs = isUnbounded(want) ? 0 : this.waitMs(aheadMs);
-    const lastsMs = speeds.lastsMs(want.kind) * LASTING_SHARE;
-    return now + waitMs + lastsMs >= want.deadlineAt;
+  private isDoomed(
+    {want, readingMs}: Waiting,
+    aheadMs: number,
+    now: number,
+  ): boolean {
+    const lastsMs = this.parts.speeds.lastsMs(want.kind) * LASTING_SHARE;
+    const isLate = now > want.dueAt && !isUnbounded(want);
+    const waitMs = isLate ? this.waitMs(aheadMs) : 0;
+    return now + waitMs + Math.max(readingMs, lastsMs) >= want.deadlineAt;
   }
 
-  /** Whether something more urgent waits for the engines. */
-  private isBehind({want}: Waiting): boolean {
-    if (isUnbounded(want)) return false;
+  /** Whether something more urgent waits for the engines, here or elsewhere. */
+  private yields(want: Want): boolean {
+    if (this.parts.waitingElsewhere() < want.tier) return true;
     return this.waiting.some(
       other => !isUnbounded(other.want) && other.want.tier < want.tier,
     );
@@ -180,7 +195,11 @@
       this.candidateOf(endpoint, want, now),
     );
     const pace = speeds.pace(endpoints.length);
-    const choice = choose(want, candidates, pace, random);
+    const readingShare = this.yields(want)
+      ? Math.min(want.readingShare, YIELDING_SHARE)
+      : want.readingShare;
+    const ask = {...want, readingShare};
+    const choice = choose(ask, candidates, pace, random);
     if (choice.type === 'full') return WaitCause.Full;
     if (choice.type === 'busy') {
       entry.readingMs = choice.readingMs;
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -189,6 +189,7 @@
       timer,
       logger: logOf(root, Part.Member),
       loads: () => this.endpoints.loads(timer.now()),
+      waiting: () => this.waiting(),
       learn: ({upstream, parts}) =>
         this.endpoints.learn(
           upstream,
@@ -363,6 +364,15 @@
     }
   }
 
+  private waiting(): Array<[string, number]> {
+    return [...this.lanes]
+      .map(([service, {line}]): [string, number] => [
+        service,
+        line.waitingTier(),
+      ])
+      .filter(([, tier]) => tier !== Infinity);
+  }
+
   private noteReading(upstream: string, parts: readonly PromptPart[]): void {
     this.gossip.note({
       upstream,
@@ -380,6 +390,8 @@
     if (known !== undefined) return known;
     const speeds = new Speeds();
     const line = new Line({
+      waitingElsewhere: () =>
+        this.gossip.others.waitingTier(service, this.timer.now()),
       fleetSize: () => 1 + this.gossip.others.size(this.timer.now()),
       othersOn: id => this.gossip.others.of(id, this.timer.now()),
       timer: this.timer,
--- a/test/line.test.ts
+++ b/test/line.test.ts
@@ -6,6 +6,8 @@
 import {EntryState} from '../src/registry/index.js';
 import {ManualTimer} from '../src/timer/index.js';
 
+let elsewhere = Infinity;
+
 const NO_LOAD = {inflight: 0, unread: new Map(), recentTokens: 0, ageMs: 0};
 
 function setUp() {
@@ -31,6 +33,7 @@
     random: () => 0,
     speeds: new Speeds(),
     endpoints: () => [endpoint],
+    waitingElsewhere: () => elsewhere,
     othersOn: () => NO_LOAD,
     fleetSize: () => 1,
     roundTripMs: () => 1,
@@ -130,6 +133,7 @@
     random: () => 0,
     speeds: new Speeds(),
     endpoints: () => [],
+    waitingElsewhere: () => elsewhere,
     othersOn: () => NO_LOAD,
     fleetSize: () => 1,
     roundTripMs: () => 1,
@@ -173,3 +177,23 @@
   // 400 ms of reading ahead, at a quarter of an engine's time, is no reason to refuse.
   expect(place).toBeUndefined();
 });
+
+test('a less urgent tier yields to what waits at another instance', async () => {
+  const {timer, line, want, take, read} = setUp();
+  await line.acquire(want('first', 2));
+  take(2);
+  read(2);
+  elsewhere = 1;
+  let placed = false;
+  void line.acquire(want('low', 2)).then(() => {
+    placed = true;
+  });
+  const urgent = await line.acquire(want('urgent', 1, {readingShare: 0.9}));
+  expect(urgent.type).toBe('placed');
+  await timer.advance(100);
+  expect(placed).toBe(false);
+  elsewhere = Infinity;
+  // 0.4 s of the last second were read, and this takes as much.
+  await timer.advance(1_000);
+  expect(placed).toBe(true);
+});
