--- a/src/forward/endpoints.ts
+++ b/src/forward/endpoints.ts
@@ -42,6 +42,13 @@
     this.known.get(upstream)?.cached?.add(parts);
   }
 
+  /** Connections that were opened to the upstreams that are known. */
+  opened(): number {
+    let sum = 0;
+    for (const {connections} of this.known.values()) sum += connections.opened;
+    return sum;
+  }
+
   /** Follows the registered entries. */
   apply(entries: Iterable<Entry>, table: RoutingTable | undefined): void {
     const present = new Set<string>();
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -73,6 +73,11 @@
     request: RequestHead,
     table: RoutingTable,
   ): Promise<Ending> {
+    const headBytes = bytesOf(this.message.rawHeaders);
+    const {headerBytes: limitBytes} = table.limits;
+    if (headBytes > limitBytes) {
+      return this.refuse({type: 'headTooLarge', limitBytes});
+    }
     const query = request.target.indexOf('?');
     const path = query < 0 ? request.target : request.target.slice(0, query);
     const route = table.match(request.host, path);
@@ -394,6 +399,10 @@
   workspace?: string;
 }
 
+function bytesOf(headers: readonly string[]): number {
+  return headers.reduce((sum, {length}) => sum + length, 0);
+}
+
 function timeOutOnly(deadline: Deadline): AbortSignal {
   const controller = new AbortController();
   deadline.signal.addEventListener('abort', () => {
--- a/src/forward/line.ts
+++ b/src/forward/line.ts
@@ -232,6 +232,7 @@
       {
         event: 'placed',
         request: want.request,
+        tier: want.tier,
         upstream: choice.id,
         waitedMs: Math.round(now - since),
         costMs: choice.costMs,
@@ -307,6 +308,7 @@
       {
         event: 'waits',
         request: want.request,
+        tier: want.tier,
         cause,
         ahead: ahead.length,
         waitMs,
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -5,7 +5,15 @@
   Recorder,
   WeighedUpstream,
 } from './decision.js';
-export {Level, logOf, openLogger, Part, setLevel} from './logger.js';
+export {
+  Level,
+  logOf,
+  openLogger,
+  openOutputLogger,
+  Part,
+  setLevel,
+} from './logger.js';
+export type {OutputLogger} from './logger.js';
 export {describeTargets, meetsTargets} from './targets.js';
 export type {RequestTimes} from './targets.js';
 export {Accumulator, cellSchema, emptyCell} from './accumulator.js';
--- a/src/telemetry/logger.ts
+++ b/src/telemetry/logger.ts
@@ -29,6 +29,33 @@
   return pino({level, base: null}, pino.destination({dest: 2, sync: false}));
 }
 
+/** Log lines kept in memory while the output does not take them, in bytes. */
+const OUTPUT_BUFFER_BYTES = 1 << 20;
+
+/** A logger that never waits for its output. */
+export interface OutputLogger {
+  logger: Logger;
+  /** Lines that were dropped since the output did not take them. */
+  dropped(): number;
+}
+
+/**
+ * Opens a logger on standard output. Lines that a full output does not take are
+ * kept up to a limit, then dropped and counted.
+ */
+export function openOutputLogger(): OutputLogger {
+  let count = 0;
+  const output = pino.destination({
+    dest: 1,
+    sync: false,
+    maxLength: OUTPUT_BUFFER_BYTES,
+  });
+  output.on('drop', () => {
+    count++;
+  });
+  return {logger: pino({base: null}, output), dropped: () => count};
+}
+
 /** Loggers of the parts, by root logger. A child does not follow its root. */
 const children = new WeakMap<Logger, Set<Logger>>();
 
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -26,7 +26,7 @@
   type KeyedRecord,
 } from '../registry/index.js';
 import {Routing, type RoutingDocument} from '../route/index.js';
-import {logOf, Part} from '../telemetry/index.js';
+import {logOf, Part, type OutputLogger} from '../telemetry/index.js';
 import {SystemTimer, type Subscription, type Timer} from '../timer/index.js';
 
 /** Pause between reads of what upstreams say, in ms; a fifth of the time in
@@ -108,10 +108,10 @@
 export async function startGateway(
   settings: GatewaySettings,
   platform: Platform,
-  root: Logger,
+  output: OutputLogger,
   timer: Timer = new SystemTimer(),
 ): Promise<Gateway> {
-  const running = new RunningGateway(settings, platform, root, timer);
+  const running = new RunningGateway(settings, platform, output, timer);
   await running.start();
   return running;
 }
@@ -136,15 +136,17 @@
   /** When the instance began to leave, in monotonic ms. */
   private leavingAt?: number;
   private listed = false;
+  private wasReady = false;
   port = 0;
   readinessPort = 0;
 
   constructor(
     private settings: GatewaySettings,
     private readonly platform: Platform,
-    root: Logger,
+    private readonly output: OutputLogger,
     private readonly timer: Timer,
   ) {
+    const root = output.logger;
     this.logger = logOf(root, Part.Router);
     this.requestLog = logOf(root, Part.Request);
     this.routing = new Routing(logOf(root, Part.Config));
@@ -419,6 +421,21 @@
     const table = this.routing.current();
     const isReady =
       this.leavingAt === undefined && table !== undefined && this.listed;
+    if (isReady !== this.wasReady) {
+      this.wasReady = isReady;
+      this.logger.info(
+        {
+          event: 'readiness',
+          ready: isReady,
+          version: table?.version,
+          listed: this.listed,
+          leaving: this.leavingAt !== undefined,
+        },
+        isReady
+          ? 'Ready for new connections.'
+          : 'Not ready for new connections.',
+      );
+    }
     return {
       status: isReady ? 200 : 503,
       body: JSON.stringify({ready: isReady, version: table?.version ?? null}),
@@ -432,11 +449,22 @@
       configuration_age_ms: this.configurations.ageMs() ?? -1,
       upstreams_age_ms: this.upstreams.ageMs() ?? -1,
       inflight: this.listener.inflight,
+      waiting: this.sumOverLanes(({line}) => line.length),
+      repeats_left: this.sumOverLanes(({allowance}) =>
+        allowance.left(this.timer.now()),
+      ),
+      other_instances: this.gossip.others.size(this.timer.now()),
+      connections_opened_total: this.endpoints.opened(),
+      log_lines_dropped_total: this.output.dropped(),
       memory_bytes: process.memoryUsage.rss(),
       cpu_seconds_total: (usage.user + usage.system) / 1e6,
     };
   }
 
+  private sumOverLanes(count: (lane: Lane) => number): number {
+    return [...this.lanes.values()].reduce((sum, lane) => sum + count(lane), 0);
+  }
+
   /** Serves one small page, such as readiness. */
   private async serve(
     address: Address,
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -279,7 +279,7 @@
       configuration: decodeConfiguration,
       entry: decodeEntry,
     },
-    logger,
+    {logger, dropped: () => 0},
   );
   await untilReady(gateway);
   return {gateway, feed, lines};
