--- a/src/cli/command/reporting.ts
+++ b/src/cli/command/reporting.ts
@@ -1,6 +1,7 @@
 import type {Argv} from 'yargs';
 import {ExitCode, leave} from '../exit.js';
 import {explainRequest} from '../explain.js';
+import {explainFromLogs, reportLogs} from '../logs.js';
 import {showFleet} from '../fleet.js';
 import type {OperatorAccess} from '../operator.js';
 import {reportBurn} from '../report.js';
@@ -42,6 +43,22 @@
             process.exitCode = await reportBurn(accessTo(url), output);
           },
         )
+        .command(
+          'logs <files..>',
+          'report from logs how requests ended, by route',
+          sub =>
+            sub
+              .positional('files', {
+                type: 'string',
+                array: true,
+                demandOption: true,
+              })
+              .option('json', {type: 'boolean', default: false})
+              .example('$0 report logs entry-1.log entry-2.log', 'two logs'),
+          ({files, json}) => {
+            process.exitCode = reportLogs(files, json);
+          },
+        )
         .demandCommand(1),
     )
     .command(
@@ -53,12 +70,24 @@
             '$0 explain 0199f3b2-5c1e-7a44-9d0e-3b1f0c2a7e55',
             'ask any instance about a request',
           )
+          .example(
+            '$0 explain 9c41d07be2a35f68 --logs entry-1.log entry-2.log',
+            'follow a request through the logs of instances',
+          )
           .positional('request', {
             type: 'string',
             demandOption: true,
+          })
+          .option('logs', {
+            type: 'string',
+            array: true,
+            describe: 'read these logs instead of asking an instance',
           }),
-      async ({url, request, json}) => {
-        process.exitCode = await explainRequest(accessTo(url), request, json);
+      async ({url, request, json, logs}) => {
+        process.exitCode =
+          logs === undefined
+            ? await explainRequest(accessTo(url), request, json)
+            : explainFromLogs(request, logs, json);
       },
     )
     .command(
--- a/src/fleet/gossip.ts
+++ b/src/fleet/gossip.ts
@@ -1,3 +1,4 @@
+import {LogEvent} from '../telemetry/event.js';
 import type {Logger} from 'pino';
 import type {DatagramPort} from '../instance/datagram.js';
 import type {KeyedRecord} from '../registry/index.js';
@@ -65,7 +66,7 @@
       if (address === undefined) this.addresses.delete(key);
       else this.addresses.set(key, address);
       logger.info(
-        {event: 'peer', instance: key, offset, address},
+        {event: LogEvent.Peer, instance: key, offset, address},
         address === undefined
           ? 'Another instance has no usable address any more.'
           : 'Another instance announced itself.',
@@ -103,7 +104,7 @@
     const parsed = newsSchema.safeParse(params);
     if (!parsed.success) {
       this.parts.logger.warn(
-        {event: 'peer', problem: parsed.error.message},
+        {event: LogEvent.Peer, problem: parsed.error.message},
         'Ignored news that can not be read.',
       );
       return;
--- a/src/forward/choice.ts
+++ b/src/forward/choice.ts
@@ -71,6 +71,8 @@
   prompt?: Prompt;
   /** Whether its kind has the shortest pauses of the service. */
   sensitive: boolean;
+  /** Whether its caller has a part of the answer already. */
+  begun: boolean;
   /** Shortest pause that a kind of the service may make, in ms. */
   shortestPauseMs: number;
   /** Objective of the request, in ms. */
@@ -232,13 +234,13 @@
  * streams their tokens. An engine with nothing to read always has.
  */
 function hasTime(
-  {prompt, sensitive, targetMs, readingShare}: Ask,
+  {prompt, sensitive, begun, targetMs, readingShare}: Ask,
   {unreadTokens, recentTokens}: Candidate,
   freshTokens: number,
   {tokensPerMs}: Pace,
   fit: number,
 ): boolean {
-  if (prompt === undefined || sensitive) return true;
+  if (prompt === undefined || sensitive || begun) return true;
   const readingMs = freshTokens / tokensPerMs;
   const waitMs = unreadTokens / tokensPerMs;
   const waitLimitMs = Math.max(
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -1,3 +1,4 @@
+import {LogEvent} from '../telemetry/event.js';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Repetition, type Route, type RoutingTable} from '../route/index.js';
 import {runAttempt, type AttemptResult, type WholeAnswer} from './attempt.js';
@@ -9,7 +10,7 @@
 import {Sign} from './health.js';
 import type {Placed, Want} from './line.js';
 import type {RequestHead} from './protocol.js';
-import {NotRunCause, type Refusal} from './refusal.js';
+import {NotRunCause, refusalStatus, type Refusal} from './refusal.js';
 import {Reply} from './reply.js';
 import type {Lane} from './lane.js';
 import {StreamSink} from './sink.js';
@@ -31,6 +32,10 @@
   private sends = 0;
   /** Time from sending to the first bytes of a stream, in ms. */
   private startMs?: number;
+  /** Time from the arrival to the first bytes of a stream, in ms. */
+  private toFirstMs?: number;
+  /** Objective of the request's route, in ms. */
+  private targetMs?: number;
   private runs = 0;
   private mayHaveRun = false;
   private failure?: WholeAnswer;
@@ -57,12 +62,14 @@
     this.parts.metrics.ended(ending, ms);
     logger.info(
       {
-        event: 'ended',
+        event: LogEvent.Ended,
         request: request.id,
         version: table?.version,
         ...ending,
         sends: this.sends,
         startMs: this.startMs,
+        toFirstMs: this.toFirstMs,
+        targetMs: this.targetMs,
         ms,
       },
       'Request ended.',
@@ -82,6 +89,7 @@
     const path = query < 0 ? request.target : request.target.slice(0, query);
     const route = table.match(request.host, path);
     if (route === undefined) return this.refuse({type: 'unknownRoute'});
+    this.targetMs = route.targetMs;
     const admittance = table.admit(route, request.key);
     if (admittance.type === 'unauthenticated') {
       return this.refuse({type: 'unauthenticated'}, route);
@@ -153,7 +161,7 @@
       }
       this.parts.logger.info(
         {
-          event: 'repeats',
+          event: LogEvent.Repeats,
           request: task.request.id,
           after: result.type,
           cause: 'cause' in result ? result.cause : undefined,
@@ -178,6 +186,7 @@
       signal: deadline.signal,
       tried: this.tried,
       sensitive: isSensitive(route.pauseMs, pauses),
+      begun: this.reply.started,
       shortestPauseMs: Math.min(...pauses),
       ...(request.prompt === undefined ? {} : {prompt: request.prompt}),
     };
@@ -203,6 +212,7 @@
     sink.begin(() => {
       const now = timer.now();
       this.startMs ??= Math.round(now - sentAt);
+      this.toFirstMs ??= Math.round(now - this.arrivedAt);
       load.started(now);
     });
     const isSafe = route.repetition !== Repetition.AtMostOnce;
@@ -265,7 +275,7 @@
     if (outMs === undefined) return;
     logger.warn(
       {
-        event: 'health',
+        event: LogEvent.Health,
         upstream: endpoint.id,
         request: request.id,
         sign,
@@ -373,14 +383,26 @@
       );
     }
     this.reply.deliver(failure);
-    return {outcome: 'failed', status, route: route.name};
+    return {
+      outcome: 'failed',
+      status,
+      cause: 'upstream failed',
+      route: route.name,
+    };
   }
 
   private refuse(refusal: Refusal, route?: Route): Ending {
-    const outcome = this.reply.started ? 'broken' : 'refused';
+    const status = refusalStatus(refusal);
+    const mayHaveRun = refusal.type === 'broken' || refusal.type === 'timedOut';
+    const outcome = this.reply.started
+      ? 'broken'
+      : mayHaveRun
+        ? 'failed'
+        : 'refused';
     this.reply.refuse(refusal);
     return {
       outcome,
+      status,
       cause: 'cause' in refusal ? refusal.cause : refusal.type,
       ...(route === undefined ? {} : {route: route.name}),
     };
--- a/src/forward/health.ts
+++ b/src/forward/health.ts
@@ -63,8 +63,12 @@
     return now < this.fullUntil;
   }
 
-  /** Takes an upstream that does not answer out of use. */
+  /**
+   * Takes an upstream that does not answer out of use. Requests that fail
+   * together count once.
+   */
   eject(now: number): number {
+    if (this.isOut(now)) return this.outUntil - now;
     const ms = Math.min(EJECTION_LIMIT_MS, EJECTION_MS * 2 ** this.ejections);
     this.ejections++;
     this.inRow = 0;
--- a/src/forward/line.ts
+++ b/src/forward/line.ts
@@ -1,3 +1,4 @@
+import {LogEvent} from '../telemetry/event.js';
 import type {Logger} from 'pino';
 import type {Subscription, Timer} from '../timer/index.js';
 import {choose, type Ask, type Candidate, type Choice} from './choice.js';
@@ -230,7 +231,7 @@
     const mine = own.view(now);
     this.parts.logger.info(
       {
-        event: 'placed',
+        event: LogEvent.Placed,
         request: want.request,
         tier: want.tier,
         upstream: choice.id,
@@ -295,9 +296,10 @@
     const aheadMs = ahead.reduce((sum, other) => sum + other.readingMs, 0);
     const waitMs = Math.round(this.waitMs(aheadMs));
     const leftMs = Math.round(want.deadlineAt - now);
-    if (waitMs > leftMs * WAIT_SHARE || this.isDoomed(entry, aheadMs, now)) {
+    const isTooLong = !isUnbounded(want) && waitMs > leftMs * WAIT_SHARE;
+    if (isTooLong || this.isDoomed(entry, aheadMs, now)) {
       logger.info(
-        {event: 'overloaded', request: want.request, waitMs, leftMs},
+        {event: LogEvent.Overloaded, request: want.request, waitMs, leftMs},
         'Refused: the request would wait for too long.',
       );
       entry.settle(this.refusal(NotRunCause.Overloaded));
@@ -306,7 +308,7 @@
     this.waiting.push(entry);
     logger.info(
       {
-        event: 'waits',
+        event: LogEvent.Waits,
         request: want.request,
         tier: want.tier,
         cause,
@@ -355,8 +357,8 @@
 }
 
 /** Whether the request does not wait for engines to have time. */
-function isUnbounded({prompt, sensitive}: Want): boolean {
-  return prompt === undefined || sensitive;
+function isUnbounded({prompt, sensitive, begun}: Want): boolean {
+  return prompt === undefined || sensitive || begun;
 }
 
 /**
--- a/src/forward/listener.ts
+++ b/src/forward/listener.ts
@@ -1,3 +1,4 @@
+import {LogEvent} from '../telemetry/event.js';
 import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {RoutingTable} from '../route/index.js';
@@ -53,7 +54,7 @@
           .run()
           .catch((cause: unknown) => {
             parts.logger.error(
-              {event: 'defect', cause: String(cause)},
+              {event: LogEvent.Defect, cause: String(cause)},
               'Serving a request failed unexpectedly.',
             );
             response.destroy();
--- a/src/registry/follower.ts
+++ b/src/registry/follower.ts
@@ -1,3 +1,4 @@
+import {LogEvent} from '../telemetry/event.js';
 import type {Logger} from 'pino';
 import type {Subscription, Timer} from '../timer/index.js';
 import type {Feed, FeedFailure, KeyedRecord, Topic} from './feed.js';
@@ -61,7 +62,7 @@
   ageMs(): number | undefined {
     return this.lastAt === undefined
       ? undefined
-      : this.spec.timer.now() - this.lastAt;
+      : Math.round(this.spec.timer.now() - this.lastAt);
   }
 
   /** Ms for which the store has answered without a failure; 0 while it fails. */
@@ -104,14 +105,14 @@
     const {records, end} = result.value;
     if (end < known) {
       logger.warn(
-        {topic, end, known},
+        {event: LogEvent.Store, topic, end, known},
         'Snapshot is older than what is known and was dropped.',
       );
       return STALE_PAUSE_MS;
     }
     this.position = end;
     logger.info(
-      {topic, records: records.length, end},
+      {event: LogEvent.Store, topic, records: records.length, end},
       'Took a snapshot of the topic.',
     );
     this.listener.replaced(records);
@@ -127,7 +128,7 @@
     switch (page.type) {
       case 'expired':
         logger.warn(
-          {topic, from, first: page.first},
+          {event: LogEvent.Store, topic, from, first: page.first},
           'Records were dropped before they were read; taking a snapshot.',
         );
         return this.load(from);
@@ -143,7 +144,10 @@
     const {timer, topic, logger} = this.spec;
     const now = timer.now();
     if (this.failures > 0) {
-      logger.info({topic, failures: this.failures}, 'Store answers again.');
+      logger.info(
+        {event: LogEvent.Store, topic, failures: this.failures},
+        'Store answers again.',
+      );
     }
     this.failures = 0;
     this.lastAt = now;
@@ -156,7 +160,7 @@
     this.failures++;
     if (this.failures === 1) {
       logger.warn(
-        {topic, call, failure, ageMs: this.ageMs()},
+        {event: LogEvent.Store, topic, call, failure, ageMs: this.ageMs()},
         'Store did not answer; going on with what is known.',
       );
     }
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -1,3 +1,4 @@
+import {LogEvent} from '../telemetry/event.js';
 import type {Logger} from 'pino';
 import type {Timer} from '../timer/index.js';
 import {EntryState, isSameStart, supersedes, type Entry} from './entry.js';
@@ -76,7 +77,7 @@
     const next = this.parts.decode(key, value);
     if ('reason' in next) {
       logger.warn(
-        {upstream: key, offset, reason: next.reason},
+        {event: LogEvent.Upstream, upstream: key, offset, reason: next.reason},
         'Ignored an unusable entry.',
       );
       return;
@@ -84,17 +85,20 @@
     const known = this.known.get(key);
     if (known !== undefined && !supersedes(next, known.entry)) {
       logger.info(
-        {upstream: key, offset},
+        {event: LogEvent.Upstream, upstream: key, offset},
         'Ignored an entry that is outdated.',
       );
       return;
     }
     this.known.set(key, {entry: next});
     if (known === undefined || !isSameStart(known.entry, next)) {
-      logger.info({upstream: key, offset, entry: next}, 'Upstream is listed.');
+      logger.info(
+        {event: LogEvent.Upstream, upstream: key, offset, entry: next},
+        'Upstream is listed.',
+      );
     } else if (known.entry.state !== next.state) {
       logger.info(
-        {upstream: key, offset, state: next.state},
+        {event: LogEvent.Upstream, upstream: key, offset, state: next.state},
         next.state === EntryState.Draining
           ? 'Upstream is leaving and gets no new work.'
           : 'Upstream takes work again.',
@@ -113,13 +117,16 @@
     }
     known.lapsedAt = timer.now();
     logger.warn(
-      {upstream: key, reason, steadyMs: steady},
+      {event: LogEvent.Upstream, upstream: key, reason, steadyMs: steady},
       'Entry lapsed around an outage of the store; keeping it for a while.',
     );
   }
 
   private drop(key: string, reason: string): void {
     this.known.delete(key);
-    this.parts.logger.info({upstream: key, reason}, 'Upstream is gone.');
+    this.parts.logger.info(
+      {event: LogEvent.Upstream, upstream: key, reason},
+      'Upstream is gone.',
+    );
   }
 }
--- a/src/report/index.ts
+++ b/src/report/index.ts
@@ -43,3 +43,9 @@
   formatTime,
   formatWindow,
 } from './text.js';
+export {readLog} from './loglines.js';
+export type {LogLine, LogLines} from './loglines.js';
+export {tellStory} from './logstory.js';
+export type {LogStory} from './logstory.js';
+export {tallyRoutes} from './logtally.js';
+export type {RouteTally} from './logtally.js';
--- a/src/route/routing.ts
+++ b/src/route/routing.ts
@@ -1,3 +1,4 @@
+import {LogEvent} from '../telemetry/event.js';
 import type {Logger} from 'pino';
 import type {RoutingDocument} from './document.js';
 import {RoutingTable} from './table.js';
@@ -24,7 +25,7 @@
     if (known !== undefined && version <= known) {
       if (version < known) {
         this.logger.info(
-          {event: 'configuration', version, known},
+          {event: LogEvent.Configuration, version, known},
           'Ignored a configuration older than the one in force.',
         );
       }
@@ -34,7 +35,7 @@
     this.table = table;
     this.logger.info(
       {
-        event: 'configuration',
+        event: LogEvent.Configuration,
         version,
         known,
         routes: routes.length,
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -1,3 +1,4 @@
+export {LogEvent} from './event.js';
 export {nullRecorder, ShedReason, WasteCause} from './decision.js';
 export type {
   Decision,
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -26,7 +26,7 @@
   type KeyedRecord,
 } from '../registry/index.js';
 import {Routing, type RoutingDocument} from '../route/index.js';
-import {logOf, Part, type OutputLogger} from '../telemetry/index.js';
+import {LogEvent, logOf, Part, type OutputLogger} from '../telemetry/index.js';
 import {SystemTimer, type Subscription, type Timer} from '../timer/index.js';
 
 /** Pause between reads of what upstreams say, in ms; a fifth of the time in
@@ -248,7 +248,10 @@
         body: this.metrics.text(this.gauges()),
       }));
     }
-    this.logger.info({event: 'started', instance, zone}, 'Instance started.');
+    this.logger.info(
+      {event: LogEvent.Started, instance, zone},
+      'Instance started.',
+    );
   }
 
   reload(settings: GatewaySettings): void {
@@ -256,7 +259,7 @@
     for (const {allowance} of this.lanes.values()) {
       allowance.adjust(settings.retry);
     }
-    this.logger.info({event: 'reloaded'}, 'Settings were read again.');
+    this.logger.info({event: LogEvent.Reloaded}, 'Settings were read again.');
   }
 
   async stop(): Promise<void> {
@@ -264,7 +267,7 @@
     const leavingAt = timer.now();
     this.leavingAt = leavingAt;
     this.logger.info(
-      {event: 'stopping', inflight: listener.inflight},
+      {event: LogEvent.Stopping, inflight: listener.inflight},
       'Leaving: not ready any more, finishing what is in flight.',
     );
     const endAt = this.endAt(leavingAt);
@@ -281,7 +284,7 @@
     this.datagrams.close();
     await timer.sleep(FLUSH_MS);
     this.logger.info(
-      {event: 'stopped', unfinished: listener.inflight},
+      {event: LogEvent.Stopped, unfinished: listener.inflight},
       'Instance stopped.',
     );
   }
@@ -307,7 +310,7 @@
     const {host, fleetPort: port, instance} = this.settings;
     if (!(await this.datagrams.bind(host, port))) {
       this.logger.warn(
-        {event: 'peer', host, port},
+        {event: LogEvent.Peer, host, port},
         'The port for the fleet is taken; going on alone.',
       );
       return;
@@ -324,7 +327,7 @@
       );
       if (written.isOk()) return;
       this.logger.warn(
-        {event: 'peer', failure: written.error},
+        {event: LogEvent.Peer, failure: written.error},
         'Could not announce this instance yet.',
       );
       await this.timer.sleep(ANNOUNCE_RETRY_MS);
@@ -341,7 +344,7 @@
       const stoodMs = Math.max(now - last, wall - lastWall) - SWEEP_MS;
       if (stoodMs > STALL_MS) {
         this.logger.warn(
-          {event: 'stall', stoodMs: Math.round(stoodMs)},
+          {event: LogEvent.Stall, stoodMs: Math.round(stoodMs)},
           'The process stood still; reading the store again.',
         );
         this.configurations.wake();
@@ -359,7 +362,7 @@
       if (document === undefined) continue;
       if ('reason' in document) {
         this.logger.warn(
-          {event: 'configuration', offset: record.offset, ...document},
+          {event: LogEvent.Configuration, offset: record.offset, ...document},
           'Ignored a configuration that can not be used.',
         );
       } else this.routing.accept(document);
@@ -425,7 +428,7 @@
       this.wasReady = isReady;
       this.logger.info(
         {
-          event: 'readiness',
+          event: LogEvent.Readiness,
           ready: isReady,
           version: table?.version,
           listed: this.listed,
--- a/test/choice.test.ts
+++ b/test/choice.test.ts
@@ -43,6 +43,7 @@
       outputTokens: 120,
     },
     sensitive: false,
+    begun: false,
     shortestPauseMs: 300,
     targetMs: 2_000,
     readingShare: readingShareOf(2, 2),
@@ -161,6 +162,7 @@
 test('plain requests go where least is served, and not to what was tried', () => {
   const plain: Ask = {
     sensitive: false,
+    begun: false,
     shortestPauseMs: 300,
     targetMs: 200,
     readingShare: 1,
@@ -194,3 +196,12 @@
     ]
   `);
 });
+
+test('a stream that broke goes on at once, however busy engines are', () => {
+  const busy = {unreadTokens: 90_000, recentTokens: 90_000};
+  const candidates = IDS.map(id => engine(id, busy));
+  const ask = {...long(), tried: new Set([IDS[0] ?? ''])};
+  expect(choose(ask, candidates, PACE, noise).type).toBe('busy');
+  const begun = choose({...ask, begun: true}, candidates, PACE, noise);
+  expect(begun.type).toBe('chosen');
+});
--- /dev/null
+++ b/test/health.test.ts
@@ -0,0 +1,166 @@
+import {expect, test} from 'vitest';
+import {Allowance} from '../src/forward/allowance.js';
+import {CachedParts} from '../src/forward/cached.js';
+import {EventCutter} from '../src/forward/events.js';
+import {Health, Sign} from '../src/forward/health.js';
+import {FleetLoads} from '../src/fleet/index.js';
+import {readLog, tallyRoutes, tellStory} from '../src/report/index.js';
+
+test('requests that fail together take an upstream out of use once', () => {
+  const health = new Health();
+  expect(health.observe(Sign.Unreachable, 0)).toBe(500);
+  expect(health.observe(Sign.Unreachable, 1)).toBe(499);
+  expect(health.observe(Sign.Unreachable, 2)).toBe(498);
+  expect([health.isOut(499), health.isOut(501)]).toEqual([true, false]);
+  expect(health.observe(Sign.Unreachable, 501)).toBe(1_000);
+  expect(health.observe(Sign.Good, 1_600)).toBeUndefined();
+  expect(health.observe(Sign.Unreachable, 1_601)).toBe(500);
+});
+
+test('single broken answers do not take an upstream out of use', () => {
+  const health = new Health();
+  expect(health.observe(Sign.Broken, 0)).toBeUndefined();
+  expect(health.observe(Sign.Good, 1)).toBeUndefined();
+  expect(health.observe(Sign.Broken, 2)).toBeUndefined();
+  expect(health.observe(Sign.Broken, 3)).toBeUndefined();
+  expect(health.observe(Sign.Broken, 4)).toBe(500);
+  expect(health.failing).toBeGreaterThan(0);
+});
+
+test('abusive retries: repeats stay within the ratio of own traffic', () => {
+  const allowance = new Allowance({ratio: 0.2, windowMs: 10_000});
+  let repeats = 0;
+  for (let now = 0; now < 10_000; now += 10) {
+    allowance.sent(now);
+    if (allowance.take(now)) repeats++;
+  }
+  expect(repeats).toBeLessThanOrEqual(200);
+  expect(repeats).toBeGreaterThan(150);
+  // Without traffic one repeat in a window remains.
+  expect([allowance.take(40_000), allowance.take(40_001)]).toEqual([
+    true,
+    false,
+  ]);
+});
+
+test('what engines hold yields by least recent use', () => {
+  const parts = new CachedParts(100);
+  const prompt = (...ids: string[]) => ({
+    model: 'm',
+    parts: ids.map(id => ({id, tokens: 40})),
+    tokens: 40 * ids.length,
+    outputTokens: 1,
+  });
+  parts.add(prompt('a').parts);
+  parts.add(prompt('b').parts);
+  parts.add(prompt('a').parts);
+  parts.add(prompt('c').parts);
+  expect(
+    [prompt('a'), prompt('b'), prompt('c'), prompt('a', 'c')].map(item =>
+      parts.heldTokens(item),
+    ),
+  ).toEqual([40, 0, 40, 80]);
+});
+
+test('events are cut where they end, whatever the chunks', () => {
+  const text = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata';
+  for (let size = 1; size <= text.length; size++) {
+    const cutter = new EventCutter();
+    let given = '';
+    let last: string | undefined;
+    let events = 0;
+    for (let at = 0; at < text.length; at += size) {
+      const cut = cutter.push(Buffer.from(text.slice(at, at + size)));
+      given += cut.bytes.toString();
+      events += cut.events;
+      last = cut.lastEvent ?? last;
+    }
+    expect([given + cutter.remainder().toString(), events, last]).toEqual([
+      text,
+      2,
+      '2',
+    ]);
+  }
+});
+
+test('news of instances that fell silent do not count', () => {
+  const loads = new FleetLoads();
+  const news = (from: string) => ({
+    from,
+    loads: [
+      {
+        upstream: 'i-1',
+        inflight: 2,
+        unread: [[1, 500]] as Array<[number, number]>,
+        recent: 700,
+      },
+    ],
+    readings: [],
+    waiting: [['s', 1]] as Array<[string, number]>,
+  });
+  loads.take(news('entry-2'), 0);
+  loads.take(news('entry-3'), 400);
+  expect(loads.of('i-1', 500)).toMatchObject({inflight: 4, ageMs: 500});
+  expect([loads.waitingTier('s', 500), loads.waitingTier('t', 500)]).toEqual([
+    1,
+    Infinity,
+  ]);
+  expect(loads.of('i-1', 1_600).inflight).toBe(2);
+  expect(loads.waitingTier('s', 1_600)).toBe(Infinity);
+  expect([loads.size(1_600), loads.of('i-1', 9_000).inflight]).toEqual([1, 0]);
+});
+
+const LOG = [
+  '{"time":1000,"event":"started","instance":"entry-1","msg":"Started."}',
+  '{"time":2000,"event":"placed","request":"r1","upstream":"i-1","msg":"Placed."}',
+  '{"time":2010,"event":"health","upstream":"i-1","msg":"Out of use."}',
+  '{"time":2020,"event":"health","upstream":"i-9","msg":"Out of use."}',
+  '{"time":2030,"event":"ended","request":"r1","route":"a","outcome":"failed","status":502,"cause":"reset","ms":30,"msg":"Ended."}',
+  '{"time":2040,"event":"ended","request":"r2","route":"a","outcome":"answered","ms":90,"targetMs":100,"msg":"Ended."}',
+  '{"time":2050,"event":"en',
+].join('\n');
+
+test('a log tells the story of a request, with what was believed meanwhile', () => {
+  const {lines, unreadable} = readLog(LOG, 'logs/one.log');
+  expect(unreadable).toBe(1);
+  expect(tellStory('r1', lines)).toMatchInlineSnapshot(`
+    {
+      "ending": "failed, 502, reset",
+      "request": "r1",
+      "sentences": [
+        " -1000 ms  entry-1  Started. (instance "entry-1")",
+        "    +0 ms  entry-1  Placed. (upstream "i-1")",
+        "   +10 ms  entry-1  Out of use. (upstream "i-1")",
+        "   +30 ms  entry-1  Ended. (route "a", outcome "failed", status 502, cause "reset", ms 30)",
+      ],
+    }
+  `);
+  expect(tellStory('r9', lines).sentences).toEqual([]);
+  expect(tallyRoutes(lines)).toMatchInlineSnapshot(`
+    [
+      {
+        "attained": 0.5,
+        "endings": [
+          {
+            "ending": "failed: reset",
+            "requests": 1,
+          },
+          {
+            "ending": "answered",
+            "requests": 1,
+          },
+        ],
+        "medianMs": 90,
+        "p99Ms": 90,
+        "requests": 2,
+        "route": "a",
+      },
+    ]
+  `);
+});
+
+test('a collector may write time and source before each line', () => {
+  const row =
+    '  12.5 front-7 {"time":1,"event":"waits","request":"r","msg":"m"}';
+  expect(readLog(row, 'x').lines[0]?.source).toBe('front-7');
+});
--- a/test/line.test.ts
+++ b/test/line.test.ts
@@ -48,6 +48,7 @@
     deadlineAt: timer.now() + 8_000,
     signal: new AbortController().signal,
     sensitive: false,
+    begun: false,
     shortestPauseMs: 300,
     tried: new Set<string>(),
     prompt: {
