Keep a stuck or failing log output from holding up the end of a process

While looking, a test process with an output that could not be written never ended: the logger's destination writes from a thread, which blocks, and flushes at exit, which retries for ever.

Change: pipes are written without blocking through a stream that is bounded by the same limit; lines that fail are counted; errors that nothing handled are logged with their stack before the process ends.

--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -7,6 +7,7 @@
   WeighedUpstream,
 } from './decision.js';
 export {
+  endOnDefect,
   Level,
   logOf,
   openLogger,
--- a/src/telemetry/logger.ts
+++ b/src/telemetry/logger.ts
@@ -1,4 +1,11 @@
+import {createWriteStream, fstatSync} from 'node:fs';
+import {Socket} from 'node:net';
+import type {Writable} from 'node:stream';
 import {pino, type Logger} from 'pino';
+import {LogEvent} from './event.js';
+
+/** Status of a process that an error ended which nothing handled. */
+const EXIT_DEFECT = 1;
 
 /** Parts of an instance; each has a fixed prefix in the logs. */
 export enum Part {
@@ -32,6 +39,8 @@
 /** Log lines kept in memory while the output does not take them, in bytes. */
 const OUTPUT_BUFFER_BYTES = 1 << 20;
 
+const STANDARD_OUTPUT = 1;
+
 /** A logger that never waits for its output. */
 export interface OutputLogger {
   logger: Logger;
@@ -45,15 +54,43 @@
  */
 export function openOutputLogger(): OutputLogger {
   let count = 0;
-  const output = pino.destination({
-    dest: 1,
-    sync: false,
-    maxLength: OUTPUT_BUFFER_BYTES,
-  });
-  output.on('drop', () => {
+  const output = openStream(STANDARD_OUTPUT);
+  // A line that can not be written has nowhere to be reported but the count.
+  output.on('error', () => {
     count++;
   });
-  return {logger: pino({base: null}, output), dropped: () => count};
+  const write = (line: string) => {
+    if (output.destroyed || output.writableLength > OUTPUT_BUFFER_BYTES) {
+      count++;
+    } else output.write(line);
+  };
+  return {logger: pino({base: null}, {write}), dropped: () => count};
+}
+
+/**
+ * Opens a descriptor for writing. A pipe is written without blocking: a thread
+ * that is stuck in a write would keep the process from ending.
+ */
+function openStream(fd: number): Writable {
+  const stat = fstatSync(fd);
+  return stat.isFIFO() || stat.isSocket()
+    ? new Socket({fd, readable: false, writable: true})
+    : createWriteStream('', {fd, autoClose: false});
+}
+
+/**
+ * Logs an error that nothing handled, with its stack, and ends the process with
+ * status 1. Its state can't be trusted any more.
+ */
+export function endOnDefect(logger: Logger): void {
+  process.on('uncaughtException', (error, origin) => {
+    const stack = error instanceof Error ? error.stack : String(error);
+    logger.fatal(
+      {event: LogEvent.Defect, origin, stack},
+      'Ending: an error was not handled.',
+    );
+    process.exit(EXIT_DEFECT);
+  });
 }
 
 /** Loggers of the parts, by root logger. A child does not follow its root. */
