Take no unnamed answer for a request on a connection that was used before

Cause: an upstream may send an extra answer late, where the next one is expected. One that names no request was taken for the answer to the request on the connection. Such a refusal, left over from an earlier request, made a request that ran look as if it had not.

Ruled out: asking for the name on every answer. An upstream that refuses on a new connection may not have read the request's head, and there the refusal can belong to nothing else.

Change: a connection knows whether it has answered before; on one that has, an answer without a name breaks the attempt off.

Test: a late refusal before the real answer, alone and as one more deed of the two properties over upstreams' deeds.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -125,6 +125,11 @@
       this.abort('answered another request');
       return;
     }
+    // It may be left over from an earlier request on the connection.
+    if (head.request === undefined && this.connection.answered) {
+      this.abort('an answer that names no request on a kept connection');
+      return;
+    }
     if (head.notRun || status < 200 || status >= 300) return;
     if (!head.sealed || head.request === undefined || head.encoded) {
       this.abort('answer without the marks of its upstream');
@@ -153,6 +158,7 @@
 
   onResponseEnd(): void {
     const {head} = this;
+    this.connection.answered = true;
     if (head === undefined) {
       this.end({type: 'broken', cause: 'no answer', started: false});
     } else if (!head.framed && this.connection.reset) {
--- a/src/forward/connections.ts
+++ b/src/forward/connections.ts
@@ -15,6 +15,8 @@
 export class Connection {
   /** Whether it ended in an error rather than by a proper close. */
   reset = false;
+  /** Whether an answer has arrived on it. */
+  answered = false;
   open = true;
   private readonly client: Client;
 
--- a/test/once.test.ts
+++ b/test/once.test.ts
@@ -1,3 +1,4 @@
+import type {Socket} from 'node:net';
 import fc from 'fast-check';
 import {afterAll, beforeAll, expect, test} from 'vitest';
 import {
@@ -25,6 +26,8 @@
   WrongId = 'wrong id',
   Extra = 'extra answer',
   Garbage = 'garbage',
+  /** A refusal left over from an earlier request, then the answer. */
+  LateRefusal = 'late refusal',
 }
 
 /** Deeds after which the request has not run. */
@@ -87,9 +90,20 @@
     case Deed.Garbage:
       socket.write('no answer at all\r\n\r\n');
       return;
+    case Deed.LateRefusal:
+      // Only a connection that was used before can have an answer left over.
+      if (used.has(socket)) {
+        socket.write(
+          'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n' +
+            'Content-Length: 0\r\n\r\n',
+        );
+      }
+      socket.write(answer(id));
+      return;
   }
 }
 
+const used = new WeakSet<Socket>();
 const plans = new Map<string, Deed[]>();
 const done = new Map<string, Deed[]>();
 const upstreams: RawUpstream[] = [];
@@ -103,6 +117,7 @@
       const deed = plans.get(request.id)?.[deeds.length] ?? Deed.Answer;
       done.set(request.id, [...deeds, deed]);
       act(deed, request);
+      used.add(request.socket);
     });
     upstreams.push(upstream);
     listed.push({service: 'plain', id, port: await upstream.listen()});
@@ -115,6 +130,16 @@
   for (const upstream of upstreams) upstream.close();
 });
 
+test('a refusal that names no request proves nothing on a kept connection', async () => {
+  const answers = [];
+  for (let turn = 0; turn < 12; turn++) {
+    await play('/order/x', [Deed.Answer]);
+    const {answer: given} = await play('/order/x', [Deed.LateRefusal]);
+    answers.push(given?.status);
+  }
+  expect(answers.filter(status => NOT_RUN.includes(status ?? 0))).toEqual([]);
+});
+
 let sequence = 0;
 
 async function play(
@@ -158,7 +183,9 @@
         if (NOT_RUN.includes(given.status)) expect(ran).toBe(0);
         if (given.status !== 200 || !given.whole) return;
         expect(given.body).toBe(BODY);
-        expect([Deed.Answer, Deed.Extra]).toContain(seen.at(-1));
+        expect([Deed.Answer, Deed.Extra, Deed.LateRefusal]).toContain(
+          seen.at(-1),
+        );
       },
     ),
     {seed: 21, numRuns: 150},
