--- a/src/registry/feed.ts
+++ b/src/registry/feed.ts
@@ -37,6 +37,19 @@
   | {type: 'refused'; status: number}
   | {type: 'malformed'; reason: string};
 
+/** How long calls to the store may take, in ms. */
+export interface FeedLimits {
+  connectMs: number;
+  /** Time for an answer, beyond what the call asks the store to wait. */
+  answerMs: number;
+}
+
+/**
+ * Limits of calls. The time for an answer is a few times what a slow store was
+ * seen to need, and below the age at which a configuration counts as old.
+ */
+export const FEED_LIMITS: FeedLimits = {connectMs: 800, answerMs: 1_000};
+
 /** Keyed topics of the platform's store. */
 export interface Feed {
   /** Reads the newest record of each key. */
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -55,6 +55,9 @@
 /** Time a closing connection gets for its last bytes, in ms. */
 const FLUSH_MS = 100;
 
+/** Port of the metrics page where a platform names none, as deployed. */
+export const METRICS_PORT = 9464;
+
 const SAME_ZONE_MS = 0.4;
 const SAME_REGION_MS = 3;
 /** Assumed of another region until its way is known. */
