Let instances take room one after another, and count load at placement

Requests that one instance placed at one look did not see each other's load either: it was counted when they were sent. Such bursts filled the engines for a second, so the middle tier had no time to read and its streams ran into their deadlines. Tiers that were refused at once did not count as waiting, so the lowest did not yield to them.

Change: load is counted at placement; a large prompt that waits pauses for a random time, in proportion to the fleet, before it takes room, and is told to the others at once; a tier that was turned away in the last second is yielded to, down to a fifth of an engine's time. Refusals for a wait have a log line each, and bytes that are no request are logged and get 400, 408 or 431.

--- a/src/fleet/gossip.ts
+++ b/src/fleet/gossip.ts
@@ -54,7 +54,7 @@
   }
 
   start(): Subscription {
-    return this.parts.timer.every(PERIOD_MS, () => this.tell());
+    return this.parts.timer.every(PERIOD_MS, () => this.tellRegularly());
   }
 
   /** Takes in the records by which instances announce themselves. */
@@ -79,11 +79,15 @@
     if (this.readings.length < READINGS_LIMIT) this.readings.push(reading);
   }
 
-  private tell(): void {
+  private tellRegularly(): void {
+    const periodMs = this.addresses.size * PERIOD_PER_INSTANCE_MS;
+    if (this.parts.timer.now() - this.sentAt >= periodMs) this.tell();
+  }
+
+  /** Tells the others now. */
+  tell(): void {
     const {timer, datagrams, name} = this.parts;
     const now = timer.now();
-    const periodMs = this.addresses.size * PERIOD_PER_INSTANCE_MS;
-    if (now - this.sentAt < periodMs) return;
     const news: News = {
       from: name,
       loads: this.parts.loads(),
--- a/src/forward/choice.ts
+++ b/src/forward/choice.ts
@@ -31,6 +31,11 @@
  * An engine that always reads gives its streams one token a chunk.
  */
 const READING_SHARE = 0.75;
+/**
+ * Share of an engine's time that a tier may fill while something more urgent
+ * waits. It keeps every kind served.
+ */
+const YIELDING_SHARE = 0.2;
 /** Share of the bounds for an engine that would read again what others hold. */
 const SPILL_FIT = 0.5;
 /** Share of the bounds for an engine that is kept for sensitive kinds. */
@@ -79,6 +84,8 @@
   targetMs: number;
   /** Share of an engine's time that may be filled for requests of its tier. */
   readingShare: number;
+  /** Whether something more urgent waits for the engines or was turned away. */
+  yields: boolean;
   /** Upstreams it was sent to before. */
   tried: ReadonlySet<string>;
 }
@@ -234,7 +241,7 @@
  * streams their tokens. An engine with nothing to read always has.
  */
 function hasTime(
-  {prompt, sensitive, begun, targetMs, readingShare}: Ask,
+  {prompt, sensitive, begun, targetMs, readingShare, yields}: Ask,
   {unreadTokens, recentTokens}: Candidate,
   freshTokens: number,
   {tokensPerMs}: Pace,
@@ -249,10 +256,11 @@
   );
   if (waitMs > waitLimitMs * fit) return false;
   const busyMs = recentTokens / tokensPerMs;
-  const limitMs = readingShare * fit * READING_WINDOW_MS;
+  const share = yields ? Math.min(readingShare, YIELDING_SHARE) : readingShare;
+  const limitMs = share * fit * READING_WINDOW_MS;
   if (busyMs + readingMs <= limitMs) return true;
   // What alone fills the window is read where little else was.
-  return fit === 1 && busyMs <= limitMs * LARGE_SHARE;
+  return !yields && fit === 1 && busyMs <= limitMs * LARGE_SHARE;
 }
 
 /** The upstream at which all instances have a new prompt's parts read. */
--- a/src/forward/endpoint.ts
+++ b/src/forward/endpoint.ts
@@ -4,6 +4,7 @@
 import {Connections} from './connections.js';
 import {Health} from './health.js';
 import {OwnLoad} from './load.js';
+import type {Prompt} from './protocol.js';
 
 /** One start of one upstream, its connections, and what is believed of it. */
 export class Endpoint {
@@ -36,6 +37,16 @@
     this.cached ??= new CachedParts(engine.memoryTokens);
   }
 
+  /** Puts a request that was placed on the upstream's account. */
+  assign(
+    {prompt, tier}: {prompt?: Prompt; tier: number},
+    freshTokens: number,
+    now: number,
+  ): void {
+    this.own.sent(tier, freshTokens, now);
+    if (prompt !== undefined) this.cached?.add(prompt.parts);
+  }
+
   /** Closes idle connections; those in use end with their requests. */
   retire(): void {
     this.connections.retire();
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -208,7 +208,7 @@
     if (request.prompt !== undefined) {
       this.parts.sent(endpoint, request.prompt);
     }
-    const load = lane.take(place, want, sentAt);
+    const load = lane.follow(place, want, sentAt);
     sink.begin(() => {
       const now = timer.now();
       this.startMs ??= Math.round(now - sentAt);
--- a/src/forward/lane.ts
+++ b/src/forward/lane.ts
@@ -19,16 +19,14 @@
     readonly speeds: Speeds,
   ) {}
 
-  /** Puts an attempt on an upstream's account. */
-  take(
+  /** Follows the load that a placed request puts on its upstream. */
+  follow(
     {endpoint, freshTokens}: Placed,
-    {prompt, tier}: Want,
+    {tier}: Want,
     sentAt: number,
   ): AttemptLoad {
     const {speeds} = this;
     const {own} = endpoint;
-    own.sent(tier, freshTokens, sentAt);
-    if (prompt !== undefined) endpoint.cached?.add(prompt.parts);
     let unread = freshTokens;
     const read = () => {
       own.read(tier, unread);
--- a/src/forward/line.ts
+++ b/src/forward/line.ts
@@ -20,11 +20,8 @@
  * end sooner.
  */
 const LASTING_SHARE = 0.6;
-/**
- * Share of an engine's time that a tier may fill while something more urgent
- * waits. It keeps every kind served.
- */
-const YIELDING_SHARE = 0.35;
+/** Time for which a tier that was turned away counts as waiting, in ms. */
+const TURNED_AWAY_MS = 1_000;
 /** Share of its target after which a request has waited for long. */
 const LONG_WAIT_SHARE = 0.2;
 /** Time over which the rate of placing is worked out, in ms. */
@@ -36,8 +33,18 @@
 /** Share of the time left that a request may be expected to wait. */
 const WAIT_SHARE = 0.5;
 
+/** Reading from which instances must not take the same room at once, in ms. */
+const LARGE_READING_MS = 50;
+/**
+ * Longest pause before a large prompt takes room that has come up, for each
+ * other instance, in ms. About the time that news take between regions.
+ */
+const BACKOFF_PER_INSTANCE_MS = 12;
+/** Bound on that pause, in ms; a small part of the targets of large prompts. */
+const BACKOFF_LIMIT_MS = 150;
+
 /** A request that wants an upstream. */
-export interface Want extends Ask {
+export interface Want extends Omit<Ask, 'yields'> {
   request: string;
   /** Requests of a kind last about as long. */
   kind: string;
@@ -76,6 +83,8 @@
   othersOn(upstream: string): LoadView & {ageMs: number};
   /** Instances that share the upstreams, this one included. */
   fleetSize(): number;
+  /** Tells the others at once of the load that a large prompt puts on. */
+  tell(): void;
   /** Upstreams of the service that take new work. */
   endpoints(): readonly Endpoint[];
   /** Way to a zone and back, in ms. */
@@ -87,6 +96,8 @@
   since: number;
   /** Time to read the prompt, in ms, as far as known. */
   readingMs: number;
+  /** When it may take the room that it has seen, in monotonic ms. */
+  takeAt?: number;
   settle(place: Place): void;
 }
 
@@ -98,12 +109,16 @@
   NoUpstream = 'no_upstream',
   /** Engines have enough to read. */
   Busy = 'busy',
+  /** Others may be about to take the room there is. */
+  Backoff = 'backoff',
 }
 
 /** Requests of one service that wait for an upstream. */
 export class Line {
   private readonly waiting: Waiting[] = [];
   private readonly placedMs = new SlidingSum(RATE_WINDOW_MS);
+  /** When a request of a tier was last turned away, in monotonic ms. */
+  private readonly turnedAwayAt = new Map<number, number>();
   private tick?: Subscription;
 
   constructor(private readonly parts: LineParts) {}
@@ -137,16 +152,23 @@
       const {want} = entry;
       if (want.signal.aborted) this.leave(entry, {type: 'gone'});
       else if (this.isDoomed(entry, aheadMs, now)) {
-        this.leave(entry, this.refusal(NotRunCause.Waited));
+        const waitMs = this.waitMs(aheadMs);
+        this.leave(entry, this.turnAway(entry, NotRunCause.Waited, waitMs));
       } else if (this.try(entry) === undefined) this.remove(entry);
       else aheadMs += entry.readingMs;
     }
   }
 
-  /** The most urgent tier of which a request has waited for long here. */
+  /**
+   * The most urgent tier of which a request has waited for long here, or was
+   * turned away of late; `Infinity` if there is none.
+   */
   waitingTier(): number {
     const now = this.parts.timer.now();
     let tier = Infinity;
+    for (const [other, at] of this.turnedAwayAt) {
+      if (now - at < TURNED_AWAY_MS) tier = Math.min(tier, other);
+    }
     for (const {want, since} of this.waiting) {
       if (isUnbounded(want)) continue;
       if (now - since < want.targetMs * LONG_WAIT_SHARE) continue;
@@ -167,9 +189,10 @@
     return now + waitMs + Math.max(readingMs, lastsMs) >= want.deadlineAt;
   }
 
-  /** Whether something more urgent waits for the engines, here or elsewhere. */
+  /** Whether something more urgent needs the engines, here or elsewhere. */
   private yields(want: Want): boolean {
     if (this.parts.waitingElsewhere() < want.tier) return true;
+    if (this.waitingTier() < want.tier) return true;
     return this.waiting.some(
       other => !isUnbounded(other.want) && other.want.tier < want.tier,
     );
@@ -196,11 +219,9 @@
       this.candidateOf(endpoint, want, now),
     );
     const pace = speeds.pace(endpoints.length);
-    const readingShare = this.yields(want)
-      ? Math.min(want.readingShare, YIELDING_SHARE)
-      : want.readingShare;
-    const ask = {...want, readingShare};
+    const ask = {...want, yields: this.yields(want)};
     const choice = choose(ask, candidates, pace, random);
+    if (choice.type !== 'chosen') delete entry.takeAt;
     if (choice.type === 'full') return WaitCause.Full;
     if (choice.type === 'busy') {
       entry.readingMs = choice.readingMs;
@@ -215,12 +236,33 @@
     }
     const {freshTokens} = choice;
     const readingMs = freshTokens / pace.tokensPerMs;
+    const isLarge = !isUnbounded(want) && readingMs > LARGE_READING_MS;
+    if (isLarge && this.backsOff(entry, now)) return WaitCause.Backoff;
     this.record(entry, choice, endpoint, now);
     if (!isUnbounded(want)) this.placedMs.add(now, readingMs);
+    // What is placed next must see this load, before anything was sent.
+    endpoint.assign(want, freshTokens, now);
+    if (isLarge) this.parts.tell();
     entry.settle({type: 'placed', endpoint, freshTokens, readingMs});
     return undefined;
   }
 
+  /**
+   * Whether a large prompt that waits leaves the room it sees alone for now.
+   * All instances see room come up at the same time; a random pause lets the
+   * first of them tell the others before they take it too.
+   */
+  private backsOff(entry: Waiting, now: number): boolean {
+    if (!this.waiting.includes(entry)) return false;
+    const others = this.parts.fleetSize() - 1;
+    const pauseMs = Math.min(
+      BACKOFF_LIMIT_MS,
+      others * BACKOFF_PER_INSTANCE_MS,
+    );
+    entry.takeAt ??= now + this.parts.random() * pauseMs;
+    return now < entry.takeAt;
+  }
+
   private record(
     {want, since}: Waiting,
     choice: Choice & {type: 'chosen'},
@@ -298,11 +340,7 @@
     const leftMs = Math.round(want.deadlineAt - now);
     const isTooLong = !isUnbounded(want) && waitMs > leftMs * WAIT_SHARE;
     if (isTooLong || this.isDoomed(entry, aheadMs, now)) {
-      logger.info(
-        {event: LogEvent.Overloaded, request: want.request, waitMs, leftMs},
-        'Refused: the request would wait for too long.',
-      );
-      entry.settle(this.refusal(NotRunCause.Overloaded));
+      entry.settle(this.turnAway(entry, NotRunCause.Overloaded, waitMs));
       return;
     }
     this.waiting.push(entry);
@@ -340,6 +378,32 @@
     return index >= 0;
   }
 
+  /** Refuses a request for which the engines have no time. */
+  private turnAway(
+    {want, since}: Waiting,
+    cause: NotRunCause,
+    waitMs: number,
+  ): Place & {type: 'notRun'} {
+    const {timer, logger} = this.parts;
+    const now = timer.now();
+    if (!isUnbounded(want)) this.turnedAwayAt.set(want.tier, now);
+    const refusal = this.refusal(cause);
+    logger.info(
+      {
+        event: LogEvent.Overloaded,
+        request: want.request,
+        tier: want.tier,
+        cause,
+        waitedMs: Math.round(now - since),
+        waitMs: Math.round(waitMs),
+        leftMs: Math.round(want.deadlineAt - now),
+        retryAfterMs: Math.round(refusal.retryAfterMs),
+      },
+      'Refused: the request would not be answered in time.',
+    );
+    return refusal;
+  }
+
   /** A refusal with the time at which there may be room. */
   refusal(cause: NotRunCause): Place & {type: 'notRun'} {
     const {random} = this.parts;
--- a/src/forward/listener.ts
+++ b/src/forward/listener.ts
@@ -1,5 +1,5 @@
 import {LogEvent} from '../telemetry/event.js';
-import {createServer, type Server} from 'node:http';
+import {createServer, STATUS_CODES, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {RoutingTable} from '../route/index.js';
 import {Exchange} from './exchange.js';
@@ -32,6 +32,13 @@
   });
 }
 
+/** The status for bytes that could not be read; nothing was run. */
+function statusOf(code: string | undefined): number {
+  if (code === 'HPE_HEADER_OVERFLOW') return 431;
+  if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return 408;
+  return 400;
+}
+
 /** Accepts callers' connections and runs one task for each request. */
 export class Listener {
   private readonly server: Server;
@@ -64,11 +71,21 @@
           });
       },
     );
-    this.server.on('clientError', (_cause, socket) => {
-      // What did not parse was not run; there is no request to answer.
-      if (socket.writable) {
-        socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n');
-      } else socket.destroy();
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      // A caller that is gone has asked nothing and gets no answer.
+      if (!socket.writable) {
+        socket.destroy();
+        return;
+      }
+      const status = statusOf(error.code);
+      parts.logger.info(
+        {event: LogEvent.Unreadable, cause: error.code, status},
+        'Closing a connection whose bytes are no request.',
+      );
+      socket.end(
+        `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n` +
+          'connection: close\r\ncontent-length: 0\r\n\r\n',
+      );
     });
     parts.routing.subscribe(table => this.bound(table));
   }
--- a/src/report/logstory.ts
+++ b/src/report/logstory.ts
@@ -78,6 +78,7 @@
     case LogEvent.Peer:
     case LogEvent.Placed:
     case LogEvent.Repeats:
+    case LogEvent.Unreadable:
     case LogEvent.Waits:
     case undefined:
       return false;
--- a/src/telemetry/event.ts
+++ b/src/telemetry/event.ts
@@ -8,7 +8,7 @@
   Ended = 'ended',
   /** An upstream was taken out of use. */
   Health = 'health',
-  /** A request was refused for the wait it would have. */
+  /** A request was refused since it would wait, or has waited, for too long. */
   Overloaded = 'overloaded',
   /** Another instance announced itself, or could not be told. */
   Peer = 'peer',
@@ -27,6 +27,8 @@
   Stopping = 'stopping',
   /** The store was lost or regained, or a topic was read anew. */
   Store = 'store',
+  /** A caller sent bytes that are no request, or none in time. */
+  Unreadable = 'unreadable',
   /** What is believed of an upstream's entry changed. */
   Upstream = 'upstream',
   /** A request waits for an upstream. */
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -400,6 +400,7 @@
     const line = new Line({
       waitingElsewhere: () =>
         this.gossip.others.waitingTier(service, this.timer.now()),
+      tell: () => this.gossip.tell(),
       fleetSize: () => 1 + this.gossip.others.size(this.timer.now()),
       othersOn: id => this.gossip.others.of(id, this.timer.now()),
       timer: this.timer,
--- a/test/choice.test.ts
+++ b/test/choice.test.ts
@@ -47,6 +47,7 @@
     shortestPauseMs: 300,
     targetMs: 2_000,
     readingShare: readingShareOf(2, 2),
+    yields: false,
     tried: new Set(),
     ...change,
   };
@@ -166,6 +167,7 @@
     shortestPauseMs: 300,
     targetMs: 200,
     readingShare: 1,
+    yields: false,
     tried: new Set(['i-2']),
   };
   const candidates = [
@@ -205,3 +207,18 @@
   const begun = choose({...ask, begun: true}, candidates, PACE, noise);
   expect(begun.type).toBe('chosen');
 });
+
+test('surge of two tiers: while the more urgent waits, no large prompt begins', () => {
+  const candidates = IDS.map(id => engine(id, {recentTokens: 5_000}));
+  expect(choose(long(), candidates, PACE, noise).type).toBe('chosen');
+  const yielding = long({yields: true});
+  expect(choose(yielding, candidates, PACE, noise).type).toBe('busy');
+});
+
+test('surge of two tiers: the less urgent one still gets small prompts read', () => {
+  const candidates = IDS.map(id =>
+    engine(id, {recentTokens: 5_000, heldTokens: 13_000}),
+  );
+  const yielding = long({yields: true});
+  expect(choose(yielding, candidates, PACE, noise).type).toBe('chosen');
+});
--- a/test/forward.test.ts
+++ b/test/forward.test.ts
@@ -1,4 +1,6 @@
+import {connect} from 'node:net';
 import {afterEach, expect, test} from 'vitest';
+import {LogEvent} from '../src/telemetry/index.js';
 import {
   call,
   openGateway,
@@ -218,3 +220,50 @@
   const unknown = await call(gateway.port, '/nowhere/', 'r2');
   expect([refused?.status, unknown?.status]).toEqual([401, 404]);
 });
+
+/** Sends bytes on a connection of its own; resolves to what came back. */
+function sendBytes(port: number, bytes: string): Promise<string> {
+  return new Promise(resolve => {
+    const socket = connect(port, '127.0.0.1', () => socket.write(bytes));
+    let text = '';
+    socket.on('data', chunk => {
+      text += chunk.toString('latin1');
+    });
+    socket.on('error', () => undefined);
+    socket.on('close', () => resolve(text));
+  });
+}
+
+test('bytes that are no request are answered for what they are, and logged', async () => {
+  const plain = await upstream('plain', 'i-1', answerWith('hello'));
+  const {gateway, lines} = await gatewayTo([plain]);
+  const long = `GET /look/a HTTP/1.1\r\nX-Long: ${'x'.repeat(80_000)}\r\n\r\n`;
+  const answers = [
+    await sendBytes(gateway.port, 'no request\r\n\r\n'),
+    await sendBytes(gateway.port, long),
+  ];
+  const logged = lines
+    .filter(({event}) => event === LogEvent.Unreadable)
+    .map(({cause, status}) => ({cause, status}));
+  expect({
+    answers: answers.map(answer => answer.split('\r\n')[0]),
+    logged,
+  }).toMatchInlineSnapshot(`
+    {
+      "answers": [
+        "HTTP/1.1 400 Bad Request",
+        "HTTP/1.1 431 Request Header Fields Too Large",
+      ],
+      "logged": [
+        {
+          "cause": "HPE_INVALID_METHOD",
+          "status": 400,
+        },
+        {
+          "cause": "HPE_HEADER_OVERFLOW",
+          "status": 431,
+        },
+      ],
+    }
+  `);
+});
