--- a/test/once.test.ts
+++ b/test/once.test.ts
@@ -204,3 +204,72 @@
     {seed: 22, numRuns: 150},
   );
 }, 60_000);
+
+interface Visit {
+  deeds: Deed[];
+  /** When the request is sent, in ms from the start. */
+  atMs: number;
+  /** Time after which the upstream acts, in ms. */
+  workMs: number;
+  /** Time the caller waits, in ms. */
+  patienceMs: number;
+}
+
+const visitArbitrary: fc.Arbitrary<Visit> = fc.record({
+  deeds: deedsArbitrary,
+  atMs: fc.nat(450),
+  workMs: fc.nat(250),
+  patienceMs: fc.integer({min: 60, max: 600}),
+});
+
+test('promises hold while an instance stops and requests run out of time', async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(visitArbitrary, {minLength: 8, maxLength: 16}),
+      fc.nat(250),
+      async (visits, stopAtMs) => {
+        const runs = new Map<string, number>();
+        const upstream = new RawUpstream(request => {
+          const index = Number(request.id.slice(1));
+          const visit = visits[index];
+          const seen = runs.get(request.id) ?? 0;
+          const deed = visit?.deeds[seen] ?? Deed.Answer;
+          if (!HARMLESS.has(deed)) runs.set(request.id, seen + 1);
+          setTimeout(() => {
+            act(deed, request);
+            used.add(request.socket);
+          }, visit?.workMs ?? 0);
+        });
+        const port = await upstream.listen();
+        const {gateway} = await openGateway(
+          [{service: 'plain', id: 'i-1', port}],
+          300,
+        );
+        const answers = visits.map(async ({atMs, patienceMs}, index) => {
+          await new Promise(resolve => setTimeout(resolve, atMs));
+          return call(gateway.port, '/order/a', `v${index}`, {
+            method: 'POST',
+            headers: {'x-deadline-ms': String(patienceMs)},
+          });
+        });
+        await new Promise(resolve => setTimeout(resolve, stopAtMs));
+        await gateway.stop();
+        const given = await Promise.all(answers);
+        // What is refused must not run later either.
+        await new Promise(resolve => setTimeout(resolve, 100));
+        upstream.close();
+        for (const [index, answer] of given.entries()) {
+          const ran = runs.get(`v${index}`) ?? 0;
+          expect(ran).toBeLessThanOrEqual(1);
+          if (answer !== undefined && NOT_RUN.includes(answer.status)) {
+            expect(ran).toBe(0);
+          }
+          if (answer?.status === 200 && answer.whole) {
+            expect(answer.body).toBe(BODY);
+          }
+        }
+      },
+    ),
+    {seed: 23, numRuns: 12},
+  );
+}, 60_000);
