Split the gateway's wiring, and the decision to repeat from the exchange

An instance whose port for news was taken at its start never announced itself later.

Change: small pages, stand-stills, the stop and the announcement are modules of their own with tests; `judgeRepeat` is a function of plain data with a table of its verdicts; the announcement tries the port again. Weights and limits say where they come from.

Ruled out: splitting the exchange further. What is left is one task, read from top to bottom.

--- a/src/forward/choice.ts
+++ b/src/forward/choice.ts
@@ -4,48 +4,78 @@
 
 const hasher = await xxhash();
 
-/** Pause from which a kind of request bears other prompts beside it. */
+/**
+ * Longest pause over shortest from which kinds are told apart. Below it, engines
+ * of their own would cost more room than they spare in pauses.
+ */
 const SENSITIVE_SPREAD = 1.5;
 /** Kinds whose pause is within this factor of the shortest are as sensitive. */
 const SENSITIVE_SHARE = 1.3;
-/** Cost of work for sensitive kinds on an upstream of the others, in ms. */
+/**
+ * Cost of work for sensitive kinds on an upstream of the others, in ms. About the
+ * reading of two chunks of a long prompt, which it would wait for there.
+ */
 const SHIELD_MS = 150;
-/** Cost of long prompts on an upstream that sensitive kinds use, in ms. */
+/**
+ * Cost of long prompts on an upstream that sensitive kinds use, in ms. It exceeds
+ * the reading of most prompts, so the other engines are filled first.
+ */
 const INTRUSION_MS = 500;
-/** Cost of a request that runs beside, in ms; the slope of a step's time. */
+/** Cost of a request that runs beside, in ms; it lengthens each step. */
 const NEIGHBOUR_MS = 2;
-/** Cost of the share of failures of an upstream, in ms. */
+/** Cost of the share of failures of an upstream, in ms; about one repeat. */
 const FAILING_MS = 400;
-/** Cost of reading a prompt away from its agreed home, in ms. */
+/**
+ * Cost of reading a prompt away from its agreed home, in ms. It outweighs the way
+ * to another region, so instances of all regions keep to one home.
+ */
 const AWAY_MS = 60;
-/** Weight of reading for the request beside the time it takes from others. */
+/**
+ * Weight of reading for the request beside waiting for others. The same reading
+ * also delays every stream of the engine.
+ */
 const READING_WEIGHT = 1.5;
 /** Share of a target within which a request must be expected to start. */
 const START_SHARE = 0.6;
-/** Share of a target that a prompt of any size may wait for others. */
+/**
+ * Share of a target that a prompt may wait for others even if its own reading
+ * takes most of the target.
+ */
 const WAIT_MINIMUM_SHARE = 0.15;
-/** Share of its bound up to which an engine takes a prompt of any size. */
+/**
+ * Share of its bound up to which an engine takes a prompt of any size; a prompt
+ * that fills the window alone would never be read otherwise.
+ */
 const LARGE_SHARE = 0.4;
 /**
  * Share of an engine's time that the least urgent tier may fill with reading.
  * An engine that always reads gives its streams one token a chunk.
  */
 const READING_SHARE = 0.75;
+/** What each more urgent tier may fill beyond that; two reach the whole. */
+const READING_SHARE_STEP = 0.15;
 /**
  * Share of an engine's time that a tier may fill while something more urgent
  * waits. It keeps every kind served.
  */
 const YIELDING_SHARE = 0.2;
-/** Share of the bounds for an engine that would read again what others hold. */
+/**
+ * Share of the bounds for an engine that would read again what others hold; half,
+ * since twice the work is done for the same answer.
+ */
 const SPILL_FIT = 0.5;
-/** Share of the bounds for an engine that is kept for sensitive kinds. */
+/**
+ * Share of the bounds for an engine that is kept for sensitive kinds. Their own
+ * reading, which is short, needs the rest.
+ */
 const INTRUSION_FIT = 0.3;
-/** Share of the shortest pause that reading beside sensitive kinds may take. */
+/**
+ * Share of the shortest pause that reading beside sensitive kinds may take; their
+ * own steps and other prompts take the rest.
+ */
 const INTRUSION_PAUSE_SHARE = 0.25;
 /** Share of the shared parts from which an engine counts as holding them. */
 const HOLDER_SHARE = 0.5;
-/** What each more urgent tier may fill beyond that. */
-const READING_SHARE_STEP = 0.15;
 
 /** An upstream as it is weighed. */
 export interface Candidate {
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -7,10 +7,10 @@
 import {Deadline, StopCause} from './deadline.js';
 import type {Ending} from './ending.js';
 import type {Endpoint} from './endpoint.js';
-import {Sign} from './health.js';
 import type {Placed, Want} from './line.js';
 import type {RequestHead} from './protocol.js';
 import {NotRunCause, refusalStatus, type Refusal} from './refusal.js';
+import {causeOf, judgeRepeat, Repeat, signOf} from './repeat.js';
 import {Reply} from './reply.js';
 import type {Lane} from './lane.js';
 import {StreamSink} from './sink.js';
@@ -19,11 +19,6 @@
 
 /** Time a caller waits that doesn't say, in ms; the route's time-out bounds it. */
 const PATIENCE_MS = 60_000;
-/** Sends beyond the route's limit that refusals which ran nothing allow. */
-const REFUSED_SENDS = 2;
-/** Shortest time in which another attempt is worth sending, in ms. */
-const ATTEMPT_MINIMUM_MS = 40;
-
 /** One request of a caller, from its arrival to its end. */
 export class Exchange {
   private readonly arrivedAt: number;
@@ -268,7 +263,7 @@
   ): void {
     const {timer, logger} = this.parts;
     const sign = signOf(result);
-    if (sign === undefined || (deadline.signal.aborted && !silent)) return;
+    if (deadline.signal.aborted && !silent) return;
     const {health} = endpoint;
     const now = timer.now();
     const outMs = silent ? health.eject(now) : health.observe(sign, now);
@@ -331,16 +326,22 @@
     result: AttemptResult,
   ): boolean {
     const now = this.parts.timer.now();
-    if (deadline.at - now < ATTEMPT_MINIMUM_MS) return false;
-    const isRun = result.type === 'broken' || result.type === 'whole';
-    if (isRun) {
-      if (route.repetition === Repetition.AtMostOnce) return false;
-      if (this.runs >= route.attemptsLimit) return false;
-      if (!sink.resumable) return false;
+    const verdict = judgeRepeat({
+      route,
+      result,
+      sends: this.sends,
+      runs: this.runs,
+      resumable: sink.resumable,
+      leftMs: deadline.at - now,
+    });
+    switch (verdict) {
+      case Repeat.Never:
+        return false;
+      case Repeat.Free:
+        return true;
+      case Repeat.Charged:
+        return lane.allowance.take(now);
     }
-    if (this.sends >= route.attemptsLimit + REFUSED_SENDS) return false;
-    if (result.type === 'refused' && result.status === 400) return false;
-    return result.type === 'unsent' || lane.allowance.take(now);
   }
 
   /** Ends a request that its caller left or that has run out of time. */
@@ -432,24 +433,3 @@
   });
   return controller.signal;
 }
-
-function causeOf(result: AttemptResult): NotRunCause {
-  return result.type === 'unsent'
-    ? NotRunCause.Unreachable
-    : NotRunCause.Refused;
-}
-
-function signOf(result: AttemptResult): Sign | undefined {
-  switch (result.type) {
-    case 'delivered':
-      return Sign.Good;
-    case 'whole':
-      return result.answer.head.status >= 500 ? Sign.Failure : Sign.Good;
-    case 'refused':
-      return Sign.Full;
-    case 'unsent':
-      return Sign.Unreachable;
-    case 'broken':
-      return Sign.Broken;
-  }
-}
--- a/src/forward/line.ts
+++ b/src/forward/line.ts
@@ -8,11 +8,11 @@
 import type {Speeds} from './speeds.js';
 import {unreadUpTo, type LoadView} from './load.js';
 
-/** How often a line looks for room if nothing else wakes it, in ms. */
+/** How often a line looks for room, in ms; a small part of any target. */
 const LOOK_MS = 25;
-/** Longest Retry-After that is advised, in ms. */
+/** Longest Retry-After that is advised, in ms; a surge may be over by then. */
 const RETRY_LIMIT_MS = 2_000;
-/** Shortest Retry-After that is advised, in ms. */
+/** Shortest Retry-After that is advised, in ms; a new connection's time. */
 const RETRY_MINIMUM_MS = 50;
 
 /**
@@ -20,17 +20,26 @@
  * end sooner.
  */
 const LASTING_SHARE = 0.6;
-/** Time for which a tier that was turned away counts as waiting, in ms. */
+/**
+ * Time for which a tier that was turned away counts as waiting, in ms. Callers
+ * return within it, and the reading of engines is counted over as long.
+ */
 const TURNED_AWAY_MS = 1_000;
-/** Share of its target after which a request has waited for long. */
+/**
+ * Share of its target after which a request has waited for long. Others yield to
+ * it from then on, while it can still start in time.
+ */
 const LONG_WAIT_SHARE = 0.2;
-/** Time over which the rate of placing is worked out, in ms. */
+/** Time over which the rate of placing is worked out, in ms; several prompts. */
 const RATE_WINDOW_MS = 2_000;
 /** Least reading placed a ms that waits are worked out with; bounds them. */
 const MINIMUM_RATE = 0.05;
-/** Share of the engines' time that is sure to go to prompts that wait. */
+/**
+ * Share of the engines' time that is sure to go to prompts that wait; the rest may
+ * go to other tiers, or be lost to streams.
+ */
 const PART_SHARE = 0.5;
-/** Share of the time left that a request may be expected to wait. */
+/** Share of the time left that a request may wait; its answer takes the rest. */
 const WAIT_SHARE = 0.5;
 
 /** Reading from which instances must not take the same room at once, in ms. */
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -1,4 +1,3 @@
-import {createServer, type Server} from 'node:http';
 import type {Logger} from 'pino';
 import {
   Allowance,
@@ -6,7 +5,6 @@
   ForwardMetrics,
   Lane,
   Line,
-  listen,
   Probes,
   Listener,
   Speeds,
@@ -14,7 +12,7 @@
   type PromptPart,
   type Protocol,
 } from '../forward/index.js';
-import {Gossip} from '../fleet/index.js';
+import {announce, Gossip} from '../fleet/index.js';
 import {Credential} from '../instance/credential.js';
 import {DatagramPort} from '../instance/datagram.js';
 import {
@@ -28,6 +26,9 @@
 import {Routing, type RoutingDocument} from '../route/index.js';
 import {LogEvent, logOf, Part, type OutputLogger} from '../telemetry/index.js';
 import {SystemTimer, type Subscription, type Timer} from '../timer/index.js';
+import {Departure} from './departure.js';
+import {Pages, type Page} from './pages.js';
+import {watchStalls} from './stall.js';
 
 /** Pause between reads of what upstreams say, in ms; a fifth of the time in
  * which an upstream that leaves must get nothing more. */
@@ -40,16 +41,6 @@
 const INSTANCES_PACE_MS = 1_000;
 /** Longest wait of a read of what instances announce, in ms. */
 const INSTANCES_WAIT_MS = 8_000;
-/** Pause after an announcement failed, in ms. */
-const ANNOUNCE_RETRY_MS = 1_000;
-/** How often lapsed entries are looked at, in ms. */
-const SWEEP_MS = 250;
-/** Time by which a tick is late when the process stood still, in ms. */
-const STALL_MS = 1_000;
-/** Time for which the balancer may still send connections while leaving, in ms. */
-const LEAVING_MS = 2_500;
-/** Share of the grace that is used at most. */
-const GRACE_SHARE = 0.94;
 /** How often it is checked whether every request has ended, in ms. */
 const DRAIN_LOOK_MS = 50;
 /** Time a closing connection gets for its last bytes, in ms. */
@@ -135,9 +126,9 @@
   private readonly configurations: Follower;
   private readonly upstreams: Follower;
   private readonly subscriptions: Subscription[] = [];
-  private readonly servers: Server[] = [];
-  /** When the instance began to leave, in monotonic ms. */
-  private leavingAt?: number;
+  private readonly pages = new Pages();
+  /** Set once the instance stops. */
+  private departure?: Departure;
   private listed = false;
   private wasReady = false;
   port = 0;
@@ -223,8 +214,8 @@
       laneOf: service => this.laneOf(service),
       sent: (endpoint, {parts}) => this.noteReading(endpoint.id, parts),
       isAlive: endpoint => this.probes.ask(endpoint),
-      admits: limitMs => this.admits(limitMs),
-      closing: () => this.leavingAt !== undefined,
+      admits: limitMs => this.departure?.admits(limitMs, timer.now()) ?? true,
+      closing: () => this.departure !== undefined,
     });
     this.routing.subscribe(() => this.reconcile());
   }
@@ -236,17 +227,23 @@
       this.upstreams.start(),
       this.instances.start(),
       this.gossip.start(),
-      this.watch(),
+      watchStalls(this.timer, this.logger, {
+        looked: () => this.registry.sweep(),
+        resumed: () => {
+          this.configurations.wake();
+          this.upstreams.wake();
+        },
+      }),
     );
-    await this.announce();
+    this.announce();
     this.port = await this.listener.listen(callers);
-    this.readinessPort = await this.serve(
+    this.readinessPort = await this.pages.serve(
       readiness,
       this.platform.readinessPath,
       () => this.ready(),
     );
     if (metrics !== undefined) {
-      await this.serve(metrics, '/metrics', () => ({
+      await this.pages.serve(metrics, '/metrics', () => ({
         status: 200,
         body: this.metrics.text(this.gauges()),
       }));
@@ -267,23 +264,22 @@
 
   async stop(): Promise<void> {
     const {timer, listener} = this;
-    const leavingAt = timer.now();
-    this.leavingAt = leavingAt;
+    const departure = new Departure(timer.now(), this.settings.graceMs);
+    this.departure = departure;
     this.logger.info(
       {event: LogEvent.Stopping, inflight: listener.inflight},
       'Leaving: not ready any more, finishing what is in flight.',
     );
-    const endAt = this.endAt(leavingAt);
-    while (timer.now() < endAt) {
+    while (timer.now() < departure.endAt) {
       await timer.sleep(DRAIN_LOOK_MS);
-      if (timer.now() - leavingAt >= LEAVING_MS) {
+      if (!departure.isListed(timer.now())) {
         listener.closeIdle();
         if (listener.inflight === 0) break;
       }
     }
     for (const subscription of this.subscriptions) subscription.end();
     listener.close();
-    for (const server of this.servers) server.close();
+    this.pages.close();
     this.datagrams.close();
     await timer.sleep(FLUSH_MS);
     this.logger.info(
@@ -292,70 +288,17 @@
     );
   }
 
-  private endAt(leavingAt: number): number {
-    return leavingAt + this.settings.graceMs * GRACE_SHARE;
-  }
-
-  /**
-   * While the instance leaves, what the balancer still sends is served; later,
-   * only what will certainly have ended before the process does.
-   */
-  private admits(limitMs: number): boolean {
-    const {leavingAt} = this;
-    if (leavingAt === undefined) return true;
-    const now = this.timer.now();
-    if (now - leavingAt < LEAVING_MS) return true;
-    return now + limitMs < this.endAt(leavingAt);
-  }
-
-  /** Tells the fleet where this instance is reached. */
-  private async announce(): Promise<void> {
+  /** Tells the fleet where this instance is reached, without waiting for it. */
+  private announce(): void {
     const {host, fleetPort: port, instance} = this.settings;
-    if (!(await this.datagrams.bind(host, port))) {
-      this.logger.warn(
-        {event: LogEvent.Peer, host, port},
-        'The port for the fleet is taken; going on alone.',
-      );
-      return;
-    }
-    void this.publish(instance, Buffer.from(JSON.stringify({host, port})));
-  }
-
-  private async publish(name: string, address: Buffer): Promise<void> {
-    while (this.leavingAt === undefined) {
-      const written = await this.platform.feed.put(
-        Topic.Instances,
-        name,
-        address,
-      );
-      if (written.isOk()) return;
-      this.logger.warn(
-        {event: LogEvent.Peer, failure: written.error},
-        'Could not announce this instance yet.',
-      );
-      await this.timer.sleep(ANNOUNCE_RETRY_MS);
-    }
-  }
-
-  /** Looks after entries that lapse, and after stand-stills of the process. */
-  private watch(): Subscription {
-    let last = this.timer.now();
-    let lastWall = this.timer.wallNow();
-    return this.timer.every(SWEEP_MS, () => {
-      const now = this.timer.now();
-      const wall = this.timer.wallNow();
-      const stoodMs = Math.max(now - last, wall - lastWall) - SWEEP_MS;
-      if (stoodMs > STALL_MS) {
-        this.logger.warn(
-          {event: LogEvent.Stall, stoodMs: Math.round(stoodMs)},
-          'The process stood still; reading the store again.',
-        );
-        this.configurations.wake();
-        this.upstreams.wake();
-      }
-      last = now;
-      lastWall = wall;
-      this.registry.sweep();
+    void announce({
+      name: instance,
+      address: {host, port},
+      datagrams: this.datagrams,
+      feed: this.platform.feed,
+      timer: this.timer,
+      logger: logOf(this.output.logger, Part.Member),
+      leaving: () => this.departure !== undefined,
     });
   }
 
@@ -424,10 +367,10 @@
       : OTHER_REGION_MS;
   }
 
-  private ready(): {status: number; body: string} {
+  private ready(): Page {
     const table = this.routing.current();
     const isReady =
-      this.leavingAt === undefined && table !== undefined && this.listed;
+      this.departure === undefined && table !== undefined && this.listed;
     if (isReady !== this.wasReady) {
       this.wasReady = isReady;
       this.logger.info(
@@ -436,7 +379,7 @@
           ready: isReady,
           version: table?.version,
           listed: this.listed,
-          leaving: this.leavingAt !== undefined,
+          leaving: this.departure !== undefined,
         },
         isReady
           ? 'Ready for new connections.'
@@ -471,20 +414,4 @@
   private sumOverLanes(count: (lane: Lane) => number): number {
     return [...this.lanes.values()].reduce((sum, lane) => sum + count(lane), 0);
   }
-
-  /** Serves one small page, such as readiness. */
-  private async serve(
-    address: Address,
-    path: string,
-    page: () => {status: number; body: string},
-  ): Promise<number> {
-    const server = createServer((message, response) => {
-      const {status, body} =
-        message.url === path ? page() : {status: 404, body: ''};
-      response.writeHead(status, {'content-length': Buffer.byteLength(body)});
-      response.end(body);
-    });
-    this.servers.push(server);
-    return listen(server, address);
-  }
 }
--- /dev/null
+++ b/test/wiring.test.ts
@@ -0,0 +1,91 @@
+import {createSocket} from 'node:dgram';
+import type {AddressInfo} from 'node:net';
+import {pino} from 'pino';
+import {expect, test, vi} from 'vitest';
+import {announce} from '../src/fleet/index.js';
+import {Credential} from '../src/instance/credential.js';
+import {DatagramPort} from '../src/instance/datagram.js';
+import {Topic} from '../src/registry/index.js';
+import {ManualTimer} from '../src/timer/index.js';
+import {Departure} from '../src/wiring/departure.js';
+import {watchStalls} from '../src/wiring/stall.js';
+import {MemoryFeed} from './support/gateway.js';
+
+const silent = pino({level: 'silent'});
+
+test('an instance that stops takes what will have ended in time', () => {
+  const departure = new Departure(1_000, 8_000);
+  const table = [0, 2_400, 2_600, 6_000].map(sinceMs => ({
+    sinceMs,
+    listed: departure.isListed(1_000 + sinceMs),
+    short: departure.admits(1_000, 1_000 + sinceMs),
+    long: departure.admits(10_000, 1_000 + sinceMs),
+  }));
+  expect(table).toMatchInlineSnapshot(`
+    [
+      {
+        "listed": true,
+        "long": true,
+        "short": true,
+        "sinceMs": 0,
+      },
+      {
+        "listed": true,
+        "long": true,
+        "short": true,
+        "sinceMs": 2400,
+      },
+      {
+        "listed": false,
+        "long": false,
+        "short": true,
+        "sinceMs": 2600,
+      },
+      {
+        "listed": false,
+        "long": false,
+        "short": true,
+        "sinceMs": 6000,
+      },
+    ]
+  `);
+});
+
+test('an instance whose port is taken announces itself once it is free', async () => {
+  const holder = createSocket('udp4');
+  await new Promise<void>(resolve => holder.bind(0, '127.0.0.1', resolve));
+  const {port} = holder.address();
+  const timer = new ManualTimer();
+  const datagrams = new DatagramPort(new Credential([]), timer);
+  const feed = new MemoryFeed();
+  void announce({
+    name: 'entry-1',
+    address: {host: '127.0.0.1', port},
+    datagrams,
+    feed,
+    timer,
+    logger: silent,
+    leaving: () => false,
+  });
+  const records = feed.records[Topic.Instances];
+  await new Promise(resolve => setTimeout(resolve, 100));
+  expect(records).toEqual([]);
+  await new Promise<void>(resolve => holder.close(() => resolve()));
+  await timer.advance(1_100);
+  await vi.waitFor(() => expect(records).toHaveLength(1));
+  datagrams.close();
+});
+
+test('a process that stood still is noticed by either clock', async () => {
+  const timer = new ManualTimer();
+  const listener = {looked: vi.fn(), resumed: vi.fn()};
+  const watch = watchStalls(timer, silent, listener);
+  await timer.advance(1_000);
+  expect(listener.resumed).not.toHaveBeenCalled();
+  const wall = vi.spyOn(timer, 'wallNow');
+  wall.mockReturnValue(timer.wallNow() + 5_000);
+  await timer.advance(250);
+  expect(listener.resumed).toHaveBeenCalledTimes(1);
+  expect(listener.looked).toHaveBeenCalledTimes(5);
+  watch.end();
+});
