--- a/test/wiring.test.ts
+++ b/test/wiring.test.ts
@@ -1,5 +1,4 @@
 import {createSocket} from 'node:dgram';
-import type {AddressInfo} from 'node:net';
 import {pino} from 'pino';
 import {expect, test, vi} from 'vitest';
 import {announce} from '../src/fleet/index.js';
