Replace the bundle at once, so that a starting process reads a whole one

Its output, once caught in a log: "SyntaxError: Unexpected end of input" in target/gypsumcourse.js.

Ruled out: an error that nothing handles (none was logged), memory, a port that is taken.

Change: the bundle is written beside and renamed. The test, that a new bundle is another file, failed before.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,13 +1,17 @@
 /** Bundles the gateway into one file, which starts faster than its modules. */
+import {renameSync} from 'node:fs';
 import {dirname, join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {build} from 'esbuild';
 
 const root = dirname(dirname(fileURLToPath(import.meta.url)));
 
+const bundle = join(root, 'target', 'gypsumcourse.js');
+const unfinished = `${bundle}.${process.pid}`;
+
 await build({
   entryPoints: [join(root, 'platform', 'main.ts')],
-  outfile: join(root, 'target', 'gypsumcourse.js'),
+  outfile: unfinished,
   bundle: true,
   platform: 'node',
   target: 'node20',
@@ -18,3 +22,6 @@
   },
   logLevel: 'warning',
 });
+
+// A process that starts meanwhile must not read half a file.
+renameSync(unfinished, bundle);
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -1,4 +1,11 @@
-import {readdirSync, readFileSync, statSync} from 'node:fs';
+import {execFileSync} from 'node:child_process';
+import {
+  closeSync,
+  openSync,
+  readdirSync,
+  readFileSync,
+  statSync,
+} from 'node:fs';
 import {join} from 'node:path';
 import fc from 'fast-check';
 import {expect, test} from 'vitest';
@@ -217,3 +224,16 @@
   expect(sent.join()).not.toContain('forged');
   expect(sent.join()).not.toContain('secret');
 });
+
+test('a new bundle replaces the old one at once, not in place', () => {
+  const path = join('target', 'gypsumcourse.js');
+  const bundle = () => {
+    execFileSync(process.execPath, [join('scripts', 'bundle.mjs')]);
+    return statSync(path);
+  };
+  const {ino} = bundle();
+  // A process that is starting reads the old one to its end.
+  const reader = openSync(path, 'r');
+  expect(bundle().ino).not.toBe(ino);
+  closeSync(reader);
+});
