Count the reading of engines by tier

The middle tier waited, since reading of the lowest counted against it, and the lowest yielded, since the middle tier waited.

Ruled out, by trials (docs/measurements/platform.md): more of an engine's time for the lowest tier, with and without this change; more of it while yielding; longer expected waits; no refusals for them.

Change: only reading of its own tier and above counts against a request. Instances tell each other the reading of the last second by tier.

--- a/src/fleet/loads.ts
+++ b/src/fleet/loads.ts
@@ -10,7 +10,7 @@
 export interface FleetLoad {
   inflight: number;
   unread: Map<number, number>;
-  recentTokens: number;
+  recent: Map<number, number>;
   /** Age of the oldest news it is made of, in ms. */
   ageMs: number;
 }
@@ -57,7 +57,7 @@
     const sum: FleetLoad = {
       inflight: 0,
       unread: new Map(),
-      recentTokens: 0,
+      recent: new Map(),
       ageMs: 0,
     };
     for (const [name, {news, at}] of this.heard) {
@@ -69,13 +69,20 @@
       for (const load of news.loads) {
         if (load.upstream !== upstream) continue;
         sum.inflight += load.inflight;
-        sum.recentTokens += load.recent;
         sum.ageMs = Math.max(sum.ageMs, ageMs);
-        for (const [tier, tokens] of load.unread) {
-          sum.unread.set(tier, (sum.unread.get(tier) ?? 0) + tokens);
-        }
+        addTokens(sum.unread, load.unread);
+        addTokens(sum.recent, load.recent);
       }
     }
     return sum;
   }
 }
+
+function addTokens(
+  sum: Map<number, number>,
+  added: ReadonlyArray<[number, number]>,
+): void {
+  for (const [tier, tokens] of added) {
+    sum.set(tier, (sum.get(tier) ?? 0) + tokens);
+  }
+}
--- a/src/fleet/message.ts
+++ b/src/fleet/message.ts
@@ -6,8 +6,8 @@
   inflight: z.number(),
   /** Tier and prompt tokens that are yet to be read. */
   unread: z.array(z.tuple([z.number(), z.number()])),
-  /** Prompt tokens given to read in the last second. */
-  recent: z.number(),
+  /** Tier and prompt tokens given to read in the last second. */
+  recent: z.array(z.tuple([z.number(), z.number()])),
 });
 
 const readingSchema = z.object({
--- a/src/forward/choice.ts
+++ b/src/forward/choice.ts
@@ -87,7 +87,7 @@
   inflight: number;
   /** Prompt tokens it has yet to read that go before the request's. */
   unreadTokens: number;
-  /** Prompt tokens it was given to read in the last second. */
+  /** Of the request's tier and above, given to it in the last second. */
   recentTokens: number;
   /** Way there and back, in ms. */
   roundTripMs: number;
--- a/src/forward/endpoints.ts
+++ b/src/forward/endpoints.ts
@@ -25,13 +25,13 @@
   loads(now: number): LoadNews[] {
     const loads: LoadNews[] = [];
     for (const {id, own} of this.known.values()) {
-      const {inflight, unread, recentTokens} = own.view(now);
-      if (inflight === 0 && recentTokens === 0) continue;
+      const {inflight, unread, recent} = own.view(now);
+      if (inflight === 0 && recent.size === 0) continue;
       loads.push({
         upstream: id,
         inflight,
-        unread: [...unread].map(([tier, tokens]) => [tier, Math.round(tokens)]),
-        recent: Math.round(recentTokens),
+        unread: rounded(unread),
+        recent: rounded(recent),
       });
     }
     return loads;
@@ -87,3 +87,9 @@
     }
   }
 }
+
+function rounded(
+  tokensOf: ReadonlyMap<number, number>,
+): Array<[number, number]> {
+  return [...tokensOf].map(([tier, tokens]) => [tier, Math.round(tokens)]);
+}
--- a/src/forward/line.ts
+++ b/src/forward/line.ts
@@ -6,7 +6,7 @@
 import {NotRunCause} from './refusal.js';
 import {SlidingSum} from './sliding.js';
 import type {Speeds} from './speeds.js';
-import {unreadUpTo, type LoadView} from './load.js';
+import {tokensUpTo, type LoadView} from './load.js';
 
 /** How often a line looks for room, in ms; a small part of any target. */
 const LOOK_MS = 25;
@@ -290,7 +290,9 @@
         costMs: choice.costMs,
         freshTokens: Math.round(choice.freshTokens),
         inflight: [mine.inflight, others.inflight],
-        recentTokens: [mine.recentTokens, others.recentTokens].map(Math.round),
+        recentTokens: [mine, others].map(({recent}) =>
+          Math.round(tokensUpTo(recent, want.tier)),
+        ),
         othersAgeMs: Math.round(others.ageMs),
         weighed: choice.weighed,
       },
@@ -311,8 +313,10 @@
       slots: entry.slots,
       ownInflight: mine.inflight,
       inflight: mine.inflight + others.inflight,
-      unreadTokens: unreadUpTo(mine, tier) + unreadUpTo(others, tier),
-      recentTokens: mine.recentTokens + others.recentTokens,
+      unreadTokens:
+        tokensUpTo(mine.unread, tier) + tokensUpTo(others.unread, tier),
+      recentTokens:
+        tokensUpTo(mine.recent, tier) + tokensUpTo(others.recent, tier),
       roundTripMs: this.parts.roundTripMs(entry.zone),
       failing: health.failing,
       out: health.isOut(now),
--- a/src/forward/load.ts
+++ b/src/forward/load.ts
@@ -9,14 +9,17 @@
   inflight: number;
   /** Prompt tokens that it has yet to read, by tier. */
   unread: ReadonlyMap<number, number>;
-  /** Prompt tokens it was given to read in the last window. */
-  recentTokens: number;
+  /** Prompt tokens it was given to read in the last window, by tier. */
+  recent: ReadonlyMap<number, number>;
 }
 
-/** Prompt tokens yet to be read that are as urgent as a tier or more. */
-export function unreadUpTo({unread}: LoadView, tier: number): number {
+/** Tokens of the tiers that are as urgent as one or more. */
+export function tokensUpTo(
+  tokensOf: ReadonlyMap<number, number>,
+  tier: number,
+): number {
   let sum = 0;
-  for (const [other, tokens] of unread) {
+  for (const [other, tokens] of tokensOf) {
     if (other <= tier) sum += tokens;
   }
   return sum;
@@ -26,12 +29,14 @@
 export class OwnLoad {
   private inflight = 0;
   private readonly unread = new Map<number, number>();
-  private readonly recent = new SlidingSum(READING_WINDOW_MS);
+  private readonly recent = new Map<number, SlidingSum>();
 
   sent(tier: number, freshTokens: number, now: number): void {
     this.inflight++;
     this.change(tier, freshTokens);
-    this.recent.add(now, freshTokens);
+    const sum = this.recent.get(tier) ?? new SlidingSum(READING_WINDOW_MS);
+    sum.add(now, freshTokens);
+    this.recent.set(tier, sum);
   }
 
   /** The upstream has read a prompt, or no longer has to. */
@@ -44,11 +49,12 @@
   }
 
   view(now: number): LoadView {
-    return {
-      inflight: this.inflight,
-      unread: this.unread,
-      recentTokens: this.recent.sum(now),
-    };
+    const recent = new Map<number, number>();
+    for (const [tier, sum] of this.recent) {
+      const tokens = sum.sum(now);
+      if (tokens > 0) recent.set(tier, tokens);
+    }
+    return {inflight: this.inflight, unread: this.unread, recent};
   }
 
   private change(tier: number, tokens: number): void {
