Answer no unreadable bytes in the place of a request that runs

Cause, found by reading: a caller may send more bytes on a connection while a request of it runs. If they did not parse, or their head came too slowly, 400, 408 or 431 was written at once, and a caller takes that for the answer to the request. 408 promises that it has not run, which was not so.

Ruled out: waiting for the running answer before the 400. What follows it can't be told apart from the body of a request any more.

Change: the listener counts requests by connection. On one that serves a request such bytes close the connection, which promises nothing, with a log line that tells how many requests it had.

--- a/src/forward/listener.ts
+++ b/src/forward/listener.ts
@@ -1,6 +1,7 @@
 import {LogEvent} from '../telemetry/event.js';
 import {createServer, STATUS_CODES, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import type {Duplex} from 'node:stream';
 import type {RoutingTable} from '../route/index.js';
 import {Exchange} from './exchange.js';
 import type {ForwardParts} from './parts.js';
@@ -44,6 +45,8 @@
   private readonly server: Server;
   /** Requests that are being served. */
   inflight = 0;
+  /** The same, by connection. */
+  private readonly serving = new WeakMap<Duplex, number>();
 
   constructor(parts: ForwardParts) {
     this.server = createServer(
@@ -55,7 +58,8 @@
         noDelay: true,
       },
       (message, response) => {
-        this.inflight++;
+        const {socket} = message;
+        this.count(socket, 1);
         const exchange = new Exchange(parts, message, response);
         exchange
           .run()
@@ -67,29 +71,39 @@
             response.destroy();
           })
           .finally(() => {
-            this.inflight--;
+            this.count(socket, -1);
           });
       },
     );
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      // A caller that is gone has asked nothing and gets no answer.
+      // The end of a request whose caller is gone is logged by its exchange.
       if (!socket.writable) {
         socket.destroy();
         return;
       }
-      const status = statusOf(error.code);
+      const inflight = this.serving.get(socket) ?? 0;
+      // An answer would be taken for that of a request which may have run.
+      const status = inflight === 0 ? statusOf(error.code) : undefined;
       parts.logger.info(
-        {event: LogEvent.Unreadable, cause: error.code, status},
+        {event: LogEvent.Unreadable, cause: error.code, status, inflight},
         'Closing a connection whose bytes are no request.',
       );
-      socket.end(
-        `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n` +
-          'connection: close\r\ncontent-length: 0\r\n\r\n',
-      );
+      if (status === undefined) socket.destroy();
+      else {
+        socket.end(
+          `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n` +
+            'connection: close\r\ncontent-length: 0\r\n\r\n',
+        );
+      }
     });
     parts.routing.subscribe(table => this.bound(table));
   }
 
+  private count(socket: Duplex, change: 1 | -1): void {
+    this.inflight += change;
+    this.serving.set(socket, (this.serving.get(socket) ?? 0) + change);
+  }
+
   listen(address: Address): Promise<number> {
     return listen(this.server, address);
   }
--- a/test/forward.test.ts
+++ b/test/forward.test.ts
@@ -267,3 +267,20 @@
     }
   `);
 });
+
+test('what follows a request that runs gets no answer in its place', async () => {
+  const plain = await upstream('plain', 'i-1', ({id, socket}) => {
+    setTimeout(() => {
+      socket.write(`${successHead(id, 'Content-Length: 2\r\n')}ok`);
+    }, 300);
+  });
+  const {gateway, lines} = await gatewayTo([plain]);
+  const whole =
+    'POST /order/a HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r1\r\n' +
+    'Authorization: Bearer key-one\r\nContent-Length: 0\r\n\r\n';
+  const answer = await sendBytes(gateway.port, `${whole}no request\r\n\r\n`);
+  expect(answer).toBe('');
+  expect(lines).toContainEqual(
+    expect.objectContaining({event: LogEvent.Unreadable, inflight: 1}),
+  );
+});
