Show the changes of a conflict that a checkpoint already covers

"config publish" replayed from the newest checkpoint, so that a conflict with an older base listed no changes once a checkpoint was written, 10 s after the start of a fleet at the earliest. It now replays from a checkpoint at or before the base, if the log has one. config-cli.test.ts failed this way beside load.

--- a/src/cli/config.ts
+++ b/src/cli/config.ts
@@ -51,8 +51,11 @@
   }
 }
 
-async function openLogSession(logUrl: string): Promise<LogSession> {
-  const session = await LogSession.open(logUrl);
+async function openLogSession(
+  logUrl: string,
+  historySince?: number,
+): Promise<LogSession> {
+  const session = await LogSession.open(logUrl, historySince);
   if (session !== undefined) return session;
   exitWithError(ExitCode.Unavailable, 'the log cannot be read');
 }
@@ -104,7 +107,7 @@
   env: NodeJS.ProcessEnv,
 ): Promise<ExitCode> {
   const document = readDocument(args.file);
-  const session = await openLogSession(args.logUrl);
+  const session = await openLogSession(args.logUrl, args.base);
   const {author, id} = args;
   const base = args.base ?? session.follower.current()?.version ?? 0;
   const draft = {base, document, ...(author === undefined ? {} : {author})};
@@ -151,7 +154,10 @@
     case 'conflict':
       printLine(
         `Conflict: made from version ${failure.base}, while version ` +
-          `${failure.current} is in force. Changed since:`,
+          `${failure.current} is in force. ` +
+          (failure.changed === undefined
+            ? 'The log no longer has all changes since.'
+            : 'Changed since:'),
       );
       for (const {version, author = 'unknown', changes} of failure.changed ??
         []) {
--- a/src/cli/logsession.ts
+++ b/src/cli/logsession.ts
@@ -33,10 +33,16 @@
     this.follower = new ConfigurationFollower(this.log, this.timer, logger);
   }
 
-  /** Opens a session; undefined if the log can't be read to its end in time. */
-  static async open(logUrl: string): Promise<LogSession | undefined> {
+  /**
+   * Opens a session; undefined if the log can't be read to its end in time.
+   * `historySince`: version whose later revisions are wanted.
+   */
+  static async open(
+    logUrl: string,
+    historySince?: number,
+  ): Promise<LogSession | undefined> {
     const session = new LogSession(logUrl);
-    session.follower.start();
+    session.follower.start(historySince);
     const deadline = session.timer.now() + CATCH_UP_TIMEOUT_MS;
     while (session.timer.now() < deadline) {
       if (await session.follower.readToEnd()) return session;
--- a/src/config/follower.ts
+++ b/src/config/follower.ts
@@ -71,6 +71,8 @@
   /** Whether a call of [[catchUpTo]] is in progress. */
   private syncing = false;
   private checkpoint?: KnownCheckpoint;
+  /** Version whose later revisions are wanted. */
+  private historySince = Infinity;
   private task?: Promise<void>;
 
   constructor(
@@ -121,8 +123,13 @@
     return this.nextOffset;
   }
 
-  /** Starts to follow the stream. Further calls have no effect. */
-  start(): void {
+  /**
+   * Starts to follow the stream. Further calls have no effect. With
+   * `historySince`, [[revisionsSince]] that version works as far as the log
+   * still has the submissions, also those before its newest checkpoint.
+   */
+  start(historySince = Infinity): void {
+    this.historySince = historySince;
     this.task ??= this.follow();
   }
 
@@ -189,7 +196,7 @@
    * Returns whether the log gave it.
    */
   private async findStartOffset(): Promise<boolean> {
-    const start = await findReplayStart(this.log);
+    const start = await findReplayStart(this.log, this.historySince);
     if (start.isErr()) {
       this.warnOfFailedRead(start.error);
       await this.fetchFromPeers();
--- a/test/config.test.ts
+++ b/test/config.test.ts
@@ -294,6 +294,33 @@
     expect([versionOf(alone), versionOf(joining)]).toEqual([undefined, 7]);
   });
 
+  it('has the revisions before a checkpoint for a reader that wants them', async () => {
+    const {timer, log} = setUp();
+    await log.append(CONFIGURATION_STREAM, documentSubmission(0, 1));
+    await log.append(CONFIGURATION_STREAM, documentSubmission(1, 2));
+    const writing = follow(timer, log);
+    await timer.advance(1_000);
+    const upTo = writing.lastReadOffset;
+    await log.append(CHECKPOINT_STREAM, {upTo, ...writing.current()});
+    const marker = {type: 'checkpoint', upTo, version: versionOf(writing)};
+    await log.append(CONFIGURATION_STREAM, marker);
+    const reading = new ConfigurationFollower(log, timer, logger);
+    reading.start(1);
+    await timer.advance(1_000);
+    const versions = () =>
+      reading.revisionsSince(1)?.map(revision => revision.version);
+    expect([versionOf(reading), versions()]).toEqual([2, [2]]);
+    const other = follow(timer, log);
+    await timer.advance(1_000);
+    expect(other.revisionsSince(1)).toBeUndefined();
+    // Without the submissions, the checkpoint still serves the document.
+    log.expire(CONFIGURATION_STREAM, 1);
+    const late = new ConfigurationFollower(log, timer, logger);
+    late.start(1);
+    await timer.advance(1_000);
+    expect([versionOf(late), late.revisionsSince(1)]).toEqual([2, undefined]);
+  });
+
   it('is restored from a checkpoint after the log drops its submission', async () => {
     const {timer, log} = setUp();
     await log.append(CONFIGURATION_STREAM, documentSubmission(0, 1));
