--- /dev/null
+++ b/bench/fleet.ts
@@ -0,0 +1,86 @@
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {
+  FleetFault,
+  runExperiment,
+  type ExperimentFigures,
+} from './fleet/experiment.js';
+
+const args = await yargs(hideBin(process.argv))
+  .scriptName('npm run fleet --')
+  .usage(
+    '$0\n\nRuns fleets of gateways in virtual time, against a simulated store ' +
+      'and network, and prints how soon records are in force and what the ' +
+      'fleet costs.',
+  )
+  .option('instances', {
+    type: 'number',
+    array: true,
+    default: [30, 100, 340],
+    describe: 'Sizes of the fleets, one run each',
+  })
+  .option('upstreams', {
+    type: 'number',
+    default: 100,
+    describe: 'Upstreams that write entries',
+  })
+  .option('seconds', {
+    type: 'number',
+    default: 20,
+    describe: 'Measured time of a run, in s',
+  })
+  .option('seed', {type: 'number', default: 1, describe: 'Seed of the runs'})
+  .option('loss', {
+    type: 'number',
+    default: 0.01,
+    describe: 'Share of messages that are lost',
+  })
+  .option('faults', {
+    choices: Object.values(FleetFault),
+    array: true,
+    default: [] as FleetFault[],
+    describe: 'Faults to inject, every 4 s a random one of them',
+  })
+  .option('json', {
+    type: 'boolean',
+    default: false,
+    describe: 'Print one line of JSON for each run',
+  })
+  .strict()
+  .parseAsync();
+
+function printFigures(figures: ExperimentFigures): void {
+  const {inForceMs, loadAgeMs, overdue} = figures;
+  const lines = Object.entries(inForceMs).map(
+    ([topic, {p50, p99, worst}]) =>
+      `  ${topic} in force after ${p50} ms, p99 ${p99}, worst ${worst}`,
+  );
+  process.stdout.write(
+    `${figures.instances} instances\n${lines.join('\n')}\n` +
+      `  loads known are ${loadAgeMs.p50} ms old, p99 ${loadAgeMs.p99}\n` +
+      `  calls to the store: ${figures.callsPerSecond} a second in all, ` +
+      `${figures.startCalls} to start\n` +
+      `  each instance sends ${figures.messagesPerSecond} messages and ` +
+      `${figures.bytesPerSecond} B a second, ` +
+      `${figures.regionBytesPerSecond} B of them to another region\n` +
+      `  configurations that went back: ${figures.regressions}\n` +
+      overdue.map(line => `  OVERDUE ${line}\n`).join(''),
+  );
+}
+
+for (const instances of args.instances) {
+  const {upstreams, seconds, seed, loss, faults} = args;
+  const figures = await runExperiment({
+    instances,
+    upstreams,
+    seconds,
+    seed,
+    loss,
+    faults,
+  });
+  if (args.json) process.stdout.write(`${JSON.stringify(figures)}\n`);
+  else printFigures(figures);
+  if (figures.overdue.length > 0 || figures.regressions > 0) {
+    process.exitCode = 1;
+  }
+}
--- /dev/null
+++ b/bench/fleet/simulatednetwork.ts
@@ -0,0 +1,144 @@
+import {err, ok, type Result} from 'neverthrow';
+import type {InstanceAddress} from '../../src/fleet/index.js';
+import type {ManualTimer} from '../../src/timer/index.js';
+import type {FleetTransport} from '../../src/wiring/fleettransport.js';
+import type {InstanceTimer} from './instancetimer.js';
+
+/** Bytes of a datagram beside its parameters: headers, code and envelope. */
+const DATAGRAM_OVERHEAD_BYTES = 100;
+/** One-way delay within a zone, between zones, and between regions, in ms. */
+const DELAY_MS = {zone: 0.3, region: 1.2, world: 13};
+
+/** Where an instance is in the simulated network. */
+export interface Place {
+  name: string;
+  zone: string;
+  region: string;
+}
+
+interface Station {
+  place: Place;
+  timer: InstanceTimer;
+  datagramHandlers: Map<string, (params: unknown) => unknown>;
+  callHandlers: Map<string, (params: unknown) => Promise<unknown>>;
+}
+
+/** Messages that were sent and their bytes. */
+export interface Traffic {
+  datagrams: number;
+  calls: number;
+  bytes: number;
+  regionBytes: number;
+}
+
+/** Carries messages between simulated instances; their host is their name. */
+export class SimulatedNetwork {
+  readonly traffic: Traffic = {
+    datagrams: 0,
+    calls: 0,
+    bytes: 0,
+    regionBytes: 0,
+  };
+  private readonly stations = new Map<string, Station>();
+
+  constructor(
+    private readonly timer: ManualTimer,
+    private readonly random: () => number,
+    /** Whether a message is lost on the way. */
+    private readonly isLost: (from: Place, to: Place) => boolean,
+  ) {}
+
+  /** Connects an instance. */
+  connect(place: Place, timer: InstanceTimer): FleetTransport {
+    const station: Station = {
+      place,
+      timer,
+      datagramHandlers: new Map(),
+      callHandlers: new Map(),
+    };
+    this.stations.set(place.name, station);
+    return {
+      datagrams: {
+        broadcast: (peers, method, params) =>
+          this.broadcast(station, peers, method, params),
+        handle: (method, handler) => {
+          station.datagramHandlers.set(method, handler);
+        },
+      },
+      client: {
+        call: (peer, method, params, timeoutMs) =>
+          this.call(station, peer, method, params, timeoutMs),
+      },
+      server: {
+        handle: (method, handler) => {
+          station.callHandlers.set(method, handler);
+        },
+      },
+      openPort: () => Promise.resolve(1),
+      close: () => Promise.resolve(),
+    };
+  }
+
+  private broadcast(
+    from: Station,
+    peers: Iterable<InstanceAddress>,
+    method: string,
+    params: unknown,
+  ): void {
+    const text = JSON.stringify(params);
+    for (const {host} of peers) {
+      const to = this.stations.get(host);
+      this.traffic.datagrams++;
+      this.deliver(from, to, text, received => {
+        to?.datagramHandlers.get(method)?.(received);
+      });
+    }
+  }
+
+  private async call(
+    from: Station,
+    {host}: InstanceAddress,
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<Result<unknown, unknown>> {
+    const to = this.stations.get(host);
+    this.traffic.calls++;
+    return new Promise(resolve => {
+      from.timer.after(timeoutMs, () => resolve(err({type: 'peerTimeout'})));
+      this.deliver(from, to, JSON.stringify(params), received => {
+        const handler = to?.callHandlers.get(method);
+        if (to === undefined || handler === undefined) return;
+        void handler(received).then(result => {
+          this.deliver(to, from, JSON.stringify(result), value =>
+            resolve(ok(value)),
+          );
+        });
+      });
+    });
+  }
+
+  private deliver(
+    from: Station,
+    to: Station | undefined,
+    text: string,
+    receive: (params: unknown) => void,
+  ): void {
+    const bytes = text.length + DATAGRAM_OVERHEAD_BYTES;
+    this.traffic.bytes += bytes;
+    if (to === undefined) return;
+    if (from.place.region !== to.place.region) {
+      this.traffic.regionBytes += bytes;
+    }
+    if (this.isLost(from.place, to.place)) return;
+    const delayMs = delayBetween(from.place, to.place) * (1 + this.random());
+    this.timer.after(delayMs, () => {
+      to.timer.run(() => receive(JSON.parse(text) as unknown));
+    });
+  }
+}
+
+function delayBetween(a: Place, b: Place): number {
+  if (a.zone === b.zone) return DELAY_MS.zone;
+  return a.region === b.region ? DELAY_MS.region : DELAY_MS.world;
+}
--- a/src/fleet/announcement.ts
+++ b/src/fleet/announcement.ts
@@ -1,5 +1,4 @@
 import type {Logger} from 'pino';
-import type {DatagramPort} from '../instance/datagram.js';
 import {Topic, type Feed} from '../registry/index.js';
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Timer} from '../timer/index.js';
@@ -15,9 +14,10 @@
 export interface AnnouncementParts {
   /** Name of this instance. */
   name: string;
-  /** Address at which this instance receives gossip. */
-  address: InstanceAddress;
-  datagrams: DatagramPort;
+  /** Host and zone that are published with the port. */
+  address: Omit<InstanceAddress, 'port'>;
+  /** Opens the port for peers; undefined if that fails, as when it is in use. */
+  openPort(): Promise<number | undefined>;
   feed: Feed;
   timer: Timer;
   logger: Logger;
@@ -26,22 +26,22 @@
 }
 
 /**
- * Binds the gossip port and publishes its address to the other instances.
+ * Opens the port for peers and publishes its address to the other instances.
  * Retries until both succeed, as a previous process may still hold the port
  * and the store may be unreachable.
  */
 export async function announce(parts: AnnouncementParts): Promise<void> {
-  const {name, address, datagrams, feed, timer, logger} = parts;
-  let isBound = false;
+  const {name, address, feed, timer, logger} = parts;
+  let port: number | undefined;
   while (!parts.isLeaving()) {
-    isBound ||= await datagrams.bind(address.host, address.port);
-    if (!isBound) {
+    port ??= await parts.openPort();
+    if (port === undefined) {
       logger.warn(
         {event: LogEvent.Peer, address},
-        'The gossip port is taken; running without gossip until it is free.',
+        'The port for peers is taken; running without peers until it is free.',
       );
     } else {
-      const record = Buffer.from(JSON.stringify(address));
+      const record = Buffer.from(JSON.stringify({...address, port}));
       const written = await feed.put(Topic.Instances, name, record);
       if (written.isOk()) return;
       logger.warn(
--- a/src/fleet/gossip.ts
+++ b/src/fleet/gossip.ts
@@ -1,38 +1,87 @@
-import {LogEvent} from '../telemetry/logevent.js';
 import type {Logger} from 'pino';
-import type {DatagramPort} from '../instance/datagram.js';
-import type {KeyedRecord} from '../registry/index.js';
+import {Learned, LearnedFrom} from '../registry/index.js';
+import {LogEvent} from '../telemetry/logevent.js';
 import type {Subscription, Timer} from '../timer/index.js';
-import {PeerLoads} from './loads.js';
+import {
+  decodeReport,
+  encodeReport,
+  MAX_LOAD_AGE_MS,
+  PeerLoads,
+  type LoadReport,
+} from './loads.js';
 import {
   GOSSIP_METHOD,
   gossipMessageSchema,
-  parseAddress,
-  type InstanceAddress,
-  type UpstreamLoad,
+  ZONE_PREFIX,
   type GossipMessage,
+  type InstanceAddress,
   type SentPrompt,
+  type UpstreamLoad,
 } from './message.js';
+import type {Peers} from './peers.js';
+import type {RecordExchange} from './recordexchange.js';
+import {RelayQueue} from './relayqueue.js';
 
-/** Shortest time between two regular messages to the peers, in ms. */
-const MIN_INTERVAL_MS = 150;
+/** Shortest time between two regular rounds of messages, in ms. */
+const ROUND_MS = 150;
+/** Time between two regular rounds of an instance that relays, in ms. */
+const RELAYING_ROUND_MS = 300;
+/** Time between two rounds of an idle instance, in ms. */
+const IDLE_ROUND_MS = 600;
+/** Shortest time between two rounds because a topic is fresher, in ms. */
+const MIN_FRESHNESS_INTERVAL_MS = 200;
 /**
- * Shortest time between two regular messages for each peer that they go to,
- * in ms. Bounds the rate of datagrams in a large fleet.
+ * Time between messages that carry the state of the topics where all instances
+ * talk directly, in ms. It serves those that the reader can't reach.
  */
-const INTERVAL_PER_PEER_MS = 10;
-/** Time between two messages of an idle instance, in ms. */
-const IDLE_INTERVAL_MS = 600;
-/** Most prompts in one message; more would not fit into a datagram. */
+const STATUS_INTERVAL_MS = 400;
+/** Peers of the own zone that a relaying instance sends to in a round. */
+const ZONE_FANOUT = 2;
+/** Peers of each other zone that the reader of a topic tells of changes. */
+const CHANGES_FANOUT = 2;
+/** Peers of each other zone that it tells that nothing has changed. */
+const FRESHNESS_FANOUT = 1;
+/** Messages a second from each zone to each other zone. */
+const ZONE_MESSAGES_PER_SECOND = 2;
+/** Sends of a relayed load within the zone, by each instance. */
+const MAX_LOAD_SENDS = 3;
+/** Sends of a prompt within the zone, by each instance. */
+const MAX_PROMPT_SENDS = 4;
+/** Most bytes of relayed loads in one message. */
+const MAX_RELAYED_BYTES = 2_500;
+/** Most bytes of prompts in one message. */
+const MAX_PROMPT_BYTES = 1_000;
+/** Most prompts in one message of a fleet that talks directly. */
 const MAX_PROMPTS = 24;
+/**
+ * Time for which an instance doesn't tell again that an upstream has the shared
+ * parts of a prompt, in ms.
+ */
+const PROMPT_REPEAT_MS = 2_000;
+
+/** Sends and receives datagrams; nothing tells whether one arrives. */
+export interface Datagrams {
+  broadcast(
+    peers: Iterable<InstanceAddress>,
+    method: string,
+    params: unknown,
+  ): void;
+  handle(method: string, handler: (params: unknown) => unknown): void;
+}
 
 /** Dependencies of [[Gossip]]. */
 export interface GossipParts {
   /** Name of this instance. */
   name: string;
-  datagrams: DatagramPort;
+  /** Availability zone of this instance. */
+  zone: string;
+  datagrams: Datagrams;
+  peers: Peers;
+  records: RecordExchange;
   timer: Timer;
   logger: Logger;
+  /** Returns a random number in [0, 1). */
+  random: () => number;
   /** Load from this instance on each upstream, without idle ones. */
   loads(): UpstreamLoad[];
   /** For each service, the most urgent tier with a long-waiting request. */
@@ -42,19 +91,29 @@
 }
 
 /**
- * Exchanges with the other instances the load that each puts on the upstreams
- * and the prompts it sends there. Placement then accounts for the load of the
- * whole fleet and for prompts that engines have cached. A lost or late message
- * makes placement less accurate and has no other effect.
+ * Exchanges with the other instances the load that each puts on the upstreams,
+ * the prompts it sends there, and what it knows of the store's topics. In a
+ * small fleet every message goes to all. In a larger one, an instance sends to a
+ * few random peers of its zone and passes on what it has heard; between zones
+ * travel sums, so that no instance sends more as the fleet grows. A lost or late
+ * message makes placement less accurate and delays records by a round.
  */
 export class Gossip {
   /** Load that the other instances have reported. */
   readonly peerLoads = new PeerLoads();
-  /** Addresses of the other instances, by name. */
-  private readonly peerAddresses = new Map<string, InstanceAddress>();
-  /** Prompts for the next message. */
+  private readonly relayedLoads = new RelayQueue<KnownLoad>(MAX_LOAD_SENDS);
+  private readonly relayedPrompts = new RelayQueue<SentPrompt>(
+    MAX_PROMPT_SENDS,
+  );
+  /** Prompts for the next message of a fleet that talks directly. */
   private prompts: SentPrompt[] = [];
+  /** When a prompt's shared parts were last told of, by upstream and part. */
+  private readonly toldPrompts = new Map<string, number>();
   private sentAt = -Infinity;
+  /** When a round was last sent because a topic was fresher. */
+  private freshnessSentAt = -Infinity;
+  /** When the state of the topics was last sent. */
+  private statusSentAt = -Infinity;
   /** Whether the last message reported no load and no prompts. */
   private wasIdle = false;
 
@@ -64,69 +123,240 @@
 
   /** Starts sending regular messages, until the subscription ends. */
   start(): Subscription {
-    return this.parts.timer.every(MIN_INTERVAL_MS, () => this.sendIfDue());
-  }
-
-  /** Updates the peer addresses from the records that instances publish. */
-  updateAddresses(records: KeyedRecord[]): void {
-    const {name, logger} = this.parts;
-    for (const {key, value, offset} of records) {
-      if (key === name) continue;
-      const address = value === undefined ? undefined : parseAddress(value);
-      if (address === undefined) this.peerAddresses.delete(key);
-      else this.peerAddresses.set(key, address);
-      logger.info(
-        {event: LogEvent.Peer, instance: key, offset, address},
-        address === undefined
-          ? 'Another instance no longer has a usable address.'
-          : 'Another instance announced itself.',
-      );
-    }
+    return this.parts.timer.every(ROUND_MS, () => this.sendIfDue());
+  }
+
+  /** Ages of the known loads of single instances, in ms. */
+  loadAges(): number[] {
+    return this.peerLoads.ages(
+      from => !from.startsWith(ZONE_PREFIX),
+      this.parts.timer.now(),
+    );
   }
 
-  /** Adds a prompt that was sent to an upstream to the next message. */
+  /** Adds a prompt that was sent to an upstream to the next messages. */
   addPrompt(prompt: SentPrompt): void {
-    if (this.prompts.length < MAX_PROMPTS) this.prompts.push(prompt);
+    if (this.parts.peers.areDirect) {
+      if (this.prompts.length < MAX_PROMPTS) this.prompts.push(prompt);
+      return;
+    }
+    // The last part belongs to the request alone; its caller comes back here.
+    const shared = {...prompt, parts: prompt.parts.slice(0, -1)};
+    this.relayPrompt(shared);
   }
 
-  private sendIfDue(): void {
-    const intervalMs = this.peerAddresses.size * INTERVAL_PER_PEER_MS;
-    if (this.parts.timer.now() - this.sentAt >= intervalMs) this.send();
+  /** Tells the peers what was learned of a topic, if they should know soon. */
+  announce(news: Learned, source: LearnedFrom): void {
+    const {timer, peers} = this.parts;
+    // Where all instances talk directly, every peer was told by the reader.
+    if (source === LearnedFrom.Peer && peers.areDirect) return;
+    const isReader = source === LearnedFrom.Store;
+    switch (news) {
+      case Learned.Changes:
+        this.sendRound({
+          withStatus: true,
+          withChanges: true,
+          further: isReader ? CHANGES_FANOUT : 0,
+        });
+        return;
+      case Learned.Freshness: {
+        const now = timer.now();
+        const elapsedMs = now - this.freshnessSentAt;
+        if (!isReader && elapsedMs < MIN_FRESHNESS_INTERVAL_MS) return;
+        this.freshnessSentAt = now;
+        this.sendRound({
+          withStatus: true,
+          further: isReader ? FRESHNESS_FANOUT : 0,
+        });
+        return;
+      }
+    }
   }
 
-  /**
-   * Sends a message to every peer now, unless this instance is still idle and
-   * said so less than [[IDLE_INTERVAL_MS]] ago.
-   */
+  /** Sends the current load at once. */
   send(): void {
-    const {timer, datagrams, name} = this.parts;
+    this.sendRound();
+  }
+
+  private sendIfDue(): void {
+    const {timer, peers} = this.parts;
     const now = timer.now();
-    const message: GossipMessage = {
-      from: name,
-      loads: this.parts.loads(),
-      readings: this.prompts,
-      waiting: this.parts.waiting(),
-    };
-    const isIdle = message.loads.length === 0 && message.readings.length === 0;
-    if (isIdle && this.wasIdle && now - this.sentAt < IDLE_INTERVAL_MS) return;
-    this.wasIdle = isIdle;
+    this.peerLoads.sweep(now);
+    const roundMs = peers.areDirect ? ROUND_MS : RELAYING_ROUND_MS;
+    const isIdle = this.parts.loads().length === 0 && this.prompts.length === 0;
+    const dueMs = isIdle && this.wasIdle ? IDLE_ROUND_MS : roundMs;
+    // The timer may fire slightly early.
+    if (now - this.sentAt >= dueMs - 1) this.sendRound();
+  }
+
+  private sendRound({
+    withStatus = false,
+    withChanges = false,
+    further = 0,
+  }: Round = {}): void {
+    const {timer, peers, records} = this.parts;
+    const now = timer.now();
+    const elapsedMs = Math.min(now - this.sentAt, IDLE_ROUND_MS);
+    const own = this.ownReport();
+    this.wasIdle = own.loads.length === 0 && this.prompts.length === 0;
     this.sentAt = now;
-    this.prompts = [];
-    for (const address of this.peerAddresses.values()) {
-      datagrams.notify(address, GOSSIP_METHOD, message);
+    const hasStatus =
+      withStatus ||
+      !peers.areDirect ||
+      now - this.statusSentAt >= STATUS_INTERVAL_MS;
+    if (hasStatus) this.statusSentAt = now;
+    const message = {
+      ...this.messageOf(own),
+      topics: hasStatus ? records.statuses() : [],
+      changes: withChanges ? records.recentChanges() : [],
+    };
+    if (peers.areDirect) {
+      this.sendTo(peers.all(), {...message, readings: this.prompts});
+      this.prompts = [];
+      return;
+    }
+    const mates = peers.sample(ZONE_FANOUT);
+    if (mates.length > 0) {
+      const readings = this.relayedPrompts.take(MAX_PROMPT_BYTES, mates.length);
+      this.relayedLoads.prune(({at}) => now - at > MAX_LOAD_AGE_MS);
+      const others = this.relayedLoads.take(MAX_RELAYED_BYTES, mates.length);
+      const relayed = [
+        encodeReport(own, 0),
+        ...others.map(({report, at}) => encodeReport(report, now - at)),
+      ];
+      this.sendTo(mates, {...message, loads: [], readings, relayed});
     }
+    this.sendToOtherZones(message, own, elapsedMs, further);
+  }
+
+  /**
+   * Sends the sum of the zone's loads to each other zone, so often that the
+   * instances of this zone together keep to their rate.
+   */
+  private sendToOtherZones(
+    message: GossipMessage,
+    own: LoadReport,
+    elapsedMs: number,
+    further: number,
+  ): void {
+    const {peers, random, zone, timer} = this.parts;
+    const share =
+      (ZONE_MESSAGES_PER_SECOND * elapsedMs) / 1_000 / peers.zoneSize;
+    const otherZones = peers.otherZones();
+    const chosen = otherZones.filter(() => random() < share);
+    if (chosen.length > 0) {
+      const {sum, ageMs} = this.peerLoads.sumOf(
+        from => !from.startsWith(ZONE_PREFIX),
+        own,
+        timer.now(),
+      );
+      const from = ZONE_PREFIX + zone;
+      const relayed = [encodeReport({...sum, from}, ageMs)];
+      const readings = this.relayedPrompts.take(MAX_PROMPT_BYTES, 1);
+      const summary = {...message, loads: [], readings, relayed};
+      this.sendTo(
+        chosen.flatMap(other => peers.sample(1, other)),
+        summary,
+      );
+    }
+    const urgent = otherZones.flatMap(other => peers.sample(further, other));
+    this.sendTo(urgent, {...message, loads: []});
+  }
+
+  private sendTo(
+    addresses: Iterable<InstanceAddress>,
+    message: GossipMessage,
+  ): void {
+    this.parts.datagrams.broadcast(addresses, GOSSIP_METHOD, message);
+  }
+
+  private ownReport(): LoadReport {
+    const {parts} = this;
+    return {
+      from: parts.name,
+      instances: 1,
+      loads: parts.loads(),
+      waiting: parts.waiting(),
+    };
+  }
+
+  private messageOf({from, loads, waiting}: LoadReport): GossipMessage {
+    const empty = {readings: [], relayed: [], topics: [], changes: []};
+    return {from, loads, waiting, ...empty};
   }
 
   private receive(params: unknown): void {
+    const {timer, logger, peers, zone} = this.parts;
     const parsed = gossipMessageSchema.safeParse(params);
     if (!parsed.success) {
-      this.parts.logger.warn(
+      logger.warn(
         {event: LogEvent.Peer, problem: parsed.error.message},
         'Ignored a malformed gossip message.',
       );
       return;
     }
-    this.peerLoads.update(parsed.data, this.parts.timer.now());
-    for (const prompt of parsed.data.readings) this.parts.recordPrompt(prompt);
+    const {from, loads, waiting, ...message} = parsed.data;
+    const now = timer.now();
+    const address = peers.addressOf(from);
+    // Where instances pass loads on, only earlier versions send theirs to all.
+    if (peers.areDirect || address?.zone === undefined) {
+      this.learn({from, instances: 1, loads, waiting}, now);
+    }
+    for (const wire of message.relayed) {
+      const {report, ageMs} = decodeReport(wire);
+      const isOwn =
+        report.from === this.parts.name || report.from === ZONE_PREFIX + zone;
+      if (!isOwn) this.learn(report, now - ageMs);
+    }
+    for (const prompt of message.readings) this.learnPrompt(prompt);
+    this.parts.records.receive(message.topics, message.changes, address);
+  }
+
+  private learn(report: LoadReport, at: number): void {
+    if (this.parts.timer.now() - at > MAX_LOAD_AGE_MS) return;
+    if (!this.peerLoads.update(report, at)) return;
+    if (this.parts.peers.areDirect) return;
+    this.relayedLoads.add(report.from, {report, at});
   }
+
+  private learnPrompt(prompt: SentPrompt): void {
+    this.parts.recordPrompt(prompt);
+    if (!this.parts.peers.areDirect) this.relayPrompt(prompt);
+  }
+
+  /** Passes a prompt on unless its upstream was told of a short time ago. */
+  private relayPrompt(prompt: SentPrompt): void {
+    const now = this.parts.timer.now();
+    const lastPart = prompt.parts.at(-1)?.[0];
+    if (lastPart === undefined) return;
+    const key = `${prompt.upstream}/${lastPart}`;
+    const toldAt = this.toldPrompts.get(key);
+    if (toldAt !== undefined && now - toldAt < PROMPT_REPEAT_MS) return;
+    this.toldPrompts.delete(key);
+    this.toldPrompts.set(key, now);
+    for (const [oldest, at] of this.toldPrompts) {
+      if (now - at < PROMPT_REPEAT_MS) break;
+      this.toldPrompts.delete(oldest);
+    }
+    this.relayedPrompts.add(key, prompt);
+  }
+}
+
+/** What a round of messages carries beside loads and prompts. */
+interface Round {
+  /** Whether it has to carry the state of the topics. */
+  withStatus?: boolean;
+  /** Whether it carries the newest changes of the topics. */
+  withChanges?: boolean;
+  /**
+   * Number of peers of each other zone that it goes to beside those of the own
+   * zone, if the instances don't all talk directly.
+   */
+  further?: number;
+}
+
+/** A load report with the time of its data, in monotonic ms. */
+interface KnownLoad {
+  report: LoadReport;
+  at: number;
 }
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -1,12 +1,19 @@
 export {announce} from './announcement.js';
 export type {AnnouncementParts} from './announcement.js';
 export {Gossip} from './gossip.js';
-export type {GossipParts} from './gossip.js';
+export type {Datagrams, GossipParts} from './gossip.js';
 export {PeerLoads} from './loads.js';
-export type {PeerLoad} from './loads.js';
+export type {LoadReport, PeerLoad} from './loads.js';
 export type {
   InstanceAddress,
   UpstreamLoad,
   GossipMessage,
   SentPrompt,
 } from './message.js';
+export {Peers} from './peers.js';
+export {RecordExchange} from './recordexchange.js';
+export type {
+  PeerCaller,
+  PeerListener,
+  RecordExchangeParts,
+} from './recordexchange.js';
--- a/src/fleet/message.ts
+++ b/src/fleet/message.ts
@@ -1,4 +1,8 @@
 import {z} from 'zod';
+import {Topic, type TopicStatus} from '../registry/index.js';
+
+/** Tier, and a number of prompt tokens. */
+const tierTokensSchema = z.tuple([z.number(), z.number()]);
 
 const upstreamLoadSchema = z.object({
   /** Id of the upstream. */
@@ -6,9 +10,9 @@
   /** Requests in flight. */
   inflight: z.number(),
   /** Tier, and prompt tokens whose prefill is pending. */
-  unread: z.array(z.tuple([z.number(), z.number()])),
+  unread: z.array(tierTokensSchema),
   /** Tier, and prompt tokens sent for prefill in the last second. */
-  recent: z.array(z.tuple([z.number(), z.number()])),
+  recent: z.array(tierTokensSchema),
 });
 
 const sentPromptSchema = z.object({
@@ -18,15 +22,85 @@
   parts: z.array(z.tuple([z.string(), z.number()])),
 });
 
+/** Service, and its most urgent tier with a long-waiting request. */
+const waitingTierSchema = z.tuple([z.string(), z.number()]);
+
+/**
+ * Load of an instance or of a zone that is passed on, without names to keep
+ * messages small.
+ */
+const relayedLoadSchema = z.tuple([
+  /** Name of the instance, or of the zone after [[ZONE_PREFIX]]. */
+  z.string(),
+  /** Number of instances that the load is the sum of. */
+  z.number(),
+  /** Age of the data, in ms. */
+  z.number().min(0),
+  /** Upstream, inflight, unread and recent of each [[UpstreamLoad]]. */
+  z.array(
+    z.tuple([
+      z.string(),
+      z.number(),
+      z.array(tierTokensSchema),
+      z.array(tierTokensSchema),
+    ]),
+  ),
+  z.array(waitingTierSchema),
+]);
+
+/** The fields of a [[TopicStatus]], without names to keep messages small. */
+const topicStatusSchema = z.tuple([
+  z.enum(Topic),
+  /** end */
+  z.number().int().min(0),
+  /** since */
+  z.number().int().min(0),
+  /** changedTo */
+  z.number().int().min(0),
+  /** ageMs */
+  z.number().min(0),
+  /** reader */
+  z.string(),
+]);
+
+export type WireStatus = z.output<typeof topicStatusSchema>;
+
+export function encodeStatus(status: TopicStatus): WireStatus {
+  const {topic, end, since, changedTo, ageMs, reader} = status;
+  return [topic, end, since, changedTo, ageMs, reader];
+}
+
+export function decodeStatus(wire: WireStatus): TopicStatus {
+  const [topic, end, since, changedTo, ageMs, reader] = wire;
+  return {topic, end, since, changedTo, ageMs, reader};
+}
+
+/** Offset, key, and value in Base64; null if the record removes the key. */
+const recordSchema = z.tuple([z.number(), z.string(), z.string().nullable()]);
+
+/** Consecutive changes of a topic. */
+const topicChangesSchema = z.object({
+  topic: z.enum(Topic),
+  /** The changes are complete from this offset on. */
+  from: z.number().int(),
+  records: z.array(recordSchema),
+});
+
 /** A message with the load and prompts that an instance sent to upstreams. */
 export const gossipMessageSchema = z.object({
   /** Name of the sending instance. */
   from: z.string(),
+  /** Load of the sender, in a fleet whose instances all talk directly. */
   loads: z.array(upstreamLoadSchema),
   /** Prompts sent since the last message. */
   readings: z.array(sentPromptSchema),
-  /** Service, and its most urgent tier with a long-waiting request. */
-  waiting: z.array(z.tuple([z.string(), z.number()])),
+  waiting: z.array(waitingTierSchema),
+  /** Loads of the sender and of others, in any other fleet. */
+  relayed: z.array(relayedLoadSchema).default([]),
+  /** What the sender knows of the topics of the store. */
+  topics: z.array(topicStatusSchema).default([]),
+  /** Newest changes of the topics, as far as they are small. */
+  changes: z.array(topicChangesSchema).default([]),
 });
 
 export type GossipMessage = z.output<typeof gossipMessageSchema>;
@@ -34,16 +108,38 @@
 export type UpstreamLoad = z.output<typeof upstreamLoadSchema>;
 /** A prompt that was sent to an upstream, which may cache its parts. */
 export type SentPrompt = z.output<typeof sentPromptSchema>;
+export type WireLoad = z.output<typeof relayedLoadSchema>;
+export type WireChanges = z.output<typeof topicChangesSchema>;
 
 /** Name of the method that delivers a [[GossipMessage]]. */
 export const GOSSIP_METHOD = 'news';
 
+/** Name of the method by which a peer asks for changes of a topic. */
+export const CHANGES_METHOD = 'changes';
+
+/** Parameters of [[CHANGES_METHOD]]. */
+export const changesQuerySchema = z.object({
+  topic: z.enum(Topic),
+  /** Offset of the first change that the caller may lack. */
+  from: z.number().int().min(0),
+});
+
+/** Result of [[CHANGES_METHOD]]; null if the changes are no longer kept. */
+export const changesReplySchema = z
+  .object({status: topicStatusSchema, changes: topicChangesSchema})
+  .nullable();
+
+/** Marks the name of a zone as the origin of a [[WireLoad]]. */
+export const ZONE_PREFIX = 'zone:';
+
 const addressSchema = z.object({
   host: z.string(),
   port: z.number().int().min(1).max(65_535),
+  /** Availability zone; earlier versions don't publish it. */
+  zone: z.string().optional(),
 });
 
-/** Address at which an instance receives gossip. */
+/** Address at which an instance receives gossip and calls of its peers. */
 export type InstanceAddress = z.output<typeof addressSchema>;
 
 /** Decodes the record of an instance; undefined if it is invalid. */
--- a/src/instance/datagram.ts
+++ b/src/instance/datagram.ts
@@ -104,6 +104,19 @@
     this.send(peer, createJSONRPCNotification(method, params));
   }
 
+  /** Sends a notification to several peers, which is encoded only once. */
+  broadcast(
+    peers: Iterable<PeerAddress>,
+    method: string,
+    params: unknown,
+  ): void {
+    const datagram = encode(
+      createJSONRPCNotification(method, params),
+      this.credential,
+    );
+    for (const peer of peers) this.transmit(peer, datagram);
+  }
+
   close(): void {
     this.socket?.close();
     delete this.socket;
@@ -114,8 +127,10 @@
     message: unknown,
     credential = this.credential,
   ): void {
-    const text = JSON.stringify(message);
-    const datagram = Buffer.from(credential.sign(text) + text);
+    this.transmit(peer, encode(message, credential));
+  }
+
+  private transmit(peer: PeerAddress, datagram: Buffer): void {
     this.usage.sent++;
     this.usage.bytesOut += datagram.length + DATAGRAM_HEADER_BYTES;
     // A send error is handled like a lost datagram: the caller times out.
@@ -153,6 +168,12 @@
   }
 }
 
+/** A datagram: the authentication code of a message, then the message. */
+function encode(message: unknown, credential: Credential): Buffer {
+  const text = JSON.stringify(message);
+  return Buffer.from(credential.sign(text) + text);
+}
+
 function parseJson(body: Buffer): unknown {
   try {
     return JSON.parse(body.toString('utf8')) as unknown;
--- /dev/null
+++ b/src/registry/changelog.ts
@@ -0,0 +1,58 @@
+import type {KeyedRecord} from './feed.js';
+
+/** Most changes kept for peers that missed them. */
+const MAX_CHANGES = 512;
+/** Most bytes of values kept; one larger record is kept alone. */
+const MAX_BYTES = 2 * 1024 * 1024;
+
+/**
+ * The recent records of a topic that changed something. Most records of a topic
+ * are heartbeats, which peers needn't be told of: who has every change before
+ * an offset knows the topic up to there.
+ */
+export class ChangeLog {
+  /** Offset after the last record that was read. */
+  end = 0;
+  /** All changes from this offset on are kept. */
+  since = 0;
+  private changes: KeyedRecord[] = [];
+  private bytes = 0;
+
+  /** Offset after the last kept change; [[since]] if there is none. */
+  get changedTo(): number {
+    const last = this.changes.at(-1);
+    return last === undefined ? this.since : last.offset + 1;
+  }
+
+  /** Starts anew after a snapshot, whose changes are not known one by one. */
+  restart(end: number): void {
+    this.end = end;
+    this.since = end;
+    this.changes = [];
+    this.bytes = 0;
+  }
+
+  /** Adds the changes up to the offset `end`, in the order of the topic. */
+  append(changes: readonly KeyedRecord[], end: number): void {
+    this.end = end;
+    for (const change of changes) {
+      this.changes.push(change);
+      this.bytes += change.value?.length ?? 0;
+    }
+    while (
+      this.changes.length > MAX_CHANGES ||
+      (this.bytes > MAX_BYTES && this.changes.length > 1)
+    ) {
+      const dropped = this.changes.shift();
+      if (dropped === undefined) break;
+      this.since = dropped.offset + 1;
+      this.bytes -= dropped.value?.length ?? 0;
+    }
+  }
+
+  /** Changes from an offset on; undefined if some are no longer kept. */
+  from(offset: number): KeyedRecord[] | undefined {
+    if (offset < this.since) return undefined;
+    return this.changes.filter(change => change.offset >= offset);
+  }
+}
--- a/src/registry/entry.ts
+++ b/src/registry/entry.ts
@@ -40,3 +40,16 @@
     a.port === b.port
   );
 }
+
+/**
+ * Whether both entries of the same id mean the same for its use: they differ in
+ * no more than the sequence and the remaining warm-up time.
+ */
+export function hasSameEffect(a: RegistryEntry, b: RegistryEntry): boolean {
+  return (
+    isSameProcess(a, b) &&
+    a.zone === b.zone &&
+    a.slots === b.slots &&
+    a.state === b.state
+  );
+}
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -11,5 +11,9 @@
 } from './feed.js';
 export {Follower} from './follower.js';
 export type {FollowerListener, FollowerOptions} from './follower.js';
+export {ReadSchedule} from './readschedule.js';
+export type {KnownRead, ReadTiming} from './readschedule.js';
 export {Registry} from './registry.js';
 export type {RegistryParts} from './registry.js';
+export {Learned, LearnedFrom, Reception} from './topicstatus.js';
+export type {Changes, TopicStatus} from './topicstatus.js';
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -3,6 +3,7 @@
 import type {Timer} from '../timer/index.js';
 import {
   EntryState,
+  hasSameEffect,
   isSameProcess,
   supersedes,
   type RegistryEntry,
@@ -51,22 +52,29 @@
     for (const {entry} of this.registrations.values()) yield entry;
   }
 
-  /** Applies a snapshot. Known entries that it lacks are missing. */
-  replace(records: KeyedRecord[]): void {
+  /**
+   * Applies a snapshot. Known entries that it lacks are missing. Returns what
+   * changed, with a record without value for each missing entry.
+   */
+  replace(records: KeyedRecord[]): KeyedRecord[] {
     const present = new Set(records.map(({key}) => key));
-    for (const key of this.registrations.keys()) {
-      if (!present.has(key)) this.handleMissing(key, 'not in the snapshot');
-    }
-    this.add(records);
+    const missing = [...this.registrations.keys()].filter(
+      key => !present.has(key),
+    );
+    for (const key of missing) this.handleMissing(key, 'not in the snapshot');
+    const changes = records.filter(record => this.apply(record));
+    this.parts.changed();
+    return [...missing.map(key => ({key, offset: 0})), ...changes];
   }
 
-  /** Applies new records, in the order of the topic. */
-  add(records: KeyedRecord[]): void {
-    for (const {key, value, offset} of records) {
-      if (value === undefined) this.handleMissing(key, 'removed');
-      else this.update(key, value, offset);
-    }
-    this.parts.changed();
+  /**
+   * Applies new records, in the order of the topic. Returns those that changed
+   * more than the sequence and the warm-up time of an entry.
+   */
+  add(records: KeyedRecord[]): KeyedRecord[] {
+    const changes = records.filter(record => this.apply(record));
+    if (changes.length > 0) this.parts.changed();
+    return changes;
   }
 
   /** Drops missing entries whose grace period is over. */
@@ -81,7 +89,14 @@
     if (dropped) this.parts.changed();
   }
 
-  private update(key: string, value: Buffer, offset: number): void {
+  /** Returns whether the record changed something. */
+  private apply({key, value, offset}: KeyedRecord): boolean {
+    return value === undefined
+      ? this.handleMissing(key, 'removed')
+      : this.update(key, value, offset);
+  }
+
+  private update(key: string, value: Buffer, offset: number): boolean {
     const {logger} = this.parts;
     const next = this.parts.decode(key, value);
     if ('reason' in next) {
@@ -89,7 +104,7 @@
         {event: LogEvent.Upstream, upstream: key, offset, reason: next.reason},
         'Ignored an invalid registry entry.',
       );
-      return;
+      return false;
     }
     const known = this.registrations.get(key);
     if (known !== undefined && !supersedes(next, known.entry)) {
@@ -97,7 +112,7 @@
         {event: LogEvent.Upstream, upstream: key, offset},
         'Ignored an outdated registry entry.',
       );
-      return;
+      return false;
     }
     this.registrations.set(key, {entry: next});
     if (known === undefined || !isSameProcess(known.entry, next)) {
@@ -113,24 +128,32 @@
           : 'Upstream accepts requests again.',
       );
     }
+    return (
+      known === undefined ||
+      known.missingSince !== undefined ||
+      !hasSameEffect(known.entry, next)
+    );
   }
 
   /**
    * Drops an entry that was removed or is missing from a snapshot. If the store
    * became reachable only recently, the entry may be missing due to the outage
-   * and is kept for a grace period, unless its upstream was draining.
+   * and is kept for a grace period, unless its upstream was draining. Returns
+   * whether the entry was known.
    */
-  private handleMissing(key: string, reason: string): void {
+  private handleMissing(key: string, reason: string): boolean {
     const {timer, logger} = this.parts;
     const known = this.registrations.get(key);
-    if (known === undefined || known.missingSince !== undefined) return;
+    if (known === undefined) return false;
+    // Peers may have dropped the entry, so that the removal concerns them.
+    if (known.missingSince !== undefined) return true;
     const reachableForMs = this.parts.reachableForMs();
     if (
       reachableForMs >= MIN_REACHABLE_MS ||
       known.entry.state === EntryState.Draining
     ) {
       this.drop(key, reason);
-      return;
+      return true;
     }
     known.missingSince = timer.now();
     logger.warn(
@@ -142,6 +165,7 @@
       },
       'Entry is missing after an outage of the store; keeping it for now.',
     );
+    return true;
   }
 
   private drop(key: string, reason: string): void {
--- /dev/null
+++ b/src/registry/topicstatus.ts
@@ -0,0 +1,46 @@
+import type {KeyedRecord, Topic} from './feed.js';
+
+/** What a read or a peer told of a topic. */
+export enum Learned {
+  /** Records that changed something. */
+  Changes = 'changes',
+  /** That what was known is still current. */
+  Freshness = 'freshness',
+}
+
+/** Where an instance has learned it. */
+export enum LearnedFrom {
+  Store = 'store',
+  Peer = 'peer',
+}
+
+/** What an instance knows of a topic, as told to its peers. */
+export interface TopicStatus {
+  topic: Topic;
+  /** Offset after the last record known. */
+  end: number;
+  /** The instance knows all changes from this offset on one by one. */
+  since: number;
+  /** Offset after the last change; `since` if there is none after it. */
+  changedTo: number;
+  /** Time since the topic is known to have ended at `end`, in ms. */
+  ageMs: number;
+  /** Instance that read it from the store. */
+  reader: string;
+}
+
+/** Consecutive changes of a topic from the offset `from` on. */
+export interface Changes {
+  from: number;
+  records: KeyedRecord[];
+}
+
+/** What became of the status of a peer. */
+export enum Reception {
+  /** The topic is as fresh as the status says. */
+  Applied = 'applied',
+  /** It tells nothing new, or of offsets that cannot be compared. */
+  Ignored = 'ignored',
+  /** The peer knows changes that are missing here. */
+  Behind = 'behind',
+}
--- a/src/timer/index.ts
+++ b/src/timer/index.ts
@@ -1,2 +1,2 @@
-export {ManualTimer, SystemTimer} from './timer.js';
+export {ManualTimer, sleepWith, SystemTimer} from './timer.js';
 export type {Subscription, Timer} from './timer.js';
--- a/src/timer/timer.ts
+++ b/src/timer/timer.ts
@@ -21,7 +21,8 @@
   sleep(delayMs: number, signal?: AbortSignal): Promise<void>;
 }
 
-function sleepWith(
+/** Implements [[Timer.sleep]] by [[Timer.after]]. */
+export function sleepWith(
   timer: Timer,
   delayMs: number,
   signal?: AbortSignal,
@@ -71,14 +72,67 @@
   dueAt: number;
   /** Orders calls that are due at the same time. */
   sequence: number;
-  listener: () => void;
+  /** Undefined once the call was cancelled. */
+  listener?: () => void;
+}
+
+/** Whether `a` is made before `b`. */
+function precedes(a: ScheduledCall, b: ScheduledCall): boolean {
+  return a.dueAt < b.dueAt || (a.dueAt === b.dueAt && a.sequence < b.sequence);
+}
+
+/** Scheduled calls as a binary heap, the next one first. */
+class ScheduledCalls {
+  private readonly heap: ScheduledCall[] = [];
+
+  get next(): ScheduledCall | undefined {
+    return this.heap[0];
+  }
+
+  add(call: ScheduledCall): void {
+    const {heap} = this;
+    let index = heap.length;
+    heap.push(call);
+    while (index > 0) {
+      const parentIndex = (index - 1) >> 1;
+      const parent = heap[parentIndex];
+      if (parent === undefined || !precedes(call, parent)) break;
+      heap[index] = parent;
+      index = parentIndex;
+    }
+    heap[index] = call;
+  }
+
+  removeNext(): void {
+    const {heap} = this;
+    const last = heap.pop();
+    if (last === undefined || heap.length === 0) return;
+    let index = 0;
+    for (;;) {
+      let childIndex = 2 * index + 1;
+      let child = heap[childIndex];
+      const right = heap[childIndex + 1];
+      if (
+        child !== undefined &&
+        right !== undefined &&
+        precedes(right, child)
+      ) {
+        childIndex++;
+        child = right;
+      }
+      if (child === undefined || !precedes(child, last)) break;
+      heap[index] = child;
+      index = childIndex;
+    }
+    heap[index] = last;
+  }
 }
 
 /** A timer whose time advances only by [[ManualTimer.advance]]. */
 export class ManualTimer implements Timer {
   private currentMs = 0;
   private nextSequence = 0;
-  private scheduledCalls: ScheduledCall[] = [];
+  private readonly scheduledCalls = new ScheduledCalls();
 
   constructor(private readonly wallStart = Date.UTC(2026, 0, 1)) {}
 
@@ -91,17 +145,15 @@
   }
 
   after(delayMs: number, listener: () => void): Subscription {
-    const call = {
+    const call: ScheduledCall = {
       dueAt: this.currentMs + Math.max(0, delayMs),
       sequence: this.nextSequence++,
       listener,
     };
-    this.scheduledCalls.push(call);
+    this.scheduledCalls.add(call);
     return {
       end: () => {
-        this.scheduledCalls = this.scheduledCalls.filter(
-          other => other !== call,
-        );
+        delete call.listener;
       },
     };
   }
@@ -133,13 +185,13 @@
   async advance(ms: number): Promise<void> {
     const endMs = this.currentMs + ms;
     for (;;) {
-      const due = this.scheduledCalls
-        .filter(call => call.dueAt <= endMs)
-        .sort((a, b) => a.dueAt - b.dueAt || a.sequence - b.sequence)[0];
-      if (due === undefined) break;
-      this.scheduledCalls = this.scheduledCalls.filter(call => call !== due);
+      const due = this.scheduledCalls.next;
+      if (due === undefined || due.dueAt > endMs) break;
+      this.scheduledCalls.removeNext();
+      const {listener} = due;
+      if (listener === undefined) continue;
       this.currentMs = Math.max(this.currentMs, due.dueAt);
-      due.listener();
+      listener();
       await new Promise(resolve => setImmediate(resolve));
     }
     this.currentMs = endMs;
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -10,20 +10,9 @@
   SpeedEstimator,
   type Address,
   type PromptPart,
-  type Protocol,
 } from '../forward/index.js';
-import {announce, Gossip} from '../fleet/index.js';
-import {Credential} from '../instance/credential.js';
-import {DatagramPort} from '../instance/datagram.js';
-import {
-  Follower,
-  Registry,
-  Topic,
-  type RegistryEntry,
-  type Feed,
-  type KeyedRecord,
-} from '../registry/index.js';
-import {Routing, type RoutingDocument} from '../route/index.js';
+import {Registry, type KeyedRecord} from '../registry/index.js';
+import {Routing} from '../route/index.js';
 import {
   LogEvent,
   componentLogger,
@@ -32,25 +21,13 @@
 } from '../telemetry/index.js';
 import {SystemTimer, type Subscription, type Timer} from '../timer/index.js';
 import {DrainSchedule} from './drainschedule.js';
+import {NetworkTransport} from './fleettransport.js';
+import {GatewayFleet} from './gatewayfleet.js';
 import {MonitoringServers, type MonitoringPage} from './monitoringservers.js';
+import type {PlatformAdapter} from './platformadapter.js';
+import {roundTripMs} from './roundtrip.js';
 import {watchStalls} from './stall.js';
 
-/**
- * Pause between reads of the upstreams' entries, in ms; a fifth of the time
- * after which a leaving upstream must not receive new requests.
- */
-const UPSTREAMS_READ_PAUSE_MS = 500;
-/** Pause between a read that found configurations and the next one, in ms. */
-const CONFIGURATION_READ_PAUSE_MS = 100;
-/**
- * Longest wait of a read for new records, in ms; bounds how long a dead
- * connection stays in use.
- */
-const MAX_READ_WAIT_MS = 1_000;
-/** Pause between reads of the addresses of instances, in ms. */
-const INSTANCES_READ_PAUSE_MS = 1_000;
-/** Longest wait of a read for new addresses of instances, in ms. */
-const MAX_INSTANCES_READ_WAIT_MS = 8_000;
 /** How often a drain checks whether every request has ended, in ms. */
 const DRAIN_CHECK_PERIOD_MS = 50;
 /** Time for closing connections to send their last bytes, in ms. */
@@ -59,18 +36,11 @@
 /** Port of /metrics in the deployment, if the settings name no other. */
 export const DEFAULT_METRICS_PORT = 9464;
 
-/** Network round-trip time to an upstream in the same zone, in ms. */
-const SAME_ZONE_ROUND_TRIP_MS = 0.4;
-/** Round-trip time to another zone of the same region, in ms. */
-const SAME_REGION_ROUND_TRIP_MS = 3;
-/** Round-trip time assumed for any other region, in ms. */
-const OTHER_REGION_ROUND_TRIP_MS = 26;
-
 /** Decoded settings of one gateway. */
 export interface GatewaySettings {
   /** Name of this instance. */
   instance: string;
-  /** Local address of outgoing connections and of gossip. */
+  /** Local address of outgoing connections and of the port for peers. */
   host: string;
   /** Availability zone of this instance. */
   zone: string;
@@ -82,7 +52,7 @@
   readinessAddress: Address;
   /** Address that serves /metrics; not served if absent. */
   metricsAddress?: Address;
-  /** UDP port for gossip with the other instances. */
+  /** Port for peers, over TCP and UDP. */
   gossipPort: number;
   /** Time from the stop signal to the end of the process, in ms. */
   graceMs: number;
@@ -90,25 +60,6 @@
   retry: {ratio: number; windowMs: number};
 }
 
-/** Adapter of a gateway to the platform that it is deployed on. */
-export interface PlatformAdapter {
-  /** Headers of requests and answers. */
-  protocol: Protocol;
-  /** Source of configurations, upstreams and addresses of instances. */
-  feed: Feed;
-  /** URL path of the readiness check. */
-  readinessPath: string;
-  /**
-   * Decodes a record of the configuration topic. Returns undefined for a record
-   * that holds no configuration, and a reason for one that is invalid.
-   */
-  decodeConfiguration(
-    record: KeyedRecord,
-  ): RoutingDocument | {reason: string} | undefined;
-  /** Decodes the entry of an upstream; returns a reason if it is invalid. */
-  decodeEntry(key: string, value: Buffer): RegistryEntry | {reason: string};
-}
-
 /** A running gateway. */
 export interface Gateway {
   /** Port that accepts requests of callers. */
@@ -142,12 +93,8 @@
   private readonly services = new Map<string, ServiceState>();
   private readonly metrics = new ForwardMetrics();
   private readonly probes: LivenessProber;
-  private readonly gossip: Gossip;
-  private readonly instanceFollower: Follower;
-  private readonly datagrams: DatagramPort;
+  private readonly fleet: GatewayFleet;
   private readonly listener: Listener;
-  private readonly configurationFollower: Follower;
-  private readonly upstreamFollower: Follower;
   private readonly subscriptions: Subscription[] = [];
   private readonly monitoringServers = new MonitoringServers();
   /** Set when the instance begins to drain. */
@@ -170,72 +117,14 @@
     this.routing = new Routing(componentLogger(root, Component.Config));
     this.endpoints = new Endpoints(settings.host);
     this.probes = new LivenessProber(timer, platform.protocol.probeTarget);
-    const registryLogger = componentLogger(root, Component.Upstream);
-    const followerOptions = {
-      feed: platform.feed,
-      timer,
-      logger: componentLogger(root, Component.Platform),
-      random: Math.random,
-      waitMs: MAX_READ_WAIT_MS,
-    };
-    this.configurationFollower = new Follower(
-      {
-        ...followerOptions,
-        topic: Topic.Configuration,
-        readPauseMs: CONFIGURATION_READ_PAUSE_MS,
-      },
-      {
-        replaced: records => this.applyConfigurations(records),
-        added: records => this.applyConfigurations(records),
-      },
-    );
     this.registry = new Registry({
       decode: (key, value) => platform.decodeEntry(key, value),
       timer,
-      logger: registryLogger,
-      reachableForMs: () => this.upstreamFollower.reachableForMs(),
+      logger: componentLogger(root, Component.Upstream),
+      reachableForMs: () => this.fleet.upstreams.reachableForMs(),
       changed: () => this.updateEndpoints(),
     });
-    this.upstreamFollower = new Follower(
-      {
-        ...followerOptions,
-        topic: Topic.Upstreams,
-        readPauseMs: UPSTREAMS_READ_PAUSE_MS,
-      },
-      {
-        replaced: records => {
-          this.hasUpstreamList = true;
-          this.registry.replace(records);
-        },
-        added: records => this.registry.add(records),
-      },
-    );
-    this.datagrams = new DatagramPort(new Credential([]), timer);
-    this.gossip = new Gossip({
-      name: settings.instance,
-      datagrams: this.datagrams,
-      timer,
-      logger: componentLogger(root, Component.Member),
-      loads: () => this.endpoints.loads(timer.now()),
-      waiting: () => this.waitingTiers(),
-      recordPrompt: ({upstream, parts}) =>
-        this.endpoints.recordPrompt(
-          upstream,
-          parts.map(([id, tokens]) => ({id, tokens})),
-        ),
-    });
-    this.instanceFollower = new Follower(
-      {
-        ...followerOptions,
-        topic: Topic.Instances,
-        readPauseMs: INSTANCES_READ_PAUSE_MS,
-        waitMs: MAX_INSTANCES_READ_WAIT_MS,
-      },
-      {
-        replaced: records => this.gossip.updateAddresses(records),
-        added: records => this.gossip.updateAddresses(records),
-      },
-    );
+    this.fleet = this.createFleet();
     this.listener = new Listener({
       routing: this.routing,
       protocol: platform.protocol,
@@ -257,19 +146,12 @@
     const {callerAddress, readinessAddress, metricsAddress, instance, zone} =
       this.settings;
     this.subscriptions.push(
-      this.configurationFollower.start(),
-      this.upstreamFollower.start(),
-      this.instanceFollower.start(),
-      this.gossip.start(),
+      ...this.fleet.start(),
       watchStalls(this.timer, this.logger, {
         checked: () => this.registry.sweep(),
-        resumed: () => {
-          this.configurationFollower.wake();
-          this.upstreamFollower.wake();
-        },
+        resumed: () => this.fleet.wake(),
       }),
     );
-    this.announceInstance();
     this.port = await this.listener.listen(callerAddress);
     this.readinessPort = await this.monitoringServers.serve(
       readinessAddress,
@@ -317,7 +199,7 @@
     for (const subscription of this.subscriptions) subscription.end();
     listener.close();
     this.monitoringServers.close();
-    this.datagrams.close();
+    await this.fleet.close();
     await timer.sleep(FLUSH_MS);
     this.logger.info(
       {event: LogEvent.Stopped, unfinished: listener.inflight},
@@ -325,32 +207,59 @@
     );
   }
 
-  /** Publishes the gossip address of this instance in the background. */
-  private announceInstance(): void {
-    const {host, gossipPort: port, instance} = this.settings;
-    void announce({
-      name: instance,
-      address: {host, port},
-      datagrams: this.datagrams,
-      feed: this.platform.feed,
-      timer: this.timer,
-      logger: componentLogger(this.output.logger, Component.Member),
+  private createFleet(): GatewayFleet {
+    const {settings, platform, timer, output} = this;
+    const {instance, host, gossipPort: port, zone} = settings;
+    const logger = componentLogger(output.logger, Component.Member);
+    return new GatewayFleet({
+      instance,
+      host,
+      zone,
+      feed: platform.feed,
+      transport: new NetworkTransport({host, port}, timer, logger),
+      timer,
+      random: Math.random,
+      output,
+      configurations: {
+        replaced: records => this.applyConfigurations(records),
+        added: records => this.applyConfigurations(records),
+      },
+      upstreams: {
+        replaced: records => {
+          this.hasUpstreamList = true;
+          return this.registry.replace(records);
+        },
+        added: records => this.registry.add(records),
+      },
+      loads: () => this.endpoints.loads(timer.now()),
+      waiting: () => this.waitingTiers(),
+      recordPrompt: ({upstream, parts}) =>
+        this.endpoints.recordPrompt(
+          upstream,
+          parts.map(([id, tokens]) => ({id, tokens})),
+        ),
       isLeaving: () => this.drainSchedule !== undefined,
     });
   }
 
-  /** Passes valid configurations to the routing and logs invalid ones. */
-  private applyConfigurations(records: KeyedRecord[]): void {
-    for (const record of records) {
+  /**
+   * Passes valid configurations to the routing and logs invalid ones. Returns
+   * the records that hold a valid one.
+   */
+  private applyConfigurations(records: KeyedRecord[]): KeyedRecord[] {
+    return records.filter(record => {
       const document = this.platform.decodeConfiguration(record);
-      if (document === undefined) continue;
+      if (document === undefined) return false;
       if ('reason' in document) {
         this.logger.warn(
           {event: LogEvent.Configuration, offset: record.offset, ...document},
           'Ignored an invalid configuration.',
         );
-      } else this.routing.accept(document);
-    }
+        return false;
+      }
+      this.routing.accept(document);
+      return true;
+    });
   }
 
   /** For each service, the most urgent tier with a long-waiting request. */
@@ -365,7 +274,7 @@
 
   /** Tells the other instances of a prompt that was sent to an upstream. */
   private gossipPrompt(upstream: string, parts: readonly PromptPart[]): void {
-    this.gossip.addPrompt({
+    this.fleet.gossip.addPrompt({
       upstream,
       parts: parts.map(({id, tokens}) => [id, tokens]),
     });
@@ -384,16 +293,18 @@
     const speedEstimator = new SpeedEstimator();
     const waitQueue = new WaitQueue({
       waitingTierElsewhere: () =>
-        this.gossip.peerLoads.waitingTier(service, this.timer.now()),
-      announceLoad: () => this.gossip.send(),
-      fleetSize: () => 1 + this.gossip.peerLoads.countActive(this.timer.now()),
-      remoteLoadOf: id => this.gossip.peerLoads.loadOn(id, this.timer.now()),
+        this.fleet.gossip.peerLoads.waitingTier(service, this.timer.now()),
+      announceLoad: () => this.fleet.gossip.send(),
+      fleetSize: () =>
+        1 + this.fleet.gossip.peerLoads.countActive(this.timer.now()),
+      remoteLoadOf: id =>
+        this.fleet.gossip.peerLoads.loadOn(id, this.timer.now()),
       timer: this.timer,
       logger: this.requestLogger,
       random: Math.random,
       speeds: speedEstimator,
       endpoints: () => this.endpoints.readyOf(service),
-      roundTripMs: zone => this.roundTripMs(zone),
+      roundTripMs: zone => roundTripMs(this.settings, zone),
     });
     const retryBudget = new RetryBudget(this.settings.retry);
     const state = new ServiceState(
@@ -406,14 +317,6 @@
     return state;
   }
 
-  private roundTripMs(zone: string): number {
-    const {settings} = this;
-    if (zone === settings.zone) return SAME_ZONE_ROUND_TRIP_MS;
-    return settings.regions[zone] === settings.regions[settings.zone]
-      ? SAME_REGION_ROUND_TRIP_MS
-      : OTHER_REGION_ROUND_TRIP_MS;
-  }
-
   /** Answers the readiness check and logs each change of readiness. */
   private readinessPage(): MonitoringPage {
     const table = this.routing.current();
@@ -447,14 +350,16 @@
     const cpu = process.cpuUsage();
     return {
       configuration_version: this.routing.current()?.version ?? 0,
-      configuration_age_ms: this.configurationFollower.ageMs() ?? -1,
-      upstreams_age_ms: this.upstreamFollower.ageMs() ?? -1,
+      configuration_age_ms: this.fleet.configurations.ageMs() ?? -1,
+      upstreams_age_ms: this.fleet.upstreams.ageMs() ?? -1,
       inflight: this.listener.inflight,
       waiting: this.sumOverServices(({waitQueue: line}) => line.length),
       repeats_left: this.sumOverServices(({retryBudget: allowance}) =>
         allowance.remaining(this.timer.now()),
       ),
-      other_instances: this.gossip.peerLoads.countActive(this.timer.now()),
+      other_instances: this.fleet.gossip.peerLoads.countActive(
+        this.timer.now(),
+      ),
       connections_opened_total: this.endpoints.openedConnections(),
       log_lines_dropped_total: this.output.dropped(),
       memory_bytes: process.memoryUsage.rss(),
--- /dev/null
+++ b/src/wiring/gatewayfleet.ts
@@ -0,0 +1,170 @@
+import type {Logger} from 'pino';
+import {
+  announce,
+  Gossip,
+  Peers,
+  RecordExchange,
+  type SentPrompt,
+  type UpstreamLoad,
+} from '../fleet/index.js';
+import {
+  Follower,
+  Topic,
+  type Feed,
+  type FollowerListener,
+  type ReadTiming,
+} from '../registry/index.js';
+import {
+  Component,
+  componentLogger,
+  type OutputLogger,
+} from '../telemetry/index.js';
+import type {Subscription, Timer} from '../timer/index.js';
+import type {FleetTransport} from './fleettransport.js';
+
+/**
+ * When each topic is read. Upstreams write so often that a waiting read would
+ * return at once, so they are read at intervals: a fifth of the time after which
+ * a leaving upstream must not receive new requests. The wait of the others
+ * bounds how long a dead connection stays in use.
+ */
+const READ_TIMING: Record<Topic, ReadTiming> = {
+  [Topic.Configuration]: {readPauseMs: 100, waitMs: 1_000},
+  [Topic.Upstreams]: {readPauseMs: 500, waitMs: 0},
+  [Topic.Instances]: {readPauseMs: 1_000, waitMs: 8_000},
+};
+
+/** Dependencies of [[GatewayFleet]]. */
+export interface GatewayFleetParts {
+  /** Name of this instance. */
+  instance: string;
+  /** Address at which peers reach this instance. */
+  host: string;
+  /** Availability zone of this instance. */
+  zone: string;
+  feed: Feed;
+  transport: FleetTransport;
+  timer: Timer;
+  /** Returns a random number in [0, 1). */
+  random: () => number;
+  output: OutputLogger;
+  configurations: FollowerListener;
+  upstreams: FollowerListener;
+  /** Load from this instance on each upstream, without idle ones. */
+  loads(): UpstreamLoad[];
+  /** For each service, the most urgent tier with a long-waiting request. */
+  waiting(): Array<[string, number]>;
+  /** Records a prompt that another instance sent to an upstream. */
+  recordPrompt(prompt: SentPrompt): void;
+  /** Whether this instance is shutting down. */
+  isLeaving(): boolean;
+}
+
+/**
+ * The components by which a gateway shares state with the other instances: the
+ * followers of the store's topics and the gossip.
+ */
+export class GatewayFleet {
+  readonly configurations: Follower;
+  readonly upstreams: Follower;
+  readonly gossip: Gossip;
+  private readonly instances: Follower;
+  private readonly peers: Peers;
+  private readonly logger: Logger;
+
+  constructor(private readonly parts: GatewayFleetParts) {
+    const {instance, zone, timer, output, transport} = parts;
+    const random = () => parts.random();
+    this.logger = componentLogger(output.logger, Component.Member);
+    this.peers = new Peers(instance, zone, this.logger, random);
+    this.configurations = this.follow(
+      Topic.Configuration,
+      parts.configurations,
+    );
+    this.upstreams = this.follow(Topic.Upstreams, parts.upstreams);
+    this.instances = this.follow(Topic.Instances, {
+      replaced: records => this.peers.update(records),
+      added: records => this.peers.update(records),
+    });
+    const records = new RecordExchange({
+      followers: [this.configurations, this.upstreams, this.instances],
+      client: transport.client,
+      server: transport.server,
+      logger: this.logger,
+    });
+    this.gossip = new Gossip({
+      name: instance,
+      zone,
+      datagrams: transport.datagrams,
+      peers: this.peers,
+      records,
+      timer,
+      logger: this.logger,
+      random,
+      loads: () => parts.loads(),
+      waiting: () => parts.waiting(),
+      recordPrompt: prompt => parts.recordPrompt(prompt),
+    });
+  }
+
+  /** Starts following the topics and exchanging messages with the peers. */
+  start(): Subscription[] {
+    const {instance: name, host, zone, feed, timer, transport} = this.parts;
+    void announce({
+      name,
+      address: {host, zone},
+      openPort: () => transport.openPort(),
+      feed,
+      timer,
+      logger: this.logger,
+      isLeaving: () => this.parts.isLeaving(),
+    });
+    return [
+      this.configurations.start(),
+      this.upstreams.start(),
+      this.instances.start(),
+      this.gossip.start(),
+    ];
+  }
+
+  followerOf(topic: Topic): Follower {
+    switch (topic) {
+      case Topic.Configuration:
+        return this.configurations;
+      case Topic.Upstreams:
+        return this.upstreams;
+      case Topic.Instances:
+        return this.instances;
+    }
+  }
+
+  /** Reads the store again, as after a suspension of the process. */
+  wake(): void {
+    this.configurations.wake();
+    this.upstreams.wake();
+    this.instances.wake();
+  }
+
+  /** Closes the port for peers and the connections to them. */
+  async close(): Promise<void> {
+    await this.parts.transport.close();
+  }
+
+  private follow(topic: Topic, listener: FollowerListener): Follower {
+    const {instance, feed, timer, output} = this.parts;
+    return new Follower(
+      {
+        ...READ_TIMING[topic],
+        instance,
+        feed,
+        topic,
+        timer,
+        logger: componentLogger(output.logger, Component.Platform),
+        random: () => this.parts.random(),
+        rankOf: name => this.peers.rankOf(topic, name),
+        learned: (news, source) => this.gossip.announce(news, source),
+      },
+      listener,
+    );
+  }
+}
--- a/src/wiring/index.ts
+++ b/src/wiring/index.ts
@@ -1,4 +1,5 @@
 export {startRouter} from './router.js';
 export type {Router} from './router.js';
 export {startGateway} from './gateway.js';
-export type {Gateway, GatewaySettings, PlatformAdapter} from './gateway.js';
+export type {Gateway, GatewaySettings} from './gateway.js';
+export type {PlatformAdapter} from './platformadapter.js';
--- /dev/null
+++ b/test/fleet.test.ts
@@ -0,0 +1,281 @@
+import fc from 'fast-check';
+import {err} from 'neverthrow';
+import {afterEach, describe, expect, it, test, vi} from 'vitest';
+import {
+  FleetFault,
+  injectFault,
+  runExperiment,
+} from '../bench/fleet/experiment.js';
+import {SimulatedFleet} from '../bench/fleet/simulatedfleet.js';
+import {StoreState} from '../bench/fleet/simulatedstore.js';
+import {PeerLoads} from '../src/fleet/index.js';
+import {RelayQueue} from '../src/fleet/relayqueue.js';
+import {ChangeLog} from '../src/registry/changelog.js';
+import {ReadSchedule, Topic, type Feed} from '../src/registry/index.js';
+import {
+  call,
+  openTestFeed,
+  RawUpstream,
+  startGatewayOn,
+  successHead,
+  wireConfiguration,
+  type TestGateway,
+} from './support/gateway.js';
+
+describe('when an instance reads a topic', () => {
+  const RANKS = ['a', 'b', 'c', 'd'];
+  const timing = {readPauseMs: 500, waitMs: 0};
+  const scheduleOf = (name: string) =>
+    new ReadSchedule(name, timing, other => RANKS.indexOf(other));
+
+  it('reads at short intervals once its own read was the newest', () => {
+    const schedule = scheduleOf('b');
+    schedule.noteRead({reader: 'b', at: 0}, 0);
+    expect([
+      schedule.reader,
+      schedule.delayMs(0),
+      schedule.delayMs(400),
+    ]).toEqual(['b', 500, 100]);
+  });
+
+  it('leaves reading to an instance of lower rank, and keeps it from others', () => {
+    const schedule = scheduleOf('b');
+    schedule.noteRead({reader: 'b', at: 0}, 0);
+    schedule.noteRead({reader: 'c', at: 100}, 100);
+    expect(schedule.reader).toBe('b');
+    schedule.noteRead({reader: 'a', at: 200}, 200);
+    expect(schedule.reader).toBe('a');
+    schedule.noteRead({reader: 'b', at: 300}, 300);
+    expect(schedule.reader).toBe('a');
+  });
+
+  it('takes over from a silent reader, those of low rank first', () => {
+    const delays = RANKS.slice(1).map(name => {
+      const schedule = scheduleOf(name);
+      schedule.noteRead({reader: 'a', at: 0}, 0);
+      return Math.round(schedule.delayMs(0));
+    });
+    expect(delays).toMatchInlineSnapshot(`
+      [
+        962,
+        999,
+        1026,
+      ]
+    `);
+    const schedule = scheduleOf('d');
+    schedule.noteRead({reader: 'a', at: 0}, 0);
+    schedule.noteRead({reader: 'd', at: 1_100}, 1_100);
+    expect(schedule.reader).toBe('d');
+  });
+});
+
+test('a change log serves changes from where it is complete', () => {
+  const log = new ChangeLog();
+  log.restart(10);
+  expect([log.since, log.changedTo, log.from(9), log.from(10)]).toEqual([
+    10,
+    10,
+    undefined,
+    [],
+  ]);
+  log.append([{key: 'a', offset: 12}], 20);
+  expect([log.end, log.changedTo, log.from(11), log.from(13)]).toEqual([
+    20,
+    13,
+    [{key: 'a', offset: 12}],
+    [],
+  ]);
+  const many = Array.from({length: 600}, (_, n) => ({
+    key: 'k',
+    offset: 20 + n,
+  }));
+  log.append(many, 620);
+  expect([log.from(12), log.from(log.since)?.length]).toEqual([undefined, 512]);
+});
+
+test('a relay queue sends each item a limited number of times', () => {
+  const queue = new RelayQueue<string>(3);
+  for (const item of ['one', 'two', 'three']) queue.add(item, item);
+  expect([queue.take(12, 2), queue.take(12, 2), queue.take(99, 2)]).toEqual([
+    ['one', 'two'],
+    ['three', 'one'],
+    ['two', 'three'],
+  ]);
+  expect(queue.size).toBe(0);
+  queue.add('key', 'old');
+  queue.add('key', 'new');
+  expect(queue.take(1, 1)).toEqual(['new']);
+});
+
+test('the load on an upstream is the sum of recent reports of every origin', () => {
+  const loads = new PeerLoads();
+  const report = (from: string, instances: number, inflight: number) => ({
+    from,
+    instances,
+    loads: [
+      {
+        upstream: 'i-1',
+        inflight,
+        unread: [[1, 10]] as Array<[number, number]>,
+        recent: [],
+      },
+    ],
+    waiting: [],
+  });
+  expect(loads.update(report('entry-2', 1, 1), 100)).toBe(true);
+  expect(loads.update(report('entry-2', 1, 9), 90)).toBe(false);
+  loads.update(report('zone:b', 30, 12), 200);
+  expect(loads.loadOn('i-1', 300)).toMatchObject({inflight: 13, ageMs: 200});
+  expect([loads.countActive(300), loads.countActive(1_650)]).toEqual([31, 30]);
+  loads.update({...report('entry-2', 1, 0), loads: []}, 300);
+  expect(loads.loadOn('i-1', 300).inflight).toBe(12);
+  const {sum} = loads.sumOf(
+    from => !from.startsWith('zone:'),
+    report('entry-1', 1, 2),
+    300,
+  );
+  expect([sum.instances, sum.loads[0]?.inflight]).toEqual([2, 2]);
+  loads.sweep(5_000);
+  expect(loads.loadOn('i-1', 300).inflight).toBe(0);
+});
+
+describe('a fleet in virtual time', () => {
+  const spec = {
+    upstreams: 40,
+    seconds: 8,
+    seed: 3,
+    loss: 0.02,
+    faults: [] as FleetFault[],
+  };
+
+  for (const instances of [9, 82, 195]) {
+    it(`keeps its cost within the targets with ${instances} instances`, async () => {
+      const figures = await runExperiment({...spec, instances});
+      expect([figures.overdue, figures.regressions]).toEqual([[], 0]);
+      expect(figures.callsPerSecond).toBeLessThanOrEqual(0.4 * instances);
+      if (instances > 9) {
+        expect(figures.messagesPerSecond).toBeLessThanOrEqual(15);
+      }
+    }, 60_000);
+  }
+
+  const faultArbitrary = fc.record({
+    fault: fc.constantFrom(...Object.values(FleetFault)),
+    topic: fc.constantFrom(Topic.Configuration, Topic.Upstreams),
+    afterMs: fc.integer({min: 0, max: 2_500}),
+  });
+
+  it('has every change in force in time, whatever happens to its readers', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.integer(),
+        fc.constantFrom(2, 7, 24),
+        fc.array(faultArbitrary, {minLength: 1, maxLength: 6}),
+        async (seed, instances, faults) => {
+          const fleet = new SimulatedFleet({
+            instances,
+            seed,
+            upstreams: 12,
+            loss: 0.05,
+            configurationBytes: 4_000,
+          });
+          await fleet.start(4_000);
+          for (const {fault, topic, afterMs} of faults) {
+            const alive = fleet.instances.filter(({isAlive}) => isAlive);
+            const kills = fault === FleetFault.ReaderDeath;
+            if (!kills || alive.length > 1) injectFault(fleet, fault, topic);
+            fleet.publishConfiguration();
+            fleet.toggleUpstream(Math.floor(fleet.random.next() * 12));
+            await fleet.advance(afterMs);
+          }
+          await fleet.advance(2_501);
+          expect([
+            fleet.overdue(Topic.Configuration, 2_500),
+            fleet.overdue(Topic.Upstreams, 2_500),
+          ]).toEqual([[], []]);
+          // Also those that were disturbed, once everything works again.
+          await fleet.advance(4_000);
+          const lagging = fleet.instances.filter(
+            ({isAlive, configurationVersion}) =>
+              isAlive && configurationVersion < faults.length + 1,
+          );
+          expect(lagging.map(({place}) => place.name)).toEqual([]);
+          expect(fleet.instances.map(({regressions}) => regressions)).toEqual(
+            fleet.instances.map(() => 0),
+          );
+        },
+      ),
+      {seed: 31, numRuns: 40, endOnFailure: true},
+    );
+  }, 120_000);
+
+  it('limits its attempts while the store is down', async () => {
+    const fleet = new SimulatedFleet({
+      instances: 82,
+      seed: 5,
+      upstreams: 12,
+      loss: 0,
+      configurationBytes: 4_000,
+    });
+    await fleet.start(5_000);
+    const {calls} = fleet.store;
+    const before = calls.reads + calls.snapshots;
+    for (const instance of fleet.instances) {
+      instance.storeState = StoreState.Refuses;
+    }
+    await fleet.advance(10_000);
+    // Each instance has to find out itself whether the store serves it.
+    const during = calls.reads + calls.snapshots - before;
+    expect(during / 10 / 82).toBeLessThan(2);
+  });
+});
+
+describe('gateways that share a store', () => {
+  const gateways: Array<Omit<TestGateway, 'feed'>> = [];
+  const upstreams: RawUpstream[] = [];
+
+  afterEach(async () => {
+    await Promise.all(gateways.splice(0).map(({gateway}) => gateway.stop()));
+    for (const upstream of upstreams.splice(0)) upstream.close();
+  });
+
+  it('tell each other of records that one of them cannot read', async () => {
+    const upstream = new RawUpstream(({id, socket}) => {
+      socket.write(`${successHead(id, 'Content-Length: 2\r\n')}ok`);
+    });
+    upstreams.push(upstream);
+    const port = await upstream.listen();
+    const feed = openTestFeed([{service: 'plain', id: 'i-1', port}]);
+    gateways.push(await startGatewayOn(feed, 300, 'entry-1'));
+    let isCut = false;
+    const cutFeed: Feed = {
+      snapshot: topic =>
+        isCut
+          ? Promise.resolve(err({type: 'refused', status: 503}))
+          : feed.snapshot(topic),
+      put: (...args) => feed.put(...args),
+      read: (...args) =>
+        isCut
+          ? Promise.resolve(err({type: 'refused', status: 503}))
+          : feed.read(...args),
+    };
+    const second = await startGatewayOn(cutFeed, 300, 'entry-2');
+    gateways.push(second);
+    await vi.waitFor(() =>
+      expect(feed.records[Topic.Instances]).toHaveLength(2),
+    );
+    isCut = true;
+    const {routes, ...rest} = wireConfiguration(2);
+    const moved = routes.map(route => ({...route, host: 'new.example'}));
+    feed.add(Topic.Configuration, 'config', {...rest, routes: moved});
+    await vi.waitFor(
+      async () => {
+        const answer = await call(second.gateway.port, '/look/a', 'r1', {
+          headers: {host: 'new.example'},
+        });
+        expect(answer?.body).toBe('ok');
+      },
+      {timeout: 2_500},
+    );
+  });
+});
--- a/test/health.test.ts
+++ b/test/health.test.ts
@@ -88,6 +88,7 @@
   const loads = new PeerLoads();
   const news = (from: string) => ({
     from,
+    instances: 1,
     loads: [
       {
         upstream: 'i-1',
@@ -96,7 +97,6 @@
         recent: [[1, 700]] as Array<[number, number]>,
       },
     ],
-    readings: [],
     waiting: [['s', 1]] as Array<[string, number]>,
   });
   loads.update(news('entry-2'), 0);
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -169,6 +169,9 @@
   const seen: string[] = [];
   const follower = new Follower(
     {
+      instance: 'entry-1',
+      rankOf: () => 0,
+      learned: () => undefined,
       feed,
       topic: Topic.Upstreams,
       timer,
@@ -178,9 +181,14 @@
       waitMs: 1_000,
     },
     {
-      replaced: records => seen.push(`replaced by ${records.length}`),
-      added: records =>
-        seen.push(`added ${records.map(({key}) => key).join()}`),
+      replaced: records => {
+        seen.push(`replaced by ${records.length}`);
+        return records;
+      },
+      added: records => {
+        seen.push(`added ${records.map(({key}) => key).join()}`);
+        return records;
+      },
     },
   );
   const subscription = follower.start();
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -247,16 +247,33 @@
   logLines: Array<Record<string, unknown>>;
 }
 
-/** Starts a gateway for upstreams on loopback and waits for readiness. */
-export async function startTestGateway(
+/** A feed with the first configuration and the entries of upstreams. */
+export function openTestFeed(
   upstreams: Array<{service: string; id: string; port: number}>,
-  graceMs = 4_000,
-): Promise<TestGateway> {
+): MemoryFeed {
   const feed = new MemoryFeed();
   feed.add(Topic.Configuration, 'config', wireConfiguration(1));
   for (const {service, id, port} of upstreams) {
     feed.add(Topic.Upstreams, id, wireEntry(service, port));
   }
+  return feed;
+}
+
+/** Starts a gateway for upstreams on loopback and waits for readiness. */
+export async function startTestGateway(
+  upstreams: Array<{service: string; id: string; port: number}>,
+  graceMs = 4_000,
+): Promise<TestGateway> {
+  const feed = openTestFeed(upstreams);
+  return {feed, ...(await startGatewayOn(feed, graceMs))};
+}
+
+/** Starts a gateway that reads a feed and waits for readiness. */
+export async function startGatewayOn(
+  feed: Feed,
+  graceMs: number,
+  instance = 'entry-1',
+): Promise<Omit<TestGateway, 'feed'>> {
   const logLines: Array<Record<string, unknown>> = [];
   const logger = pino(
     {base: null},
@@ -264,7 +281,7 @@
   );
   const gateway = await startGateway(
     {
-      instance: 'entry-1',
+      instance,
       host: HOST,
       zone: 'zone-a',
       regions: {'zone-a': 'region-a'},
@@ -284,7 +301,7 @@
     {logger, dropped: () => 0},
   );
   await untilReady(gateway);
-  return {gateway, feed, logLines};
+  return {gateway, logLines};
 }
 
 async function untilReady({readinessPort}: Gateway): Promise<void> {
--- a/test/wiring.test.ts
+++ b/test/wiring.test.ts
@@ -59,8 +59,9 @@
   const feed = new MemoryFeed();
   void announce({
     name: 'entry-1',
-    address: {host: '127.0.0.1', port},
-    datagrams,
+    address: {host: '127.0.0.1', zone: 'zone-a'},
+    openPort: async () =>
+      (await datagrams.bind('127.0.0.1', port)) ? port : undefined,
     feed,
     timer,
     logger: silent,
