Rank requests of equal workspaces by the priority of their route

Cause: a workspace's priority replaced that of the route, so that nearly all requests had one tier: the engines and the queues treated a short check like a long digest.

Change: the workspace's priority decides first, and among equals the route's. RoutingTable numbers the pairs that occur.

--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -126,7 +126,7 @@
         service,
         deadline,
         body,
-        tier: workspace?.tier ?? route.tier,
+        tier: table.tierOf(route, workspace),
         ...(workspace === undefined ? {} : {workspace: workspace.name}),
       };
       return await this.forward(context);
--- a/src/route/document.ts
+++ b/src/route/document.ts
@@ -31,8 +31,8 @@
   targetMs: number;
   /** Longest time between events of a stream that meets its target, in ms. */
   targetGapMs?: number;
-  /** Priority tier; 0 is the most urgent. */
-  tier: number;
+  /** Priority; 0 is the highest. */
+  priority: number;
   splits: Split[];
   /** Most upstreams that one request may be sent to. */
   attemptsLimit: number;
@@ -73,8 +73,8 @@
 export interface Workspace {
   name: string;
   keys: string[];
-  /** Priority tier, which overrides that of the route. */
-  tier?: number;
+  /** Priority, which takes precedence over that of the route. */
+  priority?: number;
 }
 
 /** One complete version of the routing configuration. */
--- a/src/route/table.ts
+++ b/src/route/table.ts
@@ -23,7 +23,9 @@
   /** Workspaces by API key; undefined if callers need no keys. */
   private readonly workspaceByKey?: Map<string, Workspace>;
   private readonly services: Map<string, Service>;
-  /** Least urgent tier of the routes to each service. */
+  /** Tier by rank of the workspace, then by rank of the route. */
+  private readonly tiers = new Map<number, Map<number, number>>();
+  /** Least urgent tier of the requests for each service. */
   private readonly lowestTiers = new Map<string, number>();
   /** Targets for the time between events, in ms, by service. */
   private readonly targetGaps = new Map<string, number[]>();
@@ -35,8 +37,9 @@
       const prefixes =
         this.routesByHost.get(route.host) ?? new Map<string, Route>();
       this.routesByHost.set(route.host, prefixes.set(route.prefix, route));
-      this.indexRoute(route);
     }
+    this.indexTiers(document);
+    for (const route of document.routes) this.indexRoute(route, document);
     this.services = new Map(
       document.services.map(service => [service.name, service]),
     );
@@ -75,11 +78,40 @@
       : {type: 'workspace', workspace};
   }
 
+  /**
+   * Tier of a request; 0 is the most urgent. The workspace's priority decides,
+   * if it has one, and among equals that of the route.
+   */
+  tierOf(route: Route, workspace: Workspace | undefined): number {
+    const priority = workspace?.priority ?? route.priority;
+    return this.tiers.get(priority)?.get(route.priority) ?? 0;
+  }
+
+  /** Numbers the pairs of priorities that requests can have. */
+  private indexTiers({routes, workspaces = []}: RoutingDocument): void {
+    const pairs = routes.flatMap(route =>
+      [route.priority, ...workspaces.map(({priority}) => priority)].map(
+        priority => [priority ?? route.priority, route.priority] as const,
+      ),
+    );
+    pairs.sort(([a, b], [c, d]) => a - c || b - d);
+    let tier = 0;
+    for (const [first, second] of pairs) {
+      const tiers = this.tiers.get(first) ?? new Map<number, number>();
+      if (!tiers.has(second)) tiers.set(second, tier++);
+      this.tiers.set(first, tiers);
+    }
+  }
+
   /** Adds a route to the tiers and targets of its services. */
-  private indexRoute({targetGapMs, splits, tier}: Route): void {
+  private indexRoute(route: Route, {workspaces = []}: RoutingDocument): void {
+    const {targetGapMs, splits} = route;
+    const tiers = [undefined, ...workspaces].map(workspace =>
+      this.tierOf(route, workspace),
+    );
     for (const {service} of splits) {
       const lowest = this.lowestTiers.get(service) ?? 0;
-      this.lowestTiers.set(service, Math.max(lowest, tier));
+      this.lowestTiers.set(service, Math.max(lowest, ...tiers));
       if (targetGapMs === undefined) continue;
       const targetGaps = this.targetGaps.get(service) ?? [];
       targetGaps.push(targetGapMs);
@@ -91,7 +123,7 @@
     return this.services.get(name);
   }
 
-  /** The least urgent tier of the routes to a service. */
+  /** The least urgent tier of the requests for a service. */
   lowestTierOf(service: string): number {
     return this.lowestTiers.get(service) ?? 0;
   }
--- a/test/forward-retry.test.ts
+++ b/test/forward-retry.test.ts
@@ -11,7 +11,7 @@
   streaming: false,
   timeoutMs: 2_000,
   targetMs: 200,
-  tier: 0,
+  priority: 0,
   splits: [],
   attemptsLimit: 2,
   open: true,
