--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -357,6 +357,8 @@
       repeats_left: this.sumOverServices(({retryBudget: allowance}) =>
         allowance.remaining(this.timer.now()),
       ),
+      reads_configuration: Number(this.fleet.configurations.isReader()),
+      reads_upstreams: Number(this.fleet.upstreams.isReader()),
       other_instances: this.fleet.gossip.peerLoads.countActive(
         this.timer.now(),
       ),
