Count loads across ways of sending, and bound the prompts to pass on

Found in reading the change: while a fleet crosses the size up to which all talk directly, some instances send their load to all and others pass loads on, and a receiver ignored one or took an empty load over the sender's. A receiver now takes a load either way. Prompts to pass on could come faster than they go and pile up; the oldest beyond 200 are dropped.

--- a/src/fleet/gossip.ts
+++ b/src/fleet/gossip.ts
@@ -47,6 +47,8 @@
 const MAX_LOAD_SENDS = 3;
 /** Sends of a prompt within the zone, by each instance. */
 const MAX_PROMPT_SENDS = 4;
+/** Prompts that wait to be passed on; more would be told of too late. */
+const MAX_QUEUED_PROMPTS = 200;
 /** Most bytes of relayed loads in one message. */
 const MAX_RELAYED_BYTES = 2_500;
 /** Most bytes of prompts in one message. */
@@ -104,6 +106,7 @@
   private readonly relayedLoads = new RelayQueue<KnownLoad>(MAX_LOAD_SENDS);
   private readonly relayedPrompts = new RelayQueue<SentPrompt>(
     MAX_PROMPT_SENDS,
+    MAX_QUEUED_PROMPTS,
   );
   /** Prompts for the next message of a fleet that talks directly. */
   private prompts: SentPrompt[] = [];
@@ -298,8 +301,10 @@
     const {from, loads, waiting, ...message} = parsed.data;
     const now = timer.now();
     const address = peers.addressOf(from);
-    // Where instances pass loads on, only earlier versions send theirs to all.
-    if (peers.areDirect || address?.zone === undefined) {
+    // A sender that passes loads on has its own among them, or tells none in an
+    // urgent message to another zone.
+    const mayTellNone = !peers.areDirect && loads.length === 0;
+    if (message.relayed.length === 0 && !mayTellNone) {
       this.learn({from, instances: 1, loads, waiting}, now);
     }
     for (const wire of message.relayed) {
--- a/src/fleet/relayqueue.ts
+++ b/src/fleet/relayqueue.ts
@@ -16,6 +16,8 @@
   constructor(
     /** Sends after which an item is dropped. */
     private readonly maxSends: number,
+    /** Items above which the oldest is dropped. */
+    private readonly maxItems = Infinity,
   ) {}
 
   get size(): number {
@@ -27,6 +29,9 @@
     const bytes = JSON.stringify(item).length;
     this.entries.delete(key);
     this.entries.set(key, {item, bytes, sends: 0});
+    if (this.entries.size <= this.maxItems) return;
+    const [oldest] = this.entries.keys();
+    if (oldest !== undefined) this.entries.delete(oldest);
   }
 
   /** Drops the items for which `isStale` holds. */
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 import {err} from 'neverthrow';
+import {pino} from 'pino';
 import {afterEach, describe, expect, it, test, vi} from 'vitest';
 import {
   FleetFault,
@@ -8,10 +9,11 @@
 } from '../bench/fleet/experiment.js';
 import {SimulatedFleet} from '../bench/fleet/simulatedfleet.js';
 import {StoreState} from '../bench/fleet/simulatedstore.js';
-import {PeerLoads} from '../src/fleet/index.js';
+import {Gossip, PeerLoads, Peers, RecordExchange} from '../src/fleet/index.js';
 import {RelayQueue} from '../src/fleet/relayqueue.js';
 import {ChangeLog} from '../src/registry/changelog.js';
 import {ReadSchedule, Topic, type Feed} from '../src/registry/index.js';
+import {ManualTimer} from '../src/timer/index.js';
 import {
   call,
   openTestFeed,
@@ -105,6 +107,9 @@
   queue.add('key', 'old');
   queue.add('key', 'new');
   expect(queue.take(1, 1)).toEqual(['new']);
+  const small = new RelayQueue<number>(9, 2);
+  for (const item of [1, 2, 3]) small.add(`item ${item}`, item);
+  expect(small.take(99, 1)).toEqual([2, 3]);
 });
 
 test('the load on an upstream is the sum of recent reports of every origin', () => {
@@ -139,6 +144,64 @@
   expect(loads.loadOn('i-1', 300).inflight).toBe(0);
 });
 
+test('loads count whether their sender passes loads on or talks to all', () => {
+  const timer = new ManualTimer();
+  const logger = pino({level: 'silent'});
+  const peers = new Peers('entry-0', 'zone-a', logger, () => 0.5);
+  const addressOf = (index: number) =>
+    Buffer.from(JSON.stringify({host: 'h', port: index, zone: 'zone-a'}));
+  peers.update(
+    Array.from({length: 20}, (_, n) => ({
+      key: `entry-${n + 1}`,
+      value: addressOf(n + 1),
+      offset: n,
+    })),
+  );
+  let receive = (_: unknown): unknown => undefined;
+  const gossip = new Gossip({
+    name: 'entry-0',
+    zone: 'zone-a',
+    datagrams: {
+      broadcast: () => undefined,
+      handle: (_method, handler) => {
+        receive = handler;
+      },
+    },
+    peers,
+    records: new RecordExchange({
+      followers: [],
+      client: {call: () => Promise.resolve(err('none'))},
+      server: {handle: () => undefined},
+      logger,
+    }),
+    timer,
+    logger,
+    random: () => 0.5,
+    loads: () => [],
+    waiting: () => [],
+    recordPrompt: () => undefined,
+  });
+  const load = {upstream: 'i-1', inflight: 2, unread: [], recent: []};
+  const message = {readings: [], waiting: []};
+  receive({...message, from: 'entry-1', loads: [load]});
+  receive({
+    ...message,
+    from: 'entry-2',
+    loads: [],
+    relayed: [
+      ['entry-2', 1, 0, [['i-1', 3, [], []]], []],
+      ['zone:zone-b', 9, 100, [['i-1', 5, [], []]], []],
+      // Its own load comes back, and the sum of its own zone.
+      ['entry-0', 1, 50, [['i-1', 70, [], []]], []],
+      ['zone:zone-a', 9, 50, [['i-1', 70, [], []]], []],
+    ],
+  });
+  // An urgent message to another zone tells no load.
+  receive({...message, from: 'entry-2', loads: []});
+  expect(gossip.peerLoads.loadOn('i-1', timer.now()).inflight).toBe(10);
+  expect(gossip.peerLoads.countActive(timer.now())).toBe(11);
+});
+
 describe('a fleet in virtual time', () => {
   const spec = {
     upstreams: 40,
