--- a/src/registry/follower.ts
+++ b/src/registry/follower.ts
@@ -239,18 +239,20 @@
   }
 
   /**
-   * Takes a snapshot, which must not end before `minEnd`. Returns the pause
-   * before the next call, in ms.
+   * Takes a snapshot. It is discarded if it ends before what is known, which
+   * peers may have told during the call. Returns the pause before the next call,
+   * in ms.
    */
-  private async loadSnapshot(minEnd = 0): Promise<number> {
+  private async loadSnapshot(): Promise<number> {
     const {feed, topic, logger} = this.options;
     const result = await feed.snapshot(topic);
     if (result.isErr()) return this.recordFailure('snapshot', result.error);
     this.recordSuccess();
     const {records, end} = result.value;
-    if (end < minEnd) {
+    const known = this.changes.end;
+    if (end < known) {
       logger.warn(
-        {event: LogEvent.Store, topic, end, known: minEnd},
+        {event: LogEvent.Store, topic, end, known},
         'Discarded a snapshot older than the records already read.',
       );
       return STALE_SNAPSHOT_DELAY_MS;
@@ -260,6 +262,7 @@
       'Took a snapshot of the topic.',
     );
     const changed = this.listener.replaced(records);
+    this.noteOwnRead();
     if (this.hasSnapshot) this.appendSnapshot(changed, end);
     else this.changes.restart(end);
     this.hasSnapshot = true;
@@ -288,7 +291,7 @@
           {event: LogEvent.Store, topic, from, first: page.first},
           'Records expired before they were read; taking a snapshot.',
         );
-        return this.loadSnapshot(Math.max(from, this.changes.end));
+        return this.loadSnapshot();
       case 'records': {
         // Peers may have told of some of the records during the call.
         const known = this.changes.end;
@@ -297,11 +300,14 @@
           page.records.filter(({offset}) => offset >= known),
         );
         this.changes.append(changed, end);
+        // The store returns a part if there is much to read.
+        const isPart = page.records.length > 0 && end < page.end;
+        if (!isPart) this.noteOwnRead();
         this.options.learned(
           changed.length > 0 ? Learned.Changes : Learned.Freshness,
           LearnedFrom.Store,
         );
-        return 0;
+        return isPart ? this.readNext(end) : 0;
       }
     }
   }
@@ -312,8 +318,7 @@
   }
 
   private recordSuccess(): void {
-    const {timer, topic, logger, instance} = this.options;
-    const now = timer.now();
+    const {topic, logger} = this.options;
     if (this.failures > 0) {
       logger.info(
         {event: LogEvent.Store, topic, failures: this.failures},
@@ -321,6 +326,12 @@
       );
     }
     this.failures = 0;
+  }
+
+  /** Notes that a read of this instance has reached the end of the topic. */
+  private noteOwnRead(): void {
+    const {timer, instance} = this.options;
+    const now = timer.now();
     this.noteCurrent(now, instance);
     this.noteRead({reader: instance, at: now}, now);
   }
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -260,3 +260,87 @@
   `);
   expect(follower.reachableForMs()).toBeGreaterThan(0);
 });
+
+test('a part of the records does not make a topic current', async () => {
+  const timer = new ManualTimer();
+  const waiting = new Promise<never>(() => undefined);
+  const feed = new ScriptedFeed(
+    timer,
+    [{records: [], end: 0}],
+    [{type: 'records', records: [recordAt(0), recordAt(1)], end: 9}],
+  );
+  const read = feed.read.bind(feed);
+  // The rest is not answered.
+  feed.read = (...args) => (args[1] === 2 ? waiting : read(...args));
+  const follower = new Follower(
+    {
+      instance: 'entry-1',
+      rankOf: () => 0,
+      learned: () => undefined,
+      feed,
+      topic: Topic.Upstreams,
+      timer,
+      logger,
+      random: () => 0.5,
+      readPauseMs: 100,
+      waitMs: 0,
+    },
+    {replaced: () => [], added: records => records},
+  );
+  follower.start();
+  await timer.advance(1);
+  await timer.advance(500);
+  expect(follower.status()).toMatchObject({end: 2, changedTo: 2, ageMs: 500});
+});
+
+test('a snapshot older than what peers told meanwhile is discarded', async () => {
+  const timer = new ManualTimer();
+  let answer = (_: Snapshot) => {};
+  const feed = new ScriptedFeed(
+    timer,
+    [{records: [], end: 4}],
+    [{type: 'expired', first: 8}],
+  );
+  const first = feed.snapshot.bind(feed);
+  let snapshots = 0;
+  feed.snapshot = () =>
+    snapshots++ === 0
+      ? first()
+      : new Promise(resolve => {
+          answer = snapshot => resolve(ok(snapshot));
+        });
+  const seen: string[] = [];
+  const follower = new Follower(
+    {
+      instance: 'entry-1',
+      rankOf: () => 0,
+      learned: () => undefined,
+      feed,
+      topic: Topic.Upstreams,
+      timer,
+      logger,
+      random: () => 0.5,
+      readPauseMs: 100,
+      waitMs: 0,
+    },
+    {
+      replaced: records => {
+        seen.push(`replaced by ${records.length}`);
+        return records;
+      },
+      added: records => {
+        seen.push(`added ${records.map(({key}) => key).join()}`);
+        return records;
+      },
+    },
+  );
+  follower.start();
+  await timer.advance(1);
+  await timer.advance(200);
+  const status = {topic: Topic.Upstreams, reader: 'entry-2', ageMs: 0};
+  const changes = {from: 4, records: [recordAt(11)]};
+  follower.receive({...status, end: 12, since: 0, changedTo: 12}, changes);
+  answer({records: [recordAt(8)], end: 9});
+  await timer.advance(1);
+  expect([seen, follower.end]).toEqual([['replaced by 0', 'added k11'], 12]);
+});
