Don't take a suspension or a step of the clock for an outage of the store

A step of the time of day looks like a suspension, after which a topic counted as unknown; so the removal of an entry within 4 s counted as a lapse in an outage, and its upstream was used for 2 s more, 2,508 ms after it had left. Waking now makes an instance read again and leaves alone since when the topic is known. The new test failed before.

--- a/src/registry/follower.ts
+++ b/src/registry/follower.ts
@@ -92,6 +92,8 @@
   private reader = '';
   /** Since when the topic has been current without a long gap. */
   private reachableSince?: number;
+  /** Whether what is known may be older than it seems. */
+  private mustRead = false;
   /** Until when peers' messages may have waited here unread, in monotonic ms. */
   private distrustedUntil = -Infinity;
   /** Ends the current pause early. */
@@ -146,14 +148,16 @@
    * was suspended, when the ages of received messages can't be trusted.
    */
   wake(): void {
-    delete this.currentAt;
+    this.mustRead = true;
     this.distrustedUntil = this.options.timer.now() + BACKLOG_MS;
     this.pauseController?.abort();
   }
 
   /** What this instance knows; undefined before the first snapshot. */
   status(): TopicStatus | undefined {
-    if (!this.hasSnapshot || this.currentAt === undefined) return undefined;
+    if (!this.hasSnapshot || this.mustRead || this.currentAt === undefined) {
+      return undefined;
+    }
     const {end, since, changedTo} = this.changes;
     return {
       topic: this.options.topic,
@@ -222,7 +226,9 @@
   }
 
   private delayUntilRead(): number {
-    if (!this.hasSnapshot || this.currentAt === undefined) return 0;
+    if (!this.hasSnapshot || this.mustRead || this.currentAt === undefined) {
+      return 0;
+    }
     return this.schedule.delayMs(this.options.timer.now() - this.currentAt);
   }
 
@@ -358,6 +364,7 @@
     }
     this.currentAt = at;
     this.reader = reader;
+    this.mustRead = false;
   }
 
   /** Returns the pause before the next call, in ms. */
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -194,7 +194,7 @@
   const subscription = follower.start();
   for (let step = 0; step < 80; step++) await timer.advance(50);
   subscription.end();
-  return {seen, calls: feed.calls, follower};
+  return {seen, calls: feed.calls, follower, timer};
 }
 
 test('records that expired before they were read lead to a snapshot', async () => {
@@ -344,3 +344,16 @@
   await timer.advance(1);
   expect([seen, follower.end]).toEqual([['replaced by 0', 'added k11'], 12]);
 });
+
+test('a suspension or a step of the clock is no outage of the store', async () => {
+  const {follower, timer} = await runFollower([{records: [], end: 0}], []);
+  const before = follower.reachableForMs();
+  follower.wake();
+  expect([before > 3_000, follower.status()]).toEqual([true, undefined]);
+  // What peers sent meanwhile may be old; later messages are not.
+  const status = {topic: Topic.Upstreams, reader: 'b', since: 0, changedTo: 0};
+  expect(follower.receive({...status, end: 0, ageMs: 0})).toBe('ignored');
+  await timer.advance(600);
+  expect(follower.receive({...status, end: 0, ageMs: 0})).toBe('applied');
+  expect(follower.reachableForMs()).toBe(before + 600);
+});
