Read the store epoch in every answer of the store

The platform's store may return from an older copy of its data. It then gives out offsets again, and its answers name an epoch that has risen. Nothing acts on the epoch yet; the feeds of tests and of the simulation name 0.

--- a/bench/fleet/simulatedstore.ts
+++ b/bench/fleet/simulatedstore.ts
@@ -83,6 +83,7 @@
         receive(
           this.serve(instance, 'puts', () => {
             this.append(topic, key, value);
+            return {epoch: 0};
           }),
         ),
       read: (topic, from, waitMs) =>
@@ -102,14 +103,15 @@
     const records = this.recordsOf(topic);
     const newest = new Map(records.map(record => [record.key, record]));
     const present = [...newest.values()].filter(({value}) => value);
-    return {records: present, end: records.length};
+    return {records: present, end: records.length, epoch: 0};
   }
 
   private page(topic: Topic, from: number): FeedPage {
     const records = this.recordsOf(topic);
     const first = this.firstOffsets.get(topic) ?? 0;
-    if (from < first) return {type: 'expired', first};
-    return {type: 'records', records: records.slice(from), end: records.length};
+    if (from < first) return {type: 'expired', first, epoch: 0};
+    const end = records.length;
+    return {type: 'records', records: records.slice(from), end, epoch: 0};
   }
 
   private async waitForRecord(
--- a/src/registry/feed.ts
+++ b/src/registry/feed.ts
@@ -22,23 +22,36 @@
   records: KeyedRecord[];
   /** Offset after the last record of the topic. */
   end: number;
+  /** Store epoch of the response. */
+  epoch: number;
 }
 
-/** Result of a read from an offset. */
+/** Result of a read from an offset, with the store epoch of the response. */
 export type FeedPage =
   /** Consecutive records; `end` is the offset after the last of the topic. */
-  | {type: 'records'; records: KeyedRecord[]; end: number}
-  /** The offset is no longer retained; `first` is the oldest that is. */
-  | {type: 'expired'; first: number};
+  | {type: 'records'; records: KeyedRecord[]; end: number; epoch: number}
+  /**
+   * The store doesn't have the offset: it is no longer retained, or beyond the
+   * end. `first` is the oldest that is retained.
+   */
+  | {type: 'expired'; first: number; epoch: number};
+
+/** Result of a write. */
+export interface Acknowledgement {
+  /** Store epoch in which the record was written. */
+  epoch: number;
+}
 
 /** Why a call to the store failed. */
 export type FeedFailure =
   | {type: 'unreachable'; cause: string}
   | {type: 'timeout'; limitMs: number}
   /** The store answered with an error status. */
-  | {type: 'refused'; status: number}
+  | {type: 'refused'; status: number; epoch?: number}
   /** The response does not follow the store's protocol. */
-  | {type: 'malformed'; reason: string};
+  | {type: 'malformed'; reason: string; epoch?: number}
+  /** The epoch rose between the pages of a snapshot, to `epoch`. */
+  | {type: 'interrupted'; epoch: number};
 
 /** Timeouts of calls to the store, in ms. */
 export interface FeedTimeouts {
@@ -53,7 +66,12 @@
  */
 export const FEED_TIMEOUTS: FeedTimeouts = {connectMs: 800, responseMs: 1_000};
 
-/** Client of the keyed topics in the platform's store. */
+/**
+ * Client of the keyed topics in the platform's store. Each response tells the
+ * store epoch, a non-negative integer, 0 if the store names none. It rises when
+ * the store has returned from an older copy of its data: what it acknowledged
+ * since is lost, and it gives out the offsets after the copy again.
+ */
 export interface Feed {
   /** Reads the newest record of each key. */
   snapshot(topic: Topic): Promise<Result<Snapshot, FeedFailure>>;
@@ -62,7 +80,7 @@
     topic: Topic.Instances,
     key: string,
     value: Buffer,
-  ): Promise<Result<void, FeedFailure>>;
+  ): Promise<Result<Acknowledgement, FeedFailure>>;
   /** Reads the records from an offset on; waits up to `waitMs` for one. */
   read(
     topic: Topic,
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -2,6 +2,7 @@
 export type {RegistryEntry} from './entry.js';
 export {FEED_TIMEOUTS, Topic} from './feed.js';
 export type {
+  Acknowledgement,
   Feed,
   FeedFailure,
   FeedTimeouts,
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -168,7 +168,7 @@
           encodeRecord(key, Buffer.from(value)),
         );
         const page = Buffer.concat([head, ...records]);
-        const read = decodePage(page, from)._unsafeUnwrap();
+        const read = decodePage(page, from, 0)._unsafeUnwrap();
         expect(read).toEqual({
           type: 'records',
           end: from + written.length,
@@ -182,7 +182,7 @@
         let position = 16;
         for (const bytes of records) recordEnds.add((position += bytes.length));
         const length = cutSeed % (page.length + 1);
-        const truncated = decodePage(page.subarray(0, length), from);
+        const truncated = decodePage(page.subarray(0, length), from, 0);
         expect(truncated.isOk()).toBe(recordEnds.has(length));
       },
     ),
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -140,7 +140,7 @@
   }
 
   put() {
-    return Promise.resolve(ok(undefined));
+    return Promise.resolve(ok({epoch: 0}));
   }
 
   async read(
@@ -151,7 +151,7 @@
     this.calls.push(`read ${from}`);
     if (this.pages.length === 0) {
       await this.timer.sleep(waitMs);
-      return ok({type: 'records', records: [], end: from});
+      return ok({type: 'records', records: [], end: from, epoch: 0});
     }
     const next = this.pages.shift();
     return next === undefined ? err({type: 'timeout', limitMs: 1}) : ok(next);
@@ -200,12 +200,12 @@
 test('records that expired before they were read lead to a snapshot', async () => {
   const {seen, calls} = await runFollower(
     [
-      {records: [recordAt(0)], end: 1},
-      {records: [recordAt(0), recordAt(7)], end: 8},
+      {records: [recordAt(0)], end: 1, epoch: 0},
+      {records: [recordAt(0), recordAt(7)], end: 8, epoch: 0},
     ],
     [
-      {type: 'records', records: [recordAt(1), recordAt(2)], end: 3},
-      {type: 'expired', first: 6},
+      {type: 'records', records: [recordAt(1), recordAt(2)], end: 3, epoch: 0},
+      {type: 'expired', first: 6, epoch: 0},
     ],
   );
   expect({seen, calls: calls.slice(0, 6)}).toMatchInlineSnapshot(`
@@ -230,13 +230,13 @@
 test('a snapshot older than the records already read is discarded', async () => {
   const {seen} = await runFollower(
     [
-      {records: [recordAt(0)], end: 5},
-      {records: [], end: 3},
-      {records: [recordAt(8)], end: 9},
+      {records: [recordAt(0)], end: 5, epoch: 0},
+      {records: [], end: 3, epoch: 0},
+      {records: [recordAt(8)], end: 9, epoch: 0},
     ],
     [
-      {type: 'expired', first: 7},
-      {type: 'expired', first: 7},
+      {type: 'expired', first: 7, epoch: 0},
+      {type: 'expired', first: 7, epoch: 0},
     ],
   );
   expect(seen).toEqual(['replaced by 1', 'replaced by 1']);
@@ -244,7 +244,7 @@
 
 test('failed calls are retried until the store responds again', async () => {
   const {calls, follower} = await runFollower(
-    [undefined, undefined, {records: [], end: 0}],
+    [undefined, undefined, {records: [], end: 0, epoch: 0}],
     [undefined, undefined, undefined],
   );
   expect(calls.slice(0, 7)).toMatchInlineSnapshot(`
@@ -266,8 +266,8 @@
   const waiting = new Promise<never>(() => undefined);
   const feed = new ScriptedFeed(
     timer,
-    [{records: [], end: 0}],
-    [{type: 'records', records: [recordAt(0), recordAt(1)], end: 9}],
+    [{records: [], end: 0, epoch: 0}],
+    [{type: 'records', records: [recordAt(0), recordAt(1)], end: 9, epoch: 0}],
   );
   const read = feed.read.bind(feed);
   // The rest is not answered.
@@ -298,8 +298,8 @@
   let answer = (_: Snapshot) => {};
   const feed = new ScriptedFeed(
     timer,
-    [{records: [], end: 4}],
-    [{type: 'expired', first: 8}],
+    [{records: [], end: 4, epoch: 0}],
+    [{type: 'expired', first: 8, epoch: 0}],
   );
   const first = feed.snapshot.bind(feed);
   let snapshots = 0;
@@ -340,13 +340,16 @@
   const status = {topic: Topic.Upstreams, reader: 'entry-2', ageMs: 0};
   const changes = {from: 4, records: [recordAt(11)]};
   follower.receive({...status, end: 12, since: 0, changedTo: 12}, changes);
-  answer({records: [recordAt(8)], end: 9});
+  answer({records: [recordAt(8)], end: 9, epoch: 0});
   await timer.advance(1);
   expect([seen, follower.end]).toEqual([['replaced by 0', 'added k11'], 12]);
 });
 
 test('a suspension or a step of the clock is no outage of the store', async () => {
-  const {follower, timer} = await runFollower([{records: [], end: 0}], []);
+  const {follower, timer} = await runFollower(
+    [{records: [], end: 0, epoch: 0}],
+    [],
+  );
   const before = follower.reachableForMs();
   follower.wake();
   expect([before > 3_000, follower.status()]).toEqual([true, undefined]);
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -8,6 +8,7 @@
 import {protocol} from '../../platform/headers.js';
 import {
   Topic,
+  type Acknowledgement,
   type Feed,
   type FeedFailure,
   type KeyedRecord,
@@ -43,17 +44,19 @@
     const records = this.records[topic];
     const newest = new Map(records.map(record => [record.key, record]));
     const present = [...newest.values()].filter(({value}) => value);
-    return Promise.resolve(ok({records: present, end: records.length}));
+    return Promise.resolve(
+      ok({records: present, end: records.length, epoch: 0}),
+    );
   }
 
   put(
     topic: Topic.Instances,
     key: string,
     value: Buffer,
-  ): Promise<Result<void, FeedFailure>> {
+  ): Promise<Result<Acknowledgement, FeedFailure>> {
     const records = this.records[topic];
     records.push({key, value, offset: records.length});
-    return Promise.resolve(ok(undefined));
+    return Promise.resolve(ok({epoch: 0}));
   }
 
   async read(
@@ -66,7 +69,7 @@
       await new Promise(resolve => setTimeout(resolve, Math.min(20, waitMs)));
     }
     const end = records.length;
-    return ok({type: 'records', records: records.slice(from), end});
+    return ok({type: 'records', records: records.slice(from), end, epoch: 0});
   }
 }
 
