--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -168,10 +168,11 @@
           encodeRecord(key, Buffer.from(value)),
         );
         const page = Buffer.concat([head, ...records]);
-        const read = decodePage(page, from, 0)._unsafeUnwrap();
+        const read = decodePage(page, from, 3)._unsafeUnwrap();
         expect(read).toEqual({
           type: 'records',
           end: from + written.length,
+          epoch: 3,
           records: written.map(([key, value], index) => ({
             key: Buffer.from(key).toString('utf8'),
             value: Buffer.from(value),
