Start anew when the store returns from an older copy

The store may come back from a copy some seconds old. It then gives out offsets again, and names a higher epoch in its answers. A follower that stood at 100 read on after the store had gone back to 90 and been refilled to 105: it missed 90 to 99 for good and counted as current, and peers passed on changes of the old epoch to those in the new one.

A position is now an epoch and an offset. StoreEpoch hears of every answer, to writes and of errors too, and of every peer; when it rises, all topics start anew. Answers and messages of a lower epoch are dropped. Messages carry the epoch in a field of their own, which earlier builds ignore; one without it counts as 0.

What is known beyond the copy stays: entries that it lacks are kept for the grace period of an outage, and those of upstreams that have left are withheld for 10 s unless they register anew. For two minutes, instances tell each other how far they had followed earlier epochs, and who is behind, as one that started meanwhile, takes what the other knows. Each instance publishes its address again within 1.75 s, spread at random.

What is known of a topic (TopicReplica) is now apart from the calls to the store (Follower), with its age, earlier positions and retries in files of their own.

--- a/bench/fleet/simulatedfleet.ts
+++ b/bench/fleet/simulatedfleet.ts
@@ -69,6 +69,7 @@
   /** Whether it reaches its peers. */
   reachesPeers = true;
   storeState = StoreState.Serves;
+  private configurationRecords: KeyedRecord[] = [];
   private loads: Array<{upstream: string; inflight: number}> = [];
 
   constructor(
@@ -96,10 +97,13 @@
       configurations: {
         replaced: records => this.applyConfigurations(records),
         added: records => this.applyConfigurations(records),
+        known: () => this.configurationRecords,
       },
       upstreams: {
-        replaced: records => this.registry.replace(records),
+        replaced: (records, outdated) =>
+          this.registry.replace(records, outdated),
         added: records => this.registry.add(records),
+        known: () => this.registry.known(),
       },
       loads: () =>
         this.loads.map(load => ({...load, unread: [[1, 900]], recent: []})),
@@ -127,11 +131,14 @@
   }
 
   private applyConfigurations(records: KeyedRecord[]): KeyedRecord[] {
-    for (const {key, value} of records) {
+    for (const {key, value, offset} of records) {
       if (key !== CONFIGURATION_KEY || value === undefined) continue;
       const version = value.readUInt32BE(0);
       if (version < this.configurationVersion) this.regressions++;
-      else this.configurationVersion = version;
+      else {
+        this.configurationVersion = version;
+        this.configurationRecords = [{key, value, offset}];
+      }
       this.simulation.noteVersion(this);
     }
     return records;
--- a/src/fleet/gossip.ts
+++ b/src/fleet/gossip.ts
@@ -208,10 +208,13 @@
       !peers.areDirect ||
       now - this.statusSentAt >= STATUS_INTERVAL_MS;
     if (hasStatus) this.statusSentAt = now;
-    const message = {
-      ...this.messageOf(own),
-      topics: hasStatus ? records.statuses() : [],
-      changes: withChanges ? records.recentChanges() : [],
+    const message: GossipMessage = {
+      from: own.from,
+      loads: own.loads,
+      waiting: own.waiting,
+      readings: [],
+      relayed: [],
+      ...records.news({withStatus: hasStatus, withChanges}),
     };
     if (peers.areDirect) {
       this.sendTo(peers.all(), {...message, readings: this.prompts});
@@ -283,11 +286,6 @@
     };
   }
 
-  private messageOf({from, loads, waiting}: LoadReport): GossipMessage {
-    const empty = {readings: [], relayed: [], topics: [], changes: []};
-    return {from, loads, waiting, ...empty};
-  }
-
   private receive(params: unknown): void {
     const {timer, logger, peers, zone} = this.parts;
     const parsed = gossipMessageSchema.safeParse(params);
@@ -314,7 +312,7 @@
       if (!isOwn) this.learn(report, now - ageMs);
     }
     for (const prompt of message.readings) this.learnPrompt(prompt);
-    this.parts.records.receive(message.topics, message.changes, address);
+    this.parts.records.receive(message, address);
   }
 
   private learn(report: LoadReport, at: number): void {
--- a/src/fleet/message.ts
+++ b/src/fleet/message.ts
@@ -1,5 +1,10 @@
 import {z} from 'zod';
-import {Topic, type TopicStatus} from '../registry/index.js';
+import {
+  Topic,
+  type EarlierPosition,
+  type TopicState,
+  type TopicStatus,
+} from '../registry/index.js';
 
 /** Tier, and a number of prompt tokens. */
 const tierTokensSchema = z.tuple([z.number(), z.number()]);
@@ -48,7 +53,13 @@
   z.array(waitingTierSchema),
 ]);
 
-/** The fields of a [[TopicStatus]], without names to keep messages small. */
+/** Store epoch of what a message tells; builds before it tell none. */
+const epochSchema = z.number().int().min(0).default(0);
+
+/**
+ * The fields of a [[TopicStatus]], without names to keep messages small. The
+ * epoch stands beside them, where earlier builds ignore it.
+ */
 const topicStatusSchema = z.tuple([
   z.enum(Topic),
   /** end */
@@ -70,9 +81,9 @@
   return [topic, end, since, changedTo, ageMs, reader];
 }
 
-export function decodeStatus(wire: WireStatus): TopicStatus {
+export function decodeStatus(wire: WireStatus, epoch: number): TopicStatus {
   const [topic, end, since, changedTo, ageMs, reader] = wire;
-  return {topic, end, since, changedTo, ageMs, reader};
+  return {topic, epoch, end, since, changedTo, ageMs, reader};
 }
 
 /** Offset, key, and value in Base64; null if the record removes the key. */
@@ -86,6 +97,33 @@
   records: z.array(recordSchema),
 });
 
+/** How far a topic was known in an epoch that ended a short time ago. */
+const earlierPositionSchema = z.tuple([
+  z.enum(Topic),
+  /** epoch */
+  z.number().int().min(0),
+  /** end */
+  z.number().int().min(0),
+  /** changedTo */
+  z.number().int().min(0),
+  /** ageMs */
+  z.number().min(0),
+]);
+
+export type WirePosition = z.output<typeof earlierPositionSchema>;
+
+export function encodePosition(
+  topic: Topic,
+  {epoch, end, changedTo, ageMs}: EarlierPosition,
+): WirePosition {
+  return [topic, epoch, end, changedTo, ageMs];
+}
+
+export function decodePosition(wire: WirePosition): EarlierPosition {
+  const [, epoch, end, changedTo, ageMs] = wire;
+  return {epoch, end, changedTo, ageMs};
+}
+
 /** A message with the load and prompts that an instance sent to upstreams. */
 export const gossipMessageSchema = z.object({
   /** Name of the sending instance. */
@@ -97,10 +135,13 @@
   waiting: z.array(waitingTierSchema),
   /** Loads of the sender and of others, in any other fleet. */
   relayed: z.array(relayedLoadSchema).default([]),
+  epoch: epochSchema,
   /** What the sender knows of the topics of the store. */
   topics: z.array(topicStatusSchema).default([]),
   /** Newest changes of the topics, as far as they are small. */
   changes: z.array(topicChangesSchema).default([]),
+  /** What the sender knows of the topics in earlier epochs. */
+  earlier: z.array(earlierPositionSchema).default([]),
 });
 
 export type GossipMessage = z.output<typeof gossipMessageSchema>;
@@ -122,13 +163,74 @@
   topic: z.enum(Topic),
   /** Offset of the first change that the caller may lack. */
   from: z.number().int().min(0),
+  /** Epoch of that offset; earlier builds compare offsets alone. */
+  epoch: z.number().int().min(0).optional(),
 });
 
-/** Result of [[CHANGES_METHOD]]; null if the changes are no longer kept. */
+/**
+ * Result of [[CHANGES_METHOD]]; null if the changes are no longer kept or the
+ * epochs differ.
+ */
 export const changesReplySchema = z
-  .object({status: topicStatusSchema, changes: topicChangesSchema})
+  .object({
+    epoch: epochSchema,
+    status: topicStatusSchema,
+    changes: topicChangesSchema,
+  })
   .nullable();
 
+/** Name of the method by which a peer asks for all that is known of a topic. */
+export const STATE_METHOD = 'state';
+
+/** Parameters of [[STATE_METHOD]]. */
+export const stateQuerySchema = z.object({
+  topic: z.enum(Topic),
+  epoch: z.number().int().min(0),
+});
+
+/** Result of [[STATE_METHOD]]; null if the topic isn't known in that epoch. */
+export const stateReplySchema = z
+  .object({
+    epoch: z.number().int().min(0),
+    status: topicStatusSchema,
+    records: z.array(
+      z.object({
+        key: z.string(),
+        offset: z.number(),
+        /** In Base64. */
+        value: z.string().optional(),
+        hasLeft: z.boolean().optional(),
+      }),
+    ),
+    earlier: z.array(earlierPositionSchema),
+  })
+  .nullable();
+
+export type WireState = NonNullable<z.output<typeof stateReplySchema>>;
+
+export function encodeState({status, records, earlier}: TopicState): WireState {
+  return {
+    epoch: status.epoch,
+    status: encodeStatus(status),
+    records: records.map(({value, ...record}) => ({
+      ...record,
+      ...(value === undefined ? {} : {value: value.toString('base64')}),
+    })),
+    earlier: earlier.map(position => encodePosition(status.topic, position)),
+  };
+}
+
+export function decodeState(wire: WireState): TopicState {
+  return {
+    status: decodeStatus(wire.status, wire.epoch),
+    records: wire.records.map(({value, ...record}) => ({
+      ...record,
+      ...(value === undefined ? {} : {value: Buffer.from(value, 'base64')}),
+    })),
+    earlier: wire.earlier.map(decodePosition),
+  };
+}
+
 /** Marks the name of a zone as the origin of a [[WireLoad]]. */
 export const ZONE_PREFIX = 'zone:';
 
--- a/src/fleet/peers.ts
+++ b/src/fleet/peers.ts
@@ -47,6 +47,15 @@
     return changes;
   }
 
+  /** The addresses as records. */
+  known(): KeyedRecord[] {
+    return [...this.addresses].map(([key, address]) => ({
+      key,
+      offset: 0,
+      value: Buffer.from(JSON.stringify(address)),
+    }));
+  }
+
   addressOf(name: string): InstanceAddress | undefined {
     return this.addresses.get(name);
   }
--- a/src/fleet/recordexchange.ts
+++ b/src/fleet/recordexchange.ts
@@ -1,27 +1,36 @@
 import type {Logger} from 'pino';
 import type {Result} from 'neverthrow';
 import {
+  LearnedFrom,
   Reception,
   type Changes,
-  type Follower,
   type KeyedRecord,
+  type StoreEpoch,
   type Topic,
+  type TopicReplica,
 } from '../registry/index.js';
 import {LogEvent} from '../telemetry/logevent.js';
 import {
   CHANGES_METHOD,
   changesQuerySchema,
   changesReplySchema,
+  decodePosition,
+  decodeState,
   decodeStatus,
+  encodePosition,
+  encodeState,
   encodeStatus,
+  STATE_METHOD,
+  stateQuerySchema,
+  stateReplySchema,
+  type GossipMessage,
   type InstanceAddress,
   type WireChanges,
-  type WireStatus,
 } from './message.js';
 
 /** Most bytes of changes that a gossip message carries. */
 const MAX_INLINE_BYTES = 1_000;
-/** Time for a peer to return the changes that are missing here, in ms. */
+/** Time for a peer to return what is missing here, in ms. */
 const PULL_TIMEOUT_MS = 400;
 
 /** Calls peers over a connection, for what doesn't fit into a datagram. */
@@ -41,44 +50,78 @@
 
 /** Dependencies of [[RecordExchange]]. */
 export interface RecordExchangeParts {
-  followers: readonly Follower[];
+  epochs: StoreEpoch;
+  replicas: readonly TopicReplica[];
   client: PeerCaller;
   server: PeerListener;
   logger: Logger;
 }
 
+/** What a [[GossipMessage]] tells of the topics of the store. */
+export type TopicNews = Pick<
+  GossipMessage,
+  'epoch' | 'topics' | 'changes' | 'earlier'
+>;
+
 /**
  * Exchanges the records of the store's topics with the other instances. Small
  * changes travel with the gossip; others are fetched from the peer that told of
- * them. Receivers decode and check a record as if it came from the store.
+ * them, and so is all that it knows when the store has started a new epoch, or
+ * when it has followed an earlier epoch further. Receivers decode and check a record as if it came from the store.
  */
 export class RecordExchange {
-  private readonly byTopic = new Map<Topic, Follower>();
-  /** Topics whose missing changes are being fetched. */
-  private readonly pulling = new Set<Topic>();
+  private readonly byTopic = new Map<Topic, TopicReplica>();
+  /** Calls to peers that are being made, by method and topic. */
+  private readonly pulling = new Set<string>();
 
   constructor(private readonly parts: RecordExchangeParts) {
-    for (const follower of parts.followers) {
-      this.byTopic.set(follower.topic, follower);
+    for (const replica of parts.replicas) {
+      this.byTopic.set(replica.topic, replica);
     }
     parts.server.handle(CHANGES_METHOD, params =>
       Promise.resolve(this.serveChanges(params)),
     );
+    parts.server.handle(STATE_METHOD, params =>
+      Promise.resolve(this.serveState(params)),
+    );
+  }
+
+  /** What this instance knows, with its state and newest changes if wanted. */
+  news({
+    withStatus,
+    withChanges,
+  }: {
+    withStatus: boolean;
+    withChanges: boolean;
+  }): TopicNews {
+    const {epochs, replicas} = this.parts;
+    return {
+      epoch: epochs.current,
+      topics: withStatus ? this.statuses() : [],
+      changes: withChanges ? this.recentChanges() : [],
+      earlier: withStatus
+        ? replicas.flatMap(replica =>
+            replica
+              .earlierPositions()
+              .map(position => encodePosition(replica.topic, position)),
+          )
+        : [],
+    };
   }
 
   /** What this instance knows of each topic. */
-  statuses(): WireStatus[] {
-    return this.parts.followers.flatMap(follower => {
-      const status = follower.status();
+  private statuses(): GossipMessage['topics'] {
+    return this.parts.replicas.flatMap(replica => {
+      const status = replica.status();
       return status === undefined ? [] : [encodeStatus(status)];
     });
   }
 
   /** The newest changes of each topic, as far as they fit into a message. */
-  recentChanges(): WireChanges[] {
-    return this.parts.followers.flatMap(follower => {
-      const {since = 0} = follower.status() ?? {};
-      const kept = follower.changesFrom(since) ?? [];
+  private recentChanges(): WireChanges[] {
+    return this.parts.replicas.flatMap(replica => {
+      const {since = 0} = replica.status() ?? {};
+      const kept = replica.changesFrom(since) ?? [];
       const records: KeyedRecord[] = [];
       let bytes = 0;
       for (const record of kept.toReversed()) {
@@ -89,74 +132,124 @@
       if (records.length === 0) return [];
       const previous = kept.at(-records.length - 1);
       const from = previous === undefined ? since : previous.offset + 1;
-      return {topic: follower.topic, from, records: records.map(encodeRecord)};
+      return {topic: replica.topic, from, records: records.map(encodeRecord)};
     });
   }
 
   /** Takes what a peer at `address` knows, and fetches what is missing here. */
   receive(
-    statuses: readonly WireStatus[],
-    changes: readonly WireChanges[],
+    {epoch, topics, changes, earlier}: TopicNews,
     address: InstanceAddress | undefined,
   ): void {
-    for (const status of statuses.map(decodeStatus)) {
-      const follower = this.byTopic.get(status.topic);
-      if (follower === undefined) continue;
+    this.parts.epochs.learn(epoch, LearnedFrom.Peer);
+    if (epoch < this.parts.epochs.current) return;
+    for (const wire of topics) {
+      const status = decodeStatus(wire, epoch);
+      const replica = this.byTopic.get(status.topic);
+      if (replica === undefined) continue;
       const sent = changes.find(({topic}) => topic === status.topic);
-      const reception = follower.receive(
+      const reception = replica.receive(
         status,
         sent === undefined ? undefined : decodeChanges(sent),
       );
-      if (reception === Reception.Behind && address !== undefined) {
-        void this.pull(follower, address);
+      if (address === undefined) continue;
+      switch (reception) {
+        case Reception.Applied:
+        case Reception.Ignored:
+          break;
+        case Reception.Behind:
+          void this.pullChanges(replica, address);
+          break;
+        case Reception.Unstarted:
+          void this.pullState(replica, address);
+          break;
       }
     }
+    if (address === undefined || earlier.length === 0) return;
+    for (const replica of this.parts.replicas) {
+      const positions = earlier
+        .filter(([topic]) => topic === replica.topic)
+        .map(decodePosition);
+      if (replica.isBehind(positions)) void this.pullState(replica, address);
+    }
   }
 
-  private async pull(
-    follower: Follower,
+  private async pullChanges(
+    replica: TopicReplica,
     address: InstanceAddress,
   ): Promise<void> {
-    const {topic, end: from} = follower;
-    if (this.pulling.has(topic)) return;
-    this.pulling.add(topic);
-    const result = await this.parts.client.call(
-      address,
-      CHANGES_METHOD,
-      {topic, from},
-      PULL_TIMEOUT_MS,
+    const {topic, end: from} = replica;
+    const epoch = this.parts.epochs.current;
+    const query = {topic, from, epoch};
+    const result = await this.pull(CHANGES_METHOD, query, address);
+    const reply = changesReplySchema.safeParse(result);
+    if (!reply.success || reply.data === null) return;
+    const {status, changes} = reply.data;
+    replica.receive(
+      decodeStatus(status, reply.data.epoch),
+      decodeChanges(changes),
     );
-    this.pulling.delete(topic);
-    const reply = changesReplySchema.safeParse(
-      result.isOk() ? result.value : undefined,
-    );
-    if (reply.success && reply.data !== null) {
-      const {status, changes} = reply.data;
-      follower.receive(decodeStatus(status), decodeChanges(changes));
-      return;
-    }
-    this.parts.logger.info(
+  }
+
+  private async pullState(
+    replica: TopicReplica,
+    address: InstanceAddress,
+  ): Promise<void> {
+    const {topic} = replica;
+    const epoch = this.parts.epochs.current;
+    const result = await this.pull(STATE_METHOD, {topic, epoch}, address);
+    const reply = stateReplySchema.safeParse(result);
+    if (!reply.success || reply.data === null) return;
+    replica.receiveState(decodeState(reply.data));
+  }
+
+  /** Calls a peer; undefined if it fails or such a call is being made. */
+  private async pull(
+    method: string,
+    query: {topic: Topic; from?: number; epoch: number},
+    address: InstanceAddress,
+  ): Promise<unknown> {
+    const key = `${method}/${query.topic}`;
+    if (this.pulling.has(key)) return undefined;
+    this.pulling.add(key);
+    const {client, logger} = this.parts;
+    const result = await client.call(address, method, query, PULL_TIMEOUT_MS);
+    this.pulling.delete(key);
+    if (result.isOk() && result.value !== null) return result.value;
+    logger.info(
       {
         event: LogEvent.Peer,
-        topic,
-        from,
+        method,
+        ...query,
         address,
         failure: result.isErr() ? result.error : 'no longer kept',
       },
-      'A peer did not return the changes that are missing here.',
+      'A peer did not return what is missing here.',
     );
+    return undefined;
   }
 
   private serveChanges(params: unknown): unknown {
     const query = changesQuerySchema.safeParse(params);
     if (!query.success) return null;
-    const {topic, from} = query.data;
-    const follower = this.byTopic.get(topic);
-    const status = follower?.status();
-    const records = follower?.changesFrom(from);
+    const {topic, from, epoch} = query.data;
+    const replica = this.byTopic.get(topic);
+    const status = replica?.status();
+    const records = replica?.changesFrom(from);
     if (status === undefined || records === undefined) return null;
+    if (epoch !== undefined && epoch !== status.epoch) return null;
     const changes = {topic, from, records: records.map(encodeRecord)};
-    return {status: encodeStatus(status), changes};
+    return {epoch: status.epoch, status: encodeStatus(status), changes};
+  }
+
+  private serveState(params: unknown): unknown {
+    const query = stateQuerySchema.safeParse(params);
+    if (!query.success) return null;
+    const state = this.byTopic.get(query.data.topic)?.state();
+    if (state === undefined || query.data.epoch !== state.status.epoch) {
+      return null;
+    }
+    return encodeState(state);
   }
 }
 
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -10,11 +10,20 @@
   FeedPage,
   Snapshot,
 } from './feed.js';
+export type {EarlierPosition} from './earlierpositions.js';
 export {Follower} from './follower.js';
-export type {FollowerListener, FollowerOptions} from './follower.js';
+export type {FollowerOptions} from './follower.js';
 export {ReadSchedule} from './readschedule.js';
 export type {KnownRead, ReadTiming} from './readschedule.js';
 export {Registry} from './registry.js';
 export type {RegistryParts} from './registry.js';
+export {StoreEpoch} from './storeepoch.js';
+export {TopicReplica} from './topicreplica.js';
+export type {FollowerListener, TopicReplicaOptions} from './topicreplica.js';
 export {Learned, LearnedFrom, Reception} from './topicstatus.js';
-export type {Changes, TopicStatus} from './topicstatus.js';
+export type {
+  Changes,
+  KnownRecord,
+  TopicState,
+  TopicStatus,
+} from './topicstatus.js';
--- a/src/registry/readschedule.ts
+++ b/src/registry/readschedule.ts
@@ -21,6 +21,12 @@
 /** Longest delay by rank, in ms; bounds the age of records at any instance. */
 const MAX_RANK_DELAY_MS = 1_000;
 
+/**
+ * Longest time after the start of an epoch in which states of peers are awaited
+ * instead of reading, in ms.
+ */
+const MAX_STATE_WAIT_MS = 1_500;
+
 /** The newest read of a topic that an instance has heard of. */
 export interface KnownRead {
   /** Instance that read. */
@@ -40,6 +46,12 @@
 export class ReadSchedule {
   /** The read whose reader this instance relies on. */
   private followed?: KnownRead;
+  /** Whether this instance is among the first to read in the current epoch. */
+  private isFirst = false;
+  /** When the current epoch began, in monotonic ms. */
+  private restartedAt = -Infinity;
+  /** Until when the state of a peer is awaited, in monotonic ms. */
+  private stateDueAt = -Infinity;
 
   constructor(
     private readonly name: string,
@@ -85,6 +97,33 @@
     return this.toleranceMs + this.rankDelayMs() - ageMs;
   }
 
+  /**
+   * Starts anew in a new epoch of the store, in which no read is known. Who read
+   * in the old one reads first, and the instance of rank 0 in case it fails.
+   */
+  restart(now: number): void {
+    const wasFirst = this.followed === undefined && this.isFirst;
+    this.isFirst =
+      wasFirst || this.reader === this.name || this.rankOf(this.name) === 0;
+    this.followed = undefined;
+    this.restartedAt = now;
+    this.stateDueAt = -Infinity;
+  }
+
+  /** Takes note that a peer was asked for the state of the new epoch. */
+  awaitState(now: number): void {
+    this.stateDueAt = Math.min(
+      now + SPREAD_MS,
+      this.restartedAt + MAX_STATE_WAIT_MS,
+    );
+  }
+
+  /** Time until this instance reads in a new epoch, in ms. */
+  restartDelayMs(now: number): number {
+    const delayMs = this.isFirst ? 0 : SPREAD_MS + this.rankDelayMs();
+    return Math.max(this.restartedAt + delayMs, this.stateDueAt) - now;
+  }
+
   private isStale({at}: KnownRead, now: number): boolean {
     return now - at > this.toleranceMs;
   }
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -1,6 +1,7 @@
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Logger} from 'pino';
 import type {Timer} from '../timer/index.js';
+import {Departures} from './departures.js';
 import {
   EntryState,
   hasSameEffect,
@@ -9,6 +10,7 @@
   type RegistryEntry,
 } from './entry.js';
 import type {KeyedRecord} from './feed.js';
+import type {KnownRecord} from './topicstatus.js';
 
 /**
  * Time for which an entry that goes missing soon after a store outage is still
@@ -24,6 +26,8 @@
 /** An entry, and since when it has been missing. */
 export interface Registration {
   entry: RegistryEntry;
+  /** The record of the entry. */
+  record: KeyedRecord;
   /** When the entry went missing, in monotonic ms; undefined if present. */
   missingSince?: number;
 }
@@ -44,25 +48,41 @@
 export class Registry {
   /** By key of the entry. */
   private readonly registrations = new Map<string, Registration>();
+  private readonly departures: Departures;
 
-  constructor(private readonly parts: RegistryParts) {}
+  constructor(private readonly parts: RegistryParts) {
+    this.departures = new Departures(parts.timer);
+  }
 
   /** Entries that may be used, including missing ones in their grace period. */
   *usable(): Generator<RegistryEntry> {
     for (const {entry} of this.registrations.values()) yield entry;
   }
 
+  /** What another instance needs to know the same. */
+  known(): KnownRecord[] {
+    const present = [...this.registrations.values()]
+      .filter(({missingSince}) => missingSince === undefined)
+      .map(({record}) => record);
+    return [...present, ...this.departures.records()];
+  }
+
   /**
-   * Applies a snapshot. Known entries that it lacks are missing. Returns what
-   * changed, with a record without value for each missing entry.
+   * Applies a snapshot. Known entries that it lacks are missing. One that may be
+   * `outdated` doesn't bring back upstreams that have left. Returns what changed,
+   * with a record without value for each missing entry.
    */
-  replace(records: KeyedRecord[]): KeyedRecord[] {
-    const present = new Set(records.map(({key}) => key));
+  replace(records: KnownRecord[], outdated = false): KeyedRecord[] {
+    const present = new Set(
+      records.filter(({hasLeft}) => hasLeft !== true).map(({key}) => key),
+    );
     const missing = [...this.registrations.keys()].filter(
       key => !present.has(key),
     );
     for (const key of missing) this.handleMissing(key, 'not in the snapshot');
-    const changes = records.filter(record => this.apply(record));
+    const changes = records.filter(
+      record => !(outdated && this.withhold(record)) && this.apply(record),
+    );
     this.parts.changed();
     return [...missing.map(key => ({key, offset: 0})), ...changes];
   }
@@ -71,16 +91,20 @@
    * Applies new records, in the order of the topic. Returns those that changed
    * more than the sequence and the warm-up time of an entry.
    */
-  add(records: KeyedRecord[]): KeyedRecord[] {
+  add(records: KnownRecord[]): KeyedRecord[] {
     const changes = records.filter(record => this.apply(record));
     if (changes.length > 0) this.parts.changed();
     return changes;
   }
 
-  /** Drops missing entries whose grace period is over. */
+  /**
+   * Drops missing entries whose grace period is over, and uses those again that
+   * an older copy of the store lists and nobody has removed since.
+   */
   sweep(): void {
     const now = this.parts.timer.now();
-    let dropped = false;
+    const released = this.departures.sweep();
+    let dropped = released.filter(record => this.apply(record)).length > 0;
     for (const [key, {missingSince: since}] of this.registrations) {
       if (since === undefined || now - since < MISSING_GRACE_MS) continue;
       this.drop(key, 'not registered again after an outage of the store');
@@ -90,13 +114,30 @@
   }
 
   /** Returns whether the record changed something. */
-  private apply({key, value, offset}: KeyedRecord): boolean {
+  private apply(record: KnownRecord): boolean {
+    const {key, value} = record;
     return value === undefined
       ? this.handleMissing(key, 'removed')
-      : this.update(key, value, offset);
+      : this.update(record, value);
   }
 
-  private update(key: string, value: Buffer, offset: number): boolean {
+  /** Withholds the entry of an upstream that is known to have left. */
+  private withhold(record: KnownRecord): boolean {
+    const {key, value, offset} = record;
+    if (value === undefined || record.hasLeft === true) return false;
+    const entry = this.parts.decode(key, value);
+    if ('reason' in entry || !this.departures.withhold(record, entry)) {
+      return false;
+    }
+    this.parts.logger.info(
+      {event: LogEvent.Upstream, upstream: key, offset, entry},
+      'An older copy of the store lists an upstream that left; not using it.',
+    );
+    return true;
+  }
+
+  private update(record: KnownRecord, value: Buffer): boolean {
+    const {key, offset} = record;
     const {logger} = this.parts;
     const next = this.parts.decode(key, value);
     if ('reason' in next) {
@@ -107,14 +148,20 @@
       return false;
     }
     const known = this.registrations.get(key);
-    if (known !== undefined && !supersedes(next, known.entry)) {
+    if (record.hasLeft === true) return this.depart(record, next);
+    const isOutdated =
+      known === undefined
+        ? this.departures.repeats(key, next)
+        : !supersedes(next, known.entry);
+    if (isOutdated) {
       logger.info(
         {event: LogEvent.Upstream, upstream: key, offset},
         'Ignored an outdated registry entry.',
       );
       return false;
     }
-    this.registrations.set(key, {entry: next});
+    this.registrations.set(key, {entry: next, record});
+    this.departures.delete(key);
     if (known === undefined || !isSameProcess(known.entry, next)) {
       logger.info(
         {event: LogEvent.Upstream, upstream: key, offset, entry: next},
@@ -144,7 +191,7 @@
   private handleMissing(key: string, reason: string): boolean {
     const {timer, logger} = this.parts;
     const known = this.registrations.get(key);
-    if (known === undefined) return false;
+    if (known === undefined) return this.departures.confirm(key);
     // Peers may have dropped the entry, so that the removal concerns them.
     if (known.missingSince !== undefined) return true;
     const reachableForMs = this.parts.reachableForMs();
@@ -168,7 +215,22 @@
     return true;
   }
 
+  /** Drops the entry of a process of which a peer knows that it has left. */
+  private depart(record: KnownRecord, entry: RegistryEntry): boolean {
+    const {key, offset, value} = record;
+    const known = this.registrations.get(key)?.entry;
+    if (known !== undefined) {
+      if (!isSameProcess(known, entry)) return false;
+      this.drop(key, 'a peer knows that it has left');
+    }
+    this.departures.add(key, known ?? entry);
+    this.departures.withhold({key, offset, value}, entry);
+    return known !== undefined;
+  }
+
   private drop(key: string, reason: string): void {
+    const known = this.registrations.get(key);
+    if (known !== undefined) this.departures.add(key, known.entry);
     this.registrations.delete(key);
     this.parts.logger.info(
       {event: LogEvent.Upstream, upstream: key, reason},
--- a/src/registry/topicstatus.ts
+++ b/src/registry/topicstatus.ts
@@ -1,3 +1,4 @@
+import type {EarlierPosition} from './earlierpositions.js';
 import type {KeyedRecord, Topic} from './feed.js';
 
 /** What a read or a peer told of a topic. */
@@ -17,6 +18,8 @@
 /** What an instance knows of a topic, as told to its peers. */
 export interface TopicStatus {
   topic: Topic;
+  /** Store epoch in which the offsets were given out. */
+  epoch: number;
   /** Offset after the last record known. */
   end: number;
   /** The instance knows all changes from this offset on one by one. */
@@ -35,6 +38,20 @@
   records: KeyedRecord[];
 }
 
+/** The newest record of a key, with what is known beyond it. */
+export interface KnownRecord extends KeyedRecord {
+  /** Whether the process that wrote the record is known to have left since. */
+  hasLeft?: boolean;
+}
+
+/** All that an instance knows of a topic, for one that starts in an epoch. */
+export interface TopicState {
+  status: TopicStatus;
+  records: KnownRecord[];
+  /** How far the instance had followed earlier epochs. */
+  earlier: EarlierPosition[];
+}
+
 /** What became of the status of a peer. */
 export enum Reception {
   /** The topic is as fresh as the status says. */
@@ -43,4 +60,6 @@
   Ignored = 'ignored',
   /** The peer knows changes that are missing here. */
   Behind = 'behind',
+  /** The peer knows the topic in an epoch in which it isn't known here. */
+  Unstarted = 'unstarted',
 }
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -97,6 +97,8 @@
   private readonly listener: Listener;
   private readonly subscriptions: Subscription[] = [];
   private readonly monitoringServers = new MonitoringServers();
+  /** The record of the configuration in force; none before the first. */
+  private configurationRecords: KeyedRecord[] = [];
   /** Set when the instance begins to drain. */
   private drainSchedule?: DrainSchedule;
   /** Whether the first snapshot of the upstreams was read. */
@@ -223,13 +225,15 @@
       configurations: {
         replaced: records => this.applyConfigurations(records),
         added: records => this.applyConfigurations(records),
+        known: () => this.configurationRecords,
       },
       upstreams: {
-        replaced: records => {
+        replaced: (records, outdated) => {
           this.hasUpstreamList = true;
-          return this.registry.replace(records);
+          return this.registry.replace(records, outdated);
         },
         added: records => this.registry.add(records),
+        known: () => this.registry.known(),
       },
       loads: () => this.endpoints.loads(timer.now()),
       waiting: () => this.waitingTiers(),
@@ -258,6 +262,9 @@
         return false;
       }
       this.routing.accept(document);
+      if (this.routing.current()?.version === document.version) {
+        this.configurationRecords = [record];
+      }
       return true;
     });
   }
@@ -350,6 +357,7 @@
     const cpu = process.cpuUsage();
     return {
       configuration_version: this.routing.current()?.version ?? 0,
+      store_epoch: this.fleet.storeEpoch,
       configuration_age_ms: this.fleet.configurations.ageMs() ?? -1,
       upstreams_age_ms: this.fleet.upstreams.ageMs() ?? -1,
       inflight: this.listener.inflight,
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -9,6 +9,7 @@
 } from '../fleet/index.js';
 import {
   Follower,
+  StoreEpoch,
   Topic,
   type Feed,
   type FollowerListener,
@@ -68,6 +69,7 @@
   readonly configurations: Follower;
   readonly upstreams: Follower;
   readonly gossip: Gossip;
+  private readonly epochs: StoreEpoch;
   private readonly instances: Follower;
   private readonly peers: Peers;
   private readonly logger: Logger;
@@ -76,6 +78,9 @@
     const {instance, zone, timer, output, transport} = parts;
     const random = () => parts.random();
     this.logger = componentLogger(output.logger, Component.Member);
+    this.epochs = new StoreEpoch(
+      componentLogger(output.logger, Component.Platform),
+    );
     this.peers = new Peers(instance, zone, this.logger, random);
     this.configurations = this.follow(
       Topic.Configuration,
@@ -85,9 +90,15 @@
     this.instances = this.follow(Topic.Instances, {
       replaced: records => this.peers.update(records),
       added: records => this.peers.update(records),
+      known: () => this.peers.known(),
     });
     const records = new RecordExchange({
-      followers: [this.configurations, this.upstreams, this.instances],
+      epochs: this.epochs,
+      replicas: [
+        this.configurations.replica,
+        this.upstreams.replica,
+        this.instances.replica,
+      ],
       client: transport.client,
       server: transport.server,
       logger: this.logger,
@@ -115,8 +126,10 @@
       address: {host, zone},
       openPort: () => transport.openPort(),
       feed,
+      epochs: this.epochs,
       timer,
       logger: this.logger,
+      random: () => this.parts.random(),
       isLeaving: () => this.parts.isLeaving(),
     });
     return [
@@ -127,6 +140,11 @@
     ];
   }
 
+  /** The newest known epoch of the store. */
+  get storeEpoch(): number {
+    return this.epochs.current;
+  }
+
   followerOf(topic: Topic): Follower {
     switch (topic) {
       case Topic.Configuration:
@@ -157,6 +175,7 @@
         ...READ_TIMING[topic],
         instance,
         feed,
+        epochs: this.epochs,
         topic,
         timer,
         logger: componentLogger(output.logger, Component.Platform),
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -12,7 +12,12 @@
 import {Gossip, PeerLoads, Peers, RecordExchange} from '../src/fleet/index.js';
 import {RelayQueue} from '../src/fleet/relayqueue.js';
 import {ChangeLog} from '../src/registry/changelog.js';
-import {ReadSchedule, Topic, type Feed} from '../src/registry/index.js';
+import {
+  ReadSchedule,
+  StoreEpoch,
+  Topic,
+  type Feed,
+} from '../src/registry/index.js';
 import {ManualTimer} from '../src/timer/index.js';
 import {
   call,
@@ -169,7 +174,8 @@
     },
     peers,
     records: new RecordExchange({
-      followers: [],
+      epochs: new StoreEpoch(logger),
+      replicas: [],
       client: {call: () => Promise.resolve(err('none'))},
       server: {handle: () => undefined},
       logger,
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -5,6 +5,7 @@
   EntryState,
   Follower,
   Registry,
+  StoreEpoch,
   Topic,
   type RegistryEntry,
   type Feed,
@@ -170,6 +171,7 @@
   const follower = new Follower(
     {
       instance: 'entry-1',
+      epochs: new StoreEpoch(logger),
       rankOf: () => 0,
       learned: () => undefined,
       feed,
@@ -189,6 +191,7 @@
         seen.push(`added ${records.map(({key}) => key).join()}`);
         return records;
       },
+      known: () => [],
     },
   );
   const subscription = follower.start();
@@ -275,6 +278,7 @@
   const follower = new Follower(
     {
       instance: 'entry-1',
+      epochs: new StoreEpoch(logger),
       rankOf: () => 0,
       learned: () => undefined,
       feed,
@@ -285,12 +289,16 @@
       readPauseMs: 100,
       waitMs: 0,
     },
-    {replaced: () => [], added: records => records},
+    {replaced: () => [], added: records => records, known: () => []},
   );
   follower.start();
   await timer.advance(1);
   await timer.advance(500);
-  expect(follower.status()).toMatchObject({end: 2, changedTo: 2, ageMs: 500});
+  expect(follower.replica.status()).toMatchObject({
+    end: 2,
+    changedTo: 2,
+    ageMs: 500,
+  });
 });
 
 test('a snapshot older than what peers told meanwhile is discarded', async () => {
@@ -313,6 +321,7 @@
   const follower = new Follower(
     {
       instance: 'entry-1',
+      epochs: new StoreEpoch(logger),
       rankOf: () => 0,
       learned: () => undefined,
       feed,
@@ -332,17 +341,29 @@
         seen.push(`added ${records.map(({key}) => key).join()}`);
         return records;
       },
+      known: () => [],
     },
   );
   follower.start();
   await timer.advance(1);
   await timer.advance(200);
-  const status = {topic: Topic.Upstreams, reader: 'entry-2', ageMs: 0};
+  const status = {
+    topic: Topic.Upstreams,
+    epoch: 0,
+    reader: 'entry-2',
+    ageMs: 0,
+  };
   const changes = {from: 4, records: [recordAt(11)]};
-  follower.receive({...status, end: 12, since: 0, changedTo: 12}, changes);
+  follower.replica.receive(
+    {...status, end: 12, since: 0, changedTo: 12},
+    changes,
+  );
   answer({records: [recordAt(8)], end: 9, epoch: 0});
   await timer.advance(1);
-  expect([seen, follower.end]).toEqual([['replaced by 0', 'added k11'], 12]);
+  expect([seen, follower.replica.end]).toEqual([
+    ['replaced by 0', 'added k11'],
+    12,
+  ]);
 });
 
 test('a suspension or a step of the clock is no outage of the store', async () => {
@@ -352,11 +373,24 @@
   );
   const before = follower.reachableForMs();
   follower.wake();
-  expect([before > 3_000, follower.status()]).toEqual([true, undefined]);
+  expect([before > 3_000, follower.replica.status()]).toEqual([
+    true,
+    undefined,
+  ]);
   // What peers sent meanwhile may be old; later messages are not.
-  const status = {topic: Topic.Upstreams, reader: 'b', since: 0, changedTo: 0};
-  expect(follower.receive({...status, end: 0, ageMs: 0})).toBe('ignored');
+  const status = {
+    topic: Topic.Upstreams,
+    epoch: 0,
+    reader: 'b',
+    since: 0,
+    changedTo: 0,
+  };
+  expect(follower.replica.receive({...status, end: 0, ageMs: 0})).toBe(
+    'ignored',
+  );
   await timer.advance(600);
-  expect(follower.receive({...status, end: 0, ageMs: 0})).toBe('applied');
+  expect(follower.replica.receive({...status, end: 0, ageMs: 0})).toBe(
+    'applied',
+  );
   expect(follower.reachableForMs()).toBe(before + 600);
 });
--- a/test/wiring.test.ts
+++ b/test/wiring.test.ts
@@ -4,7 +4,7 @@
 import {announce} from '../src/fleet/index.js';
 import {Credential} from '../src/instance/credential.js';
 import {DatagramPort} from '../src/instance/datagram.js';
-import {Topic} from '../src/registry/index.js';
+import {StoreEpoch, Topic} from '../src/registry/index.js';
 import {ManualTimer} from '../src/timer/index.js';
 import {DrainSchedule} from '../src/wiring/drainschedule.js';
 import {watchStalls} from '../src/wiring/stall.js';
@@ -63,8 +63,10 @@
     openPort: async () =>
       (await datagrams.bind('127.0.0.1', port)) ? port : undefined,
     feed,
+    epochs: new StoreEpoch(silent),
     timer,
     logger: silent,
+    random: () => 0.5,
     isLeaving: () => false,
   });
   const records = feed.records[Topic.Instances];
