--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -5,6 +5,7 @@
   EntryState,
   Follower,
   Registry,
+  StoreEpoch,
   Topic,
   type RegistryEntry,
   type Feed,
@@ -140,7 +141,7 @@
   }
 
   put() {
-    return Promise.resolve(ok(undefined));
+    return Promise.resolve(ok({epoch: 0}));
   }
 
   async read(
@@ -151,7 +152,7 @@
     this.calls.push(`read ${from}`);
     if (this.pages.length === 0) {
       await this.timer.sleep(waitMs);
-      return ok({type: 'records', records: [], end: from});
+      return ok({type: 'records', records: [], end: from, epoch: 0});
     }
     const next = this.pages.shift();
     return next === undefined ? err({type: 'timeout', limitMs: 1}) : ok(next);
@@ -170,6 +171,7 @@
   const follower = new Follower(
     {
       instance: 'entry-1',
+      epochs: new StoreEpoch(logger),
       rankOf: () => 0,
       learned: () => undefined,
       feed,
@@ -189,6 +191,7 @@
         seen.push(`added ${records.map(({key}) => key).join()}`);
         return records;
       },
+      known: () => [],
     },
   );
   const subscription = follower.start();
@@ -200,12 +203,12 @@
 test('records that expired before they were read lead to a snapshot', async () => {
   const {seen, calls} = await runFollower(
     [
-      {records: [recordAt(0)], end: 1},
-      {records: [recordAt(0), recordAt(7)], end: 8},
+      {records: [recordAt(0)], end: 1, epoch: 0},
+      {records: [recordAt(0), recordAt(7)], end: 8, epoch: 0},
     ],
     [
-      {type: 'records', records: [recordAt(1), recordAt(2)], end: 3},
-      {type: 'expired', first: 6},
+      {type: 'records', records: [recordAt(1), recordAt(2)], end: 3, epoch: 0},
+      {type: 'expired', first: 6, epoch: 0},
     ],
   );
   expect({seen, calls: calls.slice(0, 6)}).toMatchInlineSnapshot(`
@@ -230,13 +233,13 @@
 test('a snapshot older than the records already read is discarded', async () => {
   const {seen} = await runFollower(
     [
-      {records: [recordAt(0)], end: 5},
-      {records: [], end: 3},
-      {records: [recordAt(8)], end: 9},
+      {records: [recordAt(0)], end: 5, epoch: 0},
+      {records: [], end: 3, epoch: 0},
+      {records: [recordAt(8)], end: 9, epoch: 0},
     ],
     [
-      {type: 'expired', first: 7},
-      {type: 'expired', first: 7},
+      {type: 'expired', first: 7, epoch: 0},
+      {type: 'expired', first: 7, epoch: 0},
     ],
   );
   expect(seen).toEqual(['replaced by 1', 'replaced by 1']);
@@ -244,7 +247,7 @@
 
 test('failed calls are retried until the store responds again', async () => {
   const {calls, follower} = await runFollower(
-    [undefined, undefined, {records: [], end: 0}],
+    [undefined, undefined, {records: [], end: 0, epoch: 0}],
     [undefined, undefined, undefined],
   );
   expect(calls.slice(0, 7)).toMatchInlineSnapshot(`
@@ -266,8 +269,8 @@
   const waiting = new Promise<never>(() => undefined);
   const feed = new ScriptedFeed(
     timer,
-    [{records: [], end: 0}],
-    [{type: 'records', records: [recordAt(0), recordAt(1)], end: 9}],
+    [{records: [], end: 0, epoch: 0}],
+    [{type: 'records', records: [recordAt(0), recordAt(1)], end: 9, epoch: 0}],
   );
   const read = feed.read.bind(feed);
   // The rest is not answered.
@@ -275,6 +278,7 @@
   const follower = new Follower(
     {
       instance: 'entry-1',
+      epochs: new StoreEpoch(logger),
       rankOf: () => 0,
       learned: () => undefined,
       feed,
@@ -285,12 +289,16 @@
       readPauseMs: 100,
       waitMs: 0,
     },
-    {replaced: () => [], added: records => records},
+    {replaced: () => [], added: records => records, known: () => []},
   );
   follower.start();
   await timer.advance(1);
   await timer.advance(500);
-  expect(follower.status()).toMatchObject({end: 2, changedTo: 2, ageMs: 500});
+  expect(follower.replica.status()).toMatchObject({
+    end: 2,
+    changedTo: 2,
+    ageMs: 500,
+  });
 });
 
 test('a snapshot older than what peers told meanwhile is discarded', async () => {
@@ -298,8 +306,8 @@
   let answer = (_: Snapshot) => {};
   const feed = new ScriptedFeed(
     timer,
-    [{records: [], end: 4}],
-    [{type: 'expired', first: 8}],
+    [{records: [], end: 4, epoch: 0}],
+    [{type: 'expired', first: 8, epoch: 0}],
   );
   const first = feed.snapshot.bind(feed);
   let snapshots = 0;
@@ -313,6 +321,7 @@
   const follower = new Follower(
     {
       instance: 'entry-1',
+      epochs: new StoreEpoch(logger),
       rankOf: () => 0,
       learned: () => undefined,
       feed,
@@ -332,28 +341,56 @@
         seen.push(`added ${records.map(({key}) => key).join()}`);
         return records;
       },
+      known: () => [],
     },
   );
   follower.start();
   await timer.advance(1);
   await timer.advance(200);
-  const status = {topic: Topic.Upstreams, reader: 'entry-2', ageMs: 0};
+  const status = {
+    topic: Topic.Upstreams,
+    epoch: 0,
+    reader: 'entry-2',
+    ageMs: 0,
+  };
   const changes = {from: 4, records: [recordAt(11)]};
-  follower.receive({...status, end: 12, since: 0, changedTo: 12}, changes);
-  answer({records: [recordAt(8)], end: 9});
+  follower.replica.receive(
+    {...status, end: 12, since: 0, changedTo: 12},
+    changes,
+  );
+  answer({records: [recordAt(8)], end: 9, epoch: 0});
   await timer.advance(1);
-  expect([seen, follower.end]).toEqual([['replaced by 0', 'added k11'], 12]);
+  expect([seen, follower.replica.end]).toEqual([
+    ['replaced by 0', 'added k11'],
+    12,
+  ]);
 });
 
 test('a suspension or a step of the clock is no outage of the store', async () => {
-  const {follower, timer} = await runFollower([{records: [], end: 0}], []);
+  const {follower, timer} = await runFollower(
+    [{records: [], end: 0, epoch: 0}],
+    [],
+  );
   const before = follower.reachableForMs();
   follower.wake();
-  expect([before > 3_000, follower.status()]).toEqual([true, undefined]);
+  expect([before > 3_000, follower.replica.status()]).toEqual([
+    true,
+    undefined,
+  ]);
   // What peers sent meanwhile may be old; later messages are not.
-  const status = {topic: Topic.Upstreams, reader: 'b', since: 0, changedTo: 0};
-  expect(follower.receive({...status, end: 0, ageMs: 0})).toBe('ignored');
+  const status = {
+    topic: Topic.Upstreams,
+    epoch: 0,
+    reader: 'b',
+    since: 0,
+    changedTo: 0,
+  };
+  expect(follower.replica.receive({...status, end: 0, ageMs: 0})).toBe(
+    'ignored',
+  );
   await timer.advance(600);
-  expect(follower.receive({...status, end: 0, ageMs: 0})).toBe('applied');
+  expect(follower.replica.receive({...status, end: 0, ageMs: 0})).toBe(
+    'applied',
+  );
   expect(follower.reachableForMs()).toBe(before + 600);
 });
