Read the store in parts that arrive within the time of a call

Cause: a read asked for everything since the last one, up to 1 MB. What takes the instance's link longer than the time limit of a call is lost, and asked for again from the same offset, while what is missing grows: an outage of the store or of the path to it that lasts long enough never ends for this instance.

A record larger than the limit is read without one.

--- a/bench/fleet/simulatedlinks.ts
+++ b/bench/fleet/simulatedlinks.ts
@@ -85,9 +85,11 @@
   return {
     snapshot: topic =>
       receive(feed.snapshot(topic), responseMs, ({records}) => records),
-    read: (topic, from, waitMs) =>
+    read: (topic, from, waitMs, maxBytes = MAX_PAGE_BYTES) =>
       receive(
-        feed.read(topic, from, waitMs).then(page => page.map(limitPage)),
+        feed
+          .read(topic, from, waitMs)
+          .then(result => result.map(page => limitPage(page, maxBytes))),
         waitMs + responseMs,
         page => (page.type === 'records' ? page.records : []),
       ),
@@ -95,12 +97,12 @@
   };
 }
 
-function limitPage(page: FeedPage): FeedPage {
+function limitPage(page: FeedPage, maxBytes: number): FeedPage {
   if (page.type !== 'records') return page;
   let bytes = 0;
   const records = page.records.filter(record => {
     bytes += bytesOf([record]);
-    return bytes <= MAX_PAGE_BYTES;
+    return bytes <= maxBytes;
   });
   return {...page, records};
 }
--- a/src/registry/feed.ts
+++ b/src/registry/feed.ts
@@ -81,10 +81,14 @@
     key: string,
     value: Buffer,
   ): Promise<Result<Acknowledgement, FeedFailure>>;
-  /** Reads the records from an offset on; waits up to `waitMs` for one. */
+  /**
+   * Reads the records from an offset on, about `maxBytes` of them; waits up to
+   * `waitMs` for one. The store limits the bytes if `maxBytes` is absent.
+   */
   read(
     topic: Topic,
     from: number,
     waitMs: number,
+    maxBytes?: number,
   ): Promise<Result<FeedPage, FeedFailure>>;
 }
--- a/src/registry/follower.ts
+++ b/src/registry/follower.ts
@@ -1,7 +1,7 @@
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Subscription} from '../timer/index.js';
 import {CallRetries, type CallFailure} from './callretries.js';
-import type {Feed, Topic} from './feed.js';
+import type {Feed, FeedPage, Topic} from './feed.js';
 import {ReadSchedule, type ReadTiming} from './readschedule.js';
 import {
   TopicReplica,
@@ -11,6 +11,11 @@
 
 /** Pause after a snapshot older than the records already read, in ms. */
 const STALE_SNAPSHOT_DELAY_MS = 250;
+/**
+ * Most bytes of a read. A response that takes longer than the time of its call
+ * is lost and asked for again; what has been missed grows meanwhile.
+ */
+const MAX_READ_BYTES = 128 * 1024;
 /** Jitter as a share of a pause, so that instances do not call in step. */
 const JITTER_SHARE = 0.3;
 /** Shortest pause, in ms. */
@@ -108,7 +113,7 @@
         continue;
       }
       const pauseMs = replica.isStarted
-        ? await this.readNext()
+        ? await this.readNext(MAX_READ_BYTES)
         : await this.loadSnapshot();
       if (pauseMs > 0) await this.pause(pauseMs);
     }
@@ -139,12 +144,14 @@
   }
 
   /** Reads new records; returns the pause before the next call, in ms. */
-  private async readNext(): Promise<number> {
+  private async readNext(maxBytes?: number): Promise<number> {
     const {feed, topic, waitMs, logger, epochs} = this.options;
     const from = this.replica.end;
     const epoch = epochs.current;
     const result = await this.untilEpochEnds(
-      feed.read(topic, from, waitMs).then(answer => epochs.observe(answer)),
+      feed
+        .read(topic, from, waitMs, maxBytes)
+        .then(answer => epochs.observe(answer)),
     );
     // In another epoch, the offset of the read means another record.
     if (result === undefined || epoch !== epochs.current) return 0;
@@ -164,10 +171,27 @@
         }
         return this.loadSnapshot();
       case 'records':
-        return this.replica.applyRecords(page, from) ? this.readNext() : 0;
+        return this.readOn(page, from, maxBytes);
     }
   }
 
+  /** Applies a page, and reads what the store has beyond it. */
+  private readOn(
+    page: Extract<FeedPage, {type: 'records'}>,
+    from: number,
+    maxBytes: number | undefined,
+  ): number | Promise<number> {
+    const {replica} = this;
+    const isEmpty = page.records.length === 0 && page.end > replica.end;
+    // The next record alone exceeds the limit of the read.
+    if (isEmpty && maxBytes !== undefined) return this.readNext();
+    if (!replica.applyRecords(page, from)) return 0;
+    // A snapshot is smaller than a history that replaces each record.
+    return page.end - replica.end > replica.recordCount
+      ? this.loadSnapshot()
+      : this.readNext(MAX_READ_BYTES);
+  }
+
   /** Resolves like `call`, or to undefined as soon as the epoch ends. */
   private untilEpochEnds<Value>(
     call: Promise<Value>,
--- a/src/registry/topicreplica.ts
+++ b/src/registry/topicreplica.ts
@@ -162,6 +162,11 @@
     return this.changes.end;
   }
 
+  /** Number of records that a snapshot would hold, as far as known. */
+  get recordCount(): number {
+    return this.listener.known().length;
+  }
+
   /** Takes the status of a peer, with changes that it sent along. */
   receive(status: TopicStatus, sent?: Changes): Reception {
     const {timer, epochs} = this.options;
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -63,6 +63,7 @@
     topic: Topic,
     from: number,
     waitMs: number,
+    _maxBytes?: number,
   ): Promise<Result<FeedPage, FeedFailure>> {
     const records = this.records[topic];
     if (records.length <= from) {
