Send peers no more large replies than the link carries in time

Cause: a change too large for a message is fetched from the peer that told of it. All who hear of it ask at once; their replies share the link of that peer, and each call ended after 400 ms whatever its size. What had been sent by then was thrown away and asked for again with the next message, so the link stayed full of replies that nobody waited for.

TransferQueue decides from the capacity of the instance's link, which the settings name: a reply that would wait for more than 150 ms is refused at once, and the peer asks the next one that tells of the change. A call may take 1.5 s; another peer is asked after 400 ms of silence.

--- a/bench/fleet/simulatedfleet.ts
+++ b/bench/fleet/simulatedfleet.ts
@@ -39,6 +39,8 @@
 const LOAD_CHANGE_MS = 300;
 /** Upstreams on which an instance has requests in flight. */
 const UPSTREAMS_PER_INSTANCE = 3;
+/** Capacity of an instance's link where links aren't simulated. */
+const UNLIMITED_BYTES_PER_SECOND = 125_000_000;
 const CONFIGURATION_KEY = 'config';
 
 const silent = pino({level: 'silent'});
@@ -96,6 +98,8 @@
     });
     const feed = store.feedOf(place.name, this.timer);
     this.fleet = new GatewayFleet({
+      linkBytesPerSecond:
+        simulation.spec.links?.instance ?? UNLIMITED_BYTES_PER_SECOND,
       instance: place.name,
       host: place.name,
       zone: place.zone,
--- a/src/fleet/recordexchange.ts
+++ b/src/fleet/recordexchange.ts
@@ -10,6 +10,7 @@
   type TopicReplica,
 } from '../registry/index.js';
 import {LogEvent} from '../telemetry/logevent.js';
+import type {Timer} from '../timer/index.js';
 import {
   CHANGES_METHOD,
   changesQuerySchema,
@@ -28,10 +29,16 @@
   type WireChanges,
 } from './message.js';
 
+import {TransferQueue} from './transferqueue.js';
+
 /** Most bytes of changes that a gossip message carries. */
 const MAX_INLINE_BYTES = 1_000;
 /** Time for a peer to return what is missing here, in ms. */
-const PULL_TIMEOUT_MS = 400;
+const PULL_TIMEOUT_MS = 1_500;
+/** Time after which another peer is asked beside one that is silent, in ms. */
+const HEDGE_DELAY_MS = 400;
+/** Bytes of a call beside the records. */
+const REPLY_OVERHEAD_BYTES = 300;
 
 /** Calls peers over a connection, for what doesn't fit into a datagram. */
 export interface PeerCaller {
@@ -54,6 +61,9 @@
   replicas: readonly TopicReplica[];
   client: PeerCaller;
   server: PeerListener;
+  timer: Timer;
+  /** Capacity of the instance's own link, in bytes a second. */
+  linkBytesPerSecond: number;
   logger: Logger;
 }
 
@@ -71,10 +81,12 @@
  */
 export class RecordExchange {
   private readonly byTopic = new Map<Topic, TopicReplica>();
-  /** Calls to peers that are being made, by method and topic. */
-  private readonly pulling = new Set<string>();
+  /** When the newest unanswered call was made, by method and topic. */
+  private readonly pulling = new Map<string, number>();
+  private readonly replies: TransferQueue;
 
   constructor(private readonly parts: RecordExchangeParts) {
+    this.replies = new TransferQueue(parts.linkBytesPerSecond);
     for (const replica of parts.replicas) {
       this.byTopic.set(replica.topic, replica);
     }
@@ -203,18 +215,20 @@
     replica.receiveState(decodeState(reply.data));
   }
 
-  /** Calls a peer; undefined if it fails or such a call is being made. */
+  /** Calls a peer; undefined if it fails or such a call was just made. */
   private async pull(
     method: string,
     query: {topic: Topic; from?: number; epoch: number},
     address: InstanceAddress,
   ): Promise<unknown> {
     const key = `${method}/${query.topic}`;
-    if (this.pulling.has(key)) return undefined;
-    this.pulling.add(key);
-    const {client, logger} = this.parts;
+    const {client, logger, timer} = this.parts;
+    const calledAt = timer.now();
+    const lastAt = this.pulling.get(key) ?? -Infinity;
+    if (calledAt - lastAt < HEDGE_DELAY_MS) return undefined;
+    this.pulling.set(key, calledAt);
     const result = await client.call(address, method, query, PULL_TIMEOUT_MS);
-    this.pulling.delete(key);
+    if (this.pulling.get(key) === calledAt) this.pulling.delete(key);
     if (result.isOk() && result.value !== null) return result.value;
     logger.info(
       {
@@ -222,7 +236,7 @@
         method,
         ...query,
         address,
-        failure: result.isErr() ? result.error : 'no longer kept',
+        failure: result.isErr() ? result.error : 'busy, or no longer kept',
       },
       'A peer did not return what is missing here.',
     );
@@ -238,6 +252,7 @@
     const records = replica?.changesFrom(from);
     if (status === undefined || records === undefined) return null;
     if (epoch !== undefined && epoch !== status.epoch) return null;
+    if (!this.admitReply(records)) return null;
     const changes = {topic, from, records: records.map(encodeRecord)};
     return {epoch: status.epoch, status: encodeStatus(status), changes};
   }
@@ -249,10 +264,24 @@
     if (state === undefined || query.data.epoch !== state.status.epoch) {
       return null;
     }
-    return encodeState(state);
+    return this.admitReply(state.records) ? encodeState(state) : null;
+  }
+
+  /** Whether there is room for a reply with these records. */
+  private admitReply(records: readonly KeyedRecord[]): boolean {
+    const bytes = records.reduce(
+      (sum, record) => sum + encodedBytes(record),
+      REPLY_OVERHEAD_BYTES,
+    );
+    return this.replies.admit(bytes, this.parts.timer.now());
   }
 }
 
+/** Size of a record in a message, whose value is in Base64. */
+function encodedBytes({key, value}: KeyedRecord): number {
+  return key.length + Math.ceil((value?.length ?? 0) / 3) * 4;
+}
+
 function encodeRecord({
   offset,
   key,
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -54,6 +54,8 @@
   metricsAddress?: Address;
   /** Port for peers, over TCP and UDP. */
   gossipPort: number;
+  /** Capacity of this instance's own link, in bytes a second. */
+  linkBytesPerSecond: number;
   /** Time from the stop signal to the end of the process, in ms. */
   graceMs: number;
   /** Retries allowed per first attempt, counted over a sliding window. */
@@ -217,6 +219,7 @@
       instance,
       host,
       zone,
+      linkBytesPerSecond: settings.linkBytesPerSecond,
       feed: platform.feed,
       transport: new NetworkTransport({host, port}, timer, logger),
       timer,
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -43,6 +43,8 @@
   host: string;
   /** Availability zone of this instance. */
   zone: string;
+  /** Capacity of this instance's own link, in bytes a second. */
+  linkBytesPerSecond: number;
   feed: Feed;
   transport: FleetTransport;
   timer: Timer;
@@ -101,6 +103,8 @@
       ],
       client: transport.client,
       server: transport.server,
+      timer,
+      linkBytesPerSecond: parts.linkBytesPerSecond,
       logger: this.logger,
     });
     this.gossip = new Gossip({
--- a/test/fleet-links.test.ts
+++ b/test/fleet-links.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from 'vitest';
 import {SimulatedFleet} from '../bench/fleet/simulatedfleet.js';
 import {StoreState} from '../bench/fleet/simulatedstore.js';
+import {TransferQueue} from '../src/fleet/transferqueue.js';
 import {Topic} from '../src/registry/index.js';
 
 /** Narrow links of a deployment, in bytes a second: 7 and 42 Mbit/s. */
@@ -22,6 +23,13 @@
   });
 }
 
+it('sends peers what the link carries soon, and refuses the rest', () => {
+  const queue = new TransferQueue(1_000_000);
+  const admitted = [0, 0, 0, 250, 400].map(now => queue.admit(100_000, now));
+  expect(admitted).toEqual([true, false, false, true, true]);
+  expect(new TransferQueue(125_000_000).admit(100_000, 0)).toBe(true);
+});
+
 // Guards against 404 on routes that were acknowledged long before.
 describe('a fleet over narrow links', () => {
   for (const seed of [1, 2, 3]) {
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -178,6 +178,8 @@
       replicas: [],
       client: {call: () => Promise.resolve(err('none'))},
       server: {handle: () => undefined},
+      timer,
+      linkBytesPerSecond: 125_000_000,
       logger,
     }),
     timer,
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -290,6 +290,7 @@
       zone: 'zone-a',
       regions: {'zone-a': 'region-a'},
       callerAddress: {host: HOST, port: 0},
+      linkBytesPerSecond: 125_000_000,
       readinessAddress: {host: HOST, port: 0},
       gossipPort: 0,
       graceMs,
--- a/test/support/returningstore.ts
+++ b/test/support/returningstore.ts
@@ -175,6 +175,7 @@
     });
     const place = {name, zone: 'z', region: 'r'};
     const fleet: GatewayFleet = new GatewayFleet({
+      linkBytesPerSecond: 125_000_000,
       instance: name,
       host: name,
       zone: 'z',
