Log what a rejected request asked for, and the age of the configuration

Operators could not tell why a request was answered 404: the line named the version of the configuration, but not host and path, nor whether that version was current.

The `ended` line of a 401 or 404 now has `rejected`: host, path without query and cut to 200 characters, and the time since the configuration was known to be current. The new test failed before, as the line had no such field.

--- a/src/forward/dependencies.ts
+++ b/src/forward/dependencies.ts
@@ -19,6 +19,8 @@
   isAlive(endpoint: Endpoint): Promise<boolean>;
   /** Called for each prompt that is sent to an upstream. */
   promptSent(endpoint: Endpoint, prompt: Prompt): void;
+  /** Ms since the configuration was known to be current. */
+  configurationAgeMs(): number | undefined;
   /** State of a service; created on first use. */
   serviceStateOf(service: string): ServiceState;
   /**
--- a/src/forward/ending.ts
+++ b/src/forward/ending.ts
@@ -1,3 +1,15 @@
+/** Most characters of a path in a log line. */
+const MAX_LOGGED_PATH = 200;
+
+/** What the configuration does not allow, and how old the configuration is. */
+export interface Rejection {
+  host: string;
+  /** Path without query, cut to [[MAX_LOGGED_PATH]] characters. */
+  path: string;
+  /** Ms since the configuration was known to be current. */
+  configurationAgeMs?: number;
+}
+
 /** How a request ended, for logs and metrics. */
 export interface Ending {
   /**
@@ -11,4 +23,19 @@
   status?: number;
   cause?: string;
   route?: string;
+  /** Of a request that the configuration does not allow. */
+  rejected?: Rejection;
+}
+
+/** Describes a request to `path` of `host` that the configuration rejects. */
+export function rejectionOf(
+  host: string,
+  path: string,
+  configurationAgeMs: number | undefined,
+): Rejection {
+  return {
+    host,
+    path: path.slice(0, MAX_LOGGED_PATH),
+    ...(configurationAgeMs === undefined ? {} : {configurationAgeMs}),
+  };
 }
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -8,7 +8,7 @@
 } from './attempt.js';
 import {readBodyUntil} from './body.js';
 import {Deadline, StopCause} from './deadline.js';
-import type {Ending} from './ending.js';
+import {rejectionOf, type Ending} from './ending.js';
 import type {Placement, PlacementRequest} from './placementrequest.js';
 import {placementRequestOf, type RequestContext} from './requestcontext.js';
 import type {RequestHead} from './protocol.js';
@@ -87,14 +87,20 @@
     if (headBytes > limitBytes) {
       return this.refuse({type: 'headTooLarge', limitBytes});
     }
-    const query = request.target.indexOf('?');
-    const path = query < 0 ? request.target : request.target.slice(0, query);
+    const [path = ''] = request.target.split('?', 1);
     const route = table.match(request.host, path);
-    if (route === undefined) return this.refuse({type: 'unknownRoute'});
+    const rejection = () => {
+      const ageMs = this.dependencies.configurationAgeMs();
+      return {rejected: rejectionOf(request.host, path, ageMs)};
+    };
+    if (route === undefined) {
+      return {...this.refuse({type: 'unknownRoute'}), ...rejection()};
+    }
     this.targetMs = route.targetMs;
     const admission = table.authenticate(route, request.key);
     if (admission.type === 'unauthenticated') {
-      return this.refuse({type: 'unauthenticated'}, route);
+      const ending = this.refuse({type: 'unauthenticated'}, route);
+      return {...ending, ...rejection()};
     }
     const workspace =
       admission.type === 'workspace' ? admission.workspace : undefined;
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -136,6 +136,7 @@
       logger: this.requestLogger,
       metrics: this.metrics,
       random: Math.random,
+      configurationAgeMs: () => this.fleet.configurations.ageMs(),
       serviceStateOf: service => this.serviceStateOf(service),
       promptSent: (endpoint, {parts}) => this.gossipPrompt(endpoint.id, parts),
       isAlive: endpoint => this.probes.isAlive(endpoint),
--- a/test/forward.test.ts
+++ b/test/forward.test.ts
@@ -255,6 +255,23 @@
   expect([refused?.status, unknown?.status]).toEqual([401, 404]);
 });
 
+test('the log tells what a rejected request asked for and how old the configuration was', async () => {
+  const plain = await openUpstream('plain', 'i-1', answerWith('hello'));
+  const {gateway, logLines} = await openGateway([plain]);
+  await call(gateway.port, `/nowhere/${'x'.repeat(300)}?key=secret`, 'r1');
+  await vi.waitFor(() =>
+    expect(logLines.find(({event}) => event === 'ended')).toMatchObject({
+      status: 404,
+      version: 1,
+      rejected: {
+        host: 'shop.example',
+        path: `/nowhere/${'x'.repeat(191)}`,
+        configurationAgeMs: expect.any(Number) as number,
+      },
+    }),
+  );
+});
+
 /** Sends bytes on a new connection; resolves to the bytes received. */
 function sendBytes(port: number, bytes: string): Promise<string> {
   return new Promise(resolve => {
