Tell a new instance what the store has lost, and of every removal

An instance that started after the store had returned from an older copy learned of the newer state a second later, from the first message of a peer; it lacked upstreams that the copy lacks until they registered again.

An instance asks up to three peers for all they know as soon as it has the list of instances, unless the store names no epoch. What a peer tells marks entries that are missing or whose upstream has left. Every removal is passed on. A copy doesn't bring back an entry that is missing since its removal. Entries that the copy lacks stay for 3 s: two for the upstream to register, one for its record to reach all instances. The state of a peer counts as an older copy only if it has followed earlier epochs less far.

--- a/src/fleet/message.ts
+++ b/src/fleet/message.ts
@@ -1,5 +1,6 @@
 import {z} from 'zod';
 import {
+  Standing,
   Topic,
   type EarlierPosition,
   type TopicState,
@@ -199,7 +200,7 @@
         offset: z.number(),
         /** In Base64. */
         value: z.string().optional(),
-        hasLeft: z.boolean().optional(),
+        standing: z.enum(Standing).optional(),
       }),
     ),
     earlier: z.array(earlierPositionSchema),
--- a/src/fleet/recordexchange.ts
+++ b/src/fleet/recordexchange.ts
@@ -174,6 +174,24 @@
     }
   }
 
+  /**
+   * Asks a peer for what it knows of the topics, as an instance that has just
+   * started: the store may have returned from an older copy before. Returns
+   * whether the peer told of each.
+   */
+  async consult(
+    topics: readonly Topic[],
+    address: InstanceAddress,
+  ): Promise<boolean> {
+    const replicas = this.parts.replicas.filter(({topic}) =>
+      topics.includes(topic),
+    );
+    const receptions = await Promise.all(
+      replicas.map(replica => this.pullState(replica, address)),
+    );
+    return !receptions.includes(undefined);
+  }
+
   private async pullChanges(
     replica: TopicReplica,
     address: InstanceAddress,
@@ -194,13 +212,13 @@
   private async pullState(
     replica: TopicReplica,
     address: InstanceAddress,
-  ): Promise<void> {
+  ): Promise<Reception | undefined> {
     const {topic} = replica;
     const epoch = this.parts.epochs.current;
     const result = await this.pull(STATE_METHOD, {topic, epoch}, address);
     const reply = stateReplySchema.safeParse(result);
-    if (!reply.success || reply.data === null) return;
-    replica.receiveState(decodeState(reply.data));
+    if (!reply.success || reply.data === null) return undefined;
+    return replica.receiveState(decodeState(reply.data));
   }
 
   /** Calls a peer; undefined if it fails or such a call is being made. */
--- a/src/registry/departures.ts
+++ b/src/registry/departures.ts
@@ -1,6 +1,6 @@
 import type {Timer} from '../timer/index.js';
 import {isSameProcess, supersedes, type RegistryEntry} from './entry.js';
-import type {KnownRecord} from './topicstatus.js';
+import {Standing, type KnownRecord} from './topicstatus.js';
 
 /**
  * Time for which a removed entry is remembered, in ms: above the age of a copy
@@ -45,7 +45,7 @@
   /** Withholds a record of a process that left before. Returns whether it did. */
   withhold(record: KnownRecord, entry: RegistryEntry): boolean {
     const departure = this.departures.get(record.key);
-    if (departure === undefined || !isSameProcess(departure.entry, entry)) {
+    if (departure === undefined || !this.includes(record.key, entry)) {
       return false;
     }
     departure.withheld = record;
@@ -53,15 +53,15 @@
     return true;
   }
 
-  /**
-   * Takes note that the store removed an entry. Returns whether one was
-   * withheld, which peers may use.
-   */
-  confirm(key: string): boolean {
+  /** Takes note that the store has removed an entry as well. */
+  confirm(key: string): void {
+    delete this.departures.get(key)?.withheld;
+  }
+
+  /** Whether the process is known to have left. */
+  includes(key: string, entry: RegistryEntry): boolean {
     const departure = this.departures.get(key);
-    if (departure?.withheld === undefined) return false;
-    delete departure.withheld;
-    return true;
+    return departure !== undefined && isSameProcess(departure.entry, entry);
   }
 
   /** Whether a record repeats what the process wrote before it left. */
@@ -69,7 +69,7 @@
     const departure = this.departures.get(key);
     return (
       departure?.withheld !== undefined &&
-      isSameProcess(departure.entry, entry) &&
+      this.includes(key, entry) &&
       (entry.sequence === departure.entry.sequence ||
         !supersedes(entry, departure.entry))
     );
@@ -78,7 +78,7 @@
   /** Records that are withheld, marked as those of upstreams that have left. */
   records(): KnownRecord[] {
     return [...this.departures.values()].flatMap(({withheld}) =>
-      withheld === undefined ? [] : [{...withheld, hasLeft: true}],
+      withheld === undefined ? [] : [{...withheld, standing: Standing.Left}],
     );
   }
 
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -10,26 +10,34 @@
   type RegistryEntry,
 } from './entry.js';
 import type {KeyedRecord} from './feed.js';
-import type {KnownRecord} from './topicstatus.js';
+import {Standing, type KnownRecord} from './topicstatus.js';
 
 /**
  * Time for which an entry that goes missing soon after a store outage is still
  * used, in ms. Upstreams that are alive register again within it.
  */
 const MISSING_GRACE_MS = 2_000;
+/**
+ * The same for an entry that an older copy of the store lacks: its upstream has
+ * to register within two seconds of the store's return, and what it writes then
+ * takes up to another one to reach all instances.
+ */
+const LOST_GRACE_MS = 3_000;
 /**
  * Time for which the store must have been reachable for a missing entry to be
  * removed at once, in ms.
  */
 const MIN_REACHABLE_MS = 4_000;
 
-/** An entry, and since when it has been missing. */
+/** An entry, and until when it is used although it is missing. */
 export interface Registration {
   entry: RegistryEntry;
   /** The record of the entry. */
   record: KeyedRecord;
-  /** When the entry went missing, in monotonic ms; undefined if present. */
-  missingSince?: number;
+  /** In monotonic ms; undefined if the entry is present. */
+  missingUntil?: number;
+  /** What an older copy of the store says of a missing entry. */
+  outdated?: KeyedRecord;
 }
 
 /** Dependencies of [[Registry]]. */
@@ -61,10 +69,13 @@
 
   /** What another instance needs to know the same. */
   known(): KnownRecord[] {
-    const present = [...this.registrations.values()]
-      .filter(({missingSince}) => missingSince === undefined)
-      .map(({record}) => record);
-    return [...present, ...this.departures.records()];
+    const entries = [...this.registrations.values()].map(
+      ({record, missingUntil}): KnownRecord =>
+        missingUntil === undefined
+          ? record
+          : {...record, standing: Standing.Missing},
+    );
+    return [...entries, ...this.departures.records()];
   }
 
   /**
@@ -74,14 +85,18 @@
    */
   replace(records: KnownRecord[], outdated = false): KeyedRecord[] {
     const present = new Set(
-      records.filter(({hasLeft}) => hasLeft !== true).map(({key}) => key),
+      records
+        .filter(({standing}) => standing === undefined)
+        .map(({key}) => key),
     );
     const missing = [...this.registrations.keys()].filter(
       key => !present.has(key),
     );
-    for (const key of missing) this.handleMissing(key, 'not in the snapshot');
+    for (const key of missing) {
+      this.handleMissing(key, 'not in the snapshot', outdated);
+    }
     const changes = records.filter(
-      record => !(outdated && this.withhold(record)) && this.apply(record),
+      record => !(outdated && this.isWithheld(record)) && this.apply(record),
     );
     this.parts.changed();
     return [...missing.map(key => ({key, offset: 0})), ...changes];
@@ -105,8 +120,8 @@
     const now = this.parts.timer.now();
     const released = this.departures.sweep();
     let dropped = released.filter(record => this.apply(record)).length > 0;
-    for (const [key, {missingSince: since}] of this.registrations) {
-      if (since === undefined || now - since < MISSING_GRACE_MS) continue;
+    for (const [key, {missingUntil: until}] of this.registrations) {
+      if (until === undefined || now < until) continue;
       this.drop(key, 'not registered again after an outage of the store');
       dropped = true;
     }
@@ -116,19 +131,29 @@
   /** Returns whether the record changed something. */
   private apply(record: KnownRecord): boolean {
     const {key, value} = record;
-    return value === undefined
-      ? this.handleMissing(key, 'removed')
-      : this.update(record, value);
+    if (value !== undefined) return this.update(record, value);
+    this.handleMissing(key, 'removed');
+    // Peers may use an entry that isn't known here, or have dropped one that is.
+    return true;
   }
 
-  /** Withholds the entry of an upstream that is known to have left. */
-  private withhold(record: KnownRecord): boolean {
-    const {key, value, offset} = record;
-    if (value === undefined || record.hasLeft === true) return false;
+  /**
+   * Whether a record of an older copy is withheld, as its upstream has left or
+   * is missing.
+   */
+  private isWithheld(record: KnownRecord): boolean {
+    const {key, value, offset, standing} = record;
+    if (value === undefined || standing !== undefined) return false;
     const entry = this.parts.decode(key, value);
-    if ('reason' in entry || !this.departures.withhold(record, entry)) {
-      return false;
+    if ('reason' in entry) return false;
+    const known = this.registrations.get(key);
+    if (known !== undefined) {
+      if (known.missingUntil === undefined) return false;
+      if (!isSameProcess(known.entry, entry)) return false;
+      known.outdated = record;
+      return true;
     }
+    if (!this.departures.withhold(record, entry)) return false;
     this.parts.logger.info(
       {event: LogEvent.Upstream, upstream: key, offset, entry},
       'An older copy of the store lists an upstream that left; not using it.',
@@ -148,7 +173,14 @@
       return false;
     }
     const known = this.registrations.get(key);
-    if (record.hasLeft === true) return this.depart(record, next);
+    switch (record.standing) {
+      case Standing.Missing:
+        return this.addMissing(record, next);
+      case Standing.Left:
+        return this.depart(record, next);
+      case undefined:
+        break;
+    }
     const isOutdated =
       known === undefined
         ? this.departures.repeats(key, next)
@@ -177,7 +209,7 @@
     }
     return (
       known === undefined ||
-      known.missingSince !== undefined ||
+      known.missingUntil !== undefined ||
       !hasSameEffect(known.entry, next)
     );
   }
@@ -185,24 +217,30 @@
   /**
    * Drops an entry that was removed or is missing from a snapshot. If the store
    * became reachable only recently, the entry may be missing due to the outage
-   * and is kept for a grace period, unless its upstream was draining. Returns
-   * whether the entry was known.
+   * and is kept for a grace period, unless its upstream was draining.
    */
-  private handleMissing(key: string, reason: string): boolean {
+  private handleMissing(key: string, reason: string, outdated = false): void {
     const {timer, logger} = this.parts;
     const known = this.registrations.get(key);
-    if (known === undefined) return this.departures.confirm(key);
-    // Peers may have dropped the entry, so that the removal concerns them.
-    if (known.missingSince !== undefined) return true;
+    if (known === undefined) {
+      this.departures.confirm(key);
+      return;
+    }
+    if (known.missingUntil !== undefined) {
+      if (outdated) known.missingUntil = timer.now() + LOST_GRACE_MS;
+      else delete known.outdated;
+      return;
+    }
     const reachableForMs = this.parts.reachableForMs();
     if (
       reachableForMs >= MIN_REACHABLE_MS ||
       known.entry.state === EntryState.Draining
     ) {
       this.drop(key, reason);
-      return true;
+      return;
     }
-    known.missingSince = timer.now();
+    known.missingUntil =
+      timer.now() + (outdated ? LOST_GRACE_MS : MISSING_GRACE_MS);
     logger.warn(
       {
         event: LogEvent.Upstream,
@@ -212,6 +250,20 @@
       },
       'Entry is missing after an outage of the store; keeping it for now.',
     );
+  }
+
+  /** Adds an entry that a peer uses although an older copy lacks it. */
+  private addMissing(record: KeyedRecord, entry: RegistryEntry): boolean {
+    const {key, offset, value} = record;
+    const missingUntil = this.parts.timer.now() + LOST_GRACE_MS;
+    const known = this.registrations.get(key);
+    if (known !== undefined) {
+      if (known.missingUntil !== undefined) known.missingUntil = missingUntil;
+      return false;
+    }
+    if (this.departures.includes(key, entry)) return false;
+    const missing = {key, offset, value};
+    this.registrations.set(key, {entry, record: missing, missingUntil});
     return true;
   }
 
@@ -230,7 +282,11 @@
 
   private drop(key: string, reason: string): void {
     const known = this.registrations.get(key);
-    if (known !== undefined) this.departures.add(key, known.entry);
+    if (known !== undefined) {
+      const {entry, outdated} = known;
+      this.departures.add(key, entry);
+      if (outdated !== undefined) this.departures.withhold(outdated, entry);
+    }
     this.registrations.delete(key);
     this.parts.logger.info(
       {event: LogEvent.Upstream, upstream: key, reason},
--- a/src/registry/topicreplica.ts
+++ b/src/registry/topicreplica.ts
@@ -227,13 +227,14 @@
         ? 'Added what a peer knows from an earlier epoch of the store.'
         : 'Took the state of the topic from a peer.',
     );
+    const isAhead = this.earlier.isAhead(earlier, now);
     for (const position of earlier) this.earlier.add(position, now);
     if (this.hasSnapshot) {
       this.add(records);
       return Reception.Applied;
     }
     const read = {reader: status.reader, at: now - status.ageMs};
-    this.listener.replaced(records, true);
+    this.listener.replaced(records, isAhead);
     this.startAt(status.end);
     this.noteRead(read, now);
     this.noteCurrent(read.at, read.reader);
--- a/src/registry/topicstatus.ts
+++ b/src/registry/topicstatus.ts
@@ -38,10 +38,17 @@
   records: KeyedRecord[];
 }
 
+/** What is known of the writer of a record beyond the record. */
+export enum Standing {
+  /** The record is missing in an older copy of the store. */
+  Missing = 'missing',
+  /** The writer has left since, though an older copy has the record. */
+  Left = 'left',
+}
+
 /** The newest record of a key, with what is known beyond it. */
 export interface KnownRecord extends KeyedRecord {
-  /** Whether the process that wrote the record is known to have left since. */
-  hasLeft?: boolean;
+  standing?: Standing;
 }
 
 /** All that an instance knows of a topic, for one that starts in an epoch. */
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -35,6 +35,9 @@
   [Topic.Instances]: {readPauseMs: 1_000, waitMs: 8_000},
 };
 
+/** Peers that an instance asks for what they know when it starts. */
+const CONSULTED_PEERS = 3;
+
 /** Dependencies of [[GatewayFleet]]. */
 export interface GatewayFleetParts {
   /** Name of this instance. */
@@ -71,6 +74,8 @@
   readonly gossip: Gossip;
   private readonly epochs: StoreEpoch;
   private readonly instances: Follower;
+  private readonly records: RecordExchange;
+  private hasConsulted = false;
   private readonly peers: Peers;
   private readonly logger: Logger;
 
@@ -88,11 +93,15 @@
     );
     this.upstreams = this.follow(Topic.Upstreams, parts.upstreams);
     this.instances = this.follow(Topic.Instances, {
-      replaced: records => this.peers.update(records),
+      replaced: records => {
+        const changes = this.peers.update(records);
+        void this.consultPeers();
+        return changes;
+      },
       added: records => this.peers.update(records),
       known: () => this.peers.known(),
     });
-    const records = new RecordExchange({
+    this.records = new RecordExchange({
       epochs: this.epochs,
       replicas: [
         this.configurations.replica,
@@ -108,7 +117,7 @@
       zone,
       datagrams: transport.datagrams,
       peers: this.peers,
-      records,
+      records: this.records,
       timer,
       logger: this.logger,
       random,
@@ -168,6 +177,23 @@
     await this.parts.transport.close();
   }
 
+  /**
+   * Learns from a peer what the store may have lost before this instance
+   * started. Nothing is lost where the store names no epoch.
+   */
+  private async consultPeers(): Promise<void> {
+    if (this.hasConsulted || this.storeEpoch === 0) return;
+    this.hasConsulted = true;
+    const topics = [Topic.Configuration, Topic.Upstreams];
+    const peers = [
+      ...this.peers.sample(CONSULTED_PEERS),
+      ...this.peers.otherZones().flatMap(zone => this.peers.sample(1, zone)),
+    ];
+    for (const address of peers.slice(0, CONSULTED_PEERS)) {
+      if (await this.records.consult(topics, address)) return;
+    }
+  }
+
   private follow(topic: Topic, listener: FollowerListener): Follower {
     const {instance, feed, timer, output} = this.parts;
     return new Follower(
--- a/test/epoch.test.ts
+++ b/test/epoch.test.ts
@@ -7,9 +7,11 @@
   EntryState,
   FEED_TIMEOUTS,
   LearnedFrom,
+  Registry,
   StoreEpoch,
   Topic,
 } from '../src/registry/index.js';
+import {ManualTimer} from '../src/timer/index.js';
 import {FollowingFleet} from './support/returningstore.js';
 
 /** Registers upstreams with consecutive numbers. */
@@ -70,7 +72,7 @@
   it('keeps a configuration in force, and tells it to a new instance', async () => {
     const fleet = new FollowingFleet();
     fleet.store.configure(8);
-    const [first] = await fleet.startAll(3);
+    const instances = await fleet.startAll(3);
     const copy = fleet.store.copy();
     fleet.store.configure(9);
     await fleet.advance(1_000);
@@ -79,16 +81,15 @@
     fleet.store.returnTo(copy);
     fleet.store.configure(8);
     await fleet.advance(2_000);
-    expect(first?.versions).toEqual([8, 9]);
+    for (const {versions} of instances) expect(versions).toEqual([8, 9]);
     const restarted = fleet.start();
-    await fleet.advance(2_000);
-    expect(restarted.versions).toEqual([8, 9]);
+    await fleet.advance(100);
+    expect(restarted.versions.at(-1)).toBe(9);
     fleet.store.configure(9);
     fleet.store.configure(10);
     await fleet.advance(2_000);
-    for (const {versions} of fleet.instances) {
-      expect(versions).toEqual([8, 9, 10]);
-    }
+    for (const {versions} of instances) expect(versions).toEqual([8, 9, 10]);
+    expect(restarted.versions.at(-1)).toBe(10);
   });
 
   it('uses no upstream again that had left, until it registers anew', async () => {
@@ -108,7 +109,7 @@
     const known = ['u2 draining', 'u3 ready'];
     expect(first?.upstreams()).toEqual(known);
     const restarted = fleet.start();
-    await fleet.advance(2_000);
+    await fleet.advance(100);
     expect(restarted.upstreams()).toEqual(known);
     fleet.store.register('u0', 2);
     fleet.store.append(Topic.Upstreams, 'u1');
@@ -123,21 +124,24 @@
     }
   });
 
-  it('keeps an upstream that the copy lacks for two seconds', async () => {
+  it('keeps an upstream that the copy lacks for three seconds', async () => {
     const fleet = new FollowingFleet();
     registerAll(fleet, 0, 2);
     const copy = fleet.store.copy();
     registerAll(fleet, 2, 4);
-    const instances = await fleet.startAll(3);
+    await fleet.startAll(3);
     fleet.store.isAway = true;
     await fleet.advance(400);
     fleet.store.returnTo(copy);
     await fleet.advance(1_000);
     const all = ['u0 ready', 'u1 ready', 'u2 ready', 'u3 ready'];
-    for (const {upstreams} of instances) expect(upstreams()).toEqual(all);
+    // One that starts now uses it as well.
+    fleet.start();
+    await fleet.advance(100);
+    for (const {upstreams} of fleet.instances) expect(upstreams()).toEqual(all);
     fleet.store.register('u2', 2);
     await fleet.advance(3_500);
-    for (const {upstreams} of instances) {
+    for (const {upstreams} of fleet.instances) {
       expect(upstreams()).toEqual(all.slice(0, 3));
     }
   });
@@ -170,12 +174,27 @@
     }
   });
 
+  it('takes a snapshot if its offset is beyond the end, without epochs', async () => {
+    const fleet = new FollowingFleet();
+    fleet.store.epoch = 0;
+    registerAll(fleet, 0, 10);
+    const copy = fleet.store.copy();
+    registerAll(fleet, 10, 20);
+    const [instance] = await fleet.startAll(1);
+    fleet.store.returnTo(copy);
+    fleet.store.epoch = 0;
+    registerAll(fleet, 10, 15, 'new');
+    await fleet.advance(1_000);
+    expect(instance?.fleet.upstreams.replica.end).toBe(15);
+    expect(instance?.upstreams()).toContain('new14 ready');
+  });
+
   it('reads the store alone if no peer answers', async () => {
     const fleet = new FollowingFleet();
     registerAll(fleet, 0, 10);
     const copy = fleet.store.copy();
     const instances = await fleet.startAll(3);
-    fleet.isSplit = true;
+    fleet.loss = 1;
     await fleet.advance(2_000);
     fleet.store.returnTo(copy);
     registerAll(fleet, 10, 12, 'new');
@@ -186,6 +205,52 @@
   });
 });
 
+describe('the entries of upstreams', () => {
+  const value = Buffer.from('');
+  const setUp = () => {
+    const timer = new ManualTimer();
+    const registry = new Registry({
+      decode: id => ({
+        id,
+        service: 's',
+        host: 'h',
+        port: 1,
+        zone: 'z',
+        slots: 4,
+        state: EntryState.Ready,
+        coldMs: 0,
+        sequence: 1,
+      }),
+      timer,
+      logger: pino({level: 'silent'}),
+      reachableForMs: () => 0,
+      changed: () => undefined,
+    });
+    const ids = () => [...registry.usable()].map(({id}) => id);
+    return {timer, registry, ids};
+  };
+
+  it('are removed at peers even if they are not known here', () => {
+    const removal = {key: 'a', offset: 1};
+    expect(setUp().registry.add([removal])).toEqual([removal]);
+  });
+
+  it('that went missing are not brought back by an older copy', async () => {
+    const {timer, registry, ids} = setUp();
+    const record = {key: 'a', offset: 1, value};
+    registry.add([record, {key: 'a', offset: 2}]);
+    registry.replace([record], true);
+    expect(registry.known()).toEqual([{...record, standing: 'missing'}]);
+    await timer.advance(2_100);
+    registry.sweep();
+    expect(registry.known()).toEqual([{...record, standing: 'left'}]);
+    expect(ids()).toEqual([]);
+    await timer.advance(10_000);
+    registry.sweep();
+    expect(ids()).toEqual(['a']);
+  });
+});
+
 describe('positions of another epoch', () => {
   it('are not compared with those of the current one', async () => {
     const fleet = new FollowingFleet();
--- a/test/support/returningstore.ts
+++ b/test/support/returningstore.ts
@@ -117,9 +117,10 @@
       return err({type: 'timeout', limitMs: 1_000});
     }
     const {epoch} = this;
-    const value = this.isAway ? undefined : action();
+    const wasAway = this.isAway;
+    const value = wasAway ? undefined : action();
     await this.timer.sleep(RESPONSE_MS);
-    if (this.isAway) return err({type: 'unreachable', cause: 'away'});
+    if (wasAway) return err({type: 'unreachable', cause: 'away'});
     return ok({...(value as Value), epoch});
   }
 }
@@ -142,13 +143,13 @@
   readonly timer = new ManualTimer();
   readonly store = new ReturningStore(this.timer);
   readonly instances: FollowingInstance[] = [];
-  /** Whether messages between instances are lost. */
-  isSplit = false;
+  /** Share of the messages between instances that are lost, 0 to 1. */
+  loss = 0;
   private readonly random = new Random(7);
   private readonly network = new SimulatedNetwork(
     this.timer,
     this.random.next,
-    () => this.isSplit,
+    () => this.random.next() < this.loss,
   );
 
   /** Starts one more instance. */
