Tell entries that the store removed from those that it lost

An entry that an older copy lacks was dropped after its grace period and then taken for that of an upstream that had left.

An absence now tells whether the store removed the entry or lost it, and only the former counts as a departure. A peer tells how long it still uses a missing entry, so that the grace period doesn't begin anew at each instance that learns of it.

Three tests in test/epoch.test.ts fail on the code of the commit before.

--- a/src/fleet/message.ts
+++ b/src/fleet/message.ts
@@ -201,6 +201,7 @@
         /** In Base64. */
         value: z.string().optional(),
         standing: z.enum(Standing).optional(),
+        graceMs: z.number().min(0).optional(),
       }),
     ),
     earlier: z.array(earlierPositionSchema),
--- a/src/registry/departures.ts
+++ b/src/registry/departures.ts
@@ -58,6 +58,13 @@
     delete this.departures.get(key)?.withheld;
   }
 
+  /** Takes note of the keys that the store has. */
+  confirmAllBut(keys: ReadonlySet<string>): void {
+    for (const key of this.departures.keys()) {
+      if (!keys.has(key)) this.confirm(key);
+    }
+  }
+
   /** Whether the process is known to have left. */
   includes(key: string, entry: RegistryEntry): boolean {
     const departure = this.departures.get(key);
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -29,15 +29,23 @@
  */
 const MIN_REACHABLE_MS = 4_000;
 
-/** An entry, and until when it is used although it is missing. */
+/** Why an entry is missing, and how long it is used. */
+interface Absence {
+  /** In monotonic ms. */
+  until: number;
+  /** Whether the store removed it, rather than lost it. */
+  isRemoved: boolean;
+  /** What an older copy of the store says of an entry that was removed. */
+  outdated?: KeyedRecord;
+}
+
+/** An entry that may be used. */
 export interface Registration {
   entry: RegistryEntry;
   /** The record of the entry. */
   record: KeyedRecord;
-  /** In monotonic ms; undefined if the entry is present. */
-  missingUntil?: number;
-  /** What an older copy of the store says of a missing entry. */
-  outdated?: KeyedRecord;
+  /** Set while the entry is missing in the store. */
+  absence?: Absence;
 }
 
 /** Dependencies of [[Registry]]. */
@@ -69,11 +77,13 @@
 
   /** What another instance needs to know the same. */
   known(): KnownRecord[] {
+    const now = this.parts.timer.now();
     const entries = [...this.registrations.values()].map(
-      ({record, missingUntil}): KnownRecord =>
-        missingUntil === undefined
-          ? record
-          : {...record, standing: Standing.Missing},
+      ({record, absence}): KnownRecord => {
+        if (absence === undefined) return record;
+        const graceMs = Math.max(0, Math.round(absence.until - now));
+        return {...record, standing: Standing.Missing, graceMs};
+      },
     );
     return [...entries, ...this.departures.records()];
   }
@@ -95,6 +105,7 @@
     for (const key of missing) {
       this.handleMissing(key, 'not in the snapshot', outdated);
     }
+    this.departures.confirmAllBut(present);
     const changes = records.filter(
       record => !(outdated && this.isWithheld(record)) && this.apply(record),
     );
@@ -120,8 +131,8 @@
     const now = this.parts.timer.now();
     const released = this.departures.sweep();
     let dropped = released.filter(record => this.apply(record)).length > 0;
-    for (const [key, {missingUntil: until}] of this.registrations) {
-      if (until === undefined || now < until) continue;
+    for (const [key, {absence}] of this.registrations) {
+      if (absence === undefined || now < absence.until) continue;
       this.drop(key, 'not registered again after an outage of the store');
       dropped = true;
     }
@@ -138,8 +149,8 @@
   }
 
   /**
-   * Whether a record of an older copy is withheld, as its upstream has left or
-   * is missing.
+   * Whether a record of an older copy is withheld, as the store is known to
+   * have removed it.
    */
   private isWithheld(record: KnownRecord): boolean {
     const {key, value, offset, standing} = record;
@@ -148,9 +159,10 @@
     if ('reason' in entry) return false;
     const known = this.registrations.get(key);
     if (known !== undefined) {
-      if (known.missingUntil === undefined) return false;
+      const {absence} = known;
+      if (absence?.isRemoved !== true) return false;
       if (!isSameProcess(known.entry, entry)) return false;
-      known.outdated = record;
+      absence.outdated = record;
       return true;
     }
     if (!this.departures.withhold(record, entry)) return false;
@@ -209,7 +221,7 @@
     }
     return (
       known === undefined ||
-      known.missingUntil !== undefined ||
+      known.absence !== undefined ||
       !hasSameEffect(known.entry, next)
     );
   }
@@ -226,9 +238,12 @@
       this.departures.confirm(key);
       return;
     }
-    if (known.missingUntil !== undefined) {
-      if (outdated) known.missingUntil = timer.now() + LOST_GRACE_MS;
-      else delete known.outdated;
+    const now = timer.now();
+    if (known.absence !== undefined) {
+      const {until, isRemoved} = known.absence;
+      known.absence = outdated
+        ? {until: now + LOST_GRACE_MS, isRemoved}
+        : {until, isRemoved: true};
       return;
     }
     const reachableForMs = this.parts.reachableForMs();
@@ -239,8 +254,9 @@
       this.drop(key, reason);
       return;
     }
-    known.missingUntil =
-      timer.now() + (outdated ? LOST_GRACE_MS : MISSING_GRACE_MS);
+    known.absence = outdated
+      ? {until: now + LOST_GRACE_MS, isRemoved: false}
+      : {until: now + MISSING_GRACE_MS, isRemoved: true};
     logger.warn(
       {
         event: LogEvent.Upstream,
@@ -252,18 +268,15 @@
     );
   }
 
-  /** Adds an entry that a peer uses although an older copy lacks it. */
-  private addMissing(record: KeyedRecord, entry: RegistryEntry): boolean {
-    const {key, offset, value} = record;
-    const missingUntil = this.parts.timer.now() + LOST_GRACE_MS;
-    const known = this.registrations.get(key);
-    if (known !== undefined) {
-      if (known.missingUntil !== undefined) known.missingUntil = missingUntil;
+  /** Adds an entry that a peer uses although the store lacks it. */
+  private addMissing(record: KnownRecord, entry: RegistryEntry): boolean {
+    const {key, offset, value, graceMs = 0} = record;
+    if (this.registrations.has(key) || this.departures.includes(key, entry)) {
       return false;
     }
-    if (this.departures.includes(key, entry)) return false;
-    const missing = {key, offset, value};
-    this.registrations.set(key, {entry, record: missing, missingUntil});
+    const until = this.parts.timer.now() + Math.min(graceMs, LOST_GRACE_MS);
+    const absence = {until, isRemoved: false};
+    this.registrations.set(key, {entry, record: {key, offset, value}, absence});
     return true;
   }
 
@@ -282,10 +295,13 @@
 
   private drop(key: string, reason: string): void {
     const known = this.registrations.get(key);
-    if (known !== undefined) {
-      const {entry, outdated} = known;
-      this.departures.add(key, entry);
-      if (outdated !== undefined) this.departures.withhold(outdated, entry);
+    // That the store lost an entry doesn't tell that its upstream has left.
+    if (known !== undefined && known.absence?.isRemoved !== false) {
+      this.departures.add(key, known.entry);
+      const outdated = known.absence?.outdated;
+      if (outdated !== undefined) {
+        this.departures.withhold(outdated, known.entry);
+      }
     }
     this.registrations.delete(key);
     this.parts.logger.info(
--- a/src/registry/topicstatus.ts
+++ b/src/registry/topicstatus.ts
@@ -40,7 +40,7 @@
 
 /** What is known of the writer of a record beyond the record. */
 export enum Standing {
-  /** The record is missing in an older copy of the store. */
+  /** The record is missing in the store, and still used for some time. */
   Missing = 'missing',
   /** The writer has left since, though an older copy has the record. */
   Left = 'left',
@@ -49,6 +49,8 @@
 /** The newest record of a key, with what is known beyond it. */
 export interface KnownRecord extends KeyedRecord {
   standing?: Standing;
+  /** Time for which a missing record is still used, in ms. */
+  graceMs?: number;
 }
 
 /** All that an instance knows of a topic, for one that starts in an epoch. */
--- a/test/epoch.test.ts
+++ b/test/epoch.test.ts
@@ -240,7 +240,9 @@
     const record = {key: 'a', offset: 1, value};
     registry.add([record, {key: 'a', offset: 2}]);
     registry.replace([record], true);
-    expect(registry.known()).toEqual([{...record, standing: 'missing'}]);
+    expect(registry.known()).toEqual([
+      {...record, standing: 'missing', graceMs: 2_000},
+    ]);
     await timer.advance(2_100);
     registry.sweep();
     expect(registry.known()).toEqual([{...record, standing: 'left'}]);
@@ -249,6 +251,31 @@
     registry.sweep();
     expect(ids()).toEqual(['a']);
   });
+
+  it('that a copy lists and a later one lacks are not used', async () => {
+    const {timer, registry, ids} = setUp();
+    const record = {key: 'a', offset: 1, value};
+    registry.add([record, {key: 'a', offset: 2}]);
+    await timer.advance(2_100);
+    registry.sweep();
+    registry.replace([record], true);
+    registry.replace([], true);
+    await timer.advance(10_000);
+    registry.sweep();
+    expect(ids()).toEqual([]);
+  });
+
+  it('that two copies lack and a third lists again are used', async () => {
+    const {timer, registry, ids} = setUp();
+    const record = {key: 'a', offset: 1, value};
+    registry.add([record]);
+    registry.replace([], true);
+    await timer.advance(3_100);
+    registry.sweep();
+    expect(ids()).toEqual([]);
+    registry.replace([record], true);
+    expect(ids()).toEqual(['a']);
+  });
 });
 
 describe('positions of another epoch', () => {
