Stop using an upstream once its responses say that it leaves

Callers' requests still went to an upstream that announced its leaving in its responses, for as long as the store listed it as ready: the header was not read, and a store that is down or an entry that arrives late kept the upstream in use past its drain time.

The adapter now translates the header, and LeaveNotices keeps the notice by process of the upstream (id, start time, service, address). From the head of the first such response, or of a response to a liveness probe, the upstream is no longer among those that requests, retries, resumed streams and waiting requests are placed on. Neither time nor an entry of the same process ends the notice. The last upstream of a service still takes requests until its drain time is over, since callers would otherwise be refused.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -63,6 +63,8 @@
   timer: Timer;
   /** Aborts the attempt. */
   signal: AbortSignal;
+  /** Called with the head of the response. */
+  observe(head: ReceivedHead): void;
 }
 
 /** Sends a request to one upstream. Resolves on every end; never rejects. */
@@ -129,6 +131,7 @@
       headers['transfer-encoding'] !== undefined;
     const head = {...protocol.readResponse(status, headers), status, framed};
     this.head = head;
+    this.spec.observe(head);
     if (head.request !== undefined && head.request !== request.id) {
       this.abort('answered another request');
       return;
--- a/src/forward/dependencies.ts
+++ b/src/forward/dependencies.ts
@@ -2,6 +2,7 @@
 import type {Routing} from '../route/index.js';
 import type {Timer} from '../timer/index.js';
 import type {Endpoint} from './endpoint.js';
+import type {ResponseObserver} from './responseobserver.js';
 import type {ServiceState} from './servicestate.js';
 import type {ForwardMetrics} from './metrics.js';
 import type {Prompt, Protocol} from './protocol.js';
@@ -17,6 +18,7 @@
   random: () => number;
   /** Whether a silent upstream answers a probe on another connection. */
   isAlive(endpoint: Endpoint): Promise<boolean>;
+  observer: ResponseObserver;
   /** Called for each prompt that is sent to an upstream. */
   promptSent(endpoint: Endpoint, prompt: Prompt): void;
   /** State of a service; created on first use. */
--- a/src/forward/endpoints.ts
+++ b/src/forward/endpoints.ts
@@ -6,18 +6,46 @@
 import type {RoutingTable} from '../route/index.js';
 import type {UpstreamLoad} from '../fleet/index.js';
 import {Endpoint} from './endpoint.js';
+import {LeaveNotices} from './leavenotices.js';
 import type {PromptPart} from './protocol.js';
 
 /** The known upstreams, indexed by id and by service. */
 export class Endpoints {
   private readonly byId = new Map<string, Endpoint>();
   private readyByService = new Map<string, Endpoint[]>();
+  /** Ready by their entries, but leaving by their own notice. */
+  private leavingByService = new Map<string, Endpoint[]>();
+  private readonly leaveNotices = new LeaveNotices();
 
   constructor(private readonly localAddress: string) {}
 
-  /** Upstreams of a service that accept new requests. */
-  readyOf(service: string): readonly Endpoint[] {
-    return this.readyByService.get(service) ?? [];
+  /**
+   * Upstreams of a service that accept new requests. If there are none, those
+   * that gave notice less than `drainMs` ms before `now`, in monotonic ms.
+   */
+  readyOf(service: string, now: number, drainMs: number): readonly Endpoint[] {
+    const ready = this.readyByService.get(service);
+    if (ready !== undefined) return ready;
+    const leaving = this.leavingByService.get(service) ?? [];
+    return leaving.filter(({entry}) =>
+      this.leaveNotices.isLastResort(entry, now, drainMs),
+    );
+  }
+
+  /**
+   * Records that an upstream announced that it leaves; returns whether this is
+   * its first notice.
+   */
+  noteLeaving({entry}: Endpoint, now: number): boolean {
+    const isFirst = this.leaveNotices.add(entry, now);
+    if (isFirst) this.rebuildIndex();
+    return isFirst;
+  }
+
+  /** Number of known upstreams that gave notice that they leave. */
+  countLeaving(): number {
+    const all = [...this.byId.values()];
+    return all.filter(({entry}) => this.leaveNotices.covers(entry)).length;
   }
 
   /** All known upstreams, whatever their state. */
@@ -68,6 +96,7 @@
     for (const [id, endpoint] of this.byId) {
       if (present.has(id)) continue;
       endpoint.retire();
+      this.leaveNotices.entryRemoved(endpoint.entry);
       this.byId.delete(id);
     }
     this.rebuildIndex();
@@ -85,12 +114,16 @@
 
   private rebuildIndex(): void {
     this.readyByService = new Map();
+    this.leavingByService = new Map();
     for (const endpoint of this.byId.values()) {
       const {service, state} = endpoint.entry;
       if (state !== EntryState.Ready) continue;
-      const list = this.readyByService.get(service) ?? [];
+      const index = this.leaveNotices.covers(endpoint.entry)
+        ? this.leavingByService
+        : this.readyByService;
+      const list = index.get(service) ?? [];
       list.push(endpoint);
-      this.readyByService.set(service, list);
+      index.set(service, list);
     }
   }
 }
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -238,6 +238,7 @@
         sink,
         timer,
         signal,
+        observe: head => this.dependencies.observer.observe(endpoint, head),
       });
       recordHealth(
         this.dependencies,
--- a/src/forward/liveness.ts
+++ b/src/forward/liveness.ts
@@ -2,6 +2,8 @@
 import type {Timer} from '../timer/index.js';
 import type {Connection} from './connections.js';
 import type {Endpoint} from './endpoint.js';
+import type {Protocol, ResponseHead} from './protocol.js';
+import type {ResponseObserver} from './responseobserver.js';
 
 /** Time within which a live upstream must respond, in ms. */
 const PROBE_TIMEOUT_MS = 500;
@@ -12,7 +14,8 @@
 
   constructor(
     private readonly timer: Timer,
-    private readonly target: string,
+    private readonly protocol: Protocol,
+    private readonly observer: ResponseObserver,
   ) {}
 
   /** Whether an upstream responds to a probe on a new connection. */
@@ -36,22 +39,28 @@
         resolve(alive);
       };
       const timeout = this.timer.after(PROBE_TIMEOUT_MS, () => finish(false));
-      sendProbe(connection, this.target, finish);
+      sendProbe(connection, this.protocol, finish, head =>
+        this.observer.observe(endpoint, head),
+      );
     });
   }
 }
 
 function sendProbe(
   connection: Connection,
-  path: string,
+  protocol: Protocol,
   finish: (alive: boolean) => void,
+  observe: (head: ResponseHead) => void,
 ): void {
   const handler: Dispatcher.DispatchHandler = {
     onRequestStart: () => undefined,
-    onResponseStart: () => finish(true),
+    onResponseStart: (_controller, status, headers) => {
+      observe(protocol.readResponse(status, headers));
+      finish(true);
+    },
     onResponseData: () => undefined,
     onResponseEnd: () => undefined,
     onResponseError: () => finish(false),
   };
-  connection.dispatch({method: 'GET', path}, handler);
+  connection.dispatch({method: 'GET', path: protocol.probeTarget}, handler);
 }
--- a/src/forward/protocol.ts
+++ b/src/forward/protocol.ts
@@ -70,6 +70,8 @@
   /** Whether the body has a content encoding. */
   encoded: boolean;
   load?: LoadReport;
+  /** Whether the upstream announces that it leaves. */
+  leaving: boolean;
   /** Headers to forward to the caller: names and values alternate. */
   forwardedHeaders: string[];
 }
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -121,12 +121,18 @@
         'Upstream is registered.',
       );
     } else if (known.entry.state !== next.state) {
-      logger.info(
-        {event: LogEvent.Upstream, upstream: key, offset, state: next.state},
-        next.state === EntryState.Draining
-          ? 'Upstream is draining and gets no new requests.'
-          : 'Upstream accepts requests again.',
-      );
+      const {state} = next;
+      if (state === EntryState.Draining) {
+        logger.info(
+          {event: LogEvent.Leaving, upstream: key, source: 'store', offset},
+          'Upstream is draining and gets no new requests.',
+        );
+      } else {
+        logger.info(
+          {event: LogEvent.Upstream, upstream: key, offset, state},
+          'Upstream accepts requests again.',
+        );
+      }
     }
     return (
       known === undefined ||
--- a/src/report/requesthistory.ts
+++ b/src/report/requesthistory.ts
@@ -64,6 +64,7 @@
 ): boolean {
   switch (event) {
     case LogEvent.Health:
+    case LogEvent.Leaving:
     case LogEvent.Upstream:
       return upstream !== undefined && upstreams.has(upstream);
     case LogEvent.Configuration:
--- a/src/telemetry/logevent.ts
+++ b/src/telemetry/logevent.ts
@@ -11,6 +11,8 @@
   Ended = 'ended',
   /** An upstream was taken out of use. */
   Health = 'health',
+  /** An upstream announced that it leaves, in its entry or in a response. */
+  Leaving = 'leaving',
   /** A request was rejected because its wait was, or would be, too long. */
   Overloaded = 'overloaded',
   /** Another instance announced itself, or an announcement failed. */
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -7,6 +7,7 @@
   WaitQueue,
   LivenessProber,
   Listener,
+  ResponseObserver,
   SpeedEstimator,
   type Address,
   type PromptPart,
@@ -56,6 +57,11 @@
   gossipPort: number;
   /** Time from the stop signal to the end of the process, in ms. */
   graceMs: number;
+  /**
+   * Time for which a leaving upstream still takes requests if it is the last of
+   * its service, in ms; 0 by default.
+   */
+  upstreamDrainMs?: number;
   /** Retries allowed per first attempt, counted over a sliding window. */
   retry: {ratio: number; windowMs: number};
 }
@@ -92,6 +98,7 @@
   private readonly endpoints: Endpoints;
   private readonly services = new Map<string, ServiceState>();
   private readonly metrics = new ForwardMetrics();
+  private readonly observer: ResponseObserver;
   private readonly probes: LivenessProber;
   private readonly fleet: GatewayFleet;
   private readonly listener: Listener;
@@ -116,7 +123,12 @@
     this.requestLogger = componentLogger(root, Component.Request);
     this.routing = new Routing(componentLogger(root, Component.Config));
     this.endpoints = new Endpoints(settings.host);
-    this.probes = new LivenessProber(timer, platform.protocol.probeTarget);
+    this.observer = new ResponseObserver({
+      endpoints: this.endpoints,
+      timer,
+      logger: componentLogger(root, Component.Upstream),
+    });
+    this.probes = new LivenessProber(timer, platform.protocol, this.observer);
     this.registry = new Registry({
       decode: (key, value) => platform.decodeEntry(key, value),
       timer,
@@ -131,6 +143,7 @@
       timer,
       logger: this.requestLogger,
       metrics: this.metrics,
+      observer: this.observer,
       random: Math.random,
       serviceStateOf: service => this.serviceStateOf(service),
       promptSent: (endpoint, {parts}) => this.gossipPrompt(endpoint.id, parts),
@@ -303,7 +316,12 @@
       logger: this.requestLogger,
       random: Math.random,
       speeds: speedEstimator,
-      endpoints: () => this.endpoints.readyOf(service),
+      endpoints: () =>
+        this.endpoints.readyOf(
+          service,
+          this.timer.now(),
+          this.settings.upstreamDrainMs ?? 0,
+        ),
       roundTripMs: zone => roundTripMs(this.settings, zone),
     });
     const retryBudget = new RetryBudget(this.settings.retry);
@@ -362,6 +380,7 @@
       other_instances: this.fleet.gossip.peerLoads.countActive(
         this.timer.now(),
       ),
+      ...this.observer.gauges(),
       connections_opened_total: this.endpoints.openedConnections(),
       log_lines_dropped_total: this.output.dropped(),
       memory_bytes: process.memoryUsage.rss(),
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -24,6 +24,7 @@
   'x-response-seal',
   'x-not-executed',
   'x-server-load',
+  'server-leaving',
   'x-token-counts',
   'x-prompt-prefix',
   'x-request-priority',
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -289,6 +289,7 @@
       readinessAddress: {host: HOST, port: 0},
       gossipPort: 0,
       graceMs,
+      upstreamDrainMs: 300,
       retry: {ratio: 0.2, windowMs: 10_000},
     },
     {
