Respect a pause that an upstream asks for by Retry-After

Requests went on to an upstream that had turned one away with 503 and Retry-After: 60 ms later the next was placed there, and callers whose upstreams all asked for a pause were sent from one refusal to the next, each told to return after a fraction of the real time.

The header was read by nobody. Pause now decides by process of the upstream whether a request may be placed: none until the pause is over, not even one whose connection is still opening, then one, then twice as many with each that is taken, at a random time after the end. Requests go to other upstreams; when all pause, a request waits only if its objective can be met, else it is refused at once with a Retry-After that covers the shortest pause. Neither health nor speeds take such a response for a failure, and a silent upstream is probed once at most in a pause.

Five tests of test/upstream-notices.test.ts failed on the code before: what such an upstream receives under steady traffic, the refusal while all pause, the pause without the mark of a refusal, the invalid header and the request that is held back.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -40,10 +40,17 @@
 export type AttemptResult =
   /** No part of the request reached the upstream. */
   | {type: 'unsent'; cause: string}
+  /** It was not sent, since the upstream asked for a pause meanwhile. */
+  | {type: 'withheld'}
   /** The upstream reported that it did not run the request. */
   | {type: 'refused'; status: number}
   /** A complete response that was not passed to the sink. */
-  | {type: 'whole'; answer: BufferedResponse}
+  | {
+      type: 'whole';
+      answer: BufferedResponse;
+      /** Whether the upstream asks for a pause in it. */
+      asksForPause: boolean;
+    }
   /** The sink received the complete response. */
   | {type: 'delivered'; head: ReceivedHead}
   /**
@@ -55,6 +62,8 @@
 /** Inputs of [[runAttempt]]. */
 export interface AttemptSpec {
   endpoint: Endpoint;
+  /** When the upstream was chosen, in monotonic ms. */
+  placedAt: number;
   protocol: Protocol;
   request: RequestHead;
   metadata: RequestMetadata;
@@ -63,8 +72,11 @@
   timer: Timer;
   /** Aborts the attempt. */
   signal: AbortSignal;
-  /** Called with the head of the response. */
-  observe(head: ReceivedHead): void;
+  /**
+   * Called with the head of the response; returns whether the upstream asks for
+   * a pause in it.
+   */
+  observe(head: ReceivedHead): boolean;
 }
 
 /** Sends a request to one upstream. Resolves on every end; never rejects. */
@@ -75,6 +87,7 @@
 class Attempt implements Dispatcher.DispatchHandler {
   private controller?: Dispatcher.DispatchController;
   private head?: ReceivedHead;
+  private asksForPause = false;
   private deliveryStarted = false;
   private settled = false;
   private readonly chunks: Buffer[] = [];
@@ -113,6 +126,10 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
+    const {endpoint, placedAt, timer} = this.spec;
+    if (endpoint.pause.withholds(placedAt, timer.now())) {
+      this.settle({type: 'withheld'});
+    }
     if (this.settled) controller.abort(new Interruption());
     else this.connection.reset = false;
   }
@@ -131,7 +148,7 @@
       headers['transfer-encoding'] !== undefined;
     const head = {...protocol.readResponse(status, headers), status, framed};
     this.head = head;
-    this.spec.observe(head);
+    this.asksForPause = this.spec.observe(head);
     if (head.request !== undefined && head.request !== request.id) {
       this.abort('answered another request');
       return;
@@ -182,7 +199,8 @@
       this.settle({type: 'delivered', head});
     } else {
       const body = Buffer.concat(this.chunks);
-      this.settle({type: 'whole', answer: {head, body}});
+      const {asksForPause} = this;
+      this.settle({type: 'whole', answer: {head, body}, asksForPause});
     }
   }
 
@@ -231,7 +249,10 @@
     if (this.settled) return;
     this.settled = true;
     this.spec.signal.removeEventListener('abort', this.onAbort);
-    const isReusable = result.type !== 'broken' && result.type !== 'unsent';
+    const isReusable =
+      result.type !== 'broken' &&
+      result.type !== 'unsent' &&
+      result.type !== 'withheld';
     this.spec.endpoint.connections.release(this.connection, isReusable);
     this.resolve(result);
   }
--- a/src/forward/attempthealth.ts
+++ b/src/forward/attempthealth.ts
@@ -18,6 +18,7 @@
 ): void {
   const sign = healthSignalOf(result);
   if (deadline.signal.aborted && !silent) return;
+  if (sign === undefined) return;
   const {health} = endpoint;
   const now = timer.now();
   const outMs = silent ? health.eject(now) : health.observe(sign, now);
--- a/src/forward/candidate.ts
+++ b/src/forward/candidate.ts
@@ -1,5 +1,6 @@
 import type {Endpoint} from './endpoint.js';
 import {tokensUpTo, type LoadView} from './load.js';
+import {Admission} from './pause.js';
 import type {Candidate} from './placement.js';
 import type {PlacementRequest} from './placementrequest.js';
 
@@ -18,7 +19,8 @@
   sources: CandidateSources,
   now: number,
 ): Candidate {
-  const {health, entry, ownLoad, promptCache, id} = endpoint;
+  const {health, entry, ownLoad, pause, promptCache, id} = endpoint;
+  const admission = pause.admission(now);
   const own = ownLoad.view(now);
   const remote = sources.remoteLoadOf(id);
   return {
@@ -33,7 +35,8 @@
     roundTripMs: sources.roundTripMs(entry.zone),
     failureShare: health.failureShare,
     ejected: health.isEjected(now),
-    full: health.isFull(now),
+    full: health.isFull(now) || admission === Admission.Trying,
+    paused: admission === Admission.Paused,
     cachedTokens:
       prompt === undefined ? 0 : (promptCache?.cachedTokens(prompt) ?? 0),
   };
--- a/src/forward/endpoint.ts
+++ b/src/forward/endpoint.ts
@@ -4,6 +4,7 @@
 import {ConnectionPool} from './connections.js';
 import {Health} from './health.js';
 import {OwnLoad} from './load.js';
+import {Pause, type Trial} from './pause.js';
 import type {Prompt} from './protocol.js';
 
 /** One run of an upstream process: its connections, health and load. */
@@ -20,6 +21,8 @@
   constructor(
     public entry: RegistryEntry,
     localAddress: string,
+    /** The pause that its process asked for, if any. */
+    readonly pause = new Pause(),
   ) {
     this.connections = new ConnectionPool(
       `http://${entry.host}:${entry.port}`,
@@ -37,14 +40,18 @@
     this.promptCache ??= new PromptCacheModel(engine.kvCacheTokens);
   }
 
-  /** Adds a placed request to the load and the prompt cache estimate. */
+  /**
+   * Adds a placed request to the load and the prompt cache estimate. Returns a
+   * trial if the request is the first after a pause.
+   */
   recordPlacement(
     {prompt, tier}: {prompt?: Prompt; tier: number},
     freshTokens: number,
     now: number,
-  ): void {
+  ): Trial | undefined {
     this.ownLoad.add(tier, freshTokens, now);
     if (prompt !== undefined) this.promptCache?.add(prompt.parts);
+    return this.pause.place(now);
   }
 
   /** Closes idle connections now and busy ones after their requests. */
--- a/src/forward/endpoints.ts
+++ b/src/forward/endpoints.ts
@@ -7,6 +7,8 @@
 import type {UpstreamLoad} from '../fleet/index.js';
 import {Endpoint} from './endpoint.js';
 import {LeaveNotices} from './leavenotices.js';
+import type {Pause} from './pause.js';
+import {ProcessMap} from './processmap.js';
 import type {PromptPart} from './protocol.js';
 
 /** The known upstreams, indexed by id and by service. */
@@ -16,6 +18,8 @@
   /** Ready by their entries, but leaving by their own notice. */
   private leavingByService = new Map<string, Endpoint[]>();
   private readonly leaveNotices = new LeaveNotices();
+  /** Pauses asked for, kept beyond the removal of an entry. */
+  private readonly pauses = new ProcessMap<Pause>();
 
   constructor(private readonly localAddress: string) {}
 
@@ -42,6 +46,11 @@
     return isFirst;
   }
 
+  /** Keeps the pause of an upstream if its entry is removed and listed again. */
+  keepPause({entry, pause}: Endpoint): void {
+    this.pauses.set(entry, pause);
+  }
+
   /** Number of known upstreams that gave notice that they leave. */
   countLeaving(): number {
     const all = [...this.byId.values()];
@@ -97,6 +106,7 @@
       if (present.has(id)) continue;
       endpoint.retire();
       this.leaveNotices.entryRemoved(endpoint.entry);
+      this.pauses.entryRemoved(endpoint.entry);
       this.byId.delete(id);
     }
     this.rebuildIndex();
@@ -109,7 +119,8 @@
       return;
     }
     known?.retire();
-    this.byId.set(entry.id, new Endpoint(entry, this.localAddress));
+    const pause = this.pauses.get(entry);
+    this.byId.set(entry.id, new Endpoint(entry, this.localAddress, pause));
   }
 
   private rebuildIndex(): void {
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -192,7 +192,7 @@
   ): Promise<AttemptResult> {
     const {endpoint} = placement;
     const {request, deadline, service, route, body, workspace, tier} = context;
-    const {timer, protocol} = this.dependencies;
+    const {timer, protocol, observer} = this.dependencies;
     const sentAt = timer.now();
     this.triedUpstreams.add(endpoint.id);
     if (this.attempts === 0) service.retryBudget.countFirstAttempt(sentAt);
@@ -225,6 +225,7 @@
     try {
       const result = await runAttempt({
         endpoint,
+        placedAt: sentAt,
         protocol,
         request,
         metadata: {
@@ -238,7 +239,7 @@
         sink,
         timer,
         signal,
-        observe: head => this.dependencies.observer.observe(endpoint, head),
+        observe: head => observer.observe(endpoint, head, placement.trial),
       });
       recordHealth(
         this.dependencies,
@@ -248,7 +249,9 @@
         watchdog.expired,
       );
       const ms = timer.now() - sentAt;
-      if (result.type === 'whole') service.speeds.observePlain(ms);
+      if (result.type === 'whole' && !result.asksForPause) {
+        service.speeds.observePlain(ms);
+      }
       if (result.type === 'delivered') service.speeds.observe(route.name, ms);
       return result;
     } finally {
@@ -290,6 +293,7 @@
         return undefined;
       case 'refused':
       case 'unsent':
+      case 'withheld':
         return undefined;
     }
   }
--- a/src/forward/liveness.ts
+++ b/src/forward/liveness.ts
@@ -18,10 +18,16 @@
     private readonly observer: ResponseObserver,
   ) {}
 
-  /** Whether an upstream responds to a probe on a new connection. */
+  /**
+   * Whether an upstream responds to a probe on a new connection. One that asked
+   * for a pause is probed once during it, and else taken to be alive.
+   */
   isAlive(endpoint: Endpoint): Promise<boolean> {
     const pending = this.pendingProbes.get(endpoint);
     if (pending !== undefined) return pending;
+    if (!endpoint.pause.admitProbe(this.timer.now())) {
+      return Promise.resolve(true);
+    }
     const result = this.send(endpoint).finally(() =>
       this.pendingProbes.delete(endpoint),
     );
@@ -50,12 +56,12 @@
   connection: Connection,
   protocol: Protocol,
   finish: (alive: boolean) => void,
-  observe: (head: ResponseHead) => void,
+  observe: (head: ResponseHead & {status: number}) => void,
 ): void {
   const handler: Dispatcher.DispatchHandler = {
     onRequestStart: () => undefined,
     onResponseStart: (_controller, status, headers) => {
-      observe(protocol.readResponse(status, headers));
+      observe({...protocol.readResponse(status, headers), status});
       finish(true);
     },
     onResponseData: () => undefined,
--- /dev/null
+++ b/src/forward/pausewait.ts
@@ -0,0 +1,40 @@
+import type {Endpoint} from './endpoint.js';
+import type {PlacementRequest} from './placementrequest.js';
+
+/** Share of the time left that a request may wait for the end of a pause. */
+const MAX_PAUSE_WAIT_SHARE = 0.5;
+/** Share of the target that a request may wait even if it is late. */
+const MIN_PAUSE_WAIT_SHARE = 0.2;
+
+const NONE: ReadonlySet<string> = new Set();
+
+/**
+ * Time until the first of the upstreams takes requests again, in ms; 0 if one of
+ * them does now, or if there is none. `tried`: ids of upstreams to leave out.
+ */
+export function shortestPauseMs(
+  endpoints: readonly Endpoint[],
+  now: number,
+  tried = NONE,
+): number {
+  const remaining = endpoints
+    .filter(({id}) => !tried.has(id))
+    .map(({pause}) => pause.remainingMs(now));
+  return remaining.length === 0 ? 0 : Math.min(...remaining);
+}
+
+/**
+ * Whether a request waits `pauseMs` ms for the end of a pause: it can still meet
+ * its objective then, or its caller has begun to receive the response. Any other
+ * caller is better told at once when to return.
+ */
+export function waitsForPause(
+  {answerStarted, deadlineAt, dueAt, targetMs}: PlacementRequest,
+  pauseMs: number,
+  now: number,
+): boolean {
+  const longestMs = (deadlineAt - now) * MAX_PAUSE_WAIT_SHARE;
+  if (pauseMs > longestMs) return false;
+  if (answerStarted) return true;
+  return pauseMs <= Math.max(dueAt - now, targetMs * MIN_PAUSE_WAIT_SHARE);
+}
--- a/src/forward/placement.ts
+++ b/src/forward/placement.ts
@@ -99,6 +99,8 @@
   ejected: boolean;
   /** Whether it has just refused a request because it was full. */
   full: boolean;
+  /** Whether it asked for a pause that is not over. */
+  paused: boolean;
   /** Tokens of the prompt that it is assumed to have cached. */
   cachedTokens: number;
 }
@@ -145,6 +147,8 @@
     }
   /** Every upstream has all its slots in use or has just refused. */
   | {type: 'full'}
+  /** Every upstream that is left to try asked for a pause. */
+  | {type: 'paused'}
   /** No engine has prefill capacity; `prefillMs` is what the request needs. */
   | {type: 'busy'; prefillMs: number}
   /** No upstream is left to try. */
@@ -208,9 +212,11 @@
   random: () => number,
 ): PlacementDecision {
   const untried = candidates.filter(({id}) => !query.triedUpstreams.has(id));
-  const healthy = untried.filter(({ejected}) => !ejected);
-  const usable = healthy.length > 0 ? healthy : untried;
-  if (usable.length === 0) return {type: 'none'};
+  if (untried.length === 0) return {type: 'none'};
+  const unpaused = untried.filter(({paused}) => !paused);
+  if (unpaused.length === 0) return {type: 'paused'};
+  const healthy = unpaused.filter(({ejected}) => !ejected);
+  const usable = healthy.length > 0 ? healthy : unpaused;
   const available = usable.filter(
     ({full, ownInflight, slots}) => !full && ownInflight < slots,
   );
--- a/src/forward/placementrequest.ts
+++ b/src/forward/placementrequest.ts
@@ -1,4 +1,5 @@
 import type {Endpoint} from './endpoint.js';
+import type {Trial} from './pause.js';
 import type {PlacementQuery} from './placement.js';
 import type {NotRunCause} from './refusal.js';
 
@@ -22,6 +23,8 @@
   freshTokens: number;
   /** Estimated prefill time, in ms. */
   prefillMs: number;
+  /** Present if the request shows whether a pause of the upstream is over. */
+  trial?: Trial;
 }
 
 /** Result of [[WaitQueue.acquire]]; `gone`: the request was aborted. */
--- a/src/forward/protocol.ts
+++ b/src/forward/protocol.ts
@@ -72,6 +72,8 @@
   load?: LoadReport;
   /** Whether the upstream announces that it leaves. */
   leaving: boolean;
+  /** Value of Retry-After. */
+  retryAfter?: string;
   /** Headers to forward to the caller: names and values alternate. */
   forwardedHeaders: string[];
 }
--- a/src/forward/queueentry.ts
+++ b/src/forward/queueentry.ts
@@ -21,4 +21,6 @@
   Busy = 'busy',
   /** Another instance may be about to use the same capacity. */
   Backoff = 'backoff',
+  /** Every upstream asked for a pause. */
+  Paused = 'paused',
 }
--- a/src/forward/refusal.ts
+++ b/src/forward/refusal.ts
@@ -28,6 +28,8 @@
   Refused = 'refused',
   /** No connection to an upstream could be opened. */
   Unreachable = 'unreachable',
+  /** Every upstream asked for a pause that is too long to wait for. */
+  Paused = 'paused',
 }
 
 /** The HTTP status of a refusal. */
--- a/src/forward/responseobserver.ts
+++ b/src/forward/responseobserver.ts
@@ -3,44 +3,121 @@
 import type {Timer} from '../timer/index.js';
 import type {Endpoint} from './endpoint.js';
 import type {Endpoints} from './endpoints.js';
+import {Admission, type Trial} from './pause.js';
 import type {ResponseHead} from './protocol.js';
+import {requestedPause, type RequestedPause} from './retryafter.js';
+
+/** Longest part of an invalid header that is logged, in characters. */
+const MAX_LOGGED_LENGTH = 80;
 
 /** Dependencies of [[ResponseObserver]]. */
 export interface ResponseObserverParts {
   endpoints: Endpoints;
   timer: Timer;
   logger: Logger;
+  /** Returns a random number in [0, 1). */
+  random: () => number;
 }
 
 /** Records what upstreams say of themselves in the heads of responses. */
 export class ResponseObserver {
   private leaveNotices = 0;
+  private pauses = 0;
 
   constructor(private readonly parts: ResponseObserverParts) {}
 
   /** Gauges and counters of /metrics, by name. */
   gauges(): Record<string, number> {
+    const {endpoints, timer} = this.parts;
+    const now = timer.now();
+    const paused = [...endpoints.all()].filter(
+      ({pause}) => pause.admission(now) === Admission.Paused,
+    );
     return {
-      upstreams_leaving: this.parts.endpoints.countLeaving(),
+      upstreams_leaving: endpoints.countLeaving(),
       leave_notices_total: this.leaveNotices,
+      upstreams_paused: paused.length,
+      pauses_total: this.pauses,
     };
   }
 
-  /** Handles the head of a response, including one to a liveness probe. */
-  observe(endpoint: Endpoint, head: ResponseHead): void {
-    const {endpoints, timer} = this.parts;
-    if (!head.leaving || !endpoints.noteLeaving(endpoint, timer.now())) return;
+  /**
+   * Handles the head of a response. `trial` is present if its request was sent
+   * to show whether a pause is over. Returns whether the upstream asks for one.
+   */
+  observe(
+    endpoint: Endpoint,
+    head: ResponseHead & {status: number},
+    trial?: Trial,
+  ): boolean {
+    const {timer} = this.parts;
+    if (head.leaving) this.noteLeaving(endpoint, head);
+    const pause = requestedPause(head.status, head.retryAfter, timer.wallNow());
+    if (pause !== undefined) this.beginPause(endpoint, head, pause);
+    else if (!head.notRun && trial?.succeed() === true) {
+      this.parts.logger.info(
+        {event: LogEvent.Pause, upstream: endpoint.id, state: 'ended'},
+        'Upstream takes requests again after its pause.',
+      );
+    }
+    return pause?.type === 'pause';
+  }
+
+  private noteLeaving(endpoint: Endpoint, {request}: ResponseHead): void {
+    const {endpoints, timer, logger} = this.parts;
+    const now = timer.now();
+    if (!endpoints.noteLeaving(endpoint, now)) return;
     this.leaveNotices++;
-    this.parts.logger.info(
+    logger.info(
       {
         event: LogEvent.Leaving,
         upstream: endpoint.id,
         source: 'answer',
-        request: head.request,
+        request,
         startedAt: endpoint.entry.startedAt,
-        inflight: endpoint.ownLoad.view(timer.now()).inflight,
+        inflight: endpoint.ownLoad.view(now).inflight,
       },
       'Upstream announced in a response that it leaves; it gets no new requests.',
     );
   }
+
+  private beginPause(
+    endpoint: Endpoint,
+    {request}: ResponseHead,
+    requested: RequestedPause,
+  ): void {
+    const {endpoints, timer, logger, random} = this.parts;
+    const upstream = endpoint.id;
+    if (requested.type === 'invalid') {
+      logger.warn(
+        {
+          event: LogEvent.Pause,
+          upstream,
+          request,
+          state: 'ignored',
+          reason: requested.value.slice(0, MAX_LOGGED_LENGTH),
+        },
+        'Ignored an invalid Retry-After of an upstream.',
+      );
+      return;
+    }
+    const now = timer.now();
+    const {ms, capped} = requested;
+    if (!endpoint.pause.begin(now, ms, random())) return;
+    endpoints.keepPause(endpoint);
+    this.pauses++;
+    logger.info(
+      {
+        event: LogEvent.Pause,
+        upstream,
+        request,
+        state: 'begun',
+        pauseMs: Math.round(ms),
+        returnMs: Math.round(endpoint.pause.remainingMs(now)),
+        capped,
+        inflight: endpoint.ownLoad.view(now).inflight,
+      },
+      'Upstream asked for a pause; it gets no new requests until it is over.',
+    );
+  }
 }
--- a/src/forward/retry.ts
+++ b/src/forward/retry.ts
@@ -38,6 +38,7 @@
   if (attempts >= route.attemptsLimit + EXTRA_ATTEMPTS) return Retry.Never;
   switch (result.type) {
     case 'unsent':
+    case 'withheld':
       return Retry.Free;
     case 'refused':
       // Other upstreams would reject the same malformed request.
@@ -58,15 +59,24 @@
     : NotRunCause.Refused;
 }
 
-/** What the result of an attempt says of the health of its upstream. */
-export function healthSignalOf(result: AttemptResult): HealthSignal {
+/**
+ * What the result of an attempt says of the health of its upstream. A response
+ * that asks for a pause says nothing of it.
+ */
+export function healthSignalOf(
+  result: AttemptResult,
+): HealthSignal | undefined {
   switch (result.type) {
     case 'delivered':
       return HealthSignal.Good;
-    case 'whole':
+    case 'whole': {
+      if (result.asksForPause) return undefined;
       return result.answer.head.status >= 500
         ? HealthSignal.Failure
         : HealthSignal.Good;
+    }
+    case 'withheld':
+      return undefined;
     case 'refused':
       return HealthSignal.Full;
     case 'unsent':
--- a/src/forward/servicestate.ts
+++ b/src/forward/servicestate.ts
@@ -22,7 +22,7 @@
 
   /** Starts tracking the load of a placed request; `sentAt` in monotonic ms. */
   trackLoad(
-    {endpoint, freshTokens}: Placement,
+    {endpoint, freshTokens, trial}: Placement,
     {tier}: PlacementRequest,
     sentAt: number,
   ): AttemptLoad {
@@ -41,6 +41,7 @@
       end: () => {
         finishPrefill();
         ownLoad.endRequest();
+        trial?.end();
       },
     };
   }
--- a/src/forward/waitqueue.ts
+++ b/src/forward/waitqueue.ts
@@ -2,7 +2,9 @@
 import type {Logger} from 'pino';
 import type {Subscription, Timer} from '../timer/index.js';
 import {candidateOf} from './candidate.js';
-import {chooseUpstream, type PlacementDecision} from './placement.js';
+import {shortestPauseMs, waitsForPause} from './pausewait.js';
+import {chooseUpstream} from './placement.js';
+import {logPlacement} from './placementlog.js';
 import {
   compareUrgency,
   ignoresLoad,
@@ -11,18 +13,14 @@
 } from './placementrequest.js';
 import type {Endpoint} from './endpoint.js';
 import {NotRunCause} from './refusal.js';
+import {retryDelayMs} from './retrydelay.js';
 import {SlidingSum} from './slidingsum.js';
 import {WaitCause, type QueueEntry} from './queueentry.js';
 import type {SpeedEstimator} from './speedestimator.js';
-import {tokensUpTo, type LoadView} from './load.js';
+import type {LoadView} from './load.js';
 
 /** Period of placing waiting requests, in ms; a small part of any target. */
 const PLACEMENT_PERIOD_MS = 25;
-/** Longest Retry-After, in ms; a load surge may be over by then. */
-const MAX_RETRY_AFTER_MS = 2_000;
-/** Shortest Retry-After, in ms; about the time to open a connection. */
-const MIN_RETRY_AFTER_MS = 50;
-
 /**
  * Share of a route's mean duration that must be left before the deadline, since
  * some requests end sooner.
@@ -124,9 +122,35 @@
           entry,
           this.reject(entry, NotRunCause.Waited, waitMs),
         );
-      } else if (this.tryPlace(entry) === undefined) this.remove(entry);
-      else aheadMs += entry.prefillMs;
+      } else if (this.keepsWaiting(entry, now)) aheadMs += entry.prefillMs;
+    }
+  }
+
+  /** Places or refuses a waiting request; returns whether it keeps waiting. */
+  private keepsWaiting(entry: QueueEntry, now: number): boolean {
+    const cause = this.tryPlace(entry);
+    if (cause === undefined) {
+      this.remove(entry);
+      return false;
     }
+    const refusal = this.refusalDuringPause(entry, cause, now);
+    if (refusal !== undefined) this.removeAndSettle(entry, refusal);
+    return refusal === undefined;
+  }
+
+  /** Refuses a request that does not wait for the end of a pause. */
+  private refusalDuringPause(
+    entry: QueueEntry,
+    cause: WaitCause,
+    now: number,
+  ): PlacementResult | undefined {
+    if (cause !== WaitCause.Paused) return undefined;
+    const endpoints = this.dependencies.endpoints();
+    const {triedUpstreams} = entry.request;
+    const pauseMs = shortestPauseMs(endpoints, now, triedUpstreams);
+    return waitsForPause(entry.request, pauseMs, now)
+      ? undefined
+      : this.reject(entry, NotRunCause.Paused, pauseMs);
   }
 
   /**
@@ -194,6 +218,7 @@
     const query = {...request, yields: this.isMoreUrgentWaiting(request)};
     const decision = chooseUpstream(query, candidates, estimate, random);
     if (decision.type !== 'chosen') delete entry.backoffUntil;
+    if (decision.type === 'paused') return WaitCause.Paused;
     if (decision.type === 'full') return WaitCause.Full;
     if (decision.type === 'busy') {
       entry.prefillMs = decision.prefillMs;
@@ -210,12 +235,22 @@
     const prefillMs = freshTokens / estimate.prefillTokensPerMs;
     const isLarge = !ignoresLoad(request) && prefillMs > LARGE_PREFILL_MS;
     if (isLarge && this.backsOff(entry, now)) return WaitCause.Backoff;
-    this.logPlacement(entry, decision, endpoint, now);
+    const load = {
+      own: endpoint.ownLoad.view(now),
+      remote: this.dependencies.remoteLoadOf(endpoint.id),
+    };
+    logPlacement(this.dependencies.logger, entry, decision, load, now);
     if (!ignoresLoad(request)) this.placedPrefillMs.add(now, prefillMs);
     // The next placement must see this load even before the request is sent.
-    endpoint.recordPlacement(request, freshTokens, now);
+    const trial = endpoint.recordPlacement(request, freshTokens, now);
     if (isLarge) this.dependencies.announceLoad();
-    entry.settle({type: 'placed', endpoint, freshTokens, prefillMs});
+    entry.settle({
+      type: 'placed',
+      endpoint,
+      freshTokens,
+      prefillMs,
+      ...(trial === undefined ? {} : {trial}),
+    });
     return undefined;
   }
 
@@ -235,34 +270,6 @@
     return now < entry.backoffUntil;
   }
 
-  private logPlacement(
-    {request, enqueuedAt}: QueueEntry,
-    decision: PlacementDecision & {type: 'chosen'},
-    {ownLoad, id}: Endpoint,
-    now: number,
-  ): void {
-    const remote = this.dependencies.remoteLoadOf(id);
-    const own = ownLoad.view(now);
-    this.dependencies.logger.info(
-      {
-        event: LogEvent.Placed,
-        request: request.requestId,
-        tier: request.tier,
-        upstream: decision.id,
-        waitedMs: Math.round(now - enqueuedAt),
-        costMs: decision.costMs,
-        freshTokens: Math.round(decision.freshTokens),
-        inflight: [own.inflight, remote.inflight],
-        recentTokens: [own, remote].map(({recent}) =>
-          Math.round(tokensUpTo(recent, request.tier)),
-        ),
-        othersAgeMs: Math.round(remote.ageMs),
-        weighed: decision.candidateCount,
-      },
-      'Placed the request on the upstream with the lowest cost.',
-    );
-  }
-
   /**
    * Estimated time to place `aheadMs` ms of prefill, in ms. An instance is
    * assumed to get at least its share of the engines' time.
@@ -285,6 +292,11 @@
       return;
     }
     const now = timer.now();
+    const refusal = this.refusalDuringPause(entry, cause, now);
+    if (refusal !== undefined) {
+      entry.settle(refusal);
+      return;
+    }
     const entriesAhead = this.entries.filter(
       other => compareUrgency(other.request, request, now) <= 0,
     );
@@ -345,7 +357,8 @@
   ): PlacementResult & {type: 'notRun'} {
     const {timer, logger} = this.dependencies;
     const now = timer.now();
-    if (!ignoresLoad(request)) this.lastRejectedAt.set(request.tier, now);
+    const isLoad = cause !== NotRunCause.Paused && !ignoresLoad(request);
+    if (isLoad) this.lastRejectedAt.set(request.tier, now);
     const refusal = this.refusalFor(cause);
     logger.info(
       {
@@ -363,18 +376,24 @@
     return refusal;
   }
 
-  /** A refusal with a jittered Retry-After for the estimated wait. */
+  /**
+   * A refusal with a jittered Retry-After for the estimated wait, which begins
+   * when a pause of all upstreams is over.
+   */
   refusalFor(cause: NotRunCause): PlacementResult & {type: 'notRun'} {
-    const {random} = this.dependencies;
+    const {random, timer} = this.dependencies;
     const aheadMs = this.entries.reduce(
       (sum, {prefillMs}) => sum + prefillMs,
       0,
     );
-    const waitMs = MIN_RETRY_AFTER_MS + this.estimateWaitMs(aheadMs);
     return {
       type: 'notRun',
       cause,
-      retryAfterMs: Math.min(MAX_RETRY_AFTER_MS, waitMs * (1 + random() / 2)),
+      retryAfterMs: retryDelayMs(
+        this.estimateWaitMs(aheadMs),
+        shortestPauseMs(this.dependencies.endpoints(), timer.now()),
+        random(),
+      ),
     };
   }
 }
--- a/src/report/requesthistory.ts
+++ b/src/report/requesthistory.ts
@@ -65,6 +65,7 @@
   switch (event) {
     case LogEvent.Health:
     case LogEvent.Leaving:
+    case LogEvent.Pause:
     case LogEvent.Upstream:
       return upstream !== undefined && upstreams.has(upstream);
     case LogEvent.Configuration:
--- a/src/telemetry/logevent.ts
+++ b/src/telemetry/logevent.ts
@@ -15,6 +15,8 @@
   Leaving = 'leaving',
   /** A request was rejected because its wait was, or would be, too long. */
   Overloaded = 'overloaded',
+  /** A pause that an upstream asks for began or ended. */
+  Pause = 'pause',
   /** Another instance announced itself, or an announcement failed. */
   Peer = 'peer',
   /** A request was assigned to an upstream. */
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -127,6 +127,7 @@
       endpoints: this.endpoints,
       timer,
       logger: componentLogger(root, Component.Upstream),
+      random: Math.random,
     });
     this.probes = new LivenessProber(timer, platform.protocol, this.observer);
     this.registry = new Registry({
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -29,6 +29,7 @@
     failureShare: 0,
     ejected: false,
     full: false,
+    paused: false,
     cachedTokens: 0,
     ...change,
   };
--- a/test/upstream-notices.test.ts
+++ b/test/upstream-notices.test.ts
@@ -1,7 +1,13 @@
 import {afterEach, expect, test} from 'vitest';
+import {protocol} from '../platform/headers.js';
+import {runAttempt} from '../src/forward/attempt.js';
+import {Endpoint} from '../src/forward/endpoint.js';
+import {HealthSignal} from '../src/forward/health.js';
 import {LeaveNotices} from '../src/forward/leavenotices.js';
+import {healthSignalOf} from '../src/forward/retry.js';
 import {EntryState, Topic, type RegistryEntry} from '../src/registry/index.js';
 import {LogEvent} from '../src/telemetry/index.js';
+import {SystemTimer} from '../src/timer/index.js';
 import {
   call,
   startTestGateway,
@@ -14,6 +20,7 @@
 
 /** Longer than the drain time of the test gateway. */
 const PAST_DRAIN_MS = 400;
+const host = '127.0.0.1';
 const LEAVING = 'Server-Leaving: 1\r\n';
 
 const upstreams: RawUpstream[] = [];
@@ -143,6 +150,144 @@
   expect(leaver.raw.received.map(({id}) => id)).toEqual(['s-1', 's-2']);
 });
 
+/** Answers that ask for a pause, and when they were given, in ms. */
+function pausing(seconds: string, more = '') {
+  const givenAt: number[] = [];
+  const respond = (request: RawRequest) => {
+    givenAt.push(performance.now());
+    refuse(`Retry-After: ${seconds}\r\n${more}`)(request);
+  };
+  return {givenAt, respond};
+}
+
+test('an upstream that asks for a pause gets no requests until it is over', async () => {
+  const pause = pausing('1.5');
+  const arrivals: number[] = [];
+  const busy = await openUpstream('plain', 'i-1', request => {
+    arrivals.push(performance.now());
+    if (arrivals.length <= 2) pause.respond(request);
+    else answerWith()(request);
+  });
+  const other = await openUpstream('plain', 'i-2', answerWith());
+  const {gateway, logLines} = await openGateway(busy, other);
+  const statuses: Array<number | undefined> = [];
+  const until = performance.now() + 5_000;
+  for (let turn = 0; performance.now() < until; turn++) {
+    statuses.push(...(await callTimes(gateway.port, 1, `r${turn}`)));
+    await pass(10);
+  }
+  expect(new Set(statuses)).toEqual(new Set([200]));
+  expect(pause.givenAt).toHaveLength(2);
+  const during = pause.givenAt.map(
+    at => arrivals.filter(t => t > at && t < at + 1_500).length,
+  );
+  expect(during).toEqual([0, 0]);
+  expect(arrivals.length).toBeGreaterThan(5);
+  const states = logLines
+    .filter(({event}) => event === LogEvent.Pause)
+    .map(({state}) => state);
+  expect(states).toEqual(['begun', 'begun', 'ended']);
+  expect(logLines.some(({event}) => event === LogEvent.Health)).toBe(false);
+});
+
+test('while all upstreams pause, callers are told at once when to return', async () => {
+  const pauses = ['3', '2'].map(seconds => pausing(seconds));
+  const listed = await Promise.all(
+    pauses.map(({respond}, index) =>
+      openUpstream('plain', `i-${index + 1}`, respond),
+    ),
+  );
+  const {gateway} = await openGateway(...listed);
+  await callTimes(gateway.port, 2, 'first');
+  expect(pauses.map(({givenAt}) => givenAt.length)).toEqual([1, 1]);
+  const startedAt = performance.now();
+  const answer = await call(gateway.port, '/look/a', 'second');
+  const tookMs = performance.now() - startedAt;
+  const retryAfter = Number(answer?.headers['retry-after']);
+  expect([answer?.status, tookMs < 100]).toEqual([503, true]);
+  expect(JSON.parse(answer?.body ?? '')).toMatchObject({
+    error: {type: 'notRun', cause: 'paused'},
+  });
+  expect(retryAfter).toBeGreaterThan(1);
+  expect(retryAfter).toBeLessThan(4);
+  await call(gateway.port, '/order/a', 'third', {method: 'POST'});
+  expect(pauses.map(({givenAt}) => givenAt.length)).toEqual([1, 1]);
+});
+
+test('a request waits for a pause that ends before its objective is due', async () => {
+  let refused = false;
+  const busy = await openUpstream('plain', 'i-1', request => {
+    if (refused) answerWith()(request);
+    else refuse('Retry-After: 0.05\r\n')(request);
+    refused = true;
+  });
+  const {gateway} = await openGateway(busy);
+  expect(await callTimes(gateway.port, 2, 'a')).toEqual([503, 200]);
+});
+
+test('a pause asked for without the mark of a refusal counts, and is no failure', async () => {
+  const busy = await openUpstream('plain', 'i-1', ({id, socket}) =>
+    socket.write(
+      `HTTP/1.1 503 Busy\r\nX-Request-Id: ${id}\r\nX-Response-Seal: s\r\n` +
+        'Retry-After: 2\r\nContent-Length: 0\r\n\r\n',
+    ),
+  );
+  const {gateway} = await openGateway(busy);
+  const post = (id: string) =>
+    call(gateway.port, '/order/a', id, {method: 'POST'});
+  // The first request may have run.
+  expect((await post('a'))?.status).toBe(502);
+  expect((await post('b'))?.status).toBe(503);
+  const head = {
+    ...protocol.readResponse(503, {}),
+    status: 503,
+    framed: true,
+  };
+  const answer = {head, body: Buffer.alloc(0)};
+  const signals = [true, false].map(asksForPause =>
+    healthSignalOf({type: 'whole', answer, asksForPause}),
+  );
+  expect(signals).toEqual([undefined, HealthSignal.Failure]);
+});
+
+test('an invalid Retry-After is ignored and logged', async () => {
+  const busy = await openUpstream('plain', 'i-1', pausing('-3').respond);
+  const {gateway, logLines} = await openGateway(busy);
+  await callTimes(gateway.port, 2, 'a');
+  expect(busy.raw.received).toHaveLength(2);
+  expect(logLines).toContainEqual(
+    expect.objectContaining({event: LogEvent.Pause, reason: '-3'}),
+  );
+});
+
+test('a request whose connection opens after the pause began is not sent', async () => {
+  const busy = await openUpstream('plain', 'i-1', answerWith());
+  const endpoint = new Endpoint({...entry(), host, port: busy.port}, host);
+  const timer = new SystemTimer();
+  const running = runAttempt({
+    endpoint,
+    placedAt: timer.now(),
+    protocol,
+    request: {
+      id: 'r',
+      method: 'GET',
+      target: '/',
+      host: 'h',
+      forwardedHeaders: [],
+    },
+    metadata: {upstream: 'i-1', remainingMs: 1_000},
+    body: Buffer.alloc(0),
+    sink: {start: () => true, data: () => true},
+    timer,
+    signal: new AbortController().signal,
+    observe: () => false,
+  });
+  endpoint.pause.begin(timer.now(), 2_000, 0);
+  expect(await running).toEqual({type: 'withheld'});
+  await pass(50);
+  expect(busy.raw.received).toEqual([]);
+});
+
 function entry(startedAt?: number, sequence = 1): RegistryEntry {
   return {
     id: 'i-1',
