Tell the other instances of an upstream that leaves by its responses

Each instance learned of an upstream's leaving only from a response to itself or from the store. While the store is silent, every other instance still sent it at least one request, which may have waited long for that response.

The gossip now carries id and start time of such upstreams, as long as their entries say ready. The field is optional: earlier versions ignore it, and messages without it are as before, so a calm fleet sends the same bytes. The receiver applies it to the process with that start time only.

--- a/bench/fleet/simulatedfleet.ts
+++ b/bench/fleet/simulatedfleet.ts
@@ -104,6 +104,8 @@
       loads: () =>
         this.loads.map(load => ({...load, unread: [[1, 900]], recent: []})),
       waiting: () => [],
+      leaving: () => [],
+      recordLeaving: () => undefined,
       recordPrompt: () => undefined,
       isLeaving: () => false,
     });
--- a/src/fleet/gossip.ts
+++ b/src/fleet/gossip.ts
@@ -15,6 +15,7 @@
   ZONE_PREFIX,
   type GossipMessage,
   type InstanceAddress,
+  type LeavingUpstream,
   type SentPrompt,
   type UpstreamLoad,
 } from './message.js';
@@ -88,6 +89,10 @@
   loads(): UpstreamLoad[];
   /** For each service, the most urgent tier with a long-waiting request. */
   waiting(): Array<[string, number]>;
+  /** Upstreams that announced in a response that they leave. */
+  leaving(): LeavingUpstream[];
+  /** Records what another instance told of such an upstream. */
+  recordLeaving(upstream: LeavingUpstream): void;
   /** Records a prompt that another instance sent to an upstream. */
   recordPrompt(prompt: SentPrompt): void;
 }
@@ -270,7 +275,11 @@
     addresses: Iterable<InstanceAddress>,
     message: GossipMessage,
   ): void {
-    this.parts.datagrams.broadcast(addresses, GOSSIP_METHOD, message);
+    const leaving = this.parts.leaving();
+    this.parts.datagrams.broadcast(addresses, GOSSIP_METHOD, {
+      ...message,
+      ...(leaving.length === 0 ? {} : {leaving}),
+    });
   }
 
   private ownReport(): LoadReport {
@@ -307,6 +316,9 @@
     if (message.relayed.length === 0 && !mayTellNone) {
       this.learn({from, instances: 1, loads, waiting}, now);
     }
+    for (const upstream of message.leaving ?? []) {
+      this.parts.recordLeaving(upstream);
+    }
     for (const wire of message.relayed) {
       const {report, ageMs} = decodeReport(wire);
       const isOwn =
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -6,6 +6,7 @@
 export type {LoadReport, PeerLoad} from './loads.js';
 export type {
   InstanceAddress,
+  LeavingUpstream,
   UpstreamLoad,
   GossipMessage,
   SentPrompt,
--- a/src/fleet/message.ts
+++ b/src/fleet/message.ts
@@ -22,6 +22,12 @@
   parts: z.array(z.tuple([z.string(), z.number()])),
 });
 
+/**
+ * Id and start time, in Unix ms, of an upstream that announced in a response that
+ * it leaves, while its entry says that it is ready.
+ */
+const leavingUpstreamSchema = z.tuple([z.string(), z.number()]);
+
 /** Service, and its most urgent tier with a long-waiting request. */
 const waitingTierSchema = z.tuple([z.string(), z.number()]);
 
@@ -95,6 +101,7 @@
   /** Prompts sent since the last message. */
   readings: z.array(sentPromptSchema),
   waiting: z.array(waitingTierSchema),
+  leaving: z.array(leavingUpstreamSchema).optional(),
   /** Loads of the sender and of others, in any other fleet. */
   relayed: z.array(relayedLoadSchema).default([]),
   /** What the sender knows of the topics of the store. */
@@ -108,6 +115,7 @@
 export type UpstreamLoad = z.output<typeof upstreamLoadSchema>;
 /** A prompt that was sent to an upstream, which may cache its parts. */
 export type SentPrompt = z.output<typeof sentPromptSchema>;
+export type LeavingUpstream = z.output<typeof leavingUpstreamSchema>;
 export type WireLoad = z.output<typeof relayedLoadSchema>;
 export type WireChanges = z.output<typeof topicChangesSchema>;
 
--- a/src/forward/endpoints.ts
+++ b/src/forward/endpoints.ts
@@ -4,7 +4,7 @@
   type RegistryEntry,
 } from '../registry/index.js';
 import type {RoutingTable} from '../route/index.js';
-import type {UpstreamLoad} from '../fleet/index.js';
+import type {LeavingUpstream, UpstreamLoad} from '../fleet/index.js';
 import {Endpoint} from './endpoint.js';
 import {LeaveNotices} from './leavenotices.js';
 import type {Pause} from './pause.js';
@@ -51,6 +51,20 @@
     this.pauses.set(entry, pause);
   }
 
+  /** Upstreams that gave notice while their entries are ready, for gossip. */
+  leaving(): LeavingUpstream[] {
+    const all = [...this.leavingByService.values()].flat();
+    return all.flatMap(({entry: {id, startedAt}}): LeavingUpstream[] =>
+      startedAt === undefined ? [] : [[id, startedAt]],
+    );
+  }
+
+  /** The upstream of this id whose process began at `startedAt`, in Unix ms. */
+  find([id, startedAt]: LeavingUpstream): Endpoint | undefined {
+    const endpoint = this.byId.get(id);
+    return endpoint?.entry.startedAt === startedAt ? endpoint : undefined;
+  }
+
   /** Number of known upstreams that gave notice that they leave. */
   countLeaving(): number {
     const all = [...this.byId.values()];
--- a/src/forward/responseobserver.ts
+++ b/src/forward/responseobserver.ts
@@ -1,4 +1,5 @@
 import type {Logger} from 'pino';
+import type {LeavingUpstream} from '../fleet/index.js';
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Timer} from '../timer/index.js';
 import type {Endpoint} from './endpoint.js';
@@ -10,6 +11,14 @@
 /** Longest part of an invalid header that is logged, in characters. */
 const MAX_LOGGED_LENGTH = 80;
 
+/** From where a leave notice is known. */
+enum LeaveSource {
+  /** A response to this instance. */
+  Answer = 'answer',
+  /** Another instance, which had such a response. */
+  Peer = 'peer',
+}
+
 /** Dependencies of [[ResponseObserver]]. */
 export interface ResponseObserverParts {
   endpoints: Endpoints;
@@ -51,7 +60,9 @@
     trial?: Trial,
   ): boolean {
     const {timer} = this.parts;
-    if (head.leaving) this.noteLeaving(endpoint, head);
+    if (head.leaving) {
+      this.noteLeaving(endpoint, LeaveSource.Answer, head.request);
+    }
     const pause = requestedPause(head.status, head.retryAfter, timer.wallNow());
     if (pause !== undefined) this.beginPause(endpoint, head, pause);
     else if (!head.notRun && trial?.succeed() === true) {
@@ -63,7 +74,17 @@
     return pause?.type === 'pause';
   }
 
-  private noteLeaving(endpoint: Endpoint, {request}: ResponseHead): void {
+  /** Handles what another instance told of an upstream that leaves. */
+  learnLeaving(upstream: LeavingUpstream): void {
+    const endpoint = this.parts.endpoints.find(upstream);
+    if (endpoint !== undefined) this.noteLeaving(endpoint, LeaveSource.Peer);
+  }
+
+  private noteLeaving(
+    endpoint: Endpoint,
+    source: LeaveSource,
+    request?: string,
+  ): void {
     const {endpoints, timer, logger} = this.parts;
     const now = timer.now();
     if (!endpoints.noteLeaving(endpoint, now)) return;
@@ -72,12 +93,12 @@
       {
         event: LogEvent.Leaving,
         upstream: endpoint.id,
-        source: 'answer',
+        source,
         request,
         startedAt: endpoint.entry.startedAt,
         inflight: endpoint.ownLoad.view(now).inflight,
       },
-      'Upstream announced in a response that it leaves; it gets no new requests.',
+      'Upstream announced that it leaves; it gets no new requests.',
     );
   }
 
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -1,14 +1,10 @@
 import type {Logger} from 'pino';
 import {
-  RetryBudget,
   Endpoints,
   ForwardMetrics,
-  ServiceState,
-  WaitQueue,
   LivenessProber,
   Listener,
   ResponseObserver,
-  SpeedEstimator,
   type Address,
   type PromptPart,
 } from '../forward/index.js';
@@ -26,7 +22,7 @@
 import {GatewayFleet} from './gatewayfleet.js';
 import {MonitoringServers, type MonitoringPage} from './monitoringservers.js';
 import type {PlatformAdapter} from './platformadapter.js';
-import {roundTripMs} from './roundtrip.js';
+import {ServiceStates} from './servicestates.js';
 import {watchStalls} from './stall.js';
 
 /** How often a drain checks whether every request has ended, in ms. */
@@ -96,7 +92,7 @@
   private readonly routing: Routing;
   private readonly registry: Registry;
   private readonly endpoints: Endpoints;
-  private readonly services = new Map<string, ServiceState>();
+  private readonly services: ServiceStates;
   private readonly metrics = new ForwardMetrics();
   private readonly observer: ResponseObserver;
   private readonly probes: LivenessProber;
@@ -138,6 +134,14 @@
       changed: () => this.updateEndpoints(),
     });
     this.fleet = this.createFleet();
+    this.services = new ServiceStates({
+      timer,
+      logger: this.requestLogger,
+      random: Math.random,
+      endpoints: this.endpoints,
+      gossip: this.fleet.gossip,
+      settings: () => this.settings,
+    });
     this.listener = new Listener({
       routing: this.routing,
       protocol: platform.protocol,
@@ -146,7 +150,7 @@
       metrics: this.metrics,
       observer: this.observer,
       random: Math.random,
-      serviceStateOf: service => this.serviceStateOf(service),
+      serviceStateOf: service => this.services.of(service),
       promptSent: (endpoint, {parts}) => this.gossipPrompt(endpoint.id, parts),
       isAlive: endpoint => this.probes.isAlive(endpoint),
       canServeFor: timeoutMs =>
@@ -186,8 +190,8 @@
 
   reload(settings: GatewaySettings): void {
     this.settings = settings;
-    for (const {retryBudget: allowance} of this.services.values()) {
-      allowance.setRatio(settings.retry);
+    for (const {retryBudget} of this.services.all()) {
+      retryBudget.setRatio(settings.retry);
     }
     this.logger.info(
       {event: LogEvent.Reloaded},
@@ -246,7 +250,9 @@
         added: records => this.registry.add(records),
       },
       loads: () => this.endpoints.loads(timer.now()),
-      waiting: () => this.waitingTiers(),
+      waiting: () => this.services.waitingTiers(),
+      leaving: () => this.endpoints.leaving(),
+      recordLeaving: upstream => this.observer.learnLeaving(upstream),
       recordPrompt: ({upstream, parts}) =>
         this.endpoints.recordPrompt(
           upstream,
@@ -276,16 +282,6 @@
     });
   }
 
-  /** For each service, the most urgent tier with a long-waiting request. */
-  private waitingTiers(): Array<[string, number]> {
-    return [...this.services]
-      .map(([service, {waitQueue: line}]): [string, number] => [
-        service,
-        line.waitingTier(),
-      ])
-      .filter(([, tier]) => tier !== Infinity);
-  }
-
   /** Tells the other instances of a prompt that was sent to an upstream. */
   private gossipPrompt(upstream: string, parts: readonly PromptPart[]): void {
     this.fleet.gossip.addPrompt({
@@ -297,43 +293,7 @@
   /** Applies the usable upstreams, and places requests that can run now. */
   private updateEndpoints(): void {
     this.endpoints.apply(this.registry.usable(), this.routing.current());
-    for (const {waitQueue} of this.services.values()) waitQueue.placeWaiting();
-  }
-
-  /** Returns the state of a service, which the first request creates. */
-  private serviceStateOf(service: string): ServiceState {
-    const existing = this.services.get(service);
-    if (existing !== undefined) return existing;
-    const speedEstimator = new SpeedEstimator();
-    const waitQueue = new WaitQueue({
-      waitingTierElsewhere: () =>
-        this.fleet.gossip.peerLoads.waitingTier(service, this.timer.now()),
-      announceLoad: () => this.fleet.gossip.send(),
-      fleetSize: () =>
-        1 + this.fleet.gossip.peerLoads.countActive(this.timer.now()),
-      remoteLoadOf: id =>
-        this.fleet.gossip.peerLoads.loadOn(id, this.timer.now()),
-      timer: this.timer,
-      logger: this.requestLogger,
-      random: Math.random,
-      speeds: speedEstimator,
-      endpoints: () =>
-        this.endpoints.readyOf(
-          service,
-          this.timer.now(),
-          this.settings.upstreamDrainMs ?? 0,
-        ),
-      roundTripMs: zone => roundTripMs(this.settings, zone),
-    });
-    const retryBudget = new RetryBudget(this.settings.retry);
-    const state = new ServiceState(
-      service,
-      waitQueue,
-      retryBudget,
-      speedEstimator,
-    );
-    this.services.set(service, state);
-    return state;
+    for (const {waitQueue} of this.services.all()) waitQueue.placeWaiting();
   }
 
   /** Answers the readiness check and logs each change of readiness. */
@@ -372,10 +332,7 @@
       configuration_age_ms: this.fleet.configurations.ageMs() ?? -1,
       upstreams_age_ms: this.fleet.upstreams.ageMs() ?? -1,
       inflight: this.listener.inflight,
-      waiting: this.sumOverServices(({waitQueue: line}) => line.length),
-      repeats_left: this.sumOverServices(({retryBudget: allowance}) =>
-        allowance.remaining(this.timer.now()),
-      ),
+      ...this.services.gauges(),
       reads_configuration: Number(this.fleet.configurations.isReader()),
       reads_upstreams: Number(this.fleet.upstreams.isReader()),
       other_instances: this.fleet.gossip.peerLoads.countActive(
@@ -388,11 +345,4 @@
       cpu_seconds_total: (cpu.user + cpu.system) / 1e6,
     };
   }
-
-  private sumOverServices(count: (state: ServiceState) => number): number {
-    return [...this.services.values()].reduce(
-      (sum, state) => sum + count(state),
-      0,
-    );
-  }
 }
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -4,6 +4,7 @@
   Gossip,
   Peers,
   RecordExchange,
+  type LeavingUpstream,
   type SentPrompt,
   type UpstreamLoad,
 } from '../fleet/index.js';
@@ -54,6 +55,10 @@
   loads(): UpstreamLoad[];
   /** For each service, the most urgent tier with a long-waiting request. */
   waiting(): Array<[string, number]>;
+  /** Upstreams that announced in a response that they leave. */
+  leaving(): LeavingUpstream[];
+  /** Records what another instance told of such an upstream. */
+  recordLeaving(upstream: LeavingUpstream): void;
   /** Records a prompt that another instance sent to an upstream. */
   recordPrompt(prompt: SentPrompt): void;
   /** Whether this instance is shutting down. */
@@ -103,6 +108,8 @@
       random,
       loads: () => parts.loads(),
       waiting: () => parts.waiting(),
+      leaving: () => parts.leaving(),
+      recordLeaving: upstream => parts.recordLeaving(upstream),
       recordPrompt: prompt => parts.recordPrompt(prompt),
     });
   }
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -179,6 +179,8 @@
     random: () => 0.5,
     loads: () => [],
     waiting: () => [],
+    leaving: () => [],
+    recordLeaving: () => undefined,
     recordPrompt: () => undefined,
   });
   const load = {upstream: 'i-1', inflight: 2, unread: [], recent: []};
--- a/test/upstream-notices.test.ts
+++ b/test/upstream-notices.test.ts
@@ -10,6 +10,7 @@
 import {SystemTimer} from '../src/timer/index.js';
 import {
   call,
+  startGatewayOn,
   startTestGateway,
   RawUpstream,
   successHead,
@@ -288,6 +289,28 @@
   expect(busy.raw.received).toEqual([]);
 });
 
+test('other instances are told of an upstream that leaves by its answer', async () => {
+  const leaver = await openUpstream('plain', 'i-1', answerWith(LEAVING));
+  const other = await openUpstream('plain', 'i-2', answerWith());
+  const first = await openGateway(leaver, other);
+  const second = {
+    feed: first.feed,
+    ...(await startGatewayOn(first.feed, 300, 'entry-2')),
+  };
+  gateways.push(second);
+  const hasHeard = () =>
+    second.logLines.some(
+      ({event, source}) => event === LogEvent.Leaving && source === 'peer',
+    );
+  while (leaver.raw.received.length === 0) {
+    await callTimes(first.gateway.port, 1, 'a');
+  }
+  for (let turn = 0; turn < 100 && !hasHeard(); turn++) await pass(50);
+  expect(hasHeard()).toBe(true);
+  await callTimes(second.gateway.port, 10, 'b');
+  expect(leaver.raw.received).toHaveLength(1);
+});
+
 function entry(startedAt?: number, sequence = 1): RegistryEntry {
   return {
     id: 'i-1',
