--- a/src/forward/body.ts
+++ b/src/forward/body.ts
@@ -57,3 +57,8 @@
   if (body === undefined) return {type: 'incomplete'};
   return body.isOk() ? body.value : body.error;
 }
+
+/** Size of raw headers, names and values, in bytes. */
+export function bytesOf(headers: readonly string[]): number {
+  return headers.reduce((sum, {length}) => sum + length, 0);
+}
--- a/src/forward/ending.ts
+++ b/src/forward/ending.ts
@@ -1,3 +1,5 @@
+import type {ForwardDependencies} from './dependencies.js';
+
 /** Most characters of a path in a log line. */
 const MAX_LOGGED_PATH = 200;
 
@@ -31,8 +33,9 @@
 export function rejectionOf(
   host: string,
   path: string,
-  configurationAgeMs: number | undefined,
+  dependencies: Pick<ForwardDependencies, 'configurationAgeMs'>,
 ): Rejection {
+  const configurationAgeMs = dependencies.configurationAgeMs();
   return {
     host,
     path: path.slice(0, MAX_LOGGED_PATH),
--- a/src/forward/endpoints.ts
+++ b/src/forward/endpoints.ts
@@ -4,20 +4,71 @@
   type RegistryEntry,
 } from '../registry/index.js';
 import type {RoutingTable} from '../route/index.js';
-import type {UpstreamLoad} from '../fleet/index.js';
+import type {LeavingUpstream, UpstreamLoad} from '../fleet/index.js';
 import {Endpoint} from './endpoint.js';
+import {LeaveNotices} from './leavenotices.js';
+import type {Pause} from './pause.js';
+import {ProcessMap} from './processmap.js';
 import type {PromptPart} from './protocol.js';
 
 /** The known upstreams, indexed by id and by service. */
 export class Endpoints {
   private readonly byId = new Map<string, Endpoint>();
   private readyByService = new Map<string, Endpoint[]>();
+  /** Ready by their entries, but leaving by their own notice. */
+  private leavingByService = new Map<string, Endpoint[]>();
+  private readonly leaveNotices = new LeaveNotices();
+  /** Pauses asked for, kept beyond the removal of an entry. */
+  private readonly pauses = new ProcessMap<Pause>();
 
   constructor(private readonly localAddress: string) {}
 
-  /** Upstreams of a service that accept new requests. */
-  readyOf(service: string): readonly Endpoint[] {
-    return this.readyByService.get(service) ?? [];
+  /**
+   * Upstreams of a service that accept new requests. If there are none, those
+   * that gave notice less than `drainMs` ms before `now`, in monotonic ms.
+   */
+  readyOf(service: string, now: number, drainMs: number): readonly Endpoint[] {
+    const ready = this.readyByService.get(service);
+    if (ready !== undefined) return ready;
+    const leaving = this.leavingByService.get(service) ?? [];
+    return leaving.filter(({entry}) =>
+      this.leaveNotices.isLastResort(entry, now, drainMs),
+    );
+  }
+
+  /**
+   * Records that an upstream announced that it leaves; returns whether this is
+   * its first notice.
+   */
+  noteLeaving({entry}: Endpoint, now: number): boolean {
+    const isFirst = this.leaveNotices.add(entry, now);
+    if (isFirst) this.rebuildIndex();
+    return isFirst;
+  }
+
+  /** Keeps the pause of an upstream if its entry is removed and listed again. */
+  keepPause({entry, pause}: Endpoint): void {
+    this.pauses.set(entry, pause);
+  }
+
+  /** Upstreams that gave notice while their entries are ready, for gossip. */
+  leaving(): LeavingUpstream[] {
+    const all = [...this.leavingByService.values()].flat();
+    return all.flatMap(({entry: {id, startedAt}}): LeavingUpstream[] =>
+      startedAt === undefined ? [] : [[id, startedAt]],
+    );
+  }
+
+  /** The upstream of this id whose process began at `startedAt`, in Unix ms. */
+  find([id, startedAt]: LeavingUpstream): Endpoint | undefined {
+    const endpoint = this.byId.get(id);
+    return endpoint?.entry.startedAt === startedAt ? endpoint : undefined;
+  }
+
+  /** Number of known upstreams that gave notice that they leave. */
+  countLeaving(): number {
+    const all = [...this.byId.values()];
+    return all.filter(({entry}) => this.leaveNotices.covers(entry)).length;
   }
 
   /** All known upstreams, whatever their state. */
@@ -68,6 +119,8 @@
     for (const [id, endpoint] of this.byId) {
       if (present.has(id)) continue;
       endpoint.retire();
+      this.leaveNotices.entryRemoved(endpoint.entry);
+      this.pauses.entryRemoved(endpoint.entry);
       this.byId.delete(id);
     }
     this.rebuildIndex();
@@ -80,17 +133,22 @@
       return;
     }
     known?.retire();
-    this.byId.set(entry.id, new Endpoint(entry, this.localAddress));
+    const pause = this.pauses.get(entry);
+    this.byId.set(entry.id, new Endpoint(entry, this.localAddress, pause));
   }
 
   private rebuildIndex(): void {
     this.readyByService = new Map();
+    this.leavingByService = new Map();
     for (const endpoint of this.byId.values()) {
       const {service, state} = endpoint.entry;
       if (state !== EntryState.Ready) continue;
-      const list = this.readyByService.get(service) ?? [];
+      const index = this.leaveNotices.covers(endpoint.entry)
+        ? this.leavingByService
+        : this.readyByService;
+      const list = index.get(service) ?? [];
       list.push(endpoint);
-      this.readyByService.set(service, list);
+      index.set(service, list);
     }
   }
 }
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -6,7 +6,7 @@
   type AttemptResult,
   type BufferedResponse,
 } from './attempt.js';
-import {readBodyUntil} from './body.js';
+import {bytesOf, readBodyUntil} from './body.js';
 import {Deadline, StopCause} from './deadline.js';
 import {rejectionOf, type Ending} from './ending.js';
 import type {Placement, PlacementRequest} from './placementrequest.js';
@@ -89,10 +89,9 @@
     }
     const [path = ''] = request.target.split('?', 1);
     const route = table.match(request.host, path);
-    const rejection = () => {
-      const ageMs = this.dependencies.configurationAgeMs();
-      return {rejected: rejectionOf(request.host, path, ageMs)};
-    };
+    const rejection = () => ({
+      rejected: rejectionOf(request.host, path, this.dependencies),
+    });
     if (route === undefined) {
       return {...this.refuse({type: 'unknownRoute'}), ...rejection()};
     }
@@ -198,7 +197,7 @@
   ): Promise<AttemptResult> {
     const {endpoint} = placement;
     const {request, deadline, service, route, body, workspace, tier} = context;
-    const {timer, protocol} = this.dependencies;
+    const {timer, protocol, observer} = this.dependencies;
     const sentAt = timer.now();
     this.triedUpstreams.add(endpoint.id);
     if (this.attempts === 0) service.retryBudget.countFirstAttempt(sentAt);
@@ -231,6 +230,7 @@
     try {
       const result = await runAttempt({
         endpoint,
+        placedAt: sentAt,
         protocol,
         request,
         metadata: {
@@ -244,6 +244,7 @@
         sink,
         timer,
         signal,
+        observe: head => observer.observe(endpoint, head, placement.trial),
       });
       recordHealth(
         this.dependencies,
@@ -253,7 +254,9 @@
         watchdog.expired,
       );
       const ms = timer.now() - sentAt;
-      if (result.type === 'whole') service.speeds.observePlain(ms);
+      if (result.type === 'whole' && !result.asksForPause) {
+        service.speeds.observePlain(ms);
+      }
       if (result.type === 'delivered') service.speeds.observe(route.name, ms);
       return result;
     } finally {
@@ -295,6 +298,7 @@
         return undefined;
       case 'refused':
       case 'unsent':
+      case 'withheld':
         return undefined;
     }
   }
@@ -394,7 +398,3 @@
     };
   }
 }
-
-function bytesOf(headers: readonly string[]): number {
-  return headers.reduce((sum, {length}) => sum + length, 0);
-}
--- a/src/forward/protocol.ts
+++ b/src/forward/protocol.ts
@@ -70,6 +70,10 @@
   /** Whether the body has a content encoding. */
   encoded: boolean;
   load?: LoadReport;
+  /** Whether the upstream announces that it leaves. */
+  leaving: boolean;
+  /** Value of Retry-After. */
+  retryAfter?: string;
   /** Headers to forward to the caller: names and values alternate. */
   forwardedHeaders: string[];
 }
--- a/src/report/requesthistory.ts
+++ b/src/report/requesthistory.ts
@@ -64,6 +64,8 @@
 ): boolean {
   switch (event) {
     case LogEvent.Health:
+    case LogEvent.Leaving:
+    case LogEvent.Pause:
     case LogEvent.Upstream:
       return upstream !== undefined && upstreams.has(upstream);
     case LogEvent.Configuration:
--- a/test/support/returningstore.ts
+++ b/test/support/returningstore.ts
@@ -197,6 +197,8 @@
       },
       loads: () => [],
       waiting: () => [],
+      leaving: () => [],
+      recordLeaving: () => undefined,
       recordPrompt: () => undefined,
       isLeaving: () => false,
     });
