Count the time of a transfer to the age of what it brings

Instances took records that a peer had sent for fresher than they were: the age in a reply is that of the moment at which the peer wrote it, and over a busy link the reply is under way for up to the 1.5 s of a call. Each hop added to it.

The time since the call is now added to the age, for changes and for whole states. The new test failed before: 30 ms instead of 930.

--- a/src/fleet/recordexchange.ts
+++ b/src/fleet/recordexchange.ts
@@ -8,6 +8,7 @@
   type StoreEpoch,
   type Topic,
   type TopicReplica,
+  type TopicStatus,
 } from '../registry/index.js';
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Timer} from '../timer/index.js';
@@ -28,7 +29,6 @@
   type InstanceAddress,
   type WireChanges,
 } from './message.js';
-
 import {TransferQueue} from './transferqueue.js';
 
 /** Most bytes of changes that a gossip message carries. */
@@ -211,14 +211,13 @@
     const {topic, end: from} = replica;
     const epoch = this.parts.epochs.current;
     const query = {topic, from, epoch};
+    const calledAt = this.parts.timer.now();
     const result = await this.pull(CHANGES_METHOD, query, address);
     const reply = changesReplySchema.safeParse(result);
     if (!reply.success || reply.data === null) return;
-    const {status, changes} = reply.data;
-    replica.receive(
-      decodeStatus(status, reply.data.epoch),
-      decodeChanges(changes),
-    );
+    const {changes} = reply.data;
+    const status = decodeStatus(reply.data.status, reply.data.epoch);
+    replica.receive(this.agedSince(calledAt, status), decodeChanges(changes));
   }
 
   private async pullState(
@@ -227,10 +226,21 @@
   ): Promise<Reception | undefined> {
     const {topic} = replica;
     const epoch = this.parts.epochs.current;
+    const calledAt = this.parts.timer.now();
     const result = await this.pull(STATE_METHOD, {topic, epoch}, address);
     const reply = stateReplySchema.safeParse(result);
     if (!reply.success || reply.data === null) return undefined;
-    return replica.receiveState(decodeState(reply.data));
+    const state = decodeState(reply.data);
+    return replica.receiveState({
+      ...state,
+      status: this.agedSince(calledAt, state.status),
+    });
+  }
+
+  /** The status in the reply to a call, as old as it may be at its arrival. */
+  private agedSince(calledAt: number, status: TopicStatus): TopicStatus {
+    const transferMs = this.parts.timer.now() - calledAt;
+    return {...status, ageMs: status.ageMs + transferMs};
   }
 
   /** Calls a peer; undefined if it fails or such a call was just made. */
--- a/test/fleet-links.test.ts
+++ b/test/fleet-links.test.ts
@@ -1,8 +1,19 @@
+import {ok} from 'neverthrow';
+import {pino} from 'pino';
 import {describe, expect, it} from 'vitest';
 import {SimulatedFleet} from '../bench/fleet/simulatedfleet.js';
 import {StoreState} from '../bench/fleet/simulatedstore.js';
+import {RecordExchange, type GossipMessage} from '../src/fleet/index.js';
 import {TransferQueue} from '../src/fleet/transferqueue.js';
-import {Topic} from '../src/registry/index.js';
+import {
+  Reception,
+  StoreEpoch,
+  Topic,
+  type Changes,
+  type TopicReplica,
+  type TopicStatus,
+} from '../src/registry/index.js';
+import {ManualTimer} from '../src/timer/index.js';
 
 /** Narrow links of a deployment, in bytes a second: 7 and 42 Mbit/s. */
 const LINKS = {instance: 875_000, region: 5_250_000};
@@ -23,6 +34,42 @@
   });
 }
 
+it('counts the time of a transfer to the age of what it brings', async () => {
+  const timer = new ManualTimer();
+  const received: TopicStatus[] = [];
+  const replica = {
+    topic: Topic.Configuration,
+    end: 5,
+    earlierPositions: () => [],
+    isBehind: () => false,
+    receive: (status: TopicStatus, sent?: Changes) => {
+      received.push(status);
+      return sent === undefined ? Reception.Behind : Reception.Applied;
+    },
+  };
+  const status = [Topic.Configuration, 9, 0, 9, 30, 'entry-2'];
+  const exchange = new RecordExchange({
+    epochs: new StoreEpoch(pino({level: 'silent'})),
+    replicas: [replica as unknown as TopicReplica],
+    client: {
+      call: async () => {
+        await timer.sleep(900);
+        const changes = {topic: Topic.Configuration, from: 5, records: []};
+        return ok({epoch: 0, status, changes});
+      },
+    },
+    server: {handle: () => undefined},
+    timer,
+    linkBytesPerSecond: LINKS.instance,
+    logger: pino({level: 'silent'}),
+  });
+  const topics = [status as GossipMessage['topics'][number]];
+  const news = {epoch: 0, topics, changes: [], earlier: []};
+  exchange.receive(news, {host: 'h', port: 1});
+  await timer.advance(1_000);
+  expect(received.map(({ageMs}) => ageMs)).toEqual([30, 930]);
+});
+
 it('sends peers what the link carries soon, and refuses the rest', () => {
   const queue = new TransferQueue(1_000_000);
   const admitted = [0, 0, 0, 250, 400].map(now => queue.admit(100_000, now));
