Send a peer the newest record of each key only

Callers met configurations older than operators allow when many were written one after the other: a peer that missed some was sent all of them, though each replaces the one before. The reply outlasted its call, was thrown away, and had grown when it was asked for again.

Topics keep the newest record of each key only, so a reply needs no other.

--- a/src/fleet/recordexchange.ts
+++ b/src/fleet/recordexchange.ts
@@ -277,9 +277,10 @@
     const {topic, from, epoch} = query.data;
     const replica = this.byTopic.get(topic);
     const status = replica?.status();
-    const records = replica?.changesFrom(from);
-    if (status === undefined || records === undefined) return null;
+    const changed = replica?.changesFrom(from);
+    if (status === undefined || changed === undefined) return null;
     if (epoch !== undefined && epoch !== status.epoch) return null;
+    const records = newestOfEachKey(changed);
     if (!this.admitReply(records)) return null;
     const changes = {topic, from, records: records.map(encodeRecord)};
     return {epoch: status.epoch, status: encodeStatus(status), changes};
@@ -305,6 +306,12 @@
   }
 }
 
+/** Drops records that a later one replaces. */
+function newestOfEachKey(records: readonly KeyedRecord[]): KeyedRecord[] {
+  const newest = new Map(records.map(record => [record.key, record]));
+  return records.filter(record => newest.get(record.key) === record);
+}
+
 /** Size of a record in a message, whose value is in Base64. */
 function encodedBytes({key, value}: KeyedRecord): number {
   return key.length + Math.ceil((value?.length ?? 0) / 3) * 4;
--- a/test/fleet-links.test.ts
+++ b/test/fleet-links.test.ts
@@ -1,7 +1,10 @@
 import {ok} from 'neverthrow';
 import {pino} from 'pino';
 import {describe, expect, it} from 'vitest';
-import {SimulatedFleet} from '../bench/fleet/simulatedfleet.js';
+import {
+  SimulatedFleet,
+  type Application,
+} from '../bench/fleet/simulatedfleet.js';
 import {StoreState} from '../bench/fleet/simulatedstore.js';
 import {RecordExchange, type GossipMessage} from '../src/fleet/index.js';
 import {TransferQueue} from '../src/fleet/transferqueue.js';
@@ -77,6 +80,13 @@
   expect(new TransferQueue(125_000_000).admit(100_000, 0)).toBe(true);
 });
 
+function lateConfigurations({applications}: SimulatedFleet): Application[] {
+  return applications.filter(
+    ({topic, delayMs}) =>
+      topic === Topic.Configuration && delayMs > IN_FORCE_MS,
+  );
+}
+
 // Guards against 404 on routes that were acknowledged long before.
 describe('a fleet over narrow links', () => {
   for (const seed of [1, 2, 3]) {
@@ -88,15 +98,23 @@
         fleet.publishConfiguration();
         await fleet.advance(IN_FORCE_MS + 1);
       }
-      const late = fleet.applications.filter(
-        ({topic, delayMs}) =>
-          topic === Topic.Configuration && delayMs > IN_FORCE_MS,
-      );
-      expect(late).toEqual([]);
+      expect(lateConfigurations(fleet)).toEqual([]);
       expect(fleet.overdue(Topic.Configuration, IN_FORCE_MS)).toEqual([]);
     }, 60_000);
   }
 
+  it('has the last of many configurations in force in time', async () => {
+    const fleet = fleetOverLinks(60_000, 3);
+    await fleet.start(10_000);
+    fleet.applications.length = 0;
+    for (let count = 0; count < 20; count++) {
+      fleet.publishConfiguration();
+      await fleet.advance(150);
+    }
+    await fleet.advance(IN_FORCE_MS);
+    expect(lateConfigurations(fleet)).toEqual([]);
+  }, 60_000);
+
   it('catches up in a region that was cut off for long', async () => {
     const fleet = fleetOverLinks(20_000, 4);
     await fleet.start(8_000);
