Refuse peers the replies that cannot arrive in time, and send small ones always

Instances learned late that an upstream leaves while a large configuration spread: a reply of any size was refused behind large ones. And a reply that takes longer than its call even on an idle link was sent all the same, which blocked the others until it would have ended: at 10 Mbit/s, 2.7 MB for 4.3 s.

A query now tells for how long its caller waits (400 ms for builds that don't say). A reply that would arrive later is refused, and one of up to 4 kB is always sent. The new test failed before: the first reply was admitted, the small one refused.

--- a/src/fleet/message.ts
+++ b/src/fleet/message.ts
@@ -167,6 +167,9 @@
 /** Name of the method by which a peer asks for changes of a topic. */
 export const CHANGES_METHOD = 'changes';
 
+/** Time for which the caller waits, in ms; 400 in builds that don't tell. */
+const timeoutSchema = z.number().positive().default(400);
+
 /** Parameters of [[CHANGES_METHOD]]. */
 export const changesQuerySchema = z.object({
   topic: z.enum(Topic),
@@ -174,6 +177,7 @@
   from: z.number().int().min(0),
   /** Epoch of that offset; earlier builds compare offsets alone. */
   epoch: z.number().int().min(0).optional(),
+  timeoutMs: timeoutSchema,
 });
 
 /**
@@ -195,6 +199,7 @@
 export const stateQuerySchema = z.object({
   topic: z.enum(Topic),
   epoch: z.number().int().min(0),
+  timeoutMs: timeoutSchema,
 });
 
 /** Result of [[STATE_METHOD]]; null if the topic isn't known in that epoch. */
--- a/src/fleet/recordexchange.ts
+++ b/src/fleet/recordexchange.ts
@@ -255,7 +255,8 @@
     const lastAt = this.pulling.get(key) ?? -Infinity;
     if (calledAt - lastAt < HEDGE_DELAY_MS) return undefined;
     this.pulling.set(key, calledAt);
-    const result = await client.call(address, method, query, PULL_TIMEOUT_MS);
+    const params = {...query, timeoutMs: PULL_TIMEOUT_MS};
+    const result = await client.call(address, method, params, PULL_TIMEOUT_MS);
     if (this.pulling.get(key) === calledAt) this.pulling.delete(key);
     if (result.isOk() && result.value !== null) return result.value;
     logger.info(
@@ -281,7 +282,7 @@
     if (status === undefined || changed === undefined) return null;
     if (epoch !== undefined && epoch !== status.epoch) return null;
     const records = newestOfEachKey(changed);
-    if (!this.admitReply(records)) return null;
+    if (!this.admitReply(records, query.data.timeoutMs)) return null;
     const changes = {topic, from, records: records.map(encodeRecord)};
     return {epoch: status.epoch, status: encodeStatus(status), changes};
   }
@@ -293,16 +294,21 @@
     if (state === undefined || query.data.epoch !== state.status.epoch) {
       return null;
     }
-    return this.admitReply(state.records) ? encodeState(state) : null;
+    return this.admitReply(state.records, query.data.timeoutMs)
+      ? encodeState(state)
+      : null;
   }
 
   /** Whether there is room for a reply with these records. */
-  private admitReply(records: readonly KeyedRecord[]): boolean {
+  private admitReply(
+    records: readonly KeyedRecord[],
+    timeoutMs: number,
+  ): boolean {
     const bytes = records.reduce(
       (sum, record) => sum + encodedBytes(record),
       REPLY_OVERHEAD_BYTES,
     );
-    return this.replies.admit(bytes, this.parts.timer.now());
+    return this.replies.admit(bytes, timeoutMs, this.parts.timer.now());
   }
 }
 
--- a/src/fleet/transferqueue.ts
+++ b/src/fleet/transferqueue.ts
@@ -1,16 +1,18 @@
 /**
- * Time that a reply may wait for the replies before it, in ms. Who waited
- * longer would ask again, and the bytes sent so far would be wasted.
+ * Time that a reply may wait for the replies before it, in ms. Peers that wait
+ * longer do better to ask another instance.
  */
 const MAX_WAIT_MS = 150;
 /** Share of the link that replies to peers may take; callers need the rest. */
 const LINK_SHARE = 0.5;
+/** Replies up to this size are always sent, in bytes. */
+const MAX_SMALL_BYTES = 4_096;
 
 /**
- * Decides which large replies to peers this instance sends. The load pattern
- * it answers: after a change that doesn't fit into a message, everyone who
- * hears of it asks at once. Beyond what the link carries in time, peers are
- * refused at once and ask others, who have received the change meanwhile.
+ * Decides which replies to peers this instance sends over its own link. A
+ * change that doesn't fit into a message is asked for by everyone who hears of
+ * it at once. Peers whose reply would not arrive in time are refused, and ask
+ * others, who have received the change meanwhile.
  */
 export class TransferQueue {
   private busyUntil = -Infinity;
@@ -18,12 +20,18 @@
   /** `linkBytesPerSecond`: capacity of the instance's own link. */
   constructor(private readonly linkBytesPerSecond: number) {}
 
-  /** Whether a reply of `bytes` may be sent at the monotonic time `now`. */
-  admit(bytes: number, now: number): boolean {
+  /**
+   * Whether a reply of `bytes` is sent at the monotonic time `now`, to a peer
+   * that waits for `timeoutMs` ms.
+   */
+  admit(bytes: number, timeoutMs: number, now: number): boolean {
     const startsAt = Math.max(now, this.busyUntil);
-    if (startsAt - now > MAX_WAIT_MS) return false;
-    const bytesPerMs = (this.linkBytesPerSecond * LINK_SHARE) / 1_000;
-    this.busyUntil = startsAt + bytes / bytesPerMs;
+    const waitMs = startsAt - now;
+    const bytesPerMs = this.linkBytesPerSecond / 1_000;
+    const isSmall = bytes <= MAX_SMALL_BYTES;
+    const arrives = waitMs + bytes / bytesPerMs <= timeoutMs;
+    if (!isSmall && (waitMs > MAX_WAIT_MS || !arrives)) return false;
+    this.busyUntil = startsAt + bytes / (bytesPerMs * LINK_SHARE);
     return true;
   }
 }
--- a/test/fleet-links.test.ts
+++ b/test/fleet-links.test.ts
@@ -75,9 +75,22 @@
 
 it('sends peers what the link carries soon, and refuses the rest', () => {
   const queue = new TransferQueue(1_000_000);
-  const admitted = [0, 0, 0, 250, 400].map(now => queue.admit(100_000, now));
+  const admitted = [0, 0, 0, 250, 400].map(now =>
+    queue.admit(100_000, 1_500, now),
+  );
   expect(admitted).toEqual([true, false, false, true, true]);
-  expect(new TransferQueue(125_000_000).admit(100_000, 0)).toBe(true);
+  expect(new TransferQueue(125_000_000).admit(100_000, 1_500, 0)).toBe(true);
+});
+
+it('sends peers no reply that arrives too late, and each small one', () => {
+  const queue = new TransferQueue(1_000_000);
+  expect(queue.admit(1_600_000, 1_500, 0)).toBe(false);
+  expect(queue.admit(1_400_000, 1_500, 0)).toBe(true);
+  expect([
+    queue.admit(5_000, 1_500, 100),
+    queue.admit(4_000, 1_500, 100),
+    queue.admit(300_000, 400, 4_000),
+  ]).toEqual([false, true, true]);
 });
 
 function lateConfigurations({applications}: SimulatedFleet): Application[] {
