Bound the messages that placements cause

Beyond 12 peers left two messages for each; up to 12 peers it was still one to each peer for each placement.

Now placements cause at most twice the regular rounds: a message goes at once if none went for half a round, and otherwise at the end of that time, for all placements until then.

--- a/bench/fleet/simulatedfleet.ts
+++ b/bench/fleet/simulatedfleet.ts
@@ -141,6 +141,18 @@
     this.timer.every(LOAD_CHANGE_MS, () => this.changeLoads());
   }
 
+  /** Places a large prompt, as tells the peers of the load at once. */
+  placePrompt(): void {
+    const {random, spec} = this.simulation;
+    const upstream = `i-${Math.floor(random.next() * spec.upstreams)}`;
+    const parts = Array.from({length: 4}, (_, index): [string, number] => [
+      `part-${Math.floor(random.next() * 1_000)}-${index}`,
+      1_000,
+    ]);
+    this.fleet.gossip.addPrompt({upstream, parts});
+    this.fleet.gossip.send();
+  }
+
   private changeLoads(): void {
     const {random, spec} = this.simulation;
     this.loads = Array.from({length: UPSTREAMS_PER_INSTANCE}, () => ({
--- a/src/fleet/gossip.ts
+++ b/src/fleet/gossip.ts
@@ -22,6 +22,7 @@
 import type {Peers} from './peers.js';
 import type {RecordExchange} from './recordexchange.js';
 import {RelayQueue} from './relayqueue.js';
+import {Throttle} from './throttle.js';
 
 /** Shortest time between two regular rounds of messages, in ms. */
 const ROUND_MS = 150;
@@ -29,6 +30,8 @@
 const RELAYING_ROUND_MS = 300;
 /** Time between two rounds of an idle instance, in ms. */
 const IDLE_ROUND_MS = 600;
+/** Most rounds because of placements, relative to the regular rounds. */
+const MAX_PLACEMENT_ROUNDS = 2;
 /** Shortest time between two rounds because a topic is fresher, in ms. */
 const MIN_FRESHNESS_INTERVAL_MS = 200;
 /**
@@ -125,13 +128,26 @@
   /** Whether the last message reported no load and no prompts. */
   private wasIdle = false;
 
+  private readonly placementRounds: Throttle;
+
   constructor(private readonly parts: GossipParts) {
+    this.placementRounds = new Throttle(
+      parts.timer,
+      () => this.sendRound(),
+      () => this.sentAt,
+    );
     parts.datagrams.handle(GOSSIP_METHOD, params => this.receive(params));
   }
 
   /** Starts sending regular messages, until the subscription ends. */
   start(): Subscription {
-    return this.parts.timer.every(ROUND_MS, () => this.sendIfDue());
+    const rounds = this.parts.timer.every(ROUND_MS, () => this.sendIfDue());
+    return {
+      end: () => {
+        rounds.end();
+        this.placementRounds.cancel();
+      },
+    };
   }
 
   /** Ages of the known loads of single instances, in ms. */
@@ -181,22 +197,28 @@
     }
   }
 
-  /** Sends the current load at once. */
+  /**
+   * Sends the current load soon after a placement: at once, or with that of
+   * other placements if a round was just sent.
+   */
   send(): void {
-    this.sendRound();
+    this.placementRounds.request(this.roundMs() / MAX_PLACEMENT_ROUNDS);
   }
 
   private sendIfDue(): void {
-    const {timer, peers} = this.parts;
-    const now = timer.now();
+    const now = this.parts.timer.now();
     this.peerLoads.sweep(now);
-    const roundMs = peers.areDirect ? ROUND_MS : RELAYING_ROUND_MS;
     const isIdle = this.parts.loads().length === 0 && this.prompts.length === 0;
-    const dueMs = isIdle && this.wasIdle ? IDLE_ROUND_MS : roundMs;
+    const dueMs = isIdle && this.wasIdle ? IDLE_ROUND_MS : this.roundMs();
     // The timer may fire slightly early.
     if (now - this.sentAt >= dueMs - 1) this.sendRound();
   }
 
+  /** Time between two regular rounds, in ms. */
+  private roundMs(): number {
+    return this.parts.peers.areDirect ? ROUND_MS : RELAYING_ROUND_MS;
+  }
+
   private sendRound({
     withStatus = false,
     withChanges = false,
--- a/test/fleet-links.test.ts
+++ b/test/fleet-links.test.ts
@@ -128,6 +128,32 @@
     expect(lateConfigurations(fleet)).toEqual([]);
   }, 60_000);
 
+  it.each([
+    // Regular messages of an instance a second: 12 peers each 150 ms.
+    {instances: 13, regular: 80},
+    {instances: 60, regular: 15},
+  ])(
+    'bounds its messages whatever its callers send, $instances instances',
+    async ({instances, regular}) => {
+      const fleet = new SimulatedFleet({
+        instances,
+        upstreams: 100,
+        seed: 1,
+        loss: 0,
+        configurationBytes: 20_000,
+      });
+      await fleet.start(5_000);
+      const before = fleet.network.traffic.datagrams;
+      fleet.base.every(10, () => {
+        for (const instance of fleet.instances) instance.placePrompt();
+      });
+      await fleet.advance(2_000);
+      const sent = fleet.network.traffic.datagrams - before;
+      expect(sent / 2 / instances).toBeLessThanOrEqual(3 * regular);
+    },
+    60_000,
+  );
+
   it('catches up in a region that was cut off for long', async () => {
     const fleet = fleetOverLinks(20_000, 4);
     await fleet.start(8_000);
