Count an instance once that raised its incarnation

Operators would see requests counted twice, and a gap "ended abruptly" for an instance that is up.

Cause: a live instance that a peer takes for dead raises its incarnation by one to refute it. Its summaries go on under the incarnation of the start, while its answers to reports carried the raised one, so the summaries counted as those of another run.

Now summaries and answers carry the incarnation of the start, and a member's incarnation belongs to the run whose account it falls into. The new test of test/burn.test.ts counted 2 requests in place of 1 on the old code.

--- a/src/report/contribution.ts
+++ b/src/report/contribution.ts
@@ -8,9 +8,10 @@
   Summaries = 'summaries',
 }
 
-/** Figures that one incarnation of an instance adds to a report. */
+/** Figures that one run of an instance adds to a report. */
 export interface Contribution {
   instance: string;
+  /** Incarnation with which the run started. */
   incarnation: number;
   source: Source;
   account: HistorySnapshot;
@@ -45,3 +46,23 @@
 }): string {
   return `${author.instance}/${author.incarnation}`;
 }
+
+/** A process runs longer than this before the next one of its name, in ms. */
+const MIN_RUN_MS = 100;
+
+/**
+ * Whether the run that contributed is the one that has this incarnation. A run
+ * raises its incarnation by one to refute a wrong record. The next run starts
+ * with the wall-clock time, so it is above the end of what this one accounts for.
+ */
+export function isOfIncarnation(
+  {instance, incarnation, account}: Contribution,
+  known: {instance: string; incarnation: number},
+): boolean {
+  const highest = Math.max(account.to, incarnation + MIN_RUN_MS);
+  return (
+    instance === known.instance &&
+    incarnation <= known.incarnation &&
+    known.incarnation <= highest
+  );
+}
--- a/src/report/reporter.ts
+++ b/src/report/reporter.ts
@@ -7,12 +7,14 @@
   historySnapshotSchema,
   HISTORY_MS,
   type MeteredRecorder,
+  type SummaryAuthor,
 } from '../telemetry/index.js';
 import type {Timer} from '../timer/index.js';
 import {burnReport, type BurnReport} from './burn.js';
 import {
   GapReason,
   incarnationKey,
+  isOfIncarnation,
   Source,
   type Contribution,
   type Gap,
@@ -57,6 +59,8 @@
 
 /** Dependencies of [[Reporter]]. */
 export interface ReporterParts {
+  /** As which this instance writes its summaries. */
+  author: SummaryAuthor;
   recorder: MeteredRecorder;
   follower: ConfigurationFollower;
   membership: Membership;
@@ -162,9 +166,8 @@
   }
 
   private ownContribution() {
-    const {name, incarnation} = this.parts.membership.self();
-    const account = this.parts.recorder.historySnapshot();
-    return {instance: name, incarnation, account};
+    const {author, recorder} = this.parts;
+    return {...author, account: recorder.historySnapshot()};
   }
 
   private ownTrace(request: string) {
@@ -177,10 +180,12 @@
   private gapsWithoutContribution(
     contributions: readonly Contribution[],
   ): Gap[] {
-    const reported = new Set(contributions.map(incarnationKey));
     return this.parts.membership.all().flatMap(member => {
       const {name: instance, incarnation, state} = member;
-      if (reported.has(incarnationKey({instance, incarnation}))) return [];
+      const isReported = contributions.some(contribution =>
+        isOfIncarnation(contribution, {instance, incarnation}),
+      );
+      if (isReported) return [];
       const reason =
         state === MemberState.Dead ? GapReason.NoSummary : GapReason.Silent;
       return [{instance, incarnation, reason}];
--- a/src/wiring/operatorservices.ts
+++ b/src/wiring/operatorservices.ts
@@ -57,11 +57,13 @@
 ): Promise<{port?: number; stop(): Promise<void>}> {
   const {settings, root, timer, log, directory} = parts;
   const {follower, recorder, membership} = parts;
+  // The membership may raise the incarnation later; the figures are of one run.
+  const author = {
+    instance: settings.instance,
+    incarnation: membership.self().incarnation,
+  };
   const summarizer = new Summarizer(
-    {
-      instance: settings.instance,
-      incarnation: membership.self().incarnation,
-    },
+    author,
     recorder,
     log,
     timer,
@@ -71,6 +73,7 @@
   summarizer.start();
   const reporter = new Reporter({
     ...parts,
+    author,
     view: () =>
       captureInstanceView({
         membership,
--- a/test/burn.test.ts
+++ b/test/burn.test.ts
@@ -7,7 +7,9 @@
 import {
   burnReport,
   contributionsFromSummaries,
+  Reporter,
   Source,
+  type ReporterParts,
 } from '../src/report/index.js';
 import {readSummaries} from '../src/report/summaries.js';
 import {
@@ -211,6 +213,36 @@
     expect(later?.burns.map(({total}) => total)).toEqual([0, 0, 0, 3]);
   });
 
+  it('counts an instance once that raised its incarnation', async () => {
+    const timer = new ManualTimer();
+    const log = new MemoryLog(timer);
+    const incarnation = timer.wallNow();
+    const {recorder} = startInstance(timer, log, incarnation);
+    recorder.recordResult(observation());
+    await timer.advance(2 * MINUTE_MS);
+    const member = {name: 'a', incarnation: incarnation + 1, state: 'alive'};
+    const reporter = new Reporter({
+      author: {instance: 'a', incarnation},
+      recorder,
+      log,
+      timer,
+      membership: {
+        self: () => member,
+        live: () => [member],
+        all: () => [member],
+      },
+      follower: {current: () => undefined},
+      peerServer: {handle: () => undefined},
+    } as unknown as ReporterParts);
+    const {classes, sources, gaps} = await reporter.burn();
+    expect(classes.map(({total}) => total)).toEqual([1]);
+    expect(sources.map(({source}) => source)).toEqual([Source.Live]);
+    expect(gaps).toEqual([]);
+    // Its successor, of which nothing was heard, is a gap of its own.
+    member.incarnation = timer.wallNow() + 1;
+    expect((await reporter.burn()).gaps).toHaveLength(1);
+  });
+
   it('alerts only if both the long and the short window exceed the threshold', () => {
     const burns = (...rates: number[]) =>
       [5, 30, 60, 360].map((minutes, index) => ({
