Count a simulated fleet's messages over the measured time alone

Cause: runExperiment kept a reference to the counts of messages and bytes and read them after 2.5 s more, in which it waits for late changes, but divided by the measured 8 s. The counts are now copied at the end of the measured time.

Earlier figures of messages and bytes of the simulation are too high likewise.

--- a/bench/fleet/experiment.ts
+++ b/bench/fleet/experiment.ts
@@ -103,7 +103,7 @@
   }
   await fleet.advance(spec.seconds * 1_000);
   for (const subscription of subscriptions) subscription.end();
-  const {traffic} = fleet.network;
+  const traffic = {...fleet.network.traffic};
   const perInstance = (total: number) =>
     round(total / spec.seconds / spec.instances);
   const calls = countCalls(fleet) - startCalls;
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -230,6 +230,16 @@
     }, 60_000);
   }
 
+  it('counts the messages of the measured time alone', async () => {
+    const rateOver = async (seconds: number) => {
+      const figures = await runExperiment({...spec, instances: 5, seconds});
+      return figures.messagesPerSecond;
+    };
+    const [short, long] = [await rateOver(1), await rateOver(8)];
+    expect(short / long).toBeGreaterThan(0.7);
+    expect(short / long).toBeLessThan(1.4);
+  });
+
   const faultArbitrary = fc.record({
     fault: fc.constantFrom(...Object.values(FleetFault)),
     topic: fc.constantFrom(Topic.Configuration, Topic.Upstreams),
