Don't send on a request whose caller left before it was read

Cause: a process that is late finds both in a connection: the request, and behind it the close by a caller that didn't wait. The event loop reads one of them at a poll, so the request was placed and sent before the close was seen. Its deadline doesn't help: it counts from the moment of reading.

A request is now served after the next poll of the sockets, and ends as `gone` if its connection has closed by then. The new test blocks the process for 300 ms between both and failed before: the upstream received the request.

--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -82,9 +82,9 @@
     request: RequestHead,
     table: RoutingTable,
   ): Promise<Ending> {
-    const headBytes = bytesOf(this.message.rawHeaders);
+    if (this.message.destroyed) return {outcome: 'gone'};
     const {headerBytes: limitBytes} = table.limits;
-    if (headBytes > limitBytes) {
+    if (bytesOf(this.message.rawHeaders) > limitBytes) {
       return this.refuse({type: 'headTooLarge', limitBytes});
     }
     const [path = ''] = request.target.split('?', 1);
--- a/src/forward/listener.ts
+++ b/src/forward/listener.ts
@@ -5,6 +5,7 @@
 import type {RoutingTable} from '../route/index.js';
 import {Exchange} from './exchange.js';
 import type {ForwardDependencies} from './dependencies.js';
+import {afterNextPoll} from './nextpoll.js';
 
 /** Connections that the kernel may queue before they are accepted. */
 const ACCEPT_BACKLOG = 2_048;
@@ -61,8 +62,8 @@
         const {socket} = message;
         this.changeInflight(socket, 1);
         const exchange = new Exchange(dependencies, message, response);
-        exchange
-          .run()
+        afterNextPoll()
+          .then(() => exchange.run())
           .catch((cause: unknown) => {
             dependencies.logger.error(
               {event: LogEvent.Defect, cause: String(cause)},
--- a/test/forward.test.ts
+++ b/test/forward.test.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {connect} from 'node:net';
 import {afterEach, expect, test, vi} from 'vitest';
 import {LogEvent} from '../src/telemetry/index.js';
@@ -155,6 +156,24 @@
   await vi.waitFor(() => expect(ended()).toMatchObject({outcome: 'gone'}));
 });
 
+test('a request whose caller left before a late process read it is not sent', async () => {
+  const plain = await openUpstream('plain', 'i-1', answerWith('hello'));
+  const {gateway, logLines} = await openGateway([plain]);
+  const socket = connect(gateway.port, '127.0.0.1');
+  await once(socket, 'connect');
+  // Lets the gateway accept the connection.
+  await call(gateway.port, '/look/a', 'r1');
+  socket.write(
+    'GET /look/a HTTP/1.1\r\nhost: shop.example\r\nx-request-id: r2\r\n' +
+      'authorization: Bearer key-one\r\n\r\n',
+  );
+  socket.destroy();
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 300);
+  const ended = () => logLines.findLast(({event}) => event === LogEvent.Ended);
+  await vi.waitFor(() => expect(ended()).toMatchObject({outcome: 'gone'}));
+  expect(plain.raw.received.map(({id}) => id)).toEqual(['r1']);
+});
+
 test('an idempotent request is retried at another upstream after a reset', async () => {
   const one = await openUpstream('plain', 'i-1', ({socket}) =>
     socket.resetAndDestroy(),
