Withhold earlier processes too, and wait for a store that returns twice

Drills in virtual time showed: the copy lists the process before the one that left under the same id, and it was used again; an entry lost with the first return was dropped before the second return, while its upstream couldn't register; a state of a peer that had started after a removal brought the upstream back.

Whoever has ended with the departed process is withheld as well. Each return gives the 3 s anew, and an entry that the store lost isn't dropped while the store is away. The tests in test/epoch.test.ts on lost entries are stricter: they are used as long as nobody can register.

--- a/bench/fleet/simulatedfleet.ts
+++ b/bench/fleet/simulatedfleet.ts
@@ -100,8 +100,8 @@
         known: () => this.configurationRecords,
       },
       upstreams: {
-        replaced: (records, outdated) =>
-          this.registry.replace(records, outdated),
+        replaced: (records, provenance) =>
+          this.registry.replace(records, provenance),
         added: records => this.registry.add(records),
         known: () => this.registry.known(),
       },
--- a/src/registry/departures.ts
+++ b/src/registry/departures.ts
@@ -1,5 +1,5 @@
 import type {Timer} from '../timer/index.js';
-import {isSameProcess, supersedes, type RegistryEntry} from './entry.js';
+import {hasEndedWith, supersedes, type RegistryEntry} from './entry.js';
 import {Standing, type KnownRecord} from './topicstatus.js';
 
 /**
@@ -68,7 +68,7 @@
   /** Whether the process is known to have left. */
   includes(key: string, entry: RegistryEntry): boolean {
     const departure = this.departures.get(key);
-    return departure !== undefined && isSameProcess(departure.entry, entry);
+    return departure !== undefined && hasEndedWith(entry, departure.entry);
   }
 
   /** Whether a record repeats what the process wrote before it left. */
--- a/src/registry/entry.ts
+++ b/src/registry/entry.ts
@@ -41,6 +41,17 @@
   );
 }
 
+/** Whether the process of `entry` has ended if that of `departed` has. */
+export function hasEndedWith(
+  entry: RegistryEntry,
+  departed: RegistryEntry,
+): boolean {
+  return (
+    isSameProcess(entry, departed) ||
+    (entry.startedAt ?? 0) < (departed.startedAt ?? 0)
+  );
+}
+
 /**
  * Whether both entries of the same id mean the same for its use: they differ in
  * no more than the sequence and the remaining warm-up time.
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -4,13 +4,14 @@
 import {Departures} from './departures.js';
 import {
   EntryState,
+  hasEndedWith,
   hasSameEffect,
   isSameProcess,
   supersedes,
   type RegistryEntry,
 } from './entry.js';
 import type {KeyedRecord} from './feed.js';
-import {Standing, type KnownRecord} from './topicstatus.js';
+import {Provenance, Standing, type KnownRecord} from './topicstatus.js';
 
 /**
  * Time for which an entry that goes missing soon after a store outage is still
@@ -18,11 +19,11 @@
  */
 const MISSING_GRACE_MS = 2_000;
 /**
- * The same for an entry that an older copy of the store lacks: its upstream has
- * to register within two seconds of the store's return, and what it writes then
- * takes up to another one to reach all instances.
+ * The same for entries that a snapshot lacks which tells that the store has
+ * returned: their upstreams have to register within two seconds of that, and
+ * what they write takes up to another one to reach all instances.
  */
-const LOST_GRACE_MS = 3_000;
+const RETURN_GRACE_MS = 3_000;
 /**
  * Time for which the store must have been reachable for a missing entry to be
  * removed at once, in ms.
@@ -89,11 +90,14 @@
   }
 
   /**
-   * Applies a snapshot. Known entries that it lacks are missing. One that may be
-   * `outdated` doesn't bring back upstreams that have left. Returns what changed,
-   * with a record without value for each missing entry.
+   * Applies a snapshot. Known entries that it lacks are missing. One of a new
+   * epoch doesn't bring back upstreams that have left. Returns what changed, with
+   * a record without value for each missing entry.
    */
-  replace(records: KnownRecord[], outdated = false): KeyedRecord[] {
+  replace(
+    records: KnownRecord[],
+    provenance = Provenance.Continued,
+  ): KeyedRecord[] {
     const present = new Set(
       records
         .filter(({standing}) => standing === undefined)
@@ -102,12 +106,15 @@
     const missing = [...this.registrations.keys()].filter(
       key => !present.has(key),
     );
+    const hasReturned = this.parts.reachableForMs() === 0;
+    const graceMs = hasReturned ? RETURN_GRACE_MS : MISSING_GRACE_MS;
     for (const key of missing) {
-      this.handleMissing(key, 'not in the snapshot', outdated);
+      const isLost = provenance === Provenance.Restored;
+      this.handleMissing(key, 'not in the snapshot', graceMs, isLost);
     }
     this.departures.confirmAllBut(present);
     const changes = records.filter(
-      record => !(outdated && this.isWithheld(record)) && this.apply(record),
+      record => !this.isWithheld(record, provenance) && this.apply(record),
     );
     this.parts.changed();
     return [...missing.map(key => ({key, offset: 0})), ...changes];
@@ -133,6 +140,8 @@
     let dropped = released.filter(record => this.apply(record)).length > 0;
     for (const [key, {absence}] of this.registrations) {
       if (absence === undefined || now < absence.until) continue;
+      // Nobody can register while the store is away.
+      if (!absence.isRemoved && this.parts.reachableForMs() === 0) continue;
       this.drop(key, 'not registered again after an outage of the store');
       dropped = true;
     }
@@ -150,10 +159,12 @@
 
   /**
    * Whether a record of an older copy is withheld, as the store is known to
-   * have removed it.
+   * have removed it. A peer that knows as much is believed that an entry that is
+   * still in use was registered again.
    */
-  private isWithheld(record: KnownRecord): boolean {
+  private isWithheld(record: KnownRecord, provenance: Provenance): boolean {
     const {key, value, offset, standing} = record;
+    if (provenance === Provenance.Continued) return false;
     if (value === undefined || standing !== undefined) return false;
     const entry = this.parts.decode(key, value);
     if ('reason' in entry) return false;
@@ -161,7 +172,8 @@
     if (known !== undefined) {
       const {absence} = known;
       if (absence?.isRemoved !== true) return false;
-      if (!isSameProcess(known.entry, entry)) return false;
+      if (provenance === Provenance.Renewed) return false;
+      if (!hasEndedWith(entry, known.entry)) return false;
       absence.outdated = record;
       return true;
     }
@@ -231,19 +243,25 @@
    * became reachable only recently, the entry may be missing due to the outage
    * and is kept for a grace period, unless its upstream was draining.
    */
-  private handleMissing(key: string, reason: string, outdated = false): void {
+  private handleMissing(
+    key: string,
+    reason: string,
+    graceMs = MISSING_GRACE_MS,
+    isLost = false,
+  ): void {
     const {timer, logger} = this.parts;
     const known = this.registrations.get(key);
     if (known === undefined) {
       this.departures.confirm(key);
       return;
     }
-    const now = timer.now();
-    if (known.absence !== undefined) {
-      const {until, isRemoved} = known.absence;
-      known.absence = outdated
-        ? {until: now + LOST_GRACE_MS, isRemoved}
-        : {until, isRemoved: true};
+    const {absence} = known;
+    const until = timer.now() + graceMs;
+    if (absence !== undefined) {
+      // Each return of the store gives its upstream the time to register.
+      if (graceMs === RETURN_GRACE_MS) absence.until = until;
+      if (!isLost) absence.isRemoved = true;
+      delete absence.outdated;
       return;
     }
     const reachableForMs = this.parts.reachableForMs();
@@ -254,9 +272,7 @@
       this.drop(key, reason);
       return;
     }
-    known.absence = outdated
-      ? {until: now + LOST_GRACE_MS, isRemoved: false}
-      : {until: now + MISSING_GRACE_MS, isRemoved: true};
+    known.absence = {until, isRemoved: !isLost};
     logger.warn(
       {
         event: LogEvent.Upstream,
@@ -271,10 +287,14 @@
   /** Adds an entry that a peer uses although the store lacks it. */
   private addMissing(record: KnownRecord, entry: RegistryEntry): boolean {
     const {key, offset, value, graceMs = 0} = record;
-    if (this.registrations.has(key) || this.departures.includes(key, entry)) {
+    const until = this.parts.timer.now() + Math.min(graceMs, RETURN_GRACE_MS);
+    const known = this.registrations.get(key);
+    if (known !== undefined) {
+      const {absence} = known;
+      if (absence !== undefined) absence.until = Math.max(absence.until, until);
       return false;
     }
-    const until = this.parts.timer.now() + Math.min(graceMs, LOST_GRACE_MS);
+    if (this.departures.includes(key, entry)) return false;
     const absence = {until, isRemoved: false};
     this.registrations.set(key, {entry, record: {key, offset, value}, absence});
     return true;
--- a/src/registry/topicreplica.ts
+++ b/src/registry/topicreplica.ts
@@ -10,6 +10,7 @@
 import {
   Learned,
   LearnedFrom,
+  Provenance,
   Reception,
   type Changes,
   type KnownRecord,
@@ -27,10 +28,9 @@
 export interface FollowerListener {
   /**
    * Called with a snapshot: the newest record of every key. Returns what it
-   * changed, with a record without value for each key that is gone. If it may
-   * be `outdated`, the store or a peer may lack records that are known here.
+   * changed, with a record without value for each key that is gone.
    */
-  replaced(records: KnownRecord[], outdated: boolean): KeyedRecord[];
+  replaced(records: KnownRecord[], provenance: Provenance): KeyedRecord[];
   /**
    * Called with new records, in the order of the topic. Returns those that
    * changed something, which the other instances have to know.
@@ -224,7 +224,7 @@
         end: status.end,
       },
       this.hasSnapshot
-        ? 'Added what a peer knows from an earlier epoch of the store.'
+        ? 'Added what a peer knows of the topic.'
         : 'Took the state of the topic from a peer.',
     );
     const isAhead = this.earlier.isAhead(earlier, now);
@@ -234,7 +234,10 @@
       return Reception.Applied;
     }
     const read = {reader: status.reader, at: now - status.ageMs};
-    this.listener.replaced(records, isAhead);
+    this.listener.replaced(
+      records,
+      isAhead ? Provenance.Restored : Provenance.Renewed,
+    );
     this.startAt(status.end);
     this.noteRead(read, now);
     this.noteCurrent(read.at, read.reader);
@@ -288,8 +291,12 @@
       },
       'Took a snapshot of the topic.',
     );
-    const mayBeOutdated = this.earlierPositions().length > 0;
-    const changed = this.listener.replaced(records, mayBeOutdated);
+    const changed = this.listener.replaced(
+      records,
+      this.earlierPositions().length > 0
+        ? Provenance.Restored
+        : Provenance.Continued,
+    );
     const wasRestarting = this.isRestarting;
     this.noteOwnRead();
     if (this.hasSnapshot) this.appendSnapshot(changed, end);
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -228,9 +228,9 @@
         known: () => this.configurationRecords,
       },
       upstreams: {
-        replaced: (records, outdated) => {
+        replaced: (records, provenance) => {
           this.hasUpstreamList = true;
-          return this.registry.replace(records, outdated);
+          return this.registry.replace(records, provenance);
         },
         added: records => this.registry.add(records),
         known: () => this.registry.known(),
--- a/test/epoch.test.ts
+++ b/test/epoch.test.ts
@@ -7,6 +7,7 @@
   EntryState,
   FEED_TIMEOUTS,
   LearnedFrom,
+  Provenance,
   Registry,
   StoreEpoch,
   Topic,
@@ -209,6 +210,7 @@
   const value = Buffer.from('');
   const setUp = () => {
     const timer = new ManualTimer();
+    const store = {reachableForMs: 1};
     const registry = new Registry({
       decode: id => ({
         id,
@@ -223,11 +225,11 @@
       }),
       timer,
       logger: pino({level: 'silent'}),
-      reachableForMs: () => 0,
+      reachableForMs: () => store.reachableForMs,
       changed: () => undefined,
     });
     const ids = () => [...registry.usable()].map(({id}) => id);
-    return {timer, registry, ids};
+    return {timer, store, registry, ids};
   };
 
   it('are removed at peers even if they are not known here', () => {
@@ -239,7 +241,7 @@
     const {timer, registry, ids} = setUp();
     const record = {key: 'a', offset: 1, value};
     registry.add([record, {key: 'a', offset: 2}]);
-    registry.replace([record], true);
+    registry.replace([record], Provenance.Restored);
     expect(registry.known()).toEqual([
       {...record, standing: 'missing', graceMs: 2_000},
     ]);
@@ -258,22 +260,32 @@
     registry.add([record, {key: 'a', offset: 2}]);
     await timer.advance(2_100);
     registry.sweep();
-    registry.replace([record], true);
-    registry.replace([], true);
+    registry.replace([record], Provenance.Restored);
+    registry.replace([], Provenance.Restored);
     await timer.advance(10_000);
     registry.sweep();
     expect(ids()).toEqual([]);
   });
 
   it('that two copies lack and a third lists again are used', async () => {
-    const {timer, registry, ids} = setUp();
+    const {timer, store, registry, ids} = setUp();
     const record = {key: 'a', offset: 1, value};
     registry.add([record]);
-    registry.replace([], true);
+    store.reachableForMs = 0;
+    registry.replace([], Provenance.Restored);
     await timer.advance(3_100);
     registry.sweep();
+    // Nobody could register meanwhile.
+    expect(ids()).toEqual(['a']);
+    registry.replace([], Provenance.Restored);
+    store.reachableForMs = 3_100;
+    await timer.advance(2_900);
+    registry.sweep();
+    expect(ids()).toEqual(['a']);
+    await timer.advance(200);
+    registry.sweep();
     expect(ids()).toEqual([]);
-    registry.replace([record], true);
+    registry.replace([record], Provenance.Restored);
     expect(ids()).toEqual(['a']);
   });
 });
--- a/test/support/returningstore.ts
+++ b/test/support/returningstore.ts
@@ -190,7 +190,8 @@
         known: () => inForce,
       },
       upstreams: {
-        replaced: (records, outdated) => registry.replace(records, outdated),
+        replaced: (records, provenance) =>
+          registry.replace(records, provenance),
         added: records => registry.add(records),
         known: () => registry.known(),
       },
