--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -141,7 +141,7 @@
     for (const [key, {absence}] of this.registrations) {
       if (absence === undefined || now < absence.until) continue;
       // Nobody can register while the store is away.
-      if (!absence.isRemoved && this.parts.reachableForMs() === 0) continue;
+      if (this.parts.reachableForMs() === 0) continue;
       this.drop(key, 'not registered again after an outage of the store');
       dropped = true;
     }
