Stand in for the store of keyed topics over HTTP

The client of the platform's store was tested only on encoded bytes. The new stand-in speaks log-append, log-read with waits and log-newest with pages, names its epoch in every answer, and can be restored to what it was some seconds ago: offsets are given out again and reads beyond the end get 410. It can refuse, limit, reset or ignore all calls or those of one caller, and delay its answers. KeyedLog holds the records apart from HTTP, so that simulations can use it too.

--- a/stand-ins/index.ts
+++ b/stand-ins/index.ts
@@ -20,6 +20,14 @@
   ListedInstance,
   InstanceListStandIn,
 } from './instancelist.js';
+export {KeyedLog} from './keyedlog.js';
+export type {LoggedRecord, LostRecord} from './keyedlog.js';
+export {Availability, startKeyedStore} from './keyedstore.js';
+export type {
+  KeyedStoreBehaviour,
+  KeyedStoreCalls,
+  KeyedStoreStandIn,
+} from './keyedstore.js';
 export {SharedLink} from './sharedlink.js';
 export {NO_FAULTS} from './connection.js';
 export type {Faults, SilentDirection} from './connection.js';
