--- a/test/storefeed.test.ts
+++ b/test/storefeed.test.ts
@@ -9,6 +9,7 @@
 } from '../stand-ins/index.js';
 
 const HOST = '127.0.0.1';
+const OTHER_HOST = '127.0.0.2';
 const TIMEOUTS = {connectMs: 300, responseMs: 300};
 
 let store: KeyedStoreStandIn;
@@ -148,3 +149,23 @@
     error: {type: 'interrupted', epoch: 2},
   });
 });
+
+test('the store may be away for all or for one of its callers', async () => {
+  publish('config', 'one');
+  const other = new HttpFeed(`${HOST}:${store.port}`, OTHER_HOST, TIMEOUTS);
+  const read = (reader: HttpFeed) => reader.read(Topic.Configuration, 0, 0);
+  store.change({callers: {[OTHER_HOST]: Availability.Resets}});
+  expect([await read(feed), await read(other)]).toMatchObject([
+    {value: {end: 1}},
+    {error: {type: 'unreachable'}},
+  ]);
+  const waiting = feed.read(Topic.Configuration, 1, 2_000);
+  await sleep(20);
+  store.change({availability: Availability.Refuses, callers: {}});
+  expect(await waiting).toMatchObject({error: {status: 503}});
+  store.change({availability: Availability.Silent});
+  expect(await read(other)).toMatchObject({error: {type: 'timeout'}});
+  store.change({availability: Availability.Serves});
+  expect(await read(other)).toMatchObject({value: {end: 1}});
+  expect(store.calls).toMatchObject({reads: 5, failed: 3});
+});
