--- a/bench/fleet/instancetimer.ts
+++ b/bench/fleet/instancetimer.ts
@@ -61,6 +61,10 @@
     return sleepWith(this, delayMs, signal);
   }
 
+  get isSuspended(): boolean {
+    return this.suspendedAt !== undefined;
+  }
+
   /** Runs what happens to the instance now, or once it is resumed. */
   run(action: () => void): void {
     if (this.isDead) return;
--- a/stand-ins/keyedlog.ts
+++ b/stand-ins/keyedlog.ts
@@ -6,8 +6,10 @@
 }
 
 /** A record that was lost when a log was restored. */
-export interface LostRecord extends LoggedRecord {
-  topic: string;
+export interface LostRecord<
+  Topic extends string = string,
+> extends LoggedRecord {
+  topic: Topic;
 }
 
 interface TopicState {
@@ -22,11 +24,11 @@
  * Keyed topics, which give out offsets without gaps and keep the newest record
  * of each key. They can be restored to what they were some time ago.
  */
-export class KeyedLog {
+export class KeyedLog<Topic extends string = string> {
   /** Rises with each restoration. */
   epoch = 1;
-  private readonly topics = new Map<string, TopicState>();
-  private readonly waiters = new Map<string, Set<() => void>>();
+  private readonly topics = new Map<Topic, TopicState>();
+  private readonly waiters = new Map<Topic, Set<() => void>>();
 
   constructor(
     /** Time in ms since any origin. */
@@ -34,7 +36,7 @@
   ) {}
 
   /** Appends a record and returns its offset. */
-  append(topic: string, key: string, value?: Buffer): number {
+  append(topic: Topic, key: string, value?: Buffer): number {
     const {records, times} = this.stateOf(topic);
     const offset = records.length;
     records.push(value === undefined ? {key, offset} : {key, value, offset});
@@ -44,31 +46,30 @@
   }
 
   /** Offset after the last record of a topic. */
-  end(topic: string): number {
+  end(topic: Topic): number {
     return this.stateOf(topic).records.length;
   }
 
   /** Offset of the oldest record that reads still return. */
-  first(topic: string): number {
+  first(topic: Topic): number {
     return this.stateOf(topic).first;
   }
 
   /** Deletes the records before an offset, except the newest of each key. */
-  trim(topic: string, before: number): void {
+  trim(topic: Topic, before: number): void {
     const state = this.stateOf(topic);
     state.first = Math.max(state.first, Math.min(before, state.records.length));
   }
 
-  /** The newest record of each key that has a value, by order of the keys. */
-  newest(topic: string): LoggedRecord[] {
+  /** The newest record of each key that has a value. */
+  newest(topic: Topic): LoggedRecord[] {
     const {records} = this.stateOf(topic);
-    return [...new Map(records.map(record => [record.key, record])).values()]
-      .filter(({value}) => value !== undefined)
-      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    const newest = new Map(records.map(record => [record.key, record]));
+    return [...newest.values()].filter(({value}) => value !== undefined);
   }
 
   /** Records from an offset on; undefined if the topic doesn't have it. */
-  read(topic: string, from: number): LoggedRecord[] | undefined {
+  read(topic: Topic, from: number): LoggedRecord[] | undefined {
     const {records, first} = this.stateOf(topic);
     const isKnown = from >= first && from <= records.length;
     return isKnown ? records.slice(from) : undefined;
@@ -79,9 +80,9 @@
    * after the copy are given out again. Returns what was lost, in the order in
    * which it was written.
    */
-  restore(ageMs: number): LostRecord[] {
+  restore(ageMs: number): Array<LostRecord<Topic>> {
     const copiedAt = this.now() - ageMs;
-    const lost: Array<LostRecord & {at: number}> = [];
+    const lost: Array<LostRecord<Topic> & {at: number}> = [];
     for (const [topic, state] of this.topics) {
       const index = state.times.findIndex(at => at > copiedAt);
       if (index === -1) continue;
@@ -103,7 +104,7 @@
   }
 
   /** Calls `listener` at the next change of a topic; returns how to end that. */
-  onChange(topic: string, listener: () => void): () => void {
+  onChange(topic: Topic, listener: () => void): () => void {
     const waiters = this.waiters.get(topic) ?? new Set();
     this.waiters.set(topic, waiters.add(listener));
     return () => waiters.delete(listener);
@@ -114,13 +115,13 @@
     for (const topic of this.waiters.keys()) this.wake(topic);
   }
 
-  private wake(topic: string): void {
+  private wake(topic: Topic): void {
     const waiters = [...(this.waiters.get(topic) ?? [])];
     this.waiters.get(topic)?.clear();
     for (const wake of waiters) wake();
   }
 
-  private stateOf(topic: string): TopicState {
+  private stateOf(topic: Topic): TopicState {
     const state = this.topics.get(topic) ?? {records: [], times: [], first: 0};
     this.topics.set(topic, state);
     return state;
--- a/stand-ins/keyedstore.ts
+++ b/stand-ins/keyedstore.ts
@@ -186,7 +186,10 @@
   newest(query: URLSearchParams): Answer {
     const topic = query.get('topic') ?? '';
     const after = query.get('after') ?? '';
-    const rest = this.log.newest(topic).filter(({key}) => key > after);
+    const rest = this.log
+      .newest(topic)
+      .filter(({key}) => key > after)
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
     const items = [];
     let bytes = 0;
     for (const {key, value, offset} of rest) {
