Return the store from an older copy beside another build

scripts/beside.mjs, which runs this build beside an earlier one, now also loses the store's newest records and gives their offsets out again in a new epoch. Checked at the instances of this build: the configuration in force and the upstream known to be leaving stay so, a configuration under an offset that they know reaches them, and they announce themselves again. An earlier build reads no epoch; it isn't asked, but sends its own offsets to the others all the while.

--- a/scripts/beside.mjs
+++ b/scripts/beside.mjs
@@ -1,6 +1,7 @@
 // Runs two gateways of this build beside one of another build, over one store in
 // memory, and checks what they tell each other: presence, loads, configurations
-// and leaving upstreams. For rolling upgrades.
+// and leaving upstreams, also when the store returns from an older copy. For
+// rolling upgrades.
 //
 //   node scripts/beside.mjs OTHER_BUILD      (the folder with src/ and platform/)
 import {createServer} from 'node:http';
@@ -22,27 +23,42 @@
 const {ok} = await import('neverthrow');
 const {pino} = await import('pino');
 
-const records = {configuration: [], upstreams: [], instances: []};
+let epoch = 1;
+let records = {configuration: [], upstreams: [], instances: []};
+const append = (topic, key, value) =>
+  records[topic].push({key, offset: records[topic].length, value});
 const add = (topic, key, value) =>
-  records[topic].push({
-    key,
-    offset: records[topic].length,
-    value: Buffer.from(JSON.stringify(value)),
-  });
+  append(topic, key, Buffer.from(JSON.stringify(value)));
+const copy = () =>
+  Object.fromEntries(
+    Object.entries(records).map(([topic, list]) => [topic, [...list]]),
+  );
 const feed = {
   async snapshot(topic) {
     const newest = new Map(records[topic].map(record => [record.key, record]));
-    return ok({records: [...newest.values()], end: records[topic].length});
+    return ok({
+      records: [...newest.values()],
+      end: records[topic].length,
+      epoch,
+    });
   },
   async put(topic, key, value) {
-    records[topic].push({key, value, offset: records[topic].length});
-    return ok(undefined);
+    append(topic, key, value);
+    return ok({epoch});
   },
   async read(topic, from, waitMs) {
-    const end = Date.now() + waitMs;
-    while (records[topic].length <= from && Date.now() < end) await sleep(10);
-    const page = records[topic].slice(from);
-    return ok({type: 'records', records: page, end: records[topic].length});
+    const limit = Date.now() + waitMs;
+    while (records[topic].length === from && Date.now() < limit) {
+      await sleep(10);
+    }
+    const end = records[topic].length;
+    if (from > end) return ok({type: 'expired', first: 0, epoch});
+    return ok({
+      type: 'records',
+      records: records[topic].slice(from),
+      end,
+      epoch,
+    });
   },
 };
 
@@ -179,6 +195,7 @@
   const remote = Math.max(...placed.map(({inflight}) => inflight?.[1] ?? 0));
   if (index > 0) check(`load heard by entry-${index}`, remote > 0, remote);
 }
+const olderCopy = copy();
 add('configuration', 'config', configuration(2, 'two.example'));
 add('upstreams', 'i-1', entry(ports[0], 'draining', 2));
 await sleep(2_500);
@@ -192,6 +209,37 @@
   (received['i-1'] ?? 0) < drainedAt,
   `last request ${drainedAt - received['i-1']} ms before`,
 );
+// The copy lacks what was written last. Instances of this build keep to what they
+// know, and learn what the store gives out under the same offsets.
+records = {...olderCopy, instances: []};
+epoch++;
+await sleep(1_000);
+const ownInstances = instances.filter(({build}) => build === ownBuild);
+for (const [index, instance] of ownInstances.entries()) {
+  const answer = await ask(instance, 'two.example', `restored-${index}`);
+  check(
+    `configuration 2 and no leaving upstream at entry-${index}, from an older copy`,
+    answer === '200 i-2',
+    answer,
+  );
+}
+add('configuration', 'config', configuration(3, 'three.example'));
+add('upstreams', 'i-1', entry(ports[0], 'draining', 3));
+await sleep(2_500);
+for (const [index, instance] of ownInstances.entries()) {
+  const answer = await ask(instance, 'three.example', `rewritten-${index}`);
+  check(
+    `configuration 3 at entry-${index}, under a known offset`,
+    answer === '200 i-2',
+    answer,
+  );
+}
+const announced = new Set(records.instances.map(({key}) => key));
+check(
+  'instances of this build announce themselves again',
+  ownInstances.every((_, index) => announced.has(`entry-${index}`)),
+  [...announced].join(', '),
+);
 await Promise.all(instances.map(({gateway}) => gateway.stop()));
 for (const server of upstreams) server.closeAllConnections();
 process.exit(failed ? 1 : 0);
