Believe a copy that lists an entry still in use

An entry that went missing soon after an outage is in use for a grace period, as its removal may be a lapse. When the store returned a second time and listed it again, it was withheld at instances that had taken the first state from a peer: the renewal was behind them, and the reader had nothing to pass on.

Only entries that were dropped are withheld, and only what the store removed counts as a departure.

--- a/bench/fleet/simulatedfleet.ts
+++ b/bench/fleet/simulatedfleet.ts
@@ -100,8 +100,8 @@
         known: () => this.configurationRecords,
       },
       upstreams: {
-        replaced: (records, provenance) =>
-          this.registry.replace(records, provenance),
+        replaced: (records, outdated) =>
+          this.registry.replace(records, outdated),
         added: records => this.registry.add(records),
         known: () => this.registry.known(),
       },
--- a/src/registry/earlierpositions.ts
+++ b/src/registry/earlierpositions.ts
@@ -56,14 +56,6 @@
     }));
   }
 
-  /** Whether a peer with the positions `others` may not know what is here. */
-  isAhead(others: readonly EarlierPosition[], now: number): boolean {
-    const ends = new Map(others.map(({epoch, end}) => [epoch, end]));
-    return this.list(now).some(
-      ({epoch, changedTo}) => (ends.get(epoch) ?? -1) < changedTo,
-    );
-  }
-
   /** Whether a peer with the positions `others` may know what isn't here. */
   isBehind(others: readonly EarlierPosition[]): boolean {
     return others.some(({epoch, changedTo, ageMs}) => {
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -20,13 +20,7 @@
 export {StoreEpoch} from './storeepoch.js';
 export {TopicReplica} from './topicreplica.js';
 export type {FollowerListener, TopicReplicaOptions} from './topicreplica.js';
-export {
-  Learned,
-  LearnedFrom,
-  Provenance,
-  Reception,
-  Standing,
-} from './topicstatus.js';
+export {Learned, LearnedFrom, Reception, Standing} from './topicstatus.js';
 export type {
   Changes,
   KnownRecord,
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -4,14 +4,13 @@
 import {Departures} from './departures.js';
 import {
   EntryState,
-  hasEndedWith,
   hasSameEffect,
   isSameProcess,
   supersedes,
   type RegistryEntry,
 } from './entry.js';
 import type {KeyedRecord} from './feed.js';
-import {Provenance, Standing, type KnownRecord} from './topicstatus.js';
+import {Standing, type KnownRecord} from './topicstatus.js';
 
 /**
  * Time for which an entry that goes missing soon after a store outage is still
@@ -36,8 +35,6 @@
   until: number;
   /** Whether the store removed it, rather than lost it. */
   isRemoved: boolean;
-  /** What an older copy of the store says of an entry that was removed. */
-  outdated?: KeyedRecord;
 }
 
 /** An entry that may be used. */
@@ -90,14 +87,11 @@
   }
 
   /**
-   * Applies a snapshot. Known entries that it lacks are missing. One of a new
-   * epoch doesn't bring back upstreams that have left. Returns what changed, with
-   * a record without value for each missing entry.
+   * Applies a snapshot. Known entries that it lacks are missing. One that may be
+   * `outdated` doesn't bring back upstreams that have left. Returns what changed,
+   * with a record without value for each missing entry.
    */
-  replace(
-    records: KnownRecord[],
-    provenance = Provenance.Continued,
-  ): KeyedRecord[] {
+  replace(records: KnownRecord[], outdated = false): KeyedRecord[] {
     const present = new Set(
       records
         .filter(({standing}) => standing === undefined)
@@ -109,12 +103,11 @@
     const hasReturned = this.parts.reachableForMs() === 0;
     const graceMs = hasReturned ? RETURN_GRACE_MS : MISSING_GRACE_MS;
     for (const key of missing) {
-      const isLost = provenance === Provenance.Restored;
-      this.handleMissing(key, 'not in the snapshot', graceMs, isLost);
+      this.handleMissing(key, 'not in the snapshot', graceMs, outdated);
     }
     this.departures.confirmAllBut(present);
     const changes = records.filter(
-      record => !this.isWithheld(record, provenance) && this.apply(record),
+      record => !(outdated && this.isWithheld(record)) && this.apply(record),
     );
     this.parts.changed();
     return [...missing.map(key => ({key, offset: 0})), ...changes];
@@ -157,26 +150,13 @@
     return true;
   }
 
-  /**
-   * Whether a record of an older copy is withheld, as the store is known to
-   * have removed it. A peer that knows as much is believed that an entry that is
-   * still in use was registered again.
-   */
-  private isWithheld(record: KnownRecord, provenance: Provenance): boolean {
+  /** Withholds a record of an older copy whose upstream is known to have left. */
+  private isWithheld(record: KnownRecord): boolean {
     const {key, value, offset, standing} = record;
-    if (provenance === Provenance.Continued) return false;
     if (value === undefined || standing !== undefined) return false;
+    if (this.registrations.has(key)) return false;
     const entry = this.parts.decode(key, value);
     if ('reason' in entry) return false;
-    const known = this.registrations.get(key);
-    if (known !== undefined) {
-      const {absence} = known;
-      if (absence?.isRemoved !== true) return false;
-      if (provenance === Provenance.Renewed) return false;
-      if (!hasEndedWith(entry, known.entry)) return false;
-      absence.outdated = record;
-      return true;
-    }
     if (!this.departures.withhold(record, entry)) return false;
     this.parts.logger.info(
       {event: LogEvent.Upstream, upstream: key, offset, entry},
@@ -261,7 +241,6 @@
       // Each return of the store gives its upstream the time to register.
       if (graceMs === RETURN_GRACE_MS) absence.until = until;
       if (!isLost) absence.isRemoved = true;
-      delete absence.outdated;
       return;
     }
     const reachableForMs = this.parts.reachableForMs();
@@ -318,10 +297,6 @@
     // That the store lost an entry doesn't tell that its upstream has left.
     if (known !== undefined && known.absence?.isRemoved !== false) {
       this.departures.add(key, known.entry);
-      const outdated = known.absence?.outdated;
-      if (outdated !== undefined) {
-        this.departures.withhold(outdated, known.entry);
-      }
     }
     this.registrations.delete(key);
     this.parts.logger.info(
--- a/src/registry/topicreplica.ts
+++ b/src/registry/topicreplica.ts
@@ -10,7 +10,6 @@
 import {
   Learned,
   LearnedFrom,
-  Provenance,
   Reception,
   type Changes,
   type KnownRecord,
@@ -28,9 +27,10 @@
 export interface FollowerListener {
   /**
    * Called with a snapshot: the newest record of every key. Returns what it
-   * changed, with a record without value for each key that is gone.
+   * changed, with a record without value for each key that is gone. If it may
+   * be `outdated`, the store or a peer may lack records that are known here.
    */
-  replaced(records: KnownRecord[], provenance: Provenance): KeyedRecord[];
+  replaced(records: KnownRecord[], outdated: boolean): KeyedRecord[];
   /**
    * Called with new records, in the order of the topic. Returns those that
    * changed something, which the other instances have to know.
@@ -227,17 +227,13 @@
         ? 'Added what a peer knows of the topic.'
         : 'Took the state of the topic from a peer.',
     );
-    const isAhead = this.earlier.isAhead(earlier, now);
     for (const position of earlier) this.earlier.add(position, now);
     if (this.hasSnapshot) {
       this.add(records);
       return Reception.Applied;
     }
     const read = {reader: status.reader, at: now - status.ageMs};
-    this.listener.replaced(
-      records,
-      isAhead ? Provenance.Restored : Provenance.Renewed,
-    );
+    this.listener.replaced(records, true);
     this.startAt(status.end);
     this.noteRead(read, now);
     this.noteCurrent(read.at, read.reader);
@@ -291,12 +287,8 @@
       },
       'Took a snapshot of the topic.',
     );
-    const changed = this.listener.replaced(
-      records,
-      this.earlierPositions().length > 0
-        ? Provenance.Restored
-        : Provenance.Continued,
-    );
+    const mayBeOutdated = this.earlierPositions().length > 0;
+    const changed = this.listener.replaced(records, mayBeOutdated);
     const wasRestarting = this.isRestarting;
     this.noteOwnRead();
     if (this.hasSnapshot) this.appendSnapshot(changed, end);
--- a/src/registry/topicstatus.ts
+++ b/src/registry/topicstatus.ts
@@ -38,16 +38,6 @@
   records: KeyedRecord[];
 }
 
-/** How a snapshot, or the state of a peer, relates to what is known. */
-export enum Provenance {
-  /** Newer than all that is known; what it lacks was removed. */
-  Continued = 'continued',
-  /** Of a new epoch, from a peer that had followed the earlier ones as far. */
-  Renewed = 'renewed',
-  /** Of a new epoch; it may lack records that are known here. */
-  Restored = 'restored',
-}
-
 /** What is known of the writer of a record beyond the record. */
 export enum Standing {
   /** The record is missing in the store, and still used for some time. */
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -228,9 +228,9 @@
         known: () => this.configurationRecords,
       },
       upstreams: {
-        replaced: (records, provenance) => {
+        replaced: (records, outdated) => {
           this.hasUpstreamList = true;
-          return this.registry.replace(records, provenance);
+          return this.registry.replace(records, outdated);
         },
         added: records => this.registry.add(records),
         known: () => this.registry.known(),
