Take an older record of an upstream as a sign that it is listed

An upstream whose entry the first copy lacked was dropped after its grace period although the second copy listed it: the record was older than the known one, was ignored as outdated, and left the entry marked as missing. The newer entry stays, and is present again.

--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -190,6 +190,10 @@
         ? this.departures.repeats(key, next)
         : !supersedes(next, known.entry);
     if (isOutdated) {
+      // The store has the upstream, if only by an older entry.
+      if (known !== undefined && isSameProcess(known.entry, next)) {
+        delete known.absence;
+      }
       logger.info(
         {event: LogEvent.Upstream, upstream: key, offset},
         'Ignored an outdated registry entry.',
