Tell peers of a read once, and always the next one of the zone

A fifth of the instances missed each push and heard of a change up to a round later.

Cause: a status states its age when sent. The time on the way isn't part of it, so the same read, told by another peer, looked newer by some ms, counted as news and was passed on, each time 200 ms had passed. And of peers chosen at random, e^-2 of all are chosen by nobody in a push.

Now an account that makes a topic less than 100 ms fresher, at the same end, is no news; a round with changes, which states all ages, counts as one for freshness; one of the two peers of a round is the next in the order of names; and the bound on relayed loads counts bytes as sent (it counted those of objects with names, 2.6 times as many), so that fewer messages carry as fresh loads: 2 kB in place of 2.5.

The new tests failed on the old code: two accounts of one read were both applied; there was no first mate; a relay queue took one item where two fit. Measured: fleet, fleet-links, epoch, gossip, registry, burn, membership and metrics tests pass.

--- a/src/fleet/gossip.ts
+++ b/src/fleet/gossip.ts
@@ -2,6 +2,7 @@
 import {Learned, LearnedFrom} from '../registry/index.js';
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Subscription, Timer} from '../timer/index.js';
+import type {Datagrams} from './datagrams.js';
 import {
   decodeReport,
   encodeReport,
@@ -32,7 +33,10 @@
 const IDLE_ROUND_MS = 600;
 /** Most rounds because of placements, relative to the regular rounds. */
 const MAX_PLACEMENT_ROUNDS = 2;
-/** Shortest time between two rounds because a topic is fresher, in ms. */
+/**
+ * Shortest time until a round because a topic is fresher, since the last one for
+ * news of a topic, in ms.
+ */
 const MIN_FRESHNESS_INTERVAL_MS = 200;
 /**
  * Time between messages that carry the state of the topics where all instances
@@ -54,7 +58,7 @@
 /** Prompts that wait to be passed on; more would be told of too late. */
 const MAX_QUEUED_PROMPTS = 200;
 /** Most bytes of relayed loads in one message. */
-const MAX_RELAYED_BYTES = 2_500;
+const MAX_RELAYED_BYTES = 2_000;
 /** Most bytes of prompts in one message. */
 const MAX_PROMPT_BYTES = 1_000;
 /** Most prompts in one message of a fleet that talks directly. */
@@ -65,16 +69,6 @@
  */
 const PROMPT_REPEAT_MS = 2_000;
 
-/** Sends and receives datagrams; nothing tells whether one arrives. */
-export interface Datagrams {
-  broadcast(
-    peers: Iterable<InstanceAddress>,
-    method: string,
-    params: unknown,
-  ): void;
-  handle(method: string, handler: (params: unknown) => unknown): void;
-}
-
 /** Dependencies of [[Gossip]]. */
 export interface GossipParts {
   /** Name of this instance. */
@@ -111,7 +105,11 @@
 export class Gossip {
   /** Load that the other instances have reported. */
   readonly peerLoads = new PeerLoads();
-  private readonly relayedLoads = new RelayQueue<KnownLoad>(MAX_LOAD_SENDS);
+  private readonly relayedLoads = new RelayQueue<KnownLoad>(
+    MAX_LOAD_SENDS,
+    Infinity,
+    ({report}) => JSON.stringify(encodeReport(report, 0)).length,
+  );
   private readonly relayedPrompts = new RelayQueue<SentPrompt>(
     MAX_PROMPT_SENDS,
     MAX_QUEUED_PROMPTS,
@@ -121,8 +119,8 @@
   /** When a prompt's shared parts were last told of, by upstream and part. */
   private readonly toldPrompts = new Map<string, number>();
   private sentAt = -Infinity;
-  /** When a round was last sent because a topic was fresher. */
-  private freshnessSentAt = -Infinity;
+  /** When a round was last sent for news of a topic. */
+  private newsSentAt = -Infinity;
   /** When the state of the topics was last sent. */
   private statusSentAt = -Infinity;
   /** Whether the last message reported no load and no prompts. */
@@ -175,25 +173,26 @@
     // Where all instances talk directly, every peer was told by the reader.
     if (source === LearnedFrom.Peer && peers.areDirect) return;
     const isReader = source === LearnedFrom.Store;
+    const now = timer.now();
     switch (news) {
       case Learned.Changes:
+        this.newsSentAt = now;
         this.sendRound({
           withStatus: true,
           withChanges: true,
           further: isReader ? CHANGES_FANOUT : 0,
         });
         return;
-      case Learned.Freshness: {
-        const now = timer.now();
-        const elapsedMs = now - this.freshnessSentAt;
-        if (!isReader && elapsedMs < MIN_FRESHNESS_INTERVAL_MS) return;
-        this.freshnessSentAt = now;
+      case Learned.Freshness:
+        if (!isReader && now - this.newsSentAt < MIN_FRESHNESS_INTERVAL_MS) {
+          return;
+        }
+        this.newsSentAt = now;
         this.sendRound({
           withStatus: true,
           further: isReader ? FRESHNESS_FANOUT : 0,
         });
         return;
-      }
     }
   }
 
@@ -248,7 +247,7 @@
       this.prompts = [];
       return;
     }
-    const mates = peers.sample(ZONE_FANOUT);
+    const mates = peers.mates(ZONE_FANOUT);
     if (mates.length > 0) {
       const readings = this.relayedPrompts.take(MAX_PROMPT_BYTES, mates.length);
       this.relayedLoads.prune(({at}) => now - at > MAX_LOAD_AGE_MS);
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -1,7 +1,8 @@
 export {announce} from './announcement.js';
 export type {AnnouncementParts} from './announcement.js';
 export {Gossip} from './gossip.js';
-export type {Datagrams, GossipParts} from './gossip.js';
+export type {Datagrams} from './datagrams.js';
+export type {GossipParts} from './gossip.js';
 export {PeerLoads} from './loads.js';
 export type {LoadReport, PeerLoad} from './loads.js';
 export type {
--- a/src/fleet/peers.ts
+++ b/src/fleet/peers.ts
@@ -75,17 +75,24 @@
     return [...this.namesByZone.keys()].filter(zone => zone !== this.zone);
   }
 
+  /**
+   * Up to `count` peers of the own zone: the next one in the order of names, and
+   * random others. Each instance is the next of one other, so hardly any hears
+   * nothing when all pass something on, as some would of random peers alone.
+   */
+  mates(count: number): InstanceAddress[] {
+    const names = this.namesByZone.get(this.zone) ?? [];
+    const next = names.find(name => name > this.name) ?? names[0];
+    const others = names.filter(name => name !== next);
+    const chosen = next === undefined ? [] : [next];
+    return this.addressesOf([...chosen, ...this.pick(others, count - 1)]);
+  }
+
   /** Up to `count` random peers of a zone, by default of the own one. */
   sample(count: number, zone = this.zone): InstanceAddress[] {
-    const names = [...(this.namesByZone.get(zone) ?? [])];
-    const chosen: InstanceAddress[] = [];
-    while (chosen.length < count && names.length > 0) {
-      const index = Math.floor(this.random() * names.length);
-      const [name = ''] = names.splice(index, 1);
-      const address = this.addresses.get(name);
-      if (address !== undefined) chosen.push(address);
-    }
-    return chosen;
+    return this.addressesOf(
+      this.pick([...(this.namesByZone.get(zone) ?? [])], count),
+    );
   }
 
   /**
@@ -105,6 +112,20 @@
     return rank;
   }
 
+  /** Removes up to `count` random names and returns them. */
+  private pick(names: string[], count: number): string[] {
+    const chosen: string[] = [];
+    while (chosen.length < count && names.length > 0) {
+      const index = Math.floor(this.random() * names.length);
+      chosen.push(...names.splice(index, 1));
+    }
+    return chosen;
+  }
+
+  private addressesOf(names: readonly string[]): InstanceAddress[] {
+    return names.flatMap(name => this.addresses.get(name) ?? []);
+  }
+
   /** Returns whether the record changed something. */
   private apply({key, value, offset}: KeyedRecord): boolean {
     const address = value === undefined ? undefined : parseAddress(value);
@@ -131,6 +152,7 @@
       names.push(name);
       this.namesByZone.set(zone, names);
     }
+    for (const names of this.namesByZone.values()) names.sort();
   }
 }
 
--- a/src/fleet/relayqueue.ts
+++ b/src/fleet/relayqueue.ts
@@ -18,6 +18,8 @@
     private readonly maxSends: number,
     /** Items above which the oldest is dropped. */
     private readonly maxItems = Infinity,
+    /** Returns the size of an item in a message, in bytes. */
+    private readonly sizeOf = (item: Item) => JSON.stringify(item).length,
   ) {}
 
   get size(): number {
@@ -26,7 +28,7 @@
 
   /** Adds an item; one with the same key is replaced. */
   add(key: string, item: Item): void {
-    const bytes = JSON.stringify(item).length;
+    const bytes = this.sizeOf(item);
     this.entries.delete(key);
     this.entries.set(key, {item, bytes, sends: 0});
     if (this.entries.size <= this.maxItems) return;
--- a/src/registry/topicreplica.ts
+++ b/src/registry/topicreplica.ts
@@ -23,6 +23,12 @@
  */
 const BACKLOG_MS = 500;
 
+/**
+ * Peers' accounts of one read differ by the time that their messages were on the
+ * way. One that makes the topic fresher by less than this, in ms, is no news.
+ */
+const MIN_FRESHNESS_GAIN_MS = 100;
+
 /** Receives the records that a [[Follower]] reads or peers send. */
 export interface FollowerListener {
   /**
@@ -194,10 +200,9 @@
       this.options.learned(Learned.Changes, LearnedFrom.Peer);
       return Reception.Applied;
     }
-    const {currentAt} = this.age;
-    if (currentAt !== undefined && readAt <= currentAt) {
-      return Reception.Ignored;
-    }
+    const gainMs = readAt - (this.age.currentAt ?? -Infinity);
+    const isNews = end < status.end || gainMs >= MIN_FRESHNESS_GAIN_MS;
+    if (gainMs <= 0 || !isNews) return Reception.Ignored;
     if (end < status.end) {
       if (end < status.since) return Reception.Ignored;
       this.changes.append([], status.end);
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -115,6 +115,28 @@
   const small = new RelayQueue<number>(9, 2);
   for (const item of [1, 2, 3]) small.add(`item ${item}`, item);
   expect(small.take(99, 1)).toEqual([2, 3]);
+  const sized = new RelayQueue<string>(9, 9, () => 1);
+  for (const item of ['one', 'two', 'three']) sized.add(item, item);
+  expect(sized.take(2, 1)).toEqual(['one', 'two']);
+});
+
+test('each instance is the first mate of one other', () => {
+  const logger = pino({level: 'silent'});
+  const names = ['entry-7', 'entry-10', 'entry-9', 'entry-1'];
+  const records = names.map((key, port) => {
+    const value = Buffer.from(JSON.stringify({host: key, port: port + 1}));
+    return {key, value, offset: port};
+  });
+  const mates = names.map(name => {
+    const peers = new Peers(name, '', logger, () => 0.5);
+    peers.update(records.filter(({key}) => key !== name));
+    return peers.mates(9).map(({host}) => host);
+  });
+  expect(new Set(mates.map(([first]) => first)).size).toBe(names.length);
+  expect(mates.map(others => others.length)).toEqual([3, 3, 3, 3]);
+  expect(mates.every((others, i) => !others.includes(names[i] ?? ''))).toBe(
+    true,
+  );
 });
 
 test('the load on an upstream is the sum of recent reports of every origin', () => {
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -394,3 +394,26 @@
   );
   expect(follower.reachableForMs()).toBe(before + 600);
 });
+
+test('a read that several peers tell of is news once', async () => {
+  const {follower, timer} = await runFollower(
+    [{records: [], end: 0, epoch: 0}],
+    [],
+  );
+  await timer.advance(600);
+  const told = (end: number, ageMs: number) =>
+    follower.replica.receive({
+      topic: Topic.Upstreams,
+      epoch: 0,
+      reader: 'b',
+      since: 0,
+      changedTo: 0,
+      end,
+      ageMs,
+    });
+  // The time on the way isn't part of the age that a peer states.
+  expect([told(0, 40), told(0, 10)]).toEqual(['applied', 'ignored']);
+  expect([told(1, 10), told(1, 0)]).toEqual(['applied', 'ignored']);
+  await timer.advance(100);
+  expect(told(1, 0)).toBe('applied');
+});
