--- a/src/registry/follower.ts
+++ b/src/registry/follower.ts
@@ -129,11 +129,15 @@
   /** Takes a snapshot; returns the pause before the next call, in ms. */
   private async loadSnapshot(): Promise<number> {
     const {feed, topic, epochs} = this.options;
+    const wasStarted = this.replica.isStarted;
     const result = epochs.observe(await feed.snapshot(topic));
     if (result.isErr()) return this.recordFailure('snapshot', result.error);
     const {epoch} = result.value;
     if (epoch < epochs.current) return this.recordOutdated('snapshot', epoch);
     this.retries.recordSuccess();
+    // A peer told the state meanwhile. What a snapshot removes can be told to
+    // others only by those that knew it; the records after the state tell all.
+    if (!wasStarted && this.replica.isStarted) return 0;
     const isApplied = this.replica.applySnapshot(result.value);
     return isApplied ? 0 : STALE_SNAPSHOT_DELAY_MS;
   }
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -20,9 +20,9 @@
 /**
  * The same for entries that a snapshot lacks which tells that the store has
  * returned: their upstreams have to register within two seconds of that, and
- * what they write takes up to another one to reach all instances.
+ * what they write is read up to half a second later.
  */
-const RETURN_GRACE_MS = 3_000;
+const RETURN_GRACE_MS = 2_500;
 /**
  * Time for which the store must have been reachable for a missing entry to be
  * removed at once, in ms.
