Start the simulated store without an epoch

The simulation counted up to 15.2 messages a second at 82 instances once the drill was joined: its store named epoch 1 from the start, so that each instance asked peers for an earlier one. A store that never returned from a copy names none.

--- a/bench/fleet/simulatedstore.ts
+++ b/bench/fleet/simulatedstore.ts
@@ -46,7 +46,7 @@
     private readonly timer: ManualTimer,
     private readonly stateFor: (instance: string) => StoreState,
   ) {
-    this.log = new KeyedLog(() => timer.now());
+    this.log = new KeyedLog(() => timer.now(), 0);
   }
 
   get epoch(): number {
--- a/stand-ins/keyedlog.ts
+++ b/stand-ins/keyedlog.ts
@@ -25,14 +25,14 @@
  * of each key. They can be restored to what they were some time ago.
  */
 export class KeyedLog<Topic extends string = string> {
-  /** Rises with each restoration. */
-  epoch = 1;
   private readonly topics = new Map<Topic, TopicState>();
   private readonly waiters = new Map<Topic, Set<() => void>>();
 
   constructor(
     /** Time in ms since any origin. */
     private readonly now: () => number,
+    /** Rises with each restoration. */
+    public epoch = 1,
   ) {}
 
   /** Appends a record and returns its offset. */
