Soak gateway processes among seeded faults

Callers, upstreams and the store, as stand-ins, note what they see while gateways run as processes of their own on loopback. A seeded schedule injects faults from outside: signals, restarts, links harmed by a proxy, a store that is away or returns from an older copy, upstreams that crash, leave or misbehave. A checker judges eleven promises every second, with the bounds of the platform's example deployment; what only the soak's own stalls explain is named apart.

--- /dev/null
+++ b/bench/soak.ts
@@ -0,0 +1,29 @@
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {runSoak} from './soak/soak.js';
+
+const args = await yargs(hideBin(process.argv))
+  .scriptName('soak')
+  .option('seed', {type: 'number', default: 1})
+  .option('seconds', {
+    type: 'number',
+    default: 60,
+    describe: 'length of the time with faults',
+  })
+  .option('instances', {type: 'number', default: 3})
+  .option('json', {type: 'boolean', default: false})
+  .strict()
+  .parseAsync();
+
+const result = await runSoak(args, lines => {
+  process.stdout.write(`${lines.join('\n')}\n`);
+});
+const {violations, touched, stalls, folder, ...counts} = result;
+process.stdout.write(
+  `${JSON.stringify(counts)}\n` +
+    `${violations.length} violations, ${touched.length} touched by stalls of ` +
+    `the soak itself (${stalls.length} stalls)\n`,
+);
+if (violations.length > 0) process.stdout.write(`logs: ${folder}\n`);
+if (args.json) process.stdout.write(`${JSON.stringify(result)}\n`);
+process.exit(violations.length > 0 ? 1 : 0);
--- /dev/null
+++ b/bench/soak/callers.ts
@@ -0,0 +1,167 @@
+import {Agent, request as sendRequest, type IncomingMessage} from 'node:http';
+import {createParser} from 'eventsource-parser';
+import type {Random} from '../random.js';
+import {
+  HOST,
+  isStream,
+  lastingKeyOf,
+  PATIENCE_MS,
+  RequestKind,
+  textOf,
+  WORKSPACES,
+} from './deployment.js';
+import type {GatewayProcess} from './gatewayprocess.js';
+import type {Outcome, SentRequest, SoakHistory} from './history.js';
+
+/** Time after which a caller gives up for good, in ms. */
+const GIVE_UP_MS = PATIENCE_MS + 1_000;
+const KINDS = Object.values(RequestKind);
+
+/** Gives callers a key to send, if any. */
+export type KeyChoice = (random: Random) => string | undefined;
+
+/** Sends requests to one gateway, one at a time, as its own connections allow. */
+export class Caller {
+  private readonly agent = new Agent({keepAlive: true, maxSockets: 1});
+  private sent = 0;
+  private isStopped = false;
+  /** Stream that broke, to be resumed by the next request. */
+  private broken?: {events: number; lastEvent: number};
+
+  constructor(
+    private readonly name: string,
+    private readonly gateway: GatewayProcess,
+    private readonly history: SoakHistory,
+    private readonly random: Random,
+    private readonly chooseKey: KeyChoice,
+  ) {}
+
+  async run(): Promise<void> {
+    while (!this.isStopped) {
+      const request = this.next();
+      this.history.requests.set(request.id, request);
+      const outcome = await this.send(request);
+      request.outcome = outcome;
+      this.rememberBroken(request, outcome);
+      const pauseMs = outcome.type === 'failed' ? 100 : 0;
+      await new Promise(resolve =>
+        setTimeout(resolve, pauseMs + this.random.between(5, 60)),
+      );
+    }
+    this.agent.destroy();
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private next(): SentRequest {
+    const {random, broken} = this;
+    const kind =
+      broken === undefined ? random.pick(KINDS) : RequestKind.Resumable;
+    delete this.broken;
+    const fresh = Math.floor(random.between(1, 15));
+    const events = isStream(kind) ? (broken?.events ?? fresh) : 0;
+    const id = `${this.name}-${++this.sent}`;
+    const key =
+      broken === undefined
+        ? this.chooseKey(random)
+        : lastingKeyOf(WORKSPACES[0]);
+    const body =
+      kind === RequestKind.NonIdempotent
+        ? textOf(id, Math.floor(random.next() ** 3 * 20_000) + 1)
+        : '';
+    return {
+      id,
+      kind,
+      gateway: this.gateway.name,
+      incarnation: this.gateway.incarnation,
+      path: `/${kind}/${events}`,
+      body,
+      events,
+      lastEvent: broken?.lastEvent ?? 0,
+      sentAt: this.history.now(),
+      ...(key === undefined ? {} : {key}),
+    };
+  }
+
+  private rememberBroken(request: SentRequest, outcome: Outcome): void {
+    if (request.kind !== RequestKind.Resumable) return;
+    if (outcome.type !== 'answered' || outcome.complete) return;
+    const lastEvent = outcome.events.at(-1)?.id;
+    if (lastEvent === undefined || lastEvent >= request.events) return;
+    this.broken = {events: request.events, lastEvent};
+  }
+
+  private send(request: SentRequest): Promise<Outcome> {
+    const {random, history} = this;
+    const {id, key, body, lastEvent} = request;
+    const isNew = random.next() < 0.15;
+    const leavesAfterMs =
+      random.next() < 0.06 ? random.between(1, 300) : GIVE_UP_MS;
+    return new Promise(resolve => {
+      const end = (outcome: Outcome) => {
+        clearTimeout(patience);
+        resolve(outcome);
+      };
+      const outgoing = sendRequest({
+        host: this.gateway.ingress.host,
+        port: this.gateway.ingress.port,
+        agent: isNew ? false : this.agent,
+        method: body === '' ? 'GET' : 'POST',
+        path: request.path,
+        headers: {
+          host: HOST,
+          'x-request-id': id,
+          'x-deadline-ms': PATIENCE_MS,
+          'x-tenant': 'forged',
+          ...(key === undefined ? {} : {authorization: `Bearer ${key}`}),
+          ...(lastEvent === 0 ? {} : {'last-event-id': lastEvent}),
+          ...(body === '' ? {} : {'content-length': body.length}),
+        },
+      });
+      const patience = setTimeout(() => {
+        end({type: 'left', endedAt: history.now()});
+        outgoing.destroy();
+      }, leavesAfterMs);
+      outgoing.on('error', ({message: reason}) =>
+        end({type: 'failed', endedAt: history.now(), reason}),
+      );
+      outgoing.on('response', message => this.receive(message, end));
+      outgoing.end(body);
+    });
+  }
+
+  private receive(
+    message: IncomingMessage,
+    end: (outcome: Outcome) => void,
+  ): void {
+    const {headers, statusCode: status = 0} = message;
+    const seal = headers['x-response-seal'];
+    const echoedId = headers['x-request-id'];
+    const outcome: Outcome = {
+      type: 'answered',
+      endedAt: 0,
+      status,
+      body: '',
+      events: [],
+      complete: false,
+      ...(typeof seal === 'string' ? {seal} : {}),
+      ...(typeof echoedId === 'string' ? {echoedId} : {}),
+    };
+    const parser = createParser({
+      onEvent: ({id, data}) => outcome.events.push({id: Number(id), data}),
+    });
+    message.setEncoding('utf8');
+    message.on('data', (chunk: string) => {
+      outcome.body += chunk;
+      parser.feed(chunk);
+    });
+    message.on('error', () => undefined);
+    message.once('close', () => {
+      outcome.endedAt = this.history.now();
+      outcome.complete = message.complete;
+      end(outcome);
+    });
+  }
+}
--- /dev/null
+++ b/bench/soak/checker.ts
@@ -0,0 +1,408 @@
+import {
+  BOUNDS,
+  eventDataOf,
+  isStream,
+  lastingKeyOf,
+  RequestKind,
+  runsOnce,
+  serviceOf,
+  textOf,
+  WORKSPACES,
+} from './deployment.js';
+import {
+  STORE,
+  type AcceptedConfiguration,
+  type Arrival,
+  type SentRequest,
+  type SoakHistory,
+} from './history.js';
+import type {Lateness} from './lateness.js';
+
+/** What is promised to callers, upstreams and operators. */
+export enum Promised {
+  /** What may run only once runs only once. */
+  Once = 'once',
+  /** 408, 421, 429 and 503 mean that the request never runs. */
+  NotRun = 'not_run',
+  /** A success is the whole answer of an upstream to this request. */
+  Whole = 'whole',
+  /** Events of a stream come in order, and none twice. */
+  Order = 'order',
+  /** Upstreams get requests as their callers sent them. */
+  Unchanged = 'unchanged',
+  /** Nothing runs without a key that was valid; the workspace is its own. */
+  Keys = 'keys',
+  /** A proper request isn't denied. */
+  Denied = 'denied',
+  /** An upstream that leaves gets nothing later than the bound. */
+  Leaving = 'leaving',
+  /** A configuration is in force in time, and versions never go back. */
+  Versions = 'versions',
+  /** What a running upstream works on is answered, also at a planned stop. */
+  Answered = 'answered',
+  /** Everything is served again after the last fault. */
+  Served = 'served',
+}
+
+/** A broken promise. */
+export interface Violation {
+  promise: Promised;
+  /** Id of the request. */
+  request: string;
+  message: string;
+  at: number;
+  /**
+   * Whether the bound was kept but for the time in which the soak's own process
+   * stood still. Such a finding is named and doesn't fail the run.
+   */
+  touchedByStall: boolean;
+}
+
+type Finding = Omit<Violation, 'promise'>;
+
+const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+const DENIALS = new Set([401, 403, 404]);
+/** Answers that may be lost by an instance in touch without planned work. */
+const LOST_LIMIT = 3;
+/** Time of the last requests that must all be served, in ms. */
+const LONGEST_ANSWER_MS = 4_000;
+
+/** Judges by what callers, upstreams and the store saw. */
+export class Checker {
+  constructor(
+    private readonly history: SoakHistory,
+    private readonly lateness: Lateness,
+  ) {}
+
+  /** Returns all broken promises so far. */
+  check(): Violation[] {
+    const requests = [...this.history.requests.values()];
+    return Object.values(Promised).flatMap(promise =>
+      this.findings(promise, requests).map(finding => ({promise, ...finding})),
+    );
+  }
+
+  private findings(promise: Promised, requests: SentRequest[]): Finding[] {
+    const ofEach = (
+      describe: (request: SentRequest) => string | undefined,
+    ): Finding[] =>
+      requests.flatMap(request => {
+        const message = describe(request);
+        return message === undefined ? [] : [findingOf(request, message)];
+      });
+    switch (promise) {
+      case Promised.Once:
+        return ofEach(request => this.describeRepetition(request));
+      case Promised.NotRun:
+        return ofEach(request => this.describeFalseRefusal(request));
+      case Promised.Whole:
+        return ofEach(request => this.describeAnswer(request));
+      case Promised.Order:
+        return ofEach(describeEvents);
+      case Promised.Unchanged:
+        return this.history.arrivals.flatMap(arrival =>
+          this.checkUnchanged(arrival),
+        );
+      case Promised.Keys:
+        return this.runs().flatMap(([request, run]) =>
+          this.checkKey(request, run),
+        );
+      case Promised.Denied:
+        return ofEach(describeDenial);
+      case Promised.Leaving:
+        return this.checkLeaving();
+      case Promised.Versions:
+        return [...this.checkLateVersions(), ...this.checkRegress()];
+      case Promised.Answered:
+        return this.checkAnswered(requests);
+      case Promised.Served:
+        return this.checkServed(requests);
+    }
+  }
+
+  private describeRepetition({id, kind}: SentRequest): string | undefined {
+    const runs = this.runsOf(id);
+    if (!runsOnce(kind) || runs.length <= 1) return undefined;
+    return `ran ${runs.length} times`;
+  }
+
+  private describeFalseRefusal(request: SentRequest): string | undefined {
+    const {id, kind, outcome} = request;
+    if (!runsOnce(kind) || outcome?.type !== 'answered') return undefined;
+    const isRefusal = NOT_RUN_STATUSES.has(outcome.status);
+    if (!isRefusal || this.runsOf(id).length === 0) return undefined;
+    return `answered ${outcome.status}, but ran`;
+  }
+
+  private describeAnswer({id, outcome}: SentRequest): string | undefined {
+    if (outcome?.type !== 'answered') return undefined;
+    const {status, seal, echoedId, body, complete, events} = outcome;
+    const isSuccess = status >= 200 && status < 300;
+    const source = this.history
+      .arrivalsOf(id)
+      .find(arrival => arrival.seal === seal);
+    if (seal !== undefined && source === undefined) {
+      return `answer of another request, seal ${seal}`;
+    }
+    if (source !== undefined && source.status !== status) {
+      return `status ${status}, but the upstream answered ${source.status}`;
+    }
+    if (!isSuccess) return undefined;
+    if (source === undefined) return 'success without a seal';
+    if (echoedId !== id) return `success with the id ${echoedId}`;
+    if (source.size === undefined) return undefined;
+    const whole = textOf(source.seal, source.size);
+    if (complete && body !== whole) {
+      return `complete with ${body.length} of ${whole.length} characters`;
+    }
+    const isPart = whole.startsWith(body) && events.length === 0;
+    return isPart ? undefined : 'characters of another answer';
+  }
+
+  private checkUnchanged(arrival: Arrival): Finding[] {
+    const request = this.history.requests.get(arrival.request);
+    const finding = (message: string): Finding => ({
+      request: arrival.request,
+      message: `${message}, at ${arrival.upstream}`,
+      at: arrival.at,
+      touchedByStall: false,
+    });
+    if (request === undefined) return [finding('unknown request')];
+    const method = request.body === '' ? 'GET' : 'POST';
+    const isSame =
+      arrival.method === method &&
+      arrival.path === request.path &&
+      arrival.body === request.body;
+    if (!isSame) return [finding('changed method, path or body')];
+    if (arrival.ran && arrival.service !== serviceOf(request.kind)) {
+      return [finding('ran at a service that is not of its route')];
+    }
+    return [];
+  }
+
+  private checkKey(request: SentRequest, run: Arrival): Finding[] {
+    if (run.authorization !== undefined) {
+      return [findingOf(request, 'the key was passed on')];
+    }
+    if (request.kind === RequestKind.Public) {
+      const isForged = run.tenant === 'forged';
+      return isForged ? [findingOf(request, 'forged workspace')] : [];
+    }
+    const [workspace] = run.tenant?.split('.') ?? [];
+    const configuration = this.configurationOf(run);
+    const holder = configuration?.keys.get(request.key ?? '');
+    if (holder !== undefined && holder === workspace) return [];
+    const message = `ran with key ${request.key} as ${run.tenant}`;
+    return [findingOf(request, message)];
+  }
+
+  private checkLeaving(): Finding[] {
+    return this.history.leaves.flatMap(leave => {
+      const dueAt = leave.at + BOUNDS.drainMs;
+      return this.history.arrivals.flatMap(arrival => {
+        const {upstream, incarnation, at, status} = arrival;
+        const isLate =
+          upstream === leave.upstream &&
+          incarnation === leave.incarnation &&
+          at > dueAt &&
+          status !== 421;
+        const request = this.history.requests.get(arrival.request);
+        if (!isLate || request === undefined) return [];
+        const targets = [request.gateway, STORE, upstream];
+        const since = Math.min(leave.at, at - BOUNDS.stableWindowMs);
+        if (!this.isCalm(targets, since, at)) return [];
+        const message = `reached ${upstream} ${Math.round(at - leave.at)} ms after it was ${leave.how}`;
+        return [this.boundedFinding(request, message, leave.at, at - dueAt)];
+      });
+    });
+  }
+
+  private checkLateVersions(): Finding[] {
+    const {configurations} = this.history;
+    return this.runs().flatMap(([request, run]) => {
+      const version = versionOf(run);
+      if (version === undefined) return [];
+      const newer = configurations.find(
+        candidate =>
+          candidate.version > version &&
+          candidate.acceptedAt + BOUNDS.configApplyMs < request.sentAt,
+      );
+      if (newer === undefined) return [];
+      const {acceptedAt} = newer;
+      const since = Math.min(acceptedAt, run.at - BOUNDS.stableWindowMs);
+      if (!this.isCalm([request.gateway, STORE], since, run.at)) return [];
+      const lateMs = request.sentAt - acceptedAt;
+      const message = `ran by version ${version}, ${Math.round(lateMs)} ms after version ${newer.version}`;
+      const excessMs = lateMs - BOUNDS.configApplyMs;
+      return [this.boundedFinding(request, message, acceptedAt, excessMs)];
+    });
+  }
+
+  private checkRegress(): Finding[] {
+    const newest = new Map<string, {version: number; at: number}>();
+    const findings: Finding[] = [];
+    for (const [request, run] of this.runs()) {
+      const version = versionOf(run);
+      if (version === undefined) continue;
+      const process = `${request.gateway} ${request.incarnation}`;
+      const seen = newest.get(process);
+      if (seen === undefined || version >= seen.version) {
+        // The time of the first run by a version counts.
+        if (version !== seen?.version) {
+          newest.set(process, {version, at: run.at});
+        }
+        continue;
+      }
+      const isSlowed = !this.isInTouch([request.gateway], run.at);
+      const slackMs = isSlowed
+        ? BOUNDS.slowedDowngradeSlackMs
+        : BOUNDS.downgradeSlackMs;
+      if (request.sentAt <= seen.at + slackMs) continue;
+      const message = `ran by version ${version} after ${seen.version}`;
+      findings.push(findingOf(request, message));
+    }
+    return findings;
+  }
+
+  /** Finds requests that a sound upstream worked on, and that got no answer. */
+  private checkAnswered(requests: SentRequest[]): Finding[] {
+    const lost: SentRequest[] = [];
+    const lostInPlannedWork: SentRequest[] = [];
+    for (const request of requests) {
+      const {id, kind, gateway, outcome, sentAt} = request;
+      const isLost =
+        outcome?.type === 'failed' ||
+        (outcome?.type === 'answered' && !outcome.complete);
+      const runs = this.runsOf(id);
+      if (!isLost || runs.length === 0) continue;
+      const ownStore = kind === RequestKind.Public ? [] : [STORE];
+      const targets = [gateway, ...ownStore, ...runs.map(run => run.upstream)];
+      const since = sentAt - BOUNDS.stableWindowMs;
+      if (!this.isCalm(targets, since, outcome.endedAt)) continue;
+      const planned = this.history
+        .disruptionsOf([gateway], sentAt, outcome.endedAt)
+        .filter(disruption => disruption.planned);
+      (planned.length > 0 ? lostInPlannedWork : lost).push(request);
+    }
+    const counted = lost.length > LOST_LIMIT ? lost : [];
+    return [...lostInPlannedWork, ...counted].map(request =>
+      findingOf(request, 'a sound upstream worked on it; no whole answer'),
+    );
+  }
+
+  private checkServed(requests: SentRequest[]): Finding[] {
+    const {calmSince} = this.history;
+    if (calmSince === undefined) return [];
+    const dueAt = calmSince + BOUNDS.recoveryMs;
+    return requests.flatMap(request => {
+      const {sentAt, outcome} = request;
+      const isDue = sentAt > dueAt && mustBeServed(request);
+      const ended = this.history.now() - sentAt > LONGEST_ANSWER_MS;
+      if (!isDue || isServed(request)) return [];
+      if (outcome === undefined && !ended) return [];
+      return [findingOf(request, 'not served after the last fault')];
+    });
+  }
+
+  /** Whether all requests of a time were served, some at each gateway. */
+  allServed(gateways: string[], from: number, to: number): boolean {
+    const requests = [...this.history.requests.values()].filter(
+      request =>
+        request.sentAt >= from && request.sentAt < to && mustBeServed(request),
+    );
+    const isUsed = (name: string) =>
+      requests.some(({gateway}) => gateway === name);
+    return gateways.every(isUsed) && requests.every(isServed);
+  }
+
+  private runs(): Array<[SentRequest, Arrival]> {
+    return this.history.arrivals.flatMap(arrival => {
+      const request = this.history.requests.get(arrival.request);
+      const isRun = arrival.ran && request !== undefined;
+      return isRun ? [[request, arrival] as [SentRequest, Arrival]] : [];
+    });
+  }
+
+  private runsOf(id: string): Arrival[] {
+    return this.history.arrivalsOf(id).filter(({ran}) => ran);
+  }
+
+  private configurationOf(run: Arrival): AcceptedConfiguration | undefined {
+    const version = versionOf(run);
+    return this.history.configurations.find(one => one.version === version);
+  }
+
+  /** Whether nothing unplanned disturbed any of the targets. */
+  private isCalm(targets: string[], from: number, to: number): boolean {
+    return this.history
+      .disruptionsOf(targets, from, to)
+      .every(({planned}) => planned);
+  }
+
+  private isInTouch(targets: string[], at: number): boolean {
+    return this.isCalm(targets, at - BOUNDS.stableWindowMs, at);
+  }
+
+  /** A finding by a bound in time that was exceeded by `excessMs`. */
+  private boundedFinding(
+    request: SentRequest,
+    message: string,
+    from: number,
+    excessMs: number,
+  ): Finding {
+    const stalledMs = this.lateness.stalledMs(from, this.history.now());
+    const touchedByStall = stalledMs >= excessMs;
+    return {...findingOf(request, message), touchedByStall};
+  }
+}
+
+function findingOf(request: SentRequest, message: string): Finding {
+  const {id, sentAt} = request;
+  return {request: id, message, at: sentAt, touchedByStall: false};
+}
+
+function versionOf({tenant}: Arrival): number | undefined {
+  const version = Number(tenant?.split('.')[1]);
+  return Number.isInteger(version) ? version : undefined;
+}
+
+function describeEvents(request: SentRequest): string | undefined {
+  const {id, kind, outcome, lastEvent, events: total} = request;
+  if (!isStream(kind) || outcome?.type !== 'answered') return undefined;
+  if (outcome.status !== 200) return undefined;
+  const {events, complete} = outcome;
+  for (const [index, event] of events.entries()) {
+    const expected = lastEvent + index + 1;
+    if (event.id !== expected) return `event ${event.id} for ${expected}`;
+    if (event.data !== eventDataOf(id, expected)) {
+      return `event ${event.id} with the data ${event.data}`;
+    }
+  }
+  const last = lastEvent + events.length;
+  return complete && last !== total
+    ? `complete after event ${last} of ${total}`
+    : undefined;
+}
+
+/** Denials of what every configuration allows. */
+function describeDenial(request: SentRequest): string | undefined {
+  const {outcome} = request;
+  if (outcome?.type !== 'answered' || outcome.seal !== undefined) return;
+  const isDenied = DENIALS.has(outcome.status) && isAlwaysAllowed(request);
+  return isDenied ? `denied with ${outcome.status}` : undefined;
+}
+
+function isAlwaysAllowed({kind, key}: SentRequest): boolean {
+  const isLasting = WORKSPACES.some(name => lastingKeyOf(name) === key);
+  return kind === RequestKind.Public || isLasting;
+}
+
+function mustBeServed(request: SentRequest): boolean {
+  return isAlwaysAllowed(request) && request.outcome?.type !== 'left';
+}
+
+function isServed({outcome}: SentRequest): boolean {
+  return (
+    outcome?.type === 'answered' && outcome.status === 200 && outcome.complete
+  );
+}
--- /dev/null
+++ b/bench/soak/gatewayprocess.ts
@@ -0,0 +1,168 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {closeSync, openSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {packageRoot} from '../../src/cli/packageroot.js';
+import {FaultProxy} from '../../stand-ins/index.js';
+import {BOUNDS} from './deployment.js';
+import type {SoakHistory} from './history.js';
+
+const FRONT_PORT = 8227;
+const READY_PORT = 8220;
+const FIRST_INTERNAL_PORT = 7340;
+const LAST_INTERNAL_PORT = 7355;
+const START_LIMIT_MS = 15_000;
+const START_CHECK_MS = 50;
+
+const children = new Set<ChildProcess>();
+
+// Leaves no gateway behind, however the soak ends.
+process.on('exit', () => {
+  for (const child of children) child.kill('SIGKILL');
+});
+process.once('SIGINT', () => process.exit(130));
+process.once('SIGTERM', () => process.exit(143));
+
+/** Loopback address of a gateway, unlike those of other soaks that run. */
+function addressOf(index: number): string {
+  const {pid} = process;
+  return `127.${10 + (Math.floor(pid / 256) % 240)}.${pid % 256}.${10 + index}`;
+}
+
+const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+/** A gateway as a process of its own, with proxies before it and the store. */
+export class GatewayProcess {
+  incarnation = 0;
+  isStopping = false;
+  private child?: ChildProcess;
+  private exited: Promise<void> = Promise.resolve();
+  private retryRatio = 0.2;
+
+  private constructor(
+    readonly name: string,
+    readonly host: string,
+    /** Where callers connect. */
+    readonly ingress: FaultProxy,
+    /** Its way to the store. */
+    readonly storeLink: FaultProxy,
+    private readonly folder: string,
+    private readonly history: SoakHistory,
+  ) {}
+
+  static async open(
+    index: number,
+    storePort: number,
+    folder: string,
+    history: SoakHistory,
+  ): Promise<GatewayProcess> {
+    const host = addressOf(index);
+    const ingress = await FaultProxy.open();
+    ingress.setTarget(`${host}:${FRONT_PORT}`);
+    const storeLink = await FaultProxy.open(host);
+    storeLink.setTarget(`127.0.0.1:${storePort}`);
+    const name = `entry-${index}`;
+    return new GatewayProcess(name, host, ingress, storeLink, folder, history);
+  }
+
+  get isRunning(): boolean {
+    return this.child !== undefined;
+  }
+
+  /** Starts a process; does nothing if one runs. */
+  start(): void {
+    if (this.isRunning) return;
+    this.incarnation++;
+    this.isStopping = false;
+    this.history.disrupt(this.name, 'start')();
+    this.writeSettings();
+    const log = openSync(join(this.folder, `${this.name}.log`), 'a');
+    const child = spawn(
+      process.execPath,
+      [join(packageRoot(), 'target', 'gypsumcourse.js')],
+      {
+        stdio: ['ignore', log, log],
+        env: {
+          PATH: process.env['PATH'],
+          GYPSUMCOURSE_BOOT: this.settingsFile,
+        },
+      },
+    );
+    closeSync(log);
+    children.add(child);
+    this.child = child;
+    this.exited = new Promise(resolve => {
+      child.once('exit', () => {
+        children.delete(child);
+        if (this.child === child) delete this.child;
+        resolve();
+      });
+    });
+  }
+
+  /** Waits until the gateway says that it is ready. */
+  async untilReady(): Promise<void> {
+    const limit = Date.now() + START_LIMIT_MS;
+    while (Date.now() < limit) {
+      const url = `http://${this.host}:${READY_PORT}/v1/readyz`;
+      const isReady = await fetch(url).then(
+        ({ok}) => ok,
+        () => false,
+      );
+      if (isReady) return;
+      await sleep(START_CHECK_MS);
+    }
+  }
+
+  signal(signal: NodeJS.Signals): void {
+    this.child?.kill(signal);
+  }
+
+  /** Sends SIGTERM, and SIGKILL after the grace time; resolves at the end. */
+  async terminate(): Promise<void> {
+    if (this.isStopping) return;
+    this.isStopping = true;
+    const {child} = this;
+    this.signal('SIGTERM');
+    const timeout = setTimeout(() => child?.kill('SIGKILL'), BOUNDS.graceMs);
+    await this.exited;
+    clearTimeout(timeout);
+  }
+
+  async kill(): Promise<void> {
+    this.signal('SIGKILL');
+    await this.exited;
+  }
+
+  /** Changes the settings file and says so. */
+  changeSettings(retryRatio: number): void {
+    this.retryRatio = retryRatio;
+    this.writeSettings();
+    if (!this.isStopping) this.signal('SIGHUP');
+  }
+
+  private get settingsFile(): string {
+    return join(this.folder, `${this.name}.json`);
+  }
+
+  private writeSettings(): void {
+    const settings = {
+      nodeName: this.name,
+      ip: this.host,
+      zone: 'zone-a',
+      zones: {'zone-a': 'region-a'},
+      listen: {
+        front: `${this.host}:${FRONT_PORT}`,
+        ready: `${this.host}:${READY_PORT}`,
+      },
+      internalPorts: [FIRST_INTERNAL_PORT, LAST_INTERNAL_PORT],
+      bounds: {
+        graceS: BOUNDS.graceMs / 1000,
+        drainMs: BOUNDS.drainMs,
+        retryBudgetRatio: this.retryRatio,
+        budgetWindowS: 10,
+      },
+      platform: {address: this.storeLink.address},
+    };
+    writeFileSync(this.settingsFile, JSON.stringify(settings));
+  }
+}
--- /dev/null
+++ b/bench/soak/history.ts
@@ -0,0 +1,134 @@
+import type {Configuration, RequestKind, ServiceName} from './deployment.js';
+
+/** An event of a stream, as a caller received it. */
+export interface ReceivedEvent {
+  id: number;
+  data: string;
+}
+
+/** How a request ended for its caller. */
+export type Outcome =
+  | {
+      type: 'answered';
+      endedAt: number;
+      status: number;
+      seal?: string;
+      echoedId?: string;
+      body: string;
+      events: ReceivedEvent[];
+      /** Whether the answer ended as HTTP says it does. */
+      complete: boolean;
+    }
+  /** The connection ended before the head of an answer. */
+  | {type: 'failed'; endedAt: number; reason: string}
+  | {type: 'left'; endedAt: number};
+
+/** A request as its caller sent it. All times are monotonic, in ms. */
+export interface SentRequest {
+  id: string;
+  kind: RequestKind;
+  gateway: string;
+  /** Number of the gateway's process to which it was sent. */
+  incarnation: number;
+  path: string;
+  body: string;
+  key?: string;
+  /** Number of events of the whole stream; 0 if it isn't one. */
+  events: number;
+  lastEvent: number;
+  sentAt: number;
+  outcome?: Outcome;
+}
+
+/** A request as it reached an upstream. */
+export interface Arrival {
+  request: string;
+  upstream: string;
+  /** Number of the upstream's process. */
+  incarnation: number;
+  service: ServiceName;
+  at: number;
+  /** Whether the upstream began to work on it. */
+  ran: boolean;
+  method: string;
+  path: string;
+  body: string;
+  tenant?: string;
+  authorization?: string;
+  seal: string;
+  status: number;
+  /** Size of the whole body of the answer; undefined for streams. */
+  size?: number;
+  /** Whether the upstream ended it without a whole answer. */
+  brokeOff: boolean;
+}
+
+/** A version that the store acknowledged. */
+export interface AcceptedConfiguration extends Configuration {
+  acceptedAt: number;
+}
+
+/** From when on an upstream's process is to get no more requests. */
+export interface Leave {
+  upstream: string;
+  incarnation: number;
+  at: number;
+  how: string;
+}
+
+/** What disturbed a part of the deployment, and when. */
+export interface Disruption {
+  /** Name of a gateway or upstream, or [[STORE]]. */
+  target: string;
+  what: string;
+  /** Planned work: SIGTERM, SIGHUP. */
+  planned: boolean;
+  from: number;
+  to: number;
+}
+
+/** Target of disruptions of the store as a whole. */
+export const STORE = 'store';
+
+/** Everything that callers, upstreams and the store saw. */
+export class SoakHistory {
+  readonly requests = new Map<string, SentRequest>();
+  readonly arrivals: Arrival[] = [];
+  readonly configurations: AcceptedConfiguration[] = [];
+  readonly leaves: Leave[] = [];
+  readonly disruptions: Disruption[] = [];
+  /** When the last fault ended; undefined before. */
+  calmSince?: number;
+  private readonly byRequest = new Map<string, Arrival[]>();
+
+  now(): number {
+    return performance.now();
+  }
+
+  addArrival(arrival: Arrival): void {
+    this.arrivals.push(arrival);
+    const others = this.byRequest.get(arrival.request) ?? [];
+    this.byRequest.set(arrival.request, [...others, arrival]);
+  }
+
+  arrivalsOf(request: string): readonly Arrival[] {
+    return this.byRequest.get(request) ?? [];
+  }
+
+  /** Records the start of a disruption, and returns how to record its end. */
+  disrupt(target: string, what: string, planned = false): () => void {
+    const from = this.now();
+    const disruption = {target, what, planned, from, to: Infinity};
+    this.disruptions.push(disruption);
+    return () => {
+      disruption.to = Math.min(disruption.to, this.now());
+    };
+  }
+
+  /** Disruptions of any of the targets between two times. */
+  disruptionsOf(targets: string[], from: number, to: number): Disruption[] {
+    return this.disruptions.filter(
+      one => targets.includes(one.target) && one.from <= to && one.to >= from,
+    );
+  }
+}
--- /dev/null
+++ b/bench/soak/upstream.ts
@@ -0,0 +1,320 @@
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {FaultProxy, type KeyedStoreStandIn} from '../../stand-ins/index.js';
+import {Availability} from '../../stand-ins/index.js';
+import {readBody} from '../../stand-ins/http.js';
+import type {Random} from '../random.js';
+import {BOUNDS, eventDataOf, ServiceName, textOf} from './deployment.js';
+import type {Arrival, SoakHistory} from './history.js';
+
+/** Topic in which upstreams register themselves. */
+const UPSTREAMS_TOPIC = 'keyed.servers';
+const SLOTS = 16;
+const MISSED_HEARTBEATS = 3;
+
+/** How an upstream treats requests. */
+export enum Treatment {
+  Serves = 'serves',
+  /** Answers 503 with Retry-After: not run. */
+  Refuses = 'refuses',
+  /** Runs the request and never answers. */
+  Silent = 'silent',
+  /** Runs the request and resets the connection without an answer. */
+  Loses = 'loses',
+  /** Resets the connection in the middle of the answer. */
+  Cuts = 'cuts',
+  /** Fails with 500, as its own answer. */
+  Fails = 'fails',
+  /** Takes long for an answer. */
+  Slow = 'slow',
+}
+
+/** State in which an upstream registers itself. */
+enum Registration {
+  Ready = 'ready',
+  Draining = 'draining',
+  /** Its entry was removed, though it still serves. */
+  Removed = 'removed',
+}
+
+const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+/** A small upstream, reached through a proxy that injects network faults. */
+export class SoakUpstream {
+  treatment = Treatment.Serves;
+  /** Whether answers say that the upstream leaves. */
+  announcesLeaving = false;
+  incarnation = 0;
+  isAlive = false;
+  private registration = Registration.Ready;
+  private server?: Server;
+  private sequence = 0;
+  private born = 0;
+  private running = 0;
+  private answers = 0;
+  private heartbeat?: NodeJS.Timeout;
+  private lastHeartbeatAt = 0;
+
+  private constructor(
+    readonly name: string,
+    readonly service: ServiceName,
+    readonly proxy: FaultProxy,
+    private readonly store: KeyedStoreStandIn,
+    private readonly history: SoakHistory,
+    private readonly random: Random,
+  ) {}
+
+  static async open(
+    name: string,
+    service: ServiceName,
+    store: KeyedStoreStandIn,
+    history: SoakHistory,
+    random: Random,
+  ): Promise<SoakUpstream> {
+    const proxy = await FaultProxy.open();
+    return new SoakUpstream(name, service, proxy, store, history, random);
+  }
+
+  /** Starts a new process of this upstream under the same id. */
+  async start(): Promise<void> {
+    this.incarnation++;
+    this.isAlive = true;
+    this.registration = Registration.Ready;
+    this.treatment = Treatment.Serves;
+    this.announcesLeaving = false;
+    this.sequence = 0;
+    this.running = 0;
+    this.born = Date.now();
+    const {incarnation} = this;
+    const server = createServer((message, response) => {
+      void this.serve(incarnation, message, response).catch(() =>
+        response.destroy(),
+      );
+    });
+    server.keepAliveTimeout = 15_000;
+    await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+    this.server = server;
+    this.proxy.setTarget(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+    this.proxy.inject({refuse: false});
+    this.register();
+    this.heartbeat = setInterval(() => this.register(), BOUNDS.heartbeatMs);
+  }
+
+  /** Ends the process at once, without a word. */
+  crash(): void {
+    this.isAlive = false;
+    clearInterval(this.heartbeat);
+    this.proxy.inject({refuse: true});
+    this.proxy.reset();
+    this.server?.close();
+    this.server?.closeAllConnections();
+  }
+
+  /** Reports that it drains, or has its entry removed; goes on serving. */
+  leave(byRemoval: boolean): void {
+    this.registration = byRemoval
+      ? Registration.Removed
+      : Registration.Draining;
+    this.register();
+  }
+
+  /** Removes the entry of a process that has been silent for too long. */
+  expire(): void {
+    const silentMs = this.history.now() - this.lastHeartbeatAt;
+    if (this.isAlive || silentMs < MISSED_HEARTBEATS * BOUNDS.heartbeatMs) {
+      return;
+    }
+    if (!this.isStoreAway && this.isListed) this.remove();
+  }
+
+  private get isStoreAway(): boolean {
+    return this.store.behaviour.availability !== Availability.Serves;
+  }
+
+  private get isListed(): boolean {
+    return this.store.log
+      .newest(UPSTREAMS_TOPIC)
+      .some(({key}) => key === this.name);
+  }
+
+  private remove(): void {
+    this.store.log.append(UPSTREAMS_TOPIC, this.name);
+  }
+
+  private register(): void {
+    if (this.isStoreAway) return;
+    this.lastHeartbeatAt = this.history.now();
+    if (this.registration !== Registration.Ready) this.noteLeave();
+    if (this.registration === Registration.Removed) {
+      if (this.isListed) this.remove();
+      return;
+    }
+    const entry = {
+      service: this.service,
+      address: this.proxy.address,
+      zone: 'zone-a',
+      version: 'v1',
+      slots: SLOTS,
+      state: this.registration,
+      coldRemainingMs: 0,
+      seq: ++this.sequence,
+      born: this.born,
+    };
+    const value = Buffer.from(JSON.stringify(entry));
+    this.store.log.append(UPSTREAMS_TOPIC, this.name, value);
+  }
+
+  private noteLeave(how: string = this.registration): void {
+    const {name: upstream, incarnation} = this;
+    const isNoted = this.history.leaves.some(
+      leave => leave.upstream === upstream && leave.incarnation === incarnation,
+    );
+    if (isNoted) return;
+    this.history.leaves.push({
+      upstream,
+      incarnation,
+      at: this.history.now(),
+      how,
+    });
+  }
+
+  private async serve(
+    incarnation: number,
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = (await readBody(message)).toString();
+    const {headers, url = '/', method = ''} = message;
+    const request = String(headers['x-request-id'] ?? '');
+    response.setHeader('x-instance-id', this.name);
+    // Probes carry no id.
+    if (request === '') {
+      response.end('{}');
+      return;
+    }
+    const seal = `${this.name}.${incarnation}.${++this.answers}`;
+    const {'x-tenant': tenant, authorization} = headers;
+    const arrival: Arrival = {
+      request,
+      upstream: this.name,
+      incarnation,
+      service: this.service,
+      at: this.history.now(),
+      ran: true,
+      method,
+      path: url,
+      body,
+      seal,
+      status: 200,
+      brokeOff: false,
+      ...(typeof tenant === 'string' ? {tenant} : {}),
+      ...(authorization === undefined ? {} : {authorization}),
+    };
+    const expected = headers['x-expect-instance'];
+    const isFull = this.running >= SLOTS;
+    response.setHeader('x-request-id', request);
+    response.setHeader('x-response-seal', seal);
+    if (this.announcesLeaving) {
+      response.setHeader('server-leaving', '1');
+      this.noteLeave('header');
+    }
+    if (expected !== undefined && expected !== this.name) {
+      this.refuse(arrival, response, 421);
+    } else if (isFull || this.treatment === Treatment.Refuses) {
+      this.refuse(arrival, response, 503);
+    } else {
+      this.history.addArrival(arrival);
+      this.running++;
+      response.once('close', () => {
+        this.running = Math.max(0, this.running - 1);
+        arrival.brokeOff ||= !response.writableFinished;
+      });
+      if (this.service === ServiceName.Streams) {
+        const lastEvent = Number(headers['last-event-id'] ?? 0);
+        await this.stream(arrival, response, lastEvent);
+      } else {
+        await this.answer(arrival, response);
+      }
+    }
+  }
+
+  private refuse(
+    arrival: Arrival,
+    response: ServerResponse,
+    status: number,
+  ): void {
+    this.history.addArrival({...arrival, ran: false, status});
+    response.setHeader('x-not-executed', '1');
+    if (status === 503) response.setHeader('retry-after', '0.3');
+    response.statusCode = status;
+    response.end();
+  }
+
+  private async answer(
+    arrival: Arrival,
+    response: ServerResponse,
+  ): Promise<void> {
+    const {treatment, random} = this;
+    const size = Math.floor(random.next() ** 4 * 60_000) + 40;
+    const body = textOf(arrival.seal, size);
+    arrival.size = size;
+    const isLong = treatment === Treatment.Slow || random.next() < 0.05;
+    await sleep(isLong ? random.between(300, 1_500) : random.between(2, 120));
+    if (response.destroyed || treatment === Treatment.Silent) return;
+    if (treatment === Treatment.Loses) {
+      this.breakOff(arrival, response);
+      return;
+    }
+    if (treatment === Treatment.Fails) {
+      response.statusCode = arrival.status = 500;
+    }
+    // Without a length, the body is sent in chunks.
+    if (random.next() < 0.7) response.setHeader('content-length', size);
+    const cut = Math.floor(random.between(0, size));
+    response.write(body.slice(0, cut));
+    await sleep(random.between(0, 20));
+    if (treatment === Treatment.Cuts) this.breakOff(arrival, response);
+    else response.end(body.slice(cut));
+  }
+
+  private async stream(
+    arrival: Arrival,
+    response: ServerResponse,
+    lastEvent: number,
+  ): Promise<void> {
+    const {treatment, random} = this;
+    const events = Number(arrival.path.split('/').at(-1));
+    if (treatment === Treatment.Fails) {
+      response.statusCode = arrival.status = 500;
+      response.end();
+      return;
+    }
+    response.setHeader('content-type', 'text/event-stream');
+    const cutAt = Math.floor(random.between(lastEvent + 1, events + 1));
+    for (let event = lastEvent + 1; event <= events; event++) {
+      await sleep(random.between(5, treatment === Treatment.Slow ? 250 : 60));
+      if (response.destroyed || treatment === Treatment.Silent) return;
+      if (treatment === Treatment.Loses) {
+        this.breakOff(arrival, response);
+        return;
+      }
+      const text = `id: ${event}\ndata: ${eventDataOf(arrival.request, event)}\n\n`;
+      if (treatment === Treatment.Cuts && event === cutAt) {
+        response.write(
+          text.slice(0, Math.floor(random.between(0, text.length))),
+        );
+        await sleep(random.between(0, 20));
+        this.breakOff(arrival, response);
+        return;
+      }
+      response.write(text);
+    }
+    response.end();
+  }
+
+  private breakOff(arrival: Arrival, response: ServerResponse): void {
+    arrival.brokeOff = true;
+    response.socket?.resetAndDestroy();
+  }
+}
