--- a/bench/soak/checker.ts
+++ b/bench/soak/checker.ts
@@ -10,6 +10,7 @@
   WORKSPACES,
 } from './deployment.js';
 import {
+  Nature,
   STORE,
   type AcceptedConfiguration,
   type Arrival,
@@ -74,6 +75,37 @@
     private readonly lateness: Lateness,
   ) {}
 
+  /**
+   * Counts what the bounds in time were judged on: leaves and configurations,
+   * each once for every undisturbed gateway, and requests in planned work.
+   */
+  countJudged(gateways: string[]): Record<string, number> {
+    const {leaves, configurations, requests} = this.history;
+    const countHeld = (times: number[], boundMs: number) =>
+      times.flatMap(at =>
+        gateways.filter(gateway =>
+          this.isUndisturbed(
+            [gateway, STORE],
+            Math.min(at, at + boundMs - BOUNDS.stableWindowMs),
+            at + boundMs + BOUNDS.downgradeSlackMs,
+          ),
+        ),
+      ).length;
+    return {
+      leaves: countHeld(
+        leaves.map(({at}) => at),
+        BOUNDS.drainMs,
+      ),
+      configurations: countHeld(
+        configurations.map(({acceptedAt}) => acceptedAt),
+        BOUNDS.configApplyMs,
+      ),
+      plannedWork: [...requests.values()].filter(request =>
+        this.isInPlannedWork(request),
+      ).length,
+    };
+  }
+
   /** Returns all broken promises so far. */
   check(): Violation[] {
     const requests = [...this.history.requests.values()];
@@ -208,9 +240,9 @@
           status !== 421;
         const request = this.history.requests.get(arrival.request);
         if (!isLate || request === undefined) return [];
-        const targets = [request.gateway, STORE, upstream];
         const since = Math.min(leave.at, at - BOUNDS.stableWindowMs);
-        if (!this.isCalm(targets, since, at)) return [];
+        if (!this.isUndisturbed([request.gateway, STORE], since, at)) return [];
+        if (this.isLinkHarmed(upstream, since, at)) return [];
         const message = `reached ${upstream} ${Math.round(at - leave.at)} ms after it was ${leave.how}`;
         return [this.boundedFinding(request, message, leave.at, at - dueAt)];
       });
@@ -230,7 +262,8 @@
       if (newer === undefined) return [];
       const {acceptedAt} = newer;
       const since = Math.min(acceptedAt, run.at - BOUNDS.stableWindowMs);
-      if (!this.isCalm([request.gateway, STORE], since, run.at)) return [];
+      const targets = [request.gateway, STORE];
+      if (!this.isUndisturbed(targets, since, run.at)) return [];
       const lateMs = request.sentAt - acceptedAt;
       const message = `ran by version ${version}, ${Math.round(lateMs)} ms after version ${newer.version}`;
       const excessMs = lateMs - BOUNDS.configApplyMs;
@@ -253,7 +286,8 @@
         }
         continue;
       }
-      const isSlowed = !this.isInTouch([request.gateway], run.at);
+      const since = run.at - BOUNDS.stableWindowMs;
+      const isSlowed = !this.isUndisturbed([request.gateway], since, run.at);
       const slackMs = isSlowed
         ? BOUNDS.slowedDowngradeSlackMs
         : BOUNDS.downgradeSlackMs;
@@ -266,30 +300,40 @@
 
   /** Finds requests that a sound upstream worked on, and that got no answer. */
   private checkAnswered(requests: SentRequest[]): Finding[] {
-    const lost: SentRequest[] = [];
-    const lostInPlannedWork: SentRequest[] = [];
-    for (const request of requests) {
-      const {id, kind, gateway, outcome, sentAt} = request;
-      const isLost =
+    const lost = requests.filter(request => {
+      const {outcome} = request;
+      const isUnanswered =
         outcome?.type === 'failed' ||
         (outcome?.type === 'answered' && !outcome.complete);
-      const runs = this.runsOf(id);
-      if (!isLost || runs.length === 0) continue;
-      const ownStore = kind === RequestKind.Public ? [] : [STORE];
-      const targets = [gateway, ...ownStore, ...runs.map(run => run.upstream)];
-      const since = sentAt - BOUNDS.stableWindowMs;
-      if (!this.isCalm(targets, since, outcome.endedAt)) continue;
-      const planned = this.history
-        .disruptionsOf([gateway], sentAt, outcome.endedAt)
-        .filter(disruption => disruption.planned);
-      (planned.length > 0 ? lostInPlannedWork : lost).push(request);
-    }
-    const counted = lost.length > LOST_LIMIT ? lost : [];
-    return [...lostInPlannedWork, ...counted].map(request =>
+      return isUnanswered && this.isOwedAnswer(request);
+    });
+    const inPlannedWork = lost.filter(request => this.isInPlannedWork(request));
+    const others = lost.filter(request => !inPlannedWork.includes(request));
+    const counted = others.length > LOST_LIMIT ? others : [];
+    return [...inPlannedWork, ...counted].map(request =>
       findingOf(request, 'a sound upstream worked on it; no whole answer'),
     );
   }
 
+  /** Whether an upstream worked on a request without any fault nearby. */
+  private isOwedAnswer({id, kind, gateway, outcome, sentAt}: SentRequest) {
+    const runs = this.runsOf(id);
+    if (outcome === undefined || runs.length === 0) return false;
+    // Faults of the store excuse nothing for requests without a key.
+    const ownStore = kind === RequestKind.Public ? [] : [STORE];
+    const targets = [gateway, ...ownStore, ...runs.map(run => run.upstream)];
+    const since = sentAt - BOUNDS.stableWindowMs;
+    return this.isCalm(targets, since, outcome.endedAt);
+  }
+
+  private isInPlannedWork(request: SentRequest): boolean {
+    const {gateway, outcome, sentAt} = request;
+    if (outcome === undefined || !this.isOwedAnswer(request)) return false;
+    return this.history
+      .disruptionsOf([gateway], sentAt, outcome.endedAt)
+      .some(({nature}) => !isFault(nature));
+  }
+
   private checkServed(requests: SentRequest[]): Finding[] {
     const {calmSince} = this.history;
     if (calmSince === undefined) return [];
@@ -332,15 +376,24 @@
     return this.history.configurations.find(one => one.version === version);
   }
 
-  /** Whether nothing unplanned disturbed any of the targets. */
+  /** Whether no fault disturbed any of the targets; planned work may have. */
   private isCalm(targets: string[], from: number, to: number): boolean {
     return this.history
       .disruptionsOf(targets, from, to)
-      .every(({planned}) => planned);
+      .every(({nature}) => !isFault(nature));
   }
 
-  private isInTouch(targets: string[], at: number): boolean {
-    return this.isCalm(targets, at - BOUNDS.stableWindowMs, at);
+  private isLinkHarmed(upstream: string, from: number, to: number): boolean {
+    return this.history
+      .disruptionsOf([upstream], from, to)
+      .some(({nature}) => nature === Nature.LinkFault);
+  }
+
+  /** Whether bounds in time hold for all of the targets. */
+  private isUndisturbed(targets: string[], from: number, to: number): boolean {
+    return this.history
+      .disruptionsOf(targets, from, to)
+      .every(({nature}) => nature === Nature.Reload);
   }
 
   /** A finding by a bound in time that was exceeded by `excessMs`. */
@@ -361,6 +414,10 @@
   return {request: id, message, at: sentAt, touchedByStall: false};
 }
 
+function isFault(nature: Nature): boolean {
+  return nature === Nature.Fault || nature === Nature.LinkFault;
+}
+
 function versionOf({tenant}: Arrival): number | undefined {
   const version = Number(tenant?.split('.')[1]);
   return Number.isInteger(version) ? version : undefined;
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -6,7 +6,7 @@
 import type {Random} from '../random.js';
 import {BOUNDS} from './deployment.js';
 import type {GatewayProcess} from './gatewayprocess.js';
-import {STORE, type SoakHistory} from './history.js';
+import {Nature, STORE, type SoakHistory} from './history.js';
 import {Treatment, type SoakUpstream} from './upstream.js';
 
 /** Faults and planned work that a schedule consists of. */
@@ -80,14 +80,32 @@
   value => value !== Treatment.Serves,
 );
 
-/** Returns the faults of a seed, in the order of time. */
+/** Faults of which the first gateway is spared, so that bounds hold for it. */
+const SPARED_KINDS = new Set([
+  FaultKind.Kill,
+  FaultKind.Pause,
+  FaultKind.StoreLink,
+  FaultKind.StoreCaller,
+  FaultKind.Ingress,
+]);
+const STORE_KINDS = new Set([
+  FaultKind.StoreAway,
+  FaultKind.StoreRestored,
+  FaultKind.StoreTrimmed,
+]);
+
+/**
+ * Returns the faults of a seed, in the order of time. The store as a whole has
+ * faults under every second seed.
+ */
 export function scheduleFaults(
   random: Random,
   lengthMs: number,
 ): ScheduledFault[] {
-  const kinds = Object.values(FaultKind).flatMap(kind =>
-    Array<FaultKind>(WEIGHTS[kind]).fill(kind),
-  );
+  const harmsStore = random.next() < 0.5;
+  const kinds = Object.values(FaultKind)
+    .filter(kind => harmsStore || !STORE_KINDS.has(kind))
+    .flatMap(kind => Array<FaultKind>(WEIGHTS[kind]).fill(kind));
   const faults: ScheduledFault[] = [];
   let atMs = random.between(0, 500);
   while (atMs < lengthMs) {
@@ -127,7 +145,8 @@
   /** Injects a fault and resolves when it has ended. */
   async inject(fault: ScheduledFault): Promise<void> {
     const {kind, target, variant, durationMs} = fault;
-    const gateway = choose(this.gateways, target);
+    const isSpared = SPARED_KINDS.has(kind) && this.gateways.length > 1;
+    const gateway = choose(this.gateways.slice(isSpared ? 1 : 0), target);
     const upstream = choose(this.upstreams, target);
     switch (kind) {
       case FaultKind.Terminate:
@@ -144,7 +163,7 @@
           gateway.signal('SIGCONT');
         });
       case FaultKind.Hangup: {
-        const end = this.history.disrupt(gateway.name, kind, true);
+        const end = this.history.disrupt(gateway.name, kind, Nature.Reload);
         gateway.changeSettings(0.1 + variant / 5);
         await sleep(BOUNDS.configApplyMs);
         return end();
@@ -198,8 +217,11 @@
           upstream.treatment = Treatment.Serves;
         });
       case FaultKind.UpstreamLink:
-        return this.during(upstream.name, kind, () =>
-          this.harm(upstream.proxy, variant, durationMs),
+        return this.during(
+          upstream.name,
+          kind,
+          () => this.harm(upstream.proxy, variant, durationMs),
+          Nature.LinkFault,
         );
     }
   }
@@ -208,15 +230,21 @@
     target: string,
     what: string,
     action: () => void | Promise<void>,
+    nature = Nature.Fault,
   ): Promise<void> {
-    const end = this.history.disrupt(target, what);
+    const end = this.history.disrupt(target, what, nature);
     await action();
     end();
   }
 
   private async terminate(gateway: GatewayProcess): Promise<void> {
     if (gateway.isStopping) return;
-    const end = this.history.disrupt(gateway.name, FaultKind.Terminate, true);
+    const {name} = gateway;
+    const end = this.history.disrupt(
+      name,
+      FaultKind.Terminate,
+      Nature.PlannedStop,
+    );
     await gateway.terminate();
     end();
     await this.restart(gateway);
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -76,13 +76,23 @@
   how: string;
 }
 
+/** What a disruption excuses. */
+export enum Nature {
+  /** Excuses bounds, but no loss of requests. */
+  PlannedStop = 'plannedStop',
+  /** Changed settings: excuses nothing. */
+  Reload = 'reload',
+  Fault = 'fault',
+  /** A fault of the link to an upstream, which delays what was sent to it. */
+  LinkFault = 'linkFault',
+}
+
 /** What disturbed a part of the deployment, and when. */
 export interface Disruption {
   /** Name of a gateway or upstream, or [[STORE]]. */
   target: string;
   what: string;
-  /** Planned work: SIGTERM, SIGHUP. */
-  planned: boolean;
+  nature: Nature;
   from: number;
   to: number;
 }
@@ -116,9 +126,9 @@
   }
 
   /** Records the start of a disruption, and returns how to record its end. */
-  disrupt(target: string, what: string, planned = false): () => void {
+  disrupt(target: string, what: string, nature = Nature.Fault): () => void {
     const from = this.now();
-    const disruption = {target, what, planned, from, to: Infinity};
+    const disruption = {target, what, nature, from, to: Infinity};
     this.disruptions.push(disruption);
     return () => {
       disruption.to = Math.min(disruption.to, this.now());
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -42,6 +42,8 @@
   faults: Record<string, number>;
   /** Time from the last fault until everything was served, in ms. */
   recoveredAfterMs?: number;
+  /** How often there was something to judge bounds in time on. */
+  judged: Record<string, number>;
   violations: Violation[];
   /** Broken bounds that the soak's own stalls account for. */
   touched: Violation[];
@@ -272,6 +274,7 @@
       runs: history.arrivals.filter(({ran}) => ran).length,
       outcomes: countBy(requests.map(describeOutcome)),
       faults: countBy(this.faults.map(({kind}) => kind)),
+      judged: this.checker.countJudged(this.gateways.map(({name}) => name)),
       violations: all.filter(({touchedByStall}) => !touchedByStall),
       touched: all.filter(({touchedByStall}) => touchedByStall),
       maxLatenessMs: Math.round(lateness.maxMs),
--- /dev/null
+++ b/test/soak.test.ts
@@ -0,0 +1,326 @@
+import {execFileSync, spawn} from 'node:child_process';
+import {join} from 'node:path';
+import {expect, test, describe, beforeAll} from 'vitest';
+import {Checker} from '../bench/soak/checker.js';
+import {
+  eventDataOf,
+  RequestKind,
+  serviceOf,
+  textOf,
+} from '../bench/soak/deployment.js';
+import {
+  Nature,
+  SoakHistory,
+  STORE,
+  type Arrival,
+  type Outcome,
+  type SentRequest,
+} from '../bench/soak/history.js';
+import {Lateness} from '../bench/soak/lateness.js';
+import type {SoakResult} from '../bench/soak/soak.js';
+
+const ALPHA_KEY = 'alpha-lasting';
+const START = 100_000;
+
+/** A history that is written by hand; times are in ms since its start. */
+class WrittenHistory {
+  readonly history = new SoakHistory();
+
+  constructor() {
+    this.configure(1, 0);
+  }
+
+  configure(version: number, atMs: number, extraKeys: string[] = []): void {
+    const keys = [ALPHA_KEY, ...extraKeys].map(key => [key, 'alpha'] as const);
+    this.history.configurations.push({
+      version,
+      keys: new Map(keys),
+      acceptedAt: START + atMs,
+    });
+  }
+
+  send(
+    id: string,
+    atMs: number,
+    request: Partial<SentRequest> = {},
+  ): SentRequest {
+    const kind = request.kind ?? RequestKind.NonIdempotent;
+    const sent: SentRequest = {
+      id,
+      kind,
+      gateway: 'entry-0',
+      incarnation: 1,
+      path: `/${kind}/0`,
+      body: '',
+      key: ALPHA_KEY,
+      events: 0,
+      lastEvent: 0,
+      sentAt: START + atMs,
+      ...request,
+    };
+    this.history.requests.set(id, sent);
+    return sent;
+  }
+
+  run(request: SentRequest, arrival: Partial<Arrival> = {}): Arrival {
+    const run: Arrival = {
+      request: request.id,
+      upstream: 'plain-0',
+      incarnation: 1,
+      service: serviceOf(request.kind),
+      at: request.sentAt + 5,
+      ran: true,
+      method: 'GET',
+      path: request.path,
+      body: '',
+      tenant: 'alpha.1',
+      seal: `plain-0.1.${request.id}`,
+      status: 200,
+      size: 100,
+      brokeOff: false,
+      ...arrival,
+    };
+    this.history.addArrival(run);
+    return run;
+  }
+
+  answer(
+    request: SentRequest,
+    answer: Partial<Extract<Outcome, {type: 'answered'}>> = {},
+  ): void {
+    const seal = `plain-0.1.${request.id}`;
+    request.outcome = {
+      type: 'answered',
+      endedAt: request.sentAt + 50,
+      status: 200,
+      seal,
+      echoedId: request.id,
+      body: textOf(seal, 100),
+      events: [],
+      complete: true,
+      ...answer,
+    };
+  }
+
+  disturb(target: string, fromMs: number, toMs: number, nature: Nature): void {
+    const [from, to] = [START + fromMs, START + toMs];
+    this.history.disruptions.push({target, what: nature, nature, from, to});
+  }
+
+  /** The broken promises as lines of text. */
+  judge(): string[] {
+    const lateness = new Lateness();
+    lateness.stop();
+    return new Checker(this.history, lateness)
+      .check()
+      .map(
+        ({promise, request, message}) => `${promise} ${request}: ${message}`,
+      );
+  }
+}
+
+function judge(write: (written: WrittenHistory) => void): string[] {
+  const written = new WrittenHistory();
+  write(written);
+  return written.judge();
+}
+
+describe('the checker of the soak', () => {
+  test('accepts requests that are answered, refused or cut', () => {
+    const found = judge(written => {
+      const served = written.send('served', 0);
+      written.run(served);
+      written.answer(served);
+      const refused = written.send('refused', 10);
+      refused.outcome = {
+        type: 'answered',
+        endedAt: START + 20,
+        status: 503,
+        body: '',
+        events: [],
+        complete: true,
+      };
+      const cut = written.send('cut', 20);
+      written.run(cut);
+      const body = textOf(`plain-0.1.cut`, 100).slice(0, 40);
+      written.answer(cut, {body, complete: false});
+    });
+    expect(found).toEqual([]);
+  });
+
+  test('finds requests that ran twice, or after a refusal', () => {
+    const found = judge(written => {
+      const twice = written.send('twice', 0);
+      written.run(twice);
+      written.run(twice, {upstream: 'plain-1', seal: 'other'});
+      written.answer(twice);
+      const refused = written.send('refused', 0);
+      written.run(refused);
+      written.answer(refused, {status: 503});
+      const repeatable = written.send('again', 0, {
+        kind: RequestKind.Idempotent,
+      });
+      written.run(repeatable);
+      written.run(repeatable);
+      written.answer(repeatable);
+    });
+    expect(found).toMatchInlineSnapshot(`
+      [
+        "once twice: ran 2 times",
+        "not_run refused: answered 503, but ran",
+        "whole refused: status 503, but the upstream answered 200",
+      ]
+    `);
+  });
+
+  test('finds answers that are not whole, or of another request', () => {
+    const found = judge(written => {
+      const short = written.send('short', 0);
+      written.run(short);
+      written.answer(short, {body: textOf('plain-0.1.short', 90)});
+      const foreign = written.send('foreign', 0);
+      written.run(foreign);
+      written.answer(foreign, {seal: 'plain-0.1.short'});
+      const unsealed = written.send('unsealed', 0);
+      written.run(unsealed);
+      written.answer(unsealed);
+      delete (unsealed.outcome as {seal?: string}).seal;
+      const stream = written.send('stream', 0, {
+        kind: RequestKind.Streaming,
+        events: 3,
+      });
+      written.run(stream, {size: undefined});
+      const events = [1, 1].map(id => ({id, data: eventDataOf('stream', id)}));
+      written.answer(stream, {events, body: ''});
+    });
+    expect(found).toMatchInlineSnapshot(`
+      [
+        "whole short: complete with 90 of 100 characters",
+        "whole foreign: answer of another request, seal plain-0.1.short",
+        "whole unsealed: success without a seal",
+        "order stream: event 1 for 2",
+      ]
+    `);
+  });
+
+  test('finds changed requests, keys that were never held, and denials', () => {
+    const found = judge(written => {
+      const changed = written.send('changed', 0);
+      written.run(changed, {path: '/order/other'});
+      const forged = written.send('forged', 0);
+      written.run(forged, {tenant: 'forged'});
+      const unknown = written.send('unknown-key', 0, {key: 'never-held'});
+      written.run(unknown);
+      const leaked = written.send('leaked', 0);
+      written.run(leaked, {authorization: 'Bearer x'});
+      const denied = written.send('denied', 0);
+      written.answer(denied, {status: 401});
+      delete (denied.outcome as {seal?: string}).seal;
+    });
+    expect(found).toMatchInlineSnapshot(`
+      [
+        "unchanged changed: changed method, path or body, at plain-0",
+        "keys forged: ran with key alpha-lasting as forged",
+        "keys unknown-key: ran with key never-held as alpha.1",
+        "keys leaked: the key was passed on",
+        "denied denied: denied with 401",
+      ]
+    `);
+  });
+
+  test('holds bounds in time for gateways that nothing disturbs', () => {
+    const found = judge(written => {
+      written.configure(2, 10_000);
+      written.history.leaves.push({
+        upstream: 'plain-0',
+        incarnation: 1,
+        at: START + 10_000,
+        how: 'draining',
+      });
+      written.run(written.send('in-time', 12_400), {upstream: 'plain-1'});
+      written.run(written.send('late', 12_600));
+      written.disturb('entry-1', 9_000, 11_000, Nature.Fault);
+      const excused = {gateway: 'entry-1'};
+      written.run(written.send('excused', 12_700, excused));
+      written.disturb(STORE, 13_000, 13_100, Nature.Fault);
+      written.run(written.send('store-away', 13_200));
+    });
+    expect(found).toMatchInlineSnapshot(`
+      [
+        "leaving late: reached plain-0 2605 ms after it was draining",
+        "versions late: ran by version 1, 2600 ms after version 2",
+      ]
+    `);
+  });
+
+  test('finds versions that go back within a process', () => {
+    const found = judge(written => {
+      written.configure(2, 1_000);
+      written.run(written.send('newer', 5_000), {tenant: 'alpha.2'});
+      written.disturb(STORE, 0, 9_000, Nature.Fault);
+      written.run(written.send('older', 5_300));
+      written.run(written.send('restarted', 5_400, {incarnation: 2}));
+    });
+    expect(found).toMatchInlineSnapshot(`
+      [
+        "versions older: ran by version 1 after 2",
+      ]
+    `);
+  });
+
+  test('finds answers lost in planned work, and requests never served', () => {
+    const found = judge(written => {
+      written.disturb('entry-0', 10_000, 11_000, Nature.PlannedStop);
+      const lost = written.send('lost', 9_900);
+      written.run(lost);
+      lost.outcome = {type: 'failed', endedAt: START + 10_100, reason: 'reset'};
+      const harmed = written.send('harmed', 9_900);
+      written.run(harmed, {upstream: 'plain-1'});
+      written.disturb('plain-1', 9_800, 10_000, Nature.Fault);
+      harmed.outcome = {...lost.outcome};
+      written.history.calmSince = START + 20_000;
+      const unserved = written.send('unserved', 32_100);
+      unserved.outcome = {...lost.outcome};
+    });
+    expect(found).toMatchInlineSnapshot(`
+      [
+        "answered lost: a sound upstream worked on it; no whole answer",
+        "served unserved: not served after the last fault",
+      ]
+    `);
+  });
+});
+
+describe('gateway processes among faults', () => {
+  beforeAll(() => {
+    execFileSync(process.execPath, [join('scripts', 'bundle.mjs')]);
+  });
+
+  test('keep their promises under seed 1', {timeout: 120_000}, async () => {
+    const soak = spawn(
+      process.execPath,
+      [
+        join('build', 'bench', 'soak.js'),
+        ...['--seed', '1', '--seconds', '20', '--json'],
+      ],
+      {stdio: ['ignore', 'pipe', 'inherit']},
+    );
+    let output = '';
+    soak.stdout.on('data', (chunk: Buffer) => (output += chunk.toString()));
+    const code = await new Promise(resolve => soak.once('exit', resolve));
+    const result = JSON.parse(
+      output.trimEnd().split('\n').at(-1) ?? '',
+    ) as SoakResult;
+    // Bounds that the soak's own stalls touched are named.
+    for (const {promise, request, message} of result.touched) {
+      process.stdout.write(
+        `touched by a stall: ${promise} ${request} ${message}\n`,
+      );
+    }
+    expect(result.violations, output).toEqual([]);
+    expect(code).toBe(0);
+    expect(result.requests).toBeGreaterThan(300);
+    expect(result.judged['configurations']).toBeGreaterThan(0);
+    expect(result.judged['plannedWork']).toBeGreaterThan(0);
+  });
+});
