Hold leave announcements against the gateway that they reached

A response that says that its upstream leaves reaches one gateway, with its head; the soak counted from the arrival of the request, for all gateways. Announcements now count from the head, for its gateway, with the time that the platform allows for passing it on.

--- a/bench/soak/checker.ts
+++ b/bench/soak/checker.ts
@@ -230,7 +230,9 @@
 
   private checkLeaving(): Finding[] {
     return this.history.leaves.flatMap(leave => {
-      const dueAt = leave.at + BOUNDS.drainMs;
+      // A gateway counts from when the announcement reached it.
+      const passMs = leave.gateway === undefined ? 0 : BOUNDS.passMs;
+      const dueAt = leave.at + BOUNDS.drainMs + passMs;
       return this.history.arrivals.flatMap(arrival => {
         const {upstream, incarnation, at, status} = arrival;
         const isLate =
@@ -240,6 +242,7 @@
           status !== 421;
         const request = this.history.requests.get(arrival.request);
         if (!isLate || request === undefined) return [];
+        if (request.gateway !== (leave.gateway ?? request.gateway)) return [];
         const since = Math.min(leave.at, at - BOUNDS.stableWindowMs);
         if (!this.isUndisturbed([request.gateway, STORE], since, at)) return [];
         if (this.isLinkHarmed(upstream, since, at)) return [];
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -6,6 +6,8 @@
   stableWindowMs: 4_000,
   /** Time in which a leaving upstream stops getting requests. */
   drainMs: 2_500,
+  /** Time in which what an upstream sent has passed a gateway. */
+  passMs: 250,
   /** Time from SIGTERM to SIGKILL. */
   graceMs: 8_000,
   /** Time in which an acknowledged configuration is in force. */
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -74,6 +74,8 @@
   incarnation: number;
   at: number;
   how: string;
+  /** The gateway to which a response said so; absent if the store says so. */
+  gateway?: string;
 }
 
 /** What a disruption excuses. */
@@ -121,6 +123,17 @@
     this.byRequest.set(arrival.request, [...others, arrival]);
   }
 
+  /** Adds what is said first of a process, to a gateway or by the store. */
+  addLeave(leave: Leave): void {
+    const isKnown = this.leaves.some(
+      ({upstream, incarnation, gateway}) =>
+        upstream === leave.upstream &&
+        incarnation === leave.incarnation &&
+        gateway === leave.gateway,
+    );
+    if (!isKnown) this.leaves.push(leave);
+  }
+
   arrivalsOf(request: string): readonly Arrival[] {
     return this.byRequest.get(request) ?? [];
   }
