--- a/bench/fleet/simulatedfleet.ts
+++ b/bench/fleet/simulatedfleet.ts
@@ -12,12 +12,9 @@
 import {watchStalls} from '../../src/wiring/stall.js';
 import {Random} from '../random.js';
 import {Audit} from './audit.js';
+import type {Application, FleetSpec} from './fleetspec.js';
 import {InstanceTimer} from './instancetimer.js';
-import {
-  feedOverLinks,
-  SimulatedLinks,
-  type LinkCapacity,
-} from './simulatedlinks.js';
+import {feedOverLinks, SimulatedLinks} from './simulatedlinks.js';
 import {SimulatedNetwork, type Place} from './simulatednetwork.js';
 import {SimulatedStore, StoreState} from './simulatedstore.js';
 import {
@@ -54,29 +51,6 @@
 
 const silent = pino({level: 'silent'});
 
-/** Size and seed of a simulated fleet. */
-export interface FleetSpec {
-  instances: number;
-  upstreams: number;
-  seed: number;
-  /** Share of messages between instances that are lost, 0 to 1. */
-  loss: number;
-  /** Size of a configuration, in bytes. */
-  configurationBytes: number;
-  /** Capacity of the links; unlimited if absent. */
-  links?: LinkCapacity;
-  /** Period with which an upstream writes its entry, in ms. */
-  heartbeatMs?: number;
-}
-
-/** When a record of the store was in force at an instance. */
-export interface Application {
-  instance: string;
-  topic: Topic;
-  /** Time from the record's acknowledgement until then, in ms. */
-  delayMs: number;
-}
-
 /** One simulated instance. */
 export class SimulatedInstance {
   readonly timer: InstanceTimer;
--- a/bench/soak/checker.ts
+++ b/bench/soak/checker.ts
@@ -1,13 +1,9 @@
 import {
   BOUNDS,
-  eventDataOf,
-  isStream,
-  lastingKeyOf,
   RequestKind,
   runsOnce,
   serviceOf,
   textOf,
-  WORKSPACES,
 } from './deployment.js';
 import {
   Nature,
@@ -17,52 +13,18 @@
   type SentRequest,
   type SoakHistory,
 } from './history.js';
+import {
+  describeDenial,
+  describeEvents,
+  isServed,
+  mustBeServed,
+} from './expectation.js';
 import type {Lateness} from './lateness.js';
-
-/** What is promised to callers, upstreams and operators. */
-export enum Promised {
-  /** What may run only once runs only once. */
-  Once = 'once',
-  /** 408, 421, 429 and 503 mean that the request never runs. */
-  NotRun = 'not_run',
-  /** A success is the whole answer of an upstream to this request. */
-  Whole = 'whole',
-  /** Events of a stream come in order, and none twice. */
-  Order = 'order',
-  /** Upstreams get requests as their callers sent them. */
-  Unchanged = 'unchanged',
-  /** Nothing runs without a key that was valid; the workspace is its own. */
-  Keys = 'keys',
-  /** A proper request isn't denied. */
-  Denied = 'denied',
-  /** An upstream that leaves gets nothing later than the bound. */
-  Leaving = 'leaving',
-  /** A configuration is in force in time, and versions never go back. */
-  Versions = 'versions',
-  /** What a running upstream works on is answered, also at a planned stop. */
-  Answered = 'answered',
-  /** Everything is served again after the last fault. */
-  Served = 'served',
-}
-
-/** A broken promise. */
-export interface Violation {
-  promise: Promised;
-  /** Id of the request. */
-  request: string;
-  message: string;
-  at: number;
-  /**
-   * Whether the bound was kept but for the time in which the soak's own process
-   * stood still. Such a finding is named and doesn't fail the run.
-   */
-  touchedByStall: boolean;
-}
+import {Promised, type Violation} from './promise.js';
 
 type Finding = Omit<Violation, 'promise'>;
 
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
-const DENIALS = new Set([401, 403, 404]);
 /** Answers that may be lost by an instance in touch without planned work. */
 const LOST_LIMIT = 3;
 /** Time of the last requests that must all be served, in ms. */
@@ -425,44 +387,3 @@
   const version = Number(tenant?.split('.')[1]);
   return Number.isInteger(version) ? version : undefined;
 }
-
-function describeEvents(request: SentRequest): string | undefined {
-  const {id, kind, outcome, lastEvent, events: total} = request;
-  if (!isStream(kind) || outcome?.type !== 'answered') return undefined;
-  if (outcome.status !== 200) return undefined;
-  const {events, complete} = outcome;
-  for (const [index, event] of events.entries()) {
-    const expected = lastEvent + index + 1;
-    if (event.id !== expected) return `event ${event.id} for ${expected}`;
-    if (event.data !== eventDataOf(id, expected)) {
-      return `event ${event.id} with the data ${event.data}`;
-    }
-  }
-  const last = lastEvent + events.length;
-  return complete && last !== total
-    ? `complete after event ${last} of ${total}`
-    : undefined;
-}
-
-/** Denials of what every configuration allows. */
-function describeDenial(request: SentRequest): string | undefined {
-  const {outcome} = request;
-  if (outcome?.type !== 'answered' || outcome.seal !== undefined) return;
-  const isDenied = DENIALS.has(outcome.status) && isAlwaysAllowed(request);
-  return isDenied ? `denied with ${outcome.status}` : undefined;
-}
-
-function isAlwaysAllowed({kind, key}: SentRequest): boolean {
-  const isLasting = WORKSPACES.some(name => lastingKeyOf(name) === key);
-  return kind === RequestKind.Public || isLasting;
-}
-
-function mustBeServed(request: SentRequest): boolean {
-  return isAlwaysAllowed(request) && request.outcome?.type !== 'left';
-}
-
-function isServed({outcome}: SentRequest): boolean {
-  return (
-    outcome?.type === 'answered' && outcome.status === 200 && outcome.complete
-  );
-}
--- /dev/null
+++ b/bench/soak/expectation.ts
@@ -0,0 +1,53 @@
+import {
+  eventDataOf,
+  isStream,
+  lastingKeyOf,
+  RequestKind,
+  WORKSPACES,
+} from './deployment.js';
+import type {SentRequest} from './history.js';
+
+const DENIALS = new Set([401, 403, 404]);
+
+/** How the events of a stream differ from what they should be. */
+export function describeEvents(request: SentRequest): string | undefined {
+  const {id, kind, outcome, lastEvent, events: total} = request;
+  if (!isStream(kind) || outcome?.type !== 'answered') return undefined;
+  if (outcome.status !== 200) return undefined;
+  const {events, complete} = outcome;
+  for (const [index, event] of events.entries()) {
+    const expected = lastEvent + index + 1;
+    if (event.id !== expected) return `event ${event.id} for ${expected}`;
+    if (event.data !== eventDataOf(id, expected)) {
+      return `event ${event.id} with the data ${event.data}`;
+    }
+  }
+  const last = lastEvent + events.length;
+  return complete && last !== total
+    ? `complete after event ${last} of ${total}`
+    : undefined;
+}
+
+/** Denials of what every configuration allows. */
+export function describeDenial(request: SentRequest): string | undefined {
+  const {outcome} = request;
+  if (outcome?.type !== 'answered' || outcome.seal !== undefined) return;
+  const isDenied = DENIALS.has(outcome.status) && isAlwaysAllowed(request);
+  return isDenied ? `denied with ${outcome.status}` : undefined;
+}
+
+/** Whether every configuration of the run allows a request. */
+function isAlwaysAllowed({kind, key}: SentRequest): boolean {
+  const isLasting = WORKSPACES.some(name => lastingKeyOf(name) === key);
+  return kind === RequestKind.Public || isLasting;
+}
+
+export function mustBeServed(request: SentRequest): boolean {
+  return isAlwaysAllowed(request) && request.outcome?.type !== 'left';
+}
+
+export function isServed({outcome}: SentRequest): boolean {
+  return (
+    outcome?.type === 'answered' && outcome.status === 200 && outcome.complete
+  );
+}
--- /dev/null
+++ b/bench/soak/promise.ts
@@ -0,0 +1,39 @@
+/** What is promised to callers, upstreams and operators. */
+export enum Promised {
+  /** What may run only once runs only once. */
+  Once = 'once',
+  /** 408, 421, 429 and 503 mean that the request never runs. */
+  NotRun = 'not_run',
+  /** A success is the whole answer of an upstream to this request. */
+  Whole = 'whole',
+  /** Events of a stream come in order, and none twice. */
+  Order = 'order',
+  /** Upstreams get requests as their callers sent them. */
+  Unchanged = 'unchanged',
+  /** Nothing runs without a key that was valid; the workspace is its own. */
+  Keys = 'keys',
+  /** A proper request isn't denied. */
+  Denied = 'denied',
+  /** An upstream that leaves gets nothing later than the bound. */
+  Leaving = 'leaving',
+  /** A configuration is in force in time, and versions never go back. */
+  Versions = 'versions',
+  /** What a running upstream works on is answered, also at a planned stop. */
+  Answered = 'answered',
+  /** Everything is served again after the last fault. */
+  Served = 'served',
+}
+
+/** A broken promise. */
+export interface Violation {
+  promise: Promised;
+  /** Id of the request. */
+  request: string;
+  message: string;
+  at: number;
+  /**
+   * Whether the bound was kept but for the time in which the soak's own process
+   * stood still. Such a finding is named and doesn't fail the run.
+   */
+  touchedByStall: boolean;
+}
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -4,13 +4,14 @@
 import {Availability, startKeyedStore} from '../../stand-ins/index.js';
 import {Random} from '../random.js';
 import {Caller} from './callers.js';
-import {Checker, type Violation} from './checker.js';
+import {Checker} from './checker.js';
 import {BOUNDS, ServiceName} from './deployment.js';
 import {Injector, scheduleFaults, type ScheduledFault} from './faults.js';
 import {GatewayProcess} from './gatewayprocess.js';
 import {SoakHistory, STORE} from './history.js';
 import {Lateness, type Stall} from './lateness.js';
 import {Operator} from './operator.js';
+import type {Violation} from './promise.js';
 import {SoakUpstream} from './upstream.js';
 
 const UPSTREAMS_PER_SERVICE = 3;
--- a/test/fleet-links.test.ts
+++ b/test/fleet-links.test.ts
@@ -1,10 +1,8 @@
 import {ok} from 'neverthrow';
 import {pino} from 'pino';
 import {describe, expect, it} from 'vitest';
-import {
-  SimulatedFleet,
-  type Application,
-} from '../bench/fleet/simulatedfleet.js';
+import type {Application} from '../bench/fleet/fleetspec.js';
+import {SimulatedFleet} from '../bench/fleet/simulatedfleet.js';
 import {StoreState} from '../bench/fleet/simulatedstore.js';
 import {RecordExchange, type GossipMessage} from '../src/fleet/index.js';
 import {TransferQueue} from '../src/fleet/transferqueue.js';
