--- a/test/restoredstore.test.ts
+++ b/test/restoredstore.test.ts
@@ -181,7 +181,12 @@
     // Versions 3 and 4 accept it; i-2 gets none of these.
     for (let n = 0; n < CALLS; n++) {
       const found = await statusWith(gateway, `call-${index}-${n}`, 'key-3');
-      if (found !== 200) problems.push(`entry-${index}: key-3 gets ${found}`);
+      if (found !== 200) {
+        const ended = started[index]?.logLines.findLast(
+          ({request}) => request === `call-${index}-${n}`,
+        );
+        problems.push(`entry-${index}: key-3 gets ${JSON.stringify(ended)}`);
+      }
       await sleep(PROBE_PERIOD_MS);
     }
   });
