Log why this instance broke an attempt off

The cause of an attempt that the deadline, a caller who left or the watchdog for silent upstreams ended was `broken off` in each case, so that the log couldn't tell the hypotheses on the lost request apart. The signal that ends an attempt now has its cause, and the log line shows it: `broken off: silent`, `timed_out` or `gone`.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -92,7 +92,8 @@
   private settled = false;
   private readonly chunks: Buffer[] = [];
   private bufferedBytes = 0;
-  private readonly onAbort = () => this.abort('broken off');
+  private readonly onAbort = () =>
+    this.abort(`broken off: ${String(this.spec.signal.reason)}`);
   private readonly connection: Connection;
 
   constructor(
--- a/src/forward/deadline.ts
+++ b/src/forward/deadline.ts
@@ -6,6 +6,8 @@
   Gone = 'gone',
   /** The deadline of the request passed. */
   TimedOut = 'timed_out',
+  /** Its upstream sent nothing for too long. */
+  Silent = 'silent',
 }
 
 /** Aborts a request at its deadline or when its caller disconnects. */
@@ -22,7 +24,7 @@
   ) {
     this.timeout = timer.after(Math.max(0, at - timer.now()), () => {
       this.stop(StopCause.TimedOut);
-      this.expiryController.abort();
+      this.expiryController.abort(StopCause.TimedOut);
     });
   }
 
@@ -39,7 +41,7 @@
   stop(cause: StopCause): void {
     if (this.controller.signal.aborted) return;
     this.cause = cause;
-    this.controller.abort();
+    this.controller.abort(cause);
   }
 
   /** Cancels the time-out. */
--- a/src/forward/watchdog.ts
+++ b/src/forward/watchdog.ts
@@ -1,5 +1,6 @@
 import type {Route} from '../route/index.js';
 import type {Subscription, Timer} from '../timer/index.js';
+import {StopCause} from './deadline.js';
 import type {Endpoint} from './endpoint.js';
 
 /** Period of the check for silence, in ms. */
@@ -69,7 +70,7 @@
   private expire(): void {
     this.expired = true;
     this.end();
-    this.controller.abort();
+    this.controller.abort(StopCause.Silent);
   }
 
   private limitMs(): number {
