Let a silent upstream keep its request until another one has taken it

Cause: SilenceWatchdog aborted the attempt once a probe of the silent upstream failed. Only then was it looked for who could go on: the retry budget could be spent, no other upstream there or willing, or bytes sent that no event id covers. So the answer was ended on suspicion, with nobody to take over.

Now a silent upstream is only reported. AttemptRunner then sends the request to a healthy upstream beside it, if kind, budget and capacity allow that at once, and ends the first attempt when the other one has sent an event, or was sent the request 250 ms ago and has not refused it. Bytes of the silent one end the other attempt instead.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -72,6 +72,8 @@
   timer: Timer;
   /** Aborts the attempt. */
   signal: AbortSignal;
+  /** Called when the request is about to be written to its connection. */
+  sent?(): void;
   /**
    * Called with the head of the response; returns whether the upstream asks for
    * a pause in it.
@@ -131,8 +133,12 @@
     if (endpoint.pause.withholds(placedAt, timer.now())) {
       this.settle({type: 'withheld'});
     }
-    if (this.settled) controller.abort(new Interruption());
-    else this.connection.reset = false;
+    if (this.settled) {
+      controller.abort(new Interruption());
+      return;
+    }
+    this.connection.reset = false;
+    this.spec.sent?.();
   }
 
   onResponseStart(
--- a/src/forward/attempthealth.ts
+++ b/src/forward/attempthealth.ts
@@ -3,37 +3,60 @@
 import type {ForwardDependencies} from './dependencies.js';
 import type {Endpoint} from './endpoint.js';
 import type {RequestContext} from './requestcontext.js';
+import type {HealthSignal} from './health.js';
 import {healthSignalOf} from './retry.js';
 
-/**
- * Updates the health of an upstream after an attempt; `silent`: whether it was
- * ended because the upstream fell silent.
- */
+/** Updates the health of an upstream after an attempt. */
 export function recordHealth(
-  {timer, logger}: ForwardDependencies,
-  {deadline, request}: RequestContext,
+  dependencies: ForwardDependencies,
+  context: RequestContext,
   endpoint: Endpoint,
   result: AttemptResult,
-  silent: boolean,
 ): void {
   const sign = healthSignalOf(result);
-  if (deadline.signal.aborted && !silent) return;
-  if (sign === undefined) return;
-  const {health} = endpoint;
-  const now = timer.now();
-  const outMs = silent ? health.eject(now) : health.observe(sign, now);
+  if (context.deadline.signal.aborted || sign === undefined) return;
+  const now = dependencies.timer.now();
+  const outMs = endpoint.health.observe(sign, now);
   if (outMs === undefined) return;
+  const cause = 'cause' in result ? result.cause : undefined;
+  logEjection(dependencies, context, endpoint, {sign, cause, outMs});
+}
+
+/** Ejects an upstream that is silent during an attempt. */
+export function recordSilence(
+  dependencies: ForwardDependencies,
+  context: RequestContext,
+  endpoint: Endpoint,
+): void {
+  const now = dependencies.timer.now();
+  if (endpoint.health.isEjected(now)) return;
+  const outMs = endpoint.health.eject(now);
+  logEjection(dependencies, context, endpoint, {silent: true, outMs});
+}
+
+function logEjection(
+  {timer, logger}: ForwardDependencies,
+  {request}: RequestContext,
+  endpoint: Endpoint,
+  {silent = false, ...details}: Ejection,
+): void {
   logger.warn(
     {
       event: LogEvent.Health,
       upstream: endpoint.id,
       request: request.id,
-      sign,
       silent,
-      cause: 'cause' in result ? result.cause : undefined,
-      heardMsAgo: Math.round(now - endpoint.lastHeardAt),
-      outMs,
+      heardMsAgo: Math.round(timer.now() - endpoint.lastHeardAt),
+      ...details,
     },
     'Upstream ejected temporarily after failures.',
   );
 }
+
+/** Why and for how long an upstream is ejected. */
+interface Ejection {
+  sign?: HealthSignal;
+  silent?: boolean;
+  cause?: string | undefined;
+  outMs: number;
+}
--- /dev/null
+++ b/src/forward/attemptrunner.ts
@@ -0,0 +1,212 @@
+import {LogEvent} from '../telemetry/logevent.js';
+import type {Subscription} from '../timer/index.js';
+import type {AttemptResult} from './attempt.js';
+import {recordSilence} from './attempthealth.js';
+import type {ForwardDependencies} from './dependencies.js';
+import type {Placement, PlacementRequest} from './placementrequest.js';
+import {placementRequestOf, type RequestContext} from './requestcontext.js';
+import {isSuccess, type AttemptTally} from './attempttally.js';
+import {decideReplacement, Retry} from './retry.js';
+import {RunningAttempt} from './runningattempt.js';
+import type {StreamSink} from './sink.js';
+
+/**
+ * Longest time for which a request is sent to two upstreams, in ms. An upstream
+ * that can't take it refuses it sooner, even in another region.
+ */
+const MAX_OVERLAP_MS = 250;
+
+/** Why a silent upstream keeps a request. */
+enum KeepCause {
+  /** The retry budget is spent. */
+  Budget = 'budget',
+  /** No healthy upstream takes it now. */
+  NoUpstream = 'no_upstream',
+}
+
+/**
+ * Runs one attempt of a request. While its upstream is silent, a successor on
+ * another upstream is sought; the attempt goes on until the successor was
+ * accepted, since a silent upstream may still answer.
+ */
+export class AttemptRunner {
+  private current?: RunningAttempt;
+  private successor?: RunningAttempt;
+  private overlap?: Subscription;
+  /** Why the current upstream was last left to go on, as logged. */
+  private loggedCause?: KeepCause;
+  private resolve: (result: AttemptResult) => void = () => undefined;
+
+  constructor(
+    private readonly dependencies: ForwardDependencies,
+    private readonly context: RequestContext,
+    private readonly tally: AttemptTally,
+    private readonly sink: StreamSink,
+    /** Whether the caller already received a part of the response. */
+    private readonly answerStarted: () => boolean,
+  ) {}
+
+  /** Resolves to the result of the attempt that was not replaced. */
+  run(request: PlacementRequest, placement: Placement): Promise<AttemptResult> {
+    return new Promise(resolve => {
+      this.resolve = resolve;
+      const attempt = this.create(request, placement);
+      this.current = attempt;
+      void this.send(attempt);
+    });
+  }
+
+  private create(
+    request: PlacementRequest,
+    placement: Placement,
+  ): RunningAttempt {
+    const {dependencies, context, tally, sink} = this;
+    let hasBytes = false;
+    const attemptSink = sink.forAttempt({
+      isCurrent: () => attempt === this.current,
+      onBytes: () => {
+        if (attempt === this.current) this.dropSuccessor();
+        if (hasBytes) return;
+        hasBytes = true;
+        const now = dependencies.timer.now();
+        tally.recordFirstBytes(attempt.sentAt, now);
+        attempt.recordFirstBytes(now);
+      },
+      onOutput: () => {
+        if (attempt === this.successor) this.promote();
+      },
+    });
+    const attempt: RunningAttempt = new RunningAttempt(
+      dependencies,
+      context,
+      placement,
+      request,
+      attemptSink,
+      {
+        onSent: () => {
+          if (attempt === this.successor) this.limitOverlap();
+        },
+        isReplaceable: () => attempt === this.current && this.isReplaceable(),
+        onSilence: silentMs => this.seekSuccessor(silentMs, placement),
+      },
+    );
+    tally.triedUpstreams.add(placement.endpoint.id);
+    return attempt;
+  }
+
+  private async send(attempt: RunningAttempt): Promise<void> {
+    const {tally, sink, context} = this;
+    if (tally.attempts === 0) {
+      const now = this.dependencies.timer.now();
+      context.service.retryBudget.countFirstAttempt(now);
+    }
+    tally.attempts++;
+    const result = await attempt.run(sink.lastEvent);
+    this.end(attempt, result);
+  }
+
+  private end(attempt: RunningAttempt, result: AttemptResult): void {
+    if (attempt === this.successor) {
+      if (isSuccess(result)) this.promote();
+      else this.dropSuccessor();
+    }
+    if (attempt !== this.current) {
+      this.tally.recordFailure(result);
+      return;
+    }
+    if (this.successor !== undefined && !isSuccess(result)) {
+      this.tally.recordFailure(result);
+      this.current = undefined;
+      this.promote();
+      return;
+    }
+    this.dropSuccessor();
+    this.current = undefined;
+    this.resolve(result);
+  }
+
+  /** Starts a successor of an attempt whose upstream is silent, if one can. */
+  private seekSuccessor(silentMs: number, {endpoint}: Placement): void {
+    if (!this.isReplaceable()) return;
+    const {dependencies, context} = this;
+    recordSilence(dependencies, context, endpoint);
+    const request = placementRequestOf(context, {
+      arrivedAt: this.tally.arrivedAt,
+      triedUpstreams: this.tally.triedUpstreams,
+      answerStarted: this.answerStarted(),
+    });
+    const placement = this.placeSuccessor(request);
+    const details = {
+      request: context.request.id,
+      upstream: endpoint.id,
+      silentMs: Math.round(silentMs),
+      lastEvent: this.sink.lastEvent,
+    };
+    if (typeof placement === 'string') {
+      if (placement !== this.loggedCause) {
+        dependencies.logger.info(
+          {event: LogEvent.Silent, ...details, kept: placement},
+          'The upstream is silent; waiting for it to go on.',
+        );
+      }
+      this.loggedCause = placement;
+      return;
+    }
+    dependencies.logger.info(
+      {event: LogEvent.Silent, ...details, successor: placement.endpoint.id},
+      'The upstream is silent; sending the request to another one, too.',
+    );
+    this.successor = this.create(request, placement);
+    void this.send(this.successor);
+  }
+
+  private isReplaceable(): boolean {
+    const {tally, sink, successor} = this;
+    const {route, deadline} = this.context;
+    const decision = decideReplacement({
+      route,
+      attempts: tally.attempts,
+      possibleRuns: tally.possibleRuns,
+      resumable: sink.resumable,
+      leftMs: deadline.at - this.dependencies.timer.now(),
+    });
+    return successor === undefined && decision !== Retry.Never;
+  }
+
+  private placeSuccessor(request: PlacementRequest): Placement | KeepCause {
+    const {service} = this.context;
+    const now = this.dependencies.timer.now();
+    if (service.retryBudget.remaining(now) < 1) return KeepCause.Budget;
+    const placement = service.waitQueue.placeNow(request);
+    if (placement === undefined) return KeepCause.NoUpstream;
+    service.retryBudget.take(now);
+    return placement;
+  }
+
+  /** Replaces the current attempt by its successor. */
+  private promote(): void {
+    const replaced = this.current;
+    this.current = this.successor;
+    this.successor = undefined;
+    this.overlap?.end();
+    if (replaced !== undefined) {
+      replaced.abandon();
+      // It did not fail, so it may continue the request if the successor does.
+      this.tally.triedUpstreams.delete(replaced.endpoint.id);
+    }
+    this.current?.sink.begin();
+  }
+
+  private dropSuccessor(): void {
+    const dropped = this.successor;
+    this.successor = undefined;
+    this.overlap?.end();
+    dropped?.abandon();
+  }
+
+  private limitOverlap(): void {
+    this.overlap = this.dependencies.timer.after(MAX_OVERLAP_MS, () =>
+      this.promote(),
+    );
+  }
+}
--- /dev/null
+++ b/src/forward/attempttally.ts
@@ -0,0 +1,66 @@
+import type {AttemptResult, BufferedResponse} from './attempt.js';
+
+/** What the attempts of a request have come to so far. */
+export class AttemptTally {
+  readonly triedUpstreams = new Set<string>();
+  /** Attempts so far. */
+  attempts = 0;
+  /** Attempts so far that the upstream may have run. */
+  possibleRuns = 0;
+  /** Last complete error response of an upstream. */
+  upstreamFailure?: BufferedResponse;
+  /** Time from sending to the first bytes of a streamed response, in ms. */
+  startMs?: number;
+  /** Time from arrival to the first bytes of a streamed response, in ms. */
+  toFirstMs?: number;
+
+  constructor(
+    /** When the request arrived, in monotonic ms. */
+    readonly arrivedAt: number,
+  ) {}
+
+  get mayHaveRun(): boolean {
+    return this.possibleRuns > 0;
+  }
+
+  /** Records the first bytes of a response to an attempt sent at `sentAt`. */
+  recordFirstBytes(sentAt: number, now: number): void {
+    this.startMs ??= Math.round(now - sentAt);
+    this.toFirstMs ??= Math.round(now - this.arrivedAt);
+  }
+
+  /** Records an attempt that brought no success. */
+  recordFailure(result: AttemptResult): void {
+    switch (result.type) {
+      case 'whole':
+        this.possibleRuns++;
+        this.upstreamFailure = result.answer;
+        return;
+      case 'broken':
+        this.possibleRuns++;
+        return;
+      case 'delivered':
+      case 'refused':
+      case 'unsent':
+      case 'withheld':
+        return;
+    }
+  }
+}
+
+/** Whether the result is a successful response. */
+export function isSuccess(result: AttemptResult): boolean {
+  switch (result.type) {
+    case 'delivered':
+      return true;
+    case 'whole': {
+      const {status} = result.answer.head;
+      return status >= 200 && status < 300;
+    }
+    case 'broken':
+    case 'refused':
+    case 'unsent':
+    case 'withheld':
+      return false;
+  }
+}
--- a/src/forward/deadline.ts
+++ b/src/forward/deadline.ts
@@ -6,8 +6,8 @@
   Gone = 'gone',
   /** The deadline of the request passed. */
   TimedOut = 'timed_out',
-  /** Its upstream sent nothing for too long. */
-  Silent = 'silent',
+  /** Another upstream took the request over. */
+  Replaced = 'replaced',
 }
 
 /** Aborts a request at its deadline or when its caller disconnects. */
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -1,23 +1,18 @@
 import {LogEvent} from '../telemetry/logevent.js';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {Repetition, type Route, type RoutingTable} from '../route/index.js';
-import {
-  runAttempt,
-  type AttemptResult,
-  type BufferedResponse,
-} from './attempt.js';
+import type {Route, RoutingTable} from '../route/index.js';
+import type {AttemptResult, BufferedResponse} from './attempt.js';
+import {AttemptRunner} from './attemptrunner.js';
 import {bytesOf, readBodyUntil} from './body.js';
 import {Deadline, StopCause} from './deadline.js';
 import {rejectionOf, type Ending} from './ending.js';
-import type {Placement, PlacementRequest} from './placementrequest.js';
 import {placementRequestOf, type RequestContext} from './requestcontext.js';
 import type {RequestHead} from './protocol.js';
 import {NotRunCause, refusalStatus, type Refusal} from './refusal.js';
 import {notRunCauseOf, decideRetry, Retry} from './retry.js';
-import {recordHealth} from './attempthealth.js';
 import {Reply} from './reply.js';
+import {isSuccess, AttemptTally} from './attempttally.js';
 import {StreamSink} from './sink.js';
-import {SilenceWatchdog} from './watchdog.js';
 import type {ForwardDependencies} from './dependencies.js';
 
 /** Time-out of a request that states none, in ms; the route's also applies. */
@@ -25,29 +20,17 @@
 
 /** Forwards one request of a caller and writes its response. */
 export class Exchange {
-  private readonly arrivedAt: number;
   private readonly reply: Reply;
-  private readonly triedUpstreams = new Set<string>();
-  /** Attempts so far. */
-  private attempts = 0;
-  /** Time from sending to the first bytes of a streamed response, in ms. */
-  private startMs?: number;
-  /** Time from arrival to the first bytes of a streamed response, in ms. */
-  private toFirstMs?: number;
+  private readonly tally: AttemptTally;
   /** Objective of the request's route, in ms. */
   private targetMs?: number;
-  /** Attempts so far that the upstream may have run. */
-  private possibleRuns = 0;
-  private mayHaveRun = false;
-  /** Last complete error response of an upstream. */
-  private upstreamFailure?: BufferedResponse;
 
   constructor(
     private readonly dependencies: ForwardDependencies,
     private readonly message: IncomingMessage,
     private readonly response: ServerResponse,
   ) {
-    this.arrivedAt = dependencies.timer.now();
+    this.tally = new AttemptTally(dependencies.timer.now());
     this.reply = new Reply(response, dependencies.isDraining);
   }
 
@@ -60,7 +43,8 @@
       table === undefined
         ? this.refuse({type: 'notReady'})
         : await this.serve(request, table);
-    const ms = Math.round(timer.now() - this.arrivedAt);
+    const {arrivedAt, attempts, startMs, toFirstMs} = this.tally;
+    const ms = Math.round(timer.now() - arrivedAt);
     this.dependencies.metrics.recordEnding(ending, ms);
     logger.info(
       {
@@ -68,9 +52,9 @@
         request: request.id,
         version: table?.version,
         ...ending,
-        sends: this.attempts,
-        startMs: this.startMs,
-        toFirstMs: this.toFirstMs,
+        sends: attempts,
+        startMs,
+        toFirstMs,
         targetMs: this.targetMs,
         ms,
       },
@@ -111,7 +95,7 @@
     }
     const deadline = new Deadline(
       this.dependencies.timer,
-      this.arrivedAt + limitMs,
+      this.tally.arrivedAt + limitMs,
     );
     const onClose = () => {
       if (!this.response.writableFinished) deadline.stop(StopCause.Gone);
@@ -148,21 +132,23 @@
   private async forward(context: RequestContext): Promise<Ending> {
     const {route, deadline, service} = context;
     const sink = new StreamSink(this.reply, context.request.lastEvent, route);
+    const runner = new AttemptRunner(
+      this.dependencies,
+      context,
+      this.tally,
+      sink,
+      () => this.reply.headersSent,
+    );
     for (;;) {
       const placementRequest = placementRequestOf(context, {
-        arrivedAt: this.arrivedAt,
-        triedUpstreams: this.triedUpstreams,
+        arrivedAt: this.tally.arrivedAt,
+        triedUpstreams: this.tally.triedUpstreams,
         answerStarted: this.reply.headersSent,
       });
       const placement = await service.waitQueue.acquire(placementRequest);
       if (placement.type === 'gone') return this.endStopped(context);
       if (placement.type === 'notRun') return this.giveUp(context, placement);
-      const result = await this.attempt(
-        context,
-        sink,
-        placementRequest,
-        placement,
-      );
+      const result = await runner.run(placementRequest, placement);
       const ending = this.endIfFinal(context, sink, result);
       if (ending !== undefined) return ending;
       if (deadline.signal.aborted) return this.endStopped(context);
@@ -189,83 +175,6 @@
     }
   }
 
-  private async attempt(
-    context: RequestContext,
-    sink: StreamSink,
-    placementRequest: PlacementRequest,
-    placement: Placement,
-  ): Promise<AttemptResult> {
-    const {endpoint} = placement;
-    const {request, deadline, service, route, body, workspace, tier} = context;
-    const {timer, protocol, observer} = this.dependencies;
-    const sentAt = timer.now();
-    this.triedUpstreams.add(endpoint.id);
-    if (this.attempts === 0) service.retryBudget.countFirstAttempt(sentAt);
-    this.attempts++;
-    if (request.prompt !== undefined) {
-      this.dependencies.promptSent(endpoint, request.prompt);
-    }
-    const load = service.trackLoad(placement, placementRequest, sentAt);
-    sink.beginAttempt(() => {
-      const now = timer.now();
-      this.startMs ??= Math.round(now - sentAt);
-      this.toFirstMs ??= Math.round(now - this.arrivedAt);
-      load.recordFirstBytes(now);
-    });
-    const isRetryable = route.repetition !== Repetition.AtMostOnce;
-    const watchdog = new SilenceWatchdog({
-      timer,
-      endpoint,
-      route,
-      prefillMs: placement.prefillMs,
-      active: isRetryable && this.attempts < route.attemptsLimit,
-      isAlive: () => this.dependencies.isAlive(endpoint),
-    });
-    // A request that must not be retried runs to its end without its caller.
-    const outlivesCaller = !isRetryable && !route.streaming;
-    const signal = AbortSignal.any([
-      outlivesCaller ? deadline.expirySignal : deadline.signal,
-      watchdog.signal,
-    ]);
-    try {
-      const result = await runAttempt({
-        endpoint,
-        placedAt: sentAt,
-        protocol,
-        request,
-        metadata: {
-          upstream: endpoint.id,
-          remainingMs: Math.max(1, Math.floor(deadline.at - sentAt)),
-          ...(workspace === undefined ? {} : {workspace}),
-          ...(request.prompt === undefined ? {} : {tier}),
-          ...(sink.lastEvent === undefined ? {} : {lastEvent: sink.lastEvent}),
-        },
-        body,
-        sink,
-        timer,
-        signal,
-        observe: head => observer.observe(endpoint, head, placement.trial),
-      });
-      recordHealth(
-        this.dependencies,
-        context,
-        endpoint,
-        result,
-        watchdog.expired,
-      );
-      const ms = timer.now() - sentAt;
-      if (result.type === 'whole' && !result.asksForPause) {
-        service.speeds.observePlain(ms);
-      }
-      if (result.type === 'delivered') service.speeds.observe(route.name, ms);
-      return result;
-    } finally {
-      watchdog.end();
-      load.end();
-      service.waitQueue.placeWaiting();
-    }
-  }
-
   /** Completes the response if the result is final; else returns undefined. */
   private endIfFinal(
     {route}: RequestContext,
@@ -282,25 +191,19 @@
         };
       case 'whole': {
         const {answer} = result;
+        if (!isSuccess(result)) break;
+        this.reply.sendBuffered(answer);
         const {status} = answer.head;
-        if (status >= 200 && status < 300) {
-          this.reply.sendBuffered(answer);
-          return {outcome: 'answered', status, route: route.name};
-        }
-        this.mayHaveRun = true;
-        this.possibleRuns++;
-        this.upstreamFailure = answer;
-        return undefined;
+        return {outcome: 'answered', status, route: route.name};
       }
       case 'broken':
-        this.mayHaveRun = true;
-        this.possibleRuns++;
-        return undefined;
       case 'refused':
       case 'unsent':
       case 'withheld':
-        return undefined;
+        break;
     }
+    this.tally.recordFailure(result);
+    return undefined;
   }
 
   /** Whether the request may be retried; takes from the retry budget. */
@@ -313,8 +216,8 @@
     const decision = decideRetry({
       route,
       result,
-      attempts: this.attempts,
-      possibleRuns: this.possibleRuns,
+      attempts: this.tally.attempts,
+      possibleRuns: this.tally.possibleRuns,
       resumable: sink.resumable,
       leftMs: deadline.at - now,
     });
@@ -333,7 +236,7 @@
     if (deadline.cause === StopCause.Gone) {
       return {outcome: 'gone', route: route.name};
     }
-    if (this.mayHaveRun || this.attempts > 0) {
+    if (this.tally.attempts > 0) {
       return this.refuse({type: 'timedOut'}, route);
     }
     return this.refuse(service.waitQueue.refusalFor(NotRunCause.Waited), route);
@@ -345,14 +248,14 @@
     notRun: Refusal & {type: 'notRun'},
     lastResult?: AttemptResult,
   ): Ending {
-    const {upstreamFailure} = this;
+    const {upstreamFailure, mayHaveRun} = this.tally;
     if (upstreamFailure !== undefined && !this.reply.headersSent) {
       return this.forwardFailure(upstreamFailure, route);
     }
     if (lastResult?.type === 'refused' && lastResult.status === 400) {
       return this.refuse({type: 'incomplete'}, route);
     }
-    if (!this.mayHaveRun) return this.refuse(notRun, route);
+    if (!mayHaveRun) return this.refuse(notRun, route);
     const cause =
       lastResult !== undefined && 'cause' in lastResult
         ? lastResult.cause
--- a/src/forward/retry.ts
+++ b/src/forward/retry.ts
@@ -52,6 +52,20 @@
   }
 }
 
+/**
+ * Decides whether another upstream may take a request over from one that is
+ * silent, as if the attempt there had failed.
+ */
+export function decideReplacement(
+  history: Omit<AttemptHistory, 'result'>,
+): Retry {
+  return decideRetry({
+    ...history,
+    possibleRuns: history.possibleRuns + 1,
+    result: {type: 'broken', cause: 'silent', started: false},
+  });
+}
+
 /** Cause to report if the request ended after this attempt without running. */
 export function notRunCauseOf(result: AttemptResult): NotRunCause {
   return result.type === 'unsent'
--- /dev/null
+++ b/src/forward/runningattempt.ts
@@ -0,0 +1,120 @@
+import {Repetition} from '../route/index.js';
+import {runAttempt, type AttemptResult} from './attempt.js';
+import {recordHealth} from './attempthealth.js';
+import type {ForwardDependencies} from './dependencies.js';
+import {StopCause} from './deadline.js';
+import type {Endpoint} from './endpoint.js';
+import type {Placement, PlacementRequest} from './placementrequest.js';
+import type {RequestContext} from './requestcontext.js';
+import type {AttemptLoad} from './servicestate.js';
+import type {AttemptSink} from './sink.js';
+import {SilenceWatchdog} from './watchdog.js';
+
+/** Told of what happens to a [[RunningAttempt]]. */
+export interface AttemptListener {
+  /** The request is being written to the upstream. */
+  onSent(): void;
+  /** Whether another upstream could take the request over. */
+  isReplaceable(): boolean;
+  /** The upstream is silent, and may be dead; repeated while it is. */
+  onSilence(silentMs: number): void;
+}
+
+/** One attempt in progress, with its load on the upstream and its watchdog. */
+export class RunningAttempt {
+  /** When the attempt began, in monotonic ms. */
+  readonly sentAt: number;
+  readonly endpoint: Endpoint;
+  private readonly load: AttemptLoad;
+  private readonly controller = new AbortController();
+
+  constructor(
+    private readonly dependencies: ForwardDependencies,
+    private readonly context: RequestContext,
+    private readonly placement: Placement,
+    placementRequest: PlacementRequest,
+    /** Takes the response. */
+    readonly sink: AttemptSink,
+    private readonly listener: AttemptListener,
+  ) {
+    this.endpoint = placement.endpoint;
+    this.sentAt = dependencies.timer.now();
+    this.load = context.service.trackLoad(
+      placement,
+      placementRequest,
+      this.sentAt,
+    );
+  }
+
+  /** Sends the request; a stream continues after the event `lastEvent`. */
+  async run(lastEvent?: string): Promise<AttemptResult> {
+    const {context, dependencies, endpoint, sentAt, placement} = this;
+    const {listener, sink} = this;
+    const {request, deadline, service, route, body, workspace, tier} = context;
+    const {timer, protocol, observer} = dependencies;
+    if (request.prompt !== undefined) {
+      dependencies.promptSent(endpoint, request.prompt);
+    }
+    const isRetryable = route.repetition !== Repetition.AtMostOnce;
+    const watchdog = isRetryable
+      ? new SilenceWatchdog({
+          timer,
+          endpoint,
+          route,
+          prefillMs: placement.prefillMs,
+          isReplaceable: () => listener.isReplaceable(),
+          isAlive: () => dependencies.isAlive(endpoint),
+          onSilence: silentMs => listener.onSilence(silentMs),
+        })
+      : undefined;
+    // A request that must not be retried runs to its end without its caller.
+    const outlivesCaller = !isRetryable && !route.streaming;
+    try {
+      const result = await runAttempt({
+        endpoint,
+        placedAt: sentAt,
+        protocol,
+        request,
+        metadata: {
+          upstream: endpoint.id,
+          remainingMs: Math.max(1, Math.floor(deadline.at - sentAt)),
+          ...(workspace === undefined ? {} : {workspace}),
+          ...(request.prompt === undefined ? {} : {tier}),
+          ...(lastEvent === undefined ? {} : {lastEvent}),
+        },
+        body,
+        sink,
+        timer,
+        signal: AbortSignal.any([
+          outlivesCaller ? deadline.expirySignal : deadline.signal,
+          this.controller.signal,
+        ]),
+        sent: () => listener.onSent(),
+        observe: head => observer.observe(endpoint, head, placement.trial),
+      });
+      if (!this.controller.signal.aborted) {
+        recordHealth(dependencies, context, endpoint, result);
+      }
+      const ms = timer.now() - sentAt;
+      if (result.type === 'whole' && !result.asksForPause) {
+        service.speeds.observePlain(ms);
+      }
+      if (result.type === 'delivered') service.speeds.observe(route.name, ms);
+      return result;
+    } finally {
+      watchdog?.end();
+      this.load.end();
+      service.waitQueue.placeWaiting();
+    }
+  }
+
+  /** Records the first bytes of the response, which end the prefill. */
+  recordFirstBytes(now: number): void {
+    this.load.recordFirstBytes(now);
+  }
+
+  /** Breaks the attempt off, since another one takes its place. */
+  abandon(): void {
+    this.controller.abort(StopCause.Replaced);
+  }
+}
--- a/src/forward/sink.ts
+++ b/src/forward/sink.ts
@@ -1,17 +1,27 @@
 import {Repetition, type Route} from '../route/index.js';
 import type {ReceivedHead, Sink} from './attempt.js';
-import {EventSplitter} from './events.js';
+import {EventSplitter, type CompleteEvents} from './events.js';
 import type {Reply} from './reply.js';
 
+/** Told of the progress of one attempt's response. */
+export interface SinkListener {
+  /** Whether the response is passed to the caller as it arrives. */
+  isCurrent(): boolean;
+  /** Bytes of the body arrived. */
+  onBytes(): void;
+  /** Bytes that can be passed to the caller arrived; they follow at once. */
+  onOutput(): void;
+}
+
 /**
  * Delivers a stream to its caller. A resumable stream is delivered in complete
  * events, so that another upstream can continue after the last of them.
  */
-export class StreamSink implements Sink {
+export class StreamSink {
   /** Id of the last event sent to the caller; undefined if there is none. */
   lastEvent?: string;
-  private splitter?: EventSplitter;
-  private onFirstBytes?: () => void;
+  /** The attempt whose response was last passed on. */
+  private delivering?: AttemptSink;
   /** Whether bytes were sent that no event id covers. */
   private hasBytesWithoutId = false;
 
@@ -28,28 +38,38 @@
     return !this.hasBytesWithoutId;
   }
 
-  /** Prepares for an attempt; `onFirstBytes` is called at its first bytes. */
-  beginAttempt(onFirstBytes: () => void): void {
-    this.onFirstBytes = onFirstBytes;
-    delete this.splitter;
+  /** Creates the sink of a new attempt. */
+  forAttempt(listener: SinkListener): AttemptSink {
+    return new AttemptSink(this, listener);
   }
 
-  start(head: ReceivedHead): boolean {
-    const isResumable = this.route.repetition === Repetition.Resumable;
-    if (head.isEventStream && isResumable) this.splitter = new EventSplitter();
-    if (this.reply.callerGone) return false;
+  /** Whether the caller has left. */
+  get callerGone(): boolean {
+    return this.reply.callerGone;
+  }
+
+  /** Begins to pass on the response of an attempt. */
+  begin(attempt: AttemptSink, head: ReceivedHead): void {
+    this.delivering = attempt;
     if (!this.reply.headersSent) this.reply.start(head);
-    return true;
   }
 
-  data(chunk: Buffer, resume: () => void): boolean {
-    this.onFirstBytes?.();
-    delete this.onFirstBytes;
-    if (this.splitter === undefined) {
-      this.hasBytesWithoutId = true;
-      return this.reply.write(chunk, resume);
-    }
-    const {bytes, events, lastEvent} = this.splitter.push(chunk);
+  /** Whether a response is passed on in complete events. */
+  splits({isEventStream}: ReceivedHead): boolean {
+    return isEventStream && this.route.repetition === Repetition.Resumable;
+  }
+
+  /** Writes bytes that no event id covers. */
+  writeUnsplit(chunk: Buffer, resume: () => void): boolean {
+    this.hasBytesWithoutId = true;
+    return this.reply.write(chunk, resume);
+  }
+
+  /** Writes complete events. */
+  writeEvents(
+    {bytes, events, lastEvent}: CompleteEvents,
+    resume: () => void,
+  ): boolean {
     if (lastEvent !== undefined) this.lastEvent = lastEvent;
     else if (events > 0) this.hasBytesWithoutId = true;
     return this.reply.write(bytes, resume);
@@ -57,8 +77,53 @@
 
   /** Sends the remaining bytes and ends the response. */
   finish(): void {
-    const remainder = this.splitter?.remainder();
+    const remainder = this.delivering?.remainder();
     if (remainder !== undefined) this.reply.write(remainder, () => undefined);
     this.reply.finish();
   }
 }
+
+/**
+ * Passes the response of one attempt to the stream of its request. While the
+ * attempt is not the current one, the head is held back.
+ */
+export class AttemptSink implements Sink {
+  private head?: ReceivedHead;
+  private hasBegun = false;
+  private splitter?: EventSplitter;
+
+  constructor(
+    private readonly stream: StreamSink,
+    private readonly listener: SinkListener,
+  ) {}
+
+  start(head: ReceivedHead): boolean {
+    this.head = head;
+    if (this.stream.splits(head)) this.splitter = new EventSplitter();
+    if (this.stream.callerGone) return false;
+    if (this.listener.isCurrent()) this.begin();
+    return true;
+  }
+
+  /** Passes on the head, if it has arrived. */
+  begin(): void {
+    if (this.hasBegun || this.head === undefined) return;
+    this.hasBegun = true;
+    this.stream.begin(this, this.head);
+  }
+
+  data(chunk: Buffer, resume: () => void): boolean {
+    this.listener.onBytes();
+    const complete = this.splitter?.push(chunk);
+    if (complete?.bytes.length === 0) return true;
+    this.listener.onOutput();
+    return complete === undefined
+      ? this.stream.writeUnsplit(chunk, resume)
+      : this.stream.writeEvents(complete, resume);
+  }
+
+  /** Bytes after the last complete event, if the stream is split. */
+  remainder(): Buffer | undefined {
+    return this.splitter?.remainder();
+  }
+}
--- a/src/forward/waitqueue.ts
+++ b/src/forward/waitqueue.ts
@@ -1,6 +1,5 @@
 import {LogEvent} from '../telemetry/logevent.js';
-import type {Logger} from 'pino';
-import type {Subscription, Timer} from '../timer/index.js';
+import type {Subscription} from '../timer/index.js';
 import {candidateOf} from './candidate.js';
 import {shortestPauseMs, waitsForPause} from './pausewait.js';
 import {chooseUpstream} from './placement.js';
@@ -8,16 +7,15 @@
 import {
   compareUrgency,
   ignoresLoad,
+  type Placement,
   type PlacementRequest,
   type PlacementResult,
 } from './placementrequest.js';
-import type {Endpoint} from './endpoint.js';
 import {NotRunCause} from './refusal.js';
 import {retryDelayMs} from './retrydelay.js';
 import {SlidingSum} from './slidingsum.js';
 import {WaitCause, type QueueEntry} from './queueentry.js';
-import type {SpeedEstimator} from './speedestimator.js';
-import type {LoadView} from './load.js';
+import type {WaitQueueDependencies} from './waitqueuedependencies.js';
 
 /** Period of placing waiting requests, in ms; a small part of any target. */
 const PLACEMENT_PERIOD_MS = 25;
@@ -58,26 +56,6 @@
 /** Longest back-off, in ms; a small part of the targets of large prompts. */
 const MAX_BACKOFF_MS = 150;
 
-/** Dependencies of [[WaitQueue]]. */
-export interface WaitQueueDependencies {
-  timer: Timer;
-  logger: Logger;
-  random: () => number;
-  speeds: SpeedEstimator;
-  /** Most urgent tier that waits at other instances; `Infinity` if none. */
-  waitingTierElsewhere(): number;
-  /** Load of other instances on an upstream, with the age of the data. */
-  remoteLoadOf(upstream: string): LoadView & {ageMs: number};
-  /** Number of instances that share the upstreams, this one included. */
-  fleetSize(): number;
-  /** Sends the current load to the other instances at once. */
-  announceLoad(): void;
-  /** Upstreams of the service that accept new requests. */
-  endpoints(): readonly Endpoint[];
-  /** Network round trip to a zone, in ms. */
-  roundTripMs(zone: string): number;
-}
-
 /** Requests of one service that wait for an upstream. */
 export class WaitQueue {
   private readonly entries: QueueEntry[] = [];
@@ -95,12 +73,7 @@
   /** Resolves once the request is placed, rejected or aborted. */
   acquire(request: PlacementRequest): Promise<PlacementResult> {
     return new Promise(resolve => {
-      const entry = {
-        request,
-        enqueuedAt: this.dependencies.timer.now(),
-        prefillMs: this.minPrefillMs(request),
-        settle: resolve,
-      };
+      const entry = this.entryOf(request, resolve);
       const {speeds} = this.dependencies;
       speeds.observeDemand(request.pauseSensitive, entry.prefillMs);
       const cause = this.tryPlace(entry);
@@ -108,6 +81,33 @@
     });
   }
 
+  /** Places a request on a healthy upstream now, if one takes it. */
+  placeNow(request: PlacementRequest): Placement | undefined {
+    const now = this.dependencies.timer.now();
+    const ejected = this.dependencies
+      .endpoints()
+      .filter(({health}) => health.isEjected(now));
+    const triedUpstreams = new Set([
+      ...request.triedUpstreams,
+      ...ejected.map(({id}) => id),
+    ]);
+    let placement: Placement | undefined;
+    const entry = this.entryOf({...request, triedUpstreams}, result => {
+      if (result.type === 'placed') placement = result;
+    });
+    this.tryPlace(entry);
+    return placement;
+  }
+
+  private entryOf(
+    request: PlacementRequest,
+    settle: QueueEntry['settle'],
+  ): QueueEntry {
+    const enqueuedAt = this.dependencies.timer.now();
+    const prefillMs = this.minPrefillMs(request);
+    return {request, enqueuedAt, prefillMs, settle};
+  }
+
   /** Places waiting requests in order, such as after a request has ended. */
   placeWaiting(): void {
     const now = this.dependencies.timer.now();
--- a/src/forward/watchdog.ts
+++ b/src/forward/watchdog.ts
@@ -1,6 +1,5 @@
 import type {Route} from '../route/index.js';
 import type {Subscription, Timer} from '../timer/index.js';
-import {StopCause} from './deadline.js';
 import type {Endpoint} from './endpoint.js';
 
 /** Period of the check for silence, in ms. */
@@ -9,8 +8,10 @@
 const MIN_ENGINE_SILENCE_MS = 800;
 /** Silence after which an engine is probed, as a multiple of prefill time. */
 const PREFILL_FACTOR = 3;
-/** Silence of other upstreams that expires, as a multiple of the target. */
+/** Silence of other upstreams that is reported, as a multiple of the target. */
 const PLAIN_TARGET_FACTOR = 1.5;
+/** Time between two reports of the same silence, in ms. */
+const REPEAT_MS = 250;
 
 /** Options of [[SilenceWatchdog]]. */
 export interface SilenceWatchdogSpec {
@@ -19,58 +20,74 @@
   route: Route;
   /** Estimated prefill time of the prompt, in ms. */
   prefillMs: number;
-  /** Whether to watch at all: the request could still be retried. */
-  active: boolean;
+  /** Whether another upstream could take the request over. */
+  isReplaceable(): boolean;
   /** Probes the upstream on another connection. */
   isAlive(): Promise<boolean>;
+  /** Called when the upstream is silent, and again while it remains so. */
+  onSilence(silentMs: number): void;
 }
 
 /**
- * Aborts an attempt when its upstream sends nothing on any connection for too
- * long. An upstream that still responds to other requests is only busy.
+ * Reports an upstream that sends nothing on any connection for too long. One
+ * that still responds to other requests is only busy.
  */
 export class SilenceWatchdog {
-  private readonly controller = new AbortController();
-  private readonly tick?: Subscription;
-  private silentSince: number;
+  private readonly tick: Subscription;
+  private readonly startedAt: number;
+  /** When a probe was last answered, in monotonic ms. */
+  private aliveAt = -Infinity;
+  /** When the present silence was last reported, in monotonic ms. */
+  private reportedAt?: number;
   private probing = false;
-  /** Whether the upstream was silent for too long. */
-  expired = false;
+  private ended = false;
 
   constructor(private readonly spec: SilenceWatchdogSpec) {
-    this.silentSince = spec.timer.now();
-    if (spec.active) this.tick = spec.timer.every(CHECK_MS, () => this.check());
-  }
-
-  get signal(): AbortSignal {
-    return this.controller.signal;
+    this.startedAt = spec.timer.now();
+    this.tick = spec.timer.every(CHECK_MS, () => this.check());
   }
 
   end(): void {
-    this.tick?.end();
+    this.ended = true;
+    this.tick.end();
   }
 
   private check(): void {
-    const {timer, endpoint} = this.spec;
-    const lastHeardAt = Math.max(this.silentSince, endpoint.lastHeardAt);
-    if (this.probing || timer.now() - lastHeardAt < this.limitMs()) return;
-    if (this.spec.route.streaming) void this.probe();
-    else this.expire();
+    const {timer, route} = this.spec;
+    const now = timer.now();
+    const heardAt = this.heardAt();
+    if (this.reportedAt !== undefined && heardAt > this.reportedAt) {
+      this.reportedAt = undefined;
+    }
+    const quietSince = Math.max(heardAt, this.aliveAt);
+    const isDue =
+      this.reportedAt === undefined
+        ? now - quietSince >= this.limitMs()
+        : now - this.reportedAt >= REPEAT_MS;
+    if (this.probing || !isDue || !this.spec.isReplaceable()) return;
+    // A busy engine may send nothing for long.
+    if (route.streaming && this.reportedAt === undefined) void this.probe();
+    else this.report();
   }
 
-  /** Probes an engine, since a busy one may be silent for long. */
   private async probe(): Promise<void> {
     this.probing = true;
     const alive = await this.spec.isAlive();
     this.probing = false;
-    this.silentSince = this.spec.timer.now();
-    if (!alive) this.expire();
+    if (alive) this.aliveAt = this.spec.timer.now();
+    else this.report();
+  }
+
+  private report(): void {
+    if (this.ended) return;
+    const now = this.spec.timer.now();
+    this.reportedAt = now;
+    this.spec.onSilence(now - this.heardAt());
   }
 
-  private expire(): void {
-    this.expired = true;
-    this.end();
-    this.controller.abort(StopCause.Silent);
+  /** When the upstream last sent anything, or was sent the request. */
+  private heardAt(): number {
+    return Math.max(this.startedAt, this.spec.endpoint.lastHeardAt);
   }
 
   private limitMs(): number {
--- a/src/report/requesthistory.ts
+++ b/src/report/requesthistory.ts
@@ -83,6 +83,7 @@
     case LogEvent.Peer:
     case LogEvent.Placed:
     case LogEvent.Repeats:
+    case LogEvent.Silent:
     case LogEvent.Unreadable:
     case LogEvent.Waits:
     case undefined:
--- a/src/telemetry/logevent.ts
+++ b/src/telemetry/logevent.ts
@@ -27,6 +27,8 @@
   Reloaded = 'reloaded',
   /** A request is retried on another upstream. */
   Repeats = 'repeats',
+  /** An upstream sends nothing during an attempt. */
+  Silent = 'silent',
   /** The process was suspended or its event loop was blocked. */
   Stall = 'stall',
   Started = 'started',
