Take a stream that ends inside an event for broken off

Callers saw streams that stopped within an event and looked complete: unframed ones whose upstream closed the connection, and chunked ones or those with a length whose body ended there. A resumable stream was not continued elsewhere, and its caller got the partial event.

Cause: an attempt took every end that HTTP allows for the end of the answer, and StreamSink.finish sent the remainder. Bytes of other streams were not looked at.

An attempt now follows where events end, without holding bytes back, and ends `broken` if a stream ends inside one. A resumable stream goes on after its last complete event. Otherwise the caller's answer is cut. Two more things kept such a cut from being seen: a length that was passed on was met before the cut, so a stream's length is replaced with chunks; and a caller's answer without framing was closed, which ends it like a whole one, so it is reset now. That also concerned unframed streams that were reset by their upstream.

Lines may end with LF, CRLF or CR, as the event stream format says; the splitter knew the first two only, so a stream with CR was held back until its end and would now count as broken. A comment is no event. The splitter no longer reads its pending bytes again with each chunk.

Ruled out: holding back a stream's last byte or event instead of dropping its length; it delays what callers wait for. A stream without any bytes still counts as whole.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -2,6 +2,7 @@
 import type {Timer} from '../timer/index.js';
 import type {Connection} from './connections.js';
 import type {Endpoint} from './endpoint.js';
+import {EventScanner} from './events.js';
 import type {
   ResponseHead,
   RequestMetadata,
@@ -92,6 +93,8 @@
   private settled = false;
   private readonly chunks: Buffer[] = [];
   private bufferedBytes = 0;
+  /** Present if the response is a stream of events. */
+  private events?: EventScanner;
   private readonly onAbort = () => this.abort('broken off');
   private readonly connection: Connection;
 
@@ -166,6 +169,7 @@
     }
     if (!head.isEventStream) return;
     this.deliveryStarted = true;
+    this.events = new EventScanner();
     if (!sink.start(head)) this.abort('the stream does not fit its caller');
     else if (controller.aborted) this.abort('broken off');
   }
@@ -195,6 +199,9 @@
       this.settle({type: 'broken', cause, started: this.deliveryStarted});
     } else if (head.notRun) {
       this.settle({type: 'refused', status: head.status});
+    } else if (this.events?.insideEvent === true) {
+      const cause = 'ended inside an event';
+      this.settle({type: 'broken', cause, started: this.deliveryStarted});
     } else if (this.deliveryStarted) {
       this.settle({type: 'delivered', head});
     } else {
@@ -231,6 +238,7 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    this.events?.scan(chunk);
     const wantsMore = this.spec.sink.data(chunk, () => controller.resume());
     if (!wantsMore) controller.pause();
   }
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -1,6 +1,10 @@
+import {ByteCollector} from './bytes.js';
+
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
-const ID_FIELD = 'id:';
+const COLON = 0x3a;
+/** Matches the id field of events; lines end with CR, LF or both. */
+const ID_FIELD = /(?:^|[\r\n])id:([^\r\n]*)/g;
 
 /** The complete events at the head of the buffered stream. */
 export interface CompleteEvents {
@@ -14,57 +18,92 @@
 
 const EMPTY = Buffer.alloc(0);
 
+/** Finds the ends of events in a stream without keeping its bytes. */
+export class EventScanner {
+  /** Number of complete events so far. */
+  events = 0;
+  /** Whether the bytes so far end inside an event. */
+  insideEvent = false;
+  private lineIsEmpty = true;
+  private afterCarriageReturn = false;
+  /** Whether a line, which may be a comment, follows the last blank one. */
+  private insideBlock = false;
+
+  /**
+   * Reads the next bytes. Returns the offset in them after the last blank line
+   * that ends an event or a comment; 0 if there is none.
+   */
+  scan(chunk: Buffer): number {
+    let end = 0;
+    for (let at = 0; at < chunk.length; at++) {
+      const byte = chunk[at];
+      const completesLineEnd = byte === LINE_FEED && this.afterCarriageReturn;
+      this.afterCarriageReturn = byte === CARRIAGE_RETURN;
+      if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) {
+        if (this.lineIsEmpty && byte !== COLON) this.insideEvent = true;
+        this.lineIsEmpty = false;
+        this.insideBlock = true;
+        continue;
+      }
+      if (!completesLineEnd) this.endLine();
+      if (!this.insideBlock) end = at + 1;
+    }
+    return end;
+  }
+
+  private endLine(): void {
+    if (!this.lineIsEmpty) {
+      this.lineIsEmpty = true;
+      return;
+    }
+    if (this.insideEvent) this.events++;
+    this.insideEvent = false;
+    this.insideBlock = false;
+  }
+}
+
 /**
  * Splits a stream of server-sent events after complete events, so that a caller
  * never receives a partial event before the upstream changes.
  */
 export class EventSplitter {
-  private pending: Buffer = EMPTY;
+  private readonly scanner = new EventScanner();
+  private readonly pending = new ByteCollector();
 
   /** Adds bytes and returns the events that they complete. */
   push(chunk: Buffer): CompleteEvents {
-    const bytes =
-      this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
-    const ends = eventEnds(bytes);
-    const end = ends.at(-1) ?? 0;
-    this.pending = bytes.subarray(end);
-    const complete = bytes.subarray(0, end);
-    const lastEvent = lastEventId(complete);
+    const eventsBefore = this.scanner.events;
+    const end = this.scanner.scan(chunk);
+    if (end === 0) {
+      this.pending.push(chunk);
+      return {bytes: EMPTY, events: 0};
+    }
+    const bytes = this.completeWith(chunk.subarray(0, end));
+    this.pending.push(chunk.subarray(end));
+    const lastEvent = lastEventId(bytes);
     return {
-      bytes: complete,
-      events: ends.length,
+      bytes,
+      events: this.scanner.events - eventsBefore,
       ...(lastEvent === undefined ? {} : {lastEvent}),
     };
   }
 
-  /** Bytes after the last complete event. */
+  /** Takes the bytes after the last complete event. */
   remainder(): Buffer {
-    return this.pending;
+    return this.pending.take();
   }
-}
 
-/** Offsets after each blank line, which ends an event. */
-function eventEnds(bytes: Buffer): number[] {
-  const ends: number[] = [];
-  let from = 0;
-  for (;;) {
-    const at = bytes.indexOf(LINE_FEED, from);
-    if (at < 0) return ends;
-    from = at + 1;
-    if (bytes[from] === CARRIAGE_RETURN) from++;
-    if (bytes[from] !== LINE_FEED) continue;
-    from++;
-    ends.push(from);
+  private completeWith(bytes: Buffer): Buffer {
+    if (this.pending.length === 0) return bytes;
+    this.pending.push(bytes);
+    return this.pending.take();
   }
 }
 
 /** Id of the last event that has one. */
 function lastEventId(complete: Buffer): string | undefined {
-  const text = complete.toString('latin1');
-  let start = text.lastIndexOf(`\n${ID_FIELD}`);
-  if (start >= 0) start += 1;
-  else if (text.startsWith(ID_FIELD)) start = 0;
-  else return undefined;
-  const end = text.indexOf('\n', start);
-  return text.slice(start + ID_FIELD.length, end).trim();
+  const ids = complete.toString('latin1').matchAll(ID_FIELD);
+  let last: string | undefined;
+  for (const [, id = ''] of ids) last = id.trim();
+  return last;
 }
--- a/src/forward/reply.ts
+++ b/src/forward/reply.ts
@@ -5,6 +5,8 @@
 /** Writes the response of one request to its caller. */
 export class Reply {
   private ended = false;
+  /** Whether the end of the connection ends the response. */
+  private endsWithConnection = false;
 
   constructor(
     private readonly response: ServerResponse,
@@ -24,12 +26,15 @@
     return this.response.destroyed && !this.response.writableFinished;
   }
 
-  /** Sends the head of a streamed response. */
+  /**
+   * Sends the head of a streamed response. The length of a stream of events is
+   * not passed on: a break inside its last event could not be shown after it.
+   */
   start(head: ReceivedHead): void {
-    this.response.writeHead(
-      head.status,
-      this.headersOf(head, head.forwardedHeaders),
-    );
+    const headers = head.isEventStream
+      ? withoutLength(head.forwardedHeaders)
+      : head.forwardedHeaders;
+    this.response.writeHead(head.status, this.headersOf(head, headers));
     this.response.flushHeaders();
   }
 
@@ -64,8 +69,7 @@
     if (this.ended) return;
     this.ended = true;
     if (this.response.headersSent) {
-      // A response that ends early must not look complete.
-      this.response.destroy();
+      this.cut();
       return;
     }
     if (this.response.destroyed) return;
@@ -84,6 +88,12 @@
     this.response.end(body);
   }
 
+  /** Ends the connection so that the response does not look complete. */
+  private cut(): void {
+    if (this.endsWithConnection) this.response.socket?.resetAndDestroy();
+    this.response.destroy();
+  }
+
   /**
    * A response without a length may have been cut when its upstream stopped, so
    * it is forwarded without a length or chunked encoding, which would mark its
@@ -91,6 +101,7 @@
    */
   private headersOf({framed}: ReceivedHead, headers: string[]): string[] {
     if (framed) return this.withClosing(headers);
+    this.endsWithConnection = true;
     this.response.useChunkedEncodingByDefault = false;
     return [...headers, 'connection', 'close'];
   }
