Say how far the answer of a broken attempt got, and what ended it

Whether a request may be retried can depend on whether an answer had begun without a complete event, and on whether the upstream or this instance ended the attempt. The result of an attempt told only whether bytes had gone to the sink.

`broken` now has `progress` (none, begun, advanced) and `endedBy` (upstream, abort). Only a successful, marked head with the request's id begins an answer; a comment is no event. Nothing reads the two yet, so callers see no change. A resumed stream's progress is that of the attempt alone, since each attempt counts events anew.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -37,6 +37,24 @@
   data(chunk: Buffer, resume: () => void): boolean;
 }
 
+/** How much of its answer a broken attempt received. */
+export enum AnswerProgress {
+  /** No head of a successful answer to the request. */
+  None = 'none',
+  /** Such a head, but neither a complete event nor a whole body. */
+  Begun = 'begun',
+  /** At least one complete event. */
+  Advanced = 'advanced',
+}
+
+/** What ended a broken attempt. */
+export enum BreakCause {
+  /** The upstream closed or reset the connection, or sent invalid bytes. */
+  Upstream = 'upstream',
+  /** The attempt was aborted here. */
+  Abort = 'abort',
+}
+
 /** How an attempt ended. */
 export type AttemptResult =
   /** No part of the request reached the upstream. */
@@ -58,7 +76,14 @@
    * The attempt failed and the upstream may have run the request. `started`:
    * whether a part of the response went to the sink.
    */
-  | {type: 'broken'; cause: string; started: boolean};
+  | {
+      type: 'broken';
+      cause: string;
+      started: boolean;
+      /** Concerns this attempt alone, also if it continues a stream. */
+      progress: AnswerProgress;
+      endedBy: BreakCause;
+    };
 
 /** Inputs of [[runAttempt]]. */
 export interface AttemptSpec {
@@ -88,6 +113,8 @@
 class Attempt implements Dispatcher.DispatchHandler {
   private controller?: Dispatcher.DispatchController;
   private head?: ReceivedHead;
+  /** Whether the head is that of a successful answer to the request. */
+  private answered = false;
   private asksForPause = false;
   private deliveryStarted = false;
   private settled = false;
@@ -167,6 +194,7 @@
       this.abort('answer without the marks of its upstream');
       return;
     }
+    this.answered = true;
     if (!head.isEventStream) return;
     this.deliveryStarted = true;
     this.events = new EventScanner();
@@ -193,15 +221,14 @@
     const {head} = this;
     this.connection.hasResponded = true;
     if (head === undefined) {
-      this.settle({type: 'broken', cause: 'no answer', started: false});
+      this.break('no answer', BreakCause.Upstream);
     } else if (!head.framed && this.connection.reset) {
       const cause = 'reset within an answer without length';
-      this.settle({type: 'broken', cause, started: this.deliveryStarted});
+      this.break(cause, BreakCause.Upstream);
     } else if (head.notRun) {
       this.settle({type: 'refused', status: head.status});
     } else if (this.events?.insideEvent === true) {
-      const cause = 'ended inside an event';
-      this.settle({type: 'broken', cause, started: this.deliveryStarted});
+      this.break('ended inside an event', BreakCause.Upstream);
     } else if (this.deliveryStarted) {
       this.settle({type: 'delivered', head});
     } else {
@@ -219,7 +246,7 @@
     if (this.controller === undefined) this.settle({type: 'unsent', cause});
     else if (this.head?.notRun === true) {
       this.settle({type: 'refused', status: this.head.status});
-    } else this.settle({type: 'broken', cause, started: this.deliveryStarted});
+    } else this.break(cause, BreakCause.Upstream);
   }
 
   /** Starts streaming a body that exceeds the buffer limit. */
@@ -244,15 +271,25 @@
   }
 
   private abort(cause: string): void {
-    const {controller, deliveryStarted} = this;
-    this.settle(
-      controller === undefined
-        ? {type: 'unsent', cause}
-        : {type: 'broken', cause, started: deliveryStarted},
-    );
+    const {controller} = this;
+    if (controller === undefined) this.settle({type: 'unsent', cause});
+    else this.break(cause, BreakCause.Abort);
     controller?.abort(new Interruption());
   }
 
+  private break(cause: string, endedBy: BreakCause): void {
+    const started = this.deliveryStarted;
+    const progress = this.progress();
+    this.settle({type: 'broken', cause, started, progress, endedBy});
+  }
+
+  private progress(): AnswerProgress {
+    if (!this.answered) return AnswerProgress.None;
+    return (this.events?.events ?? 0) > 0
+      ? AnswerProgress.Advanced
+      : AnswerProgress.Begun;
+  }
+
   private settle(result: AttemptResult): void {
     if (this.settled) return;
     this.settled = true;
--- a/test/forward-retry.test.ts
+++ b/test/forward-retry.test.ts
@@ -1,5 +1,9 @@
 import {expect, test} from 'vitest';
-import type {AttemptResult} from '../src/forward/attempt.js';
+import {
+  AnswerProgress,
+  BreakCause,
+  type AttemptResult,
+} from '../src/forward/attempt.js';
 import {decideRetry, type AttemptHistory} from '../src/forward/retry.js';
 import {Repetition, type Route} from '../src/route/index.js';
 
@@ -21,7 +25,13 @@
   unsent: {type: 'unsent', cause: 'no connection'},
   refused: {type: 'refused', status: 503},
   unreadable: {type: 'refused', status: 400},
-  broken: {type: 'broken', cause: 'reset', started: false},
+  broken: {
+    type: 'broken',
+    cause: 'reset',
+    started: false,
+    progress: AnswerProgress.None,
+    endedBy: BreakCause.Upstream,
+  },
 };
 
 function judge(
