Break off a failure whose body does not end

The body of a failure (status 300 or above) was kept until its end, whatever its size. An upstream that goes on sending took memory until the deadline of the request, and the caller got a 504 only then.

Cause: a body beyond the buffer limit is passed on as it arrives; for failures, which may still be retried, that was left out without another bound.

Such an answer is now broken off at the buffer limit: its connection is closed, the upstream's health counts it, and the caller gets a 502 unless the request is retried. Chunks are collected into one block, since a 256 KiB body in chunks of one byte took an object for each.

Evidence, test/endless.test.ts: a failure with an endless body in chunks, without framing, and of a very large length: "expected 504 to be 502" for each before. A failure of 200 kB is passed on before and after.

Ruled out: passing a long failure on as it arrives; it could not be retried any more. A failure of more than 256 KiB that ends is now a 502.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,5 +1,6 @@
 import type {Dispatcher} from 'undici';
 import type {Timer} from '../timer/index.js';
+import {ByteCollector} from './bytes.js';
 import type {Connection} from './connections.js';
 import type {Endpoint} from './endpoint.js';
 import {EventScanner} from './events.js';
@@ -118,8 +119,7 @@
   private asksForPause = false;
   private deliveryStarted = false;
   private settled = false;
-  private readonly chunks: Buffer[] = [];
-  private bufferedBytes = 0;
+  private readonly buffered = new ByteCollector();
   /** Present if the response is a stream of events. */
   private events?: EventScanner;
   private readonly onAbort = () => this.abort('broken off');
@@ -209,9 +209,8 @@
     if (this.settled) return;
     this.spec.endpoint.lastHeardAt = this.spec.timer.now();
     if (!this.deliveryStarted) {
-      this.chunks.push(chunk);
-      this.bufferedBytes += chunk.length;
-      if (this.bufferedBytes > BUFFER_LIMIT_BYTES) this.flush(controller);
+      this.buffered.push(chunk);
+      if (this.buffered.length > BUFFER_LIMIT_BYTES) this.flush(controller);
       return;
     }
     this.deliver(controller, chunk);
@@ -232,7 +231,7 @@
     } else if (this.deliveryStarted) {
       this.settle({type: 'delivered', head});
     } else {
-      const body = Buffer.concat(this.chunks);
+      const body = this.buffered.take();
       const {asksForPause} = this;
       this.settle({type: 'whole', answer: {head, body}, asksForPause});
     }
@@ -252,13 +251,17 @@
   /** Starts streaming a body that exceeds the buffer limit. */
   private flush(controller: Dispatcher.DispatchController): void {
     const {head} = this;
-    if (head === undefined || head.status >= 300 || head.notRun) return;
+    if (head === undefined || head.notRun) return;
+    if (head.status >= 300) {
+      this.abort('a failure that is too long');
+      return;
+    }
     this.deliveryStarted = true;
     if (!this.spec.sink.start(head)) {
       this.abort('the answer does not fit its caller');
       return;
     }
-    for (const chunk of this.chunks.splice(0)) this.deliver(controller, chunk);
+    this.deliver(controller, this.buffered.take());
   }
 
   private deliver(
--- /dev/null
+++ b/test/endless.test.ts
@@ -0,0 +1,110 @@
+import {afterEach, describe, expect, test, vi} from 'vitest';
+import {Flood} from './support/flood.js';
+import {
+  call,
+  startTestGateway,
+  RawUpstream,
+  type RawRequest,
+  type TestGateway,
+} from './support/gateway.js';
+
+/** Time in which an endless answer is ended, in ms; deadlines are later. */
+const END_MS = 1_000;
+
+const upstreams: RawUpstream[] = [];
+const gateways: TestGateway[] = [];
+const floods: Flood[] = [];
+
+afterEach(async () => {
+  floods.length = 0;
+  for (const upstream of upstreams.splice(0)) upstream.close();
+  await Promise.all(gateways.splice(0).map(({gateway}) => gateway.stop()));
+});
+
+async function startWith(
+  service: string,
+  respond: (request: RawRequest) => void,
+  ids = ['i-1'],
+): Promise<TestGateway> {
+  const entries = [];
+  for (const id of ids) {
+    const upstream = new RawUpstream(respond);
+    upstreams.push(upstream);
+    entries.push({service, id, port: await upstream.listen()});
+  }
+  const started = await startTestGateway(entries, 300);
+  gateways.push(started);
+  return started;
+}
+
+/** An answer whose bytes go on for ever. */
+interface EndlessAnswer {
+  name: string;
+  /** The bytes before those that repeat. */
+  start: (id: string) => string;
+  /** The bytes that repeat. */
+  unit: string;
+}
+
+function flood({start, unit}: EndlessAnswer) {
+  return ({id, socket}: RawRequest) => {
+    socket.write(start(id));
+    floods.push(new Flood(socket, unit));
+  };
+}
+
+async function untilClosed(): Promise<void> {
+  await vi.waitFor(
+    () => {
+      expect(floods.length).toBeGreaterThan(0);
+      expect(floods.every(({closed}) => closed)).toBe(true);
+    },
+    {timeout: END_MS},
+  );
+}
+
+const CHUNKED = 'Transfer-Encoding: chunked\r\n';
+const UNFRAMED = 'Connection: close\r\n';
+
+/** Expects a 502 long before the deadline, and a closed connection. */
+async function expectBroken(answer: EndlessAnswer): Promise<void> {
+  const {gateway} = await startWith('plain', flood(answer));
+  const sentAt = performance.now();
+  const response = await call(gateway.port, '/order/a', 'r1', {method: 'POST'});
+  expect(response?.status).toBe(502);
+  expect(performance.now() - sentAt).toBeLessThan(END_MS);
+  await untilClosed();
+}
+
+const failureHead = (id: string, more: string) =>
+  `HTTP/1.1 500 No\r\nX-Request-Id: ${id}\r\n${more}\r\n`;
+
+describe('a failure with an endless body', () => {
+  test.each<EndlessAnswer>([
+    {
+      name: 'in chunks',
+      start: id => failureHead(id, CHUNKED),
+      unit: '4\r\nabcd\r\n',
+    },
+    {
+      name: 'without framing',
+      start: id => failureHead(id, UNFRAMED),
+      unit: 'x',
+    },
+    {
+      name: 'of a length',
+      start: id => failureHead(id, 'Content-Length: 999999999999\r\n'),
+      unit: 'x',
+    },
+  ])('$name is broken off', expectBroken);
+});
+
+test('a failure with a long body is passed on', async () => {
+  const body = 'x'.repeat(200_000);
+  const {gateway} = await startWith('plain', ({id, socket}) => {
+    const length = `Content-Length: ${body.length}\r\n`;
+    socket.write(failureHead(id, length) + body);
+  });
+  const response = await call(gateway.port, '/order/a', 'r1', {method: 'POST'});
+  expect([response?.status, response?.body.length]).toEqual([500, 200_000]);
+});
