Break off a resumable stream whose event does not end

An upstream that began an event and went on sending without its end took memory until the deadline of the request. The caller waited as long and got nothing, though another upstream could have answered.

Cause: the splitter keeps the bytes of an event until its end, without a bound.

A resumable stream is now broken off once more than 256 KiB of an event are kept, and goes on at another upstream after its last complete event.

Evidence, test/endless.test.ts: without framing, "expected [ undefined, undefined ] to deeply equal [ 'id: 1\ndata: x\n\n', true ]" before; in chunks of one byte, "expected [ '', false ] to deeply equal [ 'id: 1\ndata: x\n\n', true ]".

Ruled out: passing the event on as it arrives, as with long bodies; the stream could not be resumed any more. A resumable stream with an event over 256 KiB is now a failure. Other streams are passed on as they arrive and end at the deadline, as before.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -11,7 +11,10 @@
   RequestHead,
 } from './protocol.js';
 
-/** Bodies up to this size, in bytes, are buffered until they are complete. */
+/**
+ * Bodies and events of resumable streams up to this size, in bytes, are buffered
+ * until they are complete.
+ */
 const BUFFER_LIMIT_BYTES = 256 * 1024;
 
 /** Status and headers of an upstream's response, with its framing. */
@@ -29,6 +32,8 @@
 
 /** Receives a response as it arrives. */
 export interface Sink {
+  /** Number of bytes that it keeps until their event is complete. */
+  readonly heldBytes: number;
   /**
    * Takes the head of a successful response that is streamed to the caller.
    * Returning false aborts the attempt.
@@ -269,8 +274,11 @@
     chunk: Buffer,
   ): void {
     this.events?.scan(chunk);
-    const wantsMore = this.spec.sink.data(chunk, () => controller.resume());
-    if (!wantsMore) controller.pause();
+    const {sink} = this.spec;
+    const wantsMore = sink.data(chunk, () => controller.resume());
+    if (sink.heldBytes > BUFFER_LIMIT_BYTES) {
+      this.abort('an event that is too long');
+    } else if (!wantsMore) controller.pause();
   }
 
   private abort(cause: string): void {
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -88,6 +88,11 @@
     };
   }
 
+  /** Number of bytes after the last complete event. */
+  get pendingBytes(): number {
+    return this.pending.length;
+  }
+
   /** Takes the bytes after the last complete event. */
   remainder(): Buffer {
     return this.pending.take();
--- a/src/forward/sink.ts
+++ b/src/forward/sink.ts
@@ -28,6 +28,10 @@
     return !this.hasBytesWithoutId;
   }
 
+  get heldBytes(): number {
+    return this.splitter?.pendingBytes ?? 0;
+  }
+
   /** Prepares for an attempt; `onFirstBytes` is called at its first bytes. */
   beginAttempt(onFirstBytes: () => void): void {
     this.onFirstBytes = onFirstBytes;
--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -4,6 +4,7 @@
   call,
   startTestGateway,
   RawUpstream,
+  successHead,
   type RawRequest,
   type TestGateway,
 } from './support/gateway.js';
@@ -108,3 +109,45 @@
   const response = await call(gateway.port, '/order/a', 'r1', {method: 'POST'});
   expect([response?.status, response?.body.length]).toEqual([500, 200_000]);
 });
+
+const STREAM = 'Content-Type: text/event-stream\r\n';
+const PROMPT = {
+  'x-model': 'm',
+  'x-token-counts': '10,10',
+  'x-prompt-prefix': 'a:5,b:5',
+};
+
+describe('a resumable stream with an endless event', () => {
+  test.each<EndlessAnswer>([
+    {
+      name: 'without framing',
+      start: id => `${successHead(id, STREAM + UNFRAMED)}id: 1\ndata: `,
+      unit: 'x',
+    },
+    {
+      name: 'in small chunks',
+      start: id => successHead(id, STREAM + CHUNKED),
+      unit: '1\r\nx\r\n',
+    },
+  ])('$name goes on at another upstream', async answer => {
+    const whole = 'id: 1\ndata: x\n\n';
+    let attempts = 0;
+    const {gateway} = await startWith(
+      'engine',
+      request => {
+        if (attempts++ === 0) return flood(answer)(request);
+        const head = successHead(request.id, STREAM + UNFRAMED);
+        request.socket.end(`${head}${whole}`);
+      },
+      ['i-1', 'i-2'],
+    );
+    const sentAt = performance.now();
+    const response = await call(gateway.port, '/chat/a', 'r1', {
+      method: 'POST',
+      headers: PROMPT,
+    });
+    expect([response?.body, response?.complete]).toEqual([whole, true]);
+    expect(performance.now() - sentAt).toBeLessThan(END_MS);
+    await untilClosed();
+  });
+});
