Settle a refusal at its head, whatever its body does

A request that an upstream had refused without running it, in a head followed by a body that doesn't end or stops midway, got a 504 at its deadline instead of a 503, and was not offered to another upstream. The body took memory until then.

Cause: the attempt settled at the end of the response, and as broken if the deadline came first. The bound on buffered bodies left refusals out.

The mark in the head says all that a refusal says, so the attempt settles there. Its body only decides whether the connection is used again: up to 64 KiB and 500 ms it is received, otherwise the connection is closed.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,5 +1,5 @@
 import type {Dispatcher} from 'undici';
-import type {Timer} from '../timer/index.js';
+import type {Subscription, Timer} from '../timer/index.js';
 import {ByteCollector} from './bytes.js';
 import type {Connection} from './connections.js';
 import type {Endpoint} from './endpoint.js';
@@ -16,6 +16,10 @@
  * until they are complete.
  */
 const BUFFER_LIMIT_BYTES = 256 * 1024;
+/** Longest body of a refusal after which its connection is kept, in bytes. */
+const REFUSAL_BODY_LIMIT_BYTES = 64 * 1024;
+/** Longest time in which the body of a refusal is received, in ms. */
+const REFUSAL_BODY_TIMEOUT_MS = 500;
 
 /** Status and headers of an upstream's response, with its framing. */
 export interface ReceivedHead extends ResponseHead {
@@ -124,6 +128,8 @@
   private asksForPause = false;
   private deliveryStarted = false;
   private settled = false;
+  /** Bounds the time of a refusal's body; present while it is received. */
+  private refusalTimeout?: Subscription;
   private readonly buffered = new ByteCollector();
   /** Present if the response is a stream of events. */
   private events?: EventScanner;
@@ -194,7 +200,11 @@
       this.abort('an answer that names no request on a kept connection');
       return;
     }
-    if (head.notRun || status < 200 || status >= 300) return;
+    if (head.notRun) {
+      this.refuse(status);
+      return;
+    }
+    if (status >= 300) return;
     if (!head.sealed || head.request === undefined || head.encoded) {
       this.abort('answer without the marks of its upstream');
       return;
@@ -211,6 +221,12 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    if (this.refusalTimeout !== undefined) {
+      this.buffered.push(chunk);
+      if (this.buffered.length > REFUSAL_BODY_LIMIT_BYTES) {
+        this.endRefusal(false);
+      }
+    }
     if (this.settled) return;
     this.spec.endpoint.lastHeardAt = this.spec.timer.now();
     if (!this.deliveryStarted) {
@@ -224,13 +240,12 @@
   onResponseEnd(): void {
     const {head} = this;
     this.connection.hasResponded = true;
+    this.endRefusal(true);
     if (head === undefined) {
       this.break('no answer', BreakCause.Upstream);
     } else if (!head.framed && this.connection.reset) {
       const cause = 'reset within an answer without length';
       this.break(cause, BreakCause.Upstream);
-    } else if (head.notRun) {
-      this.settle({type: 'refused', status: head.status});
     } else if (this.events?.insideEvent === true) {
       this.break('ended inside an event', BreakCause.Upstream);
     } else if (this.deliveryStarted) {
@@ -247,16 +262,15 @@
     error: Error,
   ): void {
     const cause = `${error.name}: ${error.message}`;
+    this.endRefusal(false);
     if (this.controller === undefined) this.settle({type: 'unsent', cause});
-    else if (this.head?.notRun === true) {
-      this.settle({type: 'refused', status: this.head.status});
-    } else this.break(cause, BreakCause.Upstream);
+    else this.break(cause, BreakCause.Upstream);
   }
 
   /** Starts streaming a body that exceeds the buffer limit. */
   private flush(controller: Dispatcher.DispatchController): void {
     const {head} = this;
-    if (head === undefined || head.notRun) return;
+    if (head === undefined) return;
     if (head.status >= 300) {
       this.abort('a failure that is too long');
       return;
@@ -301,17 +315,50 @@
       : AnswerProgress.Begun;
   }
 
+  /**
+   * Settles at the head of a refusal; its body only decides whether the
+   * connection is used again.
+   */
+  private refuse(status: number): void {
+    this.refusalTimeout = this.spec.timer.after(REFUSAL_BODY_TIMEOUT_MS, () =>
+      this.endRefusal(false),
+    );
+    this.settle({type: 'refused', status});
+  }
+
+  private endRefusal(intact: boolean): void {
+    const {refusalTimeout, controller} = this;
+    if (refusalTimeout === undefined) return;
+    refusalTimeout.end();
+    delete this.refusalTimeout;
+    this.release(intact);
+    if (!intact) controller?.abort(new Interruption());
+  }
+
   private settle(result: AttemptResult): void {
     if (this.settled) return;
     this.settled = true;
     this.spec.signal.removeEventListener('abort', this.onAbort);
-    const isReusable =
-      result.type !== 'broken' &&
-      result.type !== 'unsent' &&
-      result.type !== 'withheld';
-    this.spec.endpoint.connections.release(this.connection, isReusable);
+    switch (result.type) {
+      case 'whole':
+      case 'delivered':
+        this.release(true);
+        break;
+      case 'broken':
+      case 'unsent':
+      case 'withheld':
+        this.release(false);
+        break;
+      case 'refused':
+        // Released once its body has ended.
+        break;
+    }
     this.resolve(result);
   }
+
+  private release(intact: boolean): void {
+    this.spec.endpoint.connections.release(this.connection, intact);
+  }
 }
 
 /** Passed to the HTTP client when an attempt is aborted. */
--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -151,3 +151,70 @@
     await untilClosed();
   });
 });
+
+const REFUSAL = 'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n';
+
+/** Expects a refusal long before the deadline. */
+async function expectRefusal(
+  respond: (request: RawRequest) => void,
+): Promise<void> {
+  const {gateway} = await startWith('plain', respond);
+  const sentAt = performance.now();
+  const response = await call(gateway.port, '/order/a', 'r1', {method: 'POST'});
+  expect(response?.status).toBe(503);
+  expect(Number(response?.headers['retry-after'])).toBeGreaterThan(0);
+  expect(performance.now() - sentAt).toBeLessThan(END_MS);
+}
+
+describe('a refusal with an endless body', () => {
+  test.each<EndlessAnswer>([
+    {
+      name: 'in chunks',
+      start: () => `${REFUSAL}${CHUNKED}\r\n`,
+      unit: '4\r\nabcd\r\n',
+    },
+    {
+      name: 'without framing',
+      start: () => `${REFUSAL}${UNFRAMED}\r\n`,
+      unit: 'x',
+    },
+    {
+      name: 'with a chunk size',
+      start: () => `${REFUSAL}${CHUNKED}\r\n`,
+      unit: '0',
+    },
+  ])('$name is known from its head', async answer => {
+    await expectRefusal(flood(answer));
+    await untilClosed();
+  });
+
+  test('that stops midway is known from its head', async () => {
+    let closed = false;
+    await expectRefusal(({socket}) => {
+      socket.on('close', () => {
+        closed = true;
+      });
+      socket.write(`${REFUSAL}Content-Length: 9\r\n\r\nhalf`);
+    });
+    await vi.waitFor(() => expect(closed).toBe(true), {timeout: END_MS});
+  });
+});
+
+test('the connection of a refusal with a whole body is used again', async () => {
+  const sockets = new Set();
+  const {gateway} = await startWith('plain', ({id, socket}) => {
+    sockets.add(socket);
+    socket.write(
+      `${REFUSAL}X-Request-Id: ${id}\r\nContent-Length: 4\r\n\r\nfu`,
+    );
+    setTimeout(() => socket.write('ll'), 20);
+  });
+  for (const id of ['r1', 'r2', 'r3']) {
+    const response = await call(gateway.port, '/order/a', id, {
+      method: 'POST',
+    });
+    expect(response?.status).toBe(503);
+    await new Promise(resolve => setTimeout(resolve, 100));
+  }
+  expect(sockets.size).toBe(1);
+});
