--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,7 +1,9 @@
 import type {Dispatcher} from 'undici';
-import type {Timer} from '../timer/index.js';
+import type {Subscription, Timer} from '../timer/index.js';
+import {ByteCollector} from './bytes.js';
 import type {Connection} from './connections.js';
 import type {Endpoint} from './endpoint.js';
+import {EventScanner} from './events.js';
 import type {
   ResponseHead,
   RequestMetadata,
@@ -9,8 +11,15 @@
   RequestHead,
 } from './protocol.js';
 
-/** Bodies up to this size, in bytes, are buffered until they are complete. */
+/**
+ * Bodies and events of resumable streams up to this size, in bytes, are buffered
+ * until they are complete.
+ */
 const BUFFER_LIMIT_BYTES = 256 * 1024;
+/** Longest body of a refusal after which its connection is kept, in bytes. */
+const REFUSAL_BODY_LIMIT_BYTES = 64 * 1024;
+/** Longest time in which the body of a refusal is received, in ms. */
+const REFUSAL_BODY_TIMEOUT_MS = 500;
 
 /** Status and headers of an upstream's response, with its framing. */
 export interface ReceivedHead extends ResponseHead {
@@ -27,6 +36,8 @@
 
 /** Receives a response as it arrives. */
 export interface Sink {
+  /** Number of bytes that it keeps until their event is complete. */
+  readonly heldBytes: number;
   /**
    * Takes the head of a successful response that is streamed to the caller.
    * Returning false aborts the attempt.
@@ -36,6 +47,27 @@
   data(chunk: Buffer, resume: () => void): boolean;
 }
 
+/** How much of its answer a broken attempt received. */
+export enum AnswerProgress {
+  /** No head of a successful answer to the request. */
+  None = 'none',
+  /** Such a head, but neither a complete event nor a whole body. */
+  Begun = 'begun',
+  /** At least one complete event. */
+  Advanced = 'advanced',
+}
+
+/** What ended a broken attempt. */
+export enum BreakCause {
+  /**
+   * The upstream closed or reset the connection, or sent bytes that are invalid
+   * or too many.
+   */
+  Upstream = 'upstream',
+  /** The attempt was aborted here. */
+  Abort = 'abort',
+}
+
 /** How an attempt ended. */
 export type AttemptResult =
   /** No part of the request reached the upstream. */
@@ -57,7 +89,14 @@
    * The attempt failed and the upstream may have run the request. `started`:
    * whether a part of the response went to the sink.
    */
-  | {type: 'broken'; cause: string; started: boolean};
+  | {
+      type: 'broken';
+      cause: string;
+      started: boolean;
+      /** Concerns this attempt alone, also if it continues a stream. */
+      progress: AnswerProgress;
+      endedBy: BreakCause;
+    };
 
 /** Inputs of [[runAttempt]]. */
 export interface AttemptSpec {
@@ -89,11 +128,16 @@
 class Attempt implements Dispatcher.DispatchHandler {
   private controller?: Dispatcher.DispatchController;
   private head?: ReceivedHead;
+  /** Whether the head is that of a successful answer to the request. */
+  private answered = false;
   private asksForPause = false;
   private deliveryStarted = false;
   private settled = false;
-  private readonly chunks: Buffer[] = [];
-  private bufferedBytes = 0;
+  /** Bounds the time of a refusal's body; present while it is received. */
+  private refusalTimeout?: Subscription;
+  private readonly buffered = new ByteCollector();
+  /** Present if the response is a stream of events. */
+  private events?: EventScanner;
   private readonly onAbort = () =>
     this.abort(`broken off: ${String(this.spec.signal.reason)}`);
   private readonly connection: Connection;
@@ -146,7 +190,9 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
-    if (status < 200 || this.settled) return;
+    if (status < 200) return;
+    this.connection.noteProgress();
+    if (this.settled) return;
     const {protocol, request, endpoint, timer, sink} = this.spec;
     const now = timer.now();
     endpoint.lastHeardAt = now;
@@ -166,13 +212,19 @@
       this.abort('an answer that names no request on a kept connection');
       return;
     }
-    if (head.notRun || status < 200 || status >= 300) return;
+    if (head.notRun) {
+      this.refuse(status);
+      return;
+    }
+    if (status >= 300) return;
     if (!head.sealed || head.request === undefined || head.encoded) {
       this.abort('answer without the marks of its upstream');
       return;
     }
+    this.answered = true;
     if (!head.isEventStream) return;
     this.deliveryStarted = true;
+    this.events = new EventScanner();
     if (!sink.start(head)) this.abort('the stream does not fit its caller');
     else if (controller.aborted) this.abort('broken off');
   }
@@ -181,12 +233,18 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    this.connection.noteProgress();
+    if (this.refusalTimeout !== undefined) {
+      this.buffered.push(chunk);
+      if (this.buffered.length > REFUSAL_BODY_LIMIT_BYTES) {
+        this.endRefusal(false);
+      }
+    }
     if (this.settled) return;
     this.spec.endpoint.lastHeardAt = this.spec.timer.now();
     if (!this.deliveryStarted) {
-      this.chunks.push(chunk);
-      this.bufferedBytes += chunk.length;
-      if (this.bufferedBytes > BUFFER_LIMIT_BYTES) this.flush(controller);
+      this.buffered.push(chunk);
+      if (this.buffered.length > BUFFER_LIMIT_BYTES) this.flush(controller);
       return;
     }
     this.deliver(controller, chunk);
@@ -195,17 +253,18 @@
   onResponseEnd(): void {
     const {head} = this;
     this.connection.hasResponded = true;
+    this.endRefusal(true);
     if (head === undefined) {
-      this.settle({type: 'broken', cause: 'no answer', started: false});
+      this.break('no answer', BreakCause.Upstream);
     } else if (!head.framed && this.connection.reset) {
       const cause = 'reset within an answer without length';
-      this.settle({type: 'broken', cause, started: this.deliveryStarted});
-    } else if (head.notRun) {
-      this.settle({type: 'refused', status: head.status});
+      this.break(cause, BreakCause.Upstream);
+    } else if (this.events?.insideEvent === true) {
+      this.break('ended inside an event', BreakCause.Upstream);
     } else if (this.deliveryStarted) {
       this.settle({type: 'delivered', head});
     } else {
-      const body = Buffer.concat(this.chunks);
+      const body = this.buffered.take();
       const {asksForPause} = this;
       this.settle({type: 'whole', answer: {head, body}, asksForPause});
     }
@@ -216,53 +275,103 @@
     error: Error,
   ): void {
     const cause = `${error.name}: ${error.message}`;
+    this.endRefusal(false);
     if (this.controller === undefined) this.settle({type: 'unsent', cause});
-    else if (this.head?.notRun === true) {
-      this.settle({type: 'refused', status: this.head.status});
-    } else this.settle({type: 'broken', cause, started: this.deliveryStarted});
+    else this.break(cause, BreakCause.Upstream);
   }
 
   /** Starts streaming a body that exceeds the buffer limit. */
   private flush(controller: Dispatcher.DispatchController): void {
     const {head} = this;
-    if (head === undefined || head.status >= 300 || head.notRun) return;
+    if (head === undefined) return;
+    if (head.status >= 300) {
+      this.abort('a failure that is too long', BreakCause.Upstream);
+      return;
+    }
     this.deliveryStarted = true;
     if (!this.spec.sink.start(head)) {
       this.abort('the answer does not fit its caller');
       return;
     }
-    for (const chunk of this.chunks.splice(0)) this.deliver(controller, chunk);
+    this.deliver(controller, this.buffered.take());
   }
 
   private deliver(
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
-    const wantsMore = this.spec.sink.data(chunk, () => controller.resume());
-    if (!wantsMore) controller.pause();
+    this.events?.scan(chunk);
+    const {sink} = this.spec;
+    const wantsMore = sink.data(chunk, () => controller.resume());
+    if (sink.heldBytes > BUFFER_LIMIT_BYTES) {
+      this.abort('an event that is too long', BreakCause.Upstream);
+    } else if (!wantsMore) controller.pause();
   }
 
-  private abort(cause: string): void {
-    const {controller, deliveryStarted} = this;
-    this.settle(
-      controller === undefined
-        ? {type: 'unsent', cause}
-        : {type: 'broken', cause, started: deliveryStarted},
-    );
+  private abort(cause: string, endedBy = BreakCause.Abort): void {
+    const {controller} = this;
+    if (controller === undefined) this.settle({type: 'unsent', cause});
+    else this.break(cause, endedBy);
     controller?.abort(new Interruption());
   }
 
+  private break(cause: string, endedBy: BreakCause): void {
+    const started = this.deliveryStarted;
+    const progress = this.progress();
+    this.settle({type: 'broken', cause, started, progress, endedBy});
+  }
+
+  private progress(): AnswerProgress {
+    if (!this.answered) return AnswerProgress.None;
+    return (this.events?.events ?? 0) > 0
+      ? AnswerProgress.Advanced
+      : AnswerProgress.Begun;
+  }
+
+  /**
+   * Settles at the head of a refusal; its body only decides whether the
+   * connection is used again.
+   */
+  private refuse(status: number): void {
+    this.refusalTimeout = this.spec.timer.after(REFUSAL_BODY_TIMEOUT_MS, () =>
+      this.endRefusal(false),
+    );
+    this.settle({type: 'refused', status});
+  }
+
+  private endRefusal(intact: boolean): void {
+    const {refusalTimeout, controller} = this;
+    if (refusalTimeout === undefined) return;
+    refusalTimeout.end();
+    delete this.refusalTimeout;
+    this.release(intact);
+    if (!intact) controller?.abort(new Interruption());
+  }
+
   private settle(result: AttemptResult): void {
     if (this.settled) return;
     this.settled = true;
     this.spec.signal.removeEventListener('abort', this.onAbort);
-    const isReusable =
-      result.type !== 'broken' &&
-      result.type !== 'unsent' &&
-      result.type !== 'withheld';
-    this.spec.endpoint.connections.release(this.connection, isReusable);
+    switch (result.type) {
+      case 'whole':
+      case 'delivered':
+        this.release(true);
+        break;
+      case 'broken':
+      case 'unsent':
+      case 'withheld':
+        this.release(false);
+        break;
+      case 'refused':
+        // Released once its body has ended.
+        break;
+    }
     this.resolve(result);
   }
+
+  private release(intact: boolean): void {
+    this.spec.endpoint.connections.release(this.connection, intact);
+  }
 }
 
 /** Passed to the HTTP client when an attempt is aborted. */
--- a/src/forward/retry.ts
+++ b/src/forward/retry.ts
@@ -1,5 +1,5 @@
 import {Repetition, type Route} from '../route/index.js';
-import type {AttemptResult} from './attempt.js';
+import {AnswerProgress, BreakCause, type AttemptResult} from './attempt.js';
 import {HealthSignal} from './health.js';
 import {NotRunCause} from './refusal.js';
 
@@ -62,7 +62,13 @@
   return decideRetry({
     ...history,
     possibleRuns: history.possibleRuns + 1,
-    result: {type: 'broken', cause: 'silent', started: false},
+    result: {
+      type: 'broken',
+      cause: 'silent',
+      started: false,
+      progress: AnswerProgress.None,
+      endedBy: BreakCause.Abort,
+    },
   });
 }
 
--- a/src/forward/sink.ts
+++ b/src/forward/sink.ts
@@ -122,6 +122,10 @@
       : this.stream.writeEvents(complete, resume);
   }
 
+  get heldBytes(): number {
+    return this.splitter?.pendingBytes ?? 0;
+  }
+
   /** Bytes after the last complete event, if the stream is split. */
   remainder(): Buffer | undefined {
     return this.splitter?.remainder();
--- /dev/null
+++ b/test/endless.test.ts
@@ -0,0 +1,336 @@
+import {connect} from 'node:net';
+import {afterEach, describe, expect, test, vi} from 'vitest';
+import {Flood} from './support/flood.js';
+import {
+  call,
+  startTestGateway,
+  RawUpstream,
+  successHead,
+  type RawRequest,
+  type TestGateway,
+} from './support/gateway.js';
+
+/** Time in which an endless answer is ended, in ms; deadlines are later. */
+const END_MS = 1_000;
+
+const upstreams: RawUpstream[] = [];
+const gateways: TestGateway[] = [];
+const floods: Flood[] = [];
+
+afterEach(async () => {
+  floods.length = 0;
+  for (const upstream of upstreams.splice(0)) upstream.close();
+  await Promise.all(gateways.splice(0).map(({gateway}) => gateway.stop()));
+});
+
+async function startWith(
+  service: string,
+  respond: (request: RawRequest) => void,
+  ids = ['i-1'],
+): Promise<TestGateway> {
+  const entries = [];
+  for (const id of ids) {
+    const upstream = new RawUpstream(respond);
+    upstreams.push(upstream);
+    entries.push({service, id, port: await upstream.listen()});
+  }
+  const started = await startTestGateway(entries, 300);
+  gateways.push(started);
+  return started;
+}
+
+/** An answer whose bytes go on for ever. */
+interface EndlessAnswer {
+  name: string;
+  /** The bytes before those that repeat. */
+  start: (id: string) => string;
+  /** The bytes that repeat. */
+  unit: string;
+}
+
+function flood({start, unit}: EndlessAnswer) {
+  return ({id, socket}: RawRequest) => {
+    socket.write(start(id));
+    floods.push(new Flood(socket, unit));
+  };
+}
+
+async function untilClosed(): Promise<void> {
+  await vi.waitFor(
+    () => {
+      expect(floods.length).toBeGreaterThan(0);
+      expect(floods.every(({closed}) => closed)).toBe(true);
+    },
+    {timeout: END_MS},
+  );
+}
+
+const CHUNKED = 'Transfer-Encoding: chunked\r\n';
+const UNFRAMED = 'Connection: close\r\n';
+
+/** Expects a 502 long before the deadline, and a closed connection. */
+async function expectBroken(answer: EndlessAnswer): Promise<void> {
+  const {gateway} = await startWith('plain', flood(answer));
+  const sentAt = performance.now();
+  const response = await call(gateway.port, '/order/a', 'r1', {method: 'POST'});
+  expect(response?.status).toBe(502);
+  expect(performance.now() - sentAt).toBeLessThan(END_MS);
+  await untilClosed();
+}
+
+const failureHead = (id: string, more: string) =>
+  `HTTP/1.1 500 No\r\nX-Request-Id: ${id}\r\n${more}\r\n`;
+
+describe('a failure with an endless body', () => {
+  test.each<EndlessAnswer>([
+    {
+      name: 'in chunks',
+      start: id => failureHead(id, CHUNKED),
+      unit: '4\r\nabcd\r\n',
+    },
+    {
+      name: 'without framing',
+      start: id => failureHead(id, UNFRAMED),
+      unit: 'x',
+    },
+    {
+      name: 'of a length',
+      start: id => failureHead(id, 'Content-Length: 999999999999\r\n'),
+      unit: 'x',
+    },
+  ])('$name is broken off', expectBroken);
+});
+
+test('a failure with a long body is passed on', async () => {
+  const body = 'x'.repeat(200_000);
+  const {gateway} = await startWith('plain', ({id, socket}) => {
+    const length = `Content-Length: ${body.length}\r\n`;
+    socket.write(failureHead(id, length) + body);
+  });
+  const response = await call(gateway.port, '/order/a', 'r1', {method: 'POST'});
+  expect([response?.status, response?.body.length]).toEqual([500, 200_000]);
+});
+
+const STREAM = 'Content-Type: text/event-stream\r\n';
+const PROMPT = {
+  'x-model': 'm',
+  'x-token-counts': '10,10',
+  'x-prompt-prefix': 'a:5,b:5',
+};
+
+describe('a resumable stream with an endless event', () => {
+  test.each<EndlessAnswer>([
+    {
+      name: 'without framing',
+      start: id => `${successHead(id, STREAM + UNFRAMED)}id: 1\ndata: `,
+      unit: 'x',
+    },
+    {
+      name: 'in small chunks',
+      start: id => successHead(id, STREAM + CHUNKED),
+      unit: '1\r\nx\r\n',
+    },
+  ])('$name goes on at another upstream', async answer => {
+    const whole = 'id: 1\ndata: x\n\n';
+    let attempts = 0;
+    const {gateway} = await startWith(
+      'engine',
+      request => {
+        if (attempts++ === 0) return flood(answer)(request);
+        const head = successHead(request.id, STREAM + UNFRAMED);
+        request.socket.end(`${head}${whole}`);
+      },
+      ['i-1', 'i-2'],
+    );
+    const sentAt = performance.now();
+    const response = await call(gateway.port, '/chat/a', 'r1', {
+      method: 'POST',
+      headers: PROMPT,
+    });
+    expect([response?.body, response?.complete]).toEqual([whole, true]);
+    expect(performance.now() - sentAt).toBeLessThan(END_MS);
+    await untilClosed();
+  });
+});
+
+const REFUSAL = 'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n';
+
+/** Expects a refusal long before the deadline. */
+async function expectRefusal(
+  respond: (request: RawRequest) => void,
+): Promise<void> {
+  const {gateway} = await startWith('plain', respond);
+  const sentAt = performance.now();
+  const response = await call(gateway.port, '/order/a', 'r1', {method: 'POST'});
+  expect(response?.status).toBe(503);
+  expect(Number(response?.headers['retry-after'])).toBeGreaterThan(0);
+  expect(performance.now() - sentAt).toBeLessThan(END_MS);
+}
+
+describe('a refusal with an endless body', () => {
+  test.each<EndlessAnswer>([
+    {
+      name: 'in chunks',
+      start: () => `${REFUSAL}${CHUNKED}\r\n`,
+      unit: '4\r\nabcd\r\n',
+    },
+    {
+      name: 'without framing',
+      start: () => `${REFUSAL}${UNFRAMED}\r\n`,
+      unit: 'x',
+    },
+    {
+      name: 'with a chunk size',
+      start: () => `${REFUSAL}${CHUNKED}\r\n`,
+      unit: '0',
+    },
+  ])('$name is known from its head', async answer => {
+    await expectRefusal(flood(answer));
+    await untilClosed();
+  });
+
+  test('that stops midway is known from its head', async () => {
+    let closed = false;
+    await expectRefusal(({socket}) => {
+      socket.on('close', () => {
+        closed = true;
+      });
+      socket.write(`${REFUSAL}Content-Length: 9\r\n\r\nhalf`);
+    });
+    await vi.waitFor(() => expect(closed).toBe(true), {timeout: END_MS});
+  });
+});
+
+test('the connection of a refusal with a whole body is used again', async () => {
+  const sockets = new Set();
+  const {gateway} = await startWith('plain', ({id, socket}) => {
+    sockets.add(socket);
+    socket.write(
+      `${REFUSAL}X-Request-Id: ${id}\r\nContent-Length: 4\r\n\r\nfu`,
+    );
+    setTimeout(() => socket.write('ll'), 20);
+  });
+  for (const id of ['r1', 'r2', 'r3']) {
+    const response = await call(gateway.port, '/order/a', id, {
+      method: 'POST',
+    });
+    expect(response?.status).toBe(503);
+    await new Promise(resolve => setTimeout(resolve, 100));
+  }
+  expect(sockets.size).toBe(1);
+});
+
+const STATUS = 'HTTP/1.1 200 OK\r\n';
+
+describe('an answer with endless bytes outside its body', () => {
+  test.each<EndlessAnswer>([
+    {name: 'header lines', start: () => STATUS, unit: 'x: y\r\n'},
+    {name: 'a header', start: () => `${STATUS}x: `, unit: 'y'},
+    {name: 'spaces in a header', start: () => `${STATUS}x:`, unit: ' '},
+    {name: 'a status line', start: () => 'HTTP/1.1 200 ', unit: 'x'},
+    {
+      name: 'interim answers',
+      start: () => '',
+      unit: 'HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n',
+    },
+    {name: 'blank lines', start: () => '', unit: '\r\n'},
+    {name: 'bytes that are no answer', start: () => '', unit: '?'},
+    {name: 'a chunk size', start: id => successHead(id, CHUNKED), unit: '0'},
+    {
+      name: 'the extension of a chunk',
+      start: id => `${successHead(id, CHUNKED)}4\r\nabcd\r\n4;x=`,
+      unit: 'y',
+    },
+    {
+      name: 'trailers',
+      start: id => `${successHead(id, CHUNKED)}4\r\nabcd\r\n0\r\n`,
+      unit: 'x: y\r\n',
+    },
+    {
+      name: 'spaces in a trailer',
+      start: id => `${successHead(id, CHUNKED)}4\r\nabcd\r\n0\r\nx:`,
+      unit: ' ',
+    },
+  ])('$name is broken off', expectBroken);
+
+  test.each(['\r\n', '?', STATUS])(
+    '%j after its end keeps what was whole',
+    async unit => {
+      const length = 'Content-Length: 2\r\n';
+      const {gateway} = await startWith(
+        'plain',
+        flood({
+          name: 'after its end',
+          start: id => `${successHead(id, length)}ok`,
+          unit,
+        }),
+      );
+      const response = await call(gateway.port, '/order/a', 'r1', {
+        method: 'POST',
+      });
+      expect([response?.status, response?.body]).toEqual([200, 'ok']);
+      await untilClosed();
+    },
+  );
+});
+
+/** Reads an answer with pauses; resolves to the number of bytes received. */
+function readSlowly(
+  port: number,
+  path: string,
+  bytes: number,
+): Promise<number> {
+  return new Promise(resolve => {
+    const socket = connect(port, '127.0.0.1');
+    socket.write(
+      `POST ${path} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r1\r\n` +
+        'Authorization: Bearer key-one\r\nContent-Length: 0\r\n\r\n',
+    );
+    let received = 0;
+    const finish = () => {
+      socket.destroy();
+      resolve(received);
+    };
+    socket.on('data', chunk => {
+      received += chunk.length;
+      if (received >= bytes) return finish();
+      socket.pause();
+      setTimeout(() => socket.resume(), 2);
+    });
+    socket.on('error', finish);
+    socket.on('close', finish);
+  });
+}
+
+describe('a caller that reads slowly', () => {
+  const body = 'id: 1\ndata: x\n\n'.repeat(700_000);
+  test.each([
+    {name: 'a plain body', path: '/order/a', type: ''},
+    {
+      name: 'a stream',
+      path: '/order/a',
+      type: 'Content-Type: text/event-stream\r\n',
+    },
+    {
+      name: 'a resumable stream',
+      path: '/chat/a',
+      type: 'Content-Type: text/event-stream\r\n',
+    },
+  ])('receives the whole of $name', async ({path, type}) => {
+    const {gateway, logLines} = await startWith(
+      path === '/chat/a' ? 'engine' : 'plain',
+      ({id, socket}) => {
+        const length = `Content-Length: ${body.length}\r\n`;
+        socket.write(successHead(id, type + length) + body);
+      },
+    );
+    const received = await readSlowly(gateway.port, path, body.length);
+    expect(received).toBeGreaterThanOrEqual(body.length);
+    await vi.waitFor(() =>
+      expect(logLines.at(-1)).toMatchObject({
+        event: 'ended',
+        outcome: 'answered',
+      }),
+    );
+  });
+});
