Send every answer whole before a drained instance ends

What callers could see: around a SIGTERM, a caller that takes its answer slowly gets a part of it and then a closed connection (LOST), though the upstream had answered whole.

Cause: a request counted as ended once its answer was handed to the socket. From 2.5 s after the SIGTERM on, every 50 ms, closeIdleConnections of Node destroyed connections whose response had ended but was still in the write buffer, since it looks at `finished` only. Then the drain ended as no request was in flight, and the process exited 100 ms later, whatever was still to be sent.

The fix: CallerConnections follows each response until it is sent, that is until its 'close'. A connection is idle when no response is unsent and nothing was received since, which spares a request whose head has begun to arrive. The drain ends when all answers are sent, at latest at its deadline as before.

Ruled out by reading: a streamed answer above the buffer limit is held back by its caller, and the drain waits for it as its request has not ended.

--- a/src/forward/listener.ts
+++ b/src/forward/listener.ts
@@ -5,6 +5,7 @@
 import type {RoutingTable} from '../route/index.js';
 import {Exchange} from './exchange.js';
 import type {ForwardDependencies} from './dependencies.js';
+import {CallerConnections} from './callerconnections.js';
 import {afterNextPoll} from './nextpoll.js';
 
 /** Connections that the kernel may queue before they are accepted. */
@@ -48,6 +49,7 @@
   inflight = 0;
   /** Requests that are being served, by connection. */
   private readonly inflightBySocket = new WeakMap<Duplex, number>();
+  private readonly connections = new CallerConnections();
 
   constructor(dependencies: ForwardDependencies) {
     this.server = createServer(
@@ -61,6 +63,7 @@
       (message, response) => {
         const {socket} = message;
         this.changeInflight(socket, 1);
+        this.connections.add(message, response);
         const exchange = new Exchange(dependencies, message, response);
         afterNextPoll()
           .then(() => exchange.run())
@@ -113,15 +116,19 @@
     return listen(this.server, address);
   }
 
-  /** Closes connections without a request in flight. */
+  /** Whether every request has ended and its response is sent. */
+  get isIdle(): boolean {
+    return this.inflight === 0 && this.connections.areAllSent;
+  }
+
+  /** Closes connections without a request in flight or a response to send. */
   closeIdle(): void {
-    this.server.closeIdleConnections();
+    this.connections.closeIdle();
   }
 
   /** Stops accepting connections and closes idle ones. */
   close(): void {
     this.server.close();
-    this.server.closeIdleConnections();
   }
 
   private applyLimits({limits}: RoutingTable): void {
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -72,7 +72,10 @@
   readinessPort: number;
   /** Applies changed settings; open ports and connections stay. */
   reload(settings: GatewaySettings): void;
-  /** Drains; resolves when all requests ended or the grace period is over. */
+  /**
+   * Drains; resolves when all requests ended and their responses are sent, or
+   * when the grace period is over.
+   */
   stop(): Promise<void>;
 }
 
@@ -216,7 +219,7 @@
       await timer.sleep(DRAIN_CHECK_PERIOD_MS);
       if (!drainSchedule.mayReceiveConnections(timer.now())) {
         listener.closeIdle();
-        if (listener.inflight === 0) break;
+        if (listener.isIdle) break;
       }
     }
     for (const subscription of this.subscriptions) subscription.end();
