Answer the requests that are left at the end of a drain

What callers could see: a request that was read whole waits for an upstream, or has been passed on, when the drain of its instance reaches its deadline; its connection ends without an answer or a refusal (LOST, for one that waits also where its upstream is not to blame). One sent before the SIGTERM, or in the 2.5 s after it, is taken whatever its time-out, so this needs a time-out above the grace, or a retry late in the drain.

Cause: at the deadline the process went on to exit, with nothing said to its requests.

Evidence: test/drain.test.ts, "a request that still waits at the end of a drain is refused" and "a request that still runs at the end of a drain is answered".

The fix: the end of the drain stops every request, as its deadline would. One that was never sent is refused with 503 and told to return at once, since it has not run and never will; one whose body has not arrived is refused in the same way rather than with 400; one that was sent gets 504. An answer that has begun is cut, as the exit did before.

--- a/src/forward/body.ts
+++ b/src/forward/body.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
+import {StopCause, type Deadline} from './deadline.js';
 
 /**
  * Why a request body can't be used: it exceeds the limit, or the connection
@@ -39,22 +40,23 @@
   });
 }
 
-/**
- * Reads the whole body of a request, or gives up as `incomplete` when `signal`
- * aborts.
- */
+/** Reads the whole body of a request, or gives up when the request is stopped. */
 export async function readBodyUntil(
-  signal: AbortSignal,
+  deadline: Deadline,
   message: IncomingMessage,
   limitBytes: number,
-): Promise<Buffer | BodyFailure> {
+): Promise<Buffer | BodyFailure | {type: 'leaving'}> {
+  const {signal} = deadline;
   const bodyRead = readBody(message, limitBytes);
   const stopped = new Promise<undefined>(resolve => {
     if (signal.aborted) resolve(undefined);
     signal.addEventListener('abort', () => resolve(undefined), {once: true});
   });
   const body = await Promise.race([bodyRead, stopped]);
-  if (body === undefined) return {type: 'incomplete'};
+  if (body === undefined) {
+    const isEnding = deadline.cause === StopCause.Stopped;
+    return {type: isEnding ? 'leaving' : 'incomplete'};
+  }
   return body.isOk() ? body.value : body.error;
 }
 
--- a/src/forward/deadline.ts
+++ b/src/forward/deadline.ts
@@ -6,24 +6,34 @@
   Gone = 'gone',
   /** The deadline of the request passed. */
   TimedOut = 'timed_out',
+  /** This instance ends. */
+  Stopped = 'stopped',
 }
 
-/** Aborts a request at its deadline or when its caller disconnects. */
+/**
+ * Aborts a request at its deadline, when its caller disconnects, or when the
+ * instance ends.
+ */
 export class Deadline {
   private readonly controller = new AbortController();
   private readonly expiryController = new AbortController();
   private readonly timeout: Subscription;
+  private readonly onInstanceEnd = () => this.expire(StopCause.Stopped);
   cause?: StopCause;
 
-  /** `at` is the deadline, in monotonic ms. */
+  /**
+   * `at` is the deadline, in monotonic ms; `instanceSignal` aborts when the
+   * instance ends.
+   */
   constructor(
     timer: Timer,
     readonly at: number,
+    private readonly instanceSignal: AbortSignal,
   ) {
-    this.timeout = timer.after(Math.max(0, at - timer.now()), () => {
-      this.stop(StopCause.TimedOut);
-      this.expiryController.abort();
-    });
+    this.timeout = timer.after(Math.max(0, at - timer.now()), () =>
+      this.expire(StopCause.TimedOut),
+    );
+    instanceSignal.addEventListener('abort', this.onInstanceEnd, {once: true});
   }
 
   /** Aborts when the request is stopped, for whichever cause. */
@@ -31,7 +41,7 @@
     return this.controller.signal;
   }
 
-  /** Aborts at the deadline, also if the caller disconnected before it. */
+  /** Aborts like `signal`, but not when the caller disconnects. */
   get expirySignal(): AbortSignal {
     return this.expiryController.signal;
   }
@@ -42,8 +52,14 @@
     this.controller.abort();
   }
 
-  /** Cancels the time-out. */
+  /** Stops watching. */
   end(): void {
     this.timeout.end();
+    this.instanceSignal.removeEventListener('abort', this.onInstanceEnd);
+  }
+
+  private expire(cause: StopCause): void {
+    this.stop(cause);
+    this.expiryController.abort();
   }
 }
--- a/src/forward/dependencies.ts
+++ b/src/forward/dependencies.ts
@@ -29,6 +29,8 @@
    * Whether a request can take up to `limitMs` ms before this instance stops.
    */
   canServeFor(limitMs: number): boolean;
+  /** Aborts when the instance ends. */
+  instanceSignal: AbortSignal;
   /** Whether the instance drains, and closes connections after a response. */
   isDraining: () => boolean;
 }
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -83,7 +83,7 @@
     table: RoutingTable,
   ): Promise<Ending> {
     if (this.message.destroyed) return {outcome: 'gone'};
-    const {headerBytes: limitBytes} = table.limits;
+    const {headerBytes: limitBytes, bodyBytes} = table.limits;
     if (bytesOf(this.message.rawHeaders) > limitBytes) {
       return this.refuse({type: 'headTooLarge', limitBytes});
     }
@@ -112,17 +112,14 @@
     const deadline = new Deadline(
       this.dependencies.timer,
       this.arrivedAt + limitMs,
+      this.dependencies.instanceSignal,
     );
     const onClose = () => {
       if (!this.response.writableFinished) deadline.stop(StopCause.Gone);
     };
     this.response.once('close', onClose);
     try {
-      const body = await readBodyUntil(
-        deadline.signal,
-        this.message,
-        table.limits.bodyBytes,
-      );
+      const body = await readBodyUntil(deadline, this.message, bodyBytes);
       if ('type' in body) return this.refuse(body, route);
       const service = this.dependencies.serviceStateOf(
         table.pick(route, this.dependencies.random()),
@@ -328,7 +325,7 @@
     }
   }
 
-  /** Ends a request whose caller disconnected or whose deadline passed. */
+  /** Ends a request that was stopped. */
   private endStopped({route, deadline, service}: RequestContext): Ending {
     if (deadline.cause === StopCause.Gone) {
       return {outcome: 'gone', route: route.name};
@@ -336,7 +333,9 @@
     if (this.mayHaveRun || this.attempts > 0) {
       return this.refuse({type: 'timedOut'}, route);
     }
-    return this.refuse(service.waitQueue.refusalFor(NotRunCause.Waited), route);
+    return deadline.cause === StopCause.Stopped
+      ? this.refuse({type: 'leaving'}, route)
+      : this.refuse(service.waitQueue.refusalFor(NotRunCause.Waited), route);
   }
 
   /** Ends a request that is not placed or not retried. */
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import type {Logger} from 'pino';
 import {
   Endpoints,
@@ -109,6 +110,8 @@
   private configurationRecords: KeyedRecord[] = [];
   /** Set when the instance begins to drain. */
   private drainSchedule?: DrainSchedule;
+  /** Aborts at the end of the drain. */
+  private readonly endController = new AbortController();
   /** Whether the first snapshot of the upstreams was read. */
   private hasUpstreamList = false;
   private wasReady = false;
@@ -124,6 +127,8 @@
     const root = output.logger;
     this.logger = componentLogger(root, Component.Router);
     this.requestLogger = componentLogger(root, Component.Request);
+    // Each request listens to it.
+    setMaxListeners(0, this.endController.signal);
     this.routing = new Routing(componentLogger(root, Component.Config));
     this.endpoints = new Endpoints(settings.host);
     this.observer = new ResponseObserver({
@@ -163,6 +168,7 @@
       isAlive: endpoint => this.probes.isAlive(endpoint),
       canServeFor: timeoutMs =>
         this.drainSchedule?.admits(timeoutMs, timer.now()) ?? true,
+      instanceSignal: this.endController.signal,
       isDraining: () => this.drainSchedule !== undefined,
     });
     this.routing.subscribe(() => this.updateEndpoints());
@@ -222,13 +228,15 @@
         if (listener.isIdle) break;
       }
     }
+    const unfinished = listener.inflight;
+    this.endController.abort();
     for (const subscription of this.subscriptions) subscription.end();
     listener.close();
     this.monitoringServers.close();
     await this.fleet.close();
     await timer.sleep(FLUSH_MS);
     this.logger.info(
-      {event: LogEvent.Stopped, unfinished: listener.inflight},
+      {event: LogEvent.Stopped, unfinished},
       'Instance stopped.',
     );
   }
--- a/test/drain.test.ts
+++ b/test/drain.test.ts
@@ -4,6 +4,7 @@
 import {afterEach, expect, test, vi} from 'vitest';
 import {LogEvent} from '../src/telemetry/index.js';
 import {
+  call,
   startTestGateway,
   RawUpstream,
   successHead,
@@ -47,6 +48,8 @@
   return socket;
 }
 
+const silent = () => undefined;
+
 test('an instance that drains sends answers whole to a caller that reads slowly', async () => {
   const bodyBytes = 250_000;
   // More than the kernel buffers for a connection.
@@ -83,3 +86,42 @@
     isWhole: true,
   });
 });
+
+test('a request that still waits at the end of a drain is refused', async () => {
+  const {gateway} = await openGateway(600);
+  const answer = call(gateway.port, '/look/a', 'r1');
+  await sleep(100);
+  await gateway.stop();
+  const status = await Promise.race([
+    answer.then(response => response?.status),
+    sleep(50, 'not answered'),
+  ]);
+  expect(status).toBe(503);
+});
+
+test('a request that still runs at the end of a drain is answered', async () => {
+  const {gateway, raw} = await openGateway(600, silent);
+  const answer = call(gateway.port, '/order/a', 'r1');
+  await sleep(100);
+  await gateway.stop();
+  const status = await Promise.race([
+    answer.then(response => response?.status),
+    sleep(50, 'not answered'),
+  ]);
+  expect([status, raw.received.length]).toEqual([504, 1]);
+});
+
+test('a request whose body is incomplete at the end of a drain is refused as not run', async () => {
+  const {gateway} = await openGateway(600, silent);
+  const caller = await open(gateway.port);
+  const received = once(caller, 'data') as Promise<[Buffer]>;
+  const head = requestBytes('r1').replace('GET', 'POST').trimEnd();
+  caller.write(`${head}\r\ncontent-length: 10\r\n\r\nhalf`);
+  await sleep(100);
+  await gateway.stop();
+  const bytes = await Promise.race([
+    received.then(([chunk]) => chunk.toString()),
+    sleep(50, 'not answered'),
+  ]);
+  expect(bytes.split('\r\n')[0]).toBe('HTTP/1.1 503 Service Unavailable');
+});
