Refuse a request that arrives after the end of a drain

What callers could see: after a SIGTERM, a request on a connection that was opened late is passed on to an upstream, and 100 ms later the connection ends without an answer (LOST; at the upstream it has run).

Cause: a drain without requests in flight ends 2.5 s after the SIGTERM at the earliest, long before its deadline. Between that end and the exit, the instance closes its links and waits 100 ms for last bytes. A connection that has not carried a request yet is not closed as idle, and DrainSchedule.admits still takes what ends before the deadline.

Evidence: test/drain.test.ts, "a request that arrives after the end of a drain is not sent on". It opens a connection 2 s after the SIGTERM and sends a request as soon as the port is closed.

The fix: nothing is taken once the drain has ended; such a request gets 503 with a short Retry-After and the close of its connection.

Ruled out by reading: a kept connection, which is closed as idle before the end.

--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -167,7 +167,8 @@
       promptSent: (endpoint, {parts}) => this.gossipPrompt(endpoint.id, parts),
       isAlive: endpoint => this.probes.isAlive(endpoint),
       canServeFor: timeoutMs =>
-        this.drainSchedule?.admits(timeoutMs, timer.now()) ?? true,
+        !this.endController.signal.aborted &&
+        (this.drainSchedule?.admits(timeoutMs, timer.now()) ?? true),
       instanceSignal: this.endController.signal,
       isDraining: () => this.drainSchedule !== undefined,
     });
--- a/test/drain.test.ts
+++ b/test/drain.test.ts
@@ -48,6 +48,20 @@
   return socket;
 }
 
+/** Waits until a server accepts no new connections. */
+async function untilClosed(port: number): Promise<void> {
+  for (;;) {
+    const socket = connect(port, '127.0.0.1');
+    const isOpen = await new Promise(resolve => {
+      socket.on('connect', () => resolve(true));
+      socket.on('error', () => resolve(false));
+    });
+    socket.destroy();
+    if (isOpen !== true) return;
+    await sleep(5);
+  }
+}
+
 const silent = () => undefined;
 
 test('an instance that drains sends answers whole to a caller that reads slowly', async () => {
@@ -125,3 +139,22 @@
   ]);
   expect(bytes.split('\r\n')[0]).toBe('HTTP/1.1 503 Service Unavailable');
 });
+
+test('a request that arrives after the end of a drain is not sent on', async () => {
+  const {gateway, raw} = await openGateway(6_000, silent);
+  const stopped = gateway.stop();
+  await sleep(2_000);
+  const caller = await open(gateway.port);
+  await untilClosed(gateway.port);
+  const received = once(caller, 'data');
+  caller.write(requestBytes('r1'));
+  const [bytes] = (await Promise.race([
+    received,
+    sleep(1_000, ['no answer']),
+  ])) as [Buffer | string];
+  await stopped;
+  expect([String(bytes).split('\r\n')[0], raw.received.length]).toEqual([
+    'HTTP/1.1 503 Service Unavailable',
+    0,
+  ]);
+});
