Let a second SIGTERM leave the drain alone

What callers could see: when the SIGTERM comes twice, as where a wrapper passes on the one that its group got as well, all requests in flight end with a closed connection (LOST).

Cause: the handler was registered for one signal. After it, the signal's default action was back, and that ends the process at once.

Evidence: test/platform.test.ts, "a second SIGTERM does not cut a drain short", with the bundle as a process of its own.

`serve` of the command line keeps its handlers: there a second signal is the way to end at once.

--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -75,7 +75,7 @@
   reload(settings: GatewaySettings): void;
   /**
    * Drains; resolves when all requests ended and their responses are sent, or
-   * when the grace period is over.
+   * when the grace period is over. Further calls have no effect on the drain.
    */
   stop(): Promise<void>;
 }
@@ -110,6 +110,8 @@
   private configurationRecords: KeyedRecord[] = [];
   /** Set when the instance begins to drain. */
   private drainSchedule?: DrainSchedule;
+  /** Resolves when the instance has stopped; set when it begins to drain. */
+  private stopped?: Promise<void>;
   /** Aborts at the end of the drain. */
   private readonly endController = new AbortController();
   /** Whether the first snapshot of the upstreams was read. */
@@ -214,7 +216,11 @@
     );
   }
 
-  async stop(): Promise<void> {
+  stop(): Promise<void> {
+    return (this.stopped ??= this.drain());
+  }
+
+  private async drain(): Promise<void> {
     const {timer, listener} = this;
     const drainSchedule = new DrainSchedule(timer.now(), this.settings.graceMs);
     this.drainSchedule = drainSchedule;
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -1,14 +1,19 @@
-import {execFileSync} from 'node:child_process';
+import {execFileSync, spawn} from 'node:child_process';
+import {once} from 'node:events';
 import {
   closeSync,
+  mkdtempSync,
   openSync,
   readdirSync,
   readFileSync,
+  rmSync,
   statSync,
+  writeFileSync,
 } from 'node:fs';
+import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import fc from 'fast-check';
-import {expect, test} from 'vitest';
+import {expect, onTestFinished, test, vi} from 'vitest';
 import {decodeConfiguration} from '../platform/configuration.js';
 import {decodeEntry} from '../platform/entry.js';
 import {protocol} from '../platform/headers.js';
@@ -248,3 +253,44 @@
   expect(buildBundle().ino).not.toBe(ino);
   closeSync(reader);
 });
+
+test('a second SIGTERM does not cut a drain short', async () => {
+  execFileSync(process.execPath, [join('scripts', 'bundle.mjs')]);
+  const folder = mkdtempSync(join(tmpdir(), 'gypsumcourse-'));
+  const settings = join(folder, 'settings.json');
+  const address = '127.0.0.1:0';
+  writeFileSync(
+    settings,
+    JSON.stringify({
+      nodeName: 'entry-1',
+      ip: '127.0.0.1',
+      zone: 'zone-a',
+      zones: {'zone-a': 'region-a'},
+      listen: {front: address, ready: address},
+      bounds: {graceS: 5, retryBudgetRatio: 0.2, budgetWindowS: 10},
+      // Nothing listens there: the process drains all the same.
+      platform: {address: '127.0.0.1:1'},
+      internalPorts: [0, 0],
+    }),
+  );
+  const child = spawn(process.execPath, [join('target', 'gypsumcourse.js')], {
+    env: {...process.env, GYPSUMCOURSE_BOOT: settings},
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  const ended = once(child, 'exit');
+  onTestFinished(() => {
+    child.kill('SIGKILL');
+    rmSync(folder, {recursive: true});
+  });
+  let output = '';
+  child.stdout.on('data', (chunk: Buffer) => (output += chunk.toString()));
+  const untilLogged = (event: string) =>
+    vi.waitFor(() => expect(output).toContain(`"event":"${event}"`), 5_000);
+  await untilLogged('started');
+  child.kill('SIGTERM');
+  await untilLogged('stopping');
+  child.kill('SIGTERM');
+  // The exit status, and the signal that ended the process, if any.
+  expect(await ended).toEqual([0, null]);
+  expect(output.split('"event":"stopping"')).toHaveLength(2);
+});
