Take an upstream that turns a probe away for alive

What callers could see: a stream is cut, or begun anew elsewhere, although its upstream is sound (LOST): the upstream sends nothing for 0.8 s and resets a new connection, as it does with each beyond its limit, or while its queue is long.

Cause: a probe whose connection was reset counted like one without an answer, so the attempt was broken off. What is reset after it was opened was closed by a live process.

Evidence: test/liveness.test.ts. "a stream is not ended since its upstream turns a probe away": the stream stops for 1.2 s and goes on, probes are reset. Run before this change: "expected [ false, ...(1) ] to deeply equal [ true, ...(1) ]", cut after two of four events. "an upstream that turns the probe away is alive: true": "expected false to be true". Both pass with it, as do an upstream that answers, one that is silent and one that has ended (connection refused), which passed before as well.

The fix: a probe that fails after its connection was opened shows a live process. One without an answer in time, and a connection that can't be opened, count as before.

Ruled out by the test: that the end of a probe, which closes its own connection, counts as news of a silent upstream.

--- a/src/forward/liveness.ts
+++ b/src/forward/liveness.ts
@@ -19,8 +19,9 @@
   ) {}
 
   /**
-   * Whether an upstream responds to a probe on a new connection. One that asked
-   * for a pause is probed once during it, and else taken to be alive.
+   * Whether an upstream responds to a probe on a new connection, or closes the
+   * connection, as one that has too many does. One that asked for a pause is
+   * probed once during it, and else taken to be alive.
    */
   isAlive(endpoint: Endpoint): Promise<boolean> {
     const pending = this.pendingProbes.get(endpoint);
@@ -38,7 +39,11 @@
   private send(endpoint: Endpoint): Promise<boolean> {
     const connection = endpoint.connections.open();
     return new Promise<boolean>(resolve => {
+      let finished = false;
       const finish = (alive: boolean) => {
+        // The end of the probe closes its connection.
+        if (finished) return;
+        finished = true;
         timeout.end();
         connection.destroy();
         if (alive) endpoint.lastHeardAt = this.timer.now();
@@ -58,15 +63,18 @@
   finish: (alive: boolean) => void,
   observe: (head: ResponseHead & {status: number}) => void,
 ): void {
+  let connected = false;
   const handler: Dispatcher.DispatchHandler = {
-    onRequestStart: () => undefined,
+    onRequestStart: () => {
+      connected = true;
+    },
     onResponseStart: (_controller, status, headers) => {
       observe({...protocol.readResponse(status, headers), status});
       finish(true);
     },
     onResponseData: () => undefined,
     onResponseEnd: () => undefined,
-    onResponseError: () => finish(false),
+    onResponseError: () => finish(connected),
   };
   connection.dispatch({method: 'GET', path: protocol.probeTarget}, handler);
 }
