--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -1,3 +1,4 @@
+import {setMaxListeners} from 'node:events';
 import type {Logger} from 'pino';
 import {
   Endpoints,
@@ -72,7 +73,10 @@
   readinessPort: number;
   /** Applies changed settings; open ports and connections stay. */
   reload(settings: GatewaySettings): void;
-  /** Drains; resolves when all requests ended or the grace period is over. */
+  /**
+   * Drains; resolves when all requests ended and their responses are sent, or
+   * when the grace period is over. Further calls have no effect on the drain.
+   */
   stop(): Promise<void>;
 }
 
@@ -106,6 +110,10 @@
   private configurationRecords: KeyedRecord[] = [];
   /** Set when the instance begins to drain. */
   private drainSchedule?: DrainSchedule;
+  /** Resolves when the instance has stopped; set when it begins to drain. */
+  private stopped?: Promise<void>;
+  /** Aborts at the end of the drain. */
+  private readonly endController = new AbortController();
   /** Whether the first snapshot of the upstreams was read. */
   private hasUpstreamList = false;
   private wasReady = false;
@@ -121,6 +129,8 @@
     const root = output.logger;
     this.logger = componentLogger(root, Component.Router);
     this.requestLogger = componentLogger(root, Component.Request);
+    // Each request listens to it.
+    setMaxListeners(0, this.endController.signal);
     this.routing = new Routing(componentLogger(root, Component.Config));
     this.endpoints = new Endpoints(settings.host);
     this.observer = new ResponseObserver({
@@ -159,7 +169,9 @@
       promptSent: (endpoint, {parts}) => this.gossipPrompt(endpoint.id, parts),
       isAlive: endpoint => this.probes.isAlive(endpoint),
       canServeFor: timeoutMs =>
-        this.drainSchedule?.admits(timeoutMs, timer.now()) ?? true,
+        !this.endController.signal.aborted &&
+        (this.drainSchedule?.admits(timeoutMs, timer.now()) ?? true),
+      instanceSignal: this.endController.signal,
       isDraining: () => this.drainSchedule !== undefined,
     });
     this.routing.subscribe(() => this.updateEndpoints());
@@ -204,7 +216,11 @@
     );
   }
 
-  async stop(): Promise<void> {
+  stop(): Promise<void> {
+    return (this.stopped ??= this.drain());
+  }
+
+  private async drain(): Promise<void> {
     const {timer, listener} = this;
     const drainSchedule = new DrainSchedule(timer.now(), this.settings.graceMs);
     this.drainSchedule = drainSchedule;
@@ -216,16 +232,18 @@
       await timer.sleep(DRAIN_CHECK_PERIOD_MS);
       if (!drainSchedule.mayReceiveConnections(timer.now())) {
         listener.closeIdle();
-        if (listener.inflight === 0) break;
+        if (listener.isIdle) break;
       }
     }
+    const unfinished = listener.inflight;
+    this.endController.abort();
     for (const subscription of this.subscriptions) subscription.end();
     listener.close();
     this.monitoringServers.close();
     await this.fleet.close();
     await timer.sleep(FLUSH_MS);
     this.logger.info(
-      {event: LogEvent.Stopped, unfinished: listener.inflight},
+      {event: LogEvent.Stopped, unfinished},
       'Instance stopped.',
     );
   }
--- /dev/null
+++ b/test/drain.test.ts
@@ -0,0 +1,160 @@
+import {once} from 'node:events';
+import {connect, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {afterEach, expect, test, vi} from 'vitest';
+import {LogEvent} from '../src/telemetry/index.js';
+import {
+  call,
+  startTestGateway,
+  RawUpstream,
+  successHead,
+  type RawRequest,
+  type TestGateway,
+} from './support/gateway.js';
+
+const upstreams: RawUpstream[] = [];
+const gateways: TestGateway[] = [];
+
+afterEach(async () => {
+  for (const upstream of upstreams.splice(0)) upstream.close();
+  await Promise.all(gateways.splice(0).map(({gateway}) => gateway.stop()));
+});
+
+async function openGateway(
+  graceMs: number,
+  answer?: (request: RawRequest) => void,
+) {
+  const raw = new RawUpstream(answer ?? (() => undefined));
+  upstreams.push(raw);
+  const port = await raw.listen();
+  const entries =
+    answer === undefined ? [] : [{service: 'plain', id: 'i-1', port}];
+  const started = await startTestGateway(entries, graceMs);
+  gateways.push(started);
+  return {...started, raw};
+}
+
+function requestBytes(id: string): string {
+  return (
+    'GET /look/a HTTP/1.1\r\nhost: shop.example\r\n' +
+    `x-request-id: ${id}\r\nauthorization: Bearer key-one\r\n\r\n`
+  );
+}
+
+async function open(port: number): Promise<Socket> {
+  const socket = connect(port, '127.0.0.1');
+  socket.on('error', () => undefined);
+  await once(socket, 'connect');
+  return socket;
+}
+
+/** Waits until a server accepts no new connections. */
+async function untilClosed(port: number): Promise<void> {
+  for (;;) {
+    const socket = connect(port, '127.0.0.1');
+    const isOpen = await new Promise(resolve => {
+      socket.on('connect', () => resolve(true));
+      socket.on('error', () => resolve(false));
+    });
+    socket.destroy();
+    if (isOpen !== true) return;
+    await sleep(5);
+  }
+}
+
+const silent = () => undefined;
+
+test('an instance that drains sends answers whole to a caller that reads slowly', async () => {
+  const bodyBytes = 250_000;
+  // More than the kernel buffers for a connection.
+  const count = 40;
+  const {gateway, logLines} = await openGateway(6_000, ({id, socket}) => {
+    const head = successHead(id, `Content-Length: ${bodyBytes}\r\n`);
+    socket.write(head + 'x'.repeat(bodyBytes));
+  });
+  const caller = await open(gateway.port);
+  caller.pause();
+  const ids = Array.from({length: count}, (_, index) => `r${index}`);
+  caller.write(ids.map(requestBytes).join(''));
+  await vi.waitFor(
+    () => {
+      const ended = logLines.filter(({event}) => event === LogEvent.Ended);
+      expect(ended).toHaveLength(count);
+    },
+    {timeout: 3_000},
+  );
+  let isStopped = false;
+  const stopped = gateway.stop().then(() => {
+    isStopped = true;
+  });
+  await sleep(3_200);
+  const isStoppedEarly = isStopped;
+  let bytes = 0;
+  caller.on('data', chunk => {
+    bytes += chunk.length;
+  });
+  caller.resume();
+  await Promise.all([once(caller, 'close'), stopped]);
+  expect({isStoppedEarly, isWhole: bytes >= count * bodyBytes}).toEqual({
+    isStoppedEarly: false,
+    isWhole: true,
+  });
+});
+
+test('a request that still waits at the end of a drain is refused', async () => {
+  const {gateway} = await openGateway(600);
+  const answer = call(gateway.port, '/look/a', 'r1');
+  await sleep(100);
+  await gateway.stop();
+  const status = await Promise.race([
+    answer.then(response => response?.status),
+    sleep(50, 'not answered'),
+  ]);
+  expect(status).toBe(503);
+});
+
+test('a request that still runs at the end of a drain is answered', async () => {
+  const {gateway, raw} = await openGateway(600, silent);
+  const answer = call(gateway.port, '/order/a', 'r1');
+  await sleep(100);
+  await gateway.stop();
+  const status = await Promise.race([
+    answer.then(response => response?.status),
+    sleep(50, 'not answered'),
+  ]);
+  expect([status, raw.received.length]).toEqual([504, 1]);
+});
+
+test('a request whose body is incomplete at the end of a drain is refused as not run', async () => {
+  const {gateway} = await openGateway(600, silent);
+  const caller = await open(gateway.port);
+  const received = once(caller, 'data') as Promise<[Buffer]>;
+  const head = requestBytes('r1').replace('GET', 'POST').trimEnd();
+  caller.write(`${head}\r\ncontent-length: 10\r\n\r\nhalf`);
+  await sleep(100);
+  await gateway.stop();
+  const bytes = await Promise.race([
+    received.then(([chunk]) => chunk.toString()),
+    sleep(50, 'not answered'),
+  ]);
+  expect(bytes.split('\r\n')[0]).toBe('HTTP/1.1 503 Service Unavailable');
+});
+
+test('a request that arrives after the end of a drain is not sent on', async () => {
+  const {gateway, raw} = await openGateway(6_000, silent);
+  const stopped = gateway.stop();
+  await sleep(2_000);
+  const caller = await open(gateway.port);
+  await untilClosed(gateway.port);
+  const received = once(caller, 'data');
+  caller.write(requestBytes('r1'));
+  const [bytes] = (await Promise.race([
+    received,
+    sleep(1_000, ['no answer']),
+  ])) as [Buffer | string];
+  await stopped;
+  expect([String(bytes).split('\r\n')[0], raw.received.length]).toEqual([
+    'HTTP/1.1 503 Service Unavailable',
+    0,
+  ]);
+});
