Reproduce engines that end one after the other by a part of a prompt

Callers lost streams of all kinds while each request with one part ended the engine that began to answer it. The rule: later than 4 s after the fifth crash, at most three requests with the part reach engines, over all instances; sound requests with the same key and first part begin at their first attempt at least half as often as before.

--- /dev/null
+++ b/test/support/crashingengines.ts
@@ -0,0 +1,195 @@
+import {createServer, type Server, type Socket} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {Topic} from '../../src/registry/index.js';
+import {successHead, wireEntry, type MemoryFeed} from './gateway.js';
+import {EVENT_STREAM, eventsOf} from './silentupstream.js';
+
+const HOST = '127.0.0.1';
+const SERVICE = 'engine';
+const SLOTS = 16;
+/** Time from a request to the head of its answer, in ms. */
+const START_MS = 30;
+/** Time from the head to the crash, or between events, in ms. */
+const STEP_MS = 25;
+const EVENTS = 4;
+/** Time from a crash to the start of the next process, in ms. */
+const RESTART_MS = 500;
+const REBIND_MS = 20;
+
+/** A request that reached an engine which took it. */
+export interface EngineArrival {
+  id: string;
+  at: number;
+  /** Ids of the parts of its prompt. */
+  parts: string[];
+  /** Whether the head of the answer was sent. */
+  began: boolean;
+}
+
+/** Whether the answer to a request with these parts ends its engine. */
+export type CrashCondition = (parts: readonly string[]) => boolean;
+
+/**
+ * Engines that end when they begin certain answers. Each returns at its port
+ * under a new id.
+ */
+export class CrashingEngines {
+  readonly arrivals: EngineArrival[] = [];
+  /** Times of the crashes. */
+  readonly crashes: number[] = [];
+  private readonly engines: Engine[];
+  private processes = 0;
+  private isClosed = false;
+
+  constructor(
+    private readonly feed: MemoryFeed,
+    count: number,
+    private readonly endsEngine: CrashCondition,
+  ) {
+    this.engines = Array.from({length: count}, () => new Engine(this));
+  }
+
+  async start(): Promise<void> {
+    await Promise.all(this.engines.map(engine => this.startEngine(engine)));
+  }
+
+  get runningCount(): number {
+    return this.engines.filter(({isRunning}) => isRunning).length;
+  }
+
+  arrivalsOf(id: string): EngineArrival[] {
+    return this.arrivals.filter(arrival => arrival.id === id);
+  }
+
+  close(): void {
+    this.isClosed = true;
+    for (const engine of this.engines) engine.close();
+  }
+
+  /** Answers a request that a process of the engine got. */
+  serve(engine: Engine, text: string, socket: Socket): void {
+    const headerOf = (name: string) =>
+      new RegExp(`^${name}: (.*)\r$`, 'im').exec(text)?.[1] ?? '';
+    const id = headerOf('x-request-id');
+    if (id === '') {
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
+      return;
+    }
+    if (headerOf('x-expect-instance') !== engine.instance) {
+      socket.write(
+        'HTTP/1.1 421 Wrong\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n',
+      );
+      return;
+    }
+    const parts = headerOf('x-prompt-prefix')
+      .split(',')
+      .map(part => part.split(':')[0] ?? '');
+    const arrival = {id, at: performance.now(), parts, began: false};
+    this.arrivals.push(arrival);
+    const last = Number(headerOf('last-event-id'));
+    setTimeout(() => this.begin(engine, arrival, socket, last), START_MS);
+  }
+
+  private begin(
+    engine: Engine,
+    arrival: EngineArrival,
+    socket: Socket,
+    last: number,
+  ): void {
+    if (socket.destroyed) return;
+    arrival.began = true;
+    socket.write(successHead(arrival.id, EVENT_STREAM));
+    const {instance} = engine;
+    if (this.endsEngine(arrival.parts)) {
+      setTimeout(() => {
+        if (engine.instance === instance) this.crash(engine);
+      }, STEP_MS);
+      return;
+    }
+    const sendEvent = (event: number) => {
+      if (socket.destroyed) return;
+      if (event > EVENTS) {
+        socket.write('0\r\n\r\n');
+        return;
+      }
+      const text = eventsOf(event, event);
+      socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
+      setTimeout(() => sendEvent(event + 1), STEP_MS);
+    };
+    setTimeout(() => sendEvent(last + 1), STEP_MS);
+  }
+
+  private async startEngine(engine: Engine): Promise<void> {
+    const port = await engine.listen(`i-${++this.processes}`);
+    if (this.isClosed) {
+      engine.close();
+      return;
+    }
+    const entry = {
+      ...wireEntry(SERVICE, port),
+      slots: SLOTS,
+      born: Date.now(),
+    };
+    this.feed.add(Topic.Upstreams, engine.instance, entry);
+  }
+
+  private crash(engine: Engine): void {
+    if (!engine.isRunning) return;
+    this.crashes.push(performance.now());
+    engine.close();
+    const {instance} = engine;
+    setTimeout(() => {
+      if (this.isClosed) return;
+      this.feed.add(Topic.Upstreams, instance, undefined);
+      void this.startEngine(engine);
+    }, RESTART_MS);
+  }
+}
+
+/** One engine, whose processes follow each other at the same port. */
+class Engine {
+  /** Id of the process. */
+  instance = '';
+  private server?: Server;
+  private port = 0;
+  private readonly sockets = new Set<Socket>();
+
+  constructor(private readonly engines: CrashingEngines) {}
+
+  get isRunning(): boolean {
+    return this.server?.listening === true;
+  }
+
+  /** Starts a process, once its port is free. */
+  async listen(instance: string): Promise<number> {
+    for (;;) {
+      const server = createServer(socket => this.accept(socket));
+      const isBound = await new Promise<boolean>(resolve => {
+        server.once('error', () => resolve(false));
+        server.listen(this.port, HOST, () => resolve(true));
+      });
+      if (isBound) {
+        this.server = server;
+        this.instance = instance;
+        this.port = (server.address() as AddressInfo).port;
+        return this.port;
+      }
+      await new Promise(resolve => setTimeout(resolve, REBIND_MS));
+    }
+  }
+
+  /** Ends the process with all its connections. */
+  close(): void {
+    this.server?.close();
+    for (const socket of this.sockets) socket.resetAndDestroy();
+  }
+
+  private accept(socket: Socket): void {
+    this.sockets.add(socket);
+    socket.on('error', () => undefined);
+    socket.on('close', () => this.sockets.delete(socket));
+    socket.on('data', bytes =>
+      this.engines.serve(this, bytes.toString('latin1'), socket),
+    );
+  }
+}
