Send no request on whose connection is being closed

What callers could see: a 408, which promises that nothing has run, for a request that runs all the same (REFUSED), and whose own answer is lost with the connection (LOST).

Cause: a connection without a request for headerTimeoutMs gets a 408, after which only the sending side is closed. A request that crosses the 408 was still read, passed on, and its answer written nowhere. A process that is late, or a configuration that lowers headerTimeoutMs, makes the crossing likelier.

Evidence: test/forward.test.ts, "a request that crosses the time-out of its connection is not sent": the caller sends a POST once it has the 408. Run before this change, it failed: "expected { level: 30, ...(12) } to match object { outcome: 'gone' }", the log had outcome 'answered'. It passes with this change.

The fix: a request on a connection whose sending side is closed is taken for one whose caller has gone, before anything is sent. The drain doesn't wait for its response.

Ruled out by reading: a 400 or 431 for invalid bytes, after which the parser takes no further request.

--- a/src/forward/callerconnections.ts
+++ b/src/forward/callerconnections.ts
@@ -21,9 +21,13 @@
     return true;
   }
 
-  /** Follows the response to a request until it is sent. */
+  /**
+   * Follows the response to a request until it is sent. There is none if the
+   * connection was being closed when the request arrived.
+   */
   add(message: IncomingMessage, response: ServerResponse): void {
     const {socket} = message;
+    if (!socket.writable) return;
     const connection = this.connectionOf(socket);
     delete connection.idleBytes;
     connection.responses.add(response);
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -82,7 +82,8 @@
     request: RequestHead,
     table: RoutingTable,
   ): Promise<Ending> {
-    if (this.message.destroyed) return {outcome: 'gone'};
+    const {destroyed, socket} = this.message;
+    if (destroyed || !socket.writable) return {outcome: 'gone'};
     const {headerBytes: limitBytes, bodyBytes} = table.limits;
     if (bytesOf(this.message.rawHeaders) > limitBytes) {
       return this.refuse({type: 'headTooLarge', limitBytes});
--- a/test/forward.test.ts
+++ b/test/forward.test.ts
@@ -357,3 +357,22 @@
     expect.objectContaining({event: LogEvent.Unreadable, inflight: 1}),
   );
 });
+
+test('a request that crosses the time-out of its connection is not sent', async () => {
+  const plain = await openUpstream('plain', 'i-1', answerWith('hello'));
+  const {gateway, logLines} = await openGateway([plain]);
+  const socket = connect(gateway.port, '127.0.0.1');
+  const [bytes] = (await once(socket, 'data')) as [Buffer];
+  socket.write(
+    'POST /order/a HTTP/1.1\r\nhost: shop.example\r\nx-request-id: r1\r\n' +
+      'authorization: Bearer key-one\r\ncontent-length: 0\r\n\r\n',
+  );
+  const ended = () => logLines.findLast(({event}) => event === LogEvent.Ended);
+  await vi.waitFor(() => expect(ended()).toMatchObject({outcome: 'gone'}));
+  // The 408 tells the caller that its request has not run and never will.
+  expect([bytes.toString().split('\r\n')[0], plain.raw.received]).toEqual([
+    'HTTP/1.1 408 Request Timeout',
+    [],
+  ]);
+  socket.destroy();
+});
