Answer every request of a caller that pipelines before the close of a drain

Cause: while the instance drains, each answer says 'connection: close', also one behind which a further request was read. The server closes the connection after that answer.

Evidence: test/drain.test.ts, "both requests of a caller that pipelines are answered during a drain", with the first upstream's answer earlier and later than the second's.

The fix: only the answer to the newest request of a connection closes it.

Not covered: a request that arrives while an answer that already says 'connection: close' is still being sent, and one behind an answer without length, which ends with its connection.

--- a/src/forward/callerconnections.ts
+++ b/src/forward/callerconnections.ts
@@ -38,6 +38,12 @@
     });
   }
 
+  /** Whether no later request was read on the connection of a response. */
+  isNewest(socket: Socket, response: ServerResponse): boolean {
+    const responses = this.connections.get(socket)?.responses ?? [];
+    return [...responses].at(-1) === response;
+  }
+
   /** Closes the connections that have received nothing since they are idle. */
   closeIdle(): void {
     for (const [socket, {idleBytes}] of this.connections) {
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -15,7 +15,7 @@
 import {NotRunCause, refusalStatus, type Refusal} from './refusal.js';
 import {notRunCauseOf, decideRetry, Retry} from './retry.js';
 import {recordHealth} from './attempthealth.js';
-import {Reply} from './reply.js';
+import type {Reply} from './reply.js';
 import {StreamSink} from './sink.js';
 import {SilenceWatchdog} from './watchdog.js';
 import type {ForwardDependencies} from './dependencies.js';
@@ -26,7 +26,6 @@
 /** Forwards one request of a caller and writes its response. */
 export class Exchange {
   private readonly arrivedAt: number;
-  private readonly reply: Reply;
   private readonly triedUpstreams = new Set<string>();
   /** Attempts so far. */
   private attempts = 0;
@@ -46,9 +45,9 @@
     private readonly dependencies: ForwardDependencies,
     private readonly message: IncomingMessage,
     private readonly response: ServerResponse,
+    private readonly reply: Reply,
   ) {
     this.arrivedAt = dependencies.timer.now();
-    this.reply = new Reply(response, dependencies.isDraining);
   }
 
   /** Serves the request; resolves once its response is written. */
--- a/src/forward/listener.ts
+++ b/src/forward/listener.ts
@@ -7,6 +7,7 @@
 import type {ForwardDependencies} from './dependencies.js';
 import {CallerConnections} from './callerconnections.js';
 import {afterNextPoll} from './nextpoll.js';
+import {Reply} from './reply.js';
 
 /** Connections that the kernel may queue before they are accepted. */
 const ACCEPT_BACKLOG = 2_048;
@@ -64,7 +65,14 @@
         const {socket} = message;
         this.changeInflight(socket, 1);
         this.connections.add(message, response);
-        const exchange = new Exchange(dependencies, message, response);
+        // A caller that pipelines gets all its answers before the close.
+        const reply = new Reply(
+          response,
+          () =>
+            dependencies.isDraining() &&
+            this.connections.isNewest(socket, response),
+        );
+        const exchange = new Exchange(dependencies, message, response, reply);
         afterNextPoll()
           .then(() => exchange.run())
           .catch((cause: unknown) => {
--- a/src/forward/reply.ts
+++ b/src/forward/reply.ts
@@ -9,7 +9,7 @@
   constructor(
     private readonly response: ServerResponse,
     /** Whether the connection is closed after the response. */
-    private readonly isDraining: () => boolean,
+    private readonly closesConnection: () => boolean,
   ) {
     response.sendDate = false;
   }
@@ -96,7 +96,9 @@
   }
 
   private withClosing(headers: string[]): string[] {
-    return this.isDraining() ? [...headers, 'connection', 'close'] : headers;
+    return this.closesConnection()
+      ? [...headers, 'connection', 'close']
+      : headers;
   }
 }
 
--- a/test/drain.test.ts
+++ b/test/drain.test.ts
@@ -158,3 +158,26 @@
     0,
   ]);
 });
+
+test.each(['later', 'earlier'])(
+  'both requests of a caller that pipelines are answered during a drain, the first one %s',
+  async order => {
+    const late = order === 'later' ? 'r1' : 'r2';
+    const {gateway, raw} = await openGateway(3_500, ({id, socket}) => {
+      const answer = `${successHead(id, 'Content-Length: 2\r\n')}ok`;
+      setTimeout(() => socket.write(answer), id === late ? 300 : 0);
+    });
+    const stopped = gateway.stop();
+    const caller = await open(gateway.port);
+    let answers = '';
+    caller.on('data', chunk => {
+      answers += chunk.toString();
+    });
+    const requests = ['r1', 'r2'].map(requestBytes).join('');
+    caller.write(requests.replaceAll('GET /look/', 'POST /order/'));
+    await once(caller, 'close');
+    expect(raw.received.map(({id}) => id).sort()).toEqual(['r1', 'r2']);
+    expect(answers.match(/seal-of-r\d/g)).toEqual(['seal-of-r1', 'seal-of-r2']);
+    await stopped;
+  },
+);
