--- a/src/forward/callerconnections.ts
+++ b/src/forward/callerconnections.ts
@@ -21,9 +21,13 @@
     return true;
   }
 
-  /** Follows the response to a request until it is sent. */
+  /**
+   * Follows the response to a request until it is sent. There is none if the
+   * connection was being closed when the request arrived.
+   */
   add(message: IncomingMessage, response: ServerResponse): void {
     const {socket} = message;
+    if (!socket.writable) return;
     const connection = this.connectionOf(socket);
     delete connection.idleBytes;
     connection.responses.add(response);
@@ -34,6 +38,12 @@
     });
   }
 
+  /** Whether no later request was read on the connection of a response. */
+  isNewest(socket: Socket, response: ServerResponse): boolean {
+    const responses = this.connections.get(socket)?.responses ?? [];
+    return [...responses].at(-1) === response;
+  }
+
   /** Closes the connections that have received nothing since they are idle. */
   closeIdle(): void {
     for (const [socket, {idleBytes}] of this.connections) {
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -10,7 +10,7 @@
 import type {RequestHead} from './protocol.js';
 import {NotRunCause, refusalStatus, type Refusal} from './refusal.js';
 import {notRunCauseOf, decideRetry, Retry} from './retry.js';
-import {Reply} from './reply.js';
+import type {Reply} from './reply.js';
 import {isSuccess, AttemptTally} from './attempttally.js';
 import {StreamSink} from './sink.js';
 import type {ForwardDependencies} from './dependencies.js';
@@ -20,7 +20,6 @@
 
 /** Forwards one request of a caller and writes its response. */
 export class Exchange {
-  private readonly reply: Reply;
   private readonly tally: AttemptTally;
   /** Objective of the request's route, in ms. */
   private targetMs?: number;
@@ -29,9 +28,9 @@
     private readonly dependencies: ForwardDependencies,
     private readonly message: IncomingMessage,
     private readonly response: ServerResponse,
+    private readonly reply: Reply,
   ) {
     this.tally = new AttemptTally(dependencies.timer.now());
-    this.reply = new Reply(response, dependencies.isDraining);
   }
 
   /** Serves the request; resolves once its response is written. */
@@ -66,7 +65,8 @@
     request: RequestHead,
     table: RoutingTable,
   ): Promise<Ending> {
-    if (this.message.destroyed) return {outcome: 'gone'};
+    const {destroyed, socket} = this.message;
+    if (destroyed || !socket.writable) return {outcome: 'gone'};
     const {headerBytes: limitBytes, bodyBytes} = table.limits;
     if (bytesOf(this.message.rawHeaders) > limitBytes) {
       return this.refuse({type: 'headTooLarge', limitBytes});
--- a/src/forward/reply.ts
+++ b/src/forward/reply.ts
@@ -11,7 +11,7 @@
   constructor(
     private readonly response: ServerResponse,
     /** Whether the connection is closed after the response. */
-    private readonly isDraining: () => boolean,
+    private readonly closesConnection: () => boolean,
   ) {
     response.sendDate = false;
   }
@@ -107,7 +107,9 @@
   }
 
   private withClosing(headers: string[]): string[] {
-    return this.isDraining() ? [...headers, 'connection', 'close'] : headers;
+    return this.closesConnection()
+      ? [...headers, 'connection', 'close']
+      : headers;
   }
 }
 
