Describe what instances tell each other of crashing prompt parts

Types only: crash reports, clearances and holds, as the decision on a part and its exchange between instances need them. Nothing uses them yet.

--- /dev/null
+++ b/src/quarantine/index.ts
@@ -0,0 +1,8 @@
+export {
+  HoldState,
+  type Clearance,
+  type CrashReport,
+  type Evidence,
+  type Hold,
+  type Suspect,
+} from './evidence.js';
