--- a/src/fleet/gossip.ts
+++ b/src/fleet/gossip.ts
@@ -21,6 +21,7 @@
   type UpstreamLoad,
 } from './message.js';
 import type {Peers} from './peers.js';
+import {PromptRelay} from './promptrelay.js';
 import type {RecordExchange} from './recordexchange.js';
 import {RelayQueue} from './relayqueue.js';
 import {Throttle} from './throttle.js';
@@ -53,21 +54,10 @@
 const ZONE_MESSAGES_PER_SECOND = 2;
 /** Sends of a relayed load within the zone, by each instance. */
 const MAX_LOAD_SENDS = 3;
-/** Sends of a prompt within the zone, by each instance. */
-const MAX_PROMPT_SENDS = 4;
-/** Prompts that wait to be passed on; more would be told of too late. */
-const MAX_QUEUED_PROMPTS = 200;
 /** Most bytes of relayed loads in one message. */
 const MAX_RELAYED_BYTES = 2_000;
-/** Most bytes of prompts in one message. */
-const MAX_PROMPT_BYTES = 1_000;
 /** Most prompts in one message of a fleet that talks directly. */
 const MAX_PROMPTS = 24;
-/**
- * Time for which an instance doesn't tell again that an upstream has the shared
- * parts of a prompt, in ms.
- */
-const PROMPT_REPEAT_MS = 2_000;
 
 /** Dependencies of [[Gossip]]. */
 export interface GossipParts {
@@ -110,14 +100,9 @@
     Infinity,
     ({report}) => JSON.stringify(encodeReport(report, 0)).length,
   );
-  private readonly relayedPrompts = new RelayQueue<SentPrompt>(
-    MAX_PROMPT_SENDS,
-    MAX_QUEUED_PROMPTS,
-  );
+  private readonly relayedPrompts: PromptRelay;
   /** Prompts for the next message of a fleet that talks directly. */
   private prompts: SentPrompt[] = [];
-  /** When a prompt's shared parts were last told of, by upstream and part. */
-  private readonly toldPrompts = new Map<string, number>();
   private sentAt = -Infinity;
   /** When a round was last sent for news of a topic. */
   private newsSentAt = -Infinity;
@@ -129,6 +114,7 @@
   private readonly placementRounds: Throttle;
 
   constructor(private readonly parts: GossipParts) {
+    this.relayedPrompts = new PromptRelay(parts.timer);
     this.placementRounds = new Throttle(
       parts.timer,
       () => this.sendRound(),
@@ -164,7 +150,7 @@
     }
     // The last part belongs to the request alone; its caller comes back here.
     const shared = {...prompt, parts: prompt.parts.slice(0, -1)};
-    this.relayPrompt(shared);
+    this.relayedPrompts.add(shared);
   }
 
   /** Tells the peers what was learned of a topic, if they should know soon. */
@@ -249,7 +235,7 @@
     }
     const mates = peers.mates(ZONE_FANOUT);
     if (mates.length > 0) {
-      const readings = this.relayedPrompts.take(MAX_PROMPT_BYTES, mates.length);
+      const readings = this.relayedPrompts.take(mates.length);
       this.relayedLoads.prune(({at}) => now - at > MAX_LOAD_AGE_MS);
       const others = this.relayedLoads.take(MAX_RELAYED_BYTES, mates.length);
       const relayed = [
@@ -284,7 +270,7 @@
       );
       const from = ZONE_PREFIX + zone;
       const relayed = [encodeReport({...sum, from}, ageMs)];
-      const readings = this.relayedPrompts.take(MAX_PROMPT_BYTES, 1);
+      const readings = this.relayedPrompts.take(1);
       const summary = {...message, loads: [], readings, relayed};
       this.sendTo(
         chosen.flatMap(other => peers.sample(1, other)),
@@ -357,24 +343,7 @@
 
   private learnPrompt(prompt: SentPrompt): void {
     this.parts.recordPrompt(prompt);
-    if (!this.parts.peers.areDirect) this.relayPrompt(prompt);
-  }
-
-  /** Passes a prompt on unless its upstream was told of a short time ago. */
-  private relayPrompt(prompt: SentPrompt): void {
-    const now = this.parts.timer.now();
-    const lastPart = prompt.parts.at(-1)?.[0];
-    if (lastPart === undefined) return;
-    const key = `${prompt.upstream}/${lastPart}`;
-    const toldAt = this.toldPrompts.get(key);
-    if (toldAt !== undefined && now - toldAt < PROMPT_REPEAT_MS) return;
-    this.toldPrompts.delete(key);
-    this.toldPrompts.set(key, now);
-    for (const [oldest, at] of this.toldPrompts) {
-      if (now - at < PROMPT_REPEAT_MS) break;
-      this.toldPrompts.delete(oldest);
-    }
-    this.relayedPrompts.add(key, prompt);
+    if (!this.parts.peers.areDirect) this.relayedPrompts.add(prompt);
   }
 }
 
