Tell the other instances of crashing prompt parts

Gossip messages gain an optional field with crash reports, clearances and holds, up to 4,000 bytes, holds first. A build before it ignores the field, and each item is checked by itself, so that one of a later build harms no other. Times travel as ages. News cause a round at once (75 ms apart where all talk directly, 150 ms where instances relay), are sent six times by each instance that learns them, and the finder's also go to two instances of each other zone. All is told again to an origin that was silent for 3 s.

A report of many suspects is sent as several of up to 1,000 bytes, so that EvidenceLog.learn has to take several reports of one reporter on one crash.

--- a/bench/fleet/simulatedfleet.ts
+++ b/bench/fleet/simulatedfleet.ts
@@ -15,6 +15,8 @@
 import type {Application, FleetSpec} from './fleetspec.js';
 import {InstanceTimer} from './instancetimer.js';
 import {feedOverLinks, SimulatedLinks} from './simulatedlinks.js';
+import {placeOf, ZONES} from './places.js';
+import {SimulatedQuarantine} from './simulatedquarantine.js';
 import {SimulatedNetwork, type Place} from './simulatednetwork.js';
 import {SimulatedStore, StoreState} from './simulatedstore.js';
 import {
@@ -25,16 +27,6 @@
   SimulatedWriters,
 } from './simulatedwriters.js';
 
-/** Zones of the simulated deployment and their regions. */
-const REGIONS: Record<string, string> = {
-  'zone-a': 'region-1',
-  'zone-b': 'region-2',
-  'zone-c': 'region-1',
-  'zone-d': 'region-2',
-  'zone-e': 'region-1',
-  'zone-f': 'region-2',
-};
-const ZONES = Object.keys(REGIONS);
 /** The store is in the first region. */
 const STORE = {region: 'region-1'};
 /** Period with which an upstream writes its entry, in ms. */
@@ -57,6 +49,7 @@
   readonly fleet: GatewayFleet;
   readonly registry: Registry;
   readonly audit: Audit;
+  readonly quarantine: SimulatedQuarantine;
   private readonly routing = new Routing(silent);
   /** Times that a configuration older than one received before arrived. */
   regressions = 0;
@@ -77,6 +70,7 @@
   ) {
     const {base, random, store, network, links, writers} = simulation;
     this.timer = new InstanceTimer(base);
+    this.quarantine = new SimulatedQuarantine(place.name, this.timer);
     this.audit = new Audit(
       () => base.now(),
       writers,
@@ -125,6 +119,7 @@
       leaving: () => [],
       recordLeaving: () => undefined,
       recordPrompt: () => undefined,
+      evidence: this.quarantine,
       isLeaving: () => false,
     });
   }
@@ -248,13 +243,22 @@
 
   /** Adds an instance, which has yet to be started. */
   addInstance(): SimulatedInstance {
-    const index = this.instances.length;
-    const zone = ZONES[index % ZONES.length] ?? '';
-    const name = `entry-${index}`;
-    const place = {name, zone, region: REGIONS[zone] ?? ''};
+    return this.place(placeOf(this.byName.size));
+  }
+
+  /** Kills an instance and starts it anew, at the same place. */
+  restart(instance: SimulatedInstance): SimulatedInstance {
+    this.kill(instance);
+    const next = this.place(instance.place);
+    next.isDisturbed = true;
+    next.start();
+    return next;
+  }
+
+  private place(place: Place): SimulatedInstance {
     const instance = new SimulatedInstance(place, this);
     this.instances.push(instance);
-    this.byName.set(name, instance);
+    this.byName.set(place.name, instance);
     return instance;
   }
 
--- a/bench/fleet/simulatednetwork.ts
+++ b/bench/fleet/simulatednetwork.ts
@@ -42,6 +42,8 @@
     bytes: 0,
     regionBytes: 0,
   };
+  /** Whether nothing arrives from another region. */
+  isCut = false;
   private readonly stations = new Map<string, Station>();
 
   constructor(
@@ -142,6 +144,7 @@
     if (from.place.region !== to.place.region) {
       this.traffic.regionBytes += bytes;
     }
+    if (this.isCut && from.place.region !== to.place.region) return;
     if (this.isLost(from.place, to.place)) return;
     const now = this.timer.now();
     const waitMs =
--- a/src/fleet/gossip.ts
+++ b/src/fleet/gossip.ts
@@ -3,6 +3,8 @@
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Subscription, Timer} from '../timer/index.js';
 import type {Datagrams} from './datagrams.js';
+import type {EvidenceLog} from './evidencelog.js';
+import {EvidenceRelay} from './evidencerelay.js';
 import {
   decodeReport,
   encodeReport,
@@ -46,7 +48,10 @@
 const STATUS_INTERVAL_MS = 400;
 /** Peers of the own zone that a relaying instance sends to in a round. */
 const ZONE_FANOUT = 2;
-/** Peers of each other zone that the reader of a topic tells of changes. */
+/**
+ * Peers of each other zone that the reader of a topic tells of changes, and an
+ * instance of its own evidence.
+ */
 const CHANGES_FANOUT = 2;
 /** Peers of each other zone that it tells that nothing has changed. */
 const FRESHNESS_FANOUT = 1;
@@ -82,6 +87,7 @@
   recordLeaving(upstream: LeavingUpstream): void;
   /** Records a prompt that another instance sent to an upstream. */
   recordPrompt(prompt: SentPrompt): void;
+  evidence: EvidenceLog;
 }
 
 /**
@@ -112,6 +118,7 @@
   private wasIdle = false;
 
   private readonly placementRounds: Throttle;
+  private readonly evidence: EvidenceRelay;
 
   constructor(private readonly parts: GossipParts) {
     this.relayedPrompts = new PromptRelay(parts.timer);
@@ -120,6 +127,14 @@
       () => this.sendRound(),
       () => this.sentAt,
     );
+    this.evidence = new EvidenceRelay({
+      log: parts.evidence,
+      timer: parts.timer,
+      logger: parts.logger,
+      random: parts.random,
+      zoneSize: () => parts.peers.zoneSize,
+      added: () => this.send(),
+    });
     parts.datagrams.handle(GOSSIP_METHOD, params => this.receive(params));
   }
 
@@ -220,6 +235,7 @@
       !peers.areDirect ||
       now - this.statusSentAt >= STATUS_INTERVAL_MS;
     if (hasStatus) this.statusSentAt = now;
+    const evidence = this.evidence.take(ZONE_FANOUT);
     const message: GossipMessage = {
       from: own.from,
       loads: own.loads,
@@ -227,7 +243,9 @@
       readings: [],
       relayed: [],
       ...records.news({withStatus: hasStatus, withChanges}),
+      ...(evidence.items.length === 0 ? {} : {evidence: evidence.items}),
     };
+    if (this.evidence.isPending) this.send();
     if (peers.areDirect) {
       this.sendTo(peers.all(), {...message, readings: this.prompts});
       this.prompts = [];
@@ -244,7 +262,10 @@
       ];
       this.sendTo(mates, {...message, loads: [], readings, relayed});
     }
-    this.sendToOtherZones(message, own, elapsedMs, further);
+    const urgent = evidence.isUrgent
+      ? Math.max(further, CHANGES_FANOUT)
+      : further;
+    this.sendToOtherZones(message, own, elapsedMs, urgent);
   }
 
   /**
@@ -331,12 +352,14 @@
       if (!isOwn) this.learn(report, now - ageMs);
     }
     for (const prompt of message.readings) this.learnPrompt(prompt);
+    this.evidence.receive(message.evidence ?? []);
     this.parts.records.receive(message, address);
   }
 
   private learn(report: LoadReport, at: number): void {
     if (this.parts.timer.now() - at > MAX_LOAD_AGE_MS) return;
     if (!this.peerLoads.update(report, at)) return;
+    this.evidence.noteHeard(report.from);
     if (this.parts.peers.areDirect) return;
     this.relayedLoads.add(report.from, {report, at});
   }
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -1,5 +1,6 @@
 export {announce} from './announcement.js';
 export type {AnnouncementParts} from './announcement.js';
+export type {EvidenceLog} from './evidencelog.js';
 export {Gossip} from './gossip.js';
 export type {Datagrams} from './datagrams.js';
 export type {GossipParts} from './gossip.js';
--- a/src/fleet/message.ts
+++ b/src/fleet/message.ts
@@ -150,6 +150,8 @@
   changes: z.array(topicChangesSchema).default([]),
   /** What the sender knows of the topics in earlier epochs. */
   earlier: z.array(earlierPositionSchema).default([]),
+  /** Items of evidence, each checked by itself as later builds may add kinds. */
+  evidence: z.array(z.unknown()).optional(),
 });
 
 export type GossipMessage = z.output<typeof gossipMessageSchema>;
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -266,6 +266,11 @@
           upstream,
           parts.map(([id, tokens]) => ({id, tokens})),
         ),
+      evidence: {
+        learn: () => false,
+        subscribe: () => undefined,
+        holds: () => [],
+      },
       isLeaving: () => this.drainSchedule !== undefined,
     });
   }
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -4,6 +4,7 @@
   Gossip,
   Peers,
   RecordExchange,
+  type EvidenceLog,
   type LeavingUpstream,
   type SentPrompt,
   type UpstreamLoad,
@@ -67,6 +68,8 @@
   recordLeaving(upstream: LeavingUpstream): void;
   /** Records a prompt that another instance sent to an upstream. */
   recordPrompt(prompt: SentPrompt): void;
+  /** Crashes and prompt parts that are known and decided on here. */
+  evidence: EvidenceLog;
   /** Whether this instance is shutting down. */
   isLeaving(): boolean;
 }
@@ -135,6 +138,7 @@
       leaving: () => parts.leaving(),
       recordLeaving: upstream => parts.recordLeaving(upstream),
       recordPrompt: prompt => parts.recordPrompt(prompt),
+      evidence: parts.evidence,
     });
   }
 
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -212,6 +212,7 @@
     leaving: () => [],
     recordLeaving: () => undefined,
     recordPrompt: () => undefined,
+    evidence: {learn: () => false, subscribe: () => undefined, holds: () => []},
   });
   const load = {upstream: 'i-1', inflight: 2, unread: [], recent: []};
   const message = {readings: [], waiting: []};
--- a/test/support/returningstore.ts
+++ b/test/support/returningstore.ts
@@ -200,6 +200,11 @@
       leaving: () => [],
       recordLeaving: () => undefined,
       recordPrompt: () => undefined,
+      evidence: {
+        learn: () => false,
+        subscribe: () => undefined,
+        holds: () => [],
+      },
       isLeaving: () => false,
     });
     fleet.start();
