Keep the holds of prompt parts in the store

If all instances lose power at once, only the store knows the holds. They are records of the instances' topic with keys of one length, hold/ and a hash of the part, whose value names the part. A new topic would make earlier builds reject whole messages; they ignore these records, as they aren't addresses.

Whoever knows a hold that the store lacks writes it, in turns of 2 s by rank: three instances within 0.5 s, then six, twelve and so on. The same makes up for a store that was away (pauses of 1 to 30 s by turn) or returned from an older copy. GatewayFleet.mayForward tells when the holds were read, or 3 s are over.

--- a/src/fleet/evidencemessage.ts
+++ b/src/fleet/evidencemessage.ts
@@ -1,5 +1,10 @@
 import {z} from 'zod';
-import {HoldState, type Evidence, type Suspect} from '../quarantine/index.js';
+import {
+  HoldState,
+  type Evidence,
+  type Hold,
+  type Suspect,
+} from '../quarantine/index.js';
 
 /** Kind of an item of evidence in a message. */
 enum EvidenceKind {
@@ -101,3 +106,29 @@
 function ageOf(at: number, now: number): number {
   return Math.max(0, Math.round(now - at));
 }
+
+const holdSchema = z.object({
+  part: z.string(),
+  state: z.enum(HoldState),
+  revision: z.number().int().min(0),
+  crashes: z.number().int().min(0),
+  decidedAt: z.number(),
+});
+
+/** Encodes a hold as the value of a record. */
+export function encodeHold(hold: Hold): Buffer {
+  const {part, state, revision, crashes, decidedAt} = hold;
+  const value = {part, state, revision, crashes, decidedAt};
+  return Buffer.from(JSON.stringify(value));
+}
+
+/** Decodes the value of a record; undefined if it is invalid. */
+export function decodeHold(value: Buffer): Hold | undefined {
+  try {
+    const {data} = holdSchema.safeParse(JSON.parse(value.toString('utf8')));
+    return data === undefined ? undefined : {type: 'hold', ...data};
+  } catch {
+    // Another program may have written the record. The caller logs it.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/fleet/holdrecords.ts
@@ -0,0 +1,206 @@
+import type {Logger} from 'pino';
+import xxhash from 'xxhash-wasm';
+import type {Hold} from '../quarantine/index.js';
+import {
+  Topic,
+  type Feed,
+  type KeyedRecord,
+  type StoreEpoch,
+} from '../registry/index.js';
+import {LogEvent} from '../telemetry/logevent.js';
+import type {Subscription, Timer} from '../timer/index.js';
+import type {EvidenceLog} from './evidencelog.js';
+import {decodeHold, encodeHold} from './evidencemessage.js';
+
+const hasher = await xxhash();
+
+/** Starts the keys of holds in the topic of the instances. */
+const KEY_PREFIX = 'hold/';
+/** Instances that write a hold at once; twice as many do so in each next turn. */
+const FIRST_WRITERS = 3;
+/**
+ * Time between two turns, in ms: the pause between two reads of the topic, and
+ * the time in which the news of a written hold spread.
+ */
+const TURN_MS = 2_000;
+/** Time over which the instances of a turn spread, in ms. */
+const TURN_SPREAD_MS = 500;
+/** Pause of the first writers after a failed write, in ms. */
+const RETRY_DELAY_MS = 1_000;
+/** Longest pause after a failed write, in ms. */
+const MAX_RETRY_DELAY_MS = 30_000;
+/** Jitter as a share of such a pause. */
+const JITTER_SHARE = 0.5;
+
+/** Dependencies of [[HoldRecords]]. */
+export interface HoldRecordsParts {
+  log: EvidenceLog;
+  feed: Feed;
+  epochs: StoreEpoch;
+  timer: Timer;
+  logger: Logger;
+  /** Returns a random number in [0, 1). */
+  random: () => number;
+  /** Rank of this instance among all, from 0. */
+  rank(): number;
+  /** Whether the topic is known in the current epoch of the store. */
+  isKnown(): boolean;
+}
+
+/** Whether a record of the topic of the instances is a hold, not an address. */
+export function isHoldRecord({key}: KeyedRecord): boolean {
+  return key.startsWith(KEY_PREFIX);
+}
+
+/**
+ * Keeps the holds in the store, beside the addresses of the instances: earlier
+ * builds ignore records that aren't addresses. Whoever knows a hold that the
+ * store lacks writes it, in turns by rank, so that the first writers spare the
+ * others the call.
+ */
+export class HoldRecords {
+  /** Holds as the store has them, as far as known, by key. */
+  private readonly stored = new Map<string, Hold>();
+  /** Revisions that the store has acknowledged and that weren't read yet. */
+  private readonly acknowledged = new Map<string, number>();
+  /** Keys of invalid records that were logged. */
+  private readonly invalid = new Set<string>();
+  private pending?: Subscription;
+  private isWriting = false;
+  private hasEnded = false;
+
+  constructor(private readonly parts: HoldRecordsParts) {
+    parts.log.subscribe(({type}) => {
+      if (type === 'hold') this.writeSoon();
+    });
+  }
+
+  /** Applies new records; returns those that changed something. */
+  add(records: KeyedRecord[]): KeyedRecord[] {
+    return records.filter(record => this.apply(record));
+  }
+
+  /** Applies all records of the topic; returns those that changed something. */
+  replace(records: KeyedRecord[]): KeyedRecord[] {
+    const previous = new Map(this.stored);
+    this.stored.clear();
+    this.acknowledged.clear();
+    const changes = this.add(records).filter(
+      ({key}) => this.stored.get(key)?.revision !== previous.get(key)?.revision,
+    );
+    if (this.missing().length > 0) this.writeSoon();
+    return changes;
+  }
+
+  /** The holds of the store as records. */
+  known(): KeyedRecord[] {
+    return [...this.stored].map(([key, hold]) => ({
+      key,
+      offset: 0,
+      value: encodeHold(hold),
+    }));
+  }
+
+  /** Writes what the store lacks, when it is this instance's turn. */
+  writeSoon(): void {
+    const {random} = this.parts;
+    this.schedule(this.turn() * TURN_MS + random() * TURN_SPREAD_MS);
+  }
+
+  /** Ends the writing. */
+  end(): void {
+    this.hasEnded = true;
+    this.pending?.end();
+  }
+
+  private apply({key, value, offset}: KeyedRecord): boolean {
+    const hold = value === undefined ? undefined : decodeHold(value);
+    if (hold === undefined || keyOf(hold) !== key) {
+      this.logInvalid(key, offset);
+      return false;
+    }
+    this.parts.log.learn(hold);
+    const known = this.stored.get(key);
+    if (known !== undefined && known.revision >= hold.revision) return false;
+    this.stored.set(key, hold);
+    return true;
+  }
+
+  /** Holds that are newer here than in the store. */
+  private missing(): Hold[] {
+    return this.parts.log.holds().filter(hold => {
+      const key = keyOf(hold);
+      const revision = Math.max(
+        this.stored.get(key)?.revision ?? -1,
+        this.acknowledged.get(key) ?? -1,
+      );
+      return revision < hold.revision;
+    });
+  }
+
+  /** Turn in which this instance writes, from 0. */
+  private turn(): number {
+    return Math.floor(Math.log2(this.parts.rank() / FIRST_WRITERS + 1));
+  }
+
+  private schedule(delayMs: number): void {
+    if (this.isWriting || this.hasEnded) return;
+    this.pending ??= this.parts.timer.after(delayMs, () => {
+      this.pending = undefined;
+      void this.write();
+    });
+  }
+
+  private async write(): Promise<void> {
+    // What the store lacks is known once the topic is.
+    if (!this.parts.isKnown()) return;
+    this.isWriting = true;
+    const isWritten = await this.writeMissing();
+    this.isWriting = false;
+    if (isWritten) {
+      if (this.missing().length > 0) this.writeSoon();
+      return;
+    }
+    const delayMs = Math.min(
+      RETRY_DELAY_MS * 2 ** this.turn(),
+      MAX_RETRY_DELAY_MS,
+    );
+    this.schedule(delayMs * (1 + JITTER_SHARE * this.parts.random()));
+  }
+
+  /** Returns whether all writes succeeded. */
+  private async writeMissing(): Promise<boolean> {
+    const {feed, epochs, logger} = this.parts;
+    for (const hold of this.missing()) {
+      const key = keyOf(hold);
+      const result = epochs.observe(
+        await feed.put(Topic.Instances, key, encodeHold(hold)),
+      );
+      if (result.isErr()) {
+        logger.warn(
+          {event: LogEvent.Store, key, failure: result.error},
+          'Could not write the hold of a prompt part; will retry.',
+        );
+        return false;
+      }
+      if (result.value.epoch === epochs.current) {
+        this.acknowledged.set(key, hold.revision);
+      }
+    }
+    return true;
+  }
+
+  private logInvalid(key: string, offset: number): void {
+    if (this.invalid.has(key)) return;
+    this.invalid.add(key);
+    this.parts.logger.warn(
+      {event: LogEvent.Store, key, offset},
+      'Ignored an invalid hold of a prompt part.',
+    );
+  }
+}
+
+/** The key of a hold, of one length however long the id of its part is. */
+function keyOf({part}: Hold): string {
+  return KEY_PREFIX + hasher.h64ToString(part);
+}
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -2,6 +2,8 @@
 import {
   announce,
   Gossip,
+  HoldRecords,
+  isHoldRecord,
   Peers,
   RecordExchange,
   type EvidenceLog,
@@ -15,6 +17,7 @@
   Topic,
   type Feed,
   type FollowerListener,
+  type KeyedRecord,
   type ReadTiming,
 } from '../registry/index.js';
 import {
@@ -39,6 +42,8 @@
 
 /** Peers that an instance asks for what they know when it starts. */
 const CONSULTED_PEERS = 3;
+/** Time after the start in which an instance waits for the holds, in ms. */
+const HOLDS_WAIT_MS = 3_000;
 
 /** Dependencies of [[GatewayFleet]]. */
 export interface GatewayFleetParts {
@@ -85,7 +90,11 @@
   private readonly epochs: StoreEpoch;
   private readonly instances: Follower;
   private readonly records: RecordExchange;
+  private readonly holds: HoldRecords;
   private hasConsulted = false;
+  /** When this instance started, in monotonic ms. */
+  private startedAt = Infinity;
+  private hasReadHolds = false;
   private readonly peers: Peers;
   private readonly logger: Logger;
 
@@ -104,12 +113,26 @@
     this.upstreams = this.follow(Topic.Upstreams, parts.upstreams);
     this.instances = this.follow(Topic.Instances, {
       replaced: records => {
-        const changes = this.peers.update(records);
+        const changes = this.applyInstances(records, holds =>
+          this.holds.replace(holds),
+        );
+        this.hasReadHolds = true;
         void this.consultPeers();
         return changes;
       },
-      added: records => this.peers.update(records),
-      known: () => this.peers.known(),
+      added: records =>
+        this.applyInstances(records, holds => this.holds.add(holds)),
+      known: () => [...this.peers.known(), ...this.holds.known()],
+    });
+    this.holds = new HoldRecords({
+      log: parts.evidence,
+      feed: parts.feed,
+      epochs: this.epochs,
+      timer,
+      logger: this.logger,
+      random,
+      rank: () => this.peers.rankOf(Topic.Instances, instance),
+      isKnown: () => this.instances.replica.isStarted,
     });
     this.records = new RecordExchange({
       epochs: this.epochs,
@@ -138,13 +161,22 @@
       leaving: () => parts.leaving(),
       recordLeaving: upstream => parts.recordLeaving(upstream),
       recordPrompt: prompt => parts.recordPrompt(prompt),
-      evidence: parts.evidence,
+      evidence: {
+        learn: evidence => {
+          const isNews = parts.evidence.learn(evidence);
+          if (isNews && evidence.type === 'hold') this.holds.writeSoon();
+          return isNews;
+        },
+        subscribe: listener => parts.evidence.subscribe(listener),
+        holds: () => parts.evidence.holds(),
+      },
     });
   }
 
   /** Starts following the topics and exchanging messages with the peers. */
   start(): Subscription[] {
     const {instance: name, host, zone, feed, timer, transport} = this.parts;
+    this.startedAt = timer.now();
     void announce({
       name,
       address: {host, zone},
@@ -161,9 +193,19 @@
       this.upstreams.start(),
       this.instances.start(),
       this.gossip.start(),
+      {end: () => this.holds.end()},
     ];
   }
 
+  /**
+   * Whether the holds of the store are in force here, or the time to wait for
+   * them is over.
+   */
+  get mayForward(): boolean {
+    const waitedMs = this.parts.timer.now() - this.startedAt;
+    return this.hasReadHolds || waitedMs >= HOLDS_WAIT_MS;
+  }
+
   /** The newest known epoch of the store. */
   get storeEpoch(): number {
     return this.epochs.current;
@@ -209,6 +251,21 @@
     }
   }
 
+  /**
+   * Applies records of the instances' topic: addresses of instances, and holds
+   * by `applyHolds`. Returns those that changed something.
+   */
+  private applyInstances(
+    records: KeyedRecord[],
+    applyHolds: (holds: KeyedRecord[]) => KeyedRecord[],
+  ): KeyedRecord[] {
+    const changes = new Set([
+      ...this.peers.update(records.filter(record => !isHoldRecord(record))),
+      ...applyHolds(records.filter(isHoldRecord)),
+    ]);
+    return records.filter(record => changes.has(record));
+  }
+
   private follow(topic: Topic, listener: FollowerListener): Follower {
     const {instance, feed, timer, output} = this.parts;
     return new Follower(
