--- a/src/fleet/evidencerelay.ts
+++ b/src/fleet/evidencerelay.ts
@@ -1,7 +1,7 @@
 import type {Logger} from 'pino';
 import type {CrashReport, Evidence, Hold} from '../quarantine/index.js';
 import {LogEvent} from '../telemetry/logevent.js';
-import type {Timer} from '../timer/index.js';
+import type {Subscription, Timer} from '../timer/index.js';
 import type {EvidenceLog} from './evidencelog.js';
 import {
   decodeEvidence,
@@ -25,7 +25,12 @@
 /** Crash reports and clearances that are kept to be told again. */
 const MAX_RETOLD_ITEMS = 1_000;
 /** Time after which an instance or a zone counts as silent, in ms. */
-const SILENCE_MS = 3_000;
+const SILENCE_MS = 5_000;
+/**
+ * Times after which an instance tells what it found itself again, in ms, as a
+ * shorter silence of a zone goes unnoticed.
+ */
+const REPEAT_DELAYS_MS = [1_500, 5_000];
 /** Shortest time between two occasions to tell everything again, in ms. */
 const RETELL_INTERVAL_MS = 2_000;
 /** Instances of a zone that tell the other zones everything again, on average. */
@@ -73,11 +78,15 @@
   private readonly recent = new Map<string, Exclude<Evidence, Hold>>();
   /** When data of each instance or zone were last received. */
   private readonly heardAt = new Map<string, number>();
+  private readonly repeats = new Set<Subscription>();
   private retoldAt = -Infinity;
   private hasLoggedMalformed = false;
 
   constructor(private readonly parts: EvidenceRelayParts) {
-    parts.log.subscribe(evidence => this.add(evidence, true));
+    parts.log.subscribe(evidence => {
+      this.add(evidence, true);
+      for (const delayMs of REPEAT_DELAYS_MS) this.repeat(evidence, delayMs);
+    });
   }
 
   /** Whether there is something to tell. */
@@ -120,6 +129,39 @@
     if (now - at > SILENCE_MS) this.retell();
   }
 
+  /** Ends the repetitions. */
+  end(): void {
+    for (const subscription of this.repeats) subscription.end();
+    this.repeats.clear();
+  }
+
+  private repeat(evidence: Evidence, delayMs: number): void {
+    const subscription = this.parts.timer.after(delayMs, () => {
+      this.repeats.delete(subscription);
+      if (this.isCurrent(evidence)) this.add(evidence, true);
+    });
+    this.repeats.add(subscription);
+  }
+
+  /** Whether nothing newer has replaced the evidence. */
+  private isCurrent(evidence: Evidence): boolean {
+    switch (evidence.type) {
+      case 'crash':
+        return true;
+      case 'clearance': {
+        const newest = this.recent.get(keyOf(evidence));
+        return newest === undefined || newest.at <= evidence.at;
+      }
+      case 'hold':
+        return this.parts.log
+          .holds()
+          .some(
+            ({part, revision}) =>
+              part === evidence.part && revision === evidence.revision,
+          );
+    }
+  }
+
   private retell(): void {
     const {log, timer, random} = this.parts;
     const now = timer.now();
--- a/src/fleet/gossip.ts
+++ b/src/fleet/gossip.ts
@@ -145,6 +145,7 @@
       end: () => {
         rounds.end();
         this.placementRounds.cancel();
+        this.evidence.end();
       },
     };
   }
--- a/src/fleet/holdrecords.ts
+++ b/src/fleet/holdrecords.ts
@@ -128,14 +128,16 @@
 
   /** Holds that are newer here than in the store. */
   private missing(): Hold[] {
-    return this.parts.log.holds().filter(hold => {
-      const key = keyOf(hold);
-      const revision = Math.max(
-        this.stored.get(key)?.revision ?? -1,
-        this.acknowledged.get(key) ?? -1,
-      );
-      return revision < hold.revision;
-    });
+    return this.parts.log.holds().filter(hold => this.isMissing(hold));
+  }
+
+  private isMissing(hold: Hold): boolean {
+    const key = keyOf(hold);
+    const revision = Math.max(
+      this.stored.get(key)?.revision ?? -1,
+      this.acknowledged.get(key) ?? -1,
+    );
+    return revision < hold.revision;
   }
 
   /** Turn in which this instance writes, from 0. */
@@ -170,8 +172,13 @@
 
   /** Returns whether all writes succeeded. */
   private async writeMissing(): Promise<boolean> {
-    const {feed, epochs, logger} = this.parts;
-    for (const hold of this.missing()) {
+    const {feed, epochs, logger, random} = this.parts;
+    const missing = this.missing();
+    // The writers of a turn each start at another hold.
+    const first = Math.floor(random() * missing.length);
+    for (const hold of [...missing.slice(first), ...missing.slice(0, first)]) {
+      // Another instance may have written it during the last call.
+      if (!this.isMissing(hold)) continue;
       const key = keyOf(hold);
       const result = epochs.observe(
         await feed.put(Topic.Instances, key, encodeHold(hold)),
