--- a/src/fleet/holdrecords.ts
+++ b/src/fleet/holdrecords.ts
@@ -23,8 +23,11 @@
  * the time in which the news of a written hold spread.
  */
 const TURN_MS = 2_000;
-/** Time over which the instances of a turn spread, in ms. */
-const TURN_SPREAD_MS = 500;
+/**
+ * Time over which the first writers spread, in ms, twice as long in each next
+ * turn, up to the whole turn.
+ */
+const FIRST_SPREAD_MS = 500;
 /** Pause of the first writers after a failed write, in ms. */
 const RETRY_DELAY_MS = 1_000;
 /** Longest pause after a failed write, in ms. */
@@ -103,8 +106,9 @@
 
   /** Writes what the store lacks, when it is this instance's turn. */
   writeSoon(): void {
-    const {random} = this.parts;
-    this.schedule(this.turn() * TURN_MS + random() * TURN_SPREAD_MS);
+    const turn = this.turn();
+    const spreadMs = Math.min(FIRST_SPREAD_MS * 2 ** turn, TURN_MS);
+    this.schedule(turn * TURN_MS + this.parts.random() * spreadMs);
   }
 
   /** Ends the writing. */
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -42,7 +42,7 @@
 
 /** Peers that an instance asks for what they know when it starts. */
 const CONSULTED_PEERS = 3;
-/** Time after the start in which an instance waits for the holds, in ms. */
+/** Time for which an instance that knows the upstreams waits for holds, in ms. */
 const HOLDS_WAIT_MS = 3_000;
 
 /** Dependencies of [[GatewayFleet]]. */
@@ -92,8 +92,8 @@
   private readonly records: RecordExchange;
   private readonly holds: HoldRecords;
   private hasConsulted = false;
-  /** When this instance started, in monotonic ms. */
-  private startedAt = Infinity;
+  /** When the upstreams were first known, in monotonic ms. */
+  private upstreamsKnownAt = Infinity;
   private hasReadHolds = false;
   private readonly peers: Peers;
   private readonly logger: Logger;
@@ -110,7 +110,14 @@
       Topic.Configuration,
       parts.configurations,
     );
-    this.upstreams = this.follow(Topic.Upstreams, parts.upstreams);
+    this.upstreams = this.follow(Topic.Upstreams, {
+      replaced: (records, outdated) => {
+        this.upstreamsKnownAt = Math.min(this.upstreamsKnownAt, timer.now());
+        return parts.upstreams.replaced(records, outdated);
+      },
+      added: records => parts.upstreams.added(records),
+      known: () => parts.upstreams.known(),
+    });
     this.instances = this.follow(Topic.Instances, {
       replaced: records => {
         const changes = this.applyInstances(records, holds =>
@@ -176,7 +183,6 @@
   /** Starts following the topics and exchanging messages with the peers. */
   start(): Subscription[] {
     const {instance: name, host, zone, feed, timer, transport} = this.parts;
-    this.startedAt = timer.now();
     void announce({
       name,
       address: {host, zone},
@@ -199,10 +205,10 @@
 
   /**
    * Whether the holds of the store are in force here, or the time to wait for
-   * them is over.
+   * them beyond the first list of upstreams is over.
    */
   get mayForward(): boolean {
-    const waitedMs = this.parts.timer.now() - this.startedAt;
+    const waitedMs = this.parts.timer.now() - this.upstreamsKnownAt;
     return this.hasReadHolds || waitedMs >= HOLDS_WAIT_MS;
   }
 
