--- a/src/fleet/holdrecords.ts
+++ b/src/fleet/holdrecords.ts
@@ -38,7 +38,7 @@
 /** Dependencies of [[HoldRecords]]. */
 export interface HoldRecordsParts {
   log: EvidenceLog;
-  feed: Feed;
+  feed: Pick<Feed, 'put'>;
   epochs: StoreEpoch;
   timer: Timer;
   logger: Logger;
--- a/test/evidence.test.ts
+++ b/test/evidence.test.ts
@@ -99,6 +99,20 @@
     }, 60_000);
   }
 
+  it('costs nothing once everyone was told', async () => {
+    const fleet = await startFleet(7);
+    const {traffic} = fleet.network;
+    const bytesIn = async (ms: number) => {
+      const before = traffic.bytes;
+      await fleet.advance(ms);
+      return traffic.bytes - before;
+    };
+    const idle = await bytesIn(10_000);
+    crashTwice(fleet, 'part', 100);
+    await fleet.advance(10_000);
+    expect((await bytesIn(10_000)) / idle).toBeLessThan(1.01);
+  });
+
   it('survives the restart of all instances', async () => {
     const fleet = await startFleet(82);
     crashTwice(fleet, 'part');
