--- a/src/fleet/gossip.ts
+++ b/src/fleet/gossip.ts
@@ -3,6 +3,8 @@
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Subscription, Timer} from '../timer/index.js';
 import type {Datagrams} from './datagrams.js';
+import type {EvidenceLog} from './evidencelog.js';
+import {EvidenceRelay} from './evidencerelay.js';
 import {
   decodeReport,
   encodeReport,
@@ -21,6 +23,7 @@
   type UpstreamLoad,
 } from './message.js';
 import type {Peers} from './peers.js';
+import {PromptRelay} from './promptrelay.js';
 import type {RecordExchange} from './recordexchange.js';
 import {RelayQueue} from './relayqueue.js';
 import {Throttle} from './throttle.js';
@@ -45,7 +48,10 @@
 const STATUS_INTERVAL_MS = 400;
 /** Peers of the own zone that a relaying instance sends to in a round. */
 const ZONE_FANOUT = 2;
-/** Peers of each other zone that the reader of a topic tells of changes. */
+/**
+ * Peers of each other zone that the reader of a topic tells of changes, and an
+ * instance of its own evidence.
+ */
 const CHANGES_FANOUT = 2;
 /** Peers of each other zone that it tells that nothing has changed. */
 const FRESHNESS_FANOUT = 1;
@@ -53,21 +59,10 @@
 const ZONE_MESSAGES_PER_SECOND = 2;
 /** Sends of a relayed load within the zone, by each instance. */
 const MAX_LOAD_SENDS = 3;
-/** Sends of a prompt within the zone, by each instance. */
-const MAX_PROMPT_SENDS = 4;
-/** Prompts that wait to be passed on; more would be told of too late. */
-const MAX_QUEUED_PROMPTS = 200;
 /** Most bytes of relayed loads in one message. */
 const MAX_RELAYED_BYTES = 2_000;
-/** Most bytes of prompts in one message. */
-const MAX_PROMPT_BYTES = 1_000;
 /** Most prompts in one message of a fleet that talks directly. */
 const MAX_PROMPTS = 24;
-/**
- * Time for which an instance doesn't tell again that an upstream has the shared
- * parts of a prompt, in ms.
- */
-const PROMPT_REPEAT_MS = 2_000;
 
 /** Dependencies of [[Gossip]]. */
 export interface GossipParts {
@@ -92,6 +87,7 @@
   recordLeaving(upstream: LeavingUpstream): void;
   /** Records a prompt that another instance sent to an upstream. */
   recordPrompt(prompt: SentPrompt): void;
+  evidence: EvidenceLog;
 }
 
 /**
@@ -110,14 +106,9 @@
     Infinity,
     ({report}) => JSON.stringify(encodeReport(report, 0)).length,
   );
-  private readonly relayedPrompts = new RelayQueue<SentPrompt>(
-    MAX_PROMPT_SENDS,
-    MAX_QUEUED_PROMPTS,
-  );
+  private readonly relayedPrompts: PromptRelay;
   /** Prompts for the next message of a fleet that talks directly. */
   private prompts: SentPrompt[] = [];
-  /** When a prompt's shared parts were last told of, by upstream and part. */
-  private readonly toldPrompts = new Map<string, number>();
   private sentAt = -Infinity;
   /** When a round was last sent for news of a topic. */
   private newsSentAt = -Infinity;
@@ -127,13 +118,23 @@
   private wasIdle = false;
 
   private readonly placementRounds: Throttle;
+  private readonly evidence: EvidenceRelay;
 
   constructor(private readonly parts: GossipParts) {
+    this.relayedPrompts = new PromptRelay(parts.timer);
     this.placementRounds = new Throttle(
       parts.timer,
       () => this.sendRound(),
       () => this.sentAt,
     );
+    this.evidence = new EvidenceRelay({
+      log: parts.evidence,
+      timer: parts.timer,
+      logger: parts.logger,
+      random: parts.random,
+      zoneSize: () => parts.peers.zoneSize,
+      added: () => this.send(),
+    });
     parts.datagrams.handle(GOSSIP_METHOD, params => this.receive(params));
   }
 
@@ -144,6 +145,7 @@
       end: () => {
         rounds.end();
         this.placementRounds.cancel();
+        this.evidence.end();
       },
     };
   }
@@ -164,7 +166,7 @@
     }
     // The last part belongs to the request alone; its caller comes back here.
     const shared = {...prompt, parts: prompt.parts.slice(0, -1)};
-    this.relayPrompt(shared);
+    this.relayedPrompts.add(shared);
   }
 
   /** Tells the peers what was learned of a topic, if they should know soon. */
@@ -234,6 +236,7 @@
       !peers.areDirect ||
       now - this.statusSentAt >= STATUS_INTERVAL_MS;
     if (hasStatus) this.statusSentAt = now;
+    const evidence = this.evidence.take(ZONE_FANOUT);
     const message: GossipMessage = {
       from: own.from,
       loads: own.loads,
@@ -241,7 +244,9 @@
       readings: [],
       relayed: [],
       ...records.news({withStatus: hasStatus, withChanges}),
+      ...(evidence.items.length === 0 ? {} : {evidence: evidence.items}),
     };
+    if (this.evidence.isPending) this.send();
     if (peers.areDirect) {
       this.sendTo(peers.all(), {...message, readings: this.prompts});
       this.prompts = [];
@@ -249,7 +254,7 @@
     }
     const mates = peers.mates(ZONE_FANOUT);
     if (mates.length > 0) {
-      const readings = this.relayedPrompts.take(MAX_PROMPT_BYTES, mates.length);
+      const readings = this.relayedPrompts.take(mates.length);
       this.relayedLoads.prune(({at}) => now - at > MAX_LOAD_AGE_MS);
       const others = this.relayedLoads.take(MAX_RELAYED_BYTES, mates.length);
       const relayed = [
@@ -258,7 +263,10 @@
       ];
       this.sendTo(mates, {...message, loads: [], readings, relayed});
     }
-    this.sendToOtherZones(message, own, elapsedMs, further);
+    const urgent = evidence.isUrgent
+      ? Math.max(further, CHANGES_FANOUT)
+      : further;
+    this.sendToOtherZones(message, own, elapsedMs, urgent);
   }
 
   /**
@@ -284,7 +292,7 @@
       );
       const from = ZONE_PREFIX + zone;
       const relayed = [encodeReport({...sum, from}, ageMs)];
-      const readings = this.relayedPrompts.take(MAX_PROMPT_BYTES, 1);
+      const readings = this.relayedPrompts.take(1);
       const summary = {...message, loads: [], readings, relayed};
       this.sendTo(
         chosen.flatMap(other => peers.sample(1, other)),
@@ -345,36 +353,21 @@
       if (!isOwn) this.learn(report, now - ageMs);
     }
     for (const prompt of message.readings) this.learnPrompt(prompt);
+    this.evidence.receive(message.evidence ?? []);
     this.parts.records.receive(message, address);
   }
 
   private learn(report: LoadReport, at: number): void {
     if (this.parts.timer.now() - at > MAX_LOAD_AGE_MS) return;
     if (!this.peerLoads.update(report, at)) return;
+    this.evidence.noteHeard(report.from);
     if (this.parts.peers.areDirect) return;
     this.relayedLoads.add(report.from, {report, at});
   }
 
   private learnPrompt(prompt: SentPrompt): void {
     this.parts.recordPrompt(prompt);
-    if (!this.parts.peers.areDirect) this.relayPrompt(prompt);
-  }
-
-  /** Passes a prompt on unless its upstream was told of a short time ago. */
-  private relayPrompt(prompt: SentPrompt): void {
-    const now = this.parts.timer.now();
-    const lastPart = prompt.parts.at(-1)?.[0];
-    if (lastPart === undefined) return;
-    const key = `${prompt.upstream}/${lastPart}`;
-    const toldAt = this.toldPrompts.get(key);
-    if (toldAt !== undefined && now - toldAt < PROMPT_REPEAT_MS) return;
-    this.toldPrompts.delete(key);
-    this.toldPrompts.set(key, now);
-    for (const [oldest, at] of this.toldPrompts) {
-      if (now - at < PROMPT_REPEAT_MS) break;
-      this.toldPrompts.delete(oldest);
-    }
-    this.relayedPrompts.add(key, prompt);
+    if (!this.parts.peers.areDirect) this.relayedPrompts.add(prompt);
   }
 }
 
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -1,8 +1,10 @@
 export {announce} from './announcement.js';
 export type {AnnouncementParts} from './announcement.js';
+export type {EvidenceLog} from './evidencelog.js';
 export {Gossip} from './gossip.js';
 export type {Datagrams} from './datagrams.js';
 export type {GossipParts} from './gossip.js';
+export {HoldRecords, isHoldRecord} from './holdrecords.js';
 export {PeerLoads} from './loads.js';
 export type {LoadReport, PeerLoad} from './loads.js';
 export type {
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -2,8 +2,11 @@
 import {
   announce,
   Gossip,
+  HoldRecords,
+  isHoldRecord,
   Peers,
   RecordExchange,
+  type EvidenceLog,
   type LeavingUpstream,
   type SentPrompt,
   type UpstreamLoad,
@@ -14,6 +17,7 @@
   Topic,
   type Feed,
   type FollowerListener,
+  type KeyedRecord,
   type ReadTiming,
 } from '../registry/index.js';
 import {
@@ -38,6 +42,8 @@
 
 /** Peers that an instance asks for what they know when it starts. */
 const CONSULTED_PEERS = 3;
+/** Time for which an instance that knows the upstreams waits for holds, in ms. */
+const HOLDS_WAIT_MS = 3_000;
 
 /** Dependencies of [[GatewayFleet]]. */
 export interface GatewayFleetParts {
@@ -67,6 +73,8 @@
   recordLeaving(upstream: LeavingUpstream): void;
   /** Records a prompt that another instance sent to an upstream. */
   recordPrompt(prompt: SentPrompt): void;
+  /** Crashes and prompt parts that are known and decided on here. */
+  evidence: EvidenceLog;
   /** Whether this instance is shutting down. */
   isLeaving(): boolean;
 }
@@ -82,7 +90,11 @@
   private readonly epochs: StoreEpoch;
   private readonly instances: Follower;
   private readonly records: RecordExchange;
+  private readonly holds: HoldRecords;
   private hasConsulted = false;
+  /** When the upstreams were first known, in monotonic ms. */
+  private upstreamsKnownAt = Infinity;
+  private hasReadHolds = false;
   private readonly peers: Peers;
   private readonly logger: Logger;
 
@@ -98,15 +110,36 @@
       Topic.Configuration,
       parts.configurations,
     );
-    this.upstreams = this.follow(Topic.Upstreams, parts.upstreams);
+    this.upstreams = this.follow(Topic.Upstreams, {
+      replaced: (records, outdated) => {
+        this.upstreamsKnownAt = Math.min(this.upstreamsKnownAt, timer.now());
+        return parts.upstreams.replaced(records, outdated);
+      },
+      added: records => parts.upstreams.added(records),
+      known: () => parts.upstreams.known(),
+    });
     this.instances = this.follow(Topic.Instances, {
       replaced: records => {
-        const changes = this.peers.update(records);
+        const changes = this.applyInstances(records, holds =>
+          this.holds.replace(holds),
+        );
+        this.hasReadHolds = true;
         void this.consultPeers();
         return changes;
       },
-      added: records => this.peers.update(records),
-      known: () => this.peers.known(),
+      added: records =>
+        this.applyInstances(records, holds => this.holds.add(holds)),
+      known: () => [...this.peers.known(), ...this.holds.known()],
+    });
+    this.holds = new HoldRecords({
+      log: parts.evidence,
+      feed: parts.feed,
+      epochs: this.epochs,
+      timer,
+      logger: this.logger,
+      random,
+      rank: () => this.peers.rankOf(Topic.Instances, instance),
+      isKnown: () => this.instances.replica.isStarted,
     });
     this.records = new RecordExchange({
       epochs: this.epochs,
@@ -135,6 +168,15 @@
       leaving: () => parts.leaving(),
       recordLeaving: upstream => parts.recordLeaving(upstream),
       recordPrompt: prompt => parts.recordPrompt(prompt),
+      evidence: {
+        learn: evidence => {
+          const isNews = parts.evidence.learn(evidence);
+          if (isNews && evidence.type === 'hold') this.holds.writeSoon();
+          return isNews;
+        },
+        subscribe: listener => parts.evidence.subscribe(listener),
+        holds: () => parts.evidence.holds(),
+      },
     });
   }
 
@@ -157,9 +199,19 @@
       this.upstreams.start(),
       this.instances.start(),
       this.gossip.start(),
+      {end: () => this.holds.end()},
     ];
   }
 
+  /**
+   * Whether the holds of the store are in force here, or the time to wait for
+   * them beyond the first list of upstreams is over.
+   */
+  get mayForward(): boolean {
+    const waitedMs = this.parts.timer.now() - this.upstreamsKnownAt;
+    return this.hasReadHolds || waitedMs >= HOLDS_WAIT_MS;
+  }
+
   /** The newest known epoch of the store. */
   get storeEpoch(): number {
     return this.epochs.current;
@@ -205,6 +257,21 @@
     }
   }
 
+  /**
+   * Applies records of the instances' topic: addresses of instances, and holds
+   * by `applyHolds`. Returns those that changed something.
+   */
+  private applyInstances(
+    records: KeyedRecord[],
+    applyHolds: (holds: KeyedRecord[]) => KeyedRecord[],
+  ): KeyedRecord[] {
+    const changes = new Set([
+      ...this.peers.update(records.filter(record => !isHoldRecord(record))),
+      ...applyHolds(records.filter(isHoldRecord)),
+    ]);
+    return records.filter(record => changes.has(record));
+  }
+
   private follow(topic: Topic, listener: FollowerListener): Follower {
     const {instance, feed, timer, output} = this.parts;
     return new Follower(
