--- /dev/null
+++ b/src/quarantine/blame.ts
@@ -0,0 +1,309 @@
+import type {Crash, CrashedRequest} from './crashlog.js';
+
+/** Crashes that convict a part which was never answered. */
+const NEW_PART_CRASHES = 3;
+
+/** How many of these must have come one after another. */
+const NEW_PART_SEQUENCE = 2;
+
+/** Share of the crashes in its time that such a part must explain. */
+const NEW_PART_SHARE = 1 / 2;
+
+/** Crashes that convict such a part whatever it leaves unexplained. */
+const NEW_PART_CRASHES_AMONG_OTHERS = 5;
+
+/** Crashes of a part on one upstream alone that convict it. */
+const ONE_UPSTREAM_CRASHES = 5;
+
+/** The same for a part that was answered before, or a first part. */
+const OTHER_ONE_UPSTREAM_CRASHES = 10;
+
+/** Crashes that convict a first part which was never answered. */
+const FIRST_PART_CRASHES = 4;
+
+/** Crashes that convict a part which was answered before. */
+const PROVEN_PART_CRASHES = 5;
+
+/** How many of these must have come one after another, for either. */
+const OTHER_PART_SEQUENCE = 3;
+
+/** Share of the crashes in its time that either must explain. */
+const OTHER_PART_SHARE = 2 / 3;
+
+/** Crashes one after another that convict whatever is left unexplained. */
+const OTHER_PART_SEQUENCE_AMONG_OTHERS = 8;
+
+/**
+ * Answers to requests without such a part that this instance must have seen
+ * since the first of these crashes.
+ */
+const OTHER_PART_ANSWERS = 10;
+
+/** Crashes that convict a new first part without these answers. */
+const FIRST_PART_CRASHES_UNANSWERED = 6;
+
+/** Crashes that convict a part answered before without these answers. */
+const PROVEN_PART_CRASHES_UNANSWERED = 10;
+
+/** Different requests that must have ended in crashes with a part. */
+const MIN_REQUESTS = 2;
+
+/** Crashes with which a part that was never answered is under suspicion. */
+const SUSPICION_CRASHES = 2;
+
+/** Crashes with which any other is, but a first part answered before. */
+const PROVEN_SUSPICION_CRASHES = 3;
+
+/** What is known of parts, beside the crashes. */
+export interface PartKnowledge {
+  /** Time of the last answer, in monotonic ms. */
+  answeredAt(part: string): number | undefined;
+  /** Time up to which crashes don't count, in monotonic ms. */
+  releasedAt(part: string): number | undefined;
+  isHeld(part: string): boolean;
+}
+
+/** A part that crashed requests have. */
+export interface SuspectPart {
+  part: string;
+  /** Whether it was answered before its crashes. */
+  isProven: boolean;
+  /** Its position in a prompt, the highest seen. */
+  position: number;
+  /** Crashes since its last answer, without those that others explain. */
+  crashes: number;
+}
+
+/** Parts to hold, and parts whose requests aren't to be repeated. */
+export interface Blame {
+  convicted: SuspectPart[];
+  suspected: SuspectPart[];
+}
+
+class Candidate {
+  readonly crashes: Crash[] = [];
+  readonly requests = new Set<string>();
+  readonly upstreams = new Set<string>();
+  position = 0;
+  isFirst = false;
+  /** Longest sequence in which each request was sent after the last crash. */
+  sequence = 0;
+  private sequenceAt = -Infinity;
+
+  constructor(
+    readonly part: string,
+    readonly isProven: boolean,
+  ) {}
+
+  /** Adds a crash; crashes come in order of time. */
+  add(crash: Crash, request: CrashedRequest, position: number): void {
+    if (this.crashes.at(-1) !== crash) this.crashes.push(crash);
+    this.requests.add(request.request);
+    this.upstreams.add(crash.upstream);
+    this.position = Math.max(this.position, position);
+    this.isFirst ||= position === 0;
+    if (request.sentAt < this.sequenceAt) return;
+    this.sequence++;
+    this.sequenceAt = crash.at;
+  }
+
+  /** Share of the crashes from its first to its last that it explains. */
+  share(crashes: readonly Crash[], explained: ReadonlySet<Crash>): number {
+    const own = new Set(this.crashes);
+    const first = this.crashes[0]?.at ?? 0;
+    const last = this.crashes.at(-1)?.at ?? 0;
+    let count = 0;
+    for (const crash of crashes) {
+      if (crash.at < first || crash.at > last) continue;
+      if (own.has(crash) || !explained.has(crash)) count++;
+    }
+    return own.size / count;
+  }
+
+  get needsMore(): boolean {
+    return this.isProven || this.isFirst;
+  }
+
+  unexplained(explained: ReadonlySet<Crash>): Crash[] {
+    return this.crashes.filter(crash => !explained.has(crash));
+  }
+
+  summary(crashes: number): SuspectPart {
+    const {part, isProven, position} = this;
+    return {part, isProven, position, crashes};
+  }
+}
+
+function collect(
+  crashes: readonly Crash[],
+  knowledge: PartKnowledge,
+  explained: ReadonlySet<Crash>,
+): Candidate[] {
+  const candidates = new Map<string, Candidate>();
+  for (const crash of crashes) {
+    for (const request of crash.requests) {
+      for (const [position, part] of request.parts.entries()) {
+        if (knowledge.isHeld(part)) continue;
+        const answeredAt = knowledge.answeredAt(part);
+        if (crash.at <= (answeredAt ?? -Infinity)) continue;
+        if (crash.at <= (knowledge.releasedAt(part) ?? -Infinity)) continue;
+        const isProven = answeredAt !== undefined;
+        // Crashes that others explain say nothing of a part that was answered.
+        const needsMore = isProven || position === 0;
+        if (needsMore && explained.has(crash)) continue;
+        let candidate = candidates.get(part);
+        if (candidate === undefined) {
+          candidate = new Candidate(part, isProven);
+          candidates.set(part, candidate);
+        }
+        candidate.add(crash, request, position);
+      }
+    }
+  }
+  return [...candidates.values()];
+}
+
+function isNewPartConvicted(candidate: Candidate, share: number): boolean {
+  const {length} = candidate.crashes;
+  return (
+    length >= NEW_PART_CRASHES &&
+    candidate.sequence >= NEW_PART_SEQUENCE &&
+    candidate.requests.size >= MIN_REQUESTS &&
+    (candidate.upstreams.size > 1 || length >= ONE_UPSTREAM_CRASHES) &&
+    (share >= NEW_PART_SHARE || length >= NEW_PART_CRASHES_AMONG_OTHERS)
+  );
+}
+
+function isOtherPartConvicted(
+  candidate: Candidate,
+  share: number,
+  answers: number,
+): boolean {
+  const {isProven, crashes, requests, sequence, upstreams} = candidate;
+  const {length} = crashes;
+  const least = isProven ? PROVEN_PART_CRASHES : FIRST_PART_CRASHES;
+  const leastUnanswered = isProven
+    ? PROVEN_PART_CRASHES_UNANSWERED
+    : FIRST_PART_CRASHES_UNANSWERED;
+  const answersSince = answers - (crashes[0]?.answers ?? answers);
+  return (
+    length >= least &&
+    sequence >= OTHER_PART_SEQUENCE &&
+    requests.size >= MIN_REQUESTS &&
+    (upstreams.size > 1 || length >= OTHER_ONE_UPSTREAM_CRASHES) &&
+    (share >= OTHER_PART_SHARE ||
+      sequence >= OTHER_PART_SEQUENCE_AMONG_OTHERS) &&
+    (answersSince >= OTHER_PART_ANSWERS || length >= leastUnanswered)
+  );
+}
+
+function suspicionCrashes({isFirst, isProven}: Candidate): number {
+  return isFirst && isProven ? PROVEN_PART_CRASHES : PROVEN_SUSPICION_CRASHES;
+}
+
+function haveSame(a: readonly Crash[], b: readonly Crash[]): boolean {
+  return a.length === b.length && a.every((crash, index) => crash === b[index]);
+}
+
+/**
+ * Takes the part that explains most crashes, of equals the one with most in
+ * all, and those that can't be told from it; then the next, until none is left.
+ */
+function convictNewParts(
+  candidates: readonly Candidate[],
+  explained: Set<Crash>,
+): SuspectPart[] {
+  const convicted: SuspectPart[] = [];
+  for (;;) {
+    let best: Candidate | undefined;
+    let unexplained: Crash[] = [];
+    for (const candidate of candidates) {
+      const own = candidate.unexplained(explained);
+      const difference =
+        own.length - unexplained.length ||
+        candidate.crashes.length - (best?.crashes.length ?? 0);
+      if (own.length === 0 || difference <= 0) continue;
+      best = candidate;
+      unexplained = own;
+    }
+    if (best === undefined) return convicted;
+    for (const candidate of candidates) {
+      if (!haveSame(candidate.crashes, best.crashes)) continue;
+      convicted.push(candidate.summary(candidate.crashes.length));
+    }
+    for (const crash of unexplained) explained.add(crash);
+  }
+}
+
+/** The part with most crashes; of equals, the one later in prompts. */
+function strongest(candidates: readonly Candidate[]): Candidate | undefined {
+  let best: Candidate | undefined;
+  for (const candidate of candidates) {
+    const difference =
+      best === undefined
+        ? 1
+        : candidate.crashes.length - best.crashes.length ||
+          Number(best.isFirst) - Number(candidate.isFirst) ||
+          candidate.position - best.position ||
+          (candidate.part < best.part ? 1 : -1);
+    if (difference > 0) best = candidate;
+  }
+  return best;
+}
+
+/**
+ * Finds the parts that explain crashes. A part which was never answered is
+ * convicted by fewer crashes than others, and a crash that it may explain
+ * doesn't count against others.
+ *
+ * @param crashes The earliest first.
+ * @param answers Number of answers that this instance recorded so far.
+ */
+export function blame(
+  crashes: readonly Crash[],
+  knowledge: PartKnowledge,
+  answers: number,
+): Blame {
+  const explained = new Set<Crash>();
+  for (const crash of crashes) {
+    const isExplained = crash.requests.some(({parts}) =>
+      parts.some(part => knowledge.isHeld(part)),
+    );
+    if (isExplained) explained.add(crash);
+  }
+  const fresh = collect(crashes, knowledge, explained).filter(
+    candidate => !candidate.needsMore,
+  );
+  const convicted = convictNewParts(
+    fresh.filter(candidate =>
+      isNewPartConvicted(candidate, candidate.share(crashes, explained)),
+    ),
+    explained,
+  );
+  const suspected: SuspectPart[] = [];
+  for (const candidate of fresh) {
+    const {length} = candidate.unexplained(explained);
+    if (length === 0 || candidate.crashes.length < SUSPICION_CRASHES) continue;
+    suspected.push(candidate.summary(candidate.crashes.length));
+  }
+  const covered = new Set(explained);
+  for (const candidate of fresh) {
+    if (candidate.crashes.length < NEW_PART_CRASHES) continue;
+    for (const crash of candidate.crashes) covered.add(crash);
+  }
+  for (;;) {
+    const others = collect(crashes, knowledge, covered).filter(
+      candidate => candidate.needsMore,
+    );
+    const best = strongest(others);
+    if (best === undefined) return {convicted, suspected};
+    const count = best.crashes.length;
+    if (isOtherPartConvicted(best, best.share(crashes, explained), answers)) {
+      convicted.push(best.summary(count));
+      for (const crash of best.crashes) explained.add(crash);
+    } else if (count >= suspicionCrashes(best)) {
+      suspected.push(best.summary(count));
+    }
+    for (const crash of best.crashes) covered.add(crash);
+  }
+}
--- a/src/quarantine/evidence.ts
+++ b/src/quarantine/evidence.ts
@@ -4,6 +4,8 @@
   request: string;
   /** Ids of the prompt parts that other requests may have, in prompt order. */
   parts: string[];
+  /** Time from when it was sent to the upstream to the crash, in ms. */
+  openMs: number;
 }
 
 /**
@@ -46,7 +48,7 @@
   state: HoldState;
   /** Rises with each decision on the part. */
   revision: number;
-  /** Number of crashes that the decision rests on. */
+  /** Number of crashes that the decision rests on; 0 if an operator made it. */
   crashes: number;
   /** Time of the decision, in Unix ms. */
   decidedAt: number;
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -6,3 +6,5 @@
   type Hold,
   type Suspect,
 } from './evidence.js';
+export {Quarantine, type QuarantineOptions} from './quarantine.js';
+export type {SuspectPart} from './blame.js';
--- /dev/null
+++ b/src/quarantine/quarantine.ts
@@ -0,0 +1,263 @@
+import type {Subscription, Timer} from '../timer/index.js';
+import {blame, type Blame, type SuspectPart} from './blame.js';
+import {CrashLog} from './crashlog.js';
+import {
+  HoldState,
+  type Clearance,
+  type CrashReport,
+  type Evidence,
+  type Hold,
+} from './evidence.js';
+import {HoldRegister} from './holdregister.js';
+import {SoundParts} from './soundparts.js';
+
+/** Time in which answers that peers saw may arrive, in ms. */
+const SETTLE_MS = 500;
+
+/** The same for an instance that started lately, in ms. */
+const STARTUP_SETTLE_MS = 2000;
+
+/** Time from the start in which an instance knows too little, in ms. */
+const STARTUP_MS = 5000;
+
+/** Shortest time between two clearances of a part, in ms. */
+const CLEARANCE_PERIOD_MS = 500;
+
+/** Time between two looks at what is known while there are crashes, in ms. */
+const REVIEW_PERIOD_MS = 250;
+
+const NO_BLAME: Blame = {convicted: [], suspected: []};
+
+/** What a [[Quarantine]] works with. */
+export interface QuarantineOptions {
+  timer: Timer;
+}
+
+/**
+ * Decides which prompt parts crash upstreams. It has no input or output: it is
+ * told of answers and crashes, and of evidence from peers, and tells its
+ * listeners of evidence that it makes.
+ *
+ * Lists of parts are those of a request in prompt order. Their last part, which
+ * belongs to the request or its session alone, is left out of account.
+ */
+export class Quarantine {
+  private readonly timer: Timer;
+  private readonly startedAt: number;
+  private readonly log = new CrashLog();
+  private readonly sound = new SoundParts();
+  private readonly register = new HoldRegister();
+  /** When each part was released, in monotonic ms. */
+  private readonly releases = new Map<string, number>();
+  /** When each part of a suspect was cleared last, in monotonic ms. */
+  private readonly clearedAt = new Map<string, number>();
+  private readonly listeners = new Set<(evidence: Evidence) => void>();
+  private answers = 0;
+  private review: Subscription | undefined;
+  private blameNow: Blame | undefined;
+
+  constructor({timer}: QuarantineOptions) {
+    this.timer = timer;
+    this.startedAt = timer.now();
+  }
+
+  /** Calls `listener` with each piece of evidence that this instance makes. */
+  subscribe(listener: (evidence: Evidence) => void): Subscription {
+    this.listeners.add(listener);
+    return {end: () => this.listeners.delete(listener)};
+  }
+
+  /**
+   * Records an own request whose answer had a complete event or ended whole.
+   */
+  recordAnswer(parts: readonly string[]): void {
+    const now = this.timer.now();
+    this.answers++;
+    for (let index = 0; index < parts.length - 1; index++) {
+      const part = parts[index];
+      if (part === undefined) continue;
+      this.sound.record(part, now);
+      if (!this.sound.isSuspected(part)) continue;
+      this.blameNow = undefined;
+      this.publishClearance(part);
+    }
+  }
+
+  /** Records a crash that this instance saw; returns whether it is news. */
+  recordCrash(report: CrashReport): boolean {
+    if (!this.addCrash(report)) return false;
+    this.publish(report);
+    this.clearKnown(report);
+    return true;
+  }
+
+  /**
+   * Takes over evidence of a peer or the store, in any order. Returns whether
+   * it is news, that is, to be passed on.
+   */
+  learn(evidence: Evidence): boolean {
+    switch (evidence.type) {
+      case 'crash': {
+        const isNews = this.addCrash(evidence);
+        if (isNews) this.clearKnown(evidence);
+        return isNews;
+      }
+      case 'clearance':
+        return this.addClearance(evidence);
+      case 'hold':
+        return this.addHold(evidence);
+    }
+  }
+
+  /** The hold that refuses a request with these parts, if any. */
+  holdOf(parts: readonly string[]): Hold | undefined {
+    return this.register.find(parts);
+  }
+
+  /** Whether a request with these parts may be sent again after a crash. */
+  mayRepeat(parts: readonly string[]): boolean {
+    if (this.holdOf(parts) !== undefined) return false;
+    const {convicted, suspected} = this.blame();
+    const shared = parts.slice(0, -1);
+    return ![...convicted, ...suspected].some(({part}) =>
+      shared.includes(part),
+    );
+  }
+
+  /** All decisions in force, also those that released a part. */
+  holds(): Hold[] {
+    return this.register.list();
+  }
+
+  /** Parts whose requests aren't repeated but not refused yet. */
+  suspects(): SuspectPart[] {
+    const {convicted, suspected} = this.blame();
+    return [...convicted, ...suspected];
+  }
+
+  /** Refuses requests with the part, by order of an operator. */
+  hold(part: string): Hold {
+    return this.decideOn(part, HoldState.Held, 0);
+  }
+
+  /** Forwards requests with the part again, by order of an operator. */
+  release(part: string): Hold {
+    return this.decideOn(part, HoldState.Released, 0);
+  }
+
+  /** Holds the parts that explain the crashes known long enough. */
+  decide(): Hold[] {
+    const now = this.timer.now();
+    const isStarting = now - this.startedAt < STARTUP_MS;
+    const settleMs = isStarting ? STARTUP_SETTLE_MS : SETTLE_MS;
+    const crashes = this.log
+      .crashes()
+      .filter(crash => crash.learnedAt <= now - settleMs);
+    return blame(crashes, this.knowledge, this.answers).convicted.map(
+      ({part, crashes}) => this.decideOn(part, HoldState.Held, crashes),
+    );
+  }
+
+  /** Ends the decisions that are due. */
+  stop(): void {
+    this.review?.end();
+    this.review = undefined;
+  }
+
+  private readonly knowledge = {
+    answeredAt: (part: string) => this.sound.answeredAt(part),
+    releasedAt: (part: string) => this.releases.get(part),
+    isHeld: (part: string) => this.register.isHeld(part),
+  };
+
+  private blame(): Blame {
+    this.blameNow ??=
+      this.review === undefined
+        ? NO_BLAME
+        : blame(this.log.crashes(), this.knowledge, this.answers);
+    return this.blameNow;
+  }
+
+  private addCrash(report: CrashReport): boolean {
+    const isNews = this.log.add(report, this.timer.now(), this.answers);
+    this.blameNow = undefined;
+    if (!isNews) return false;
+    this.sound.suspect(this.log.parts());
+    this.review ??= this.timer.every(REVIEW_PERIOD_MS, () => {
+      this.reviewCrashes();
+    });
+    return true;
+  }
+
+  private reviewCrashes(): void {
+    if (this.log.prune(this.timer.now())) {
+      const parts = this.log.parts();
+      this.sound.suspect(parts);
+      for (const part of this.clearedAt.keys()) {
+        if (!parts.has(part)) this.clearedAt.delete(part);
+      }
+      if (parts.size === 0) this.stop();
+      this.blameNow = undefined;
+    }
+    this.decide();
+  }
+
+  private addClearance({part, at}: Clearance): boolean {
+    const known = this.sound.answeredAt(part);
+    if (known !== undefined && known >= at) return false;
+    this.sound.record(part, at);
+    this.blameNow = undefined;
+    if (!this.sound.isSuspected(part)) return known === undefined;
+    const clearedAt = this.clearedAt.get(part);
+    this.clearedAt.set(part, Math.max(clearedAt ?? -Infinity, at));
+    return clearedAt === undefined || at - clearedAt >= CLEARANCE_PERIOD_MS;
+  }
+
+  private addHold(hold: Hold): boolean {
+    if (!this.register.merge(hold)) return false;
+    this.blameNow = undefined;
+    switch (hold.state) {
+      case HoldState.Held:
+        this.releases.delete(hold.part);
+        break;
+      case HoldState.Released:
+        this.releases.set(hold.part, this.timer.now());
+        break;
+    }
+    return true;
+  }
+
+  private decideOn(part: string, state: HoldState, crashes: number): Hold {
+    const hold: Hold = {
+      type: 'hold',
+      part,
+      state,
+      revision: (this.register.get(part)?.revision ?? 0) + 1,
+      crashes,
+      decidedAt: this.timer.wallNow(),
+    };
+    this.addHold(hold);
+    this.publish(hold);
+    return hold;
+  }
+
+  private clearKnown(report: CrashReport): void {
+    for (const {parts} of report.suspects) {
+      for (const part of parts) this.publishClearance(part);
+    }
+  }
+
+  /** Tells peers of the last answer to a part of a suspect. */
+  private publishClearance(part: string): void {
+    const at = this.sound.answeredAt(part);
+    if (at === undefined) return;
+    const clearedAt = this.clearedAt.get(part);
+    if (clearedAt !== undefined && at - clearedAt < CLEARANCE_PERIOD_MS) return;
+    this.clearedAt.set(part, at);
+    this.publish({type: 'clearance', part, at});
+  }
+
+  private publish(evidence: Evidence): void {
+    for (const listener of this.listeners) listener(evidence);
+  }
+}
