Weigh crashes by their suspects and test the decision on bad parts

The model held sound parts when 30 upstreams ended within 2 s: repeats of few requests on the last of them made three crashes of one part. A request now counts once and less the more suspects its crash has, a part must explain most crashes of its time, and parts that came together are told apart by crashes that aren't settled.

--- a/src/quarantine/blame.ts
+++ b/src/quarantine/blame.ts
@@ -6,10 +6,17 @@
 /** How many of these must have come one after another. */
 const NEW_PART_SEQUENCE = 2;
 
+/**
+ * Weight that its requests must have: each counts as 1 divided by the number of
+ * suspects of its crash, since one among many is there by chance, and once, as
+ * a repeat is no independent sign.
+ */
+const NEW_PART_WEIGHT = 1;
+
 /** Share of the crashes in its time that such a part must explain. */
 const NEW_PART_SHARE = 1 / 2;
 
-/** Crashes that convict such a part whatever it leaves unexplained. */
+/** Crashes that convict such a part whatever their weight and share. */
 const NEW_PART_CRASHES_AMONG_OTHERS = 5;
 
 /** Crashes of a part on one upstream alone that convict it. */
@@ -27,10 +34,16 @@
 /** How many of these must have come one after another, for either. */
 const OTHER_PART_SEQUENCE = 3;
 
+/** Weight that the requests of a new first part must have. */
+const FIRST_PART_WEIGHT = 1.5;
+
+/** Weight that the requests of a part answered before must have. */
+const PROVEN_PART_WEIGHT = 2;
+
 /** Share of the crashes in its time that either must explain. */
 const OTHER_PART_SHARE = 2 / 3;
 
-/** Crashes one after another that convict whatever is left unexplained. */
+/** Crashes one after another that convict whatever their weight and share. */
 const OTHER_PART_SEQUENCE_AMONG_OTHERS = 8;
 
 /**
@@ -45,6 +58,12 @@
 /** Crashes that convict a part answered before without these answers. */
 const PROVEN_PART_CRASHES_UNANSWERED = 10;
 
+/**
+ * The same for a first part that was answered before. Most requests have such a
+ * part, and none is answered while all upstreams are down.
+ */
+const PROVEN_FIRST_PART_CRASHES_UNANSWERED = 64;
+
 /** Different requests that must have ended in crashes with a part. */
 const MIN_REQUESTS = 2;
 
@@ -82,7 +101,8 @@
 
 class Candidate {
   readonly crashes: Crash[] = [];
-  readonly requests = new Set<string>();
+  /** The weight of each request, that of its crash with fewest suspects. */
+  readonly requests = new Map<string, number>();
   readonly upstreams = new Set<string>();
   position = 0;
   isFirst = false;
@@ -98,7 +118,11 @@
   /** Adds a crash; crashes come in order of time. */
   add(crash: Crash, request: CrashedRequest, position: number): void {
     if (this.crashes.at(-1) !== crash) this.crashes.push(crash);
-    this.requests.add(request.request);
+    const weight = this.requests.get(request.request) ?? 0;
+    this.requests.set(
+      request.request,
+      Math.max(weight, 1 / crash.requests.length),
+    );
     this.upstreams.add(crash.upstream);
     this.position = Math.max(this.position, position);
     this.isFirst ||= position === 0;
@@ -120,6 +144,10 @@
     return own.size / count;
   }
 
+  get weight(): number {
+    return [...this.requests.values()].reduce((sum, weight) => sum + weight, 0);
+  }
+
   get needsMore(): boolean {
     return this.isProven || this.isFirst;
   }
@@ -170,10 +198,18 @@
     candidate.sequence >= NEW_PART_SEQUENCE &&
     candidate.requests.size >= MIN_REQUESTS &&
     (candidate.upstreams.size > 1 || length >= ONE_UPSTREAM_CRASHES) &&
-    (share >= NEW_PART_SHARE || length >= NEW_PART_CRASHES_AMONG_OTHERS)
+    ((candidate.weight >= NEW_PART_WEIGHT && share >= NEW_PART_SHARE) ||
+      length >= NEW_PART_CRASHES_AMONG_OTHERS)
   );
 }
 
+function leastUnanswered({isFirst, isProven}: Candidate): number {
+  if (!isProven) return FIRST_PART_CRASHES_UNANSWERED;
+  return isFirst
+    ? PROVEN_FIRST_PART_CRASHES_UNANSWERED
+    : PROVEN_PART_CRASHES_UNANSWERED;
+}
+
 function isOtherPartConvicted(
   candidate: Candidate,
   share: number,
@@ -182,18 +218,16 @@
   const {isProven, crashes, requests, sequence, upstreams} = candidate;
   const {length} = crashes;
   const least = isProven ? PROVEN_PART_CRASHES : FIRST_PART_CRASHES;
-  const leastUnanswered = isProven
-    ? PROVEN_PART_CRASHES_UNANSWERED
-    : FIRST_PART_CRASHES_UNANSWERED;
+  const leastWeight = isProven ? PROVEN_PART_WEIGHT : FIRST_PART_WEIGHT;
   const answersSince = answers - (crashes[0]?.answers ?? answers);
   return (
     length >= least &&
     sequence >= OTHER_PART_SEQUENCE &&
     requests.size >= MIN_REQUESTS &&
     (upstreams.size > 1 || length >= OTHER_ONE_UPSTREAM_CRASHES) &&
-    (share >= OTHER_PART_SHARE ||
+    ((candidate.weight >= leastWeight && share >= OTHER_PART_SHARE) ||
       sequence >= OTHER_PART_SEQUENCE_AMONG_OTHERS) &&
-    (answersSince >= OTHER_PART_ANSWERS || length >= leastUnanswered)
+    (answersSince >= OTHER_PART_ANSWERS || length >= leastUnanswered(candidate))
   );
 }
 
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -150,12 +150,17 @@
     const now = this.timer.now();
     const isStarting = now - this.startedAt < STARTUP_MS;
     const settleMs = isStarting ? STARTUP_SETTLE_MS : SETTLE_MS;
-    const crashes = this.log
-      .crashes()
-      .filter(crash => crash.learnedAt <= now - settleMs);
-    return blame(crashes, this.knowledge, this.answers).convicted.map(
-      ({part, crashes}) => this.decideOn(part, HoldState.Held, crashes),
+    const crashes = this.log.crashes();
+    const settled = crashes.filter(crash => crash.learnedAt <= now - settleMs);
+    const {convicted} = blame(settled, this.knowledge, this.answers);
+    if (convicted.length === 0) return [];
+    // Later crashes tell apart parts that came together so far.
+    const confirmed = new Set(
+      this.blame().convicted.map(suspect => suspect.part),
     );
+    return convicted
+      .filter(({part}) => confirmed.has(part))
+      .map(({part, crashes}) => this.decideOn(part, HoldState.Held, crashes));
   }
 
   /** Ends the decisions that are due. */
