Try a held prompt part with one request after a pause

A hold that was wrong had to wait for an operator. The instance that its caller chooses may now forward one request after ten minutes, doubling up to four hours; its answer ends the hold, its crash renews it. Measured: the tests of the decision pass.

--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -10,6 +10,7 @@
 } from './evidence.js';
 import {HoldRegister} from './holdregister.js';
 import {SoundParts} from './soundparts.js';
+import {Trials} from './trials.js';
 
 /** Time in which answers that peers saw may arrive, in ms. */
 const SETTLE_MS = 500;
@@ -31,6 +32,11 @@
 /** What a [[Quarantine]] works with. */
 export interface QuarantineOptions {
   timer: Timer;
+  /**
+   * Whether this instance tries the part for the whole fleet; without it, holds
+   * last until an operator ends them.
+   */
+  ownsTrial?: (part: string) => boolean;
 }
 
 /**
@@ -47,6 +53,8 @@
   private readonly log = new CrashLog();
   private readonly sound = new SoundParts();
   private readonly register = new HoldRegister();
+  private readonly trials = new Trials();
+  private readonly ownsTrial: (part: string) => boolean;
   /** When each part was released, in monotonic ms. */
   private readonly releases = new Map<string, number>();
   /** When each part of a suspect was cleared last, in monotonic ms. */
@@ -56,8 +64,9 @@
   private review: Subscription | undefined;
   private blameNow: Blame | undefined;
 
-  constructor({timer}: QuarantineOptions) {
+  constructor({timer, ownsTrial = () => false}: QuarantineOptions) {
     this.timer = timer;
+    this.ownsTrial = ownsTrial;
     this.startedAt = timer.now();
   }
 
@@ -77,6 +86,7 @@
       const part = parts[index];
       if (part === undefined) continue;
       this.sound.record(part, now);
+      if (this.register.isHeld(part)) this.acquit(part);
       if (!this.sound.isSuspected(part)) continue;
       this.blameNow = undefined;
       this.publishClearance(part);
@@ -88,6 +98,7 @@
     if (!this.addCrash(report)) return false;
     this.publish(report);
     this.clearKnown(report);
+    this.renewTried(report);
     return true;
   }
 
@@ -124,6 +135,25 @@
     );
   }
 
+  /** Whether this instance may try the part with one request. */
+  trialDue(part: string): boolean {
+    const hold = this.register.get(part);
+    if (hold?.state !== HoldState.Held || !this.ownsTrial(part)) return false;
+    return this.trials.isDue(hold, this.timer.now());
+  }
+
+  /**
+   * Begins a trial of the held parts of a request. If this returns true, the
+   * request is forwarded once; its answer ends the holds, its crash renews them.
+   */
+  beginTrial(parts: readonly string[]): boolean {
+    const held = parts.slice(0, -1).filter(part => this.register.isHeld(part));
+    if (held.length === 0) return false;
+    if (!held.every(part => this.trialDue(part))) return false;
+    for (const part of held) this.trials.begin(part, this.timer.now());
+    return true;
+  }
+
   /** All decisions in force, also those that released a part. */
   holds(): Hold[] {
     return this.register.list();
@@ -224,8 +254,10 @@
     switch (hold.state) {
       case HoldState.Held:
         this.releases.delete(hold.part);
+        this.trials.add(hold.part, this.timer.now());
         break;
       case HoldState.Released:
+        this.trials.remove(hold.part);
         this.releases.set(hold.part, this.timer.now());
         break;
     }
@@ -246,6 +278,25 @@
     return hold;
   }
 
+  /** Releases a held part that was answered. */
+  private acquit(part: string): void {
+    const hold = this.register.get(part);
+    if (hold === undefined || hold.crashes === 0) return;
+    // A request from before the first hold shows that the hold was wrong.
+    if (hold.revision > 1 && !this.trials.isRunning(part)) return;
+    this.decideOn(part, HoldState.Released, hold.crashes);
+  }
+
+  /** Holds parts further whose trial ended in a crash. */
+  private renewTried(report: CrashReport): void {
+    const parts = new Set(report.suspects.flatMap(suspect => suspect.parts));
+    for (const part of parts) {
+      const hold = this.register.get(part);
+      if (hold === undefined || !this.trials.isRunning(part)) continue;
+      this.decideOn(part, HoldState.Held, hold.crashes + 1);
+    }
+  }
+
   private clearKnown(report: CrashReport): void {
     for (const {parts} of report.suspects) {
       for (const part of parts) this.publishClearance(part);
--- a/test/quarantine-decision.test.ts
+++ b/test/quarantine-decision.test.ts
@@ -232,6 +232,41 @@
     expect(quarantine.holdOf(['other', 'own'])?.crashes).toBe(0);
   });
 
+  it('tries a held part once after a pause that grows', async () => {
+    let owns = false;
+    quarantine = new Quarantine({timer, ownsTrial: () => owns});
+    const prompt = ['hot', 'bad', 'own'];
+    await timer.advance(10_000);
+    answer('hot');
+    await crashInTurn(badly(3, 'hot', 'bad'));
+    await timer.advance(SETTLED_MS);
+    await timer.advance(600_000);
+    expect(quarantine.beginTrial(prompt)).toBe(false);
+    owns = true;
+    expect(quarantine.beginTrial(['hot', 'own'])).toBe(false);
+    expect(quarantine.beginTrial(prompt)).toBe(true);
+    expect(quarantine.beginTrial(prompt)).toBe(false);
+    quarantine.recordCrash(crash(timer.now(), [suspect(['hot', 'bad'])]));
+    expect(quarantine.holdOf(prompt)?.revision).toBe(2);
+    await timer.advance(1_100_000);
+    expect(quarantine.trialDue('bad')).toBe(false);
+    quarantine.recordAnswer(prompt);
+    expect(held()).toEqual(['bad']);
+    await timer.advance(100_000);
+    expect(quarantine.beginTrial(prompt)).toBe(true);
+    quarantine.recordAnswer(prompt);
+    expect(held()).toEqual([]);
+  });
+
+  it('tries no part that an operator holds', async () => {
+    quarantine = new Quarantine({timer, ownsTrial: () => true});
+    quarantine.hold('bad');
+    await timer.advance(100_000_000);
+    expect(quarantine.beginTrial(['bad', 'own'])).toBe(false);
+    answer('bad');
+    expect(held()).toEqual(['bad']);
+  });
+
   it('tells peers of answers to suspects, and not too often', async () => {
     answer('hot');
     await crashInTurn(badly(1, 'hot', 'bad'));
