--- a/src/quarantine/blame.ts
+++ b/src/quarantine/blame.ts
@@ -6,12 +6,21 @@
 /** How many of these must have come one after another. */
 const NEW_PART_SEQUENCE = 2;
 
+/**
+ * Answers that this instance must have seen from the first of these crashes to
+ * the last: if all upstreams end, requests go from one to the next.
+ */
+const NEW_PART_ANSWERS = 3;
+
+/** Crashes that convict such a part without these answers. */
+const NEW_PART_CRASHES_UNANSWERED = 4;
+
 /**
  * Weight that its requests must have: each counts as 1 divided by the number of
  * suspects of its crash, since one among many is there by chance, and once, as
  * a repeat is no independent sign.
  */
-const NEW_PART_WEIGHT = 1;
+const NEW_PART_WEIGHT = 1.25;
 
 /** Share of the crashes in its time that such a part must explain. */
 const NEW_PART_SHARE = 1 / 2;
@@ -109,6 +118,7 @@
   /** Longest sequence in which each request was sent after the last crash. */
   sequence = 0;
   private sequenceAt = -Infinity;
+  private readonly entries: Array<[Crash, CrashedRequest, number]> = [];
 
   constructor(
     readonly part: string,
@@ -117,6 +127,7 @@
 
   /** Adds a crash; crashes come in order of time. */
   add(crash: Crash, request: CrashedRequest, position: number): void {
+    this.entries.push([crash, request, position]);
     if (this.crashes.at(-1) !== crash) this.crashes.push(crash);
     const weight = this.requests.get(request.request) ?? 0;
     this.requests.set(
@@ -131,6 +142,16 @@
     this.sequenceAt = crash.at;
   }
 
+  /** The same part with its other crashes alone. */
+  without(explained: ReadonlySet<Crash>): Candidate {
+    if (!this.crashes.some(crash => explained.has(crash))) return this;
+    const rest = new Candidate(this.part, this.isProven);
+    for (const [crash, request, position] of this.entries) {
+      if (!explained.has(crash)) rest.add(crash, request, position);
+    }
+    return rest;
+  }
+
   /** Share of the crashes from its first to its last that it explains. */
   share(crashes: readonly Crash[], explained: ReadonlySet<Crash>): number {
     const own = new Set(this.crashes);
@@ -191,14 +212,23 @@
   return [...candidates.values()];
 }
 
-function isNewPartConvicted(candidate: Candidate, share: number): boolean {
-  const {length} = candidate.crashes;
+function isNewPartConvicted(
+  candidate: Candidate,
+  share: () => number,
+): boolean {
+  const {crashes} = candidate;
+  const {length} = crashes;
+  const answers = (crashes.at(-1)?.answers ?? 0) - (crashes[0]?.answers ?? 0);
+  const least =
+    answers >= NEW_PART_ANSWERS
+      ? NEW_PART_CRASHES
+      : NEW_PART_CRASHES_UNANSWERED;
   return (
-    length >= NEW_PART_CRASHES &&
+    length >= least &&
     candidate.sequence >= NEW_PART_SEQUENCE &&
     candidate.requests.size >= MIN_REQUESTS &&
     (candidate.upstreams.size > 1 || length >= ONE_UPSTREAM_CRASHES) &&
-    ((candidate.weight >= NEW_PART_WEIGHT && share >= NEW_PART_SHARE) ||
+    ((candidate.weight >= NEW_PART_WEIGHT && share() >= NEW_PART_SHARE) ||
       length >= NEW_PART_CRASHES_AMONG_OTHERS)
   );
 }
@@ -212,7 +242,7 @@
 
 function isOtherPartConvicted(
   candidate: Candidate,
-  share: number,
+  share: () => number,
   answers: number,
 ): boolean {
   const {isProven, crashes, requests, sequence, upstreams} = candidate;
@@ -225,7 +255,7 @@
     sequence >= OTHER_PART_SEQUENCE &&
     requests.size >= MIN_REQUESTS &&
     (upstreams.size > 1 || length >= OTHER_ONE_UPSTREAM_CRASHES) &&
-    ((candidate.weight >= leastWeight && share >= OTHER_PART_SHARE) ||
+    ((candidate.weight >= leastWeight && share() >= OTHER_PART_SHARE) ||
       sequence >= OTHER_PART_SEQUENCE_AMONG_OTHERS) &&
     (answersSince >= OTHER_PART_ANSWERS || length >= leastUnanswered(candidate))
   );
@@ -305,12 +335,11 @@
     );
     if (isExplained) explained.add(crash);
   }
-  const fresh = collect(crashes, knowledge, explained).filter(
-    candidate => !candidate.needsMore,
-  );
+  const candidates = collect(crashes, knowledge, explained);
+  const fresh = candidates.filter(candidate => !candidate.needsMore);
   const convicted = convictNewParts(
     fresh.filter(candidate =>
-      isNewPartConvicted(candidate, candidate.share(crashes, explained)),
+      isNewPartConvicted(candidate, () => candidate.share(crashes, explained)),
     ),
     explained,
   );
@@ -325,14 +354,16 @@
     if (candidate.crashes.length < NEW_PART_CRASHES) continue;
     for (const crash of candidate.crashes) covered.add(crash);
   }
+  let others = candidates.filter(candidate => candidate.needsMore);
   for (;;) {
-    const others = collect(crashes, knowledge, covered).filter(
-      candidate => candidate.needsMore,
-    );
+    others = others
+      .map(candidate => candidate.without(covered))
+      .filter(({crashes}) => crashes.length >= PROVEN_SUSPICION_CRASHES);
     const best = strongest(others);
     if (best === undefined) return {convicted, suspected};
     const count = best.crashes.length;
-    if (isOtherPartConvicted(best, best.share(crashes, explained), answers)) {
+    const share = () => best.share(crashes, explained);
+    if (isOtherPartConvicted(best, share, answers)) {
       convicted.push(best.summary(count));
       for (const crash of best.crashes) explained.add(crash);
     } else if (count >= suspicionCrashes(best)) {
--- a/src/quarantine/crashlog.ts
+++ b/src/quarantine/crashlog.ts
@@ -9,8 +9,8 @@
 /** Most suspects that are kept of a report. */
 const MAX_SUSPECTS = 16;
 
-/** Most parts that are kept of a suspect. */
-const MAX_PARTS = 64;
+/** Most parts that are kept, counted in each suspect; the oldest go first. */
+const MAX_PARTS = 20_000;
 
 /**
  * Time in which reports on an upstream whose process states no start are taken
@@ -46,6 +46,8 @@
   learnedAt: number;
   answers: number;
   requests: Map<string, CrashedRequest>;
+  /** Number of parts of all its requests. */
+  partCount: number;
 }
 
 function keyOf(report: CrashReport): string {
@@ -66,6 +68,7 @@
 /** The newest crash reports, in a bounded number. */
 export class CrashLog {
   private readonly reports = new Map<string, LoggedReport>();
+  private partCount = 0;
 
   /** Records a report and returns whether it states anything new. */
   add(report: CrashReport, now: number, answers: number): boolean {
@@ -82,6 +85,7 @@
         learnedAt: now,
         answers,
         requests: new Map(),
+        partCount: 0,
       };
       this.reports.set(key, logged);
     }
@@ -95,14 +99,17 @@
         continue;
       }
       if (logged.requests.size >= MAX_SUSPECTS) break;
-      const kept = parts.slice(0, MAX_PARTS);
-      logged.requests.set(request, {request, parts: kept, sentAt});
+      logged.requests.set(request, {request, parts: [...parts], sentAt});
+      logged.partCount += parts.length;
+      this.partCount += parts.length;
       news = true;
     }
-    if (this.reports.size <= MAX_REPORTS) return news;
-    const oldest = [...this.reports.values()].sort(compareReports)[0];
-    if (oldest !== undefined) this.reports.delete(oldest.key);
-    return news && oldest !== logged;
+    if (!this.isFull) return news;
+    for (const oldest of [...this.reports.values()].sort(compareReports)) {
+      this.remove(oldest);
+      if (!this.isFull) break;
+    }
+    return news && this.reports.has(key);
   }
 
   /** Drops reports that are too old, and returns whether there were any. */
@@ -110,7 +117,7 @@
     let pruned = false;
     for (const report of this.reports.values()) {
       if (report.at > now - REPORT_AGE_MS) continue;
-      this.reports.delete(report.key);
+      this.remove(report);
       pruned = true;
     }
     return pruned;
@@ -149,4 +156,13 @@
     }
     return crashes;
   }
+
+  private get isFull(): boolean {
+    return this.reports.size > MAX_REPORTS || this.partCount > MAX_PARTS;
+  }
+
+  private remove(report: LoggedReport): void {
+    this.reports.delete(report.key);
+    this.partCount -= report.partCount;
+  }
 }
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -24,9 +24,12 @@
 /** Shortest time between two clearances of a part, in ms. */
 const CLEARANCE_PERIOD_MS = 500;
 
-/** Time between two looks at what is known while there are crashes, in ms. */
+/** Time between two decisions, in ms. */
 const REVIEW_PERIOD_MS = 250;
 
+/** Time after the newest crash in which decisions are made, in ms. */
+const REVIEW_MS = 60_000;
+
 const NO_BLAME: Blame = {convicted: [], suspected: []};
 
 /** What a [[Quarantine]] works with. */
@@ -61,6 +64,8 @@
   private readonly clearedAt = new Map<string, number>();
   private readonly listeners = new Set<(evidence: Evidence) => void>();
   private answers = 0;
+  /** When a crash was learned last, in monotonic ms. */
+  private newsAt = -Infinity;
   private review: Subscription | undefined;
   private blameNow: Blame | undefined;
 
@@ -80,7 +85,8 @@
    * Records an own request whose answer had a complete event or ended whole.
    */
   recordAnswer(parts: readonly string[]): void {
-    const now = this.timer.now();
+    // A whole number takes no memory of its own.
+    const now = Math.round(this.timer.now());
     this.answers++;
     for (let index = 0; index < parts.length - 1; index++) {
       const part = parts[index];
@@ -88,7 +94,7 @@
       this.sound.record(part, now);
       if (this.register.isHeld(part)) this.acquit(part);
       if (!this.sound.isSuspected(part)) continue;
-      this.blameNow = undefined;
+      this.exonerate(part);
       this.publishClearance(part);
     }
   }
@@ -185,6 +191,7 @@
     const {convicted} = blame(settled, this.knowledge, this.answers);
     if (convicted.length === 0) return [];
     // Later crashes tell apart parts that came together so far.
+    this.blameNow = undefined;
     const confirmed = new Set(
       this.blame().convicted.map(suspect => suspect.part),
     );
@@ -217,6 +224,7 @@
     const isNews = this.log.add(report, this.timer.now(), this.answers);
     this.blameNow = undefined;
     if (!isNews) return false;
+    this.newsAt = this.timer.now();
     this.sound.suspect(this.log.parts());
     this.review ??= this.timer.every(REVIEW_PERIOD_MS, () => {
       this.reviewCrashes();
@@ -234,14 +242,14 @@
       if (parts.size === 0) this.stop();
       this.blameNow = undefined;
     }
-    this.decide();
+    if (this.timer.now() - this.newsAt <= REVIEW_MS) this.decide();
   }
 
   private addClearance({part, at}: Clearance): boolean {
     const known = this.sound.answeredAt(part);
     if (known !== undefined && known >= at) return false;
     this.sound.record(part, at);
-    this.blameNow = undefined;
+    this.exonerate(part);
     if (!this.sound.isSuspected(part)) return known === undefined;
     const clearedAt = this.clearedAt.get(part);
     this.clearedAt.set(part, Math.max(clearedAt ?? -Infinity, at));
@@ -278,6 +286,16 @@
     return hold;
   }
 
+  /** Lets the parts under suspicion be found anew if this is one. */
+  private exonerate(part: string): void {
+    if (this.blameNow === undefined) return;
+    const {convicted, suspected} = this.blameNow;
+    const isBlamed = [convicted, suspected].some(list =>
+      list.some(suspect => suspect.part === part),
+    );
+    if (isBlamed) this.blameNow = undefined;
+  }
+
   /** Releases a held part that was answered. */
   private acquit(part: string): void {
     const hold = this.register.get(part);
--- a/src/quarantine/soundparts.ts
+++ b/src/quarantine/soundparts.ts
@@ -1,12 +1,14 @@
 /** Most parts whose last answer is remembered, without those of suspects. */
-const MAX_PARTS = 10_000;
+const MAX_PARTS = 8000;
 
 /**
- * When each part was last answered. The part that was answered least recently
- * goes first; those of suspects stay as long as the crash reports do.
+ * When each part was last answered. Parts are kept in two halves: a part that
+ * is answered goes to the newer one, and when that is full, the older one is
+ * dropped. Those of suspects stay as long as the crash reports do.
  */
 export class SoundParts {
-  private readonly recent = new Map<string, number>();
+  private newer = new Map<string, number>();
+  private older = new Map<string, number>();
   private readonly suspected = new Map<string, number | undefined>();
 
   /** Whether the part stands in a crash report. */
@@ -16,22 +18,23 @@
 
   /** Time of the last known answer, in monotonic ms. */
   answeredAt(part: string): number | undefined {
-    return this.suspected.get(part) ?? this.recent.get(part);
+    return (
+      this.suspected.get(part) ?? this.newer.get(part) ?? this.older.get(part)
+    );
   }
 
   /** Records an answer; an earlier one than that known has no effect. */
   record(part: string, at: number): void {
-    const known = this.answeredAt(part);
-    const last = known === undefined ? at : Math.max(known, at);
     if (this.isSuspected(part)) {
-      this.suspected.set(part, last);
+      const known = this.suspected.get(part) ?? at;
+      this.suspected.set(part, Math.max(known, at));
       return;
     }
-    this.recent.delete(part);
-    this.recent.set(part, last);
-    if (this.recent.size <= MAX_PARTS) return;
-    const [oldest] = this.recent.keys();
-    if (oldest !== undefined) this.recent.delete(oldest);
+    const known = this.newer.get(part) ?? this.older.get(part) ?? at;
+    this.newer.set(part, Math.max(known, at));
+    if (this.newer.size < MAX_PARTS / 2) return;
+    this.older = this.newer;
+    this.newer = new Map();
   }
 
   /** Keeps the parts of the suspects apart from the others. */
@@ -43,8 +46,7 @@
     }
     for (const part of parts) {
       if (this.suspected.has(part)) continue;
-      this.suspected.set(part, this.recent.get(part));
-      this.recent.delete(part);
+      this.suspected.set(part, this.answeredAt(part));
     }
   }
 }
