--- /dev/null
+++ b/src/quarantine/soundparts.ts
@@ -0,0 +1,52 @@
+/** Most parts whose last answer is remembered, without those of suspects. */
+const MAX_PARTS = 8000;
+
+/**
+ * When each part was last answered. Parts are kept in two halves: a part that
+ * is answered goes to the newer one, and when that is full, the older one is
+ * dropped. Those of suspects stay as long as the crash reports do.
+ */
+export class SoundParts {
+  private newer = new Map<string, number>();
+  private older = new Map<string, number>();
+  private readonly suspected = new Map<string, number | undefined>();
+
+  /** Whether the part stands in a crash report. */
+  isSuspected(part: string): boolean {
+    return this.suspected.size > 0 && this.suspected.has(part);
+  }
+
+  /** Time of the last known answer, in monotonic ms. */
+  answeredAt(part: string): number | undefined {
+    return (
+      this.suspected.get(part) ?? this.newer.get(part) ?? this.older.get(part)
+    );
+  }
+
+  /** Records an answer; an earlier one than that known has no effect. */
+  record(part: string, at: number): void {
+    if (this.isSuspected(part)) {
+      const known = this.suspected.get(part) ?? at;
+      this.suspected.set(part, Math.max(known, at));
+      return;
+    }
+    const known = this.newer.get(part) ?? this.older.get(part) ?? at;
+    this.newer.set(part, Math.max(known, at));
+    if (this.newer.size < MAX_PARTS / 2) return;
+    this.older = this.newer;
+    this.newer = new Map();
+  }
+
+  /** Keeps the parts of the suspects apart from the others. */
+  suspect(parts: ReadonlySet<string>): void {
+    for (const [part, at] of this.suspected) {
+      if (parts.has(part)) continue;
+      this.suspected.delete(part);
+      if (at !== undefined) this.record(part, at);
+    }
+    for (const part of parts) {
+      if (this.suspected.has(part)) continue;
+      this.suspected.set(part, this.answeredAt(part));
+    }
+  }
+}
