Bound the bytes of an answer outside of its head and body

Bytes that are no answer could go on until the deadline of the request, which then got a 504 with nothing tried elsewhere; after an answer they went on until the connection's keep-alive time was over. The instance kept reading and parsing meanwhile.

Cause: the HTTP client bounds the sum of a head's fields, but not a status line, spaces before a value, interim answers, blank lines before and after an answer, the digits of a chunk's size, or its extension, since its parser skips these.

A connection now closes once it has read 256 KiB without a head or bytes of a body among them. The error reaches the attempt as any failure of the connection does: broken, counted for the upstream's health, retried where that is allowed. A failure or event that is too long now counts as ended by the upstream too, like these.

Ruled out: a bound on time alone (a busy engine is silent for seconds, and an interim answer may rightly say so); counting in the parser (the client has no such option).

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -59,7 +59,10 @@
 
 /** What ended a broken attempt. */
 export enum BreakCause {
-  /** The upstream closed or reset the connection, or sent invalid bytes. */
+  /**
+   * The upstream closed or reset the connection, or sent bytes that are invalid
+   * or too many.
+   */
   Upstream = 'upstream',
   /** The attempt was aborted here. */
   Abort = 'abort',
@@ -180,7 +183,9 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
-    if (status < 200 || this.settled) return;
+    if (status < 200) return;
+    this.connection.noteProgress();
+    if (this.settled) return;
     const {protocol, request, endpoint, timer, sink} = this.spec;
     const now = timer.now();
     endpoint.lastHeardAt = now;
@@ -221,6 +226,7 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    this.connection.noteProgress();
     if (this.refusalTimeout !== undefined) {
       this.buffered.push(chunk);
       if (this.buffered.length > REFUSAL_BODY_LIMIT_BYTES) {
@@ -272,7 +278,7 @@
     const {head} = this;
     if (head === undefined) return;
     if (head.status >= 300) {
-      this.abort('a failure that is too long');
+      this.abort('a failure that is too long', BreakCause.Upstream);
       return;
     }
     this.deliveryStarted = true;
@@ -291,14 +297,14 @@
     const {sink} = this.spec;
     const wantsMore = sink.data(chunk, () => controller.resume());
     if (sink.heldBytes > BUFFER_LIMIT_BYTES) {
-      this.abort('an event that is too long');
+      this.abort('an event that is too long', BreakCause.Upstream);
     } else if (!wantsMore) controller.pause();
   }
 
-  private abort(cause: string): void {
+  private abort(cause: string, endedBy = BreakCause.Abort): void {
     const {controller} = this;
     if (controller === undefined) this.settle({type: 'unsent', cause});
-    else this.break(cause, BreakCause.Abort);
+    else this.break(cause, endedBy);
     controller?.abort(new Interruption());
   }
 
--- a/src/forward/connections.ts
+++ b/src/forward/connections.ts
@@ -10,6 +10,11 @@
 const KEEP_ALIVE_MARGIN_MS = 1_500;
 /** Keep-alive time when the upstream announces none, in ms. */
 const DEFAULT_KEEP_ALIVE_MS = 3_000;
+/**
+ * Most bytes that are read without a head or bytes of a body among them. Bytes
+ * of a body whose reading is paused stay far below.
+ */
+const BARREN_BYTES_LIMIT = 256 * 1024;
 
 /** A connection to an upstream that carries one request at a time. */
 export class Connection {
@@ -19,6 +24,8 @@
   hasResponded = false;
   open = true;
   private readonly client: Client;
+  /** Whether a part of a response came since bytes were last read. */
+  private hasProgressed = false;
 
   constructor(
     origin: string,
@@ -29,7 +36,10 @@
     this.client = new Client(origin, {
       connect: (options, callback) =>
         connector({...options, localAddress}, (...result) => {
-          if (result[0] === null) this.watchForReset(result[1]);
+          if (result[0] === null) {
+            this.watchForReset(result[1]);
+            this.watchForBarrenBytes(result[1]);
+          }
           callback(...result);
         }),
       pipelining: 1,
@@ -58,6 +68,26 @@
     void this.client.destroy();
   }
 
+  /** Notes that a head or bytes of a body were received. */
+  noteProgress(): void {
+    this.hasProgressed = true;
+  }
+
+  /**
+   * Closes the connection on bytes without end that the HTTP client neither
+   * keeps nor passes on, such as interim responses or a chunk's extension.
+   */
+  private watchForBarrenBytes(socket: Socket): void {
+    let progressAt = 0;
+    socket.on('readable', () => {
+      if (this.hasProgressed) progressAt = socket.bytesRead;
+      this.hasProgressed = false;
+      if (socket.bytesRead - progressAt > BARREN_BYTES_LIMIT) {
+        socket.destroy(new BarrenBytes());
+      }
+    });
+  }
+
   /**
    * For a response without a length, the HTTP client takes the bytes before a
    * reset for the complete body, so resets are recorded from the socket.
@@ -74,6 +104,12 @@
   }
 }
 
+/** The upstream sent too many bytes that belong to no response. */
+class BarrenBytes extends Error {
+  override name = 'BarrenBytes';
+  override message = 'too many bytes outside of a head or body';
+}
+
 /** Idle and new connections of this instance to one upstream. */
 export class ConnectionPool {
   private readonly idle: Connection[] = [];
--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -1,3 +1,4 @@
+import {connect} from 'node:net';
 import {afterEach, describe, expect, test, vi} from 'vitest';
 import {Flood} from './support/flood.js';
 import {
@@ -218,3 +219,118 @@
   }
   expect(sockets.size).toBe(1);
 });
+
+const STATUS = 'HTTP/1.1 200 OK\r\n';
+
+describe('an answer with endless bytes outside its body', () => {
+  test.each<EndlessAnswer>([
+    {name: 'header lines', start: () => STATUS, unit: 'x: y\r\n'},
+    {name: 'a header', start: () => `${STATUS}x: `, unit: 'y'},
+    {name: 'spaces in a header', start: () => `${STATUS}x:`, unit: ' '},
+    {name: 'a status line', start: () => 'HTTP/1.1 200 ', unit: 'x'},
+    {
+      name: 'interim answers',
+      start: () => '',
+      unit: 'HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n',
+    },
+    {name: 'blank lines', start: () => '', unit: '\r\n'},
+    {name: 'bytes that are no answer', start: () => '', unit: '?'},
+    {name: 'a chunk size', start: id => successHead(id, CHUNKED), unit: '0'},
+    {
+      name: 'the extension of a chunk',
+      start: id => `${successHead(id, CHUNKED)}4\r\nabcd\r\n4;x=`,
+      unit: 'y',
+    },
+    {
+      name: 'trailers',
+      start: id => `${successHead(id, CHUNKED)}4\r\nabcd\r\n0\r\n`,
+      unit: 'x: y\r\n',
+    },
+    {
+      name: 'spaces in a trailer',
+      start: id => `${successHead(id, CHUNKED)}4\r\nabcd\r\n0\r\nx:`,
+      unit: ' ',
+    },
+  ])('$name is broken off', expectBroken);
+
+  test.each(['\r\n', '?', STATUS])(
+    '%j after its end keeps what was whole',
+    async unit => {
+      const length = 'Content-Length: 2\r\n';
+      const {gateway} = await startWith(
+        'plain',
+        flood({
+          name: 'after its end',
+          start: id => `${successHead(id, length)}ok`,
+          unit,
+        }),
+      );
+      const response = await call(gateway.port, '/order/a', 'r1', {
+        method: 'POST',
+      });
+      expect([response?.status, response?.body]).toEqual([200, 'ok']);
+      await untilClosed();
+    },
+  );
+});
+
+/** Reads an answer with pauses; resolves to the number of bytes received. */
+function readSlowly(
+  port: number,
+  path: string,
+  bytes: number,
+): Promise<number> {
+  return new Promise(resolve => {
+    const socket = connect(port, '127.0.0.1');
+    socket.write(
+      `POST ${path} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r1\r\n` +
+        'Authorization: Bearer key-one\r\nContent-Length: 0\r\n\r\n',
+    );
+    let received = 0;
+    const finish = () => {
+      socket.destroy();
+      resolve(received);
+    };
+    socket.on('data', chunk => {
+      received += chunk.length;
+      if (received >= bytes) return finish();
+      socket.pause();
+      setTimeout(() => socket.resume(), 2);
+    });
+    socket.on('error', finish);
+    socket.on('close', finish);
+  });
+}
+
+describe('a caller that reads slowly', () => {
+  const body = 'id: 1\ndata: x\n\n'.repeat(700_000);
+  test.each([
+    {name: 'a plain body', path: '/order/a', type: ''},
+    {
+      name: 'a stream',
+      path: '/order/a',
+      type: 'Content-Type: text/event-stream\r\n',
+    },
+    {
+      name: 'a resumable stream',
+      path: '/chat/a',
+      type: 'Content-Type: text/event-stream\r\n',
+    },
+  ])('receives the whole of $name', async ({path, type}) => {
+    const {gateway, logLines} = await startWith(
+      path === '/chat/a' ? 'engine' : 'plain',
+      ({id, socket}) => {
+        const length = `Content-Length: ${body.length}\r\n`;
+        socket.write(successHead(id, type + length) + body);
+      },
+    );
+    const received = await readSlowly(gateway.port, path, body.length);
+    expect(received).toBeGreaterThanOrEqual(body.length);
+    await vi.waitFor(() =>
+      expect(logLines.at(-1)).toMatchObject({
+        event: 'ended',
+        outcome: 'answered',
+      }),
+    );
+  });
+});
