--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -1,72 +1,23 @@
 import {connect} from 'node:net';
 import {afterEach, describe, expect, test, vi} from 'vitest';
-import {Flood} from './support/flood.js';
 import {
-  call,
-  startTestGateway,
-  RawUpstream,
-  successHead,
-  type RawRequest,
-  type TestGateway,
-} from './support/gateway.js';
+  CHUNKED,
+  closeAll,
+  END_MS,
+  failureHead,
+  flood,
+  PROMPT,
+  REFUSAL,
+  startWith,
+  STATUS,
+  STREAM,
+  UNFRAMED,
+  untilClosed,
+  type EndlessAnswer,
+} from './support/endless.js';
+import {call, successHead, type RawRequest} from './support/gateway.js';
 
-/** Time in which an endless answer is ended, in ms; deadlines are later. */
-const END_MS = 1_000;
-
-const upstreams: RawUpstream[] = [];
-const gateways: TestGateway[] = [];
-const floods: Flood[] = [];
-
-afterEach(async () => {
-  floods.length = 0;
-  for (const upstream of upstreams.splice(0)) upstream.close();
-  await Promise.all(gateways.splice(0).map(({gateway}) => gateway.stop()));
-});
-
-async function startWith(
-  service: string,
-  respond: (request: RawRequest) => void,
-  ids = ['i-1'],
-): Promise<TestGateway> {
-  const entries = [];
-  for (const id of ids) {
-    const upstream = new RawUpstream(respond);
-    upstreams.push(upstream);
-    entries.push({service, id, port: await upstream.listen()});
-  }
-  const started = await startTestGateway(entries, 300);
-  gateways.push(started);
-  return started;
-}
-
-/** An answer whose bytes go on for ever. */
-interface EndlessAnswer {
-  name: string;
-  /** The bytes before those that repeat. */
-  start: (id: string) => string;
-  /** The bytes that repeat. */
-  unit: string;
-}
-
-function flood({start, unit}: EndlessAnswer) {
-  return ({id, socket}: RawRequest) => {
-    socket.write(start(id));
-    floods.push(new Flood(socket, unit));
-  };
-}
-
-async function untilClosed(): Promise<void> {
-  await vi.waitFor(
-    () => {
-      expect(floods.length).toBeGreaterThan(0);
-      expect(floods.every(({closed}) => closed)).toBe(true);
-    },
-    {timeout: END_MS},
-  );
-}
-
-const CHUNKED = 'Transfer-Encoding: chunked\r\n';
-const UNFRAMED = 'Connection: close\r\n';
+afterEach(closeAll);
 
 /** Expects a 502 long before the deadline, and a closed connection. */
 async function expectBroken(answer: EndlessAnswer): Promise<void> {
@@ -78,9 +29,6 @@
   await untilClosed();
 }
 
-const failureHead = (id: string, more: string) =>
-  `HTTP/1.1 500 No\r\nX-Request-Id: ${id}\r\n${more}\r\n`;
-
 describe('a failure with an endless body', () => {
   test.each<EndlessAnswer>([
     {
@@ -111,13 +59,6 @@
   expect([response?.status, response?.body.length]).toEqual([500, 200_000]);
 });
 
-const STREAM = 'Content-Type: text/event-stream\r\n';
-const PROMPT = {
-  'x-model': 'm',
-  'x-token-counts': '10,10',
-  'x-prompt-prefix': 'a:5,b:5',
-};
-
 describe('a resumable stream with an endless event', () => {
   test.each<EndlessAnswer>([
     {
@@ -153,8 +94,6 @@
   });
 });
 
-const REFUSAL = 'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n';
-
 /** Expects a refusal long before the deadline. */
 async function expectRefusal(
   respond: (request: RawRequest) => void,
@@ -220,8 +159,6 @@
   expect(sockets.size).toBe(1);
 });
 
-const STATUS = 'HTTP/1.1 200 OK\r\n';
-
 describe('an answer with endless bytes outside its body', () => {
   test.each<EndlessAnswer>([
     {name: 'header lines', start: () => STATUS, unit: 'x: y\r\n'},
