Send streams of events in chunks to callers, whatever their framing was

A caller could take an unframed stream that this instance had cut for whole. The cut was a reset, but a reset that is read together with the last bytes looks like a close to callers on Node, as it does to the instance itself (docs/design/platform.md). Where only whole events had been passed on, nothing else told of the break.

Cause: answers without framing were passed on so, since their end may hide a crash. For a stream its last event tells whether it is whole, so that doubt is gone.

A stream is now sent in chunks; its last chunk is sent if it ended at the end of an event, and a cut lacks it. Plain answers without framing stay as they are, and a cut resets.

--- a/src/forward/reply.ts
+++ b/src/forward/reply.ts
@@ -27,14 +27,15 @@
   }
 
   /**
-   * Sends the head of a streamed response. The length of a stream of events is
-   * not passed on: a break inside its last event could not be shown after it.
+   * Sends the head of a streamed response. A stream of events is sent in chunks
+   * whatever its framing was: its last event tells whether it is whole, and a
+   * break can be shown up to its end.
    */
   start(head: ReceivedHead): void {
     const headers = head.isEventStream
-      ? withoutLength(head.forwardedHeaders)
-      : head.forwardedHeaders;
-    this.response.writeHead(head.status, this.headersOf(head, headers));
+      ? this.withClosing(withoutLength(head.forwardedHeaders))
+      : this.headersOf(head, head.forwardedHeaders);
+    this.response.writeHead(head.status, headers);
     this.response.flushHeaders();
   }
 
--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -271,3 +271,76 @@
     );
   });
 });
+
+test('a head that drips on for ever ends at the deadline', async () => {
+  let closed = false;
+  const {gateway} = await startWith('plain', ({socket}) => {
+    socket.write(STATUS);
+    const drip = setInterval(() => socket.write('x: y\r\n'), 20);
+    socket.on('close', () => {
+      clearInterval(drip);
+      closed = true;
+    });
+  });
+  const response = await call(gateway.port, '/order/a', 'r1', {
+    method: 'POST',
+    headers: {'x-deadline-ms': '400'},
+  });
+  expect(response?.status).toBe(504);
+  await vi.waitFor(() => expect(closed).toBe(true), {timeout: END_MS});
+});
+
+describe('a successful answer with an endless body', () => {
+  test.each<EndlessAnswer>([
+    {
+      name: 'in chunks',
+      start: id => successHead(id, CHUNKED),
+      unit: '4\r\nabcd\r\n',
+    },
+    {
+      name: 'of an event that cannot be resumed',
+      start: id => `${successHead(id, STREAM + UNFRAMED)}data: `,
+      unit: 'x',
+    },
+  ])('$name ends at the deadline and never looks whole', async answer => {
+    const {gateway} = await startWith('plain', flood(answer));
+    const response = await call(gateway.port, '/order/a', 'r1', {
+      method: 'POST',
+      headers: {'x-deadline-ms': '400'},
+    });
+    expect(response?.status).toBe(200);
+    expect(response?.complete).toBe(false);
+    await untilClosed();
+  });
+
+  test('without framing ends with a reset at the deadline', async () => {
+    const {gateway} = await startWith(
+      'plain',
+      flood({
+        name: 'without framing',
+        start: id => successHead(id, UNFRAMED),
+        unit: 'x',
+      }),
+    );
+    const socket = connect(gateway.port, '127.0.0.1');
+    let wasReset = false;
+    socket.on('error', () => {
+      wasReset = true;
+    });
+    // A reset that is read with the last bytes ends the socket like a close,
+    // but leaves it without a remote address.
+    socket.on('end', () => {
+      wasReset ||= socket.remoteAddress === undefined;
+    });
+    const closed = new Promise(resolve => socket.on('close', resolve));
+    socket.resume();
+    socket.write(
+      'POST /order/a HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r1\r\n' +
+        'X-Deadline-Ms: 400\r\nAuthorization: Bearer key-one\r\n' +
+        'Content-Length: 0\r\n\r\n',
+    );
+    await closed;
+    expect(wasReset).toBe(true);
+    await untilClosed();
+  });
+});
--- a/test/stream-end.test.ts
+++ b/test/stream-end.test.ts
@@ -102,14 +102,14 @@
     const answer = await sendResumable(request =>
       sendStream(request, framing, CUT),
     );
-    // A caller sees a reset as an error rather than a response.
-    expect(answer?.complete).not.toBe(true);
-    expect(answer?.body ?? '').not.toContain('id: 4');
+    expect(answer?.status).toBe(200);
+    expect(answer?.complete).toBe(false);
+    expect(answer?.body).not.toContain('id: 4');
   });
 
   test('that cannot be resumed and ends inside an event never looks complete', async () => {
     const answer = await sendOnce(request => sendStream(request, framing, CUT));
-    expect(answer?.complete).not.toBe(true);
+    expect(answer?.complete).toBe(false);
   });
 
   test('that ends at the end of an event is whole', async () => {
@@ -128,7 +128,7 @@
     socket.write(`${successHead(id, head)}${events(1, 3)}`);
     setTimeout(() => socket.resetAndDestroy(), 30);
   });
-  expect(answer?.complete).not.toBe(true);
+  expect(answer?.complete).toBe(false);
 });
 
 describe('the end of an event', () => {
