--- a/src/forward/connections.ts
+++ b/src/forward/connections.ts
@@ -24,9 +24,8 @@
   hasResponded = false;
   open = true;
   private readonly client: Client;
-  private socket?: Socket;
-  /** Bytes read up to the last part of a response. */
-  private fruitfulBytes = 0;
+  /** Whether a part of a response came since bytes were last read. */
+  private hasProgressed = false;
 
   constructor(
     origin: string,
@@ -37,7 +36,10 @@
     this.client = new Client(origin, {
       connect: (options, callback) =>
         connector({...options, localAddress}, (...result) => {
-          if (result[0] === null) this.watch(result[1]);
+          if (result[0] === null) {
+            this.watchForReset(result[1]);
+            this.watchForBarrenBytes(result[1]);
+          }
           callback(...result);
         }),
       pipelining: 1,
@@ -68,14 +70,7 @@
 
   /** Notes that a head or bytes of a body were received. */
   noteProgress(): void {
-    this.fruitfulBytes = this.socket?.bytesRead ?? 0;
-  }
-
-  private watch(socket: Socket): void {
-    this.socket = socket;
-    this.fruitfulBytes = 0;
-    this.watchForReset(socket);
-    this.watchForBarrenBytes(socket);
+    this.hasProgressed = true;
   }
 
   /**
@@ -83,9 +78,13 @@
    * keeps nor passes on, such as interim responses or a chunk's extension.
    */
   private watchForBarrenBytes(socket: Socket): void {
+    let progressAt = 0;
     socket.on('readable', () => {
-      const bytes = socket.bytesRead - this.fruitfulBytes;
-      if (bytes > BARREN_BYTES_LIMIT) socket.destroy(new BarrenBytes());
+      if (this.hasProgressed) progressAt = socket.bytesRead;
+      this.hasProgressed = false;
+      if (socket.bytesRead - progressAt > BARREN_BYTES_LIMIT) {
+        socket.destroy(new BarrenBytes());
+      }
     });
   }
 
