--- a/src/fleet/gossip.ts
+++ b/src/fleet/gossip.ts
@@ -209,6 +209,8 @@
   private sendIfDue(): void {
     const now = this.parts.timer.now();
     this.peerLoads.sweep(now);
+    // A round that another reason caused may have served the last request.
+    if (this.evidence.isPending) this.send();
     const isIdle = this.parts.loads().length === 0 && this.prompts.length === 0;
     const dueMs = isIdle && this.wasIdle ? IDLE_ROUND_MS : this.roundMs();
     // The timer may fire slightly early.
