Refuse prompts with a part that crashes upstreams

Cause: an instance judged each broken answer by its upstream alone. The retry sent the request to the next engine, and nothing remembered what the broken requests had in common.

PromptGuard takes an answer that its upstream broke off between head and first event, asks on a connection of its own whether a process still listens there, and reports a crash with the parts of the suspects. Quarantine decides, told of answers as well. A held part's requests are refused with 503, not run, also those that wait, are retried or taken over; a request isn't sent again after two such breaks. Prompts wait until the holds of the store are known. The log has `crash`, `hold` and `held`, and /metrics three more values.

Ruled out: load (engines ended by one or two streams) and faults of machines (no other service lost an upstream).

--- a/bench/fleet/simulatedquarantine.ts
+++ b/bench/fleet/simulatedquarantine.ts
@@ -62,6 +62,7 @@
     const suspects = parts.map((part, index) => ({
       request: `${upstream}-request-${index}`,
       parts: [part],
+      openMs: 0,
     }));
     const at = this.timer.now();
     const report = {upstream, startedAt: 1, reporter: this.name, suspects, at};
--- a/src/fleet/evidencemessage.ts
+++ b/src/fleet/evidencemessage.ts
@@ -16,8 +16,8 @@
 /** Age of what an item tells, in ms, as monotonic clocks can't be compared. */
 const ageSchema = z.number().min(0);
 
-/** Id of a request, then the ids of its parts. */
-const suspectSchema = z.tuple([z.string()], z.string());
+/** Id of a request, its time at the upstream in ms, then the ids of its parts. */
+const suspectSchema = z.tuple([z.string(), z.number().min(0)], z.string());
 
 /** Item of evidence, without names to keep messages small. */
 const evidenceSchema = z.union([
@@ -59,10 +59,13 @@
   switch (evidence.type) {
     case 'crash': {
       const {upstream, startedAt, reporter, at, suspects} = evidence;
-      const wire = suspects.map(({request, parts}): [string, ...string[]] => [
-        request,
-        ...parts,
-      ]);
+      const wire = suspects.map(
+        ({request, openMs, parts}): [string, number, ...string[]] => [
+          request,
+          Math.round(openMs),
+          ...parts,
+        ],
+      );
       const ageMs = ageOf(at, now);
       return [EvidenceKind.Crash, upstream, startedAt, reporter, ageMs, wire];
     }
@@ -85,9 +88,10 @@
   switch (wire[0]) {
     case EvidenceKind.Crash: {
       const [, upstream, startedAt, reporter, ageMs, items] = wire;
-      const suspects = items.map(([request, ...parts]): Suspect => ({
+      const suspects = items.map(([request, openMs, ...parts]): Suspect => ({
         request,
         parts,
+        openMs,
       }));
       const at = now - ageMs;
       return {type: 'crash', upstream, startedAt, reporter, suspects, at};
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -4,6 +4,7 @@
 export {Gossip} from './gossip.js';
 export type {Datagrams} from './datagrams.js';
 export type {GossipParts} from './gossip.js';
+export {ownsKey} from './ownership.js';
 export {HoldRecords, isHoldRecord} from './holdrecords.js';
 export {PeerLoads} from './loads.js';
 export type {LoadReport, PeerLoad} from './loads.js';
--- a/src/fleet/loads.ts
+++ b/src/fleet/loads.ts
@@ -111,6 +111,13 @@
     return count;
   }
 
+  /** Names of the instances and zones heard of recently. */
+  activeOrigins(now: number): string[] {
+    return [...this.reports]
+      .filter(([, {at}]) => now - at <= MAX_LOAD_AGE_MS)
+      .map(([from]) => from);
+  }
+
   /**
    * The most urgent tier with a long-waiting request for a service at another
    * instance; `Infinity` if there is none.
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -113,6 +113,8 @@
   signal: AbortSignal;
   /** Called when the request is about to be written to its connection. */
   sent?(): void;
+  /** Called when the first event of a stream is complete. */
+  advanced?(): void;
   /**
    * Called with the head of the response; returns whether the upstream asks for
    * a pause in it.
@@ -300,7 +302,7 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
-    this.events?.scan(chunk);
+    this.scan(chunk);
     const {sink} = this.spec;
     const wantsMore = sink.data(chunk, () => controller.resume());
     if (sink.heldBytes > BUFFER_LIMIT_BYTES) {
@@ -308,6 +310,14 @@
     } else if (!wantsMore) controller.pause();
   }
 
+  private scan(chunk: Buffer): void {
+    const {events} = this;
+    if (events === undefined) return;
+    const isFirst = events.events === 0;
+    events.scan(chunk);
+    if (isFirst && events.events > 0) this.spec.advanced?.();
+  }
+
   private abort(cause: string, endedBy = BreakCause.Abort): void {
     const {controller} = this;
     if (controller === undefined) this.settle({type: 'unsent', cause});
--- a/src/forward/attemptrunner.ts
+++ b/src/forward/attemptrunner.ts
@@ -44,6 +44,8 @@
     private readonly sink: StreamSink,
     /** Whether the caller already received a part of the response. */
     private readonly answerStarted: () => boolean,
+    /** Whether the prompt has a part that crashes upstreams. */
+    private readonly isHeld: () => boolean,
   ) {}
 
   /** Resolves to the result of the attempt that was not replaced. */
@@ -134,6 +136,7 @@
       arrivedAt: this.tally.arrivedAt,
       triedUpstreams: this.tally.triedUpstreams,
       answerStarted: this.answerStarted(),
+      isHeld: this.isHeld,
     });
     const placement = this.placeSuccessor(request);
     const details = {
--- a/src/forward/attempttally.ts
+++ b/src/forward/attempttally.ts
@@ -1,4 +1,9 @@
-import type {AttemptResult, BufferedResponse} from './attempt.js';
+import {
+  AnswerProgress,
+  BreakCause,
+  type AttemptResult,
+  type BufferedResponse,
+} from './attempt.js';
 
 /** What the attempts of a request have come to so far. */
 export class AttemptTally {
@@ -7,6 +12,8 @@
   attempts = 0;
   /** Attempts so far that the upstream may have run. */
   possibleRuns = 0;
+  /** Attempts whose answers the upstream broke off at their beginning. */
+  earlyBreaks = 0;
   /** Last complete error response of an upstream. */
   upstreamFailure?: BufferedResponse;
   /** Time from sending to the first bytes of a streamed response, in ms. */
@@ -38,6 +45,7 @@
         return;
       case 'broken':
         this.possibleRuns++;
+        if (isEarlyBreak(result)) this.earlyBreaks++;
         return;
       case 'delivered':
       case 'refused':
@@ -48,6 +56,18 @@
   }
 }
 
+/**
+ * Whether an upstream broke an answer off between its head and its first
+ * complete event, as one does that crashes on the request.
+ */
+export function isEarlyBreak(result: AttemptResult): boolean {
+  return (
+    result.type === 'broken' &&
+    result.progress === AnswerProgress.Begun &&
+    result.endedBy === BreakCause.Upstream
+  );
+}
+
 /** Whether the result is a successful response. */
 export function isSuccess(result: AttemptResult): boolean {
   switch (result.type) {
--- a/src/forward/dependencies.ts
+++ b/src/forward/dependencies.ts
@@ -2,6 +2,7 @@
 import type {Routing} from '../route/index.js';
 import type {Timer} from '../timer/index.js';
 import type {Endpoint} from './endpoint.js';
+import type {PromptGuard} from './promptguard.js';
 import type {ResponseObserver} from './responseobserver.js';
 import type {ServiceState} from './servicestate.js';
 import type {ForwardMetrics} from './metrics.js';
@@ -19,6 +20,9 @@
   /** Whether a silent upstream answers a probe on another connection. */
   isAlive(endpoint: Endpoint): Promise<boolean>;
   observer: ResponseObserver;
+  promptGuard: PromptGuard;
+  /** Whether prompts may be forwarded: the holds on their parts are known. */
+  mayForwardPrompts(): boolean;
   /** Called for each prompt that is sent to an upstream. */
   promptSent(endpoint: Endpoint, prompt: Prompt): void;
   /** Ms since the configuration was known to be current. */
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -11,13 +11,19 @@
 import {NotRunCause, refusalStatus, type Refusal} from './refusal.js';
 import {notRunCauseOf, decideRetry, Retry} from './retry.js';
 import type {Reply} from './reply.js';
-import {isSuccess, AttemptTally} from './attempttally.js';
+import {AttemptTally, isEarlyBreak, isSuccess} from './attempttally.js';
 import {StreamSink} from './sink.js';
 import type {ForwardDependencies} from './dependencies.js';
 
 /** Time-out of a request that states none, in ms; the route's also applies. */
 const DEFAULT_CALLER_TIMEOUT_MS = 60_000;
 
+/**
+ * Upstreams that may break off their answers at the beginning before a request
+ * is no longer retried: it may be what crashes them.
+ */
+const MAX_EARLY_BREAKS = 2;
+
 /** Forwards one request of a caller and writes its response. */
 export class Exchange {
   private readonly tally: AttemptTally;
@@ -80,6 +86,12 @@
       return {...this.refuse({type: 'unknownRoute'}), ...rejection()};
     }
     this.targetMs = route.targetMs;
+    if (
+      request.prompt !== undefined &&
+      !this.dependencies.mayForwardPrompts()
+    ) {
+      return this.refuse({type: 'notReady'}, route);
+    }
     const admission = table.authenticate(route, request.key);
     if (admission.type === 'unauthenticated') {
       const ending = this.refuse({type: 'unauthenticated'}, route);
@@ -116,6 +128,7 @@
         deadline,
         body,
         tier: table.tierOf(route, workspace),
+        partIds: request.prompt?.parts.map(({id}) => id) ?? [],
         ...(workspace === undefined ? {} : {workspace: workspace.name}),
       };
       return await this.forward(context);
@@ -129,18 +142,22 @@
   private async forward(context: RequestContext): Promise<Ending> {
     const {route, deadline, service} = context;
     const sink = new StreamSink(this.reply, context.request.lastEvent, route);
+    const isTrial = this.dependencies.promptGuard.beginTrial(context.partIds);
+    const isHeld = () => !isTrial && this.isHeld(context);
     const runner = new AttemptRunner(
       this.dependencies,
       context,
       this.tally,
       sink,
       () => this.reply.headersSent,
+      isHeld,
     );
     for (;;) {
       const placementRequest = placementRequestOf(context, {
         arrivedAt: this.tally.arrivedAt,
         triedUpstreams: this.tally.triedUpstreams,
         answerStarted: this.reply.headersSent,
+        isHeld,
       });
       const placement = await service.waitQueue.acquire(placementRequest);
       if (placement.type === 'gone') return this.endStopped(context);
@@ -203,12 +220,34 @@
     return undefined;
   }
 
+  /** Whether a part of the prompt crashes upstreams. */
+  private isHeld({partIds, request}: RequestContext): boolean {
+    const hold = this.dependencies.promptGuard.holdOf(partIds);
+    if (hold === undefined) return false;
+    const {part, revision, crashes, decidedAt} = hold;
+    this.dependencies.logger.info(
+      {
+        event: LogEvent.Held,
+        request: request.id,
+        prompt: part,
+        revision,
+        crashes,
+        ageMs: Math.round(this.dependencies.timer.wallNow() - decidedAt),
+      },
+      'Not forwarded: a part of the prompt crashes upstreams.',
+    );
+    return true;
+  }
+
   /** Whether the request may be retried; takes from the retry budget. */
   private mayRetry(
-    {route, deadline, service}: RequestContext,
+    {route, deadline, service, partIds}: RequestContext,
     sink: StreamSink,
     result: AttemptResult,
   ): boolean {
+    const {promptGuard} = this.dependencies;
+    if (this.tally.earlyBreaks >= MAX_EARLY_BREAKS) return false;
+    if (isEarlyBreak(result) && !promptGuard.mayRepeat(partIds)) return false;
     const now = this.dependencies.timer.now();
     const decision = decideRetry({
       route,
--- a/src/forward/index.ts
+++ b/src/forward/index.ts
@@ -7,6 +7,7 @@
 export {ForwardMetrics} from './metrics.js';
 export type {ForwardDependencies} from './dependencies.js';
 export {LivenessProber} from './liveness.js';
+export {PromptGuard} from './promptguard.js';
 export {ResponseObserver} from './responseobserver.js';
 export {SpeedEstimator} from './speedestimator.js';
 export type {LoadView} from './load.js';
--- a/src/forward/liveness.ts
+++ b/src/forward/liveness.ts
@@ -8,9 +8,19 @@
 /** Time within which a live upstream must respond, in ms. */
 const PROBE_TIMEOUT_MS = 500;
 
+/** What a probe shows of an upstream. */
+export enum ProbeResult {
+  /** It responded, or closed the connection after it had accepted it. */
+  Alive = 'alive',
+  /** Its address refuses connections: no process listens there. */
+  Refused = 'refused',
+  /** There was no response in time. */
+  Silent = 'silent',
+}
+
 /** Probes whether upstreams are alive; at most one probe each at a time. */
 export class LivenessProber {
-  private readonly pendingProbes = new Map<Endpoint, Promise<boolean>>();
+  private readonly pendingProbes = new Map<Endpoint, Promise<ProbeResult>>();
 
   constructor(
     private readonly timer: Timer,
@@ -23,11 +33,16 @@
    * connection, as one that has too many does. One that asked for a pause is
    * probed once during it, and else taken to be alive.
    */
-  isAlive(endpoint: Endpoint): Promise<boolean> {
+  async isAlive(endpoint: Endpoint): Promise<boolean> {
+    return (await this.probe(endpoint)) === ProbeResult.Alive;
+  }
+
+  /** Probes an upstream; see [[isAlive]]. */
+  probe(endpoint: Endpoint): Promise<ProbeResult> {
     const pending = this.pendingProbes.get(endpoint);
     if (pending !== undefined) return pending;
     if (!endpoint.pause.admitProbe(this.timer.now())) {
-      return Promise.resolve(true);
+      return Promise.resolve(ProbeResult.Alive);
     }
     const result = this.send(endpoint).finally(() =>
       this.pendingProbes.delete(endpoint),
@@ -36,20 +51,24 @@
     return result;
   }
 
-  private send(endpoint: Endpoint): Promise<boolean> {
+  private send(endpoint: Endpoint): Promise<ProbeResult> {
     const connection = endpoint.connections.open();
-    return new Promise<boolean>(resolve => {
+    return new Promise(resolve => {
       let finished = false;
-      const finish = (alive: boolean) => {
+      const finish = (result: ProbeResult) => {
         // The end of the probe closes its connection.
         if (finished) return;
         finished = true;
         timeout.end();
         connection.destroy();
-        if (alive) endpoint.lastHeardAt = this.timer.now();
-        resolve(alive);
+        if (result === ProbeResult.Alive) {
+          endpoint.lastHeardAt = this.timer.now();
+        }
+        resolve(result);
       };
-      const timeout = this.timer.after(PROBE_TIMEOUT_MS, () => finish(false));
+      const timeout = this.timer.after(PROBE_TIMEOUT_MS, () =>
+        finish(ProbeResult.Silent),
+      );
       sendProbe(connection, this.protocol, finish, head =>
         this.observer.observe(endpoint, head),
       );
@@ -60,7 +79,7 @@
 function sendProbe(
   connection: Connection,
   protocol: Protocol,
-  finish: (alive: boolean) => void,
+  finish: (result: ProbeResult) => void,
   observe: (head: ResponseHead & {status: number}) => void,
 ): void {
   let connected = false;
@@ -70,11 +89,15 @@
     },
     onResponseStart: (_controller, status, headers) => {
       observe({...protocol.readResponse(status, headers), status});
-      finish(true);
+      finish(ProbeResult.Alive);
     },
     onResponseData: () => undefined,
     onResponseEnd: () => undefined,
-    onResponseError: () => finish(connected),
+    onResponseError: (_controller, error: NodeJS.ErrnoException) => {
+      const isRefused = error.code === 'ECONNREFUSED';
+      if (connected) finish(ProbeResult.Alive);
+      else finish(isRefused ? ProbeResult.Refused : ProbeResult.Silent);
+    },
   };
   connection.dispatch({method: 'GET', path: protocol.probeTarget}, handler);
 }
--- a/src/forward/placementrequest.ts
+++ b/src/forward/placementrequest.ts
@@ -14,6 +14,8 @@
   /** Deadline after which the caller no longer waits, in monotonic ms. */
   deadlineAt: number;
   signal: AbortSignal;
+  /** Whether its prompt has a part that crashes upstreams. */
+  isHeld(): boolean;
 }
 
 /** The upstream that a request was assigned to. */
--- /dev/null
+++ b/src/forward/promptguard.ts
@@ -0,0 +1,202 @@
+import type {Logger} from 'pino';
+import {
+  HoldState,
+  type Evidence,
+  type Hold,
+  type Quarantine,
+  type Suspect,
+} from '../quarantine/index.js';
+import {EntryState} from '../registry/index.js';
+import {LogEvent} from '../telemetry/logevent.js';
+import type {Timer} from '../timer/index.js';
+import type {Endpoint} from './endpoint.js';
+import {ProbeResult, type LivenessProber} from './liveness.js';
+
+/** Times after the first broken answer at which an upstream is probed, in ms. */
+const PROBE_DELAYS_MS = [30, 300, 1_000];
+
+/** A request whose answer broke off after its head and before an event. */
+export interface BrokenAnswer {
+  request: string;
+  /** Ids of all parts of its prompt. */
+  parts: readonly string[];
+  /** When it was sent to the upstream, in monotonic ms. */
+  sentAt: number;
+}
+
+/** Dependencies of [[PromptGuard]]. */
+export interface PromptGuardParts {
+  /** Name of this instance. */
+  instance: string;
+  quarantine: Quarantine;
+  probes: LivenessProber;
+  timer: Timer;
+  logger: Logger;
+}
+
+/**
+ * Keeps prompts away from upstreams that crash whenever they begin to answer a
+ * certain part. Tells a crash from a broken connection, and reports it to the
+ * [[Quarantine]], which decides.
+ */
+export class PromptGuard {
+  /** Answers that broke off at upstreams of which more is to be learnt. */
+  private readonly broken = new Map<Endpoint, BrokenAnswer[]>();
+  private crashes = 0;
+
+  constructor(private readonly parts: PromptGuardParts) {
+    parts.quarantine.subscribe(evidence => this.log(evidence, 'own'));
+  }
+
+  /** The hold that refuses a request with these parts, if there is one. */
+  holdOf(parts: readonly string[]): Hold | undefined {
+    return this.parts.quarantine.holdOf(parts);
+  }
+
+  /**
+   * Begins to try the held parts of a request. If this returns true, the request
+   * is to be forwarded once; its outcome ends the holds or renews them.
+   */
+  beginTrial(parts: readonly string[]): boolean {
+    return this.parts.quarantine.beginTrial(parts);
+  }
+
+  /** Whether a request whose answer broke off may be sent again. */
+  mayRepeat(parts: readonly string[]): boolean {
+    return this.parts.quarantine.mayRepeat(parts);
+  }
+
+  /** Records that an answer got beyond its beginning. */
+  recordAnswer(parts: readonly string[]): void {
+    this.parts.quarantine.recordAnswer(parts);
+  }
+
+  /** Records an answer that its upstream broke off at the beginning. */
+  recordBreak(endpoint: Endpoint, answer: BrokenAnswer): void {
+    const known = this.broken.get(endpoint);
+    if (known !== undefined) {
+      known.push(answer);
+      return;
+    }
+    const answers = [answer];
+    this.broken.set(endpoint, answers);
+    void this.examine(endpoint, answers, this.parts.timer.now());
+  }
+
+  /** Takes over what another instance or the store told. */
+  learn(evidence: Evidence): boolean {
+    const isNews = this.parts.quarantine.learn(evidence);
+    if (isNews) this.log(evidence, 'peer');
+    return isNews;
+  }
+
+  /** Calls `listener` with the evidence that this instance makes. */
+  subscribe(listener: (evidence: Evidence) => void): void {
+    this.parts.quarantine.subscribe(listener);
+  }
+
+  /** Ends the decisions that are due. */
+  stop(): void {
+    this.parts.quarantine.stop();
+  }
+
+  holds(): Hold[] {
+    return this.parts.quarantine.holds();
+  }
+
+  /** Gauges and counters of /metrics, by name. */
+  gauges(): Record<string, number> {
+    const {quarantine} = this.parts;
+    const held = quarantine
+      .holds()
+      .filter(({state}) => state === HoldState.Held);
+    return {
+      prompt_parts_held: held.length,
+      prompt_parts_suspected: quarantine.suspects().length,
+      upstream_crashes_total: this.crashes,
+    };
+  }
+
+  /** Reports a crash if the process of the upstream has ended. */
+  private async examine(
+    endpoint: Endpoint,
+    answers: BrokenAnswer[],
+    at: number,
+  ): Promise<void> {
+    const {timer, probes} = this.parts;
+    const {state} = endpoint.entry;
+    for (const delayMs of PROBE_DELAYS_MS) {
+      await timer.sleep(at + delayMs - timer.now());
+      const result = await probes.probe(endpoint);
+      if (result !== ProbeResult.Refused) continue;
+      // One that drains may end while it still answers.
+      if (state === EntryState.Ready) this.report(endpoint, answers, at);
+      break;
+    }
+    this.broken.delete(endpoint);
+  }
+
+  private report(
+    {id, entry: {startedAt}}: Endpoint,
+    answers: readonly BrokenAnswer[],
+    at: number,
+  ): void {
+    this.crashes++;
+    const suspects = answers.map(({request, parts, sentAt}): Suspect => ({
+      request,
+      parts: parts.slice(0, -1),
+      openMs: at - sentAt,
+    }));
+    this.parts.quarantine.recordCrash({
+      type: 'crash',
+      upstream: id,
+      startedAt: startedAt ?? 0,
+      reporter: this.parts.instance,
+      suspects,
+      at,
+    });
+  }
+
+  private log(evidence: Evidence, source: 'own' | 'peer'): void {
+    const {logger, timer} = this.parts;
+    switch (evidence.type) {
+      case 'crash': {
+        const {upstream, startedAt, reporter, suspects, at} = evidence;
+        const ageMs = Math.round(timer.now() - at);
+        logger.warn(
+          {
+            event: LogEvent.Crash,
+            upstream,
+            startedAt,
+            reporter,
+            source,
+            ageMs,
+            suspects,
+          },
+          'An upstream crashed while it began to answer.',
+        );
+        return;
+      }
+      case 'hold': {
+        const {part, state, revision, crashes, decidedAt} = evidence;
+        logger.warn(
+          {
+            event: LogEvent.Hold,
+            prompt: part,
+            state,
+            revision,
+            crashes,
+            decidedAt,
+            source,
+          },
+          state === HoldState.Held
+            ? 'Requests with a prompt part that crashes upstreams are refused.'
+            : 'Requests with a prompt part are forwarded again.',
+        );
+        return;
+      }
+      case 'clearance':
+        return;
+    }
+  }
+}
--- a/src/forward/refusal.ts
+++ b/src/forward/refusal.ts
@@ -30,6 +30,8 @@
   Unreachable = 'unreachable',
   /** Every upstream asked for a pause that is too long to wait for. */
   Paused = 'paused',
+  /** Its prompt has a part that crashes upstreams. */
+  Held = 'held',
 }
 
 /** The HTTP status of a refusal. */
@@ -59,6 +61,12 @@
 /** Retry-After of an instance that has no configuration yet, in ms. */
 const NOT_READY_RETRY_MS = 300;
 
+/**
+ * Retry-After of a request whose prompt is held, in ms. A hold lasts until it is
+ * released, so an earlier try is of no use.
+ */
+export const HELD_RETRY_MS = 60_000;
+
 /** Retry-After of a stopping instance, in ms; others accept at once. */
 const LEAVING_RETRY_MS = 20;
 
--- a/src/forward/requestcontext.ts
+++ b/src/forward/requestcontext.ts
@@ -15,12 +15,14 @@
   body: Buffer;
   tier: number;
   workspace?: string;
+  /** Ids of the parts of the prompt, in order; empty without a prompt. */
+  partIds: readonly string[];
 }
 
 /** What the attempts of a request so far mean for its placement. */
 export interface PlacementProgress extends Pick<
   PlacementRequest,
-  'triedUpstreams' | 'answerStarted'
+  'triedUpstreams' | 'answerStarted' | 'isHeld'
 > {
   /** When the request arrived, in monotonic ms. */
   arrivedAt: number;
@@ -29,7 +31,7 @@
 /** Describes a request to the wait queue of its service. */
 export function placementRequestOf(
   {request, route, table, tier, deadline, service}: RequestContext,
-  {arrivedAt, triedUpstreams, answerStarted}: PlacementProgress,
+  {arrivedAt, triedUpstreams, answerStarted, isHeld}: PlacementProgress,
 ): PlacementRequest {
   const pausesMs = table.targetGapsOf(service.name);
   return {
@@ -44,6 +46,7 @@
     triedUpstreams,
     pauseSensitive: isPauseSensitive(route.targetGapMs, pausesMs),
     answerStarted,
+    isHeld,
     shortestPauseMs: Math.min(...pausesMs),
     ...(request.prompt === undefined ? {} : {prompt: request.prompt}),
   };
--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -6,6 +6,7 @@
 import type {Endpoint} from './endpoint.js';
 import type {Placement, PlacementRequest} from './placementrequest.js';
 import type {RequestContext} from './requestcontext.js';
+import {isEarlyBreak, isSuccess} from './attempttally.js';
 import type {AttemptLoad} from './servicestate.js';
 import type {AttemptSink} from './sink.js';
 import {SilenceWatchdog} from './watchdog.js';
@@ -51,10 +52,12 @@
     const {context, dependencies, endpoint, sentAt, placement} = this;
     const {listener, sink} = this;
     const {request, deadline, service, route, body, workspace, tier} = context;
+    const {partIds} = context;
     const {timer, protocol, observer} = dependencies;
     if (request.prompt !== undefined) {
       dependencies.promptSent(endpoint, request.prompt);
     }
+    const {promptGuard} = dependencies;
     const isRetryable = route.repetition !== Repetition.AtMostOnce;
     const watchdog = isRetryable
       ? new SilenceWatchdog({
@@ -90,11 +93,20 @@
           this.controller.signal,
         ]),
         sent: () => listener.onSent(),
+        advanced: () => promptGuard.recordAnswer(partIds),
         observe: head => observer.observe(endpoint, head, placement.trial),
       });
       if (!this.controller.signal.aborted) {
         recordHealth(dependencies, context, endpoint, result);
       }
+      if (isSuccess(result)) promptGuard.recordAnswer(partIds);
+      if (isEarlyBreak(result) && partIds.length > 0) {
+        promptGuard.recordBreak(endpoint, {
+          request: request.id,
+          parts: partIds,
+          sentAt,
+        });
+      }
       const ms = timer.now() - sentAt;
       if (result.type === 'whole' && !result.asksForPause) {
         service.speeds.observePlain(ms);
--- a/src/forward/waitqueue.ts
+++ b/src/forward/waitqueue.ts
@@ -11,9 +11,9 @@
   type PlacementRequest,
   type PlacementResult,
 } from './placementrequest.js';
-import {NotRunCause} from './refusal.js';
+import {HELD_RETRY_MS, NotRunCause} from './refusal.js';
 import {retryDelayMs} from './retrydelay.js';
-import {SlidingSum} from './slidingsum.js';
+import {PlacementRate} from './placementrate.js';
 import {WaitCause, type QueueEntry} from './queueentry.js';
 import type {WaitQueueDependencies} from './waitqueuedependencies.js';
 
@@ -34,15 +34,6 @@
  * all instances yield, while it can still start in time.
  */
 const LONG_WAIT_SHARE = 0.2;
-/** Window of the placement rate, in ms; it spans several prompts. */
-const PLACEMENT_RATE_WINDOW_MS = 2_000;
-/** Lowest placement rate, in ms of prefill per ms; bounds estimated waits. */
-const MIN_PLACEMENT_RATE = 0.05;
-/**
- * Share of the engines' time that waiting prompts are assumed to get. Other
- * tiers and streams may take the rest.
- */
-const GUARANTEED_ENGINE_SHARE = 0.5;
 /** Share of the time left that a request may wait; the rest is to serve it. */
 const MAX_WAIT_SHARE = 0.5;
 
@@ -56,10 +47,17 @@
 /** Longest back-off, in ms; a small part of the targets of large prompts. */
 const MAX_BACKOFF_MS = 150;
 
+/** Result of a request whose prompt is held. */
+const HELD: PlacementResult = {
+  type: 'notRun',
+  cause: NotRunCause.Held,
+  retryAfterMs: HELD_RETRY_MS,
+};
+
 /** Requests of one service that wait for an upstream. */
 export class WaitQueue {
   private readonly entries: QueueEntry[] = [];
-  private readonly placedPrefillMs = new SlidingSum(PLACEMENT_RATE_WINDOW_MS);
+  private readonly placementRate = new PlacementRate();
   /** When a request of a tier was last rejected, in monotonic ms. */
   private readonly lastRejectedAt = new Map<number, number>();
   private placementTimer?: Subscription;
@@ -74,6 +72,10 @@
   acquire(request: PlacementRequest): Promise<PlacementResult> {
     return new Promise(resolve => {
       const entry = this.entryOf(request, resolve);
+      if (request.isHeld()) {
+        resolve(HELD);
+        return;
+      }
       const {speeds} = this.dependencies;
       speeds.observeDemand(request.pauseSensitive, entry.prefillMs);
       const cause = this.tryPlace(entry);
@@ -92,6 +94,7 @@
       ...ejected.map(({id}) => id),
     ]);
     let placement: Placement | undefined;
+    if (request.isHeld()) return undefined;
     const entry = this.entryOf({...request, triedUpstreams}, result => {
       if (result.type === 'placed') placement = result;
     });
@@ -116,6 +119,7 @@
     for (const entry of [...this.entries]) {
       const {request} = entry;
       if (request.signal.aborted) this.removeAndSettle(entry, {type: 'gone'});
+      else if (request.isHeld()) this.removeAndSettle(entry, HELD);
       else if (this.willMissDeadline(entry, aheadMs, now)) {
         const waitMs = this.estimateWaitMs(aheadMs);
         this.removeAndSettle(
@@ -240,7 +244,7 @@
       remote: this.dependencies.remoteLoadOf(endpoint.id),
     };
     logPlacement(this.dependencies.logger, entry, decision, load, now);
-    if (!ignoresLoad(request)) this.placedPrefillMs.add(now, prefillMs);
+    if (!ignoresLoad(request)) this.placementRate.add(now, prefillMs);
     // The next placement must see this load even before the request is sent.
     const trial = endpoint.recordPlacement(request, freshTokens, now);
     if (isLarge) this.dependencies.announceLoad();
@@ -270,18 +274,13 @@
     return now < entry.backoffUntil;
   }
 
-  /**
-   * Estimated time to place `aheadMs` ms of prefill, in ms. An instance is
-   * assumed to get at least its share of the engines' time.
-   */
+  /** Estimated time to place `aheadMs` ms of prefill, in ms. */
   private estimateWaitMs(aheadMs: number): number {
     const {timer} = this.dependencies;
-    const rate =
-      this.placedPrefillMs.sum(timer.now()) / this.placedPrefillMs.lengthMs;
-    const guaranteedRate =
-      (this.dependencies.endpoints().length * GUARANTEED_ENGINE_SHARE) /
-      this.dependencies.fleetSize();
-    return aheadMs / Math.max(MIN_PLACEMENT_RATE, guaranteedRate, rate);
+    return this.placementRate.estimateWaitMs(aheadMs, timer.now(), {
+      engines: this.dependencies.endpoints().length,
+      instances: this.dependencies.fleetSize(),
+    });
   }
 
   private enqueue(entry: QueueEntry, cause: WaitCause): void {
--- a/src/report/requesthistory.ts
+++ b/src/report/requesthistory.ts
@@ -63,6 +63,7 @@
   upstreams: ReadonlySet<string | undefined>,
 ): boolean {
   switch (event) {
+    case LogEvent.Crash:
     case LogEvent.Health:
     case LogEvent.Leaving:
     case LogEvent.Pause:
@@ -70,6 +71,7 @@
       return upstream !== undefined && upstreams.has(upstream);
     case LogEvent.Configuration:
     case LogEvent.Defect:
+    case LogEvent.Hold:
     case LogEvent.Readiness:
     case LogEvent.Reloaded:
     case LogEvent.Stall:
@@ -79,6 +81,7 @@
     case LogEvent.Store:
       return true;
     case LogEvent.Ended:
+    case LogEvent.Held:
     case LogEvent.Overloaded:
     case LogEvent.Peer:
     case LogEvent.Placed:
--- a/src/telemetry/logevent.ts
+++ b/src/telemetry/logevent.ts
@@ -5,12 +5,18 @@
 export enum LogEvent {
   /** A configuration was applied or ignored. */
   Configuration = 'configuration',
+  /** An upstream crashed while it began to answer. */
+  Crash = 'crash',
   /** An internal error: something failed that must not fail. */
   Defect = 'defect',
   /** A request ended. */
   Ended = 'ended',
   /** An upstream was taken out of use. */
   Health = 'health',
+  /** A request was refused for a part of its prompt. */
+  Held = 'held',
+  /** A prompt part was held or released. */
+  Hold = 'hold',
   /** An upstream announced that it leaves, in its entry or in a response. */
   Leaving = 'leaving',
   /** A request was rejected because its wait was, or would be, too long. */
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -5,10 +5,12 @@
   ForwardMetrics,
   LivenessProber,
   Listener,
+  PromptGuard,
   ResponseObserver,
   type Address,
   type PromptPart,
 } from '../forward/index.js';
+import {Quarantine} from '../quarantine/index.js';
 import {Registry, type KeyedRecord} from '../registry/index.js';
 import {Routing} from '../route/index.js';
 import {
@@ -102,6 +104,7 @@
   private readonly metrics = new ForwardMetrics();
   private readonly observer: ResponseObserver;
   private readonly probes: LivenessProber;
+  private readonly promptGuard: PromptGuard;
   private readonly fleet: GatewayFleet;
   private readonly listener: Listener;
   private readonly subscriptions: Subscription[] = [];
@@ -140,6 +143,16 @@
       random: Math.random,
     });
     this.probes = new LivenessProber(timer, platform.protocol, this.observer);
+    this.promptGuard = new PromptGuard({
+      instance: settings.instance,
+      quarantine: new Quarantine({
+        timer,
+        ownsTrial: part => this.fleet.ownsTrial(part),
+      }),
+      probes: this.probes,
+      timer,
+      logger: componentLogger(root, Component.Upstream),
+    });
     this.registry = new Registry({
       decode: (key, value) => platform.decodeEntry(key, value),
       timer,
@@ -163,6 +176,8 @@
       logger: this.requestLogger,
       metrics: this.metrics,
       observer: this.observer,
+      promptGuard: this.promptGuard,
+      mayForwardPrompts: () => this.fleet.mayForward,
       random: Math.random,
       configurationAgeMs: () => this.fleet.configurations.ageMs(),
       serviceStateOf: service => this.services.of(service),
@@ -238,6 +253,7 @@
     const unfinished = listener.inflight;
     this.endController.abort();
     for (const subscription of this.subscriptions) subscription.end();
+    this.promptGuard.stop();
     listener.close();
     this.monitoringServers.close();
     await this.fleet.close();
@@ -284,11 +300,7 @@
           upstream,
           parts.map(([id, tokens]) => ({id, tokens})),
         ),
-      evidence: {
-        learn: () => false,
-        subscribe: () => undefined,
-        holds: () => [],
-      },
+      evidence: this.promptGuard,
       isLeaving: () => this.drainSchedule !== undefined,
     });
   }
@@ -336,7 +348,8 @@
     const isReady =
       this.drainSchedule === undefined &&
       table !== undefined &&
-      this.hasUpstreamList;
+      this.hasUpstreamList &&
+      this.fleet.mayForward;
     if (isReady !== this.wasReady) {
       this.wasReady = isReady;
       this.logger.info(
@@ -374,6 +387,7 @@
         this.timer.now(),
       ),
       ...this.observer.gauges(),
+      ...this.promptGuard.gauges(),
       connections_opened_total: this.endpoints.openedConnections(),
       log_lines_dropped_total: this.output.dropped(),
       memory_bytes: process.memoryUsage.rss(),
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -4,6 +4,7 @@
   Gossip,
   HoldRecords,
   isHoldRecord,
+  ownsKey,
   Peers,
   RecordExchange,
   type EvidenceLog,
@@ -212,6 +213,13 @@
     return this.hasReadHolds || waitedMs >= HOLDS_WAIT_MS;
   }
 
+  /** Whether this instance is the one that tries a held prompt part. */
+  ownsTrial(part: string): boolean {
+    const {instance: name, zone, timer} = this.parts;
+    const origins = this.gossip.peerLoads.activeOrigins(timer.now());
+    return ownsKey(part, {name, zone}, origins);
+  }
+
   /** The newest known epoch of the store. */
   get storeEpoch(): number {
     return this.epochs.current;
--- a/test/evidencerelay.test.ts
+++ b/test/evidencerelay.test.ts
@@ -49,7 +49,7 @@
         upstream: 'i-1',
         startedAt: 9,
         reporter: 'entry-1',
-        suspects: [{request: 'r1', parts: ['p1', 'p2']}],
+        suspects: [{request: 'r1', openMs: 0, parts: ['p1', 'p2']}],
         at: 800,
       },
       {type: 'clearance', part: 'p2', at: 900},
--- a/test/waitqueue.test.ts
+++ b/test/waitqueue.test.ts
@@ -67,6 +67,7 @@
     signal: new AbortController().signal,
     pauseSensitive: false,
     answerStarted: false,
+    isHeld: () => false,
     shortestPauseMs: 300,
     triedUpstreams: new Set<string>(),
     prompt: {
