--- a/test/silence.test.ts
+++ b/test/silence.test.ts
@@ -1,19 +1,21 @@
 import {afterEach, describe, expect, test, vi} from 'vitest';
 import {Topic} from '../src/registry/index.js';
 import {LogEvent} from '../src/telemetry/index.js';
+import {successHead} from './support/gateway.js';
 import {
-  call,
-  openTestFeed,
-  startGatewayOn,
-  successHead,
-  wireConfiguration,
-  type CallerResponse,
-  type TestGateway,
-} from './support/gateway.js';
+  byId,
+  closeAll,
+  configurationOf,
+  expectWhole,
+  open,
+  openGateway,
+  PATIENCE_MS,
+  sendPlain,
+  sendStream,
+} from './support/silencegateway.js';
 import {
   EVENT_STREAM,
   eventsOf,
-  openGroup,
   plainAnswer,
   refuse,
   reset,
@@ -26,76 +28,11 @@
 /** Longer than an upstream of streams may be silent without a probe. */
 const STREAM_SILENCE_MS = 1_800;
 const PLAIN_SILENCE_MS = 1_200;
-const PATIENCE_MS = 6_000;
 const EVENTS = 6;
 const WHOLE_STREAM = eventsOf(1, EVENTS);
 const BODY = 'the whole body';
 
-const groups: UpstreamGroup[] = [];
-const gateways: TestGateway[] = [];
-
-afterEach(async () => {
-  for (const group of groups.splice(0)) group.close();
-  await Promise.all(gateways.splice(0).map(({gateway}) => gateway.stop()));
-});
-
-async function open(
-  service: string,
-  count: number,
-  ...answers: Answer[]
-): Promise<UpstreamGroup> {
-  const group = await openGroup(service, count, ...answers);
-  groups.push(group);
-  return group;
-}
-
-function configurationOf(version: number, attempts = 3) {
-  const configuration = wireConfiguration(version, PATIENCE_MS);
-  const routes = configuration.routes.map(route => ({
-    ...route,
-    maxAttempts: route.maxAttempts === 1 ? 1 : attempts,
-  }));
-  return {...configuration, routes};
-}
-
-async function openGateway(
-  group: UpstreamGroup[],
-  attempts?: number,
-): Promise<TestGateway> {
-  const feed = openTestFeed(group.flatMap(({entries}) => entries));
-  const configuration = configurationOf(2, attempts);
-  feed.add(Topic.Configuration, 'config', configuration);
-  const started = {feed, ...(await startGatewayOn(feed, 300))};
-  gateways.push(started);
-  return started;
-}
-
-function sendStream({gateway}: TestGateway, id: string) {
-  return call(gateway.port, '/chat/a', id, {
-    method: 'POST',
-    headers: {
-      'x-deadline-ms': `${PATIENCE_MS}`,
-      'x-model': 'm',
-      'x-token-counts': '10,10',
-      'x-prompt-prefix': 'a:5,b:5',
-    },
-  });
-}
-
-function sendPlain({gateway}: TestGateway, path: string, id: string) {
-  const headers = {'x-deadline-ms': `${PATIENCE_MS}`};
-  const method = path.startsWith('/order/') ? 'POST' : 'GET';
-  return call(gateway.port, path, id, {method, headers});
-}
-
-function expectWhole(response: CallerResponse | undefined, body: string) {
-  const {status, complete} = response ?? {};
-  expect({status, complete, body: response?.body}).toEqual({
-    status: 200,
-    complete: true,
-    body,
-  });
-}
+afterEach(closeAll);
 
 const stream = streamOf({events: EVENTS});
 
@@ -115,12 +52,6 @@
   };
 }
 
-/** Answers requests by their id. */
-function byId(others: Record<string, Answer>, answer: Answer): Answer {
-  return (request, upstream) =>
-    (others[request.id] ?? answer)(request, upstream);
-}
-
 describe('a stream whose upstream falls silent and goes on', () => {
   test('is not cut when the retry budget is spent', async () => {
     const engines = await open(
