Let a request return to an upstream that only was broken off there

Callers saw a stream end although a sound upstream was free: the one that worked on it fell silent, went on and then crashed.

Cause: while it was silent the request was also sent to another upstream. That attempt was dropped when the first went on, but its upstream still counted as tried, so nothing was left after the crash.

Evidence: the new test failed before with a cut stream after two sends, and passes now with three. An upstream whose attempt was dropped since the current one sends again is no longer counted as tried, as is done for the attempt that a successor replaces. One that refused or failed still is.

--- a/src/forward/attemptrunner.ts
+++ b/src/forward/attemptrunner.ts
@@ -67,7 +67,7 @@
     const attemptSink = sink.forAttempt({
       isCurrent: () => attempt === this.current,
       onBytes: () => {
-        if (attempt === this.current) this.dropSuccessor();
+        if (attempt === this.current) this.keepCurrent();
         if (hasBytes) return;
         hasBytes = true;
         const now = dependencies.timer.now();
@@ -200,6 +200,15 @@
     this.current?.sink.begin();
   }
 
+  /** Leaves the request to the current upstream, which sends again. */
+  private keepCurrent(): void {
+    const {successor} = this;
+    if (successor === undefined) return;
+    this.dropSuccessor();
+    // It did not fail, so it may still take the request over.
+    this.tally.triedUpstreams.delete(successor.endpoint.id);
+  }
+
   private dropSuccessor(): void {
     const dropped = this.successor;
     this.successor = undefined;
--- /dev/null
+++ b/test/silentsuccessor.test.ts
@@ -0,0 +1,68 @@
+import {afterEach, describe, expect, test} from 'vitest';
+import {successHead} from './support/gateway.js';
+import {
+  byId,
+  closeAll,
+  expectWhole,
+  open,
+  openGateway,
+  PATIENCE_MS,
+  sendStream,
+} from './support/silencegateway.js';
+import {
+  EVENT_STREAM,
+  eventsOf,
+  sleep,
+  streamOf,
+  type Answer,
+} from './support/silentupstream.js';
+
+const EVENTS = 6;
+const WHOLE_STREAM = eventsOf(1, EVENTS);
+const stream = streamOf({events: EVENTS});
+
+afterEach(closeAll);
+
+/** Sends events; then silent, also to probes, until `wake` resolves. */
+function silentUntil(wake: Promise<void>, goOn: Answer): Answer {
+  return async (request, upstream) => {
+    const text = eventsOf(1, 3);
+    const head = successHead(request.id, EVENT_STREAM);
+    const chunk = `${text.length.toString(16)}\r\n${text}\r\n`;
+    await upstream.send(request, head + chunk);
+    upstream.fallSilent(PATIENCE_MS);
+    await wake;
+    await goOn(request, upstream);
+  };
+}
+
+describe('an attempt beside one on a silent upstream', () => {
+  test('leaves its upstream to the request if the silent one goes on', async () => {
+    let wake: () => void = () => undefined;
+    const awake = new Promise<void>(resolve => (wake = resolve));
+    const goOnAndCrash: Answer = async ({socket}) => {
+      const text = eventsOf(4, 4);
+      socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
+      await sleep(50);
+      socket.resetAndDestroy();
+    };
+    const accept: Answer = () => {
+      wake();
+      return Promise.resolve();
+    };
+    const first = silentUntil(awake, goOnAndCrash);
+    const warm = Array.from({length: 30}, (_, index) => `warm-${index}`);
+    const others = Object.fromEntries(warm.map(id => [id, stream]));
+    const engines = await open(
+      'engine',
+      2,
+      byId(others, first),
+      accept,
+      stream,
+    );
+    const gateway = await openGateway([engines]);
+    for (const id of warm) await sendStream(gateway, id);
+    expectWhole(await sendStream(gateway, 'r1'), WHOLE_STREAM);
+    expect(engines.arrivals('r1')).toHaveLength(3);
+  }, 20_000);
+});
