Take no upstream for silent that sent bytes while it was probed

Callers saw nothing of it alone; a sound upstream was ejected, and a request that it was answering was sent to a second one, which took one of the retry budget.

Cause: SilenceWatchdog reported the silence after a failed probe without looking whether the upstream had sent anything since. A probe of a full upstream may wait for a slot longer than its time-out.

Now the silence is reported only if nothing was heard since the probe began; otherwise it begins anew.

--- a/src/forward/watchdog.ts
+++ b/src/forward/watchdog.ts
@@ -72,10 +72,12 @@
 
   private async probe(): Promise<void> {
     this.probing = true;
+    const probedAt = this.spec.timer.now();
     const alive = await this.spec.isAlive();
     this.probing = false;
     if (alive) this.aliveAt = this.spec.timer.now();
-    else this.report();
+    // A full upstream may leave a probe waiting and yet send on.
+    else if (this.heardAt() <= probedAt) this.report();
   }
 
   private report(): void {
--- a/test/silentsuccessor.test.ts
+++ b/test/silentsuccessor.test.ts
@@ -1,5 +1,6 @@
 import {afterEach, describe, expect, test} from 'vitest';
-import {successHead} from './support/gateway.js';
+import {LogEvent} from '../src/telemetry/index.js';
+import {successHead, type RawRequest} from './support/gateway.js';
 import {
   byId,
   closeAll,
@@ -15,6 +16,7 @@
   sleep,
   streamOf,
   type Answer,
+  type SilentUpstream,
 } from './support/silentupstream.js';
 
 const EVENTS = 6;
@@ -65,4 +67,22 @@
     expectWhole(await sendStream(gateway, 'r1'), WHOLE_STREAM);
     expect(engines.arrivals('r1')).toHaveLength(3);
   }, 20_000);
+
+  test('is not sent if the silent one goes on before the probe ends', async () => {
+    const goOn: Answer = async ({socket}) => {
+      const text = eventsOf(4, EVENTS);
+      socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
+      await sleep(600);
+      socket.write('0\r\n\r\n');
+    };
+    const first = (request: RawRequest, upstream: SilentUpstream) =>
+      silentUntil(sleep(1_050), goOn)(request, upstream);
+    const engines = await open('engine', 2, first, stream);
+    const gateway = await openGateway([engines]);
+    expectWhole(await sendStream(gateway, 'r1'), WHOLE_STREAM);
+    expect(engines.arrivals('r1')).toHaveLength(1);
+    expect(gateway.logLines).not.toContainEqual(
+      expect.objectContaining({event: LogEvent.Health}),
+    );
+  });
 });
