Keep the attempt on a silent upstream once its plain answer begins

Callers got a 502 for an idempotent request whose upstream had begun to answer.

Cause: only bytes passed to the sink ended the successor. A plain body is buffered first, so a slow one from the upstream that had been silent was broken off when the successor had run for 250 ms; that one then crashed, and the retry budget was spent.

Now the head of a successful response counts, too. Heads of failures and refusals don't.

--- a/src/forward/attemptrunner.ts
+++ b/src/forward/attemptrunner.ts
@@ -88,6 +88,9 @@
         onSent: () => {
           if (attempt === this.successor) this.limitOverlap();
         },
+        onAnswer: () => {
+          if (attempt === this.current) this.keepCurrent();
+        },
         isReplaceable: () => attempt === this.current && this.isReplaceable(),
         onSilence: silentMs => this.seekSuccessor(silentMs, placement),
       },
--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -15,6 +15,8 @@
 export interface AttemptListener {
   /** The request is being written to the upstream. */
   onSent(): void;
+  /** A successful response has begun. */
+  onAnswer(): void;
   /** Whether another upstream could take the request over. */
   isReplaceable(): boolean;
   /** The upstream is silent, and may be dead; repeated while it is. */
@@ -94,7 +96,10 @@
         ]),
         sent: () => listener.onSent(),
         advanced: () => promptGuard.recordAnswer(partIds),
-        observe: head => observer.observe(endpoint, head, placement.trial),
+        observe: head => {
+          if (head.status < 300 && !head.notRun) listener.onAnswer();
+          return observer.observe(endpoint, head, placement.trial);
+        },
       });
       if (!this.controller.signal.aborted) {
         recordHealth(dependencies, context, endpoint, result);
--- a/test/silentsuccessor.test.ts
+++ b/test/silentsuccessor.test.ts
@@ -8,6 +8,7 @@
   open,
   openGateway,
   PATIENCE_MS,
+  sendPlain,
   sendStream,
 } from './support/silencegateway.js';
 import {
@@ -21,6 +22,7 @@
 
 const EVENTS = 6;
 const WHOLE_STREAM = eventsOf(1, EVENTS);
+const BODY = 'the whole body';
 const stream = streamOf({events: EVENTS});
 
 afterEach(closeAll);
@@ -85,4 +87,25 @@
       expect.objectContaining({event: LogEvent.Health}),
     );
   });
+
+  test('ends when the silent one begins a plain answer', async () => {
+    let wake: () => void = () => undefined;
+    const awake = new Promise<void>(resolve => (wake = resolve));
+    const slowBody: Answer = async request => {
+      await awake;
+      const length = `Content-Length: ${BODY.length}\r\n`;
+      request.socket.write(successHead(request.id, length) + BODY.slice(0, 4));
+      await sleep(500);
+      request.socket.write(BODY.slice(4));
+    };
+    const crash: Answer = async ({socket}) => {
+      wake();
+      await sleep(400);
+      socket.resetAndDestroy();
+    };
+    const plain = await open('plain', 2, slowBody, crash);
+    const gateway = await openGateway([plain]);
+    expectWhole(await sendPlain(gateway, '/look/a', 'r1'), BODY);
+    expect(plain.arrivals('r1')).toHaveLength(2);
+  });
 });
