Begin no held answer of a successor at the deadline

Callers saw a 200 that was cut instead of a 504 when the deadline passed while a request was on two upstreams and the head of the second one's answer was held back.

Cause: the deadline ends both attempts. The end of the first promoted the second, which had ended as well, and passed on its head.

Evidence: the new test failed before with status 200. A request that was stopped is no longer handed to the successor.

--- a/src/forward/attemptrunner.ts
+++ b/src/forward/attemptrunner.ts
@@ -119,7 +119,8 @@
       this.tally.recordFailure(result);
       return;
     }
-    if (this.successor !== undefined && !isSuccess(result)) {
+    const isStopped = this.context.deadline.signal.aborted;
+    if (this.successor !== undefined && !isSuccess(result) && !isStopped) {
       this.tally.recordFailure(result);
       this.current = undefined;
       this.promote();
--- a/test/silentsuccessor.test.ts
+++ b/test/silentsuccessor.test.ts
@@ -88,6 +88,20 @@
     );
   });
 
+  test('begins no answer at the deadline', async () => {
+    const silent: Answer = (_request, upstream) => {
+      upstream.fallSilent(PATIENCE_MS);
+      return Promise.resolve();
+    };
+    const headOnly: Answer = (request, upstream) =>
+      upstream.send(request, successHead(request.id, EVENT_STREAM));
+    const engines = await open('engine', 2, silent, headOnly);
+    const gateway = await openGateway([engines]);
+    const response = await sendStream(gateway, 'r1', 1_500);
+    expect(response?.status).toBe(504);
+    expect(engines.arrivals('r1')).toHaveLength(2);
+  });
+
   test('ends when the silent one begins a plain answer', async () => {
     let wake: () => void = () => undefined;
     const awake = new Promise<void>(resolve => (wake = resolve));
