Keep the attempt on a silent upstream that goes on within a plain answer

Callers got a 502 for an idempotent request whose upstream was sending its answer.

Cause: that of the slow plain answer, for a silence after the head: bytes of a body that is buffered until it is whole ended no successor, so after 250 ms the answer in progress was broken off for it. The successor crashed, and the retry budget was spent.

Evidence: the new test failed before with 502. Now the head of a valid answer and each part of it that is buffered count as bytes of the silent upstream.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -113,6 +113,8 @@
   signal: AbortSignal;
   /** Called when the request is about to be written to its connection. */
   sent?(): void;
+  /** Called at the head of an answer, and at bytes of it that are buffered. */
+  received?(): void;
   /** Called when the first event of a stream is complete. */
   advanced?(): void;
   /**
@@ -224,6 +226,7 @@
       return;
     }
     this.answered = true;
+    this.spec.received?.();
     if (!head.isEventStream) return;
     this.deliveryStarted = true;
     this.events = new EventScanner();
@@ -245,6 +248,7 @@
     if (this.settled) return;
     this.spec.endpoint.lastHeardAt = this.spec.timer.now();
     if (!this.deliveryStarted) {
+      if (this.answered) this.spec.received?.();
       this.buffered.push(chunk);
       if (this.buffered.length > BUFFER_LIMIT_BYTES) this.flush(controller);
       return;
--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -15,7 +15,7 @@
 export interface AttemptListener {
   /** The request is being written to the upstream. */
   onSent(): void;
-  /** A successful response has begun. */
+  /** A successful response begins or goes on. */
   onAnswer(): void;
   /** Whether another upstream could take the request over. */
   isReplaceable(): boolean;
@@ -96,10 +96,8 @@
         ]),
         sent: () => listener.onSent(),
         advanced: () => promptGuard.recordAnswer(partIds),
-        observe: head => {
-          if (head.status < 300 && !head.notRun) listener.onAnswer();
-          return observer.observe(endpoint, head, placement.trial);
-        },
+        received: () => listener.onAnswer(),
+        observe: head => observer.observe(endpoint, head, placement.trial),
       });
       if (!this.controller.signal.aborted) {
         recordHealth(dependencies, context, endpoint, result);
--- a/test/silentsuccessor.test.ts
+++ b/test/silentsuccessor.test.ts
@@ -122,4 +122,26 @@
     expectWhole(await sendPlain(gateway, '/look/a', 'r1'), BODY);
     expect(plain.arrivals('r1')).toHaveLength(2);
   });
+
+  test('ends when the silent one goes on within a plain answer', async () => {
+    const fallSilentWithin: Answer = async ({socket, id}) => {
+      const length = `Content-Length: ${BODY.length}\r\n`;
+      socket.write(successHead(id, length) + BODY.slice(0, 4));
+      for (const [at, ms] of [
+        [4, 450],
+        [5, 150],
+        [6, 350],
+      ] as const) {
+        await sleep(ms);
+        socket.write(BODY.slice(at, at === 6 ? undefined : at + 1));
+      }
+    };
+    const crash: Answer = async ({socket}) => {
+      await sleep(400);
+      socket.resetAndDestroy();
+    };
+    const plain = await open('plain', 2, fallSilentWithin, crash);
+    const gateway = await openGateway([plain]);
+    expectWhole(await sendPlain(gateway, '/look/a', 'r1'), BODY);
+  });
 });
