--- a/src/forward/attemptrunner.ts
+++ b/src/forward/attemptrunner.ts
@@ -67,7 +67,7 @@
     const attemptSink = sink.forAttempt({
       isCurrent: () => attempt === this.current,
       onBytes: () => {
-        if (attempt === this.current) this.dropSuccessor();
+        if (attempt === this.current) this.keepCurrent();
         if (hasBytes) return;
         hasBytes = true;
         const now = dependencies.timer.now();
@@ -88,6 +88,9 @@
         onSent: () => {
           if (attempt === this.successor) this.limitOverlap();
         },
+        onAnswer: () => {
+          if (attempt === this.current) this.keepCurrent();
+        },
         isReplaceable: () => attempt === this.current && this.isReplaceable(),
         onSilence: silentMs => this.seekSuccessor(silentMs, placement),
       },
@@ -116,7 +119,8 @@
       this.tally.recordFailure(result);
       return;
     }
-    if (this.successor !== undefined && !isSuccess(result)) {
+    const isStopped = this.context.deadline.signal.aborted;
+    if (this.successor !== undefined && !isSuccess(result) && !isStopped) {
       this.tally.recordFailure(result);
       this.current = undefined;
       this.promote();
@@ -200,6 +204,15 @@
     this.current?.sink.begin();
   }
 
+  /** Leaves the request to the current upstream, which sends again. */
+  private keepCurrent(): void {
+    const {successor} = this;
+    if (successor === undefined) return;
+    this.dropSuccessor();
+    // It did not fail, so it may still take the request over.
+    this.tally.triedUpstreams.delete(successor.endpoint.id);
+  }
+
   private dropSuccessor(): void {
     const dropped = this.successor;
     this.successor = undefined;
--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -15,6 +15,8 @@
 export interface AttemptListener {
   /** The request is being written to the upstream. */
   onSent(): void;
+  /** A successful response begins or goes on. */
+  onAnswer(): void;
   /** Whether another upstream could take the request over. */
   isReplaceable(): boolean;
   /** The upstream is silent, and may be dead; repeated while it is. */
@@ -94,6 +96,7 @@
         ]),
         sent: () => listener.onSent(),
         advanced: () => promptGuard.recordAnswer(partIds),
+        received: () => listener.onAnswer(),
         observe: head => observer.observe(endpoint, head, placement.trial),
       });
       if (!this.controller.signal.aborted) {
