Date a crash by the last answer that broke off

Peers never learned of a crash if its upstream had broken off another answer up to a second earlier, and the crash counted for the instance alone that saw it.

Cause: the report dated the crash by the first broken answer. A request sent since had been open for less than no time (-400 ms), and peers refuse a report with such a time as malformed.

Each broken answer keeps its time, and the last one is the crash: no suspect was sent later. The wait for the next probe isn't negative either if the last one took long.

--- a/src/forward/promptguard.ts
+++ b/src/forward/promptguard.ts
@@ -24,12 +24,17 @@
   sentAt: number;
 }
 
+interface TimedBreak extends BrokenAnswer {
+  /** When the answer broke off, in monotonic ms. */
+  at: number;
+}
+
 /** Dependencies of [[PromptGuard]]. */
 export interface PromptGuardParts {
   /** Name of this instance. */
   instance: string;
   quarantine: Quarantine;
-  probes: LivenessProber;
+  probes: Pick<LivenessProber, 'probe'>;
   timer: Timer;
   logger: Logger;
 }
@@ -41,7 +46,7 @@
  */
 export class PromptGuard {
   /** Answers that broke off at upstreams of which more is to be learnt. */
-  private readonly broken = new Map<Endpoint, BrokenAnswer[]>();
+  private readonly broken = new Map<Endpoint, TimedBreak[]>();
   private crashes = 0;
 
   constructor(private readonly parts: PromptGuardParts) {
@@ -73,14 +78,15 @@
 
   /** Records an answer that its upstream broke off at the beginning. */
   recordBreak(endpoint: Endpoint, answer: BrokenAnswer): void {
+    const at = this.parts.timer.now();
     const known = this.broken.get(endpoint);
     if (known !== undefined) {
-      known.push(answer);
+      known.push({...answer, at});
       return;
     }
-    const answers = [answer];
+    const answers = [{...answer, at}];
     this.broken.set(endpoint, answers);
-    void this.examine(endpoint, answers, this.parts.timer.now());
+    void this.examine(endpoint, answers, at);
   }
 
   /** Takes over what another instance or the store told. */
@@ -120,17 +126,17 @@
   /** Reports a crash if the process of the upstream has ended. */
   private async examine(
     endpoint: Endpoint,
-    answers: BrokenAnswer[],
+    answers: TimedBreak[],
     at: number,
   ): Promise<void> {
     const {timer, probes} = this.parts;
     const {state} = endpoint.entry;
     for (const delayMs of PROBE_DELAYS_MS) {
-      await timer.sleep(at + delayMs - timer.now());
+      await timer.sleep(Math.max(0, at + delayMs - timer.now()));
       const result = await probes.probe(endpoint);
       if (result !== ProbeResult.Refused) continue;
       // One that drains may end while it still answers.
-      if (state === EntryState.Ready) this.report(endpoint, answers, at);
+      if (state === EntryState.Ready) this.report(endpoint, answers);
       break;
     }
     this.broken.delete(endpoint);
@@ -138,10 +144,11 @@
 
   private report(
     {id, entry: {startedAt}}: Endpoint,
-    answers: readonly BrokenAnswer[],
-    at: number,
+    answers: readonly TimedBreak[],
   ): void {
     this.crashes++;
+    // Connections that broke off before may have done so for other reasons.
+    const at = Math.max(...answers.map(answer => answer.at));
     const suspects = answers.map(({request, parts, sentAt}): Suspect => ({
       request,
       parts: parts.slice(0, -1),
