Retry requests that can't crash upstreams as often as before

Requests without a prompt, such as plain idempotent ones, got 502 after two answers had broken off at their beginning, though their route allowed a third attempt which was served before.

Cause: the bound of two early breaks held for every request. Only a part of a prompt that isn't its last one crashes upstreams.

Two of three cases of test/early-breaks.test.ts failed before: a request without a prompt and one whose prompt has a single part were sent twice instead of three times.

The bound holds for prompts with a part that others may have. The third case shows that these are still sent twice.

--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -20,7 +20,7 @@
 
 /**
  * Upstreams that may break off their answers at the beginning before a request
- * is no longer retried: it may be what crashes them.
+ * with a prompt is no longer retried: it may be what crashes them.
  */
 const MAX_EARLY_BREAKS = 2;
 
@@ -246,7 +246,9 @@
     result: AttemptResult,
   ): boolean {
     const {promptGuard} = this.dependencies;
-    if (this.tally.earlyBreaks >= MAX_EARLY_BREAKS) return false;
+    // The last part of a prompt, which no other request has, crashes none.
+    const mayCrash = partIds.length > 1;
+    if (mayCrash && this.tally.earlyBreaks >= MAX_EARLY_BREAKS) return false;
     if (isEarlyBreak(result) && !promptGuard.mayRepeat(partIds)) return false;
     const now = this.dependencies.timer.now();
     const decision = decideRetry({
