Pause after decisions on crashing parts in proportion to their time

Cause: the quarantine decided every 250 ms, whatever a decision on the crashes known took.

After a decision the next waits 20 times as long as that took, and 2 s at most, since the process may be suspended during a decision. Decisions of up to 100 ms so take 5 % at most.

--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -27,6 +27,15 @@
 /** Time between two decisions, in ms. */
 const REVIEW_PERIOD_MS = 250;
 
+/**
+ * Pause after a decision, in multiples of its duration: with many crashes, one
+ * may take tens of ms, in which no request is served.
+ */
+const PAUSE_PER_DECISION = 20;
+
+/** Longest such pause, in ms; the process may stand still in a decision. */
+const MAX_PAUSE_MS = 2000;
+
 /** Time after the newest crash in which decisions are made, in ms. */
 const REVIEW_MS = 60_000;
 
@@ -66,6 +75,8 @@
   private answers = 0;
   /** When a crash was learned last, in monotonic ms. */
   private newsAt = -Infinity;
+  /** When the pause after the last decision ends, in monotonic ms. */
+  private pausedUntil = -Infinity;
   private review: Subscription | undefined;
   private blameNow: Blame | undefined;
 
@@ -242,7 +253,12 @@
       if (parts.size === 0) this.stop();
       this.blameNow = undefined;
     }
-    if (this.timer.now() - this.newsAt <= REVIEW_MS) this.decide();
+    const beganAt = this.timer.now();
+    if (beganAt - this.newsAt > REVIEW_MS || beganAt < this.pausedUntil) return;
+    this.decide();
+    const endedAt = this.timer.now();
+    const pauseMs = (endedAt - beganAt) * PAUSE_PER_DECISION;
+    this.pausedUntil = endedAt + Math.min(pauseMs, MAX_PAUSE_MS);
   }
 
   private addClearance({part, at}: Clearance): boolean {
