Log once that a request is held

The log told several times a second that a request isn't forwarded while it ran, if a part of its prompt was held meanwhile and its upstream was silent.

Cause: each look for a successor asks whether the request is held, every 250 ms, and each answer was logged.

test/held-log.test.ts failed before with 4 lines for a silence of 2.5 s.

An exchange logs its hold once.

--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -29,6 +29,7 @@
   private readonly tally: AttemptTally;
   /** Objective of the request's route, in ms. */
   private targetMs?: number;
+  private hasLoggedHold = false;
 
   constructor(
     private readonly dependencies: ForwardDependencies,
@@ -224,6 +225,9 @@
   private isHeld({partIds, request}: RequestContext): boolean {
     const hold = this.dependencies.promptGuard.holdOf(partIds);
     if (hold === undefined) return false;
+    // While its upstream is silent, this is asked again and again.
+    if (this.hasLoggedHold) return true;
+    this.hasLoggedHold = true;
     const {part, revision, crashes, decidedAt} = hold;
     this.dependencies.logger.info(
       {
