Take a stream without a length that has no event for broken

A caller got an empty stream as if it were whole from an upstream that crashed right after the head of a response without a length, and the prompt part that crashed it counted as answered, so that it was never held.

Cause: such a response ends with its connection, which the system closes in order for a process that has ended (only a reset was noticed).

test/unframed-crash.test.ts failed before for a stream without a length: no crash was reported. Its case of a chunked stream passed before.

A stream without a length that isn't a continuation has to have an event, or it is broken by its upstream, is retried, and its upstream examined. attempt, forward, stream-end and once pass.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -261,6 +261,8 @@
     } else if (!head.framed && this.connection.reset) {
       const cause = 'reset within an answer without length';
       this.break(cause, BreakCause.Upstream);
+    } else if (!head.framed && this.hasNoEvent) {
+      this.break('ended before an event', BreakCause.Upstream);
     } else if (this.events?.insideEvent === true) {
       this.break('ended inside an event', BreakCause.Upstream);
     } else if (this.deliveryStarted) {
@@ -331,6 +333,12 @@
     this.settle({type: 'broken', cause, started, progress, endedBy});
   }
 
+  /** Whether no event of a whole stream came, as if its process had ended. */
+  private get hasNoEvent(): boolean {
+    const {lastEvent} = this.spec.metadata;
+    return this.events?.events === 0 && lastEvent === undefined;
+  }
+
   private progress(): AnswerProgress {
     if (!this.answered) return AnswerProgress.None;
     return (this.events?.events ?? 0) > 0
