--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -20,7 +20,7 @@
 
 /**
  * Upstreams that may break off their answers at the beginning before a request
- * is no longer retried: it may be what crashes them.
+ * with a prompt is no longer retried: it may be what crashes them.
  */
 const MAX_EARLY_BREAKS = 2;
 
@@ -29,6 +29,7 @@
   private readonly tally: AttemptTally;
   /** Objective of the request's route, in ms. */
   private targetMs?: number;
+  private hasLoggedHold = false;
 
   constructor(
     private readonly dependencies: ForwardDependencies,
@@ -224,6 +225,9 @@
   private isHeld({partIds, request}: RequestContext): boolean {
     const hold = this.dependencies.promptGuard.holdOf(partIds);
     if (hold === undefined) return false;
+    // While its upstream is silent, this is asked again and again.
+    if (this.hasLoggedHold) return true;
+    this.hasLoggedHold = true;
     const {part, revision, crashes, decidedAt} = hold;
     this.dependencies.logger.info(
       {
@@ -246,7 +250,9 @@
     result: AttemptResult,
   ): boolean {
     const {promptGuard} = this.dependencies;
-    if (this.tally.earlyBreaks >= MAX_EARLY_BREAKS) return false;
+    // The last part of a prompt, which no other request has, crashes none.
+    const mayCrash = partIds.length > 1;
+    if (mayCrash && this.tally.earlyBreaks >= MAX_EARLY_BREAKS) return false;
     if (isEarlyBreak(result) && !promptGuard.mayRepeat(partIds)) return false;
     const now = this.dependencies.timer.now();
     const decision = decideRetry({
