Remember entries that the store lost and nobody wrote again

Since only entries that the store removed were remembered. Now those that stayed missing are as well, with that difference: a record is withheld only if it isn't later than the known one, so that an upstream that registered again unseen is believed, and peers aren't told that it has left, as they may know better. It is withheld for up to 10 s, as those that were removed.

Ruled out: remembering them like removed entries.

--- a/src/registry/departures.ts
+++ b/src/registry/departures.ts
@@ -14,10 +14,15 @@
  */
 const WITHHELD_MS = 10_000;
 
-/** An entry that was removed, and since when. */
+/** An entry that was removed or stayed missing, and since when. */
 interface Departure {
   entry: RegistryEntry;
-  /** When it was removed, or last withheld, in monotonic ms. */
+  /**
+   * Whether the store removed it. Otherwise the store lost it and nobody wrote
+   * it again in time, so that its process may yet be running.
+   */
+  isRemoved: boolean;
+  /** When it was dropped, or last withheld, in monotonic ms. */
   at: number;
   /** What an older copy of the store says of the process. */
   withheld?: KnownRecord;
@@ -32,9 +37,9 @@
 
   constructor(private readonly timer: Timer) {}
 
-  /** Remembers an entry that was removed. */
-  add(key: string, entry: RegistryEntry): void {
-    this.departures.set(key, {entry, at: this.timer.now()});
+  /** Remembers an entry that was removed, or that the store lost. */
+  add(key: string, entry: RegistryEntry, isRemoved = true): void {
+    this.departures.set(key, {entry, isRemoved, at: this.timer.now()});
   }
 
   /** Forgets a departure, as the upstream is registered again. */
@@ -65,10 +70,14 @@
     }
   }
 
-  /** Whether the process is known to have left. */
+  /** Whether an entry is of a process that has left, as far as known. */
   includes(key: string, entry: RegistryEntry): boolean {
     const departure = this.departures.get(key);
-    return departure !== undefined && hasEndedWith(entry, departure.entry);
+    if (departure === undefined || !hasEndedWith(entry, departure.entry)) {
+      return false;
+    }
+    // A process of which a later entry is known may have registered again.
+    return departure.isRemoved || supersedes(departure.entry, entry);
   }
 
   /** Whether a record repeats what the process wrote before it left. */
@@ -82,11 +91,15 @@
     );
   }
 
-  /** Records that are withheld, marked as those of upstreams that have left. */
+  /**
+   * Records that are withheld. Those of upstreams that the store removed are
+   * marked; peers may know better of one whose entry the store lost.
+   */
   records(): KnownRecord[] {
-    return [...this.departures.values()].flatMap(({withheld}) =>
-      withheld === undefined ? [] : [{...withheld, standing: Standing.Left}],
-    );
+    return [...this.departures.values()].flatMap(({withheld, isRemoved}) => {
+      if (withheld === undefined) return [];
+      return [isRemoved ? {...withheld, standing: Standing.Left} : withheld];
+    });
   }
 
   /** Forgets what has expired. Returns the records no longer withheld. */
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -311,9 +311,10 @@
 
   private drop(key: string, reason: string): void {
     const known = this.registrations.get(key);
-    // That the store lost an entry doesn't tell that its upstream has left.
-    if (known !== undefined && known.absence?.isRemoved !== false) {
-      this.departures.add(key, known.entry);
+    if (known !== undefined) {
+      // That the store lost an entry doesn't tell that its upstream has left.
+      const {entry, absence} = known;
+      this.departures.add(key, entry, absence?.isRemoved);
     }
     this.registrations.delete(key);
     this.parts.logger.info(
--- a/test/departures.test.ts
+++ b/test/departures.test.ts
@@ -1,8 +1,14 @@
 import {pino} from 'pino';
 import {describe, expect, it} from 'vitest';
-import {EntryState, Registry} from '../src/registry/index.js';
+import {EntryState, Registry, Standing} from '../src/registry/index.js';
 import {ManualTimer} from '../src/timer/index.js';
 
+/** Sequences of entries by their record; 1 for any other. */
+const SEQUENCES: Record<string, number> = {
+  older: 0,
+  newer: 2,
+};
+
 describe('the entries of upstreams', () => {
   const value = Buffer.from('');
   const setUp = () => {
@@ -18,7 +24,7 @@
         slots: 4,
         state: EntryState.Ready,
         coldMs: 0,
-        sequence: record.length === 0 ? 1 : 0,
+        sequence: SEQUENCES[String(record)] ?? 1,
       }),
       timer,
       logger: pino({level: 'silent'}),
@@ -76,7 +82,7 @@
     expect(ids()).toEqual([]);
   });
 
-  it('that two copies lack and a third lists again are used', async () => {
+  const setUpLost = async () => {
     const {timer, store, registry, ids} = setUp();
     const record = {key: 'a', offset: 1, value};
     registry.add([record]);
@@ -94,7 +100,35 @@
     await timer.advance(200);
     registry.sweep();
     expect(ids()).toEqual([]);
+    return {timer, registry, record, ids};
+  };
+
+  it('that two copies lack and a third lists as written since are used', async () => {
+    const {registry, record, ids} = await setUpLost();
+    registry.replace([{...record, value: Buffer.from('newer')}], true);
+    expect(ids()).toEqual(['a']);
+  });
+
+  it('that two copies lack and a third lists as before are not used', async () => {
+    const {timer, registry, record, ids} = await setUpLost();
+    registry.replace([record], true);
+    expect(ids()).toEqual([]);
+    // Peers may have heard from the upstream since.
+    expect(registry.known()).toEqual([record]);
+    registry.add([{...record, standing: Standing.Missing, graceMs: 2_000}]);
+    expect(ids()).toEqual([]);
+    await timer.advance(9_900);
+    registry.sweep();
+    expect(ids()).toEqual([]);
+    await timer.advance(200);
+    registry.sweep();
+    expect(ids()).toEqual(['a']);
+  });
+
+  it('that a copy lists as before are used when written again', async () => {
+    const {registry, record, ids} = await setUpLost();
     registry.replace([record], true);
+    registry.add([{key: 'a', offset: 2, value: Buffer.from('newer')}]);
     expect(ids()).toEqual(['a']);
   });
 });
