Let no reader give way to one that can't help those behind it

They heard that entry-7 had read, and as its rank is lower, entry-1 stopped reading. But entry-7 knows no single changes before offset 10, so nobody learned its address, from it or from the store, until their turn came after 9.4 s.

A status that begins after what is known here can't make an instance fresher, and now doesn't silence it either: entry-1 reads on after its pause of 1 s, tells the others of the records from offset 8 on, and then gives way. It costs one read.

Ruled out: lost announcements (the store had all at 15,293 ms), loads (entry-7 is missed before they matter, as its address is unknown).

--- a/src/registry/topicreplica.ts
+++ b/src/registry/topicreplica.ts
@@ -186,11 +186,12 @@
       this.schedule.awaitState(now);
       return Reception.Unstarted;
     }
+    const {end} = this.changes;
+    // Who can't learn from a reader must not give way to it.
+    if (end < status.since) return Reception.Ignored;
     const readAt = now - status.ageMs;
     this.noteRead({reader: status.reader, at: readAt}, now);
-    const {end} = this.changes;
     if (end < status.changedTo) {
-      if (end < status.since) return Reception.Ignored;
       if (sent === undefined || sent.from > end) return Reception.Behind;
       const missing = sent.records.filter(({offset}) => offset >= end);
       // Passed on as received: they may have no effect here but at other peers.
@@ -203,10 +204,7 @@
     const gainMs = readAt - (this.age.currentAt ?? -Infinity);
     const isNews = end < status.end || gainMs >= MIN_FRESHNESS_GAIN_MS;
     if (gainMs <= 0 || !isNews) return Reception.Ignored;
-    if (end < status.end) {
-      if (end < status.since) return Reception.Ignored;
-      this.changes.append([], status.end);
-    }
+    if (end < status.end) this.changes.append([], status.end);
     this.noteCurrent(readAt, status.reader);
     this.options.learned(Learned.Freshness, LearnedFrom.Peer);
     return Reception.Applied;
