Don't take a draining entry that a copy lacks for a removed one

Schedule 166 of seed 11: all seven instances lack the running, draining i-7 for 10 s. The entry lapses at the first return (11,202 ms). The instances drop it from 11,291 ms on, at once as it drains, and remembered it as removed by the store. i-7 writes again in the next epoch (12,390 ms, sequence 3).

--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -254,13 +254,14 @@
       return;
     }
     const reachableForMs = this.parts.reachableForMs();
-    if (
-      reachableForMs >= MIN_REACHABLE_MS ||
-      known.entry.state === EntryState.Draining
-    ) {
+    if (reachableForMs >= MIN_REACHABLE_MS) {
       this.drop(key, reason);
       return;
     }
+    if (known.entry.state === EntryState.Draining) {
+      this.drop(key, reason, !isLost);
+      return;
+    }
     const leftMs = MIN_REACHABLE_MS - reachableForMs;
     known.absence = {
       until:
@@ -309,12 +310,12 @@
     return known !== undefined;
   }
 
-  private drop(key: string, reason: string): void {
+  private drop(key: string, reason: string, isRemoved?: boolean): void {
     const known = this.registrations.get(key);
     if (known !== undefined) {
       // That the store lost an entry doesn't tell that its upstream has left.
       const {entry, absence} = known;
-      this.departures.add(key, entry, absence?.isRemoved);
+      this.departures.add(key, entry, isRemoved ?? absence?.isRemoved);
     }
     this.registrations.delete(key);
     this.parts.logger.info(
--- a/test/departures.test.ts
+++ b/test/departures.test.ts
@@ -7,6 +7,7 @@
 const SEQUENCES: Record<string, number> = {
   older: 0,
   newer: 2,
+  'draining later': 2,
 };
 
 describe('the entries of upstreams', () => {
@@ -22,7 +23,9 @@
         port: 1,
         zone: 'z',
         slots: 4,
-        state: EntryState.Ready,
+        state: String(record).startsWith('draining')
+          ? EntryState.Draining
+          : EntryState.Ready,
         coldMs: 0,
         sequence: SEQUENCES[String(record)] ?? 1,
       }),
@@ -131,4 +134,18 @@
     registry.add([{key: 'a', offset: 2, value: Buffer.from('newer')}]);
     expect(ids()).toEqual(['a']);
   });
+
+  it('that drain and that a copy lacks are used when written since', () => {
+    const {store, registry, ids} = setUp();
+    store.reachableForMs = 0;
+    const record = {key: 'a', offset: 1, value: Buffer.from('draining')};
+    registry.add([record]);
+    registry.replace([], true);
+    expect(ids()).toEqual([]);
+    registry.replace([record], true);
+    expect(ids()).toEqual([]);
+    const later = Buffer.from('draining later');
+    registry.replace([{...record, offset: 2, value: later}], true);
+    expect(ids()).toEqual(['a']);
+  });
 });
--- a/test/restoration.test.ts
+++ b/test/restoration.test.ts
@@ -196,6 +196,7 @@
   // Schedules that longer runs of the check above have found.
   it.each([
     {seed: 11, path: 120},
+    {seed: 11, path: 166},
     {seed: 21, path: 38},
     {seed: 22, path: 23},
     {seed: 47, path: 21},
