Let prompt parts crash upstreams in the soak

The soak had no prompts, so nothing there told whether gateways that die, restart and lose their links find a part that crashes upstreams.

An upstream that begins to answer one closes its connections and port, and is back as a new process at another address: the port of a FaultProxy that refuses still accepts, and gateways rightly take that for an upstream that lives.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -11,11 +11,20 @@
     describe: 'length of the time with faults',
   })
   .option('instances', {type: 'number', default: 3})
+  .option('crashing-parts', {
+    choices: [0, 1, 2, 3] as const,
+    describe: 'prompt parts that crash upstreams; by default by the seed',
+  })
   .option('json', {type: 'boolean', default: false})
   .strict()
   .parseAsync();
 
-const result = await runSoak(args, lines => {
+const {crashingParts} = args;
+const options = {
+  ...args,
+  ...(crashingParts === undefined ? {} : {crashingParts}),
+};
+const result = await runSoak(options, lines => {
   process.stdout.write(`${lines.join('\n')}\n`);
 });
 const {violations, touched, stalls, folder, ...counts} = result;
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -12,6 +12,7 @@
 } from './deployment.js';
 import type {GatewayProcess} from './gatewayprocess.js';
 import type {Outcome, SentRequest, SoakHistory} from './history.js';
+import type {Prompts} from './prompts.js';
 
 /** Time after which a caller gives up for good, in ms. */
 const GIVE_UP_MS = PATIENCE_MS + 1_000;
@@ -34,6 +35,7 @@
     private readonly history: SoakHistory,
     private readonly random: Random,
     private readonly chooseKey: KeyChoice,
+    private readonly prompts: Prompts,
   ) {}
 
   async run(): Promise<void> {
@@ -71,6 +73,7 @@
       kind === RequestKind.NonIdempotent
         ? textOf(id, Math.floor(random.next() ** 3 * 20_000) + 1)
         : '';
+    const prompt = isStream(kind) ? this.prompts.next() : undefined;
     return {
       id,
       kind,
@@ -82,6 +85,7 @@
       lastEvent: broken?.lastEvent ?? 0,
       sentAt: this.history.now(),
       ...(key === undefined ? {} : {key}),
+      ...(prompt === undefined ? {} : {prompt}),
     };
   }
 
@@ -115,6 +119,7 @@
           'x-request-id': id,
           'x-deadline-ms': PATIENCE_MS,
           'x-tenant': 'forged',
+          ...request.prompt?.headers,
           ...(key === undefined ? {} : {authorization: `Bearer ${key}`}),
           ...(lastEvent === 0 ? {} : {'last-event-id': lastEvent}),
           ...(body === '' ? {} : {'content-length': body.length}),
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -1,4 +1,5 @@
 import type {Configuration, RequestKind, ServiceName} from './deployment.js';
+import type {Prompt} from './prompts.js';
 
 /** An event of a stream, as a caller received it. */
 export interface ReceivedEvent {
@@ -36,6 +37,7 @@
   /** Number of events of the whole stream; 0 if it isn't one. */
   events: number;
   lastEvent: number;
+  prompt?: Prompt;
   sentAt: number;
   outcome?: Outcome;
 }
@@ -78,6 +80,14 @@
   gateway?: string;
 }
 
+/** An upstream's crash when it began to answer a prompt with a bad part. */
+export interface PromptCrash {
+  part: string;
+  request: string;
+  upstream: string;
+  at: number;
+}
+
 /** What a disruption excuses. */
 export enum Nature {
   /** Excuses bounds, but no loss of requests. */
@@ -91,6 +101,10 @@
   Silence = 'silence',
 }
 
+export function isFault(nature: Nature): boolean {
+  return nature === Nature.Fault || nature === Nature.LinkFault;
+}
+
 /** What disturbed a part of the deployment, and when. */
 export interface Disruption {
   /** Name of a gateway or upstream, or [[STORE]]. */
@@ -111,6 +125,7 @@
   readonly configurations: AcceptedConfiguration[] = [];
   readonly leaves: Leave[] = [];
   readonly disruptions: Disruption[] = [];
+  readonly crashes: PromptCrash[] = [];
   /** When the last fault ended; undefined before. */
   calmSince?: number;
   private readonly byRequest = new Map<string, Arrival[]>();
--- a/bench/soak/promise.ts
+++ b/bench/soak/promise.ts
@@ -1,3 +1,5 @@
+import type {SentRequest} from './history.js';
+
 /** What is promised to callers, upstreams and operators. */
 export enum Promised {
   /** What may run only once runs only once. */
@@ -22,6 +24,10 @@
   Answered = 'answered',
   /** Everything is served again after the last fault. */
   Served = 'served',
+  /** After five crashes, a prompt part is kept away from upstreams. */
+  Spared = 'spared',
+  /** Prompts that share other parts with a bad one are served again. */
+  SoundPrompts = 'sound_prompts',
 }
 
 /** A broken promise. */
@@ -37,3 +43,10 @@
    */
   touchedByStall: boolean;
 }
+
+export type Finding = Omit<Violation, 'promise'>;
+
+export function findingOf(request: SentRequest, message: string): Finding {
+  const {id, sentAt} = request;
+  return {request: id, message, at: sentAt, touchedByStall: false};
+}
--- a/bench/soak/upstream.ts
+++ b/bench/soak/upstream.ts
@@ -13,6 +13,8 @@
 const UPSTREAMS_TOPIC = 'keyed.servers';
 const SLOTS = 16;
 const MISSED_HEARTBEATS = 3;
+/** Time from the head of an answer to the crash that it causes, in ms. */
+const CRASH_DELAY_MS = 25;
 
 /** How an upstream treats requests. */
 export enum Treatment {
@@ -31,6 +33,9 @@
   Slow = 'slow',
 }
 
+/** Treatments that begin no answer. */
+const BREAKING = new Set([Treatment.Silent, Treatment.Loses]);
+
 /** State in which an upstream registers itself. */
 enum Registration {
   Ready = 'ready',
@@ -63,7 +68,7 @@
   private constructor(
     readonly name: string,
     readonly service: ServiceName,
-    readonly proxy: FaultProxy,
+    public proxy: FaultProxy,
     private readonly store: KeyedStoreStandIn,
     private readonly history: SoakHistory,
     private readonly random: Random,
@@ -80,8 +85,12 @@
     return new SoakUpstream(name, service, proxy, store, history, random);
   }
 
-  /** Starts a new process of this upstream under the same id. */
+  /**
+   * Starts a new process of this upstream under the same id; does nothing if
+   * one runs.
+   */
   async start(): Promise<void> {
+    if (this.isAlive) return;
     this.incarnation++;
     this.isAlive = true;
     this.registration = Registration.Ready;
@@ -99,6 +108,10 @@
     });
     server.keepAliveTimeout = 15_000;
     await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+    if (!this.isAlive || incarnation !== this.incarnation) {
+      server.close();
+      return;
+    }
     this.server = server;
     this.proxy.setTarget(`127.0.0.1:${(server.address() as AddressInfo).port}`);
     this.proxy.inject({refuse: false});
@@ -302,6 +315,34 @@
     else response.end(body.slice(cut));
   }
 
+  /** Ends the process that has begun an answer, and starts another later. */
+  private async crashBy(
+    part: string,
+    arrival: Arrival,
+    response: ServerResponse,
+  ): Promise<void> {
+    await this.silence;
+    response.flushHeaders();
+    arrival.brokeOff = true;
+    await sleep(CRASH_DELAY_MS);
+    // A proxy that refuses connections still accepts them; a closed port doesn't.
+    const successor = await FaultProxy.open();
+    if (!this.isAlive || arrival.incarnation !== this.incarnation) {
+      await successor.close();
+      return;
+    }
+    const {name: upstream, history, proxy} = this;
+    const {request} = arrival;
+    history.crashes.push({part, request, upstream, at: history.now()});
+    const end = history.disrupt(upstream, 'promptCrash');
+    this.crash();
+    this.proxy = successor;
+    await proxy.close();
+    await sleep(this.random.between(500, 3_000));
+    await this.start();
+    end();
+  }
+
   private async stream(
     arrival: Arrival,
     response: ServerResponse,
@@ -316,6 +357,11 @@
       return;
     }
     response.setHeader('content-type', 'text/event-stream');
+    const badPart = this.history.requests.get(arrival.request)?.prompt?.badPart;
+    if (badPart !== undefined && !BREAKING.has(treatment)) {
+      await this.crashBy(badPart, arrival, response);
+      return;
+    }
     const cutAt = Math.floor(random.between(lastEvent + 1, events + 1));
     for (let event = lastEvent + 1; event <= events; event++) {
       await sleep(random.between(5, treatment === Treatment.Slow ? 250 : 60));
