Let readers give way at a start as before, and list a schedule

Readers now keep on only while positions of an earlier epoch are known, two minutes after a return, when all write their addresses again.

--- a/src/registry/topicreplica.ts
+++ b/src/registry/topicreplica.ts
@@ -187,10 +187,14 @@
       return Reception.Unstarted;
     }
     const {end} = this.changes;
-    // Who can't learn from a reader must not give way to it.
-    if (end < status.since) return Reception.Ignored;
     const readAt = now - status.ageMs;
-    this.noteRead({reader: status.reader, at: readAt}, now);
+    const canLearn = end >= status.since;
+    // After a return all write their addresses again, and who can't learn them
+    // from a reader must not give way to it. At a start, that would cost calls.
+    if (canLearn || this.earlierPositions().length === 0) {
+      this.noteRead({reader: status.reader, at: readAt}, now);
+    }
+    if (!canLearn) return Reception.Ignored;
     if (end < status.changedTo) {
       if (sent === undefined || sent.from > end) return Reception.Behind;
       const missing = sent.records.filter(({offset}) => offset >= end);
--- a/test/restoration.test.ts
+++ b/test/restoration.test.ts
@@ -198,8 +198,11 @@
     {seed: 11, path: 120},
     {seed: 11, path: 166},
     {seed: 21, path: 38},
+    {seed: 21, path: 56},
     {seed: 22, path: 23},
+    {seed: 22, path: 31},
     {seed: 47, path: 21},
+    {seed: 47, path: 187},
   ])(
     'bears the schedule $path of seed $seed',
     async ({seed, path}) => {
