--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -2,14 +2,15 @@
 import type {Subscription, Timer} from '../timer/index.js';
 import {ByteCollector} from './bytes.js';
 import type {Connection} from './connections.js';
+import {
+  AnswerProgress,
+  BreakCause,
+  type AttemptResult,
+  type ReceivedHead,
+} from './attemptresult.js';
 import type {Endpoint} from './endpoint.js';
 import {EventScanner} from './events.js';
-import type {
-  ResponseHead,
-  RequestMetadata,
-  Protocol,
-  RequestHead,
-} from './protocol.js';
+import type {RequestMetadata, Protocol, RequestHead} from './protocol.js';
 
 /**
  * Bodies and events of resumable streams up to this size, in bytes, are buffered
@@ -21,19 +22,6 @@
 /** Longest time in which the body of a refusal is received, in ms. */
 const REFUSAL_BODY_TIMEOUT_MS = 500;
 
-/** Status and headers of an upstream's response, with its framing. */
-export interface ReceivedHead extends ResponseHead {
-  status: number;
-  /** Whether HTTP delimits the body; otherwise it ends with its connection. */
-  framed: boolean;
-}
-
-/** A complete response that was not streamed to the caller. */
-export interface BufferedResponse {
-  head: ReceivedHead;
-  body: Buffer;
-}
-
 /** Receives a response as it arrives. */
 export interface Sink {
   /** Number of bytes that it keeps until their event is complete. */
@@ -47,57 +35,6 @@
   data(chunk: Buffer, resume: () => void): boolean;
 }
 
-/** How much of its answer a broken attempt received. */
-export enum AnswerProgress {
-  /** No head of a successful answer to the request. */
-  None = 'none',
-  /** Such a head, but neither a complete event nor a whole body. */
-  Begun = 'begun',
-  /** At least one complete event. */
-  Advanced = 'advanced',
-}
-
-/** What ended a broken attempt. */
-export enum BreakCause {
-  /**
-   * The upstream closed or reset the connection, or sent bytes that are invalid
-   * or too many.
-   */
-  Upstream = 'upstream',
-  /** The attempt was aborted here. */
-  Abort = 'abort',
-}
-
-/** How an attempt ended. */
-export type AttemptResult =
-  /** No part of the request reached the upstream. */
-  | {type: 'unsent'; cause: string}
-  /** It was not sent, since the upstream asked for a pause meanwhile. */
-  | {type: 'withheld'}
-  /** The upstream reported that it did not run the request. */
-  | {type: 'refused'; status: number}
-  /** A complete response that was not passed to the sink. */
-  | {
-      type: 'whole';
-      answer: BufferedResponse;
-      /** Whether the upstream asks for a pause in it. */
-      asksForPause: boolean;
-    }
-  /** The sink received the complete response. */
-  | {type: 'delivered'; head: ReceivedHead}
-  /**
-   * The attempt failed and the upstream may have run the request. `started`:
-   * whether a part of the response went to the sink.
-   */
-  | {
-      type: 'broken';
-      cause: string;
-      started: boolean;
-      /** Concerns this attempt alone, also if it continues a stream. */
-      progress: AnswerProgress;
-      endedBy: BreakCause;
-    };
-
 /** Inputs of [[runAttempt]]. */
 export interface AttemptSpec {
   endpoint: Endpoint;
--- a/src/forward/attempthealth.ts
+++ b/src/forward/attempthealth.ts
@@ -1,5 +1,5 @@
 import {LogEvent} from '../telemetry/logevent.js';
-import type {AttemptResult} from './attempt.js';
+import type {AttemptResult} from './attemptresult.js';
 import type {ForwardDependencies} from './dependencies.js';
 import type {Endpoint} from './endpoint.js';
 import type {RequestContext} from './requestcontext.js';
--- a/src/forward/attemptrunner.ts
+++ b/src/forward/attemptrunner.ts
@@ -1,6 +1,6 @@
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Subscription} from '../timer/index.js';
-import type {AttemptResult} from './attempt.js';
+import type {AttemptResult} from './attemptresult.js';
 import {recordSilence} from './attempthealth.js';
 import type {ForwardDependencies} from './dependencies.js';
 import type {Placement, PlacementRequest} from './placementrequest.js';
--- a/src/forward/attempttally.ts
+++ b/src/forward/attempttally.ts
@@ -3,7 +3,7 @@
   BreakCause,
   type AttemptResult,
   type BufferedResponse,
-} from './attempt.js';
+} from './attemptresult.js';
 
 /** What the attempts of a request have come to so far. */
 export class AttemptTally {
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -1,7 +1,7 @@
 import {LogEvent} from '../telemetry/logevent.js';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Route, RoutingTable} from '../route/index.js';
-import type {AttemptResult, BufferedResponse} from './attempt.js';
+import type {AttemptResult, BufferedResponse} from './attemptresult.js';
 import {AttemptRunner} from './attemptrunner.js';
 import {bytesOf, readBodyUntil} from './body.js';
 import {Deadline, StopCause} from './deadline.js';
--- a/src/forward/reply.ts
+++ b/src/forward/reply.ts
@@ -1,5 +1,5 @@
 import type {ServerResponse} from 'node:http';
-import type {ReceivedHead, BufferedResponse} from './attempt.js';
+import type {ReceivedHead, BufferedResponse} from './attemptresult.js';
 import {refusalRetryMs, refusalStatus, type Refusal} from './refusal.js';
 
 /** Writes the response of one request to its caller. */
--- a/src/forward/retry.ts
+++ b/src/forward/retry.ts
@@ -1,5 +1,9 @@
 import {Repetition, type Route} from '../route/index.js';
-import {AnswerProgress, BreakCause, type AttemptResult} from './attempt.js';
+import {
+  AnswerProgress,
+  BreakCause,
+  type AttemptResult,
+} from './attemptresult.js';
 import {HealthSignal} from './health.js';
 import {NotRunCause} from './refusal.js';
 
--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -1,5 +1,6 @@
 import {Repetition} from '../route/index.js';
-import {runAttempt, type AttemptResult} from './attempt.js';
+import {runAttempt} from './attempt.js';
+import type {AttemptResult} from './attemptresult.js';
 import {recordHealth} from './attempthealth.js';
 import type {ForwardDependencies} from './dependencies.js';
 import {StopCause} from './deadline.js';
--- a/src/forward/sink.ts
+++ b/src/forward/sink.ts
@@ -1,5 +1,6 @@
 import {Repetition, type Route} from '../route/index.js';
-import type {ReceivedHead, Sink} from './attempt.js';
+import type {Sink} from './attempt.js';
+import type {ReceivedHead} from './attemptresult.js';
 import {EventSplitter, type CompleteEvents} from './events.js';
 import type {Reply} from './reply.js';
 
--- a/test/attempt.test.ts
+++ b/test/attempt.test.ts
@@ -1,11 +1,11 @@
 import {afterEach, expect, test} from 'vitest';
 import {protocol} from '../platform/headers.js';
+import {runAttempt} from '../src/forward/attempt.js';
 import {
   AnswerProgress,
   BreakCause,
-  runAttempt,
   type AttemptResult,
-} from '../src/forward/attempt.js';
+} from '../src/forward/attemptresult.js';
 import {Endpoint} from '../src/forward/endpoint.js';
 import {EntryState} from '../src/registry/index.js';
 import {SystemTimer} from '../src/timer/index.js';
--- a/test/forward-retry.test.ts
+++ b/test/forward-retry.test.ts
@@ -3,7 +3,7 @@
   AnswerProgress,
   BreakCause,
   type AttemptResult,
-} from '../src/forward/attempt.js';
+} from '../src/forward/attemptresult.js';
 import {decideRetry, type AttemptHistory} from '../src/forward/retry.js';
 import {Repetition, type Route} from '../src/route/index.js';
 
