--- a/src/forward/endpoint.ts
+++ b/src/forward/endpoint.ts
@@ -6,6 +6,7 @@
 import {OwnLoad} from './load.js';
 import {Pause, type Trial} from './pause.js';
 import type {Prompt} from './protocol.js';
+import {RateLimit} from './ratelimit.js';
 
 /** One run of an upstream process: its connections, health and load. */
 export class Endpoint {
@@ -23,6 +24,8 @@
     localAddress: string,
     /** The pause that its process asked for, if any. */
     readonly pause = new Pause(),
+    /** The rate that its process declares, if any. */
+    readonly limit = new RateLimit(),
   ) {
     this.connections = new ConnectionPool(
       `http://${entry.host}:${entry.port}`,
--- a/src/forward/endpoints.ts
+++ b/src/forward/endpoints.ts
@@ -10,6 +10,7 @@
 import type {Pause} from './pause.js';
 import {ProcessMap} from './processmap.js';
 import type {PromptPart} from './protocol.js';
+import type {RateLimit} from './ratelimit.js';
 
 /** The known upstreams, indexed by id and by service. */
 export class Endpoints {
@@ -20,6 +21,8 @@
   private readonly leaveNotices = new LeaveNotices();
   /** Pauses asked for, kept beyond the removal of an entry. */
   private readonly pauses = new ProcessMap<Pause>();
+  /** Rates declared, kept beyond the removal of an entry. */
+  private readonly limits = new ProcessMap<RateLimit>();
 
   constructor(private readonly localAddress: string) {}
 
@@ -51,6 +54,11 @@
     this.pauses.set(entry, pause);
   }
 
+  /** Keeps the declared rate of an upstream in the same way. */
+  keepLimit({entry, limit}: Endpoint): void {
+    this.limits.set(entry, limit);
+  }
+
   /** Upstreams that gave notice while their entries are ready, for gossip. */
   leaving(): LeavingUpstream[] {
     const all = [...this.leavingByService.values()].flat();
@@ -121,6 +129,7 @@
       endpoint.retire();
       this.leaveNotices.entryRemoved(endpoint.entry);
       this.pauses.entryRemoved(endpoint.entry);
+      this.limits.entryRemoved(endpoint.entry);
       this.byId.delete(id);
     }
     this.rebuildIndex();
@@ -134,7 +143,11 @@
     }
     known?.retire();
     const pause = this.pauses.get(entry);
-    this.byId.set(entry.id, new Endpoint(entry, this.localAddress, pause));
+    const limit = this.limits.get(entry);
+    this.byId.set(
+      entry.id,
+      new Endpoint(entry, this.localAddress, pause, limit),
+    );
   }
 
   private rebuildIndex(): void {
--- a/src/forward/index.ts
+++ b/src/forward/index.ts
@@ -19,5 +19,6 @@
   Prompt,
   PromptPart,
   Protocol,
+  RateDeclaration,
   RequestHead,
 } from './protocol.js';
--- a/src/forward/protocol.ts
+++ b/src/forward/protocol.ts
@@ -58,6 +58,11 @@
   slots: number;
 }
 
+/** What an upstream declares of the rate of requests that it takes. */
+export type RateDeclaration =
+  /** Requests a second from all instances together. */
+  {type: 'rate'; perSecond: number} | {type: 'invalid'; text: string};
+
 /** Parsed headers of an upstream's response. */
 export interface ResponseHead {
   /** Id of the request that the response belongs to. */
@@ -74,6 +79,8 @@
   leaving: boolean;
   /** Value of Retry-After. */
   retryAfter?: string;
+  /** Absent if the upstream declares no rate. */
+  rate?: RateDeclaration;
   /** Headers to forward to the caller: names and values alternate. */
   forwardedHeaders: string[];
 }
--- a/src/forward/responseobserver.ts
+++ b/src/forward/responseobserver.ts
@@ -11,6 +11,9 @@
 /** Longest part of an invalid header that is logged, in characters. */
 const MAX_LOGGED_LENGTH = 80;
 
+/** Shortest time between two logged invalid rates of an upstream, in ms. */
+const INVALID_RATE_LOG_MS = 60_000;
+
 /** From where a leave notice is known. */
 enum LeaveSource {
   /** A response to this instance. */
@@ -32,6 +35,7 @@
 export class ResponseObserver {
   private leaveNotices = 0;
   private pauses = 0;
+  private readonly invalidRatesLoggedAt = new WeakMap<Endpoint, number>();
 
   constructor(private readonly parts: ResponseObserverParts) {}
 
@@ -63,6 +67,7 @@
     if (head.leaving) {
       this.noteLeaving(endpoint, LeaveSource.Answer, head.request);
     }
+    this.noteRate(endpoint, head);
     const pause = requestedPause(head.status, head.retryAfter, timer.wallNow());
     if (pause !== undefined) this.beginPause(endpoint, head, pause);
     else if (!head.notRun && trial?.succeed() === true) {
@@ -102,6 +107,47 @@
     );
   }
 
+  private noteRate(
+    endpoint: Endpoint,
+    {rate, request, sealed}: ResponseHead,
+  ): void {
+    const {timer, logger, endpoints} = this.parts;
+    const now = timer.now();
+    if (rate?.type === 'invalid') {
+      const loggedAt = this.invalidRatesLoggedAt.get(endpoint) ?? -Infinity;
+      if (now - loggedAt < INVALID_RATE_LOG_MS) return;
+      this.invalidRatesLoggedAt.set(endpoint, now);
+      logger.warn(
+        {
+          event: LogEvent.Limit,
+          upstream: endpoint.id,
+          request,
+          state: 'ignored',
+          reason: rate.text.slice(0, MAX_LOGGED_LENGTH),
+        },
+        'Ignored an invalid rate that an upstream declares.',
+      );
+      return;
+    }
+    // Probes and refusals may be answered by something before the upstream.
+    if (rate === undefined && !(sealed && request !== undefined)) return;
+    const before = endpoint.limit.perSecond;
+    if (!endpoint.limit.state(rate?.perSecond, now)) return;
+    endpoints.keepLimit(endpoint);
+    logger.info(
+      {
+        event: LogEvent.Limit,
+        upstream: endpoint.id,
+        request,
+        state: 'declared',
+        perSecond: rate?.perSecond ?? null,
+        before: before ?? null,
+        inflight: endpoint.ownLoad.view(now).inflight,
+      },
+      'Upstream declared the rate of requests that it takes.',
+    );
+  }
+
   private beginPause(
     endpoint: Endpoint,
     {request}: ResponseHead,
--- a/src/report/requesthistory.ts
+++ b/src/report/requesthistory.ts
@@ -66,6 +66,7 @@
     case LogEvent.Crash:
     case LogEvent.Health:
     case LogEvent.Leaving:
+    case LogEvent.Limit:
     case LogEvent.Pause:
     case LogEvent.Upstream:
       return upstream !== undefined && upstreams.has(upstream);
--- a/src/telemetry/logevent.ts
+++ b/src/telemetry/logevent.ts
@@ -19,6 +19,8 @@
   Hold = 'hold',
   /** An upstream announced that it leaves, in its entry or in a response. */
   Leaving = 'leaving',
+  /** An upstream's declared rate began, changed or ended, or is invalid. */
+  Limit = 'limit',
   /** A request was rejected because its wait was, or would be, too long. */
   Overloaded = 'overloaded',
   /** A pause that an upstream asks for began or ended. */
