Keep the rate that an upstream declares over the whole fleet

Cause: no instance acted on the declaration. Evidence: the rate of requests was the same before and after it, and no code read the header.

Now a request is placed at such an upstream only with a permit. One instance issues the permits of an upstream, chosen by rendezvous hashing over those of its zone, at the declared rate and to the most urgent wants first; nobody else gives any out, so the sum doesn't depend on the number of instances. A permit is valid for 300 ms, answers to old wants are ignored, a new issuer starts without permits, one that hears less than half of its zone issues a share. Declarations travel by gossip. Probes need permits, too; without one they only open a connection. Where nothing else is free, requests wait in the order of their tiers, or are told when to come back.

--- a/bench/fleet/simulatedfleet.ts
+++ b/bench/fleet/simulatedfleet.ts
@@ -17,6 +17,7 @@
 import {feedOverLinks, SimulatedLinks} from './simulatedlinks.js';
 import {placeOf, ZONES} from './places.js';
 import {SimulatedQuarantine} from './simulatedquarantine.js';
+import {NO_LIMITS, NO_NOTICES} from './unlimited.js';
 import {SimulatedNetwork, type Place} from './simulatednetwork.js';
 import {SimulatedStore, StoreState} from './simulatedstore.js';
 import {
@@ -116,8 +117,8 @@
       loads: () =>
         this.loads.map(load => ({...load, unread: [[1, 900]], recent: []})),
       waiting: () => [],
-      leaving: () => [],
-      recordLeaving: () => undefined,
+      notices: NO_NOTICES,
+      permits: NO_LIMITS,
       recordPrompt: () => undefined,
       evidence: this.quarantine,
       isLeaving: () => false,
--- a/src/fleet/gossip.ts
+++ b/src/fleet/gossip.ts
@@ -18,7 +18,7 @@
   ZONE_PREFIX,
   type GossipMessage,
   type InstanceAddress,
-  type LeavingUpstream,
+  type NoticeBoard,
   type SentPrompt,
   type UpstreamLoad,
 } from './message.js';
@@ -81,10 +81,8 @@
   loads(): UpstreamLoad[];
   /** For each service, the most urgent tier with a long-waiting request. */
   waiting(): Array<[string, number]>;
-  /** Upstreams that announced in a response that they leave. */
-  leaving(): LeavingUpstream[];
-  /** Records what another instance told of such an upstream. */
-  recordLeaving(upstream: LeavingUpstream): void;
+  /** What upstreams said of themselves in responses. */
+  notices: NoticeBoard;
   /** Records a prompt that another instance sent to an upstream. */
   recordPrompt(prompt: SentPrompt): void;
   evidence: EvidenceLog;
@@ -309,10 +307,9 @@
     addresses: Iterable<InstanceAddress>,
     message: GossipMessage,
   ): void {
-    const leaving = this.parts.leaving();
     this.parts.datagrams.broadcast(addresses, GOSSIP_METHOD, {
       ...message,
-      ...(leaving.length === 0 ? {} : {leaving}),
+      ...this.parts.notices.take(),
     });
   }
 
@@ -345,9 +342,7 @@
     if (message.relayed.length === 0 && !mayTellNone) {
       this.learn({from, instances: 1, loads, waiting}, now);
     }
-    for (const upstream of message.leaving ?? []) {
-      this.parts.recordLeaving(upstream);
-    }
+    this.parts.notices.learn(message);
     for (const wire of message.relayed) {
       const {report, ageMs} = decodeReport(wire);
       const isOwn =
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -13,9 +13,14 @@
   LeavingUpstream,
   UpstreamLoad,
   GossipMessage,
+  NoticeBoard,
+  Notices,
   SentPrompt,
 } from './message.js';
 export {Peers} from './peers.js';
+export {PermitExchange} from './permitexchange.js';
+export type {PermitDemand, PermitUpstreams} from './permitexchange.js';
+export type {RateStatement, UpstreamProcess} from './permitmessage.js';
 export {RecordExchange} from './recordexchange.js';
 export type {
   PeerCaller,
--- a/src/fleet/message.ts
+++ b/src/fleet/message.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {rateStatementSchema, type RateStatement} from './permitmessage.js';
 import {
   Standing,
   Topic,
@@ -141,6 +142,8 @@
   readings: z.array(sentPromptSchema),
   waiting: z.array(waitingTierSchema),
   leaving: z.array(leavingUpstreamSchema).optional(),
+  /** Rates that upstreams declare. */
+  rates: z.array(rateStatementSchema).optional(),
   /** Loads of the sender and of others, in any other fleet. */
   relayed: z.array(relayedLoadSchema).default([]),
   epoch: epochSchema,
@@ -160,6 +163,20 @@
 /** A prompt that was sent to an upstream, which may cache its parts. */
 export type SentPrompt = z.output<typeof sentPromptSchema>;
 export type LeavingUpstream = z.output<typeof leavingUpstreamSchema>;
+
+/** What upstreams said of themselves in responses, in a message. */
+export interface Notices {
+  leaving?: LeavingUpstream[] | undefined;
+  rates?: RateStatement[] | undefined;
+}
+
+/** Notices of upstreams that are known on this instance. */
+export interface NoticeBoard {
+  /** Notices for the next message, without empty lists. */
+  take(): Notices;
+  /** Records what another instance told. */
+  learn(notices: Notices): void;
+}
 export type WireLoad = z.output<typeof relayedLoadSchema>;
 export type WireChanges = z.output<typeof topicChangesSchema>;
 
--- a/src/fleet/peers.ts
+++ b/src/fleet/peers.ts
@@ -70,6 +70,11 @@
     return 1 + (this.namesByZone.get(this.zone)?.length ?? 0);
   }
 
+  /** Names of the other instances of a zone. */
+  namesIn(zone: string): readonly string[] {
+    return this.namesByZone.get(zone) ?? [];
+  }
+
   /** Zones of the other instances, without the own one. */
   otherZones(): string[] {
     return [...this.namesByZone.keys()].filter(zone => zone !== this.zone);
--- a/src/forward/candidate.ts
+++ b/src/forward/candidate.ts
@@ -19,7 +19,7 @@
   sources: CandidateSources,
   now: number,
 ): Candidate {
-  const {health, entry, ownLoad, pause, promptCache, id} = endpoint;
+  const {health, entry, ownLoad, pause, limit, promptCache, id} = endpoint;
   const admission = pause.admission(now);
   const own = ownLoad.view(now);
   const remote = sources.remoteLoadOf(id);
@@ -37,6 +37,7 @@
     ejected: health.isEjected(now),
     full: health.isFull(now) || admission === Admission.Trying,
     paused: admission === Admission.Paused,
+    limited: !limit.admits(now),
     cachedTokens:
       prompt === undefined ? 0 : (promptCache?.cachedTokens(prompt) ?? 0),
   };
--- a/src/forward/connections.ts
+++ b/src/forward/connections.ts
@@ -119,7 +119,7 @@
 
   constructor(
     private readonly origin: string,
-    private readonly localAddress: string,
+    readonly localAddress: string,
   ) {}
 
   /** Returns the most recently used idle connection, or a new one. */
--- a/src/forward/endpoint.ts
+++ b/src/forward/endpoint.ts
@@ -44,8 +44,8 @@
   }
 
   /**
-   * Adds a placed request to the load and the prompt cache estimate. Returns a
-   * trial if the request is the first after a pause.
+   * Adds a placed request to the load and the prompt cache estimate, and uses a
+   * permit for it. Returns a trial if the request is the first after a pause.
    */
   recordPlacement(
     {prompt, tier}: {prompt?: Prompt; tier: number},
@@ -53,6 +53,7 @@
     now: number,
   ): Trial | undefined {
     this.ownLoad.add(tier, freshTokens, now);
+    this.limit.take(now);
     if (prompt !== undefined) this.promptCache?.add(prompt.parts);
     return this.pause.place(now);
   }
--- a/src/forward/endpoints.ts
+++ b/src/forward/endpoints.ts
@@ -4,12 +4,16 @@
   type RegistryEntry,
 } from '../registry/index.js';
 import type {RoutingTable} from '../route/index.js';
-import type {LeavingUpstream, UpstreamLoad} from '../fleet/index.js';
+import type {
+  LeavingUpstream,
+  SentPrompt,
+  UpstreamLoad,
+  UpstreamProcess,
+} from '../fleet/index.js';
 import {Endpoint} from './endpoint.js';
 import {LeaveNotices} from './leavenotices.js';
 import type {Pause} from './pause.js';
 import {ProcessMap} from './processmap.js';
-import type {PromptPart} from './protocol.js';
 import type {RateLimit} from './ratelimit.js';
 
 /** The known upstreams, indexed by id and by service. */
@@ -67,10 +71,14 @@
     );
   }
 
-  /** The upstream of this id whose process began at `startedAt`, in Unix ms. */
-  find([id, startedAt]: LeavingUpstream): Endpoint | undefined {
+  /**
+   * The upstream of this id whose process began at `startedAt`, in Unix ms; 0 if
+   * it doesn't report that.
+   */
+  find([id, startedAt]: UpstreamProcess): Endpoint | undefined {
     const endpoint = this.byId.get(id);
-    return endpoint?.entry.startedAt === startedAt ? endpoint : undefined;
+    if (endpoint === undefined) return undefined;
+    return (endpoint.entry.startedAt ?? 0) === startedAt ? endpoint : undefined;
   }
 
   /** Number of known upstreams that gave notice that they leave. */
@@ -101,8 +109,9 @@
   }
 
   /** Records a prompt that another instance sent to an upstream. */
-  recordPrompt(upstream: string, parts: readonly PromptPart[]): void {
-    this.byId.get(upstream)?.promptCache?.add(parts);
+  recordPrompt(upstream: string, parts: SentPrompt['parts']): void {
+    const added = parts.map(([id, tokens]) => ({id, tokens}));
+    this.byId.get(upstream)?.promptCache?.add(added);
   }
 
   /** Number of connections opened to the known upstreams. */
--- a/src/forward/index.ts
+++ b/src/forward/index.ts
@@ -8,6 +8,8 @@
 export type {ForwardDependencies} from './dependencies.js';
 export {LivenessProber} from './liveness.js';
 export {PromptGuard} from './promptguard.js';
+export type {Endpoint} from './endpoint.js';
+export {rateStatementOf, UpstreamNotices} from './upstreamnotices.js';
 export {ResponseObserver} from './responseobserver.js';
 export {SpeedEstimator} from './speedestimator.js';
 export type {LoadView} from './load.js';
--- a/src/forward/liveness.ts
+++ b/src/forward/liveness.ts
@@ -1,3 +1,4 @@
+import {connect} from 'node:net';
 import type {Dispatcher} from 'undici';
 import type {Timer} from '../timer/index.js';
 import type {Connection} from './connections.js';
@@ -31,7 +32,8 @@
   /**
    * Whether an upstream responds to a probe on a new connection, or closes the
    * connection, as one that has too many does. One that asked for a pause is
-   * probed once during it, and else taken to be alive.
+   * probed once during it, and else taken to be alive. One whose declared rate
+   * admits no request is alive if it accepts a connection.
    */
   async isAlive(endpoint: Endpoint): Promise<boolean> {
     return (await this.probe(endpoint)) === ProbeResult.Alive;
@@ -44,13 +46,34 @@
     if (!endpoint.pause.admitProbe(this.timer.now())) {
       return Promise.resolve(ProbeResult.Alive);
     }
-    const result = this.send(endpoint).finally(() =>
-      this.pendingProbes.delete(endpoint),
-    );
+    const mayAsk = endpoint.limit.take(this.timer.now());
+    const probe = mayAsk ? this.send(endpoint) : this.connect(endpoint);
+    const result = probe.finally(() => this.pendingProbes.delete(endpoint));
     this.pendingProbes.set(endpoint, result);
     return result;
   }
 
+  /** Opens a connection, and closes it without a request. */
+  private connect({entry, connections}: Endpoint): Promise<ProbeResult> {
+    const {host, port} = entry;
+    const {localAddress} = connections;
+    return new Promise(resolve => {
+      const socket = connect({host, port, localAddress});
+      const finish = (result: ProbeResult) => {
+        timeout.end();
+        socket.destroy();
+        resolve(result);
+      };
+      const timeout = this.timer.after(PROBE_TIMEOUT_MS, () =>
+        finish(ProbeResult.Silent),
+      );
+      socket.once('connect', () => finish(ProbeResult.Alive));
+      socket.once('error', (error: NodeJS.ErrnoException) =>
+        finish(resultOf(error)),
+      );
+    });
+  }
+
   private send(endpoint: Endpoint): Promise<ProbeResult> {
     const connection = endpoint.connections.open();
     return new Promise(resolve => {
@@ -76,6 +99,11 @@
   }
 }
 
+/** What a connection shows that could not be opened. */
+function resultOf({code}: NodeJS.ErrnoException): ProbeResult {
+  return code === 'ECONNREFUSED' ? ProbeResult.Refused : ProbeResult.Silent;
+}
+
 function sendProbe(
   connection: Connection,
   protocol: Protocol,
@@ -94,9 +122,7 @@
     onResponseData: () => undefined,
     onResponseEnd: () => undefined,
     onResponseError: (_controller, error: NodeJS.ErrnoException) => {
-      const isRefused = error.code === 'ECONNREFUSED';
-      if (connected) finish(ProbeResult.Alive);
-      else finish(isRefused ? ProbeResult.Refused : ProbeResult.Silent);
+      finish(connected ? ProbeResult.Alive : resultOf(error));
     },
   };
   connection.dispatch({method: 'GET', path: protocol.probeTarget}, handler);
--- a/src/forward/placement.ts
+++ b/src/forward/placement.ts
@@ -101,6 +101,8 @@
   full: boolean;
   /** Whether it asked for a pause that is not over. */
   paused: boolean;
+  /** Whether this instance may send nothing there now, by its declared rate. */
+  limited: boolean;
   /** Tokens of the prompt that it is assumed to have cached. */
   cachedTokens: number;
 }
@@ -149,6 +151,8 @@
   | {type: 'full'}
   /** Every upstream that is left to try asked for a pause. */
   | {type: 'paused'}
+  /** Every upstream with capacity may get nothing now, by its declared rate. */
+  | {type: 'limited'}
   /** No engine has prefill capacity; `prefillMs` is what the request needs. */
   | {type: 'busy'; prefillMs: number}
   /** No upstream is left to try. */
@@ -217,10 +221,12 @@
   if (unpaused.length === 0) return {type: 'paused'};
   const healthy = unpaused.filter(({ejected}) => !ejected);
   const usable = healthy.length > 0 ? healthy : unpaused;
-  const available = usable.filter(
+  const free = usable.filter(
     ({full, ownInflight, slots}) => !full && ownInflight < slots,
   );
-  if (available.length === 0) return {type: 'full'};
+  if (free.length === 0) return {type: 'full'};
+  const available = free.filter(({limited}) => !limited);
+  if (available.length === 0) return {type: 'limited'};
   const ids = candidates.map(({id}) => id);
   const reserved = reservedIds(ids, estimate.reservedCount);
   const home = homeOf(query, ids, reserved);
--- a/src/forward/queueentry.ts
+++ b/src/forward/queueentry.ts
@@ -23,4 +23,6 @@
   Backoff = 'backoff',
   /** Every upstream asked for a pause. */
   Paused = 'paused',
+  /** Every upstream with capacity gets as much as it declares that it takes. */
+  Limited = 'limited',
 }
--- a/src/forward/refusal.ts
+++ b/src/forward/refusal.ts
@@ -30,6 +30,8 @@
   Unreachable = 'unreachable',
   /** Every upstream asked for a pause that is too long to wait for. */
   Paused = 'paused',
+  /** Every upstream gets as much as it declares that it takes. */
+  Limited = 'limited',
   /** Its prompt has a part that crashes upstreams. */
   Held = 'held',
 }
--- a/src/forward/responseobserver.ts
+++ b/src/forward/responseobserver.ts
@@ -1,5 +1,5 @@
 import type {Logger} from 'pino';
-import type {LeavingUpstream} from '../fleet/index.js';
+import type {LeavingUpstream, RateStatement} from '../fleet/index.js';
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Timer} from '../timer/index.js';
 import type {Endpoint} from './endpoint.js';
@@ -14,8 +14,8 @@
 /** Shortest time between two logged invalid rates of an upstream, in ms. */
 const INVALID_RATE_LOG_MS = 60_000;
 
-/** From where a leave notice is known. */
-enum LeaveSource {
+/** From where a notice of an upstream is known. */
+enum NoticeSource {
   /** A response to this instance. */
   Answer = 'answer',
   /** Another instance, which had such a response. */
@@ -29,6 +29,8 @@
   logger: Logger;
   /** Returns a random number in [0, 1). */
   random: () => number;
+  /** Called when the declared rate of an upstream changes. */
+  rateChanged(): void;
 }
 
 /** Records what upstreams say of themselves in the heads of responses. */
@@ -46,11 +48,15 @@
     const paused = [...endpoints.all()].filter(
       ({pause}) => pause.admission(now) === Admission.Paused,
     );
+    const limited = [...endpoints.all()].filter(
+      ({limit}) => limit.perSecond !== undefined,
+    );
     return {
       upstreams_leaving: endpoints.countLeaving(),
       leave_notices_total: this.leaveNotices,
       upstreams_paused: paused.length,
       pauses_total: this.pauses,
+      upstreams_limited: limited.length,
     };
   }
 
@@ -65,7 +71,7 @@
   ): boolean {
     const {timer} = this.parts;
     if (head.leaving) {
-      this.noteLeaving(endpoint, LeaveSource.Answer, head.request);
+      this.noteLeaving(endpoint, NoticeSource.Answer, head.request);
     }
     this.noteRate(endpoint, head);
     const pause = requestedPause(head.status, head.retryAfter, timer.wallNow());
@@ -82,12 +88,21 @@
   /** Handles what another instance told of an upstream that leaves. */
   learnLeaving(upstream: LeavingUpstream): void {
     const endpoint = this.parts.endpoints.find(upstream);
-    if (endpoint !== undefined) this.noteLeaving(endpoint, LeaveSource.Peer);
+    if (endpoint !== undefined) this.noteLeaving(endpoint, NoticeSource.Peer);
+  }
+
+  /** Handles what another instance told of the rate that an upstream declares. */
+  learnRate([id, startedAt, perSecond, ageMs]: RateStatement): void {
+    const {endpoints, timer} = this.parts;
+    const endpoint = endpoints.find([id, startedAt]);
+    if (endpoint === undefined) return;
+    const at = timer.now() - ageMs;
+    this.stateRate(endpoint, perSecond ?? undefined, at, NoticeSource.Peer);
   }
 
   private noteLeaving(
     endpoint: Endpoint,
-    source: LeaveSource,
+    source: NoticeSource,
     request?: string,
   ): void {
     const {endpoints, timer, logger} = this.parts;
@@ -111,7 +126,7 @@
     endpoint: Endpoint,
     {rate, request, sealed}: ResponseHead,
   ): void {
-    const {timer, logger, endpoints} = this.parts;
+    const {timer, logger} = this.parts;
     const now = timer.now();
     if (rate?.type === 'invalid') {
       const loggedAt = this.invalidRatesLoggedAt.get(endpoint) ?? -Infinity;
@@ -131,21 +146,41 @@
     }
     // Probes and refusals may be answered by something before the upstream.
     if (rate === undefined && !(sealed && request !== undefined)) return;
+    this.stateRate(
+      endpoint,
+      rate?.perSecond,
+      now,
+      NoticeSource.Answer,
+      request,
+    );
+  }
+
+  /** Takes over a statement that was made at `at`, in monotonic ms. */
+  private stateRate(
+    endpoint: Endpoint,
+    perSecond: number | undefined,
+    at: number,
+    source: NoticeSource,
+    request?: string,
+  ): void {
+    const {timer, logger, endpoints} = this.parts;
     const before = endpoint.limit.perSecond;
-    if (!endpoint.limit.state(rate?.perSecond, now)) return;
+    if (!endpoint.limit.state(perSecond, at)) return;
     endpoints.keepLimit(endpoint);
     logger.info(
       {
         event: LogEvent.Limit,
         upstream: endpoint.id,
+        source,
         request,
         state: 'declared',
-        perSecond: rate?.perSecond ?? null,
+        perSecond: perSecond ?? null,
         before: before ?? null,
-        inflight: endpoint.ownLoad.view(now).inflight,
+        inflight: endpoint.ownLoad.view(timer.now()).inflight,
       },
       'Upstream declared the rate of requests that it takes.',
     );
+    this.parts.rateChanged();
   }
 
   private beginPause(
--- a/src/forward/waitqueue.ts
+++ b/src/forward/waitqueue.ts
@@ -1,7 +1,8 @@
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Subscription} from '../timer/index.js';
+import {backsOff} from './backoff.js';
 import {candidateOf} from './candidate.js';
-import {shortestPauseMs, waitsForPause} from './pausewait.js';
+import {refusalCauseOf, shortestDelayMs} from './pausewait.js';
 import {chooseUpstream} from './placement.js';
 import {logPlacement} from './placementlog.js';
 import {
@@ -39,13 +40,8 @@
 
 /** Prefill time above which instances avoid placing on one engine at once. */
 const LARGE_PREFILL_MS = 50;
-/**
- * Longest back-off of a large prompt before it uses new capacity, in ms for
- * each other instance. About the time that gossip takes between regions.
- */
-const MAX_BACKOFF_PER_INSTANCE_MS = 12;
-/** Longest back-off, in ms; a small part of the targets of large prompts. */
-const MAX_BACKOFF_MS = 150;
+/** Time for which a request counts as demand for permits, in ms. */
+const DEMAND_MS = 500;
 
 /** Result of a request whose prompt is held. */
 const HELD: PlacementResult = {
@@ -61,6 +57,8 @@
   /** When a request of a tier was last rejected, in monotonic ms. */
   private readonly lastRejectedAt = new Map<number, number>();
   private placementTimer?: Subscription;
+  /** When a request was last to be placed, in monotonic ms. */
+  private askedAt = -Infinity;
 
   constructor(private readonly dependencies: WaitQueueDependencies) {}
 
@@ -68,6 +66,18 @@
     return this.entries.length;
   }
 
+  /**
+   * Number of waiting requests and the tier of the most urgent; undefined if
+   * none was to be placed lately.
+   */
+  demand(): {waiting: number; tier?: number} | undefined {
+    const waiting = this.entries.length;
+    const isIdle = this.dependencies.timer.now() - this.askedAt > DEMAND_MS;
+    if (waiting === 0) return isIdle ? undefined : {waiting};
+    const tiers = this.entries.map(({request}) => request.tier);
+    return {waiting, tier: Math.min(...tiers)};
+  }
+
   /** Resolves once the request is placed, rejected or aborted. */
   acquire(request: PlacementRequest): Promise<PlacementResult> {
     return new Promise(resolve => {
@@ -107,6 +117,7 @@
     settle: QueueEntry['settle'],
   ): QueueEntry {
     const enqueuedAt = this.dependencies.timer.now();
+    this.askedAt = enqueuedAt;
     const prefillMs = this.minPrefillMs(request);
     return {request, enqueuedAt, prefillMs, settle};
   }
@@ -137,24 +148,23 @@
       this.remove(entry);
       return false;
     }
-    const refusal = this.refusalDuringPause(entry, cause, now);
+    const refusal = this.refusalOfDelay(entry, cause, now);
     if (refusal !== undefined) this.removeAndSettle(entry, refusal);
     return refusal === undefined;
   }
 
-  /** Refuses a request that does not wait for the end of a pause. */
-  private refusalDuringPause(
+  /** Refuses a request that would wait too long for a pause or a permit. */
+  private refusalOfDelay(
     entry: QueueEntry,
     cause: WaitCause,
     now: number,
   ): PlacementResult | undefined {
-    if (cause !== WaitCause.Paused) return undefined;
     const endpoints = this.dependencies.endpoints();
-    const {triedUpstreams} = entry.request;
-    const pauseMs = shortestPauseMs(endpoints, now, triedUpstreams);
-    return waitsForPause(entry.request, pauseMs, now)
-      ? undefined
-      : this.reject(entry, NotRunCause.Paused, pauseMs);
+    const {request} = entry;
+    const delayMs = shortestDelayMs(endpoints, now, request.triedUpstreams);
+    const refused = refusalCauseOf(request, cause, delayMs, now);
+    if (refused === undefined) return undefined;
+    return this.reject(entry, refused, delayMs);
   }
 
   /**
@@ -223,6 +233,7 @@
     const decision = chooseUpstream(query, candidates, estimate, random);
     if (decision.type !== 'chosen') delete entry.backoffUntil;
     if (decision.type === 'paused') return WaitCause.Paused;
+    if (decision.type === 'limited') return WaitCause.Limited;
     if (decision.type === 'full') return WaitCause.Full;
     if (decision.type === 'busy') {
       entry.prefillMs = decision.prefillMs;
@@ -238,7 +249,14 @@
     const {freshTokens} = decision;
     const prefillMs = freshTokens / estimate.prefillTokensPerMs;
     const isLarge = !ignoresLoad(request) && prefillMs > LARGE_PREFILL_MS;
-    if (isLarge && this.backsOff(entry, now)) return WaitCause.Backoff;
+    const others = this.dependencies.fleetSize() - 1;
+    if (
+      isLarge &&
+      this.entries.includes(entry) &&
+      backsOff(entry, now, others, random)
+    ) {
+      return WaitCause.Backoff;
+    }
     const load = {
       own: endpoint.ownLoad.view(now),
       remote: this.dependencies.remoteLoadOf(endpoint.id),
@@ -258,22 +276,6 @@
     return undefined;
   }
 
-  /**
-   * Whether a waiting large prompt backs off before it uses new capacity. All
-   * instances see the capacity at the same time; a random back-off lets the
-   * first of them announce its load before the others place on the same engine.
-   */
-  private backsOff(entry: QueueEntry, now: number): boolean {
-    if (!this.entries.includes(entry)) return false;
-    const others = this.dependencies.fleetSize() - 1;
-    const pauseMs = Math.min(
-      MAX_BACKOFF_MS,
-      others * MAX_BACKOFF_PER_INSTANCE_MS,
-    );
-    entry.backoffUntil ??= now + this.dependencies.random() * pauseMs;
-    return now < entry.backoffUntil;
-  }
-
   /** Estimated time to place `aheadMs` ms of prefill, in ms. */
   private estimateWaitMs(aheadMs: number): number {
     const {timer} = this.dependencies;
@@ -291,7 +293,7 @@
       return;
     }
     const now = timer.now();
-    const refusal = this.refusalDuringPause(entry, cause, now);
+    const refusal = this.refusalOfDelay(entry, cause, now);
     if (refusal !== undefined) {
       entry.settle(refusal);
       return;
@@ -390,7 +392,7 @@
       cause,
       retryAfterMs: retryDelayMs(
         this.estimateWaitMs(aheadMs),
-        shortestPauseMs(this.dependencies.endpoints(), timer.now()),
+        shortestDelayMs(this.dependencies.endpoints(), timer.now()),
         random(),
       ),
     };
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -7,8 +7,8 @@
   Listener,
   PromptGuard,
   ResponseObserver,
+  UpstreamNotices,
   type Address,
-  type PromptPart,
 } from '../forward/index.js';
 import {Quarantine} from '../quarantine/index.js';
 import {Registry, type KeyedRecord} from '../registry/index.js';
@@ -24,6 +24,7 @@
 import {NetworkTransport} from './fleettransport.js';
 import {GatewayFleet} from './gatewayfleet.js';
 import {MonitoringServers, type MonitoringPage} from './monitoringservers.js';
+import {LimitedUpstreams} from './limitedupstreams.js';
 import type {PlatformAdapter} from './platformadapter.js';
 import {ServiceStates} from './servicestates.js';
 import {watchStalls} from './stall.js';
@@ -141,6 +142,7 @@
       timer,
       logger: componentLogger(root, Component.Upstream),
       random: Math.random,
+      rateChanged: () => this.fleet.permits.wake(),
     });
     this.probes = new LivenessProber(timer, platform.protocol, this.observer);
     this.promptGuard = new PromptGuard({
@@ -181,7 +183,11 @@
       random: Math.random,
       configurationAgeMs: () => this.fleet.configurations.ageMs(),
       serviceStateOf: service => this.services.of(service),
-      promptSent: (endpoint, {parts}) => this.gossipPrompt(endpoint.id, parts),
+      promptSent: ({id: upstream}, {parts}) =>
+        this.fleet.gossip.addPrompt({
+          upstream,
+          parts: parts.map(({id, tokens}) => [id, tokens]),
+        }),
       isAlive: endpoint => this.probes.isAlive(endpoint),
       canServeFor: timeoutMs =>
         !this.endController.signal.aborted &&
@@ -293,13 +299,15 @@
       },
       loads: () => this.endpoints.loads(timer.now()),
       waiting: () => this.services.waitingTiers(),
-      leaving: () => this.endpoints.leaving(),
-      recordLeaving: upstream => this.observer.learnLeaving(upstream),
+      notices: new UpstreamNotices(this.endpoints, this.observer, timer),
+      permits: new LimitedUpstreams({
+        timer,
+        endpoints: this.endpoints,
+        observer: this.observer,
+        services: () => this.services,
+      }),
       recordPrompt: ({upstream, parts}) =>
-        this.endpoints.recordPrompt(
-          upstream,
-          parts.map(([id, tokens]) => ({id, tokens})),
-        ),
+        this.endpoints.recordPrompt(upstream, parts),
       evidence: this.promptGuard,
       isLeaving: () => this.drainSchedule !== undefined,
     });
@@ -328,14 +336,6 @@
     });
   }
 
-  /** Tells the other instances of a prompt that was sent to an upstream. */
-  private gossipPrompt(upstream: string, parts: readonly PromptPart[]): void {
-    this.fleet.gossip.addPrompt({
-      upstream,
-      parts: parts.map(({id, tokens}) => [id, tokens]),
-    });
-  }
-
   /** Applies the usable upstreams, and places requests that can run now. */
   private updateEndpoints(): void {
     this.endpoints.apply(this.registry.usable(), this.routing.current());
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -6,9 +6,11 @@
   isHoldRecord,
   ownsKey,
   Peers,
+  PermitExchange,
   RecordExchange,
   type EvidenceLog,
-  type LeavingUpstream,
+  type NoticeBoard,
+  type PermitUpstreams,
   type SentPrompt,
   type UpstreamLoad,
 } from '../fleet/index.js';
@@ -68,10 +70,10 @@
   loads(): UpstreamLoad[];
   /** For each service, the most urgent tier with a long-waiting request. */
   waiting(): Array<[string, number]>;
-  /** Upstreams that announced in a response that they leave. */
-  leaving(): LeavingUpstream[];
-  /** Records what another instance told of such an upstream. */
-  recordLeaving(upstream: LeavingUpstream): void;
+  /** What upstreams said of themselves in responses. */
+  notices: NoticeBoard;
+  /** Upstreams that declare a rate, and what may be sent to them. */
+  permits: PermitUpstreams;
   /** Records a prompt that another instance sent to an upstream. */
   recordPrompt(prompt: SentPrompt): void;
   /** Crashes and prompt parts that are known and decided on here. */
@@ -88,6 +90,7 @@
   readonly configurations: Follower;
   readonly upstreams: Follower;
   readonly gossip: Gossip;
+  readonly permits: PermitExchange;
   private readonly epochs: StoreEpoch;
   private readonly instances: Follower;
   private readonly records: RecordExchange;
@@ -166,8 +169,7 @@
       random,
       loads: () => parts.loads(),
       waiting: () => parts.waiting(),
-      leaving: () => parts.leaving(),
-      recordLeaving: upstream => parts.recordLeaving(upstream),
+      notices: parts.notices,
       recordPrompt: prompt => parts.recordPrompt(prompt),
       evidence: {
         learn: evidence => {
@@ -179,6 +181,15 @@
         holds: () => parts.evidence.holds(),
       },
     });
+    this.permits = new PermitExchange({
+      name: instance,
+      zone,
+      peers: this.peers,
+      datagrams: transport.datagrams,
+      timer,
+      upstreams: parts.permits,
+      heard: () => new Set(this.gossip.peerLoads.activeOrigins(timer.now())),
+    });
   }
 
   /** Starts following the topics and exchanging messages with the peers. */
@@ -201,6 +212,7 @@
       this.instances.start(),
       this.gossip.start(),
       {end: () => this.holds.end()},
+      {end: () => this.permits.end()},
     ];
   }
 
--- a/src/wiring/servicestates.ts
+++ b/src/wiring/servicestates.ts
@@ -5,6 +5,7 @@
   ServiceState,
   SpeedEstimator,
   WaitQueue,
+  type Endpoint,
   type Endpoints,
 } from '../forward/index.js';
 import type {Timer} from '../timer/index.js';
@@ -52,6 +53,13 @@
     return state;
   }
 
+  /** Upstreams of a service that accept new requests. */
+  upstreamsOf(service: string): readonly Endpoint[] {
+    const {endpoints, timer, settings} = this.parts;
+    const drainMs = settings().upstreamDrainMs ?? 0;
+    return endpoints.readyOf(service, timer.now(), drainMs);
+  }
+
   /** For each service, the most urgent tier with a long-waiting request. */
   waitingTiers(): Array<[string, number]> {
     return [...this.states]
@@ -75,7 +83,7 @@
   }
 
   private createWaitQueue(service: string, speeds: SpeedEstimator): WaitQueue {
-    const {timer, logger, random, endpoints, gossip, settings} = this.parts;
+    const {timer, logger, random, gossip, settings} = this.parts;
     const {peerLoads} = gossip;
     return new WaitQueue({
       timer,
@@ -86,12 +94,7 @@
       announceLoad: () => gossip.send(),
       fleetSize: () => 1 + peerLoads.countActive(timer.now()),
       remoteLoadOf: id => peerLoads.loadOn(id, timer.now()),
-      endpoints: () =>
-        endpoints.readyOf(
-          service,
-          timer.now(),
-          settings().upstreamDrainMs ?? 0,
-        ),
+      endpoints: () => this.upstreamsOf(service),
       roundTripMs: zone => roundTripMs(settings(), zone),
     });
   }
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -7,6 +7,7 @@
   injectFault,
   runExperiment,
 } from '../bench/fleet/experiment.js';
+import {NO_NOTICES} from '../bench/fleet/unlimited.js';
 import {SimulatedFleet} from '../bench/fleet/simulatedfleet.js';
 import {StoreState} from '../bench/fleet/simulatedstore.js';
 import {Gossip, PeerLoads, Peers, RecordExchange} from '../src/fleet/index.js';
@@ -209,8 +210,7 @@
     random: () => 0.5,
     loads: () => [],
     waiting: () => [],
-    leaving: () => [],
-    recordLeaving: () => undefined,
+    notices: NO_NOTICES,
     recordPrompt: () => undefined,
     evidence: {learn: () => false, subscribe: () => undefined, holds: () => []},
   });
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -30,6 +30,7 @@
     ejected: false,
     full: false,
     paused: false,
+    limited: false,
     cachedTokens: 0,
     ...change,
   };
--- a/test/support/returningstore.ts
+++ b/test/support/returningstore.ts
@@ -1,3 +1,4 @@
+import {NO_LIMITS, NO_NOTICES} from '../../bench/fleet/unlimited.js';
 import {err, ok, type Result} from 'neverthrow';
 import {pino} from 'pino';
 import {Random} from '../../bench/random.js';
@@ -197,8 +198,8 @@
       },
       loads: () => [],
       waiting: () => [],
-      leaving: () => [],
-      recordLeaving: () => undefined,
+      notices: NO_NOTICES,
+      permits: NO_LIMITS,
       recordPrompt: () => undefined,
       evidence: {
         learn: () => false,
