Keep the part of a permit that was saved up beside a whole one

While requests waited for an upstream that declares 10 requests a second, it got 8.3 a second. The issuer looks for due permits every 25 ms and kept one at most, so that what had come beyond it since the last look was lost. It now keeps a whole permit and those of 100 ms beside it.

--- a/bench/fleet/fleetspec.ts
+++ b/bench/fleet/fleetspec.ts
@@ -12,6 +12,8 @@
   configurationBytes: number;
   /** Capacity of the links; unlimited if absent. */
   links?: LinkCapacity;
+  /** Number of upstreams that may declare rates, beside the others. */
+  limitedUpstreams?: number;
   /** Period with which an upstream writes its entry, in ms. */
   heartbeatMs?: number;
 }
--- a/bench/fleet/simulatedfleet.ts
+++ b/bench/fleet/simulatedfleet.ts
@@ -17,6 +17,7 @@
 import {feedOverLinks, SimulatedLinks} from './simulatedlinks.js';
 import {placeOf, ZONES} from './places.js';
 import {SimulatedQuarantine} from './simulatedquarantine.js';
+import {DeclaringUpstreams, LimitedRequests} from './limitedupstreams.js';
 import {NO_LIMITS, NO_NOTICES} from './unlimited.js';
 import {SimulatedNetwork, type Place} from './simulatednetwork.js';
 import {SimulatedStore, StoreState} from './simulatedstore.js';
@@ -51,6 +52,8 @@
   readonly registry: Registry;
   readonly audit: Audit;
   readonly quarantine: SimulatedQuarantine;
+  /** Requests to upstreams that declare rates, if there are any. */
+  readonly requests?: LimitedRequests;
   private readonly routing = new Routing(silent);
   /** Times that a configuration older than one received before arrived. */
   regressions = 0;
@@ -72,6 +75,15 @@
     const {base, random, store, network, links, writers} = simulation;
     this.timer = new InstanceTimer(base);
     this.quarantine = new SimulatedQuarantine(place.name, this.timer);
+    if (simulation.limited !== undefined) {
+      this.requests = new LimitedRequests(
+        place,
+        this.timer,
+        random.next,
+        simulation.limited,
+        () => this.fleet,
+      );
+    }
     this.audit = new Audit(
       () => base.now(),
       writers,
@@ -117,8 +129,8 @@
       loads: () =>
         this.loads.map(load => ({...load, unread: [[1, 900]], recent: []})),
       waiting: () => [],
-      notices: NO_NOTICES,
-      permits: NO_LIMITS,
+      notices: this.requests?.notices ?? NO_NOTICES,
+      permits: this.requests?.permits ?? NO_LIMITS,
       recordPrompt: () => undefined,
       evidence: this.quarantine,
       isLeaving: () => false,
@@ -216,6 +228,8 @@
   /** Ages of the loads that instances know of their zone, in ms. */
   readonly loadAges: number[] = [];
   readonly writers: SimulatedWriters;
+  /** Upstreams that may declare rates, if there are any. */
+  readonly limited?: DeclaringUpstreams;
   /** Whether the store has lost records. */
   hasLost = false;
   private readonly changes = new Set<Change>();
@@ -225,6 +239,9 @@
     const random = new Random(spec.seed);
     this.random = random;
     if (spec.links !== undefined) this.links = new SimulatedLinks(spec.links);
+    if (spec.limitedUpstreams !== undefined) {
+      this.limited = new DeclaringUpstreams(this.base, spec.limitedUpstreams);
+    }
     this.store = new SimulatedStore(
       this.base,
       name => this.byName.get(name)?.storeState ?? StoreState.Silent,
--- a/src/fleet/permitissuer.ts
+++ b/src/fleet/permitissuer.ts
@@ -8,7 +8,7 @@
  * upstream late, and for instances that don't know of the rate yet.
  */
 const USABLE_SHARE = 0.95;
-/** Time whose permits may be saved up, in ms; at least one permit. */
+/** Time whose permits may be saved up beside a whole one, in ms. */
 const BURST_MS = 100;
 /** Time for which a want that isn't renewed counts, in ms. */
 const WANT_MS = 500;
@@ -68,7 +68,7 @@
 
   fill(perSecond: number, now: number): void {
     const added = (this.perSecond * (now - this.filledAt)) / 1_000;
-    const most = Math.max(1, (perSecond * BURST_MS) / 1_000);
+    const most = 1 + (perSecond * BURST_MS) / 1_000;
     this.permits = Math.min(most, this.permits + added);
     this.perSecond = perSecond;
     this.filledAt = now;
--- a/src/forward/index.ts
+++ b/src/forward/index.ts
@@ -9,6 +9,7 @@
 export {LivenessProber} from './liveness.js';
 export {PromptGuard} from './promptguard.js';
 export type {Endpoint} from './endpoint.js';
+export type {PlacementResult} from './placementrequest.js';
 export {rateStatementOf, UpstreamNotices} from './upstreamnotices.js';
 export {ResponseObserver} from './responseobserver.js';
 export {SpeedEstimator} from './speedestimator.js';
