Let one instance issue permits after a freeze or a cut

An upstream got more than aimed at, though within what is allowed: up to 281 requests in 4 s at 50 a second (222 aimed at) and 9 at 1 a second. After a freeze, a cut or a restart of the instance that issues its permits, that and its successor both did, for up to 2 s, since each instance changed over when it noticed, and who returned believed itself to be in charge.

An issuer now leaves issuing to others for 3 s after its start, a stall or a time in which it heard less than half of them; it names another one, and says for how long, which askers pass on. Instances that were silent count again after 3 s without a gap. So nearly all return to it together.

--- a/src/fleet/loads.ts
+++ b/src/fleet/loads.ts
@@ -72,6 +72,8 @@
   report: LoadReport;
   /** Monotonic time of the data, in ms. */
   at: number;
+  /** Time of the first data since a gap, in ms. */
+  since: number;
 }
 
 /**
@@ -92,7 +94,9 @@
     const known = this.reports.get(report.from);
     if (known !== undefined && at <= known.at) return false;
     if (known !== undefined) this.remove(known.report);
-    this.reports.set(report.from, {report, at});
+    const hasGap = known === undefined || at - known.at > MAX_LOAD_AGE_MS;
+    const since = hasGap ? at : known.since;
+    this.reports.set(report.from, {report, at, since});
     for (const load of report.loads) {
       const loads =
         this.byUpstream.get(load.upstream) ?? new Map<string, UpstreamLoad>();
@@ -118,6 +122,15 @@
       .map(([from]) => from);
   }
 
+  /** Since when each instance and zone heard of recently is heard, by name. */
+  heardSince(now: number): Map<string, number> {
+    const heard = new Map<string, number>();
+    for (const [from, {at, since}] of this.reports) {
+      if (now - at <= MAX_LOAD_AGE_MS) heard.set(from, since);
+    }
+    return heard;
+  }
+
   /**
    * The most urgent tier with a long-waiting request for a service at another
    * instance; `Infinity` if there is none.
--- a/src/fleet/permitexchange.ts
+++ b/src/fleet/permitexchange.ts
@@ -68,8 +68,11 @@
   datagrams: Datagrams;
   timer: Timer;
   upstreams: PermitUpstreams;
-  /** Names of the instances that were heard lately. */
-  heard(): ReadonlySet<string>;
+  /**
+   * Since when each instance is heard that was heard lately, in monotonic ms, by
+   * name.
+   */
+  heardSince(): ReadonlyMap<string, number>;
 }
 
 /** A want of this instance. */
@@ -80,6 +83,8 @@
   unansweredSince?: number;
   /** The issuer that another instance named. */
   referral?: {issuer: string; at: number};
+  /** An instance that leaves issuing to others, and until when. */
+  declined?: {by: string; until: number};
 }
 
 /**
@@ -119,6 +124,8 @@
       this.end();
       return;
     }
+    // Notes whether this instance is cut off from the others.
+    this.issuers.share(this.parts.timer.now());
     this.ask();
     this.issue();
   }
@@ -150,6 +157,7 @@
         statement,
         count,
         ...(tier === undefined ? {} : {tier}),
+        ...declinedBy(previous?.declined, now),
       };
       if (issuer === name) {
         this.acceptAnswer(name, this.acceptWant(name, want, upstream));
@@ -214,6 +222,11 @@
     }
   }
 
+  /** Notes that this instance stood still for a while. */
+  noteStall(): void {
+    this.issuers.unsettle(this.parts.timer.now());
+  }
+
   private receiveWants(params: unknown): void {
     const {data} = wantMessageSchema.safeParse(params);
     if (data === undefined) return;
@@ -231,18 +244,25 @@
   /** Takes a want, or names the instance to ask instead. */
   private acceptWant(
     from: string,
-    {id, statement, count, tier}: WantMessage['wants'][number],
+    {id, statement, count, tier, declinedBy}: WantMessage['wants'][number],
     upstream: UpstreamProcess,
   ): PermitAnswer {
     const {name, timer, upstreams} = this.parts;
     const now = timer.now();
+    if (declinedBy !== undefined) {
+      const [other, settlesMs] = declinedBy;
+      this.issuers.decline(other, now + settlesMs);
+    }
     const key = processKey(upstream);
     const known = upstreams.find(upstream);
     const issuer =
       known === undefined ? name : this.issuers.issuerOf(key, known.zone, now);
-    if (issuer !== name) return {upstream, id, count: 0, issuer};
+    if (issuer !== name) {
+      const settlesMs = Math.round(this.issuers.unsettledMs(now));
+      return {upstream, id, count: 0, issuer, settlesMs};
+    }
     const perSecond = known?.perSecond ?? statement[2] ?? 0;
-    const share = this.issuers.share(known?.zone ?? '', now);
+    const share = this.issuers.share(now);
     this.issuer.want(
       key,
       perSecond * share,
@@ -262,7 +282,7 @@
 
   private acceptAnswer(
     from: string,
-    {upstream, id, count, waitMs, issuer}: PermitAnswer,
+    {upstream, id, count, waitMs, issuer, settlesMs = 0}: PermitAnswer,
   ): void {
     const {upstreams, timer} = this.parts;
     const now = timer.now();
@@ -273,7 +293,13 @@
     if (sent === undefined || isLate) return;
     if (from === sent.issuer) delete sent.unansweredSince;
     this.issuers.trust(from);
-    if (issuer !== undefined) sent.referral = {issuer, at: now};
+    if (settlesMs > 0 && from !== this.parts.name) {
+      sent.declined = {by: from, until: now + settlesMs};
+      this.issuers.decline(from, now + settlesMs);
+    }
+    if (issuer !== undefined) {
+      sent.referral = {issuer, at: now};
+    }
     if (waitMs !== undefined) upstreams.expect(upstream, waitMs);
     if (count === 0) return;
     upstreams.grant(upstream, count);
@@ -287,6 +313,15 @@
   }
 }
 
+/** Tells the next instance to be asked why the one before it wasn't. */
+function declinedBy(
+  declined: SentWant['declined'],
+  now: number,
+): Pick<WantMessage['wants'][number], 'declinedBy'> {
+  if (declined === undefined || declined.until <= now) return {};
+  return {declinedBy: [declined.by, Math.round(declined.until - now)]};
+}
+
 function answerOf({upstream, id, count}: Grant): PermitAnswer {
   const split = upstream.lastIndexOf(' ');
   const process: UpstreamProcess = [
--- a/src/fleet/permitmessage.ts
+++ b/src/fleet/permitmessage.ts
@@ -38,6 +38,8 @@
       statement: rateStatementSchema,
       count: z.number().int().min(1).max(1_000),
       tier: z.number().optional(),
+      /** Instance that issues nothing for now, and for how long, in ms. */
+      declinedBy: z.tuple([z.string(), z.number().min(0)]).optional(),
     }),
   ),
 });
@@ -62,6 +64,8 @@
       waitMs: z.number().min(0).optional(),
       /** Name of the instance to ask instead. */
       issuer: z.string().optional(),
+      /** Time for which the sender leaves issuing to others, in ms. */
+      settlesMs: z.number().min(0).optional(),
     }),
   ),
 });
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -188,7 +188,7 @@
       datagrams: transport.datagrams,
       timer,
       upstreams: parts.permits,
-      heard: () => new Set(this.gossip.peerLoads.activeOrigins(timer.now())),
+      heardSince: () => this.gossip.peerLoads.heardSince(timer.now()),
     });
   }
 
@@ -253,6 +253,7 @@
     this.configurations.wake();
     this.upstreams.wake();
     this.instances.wake();
+    this.permits.noteStall();
   }
 
   /** Closes the port for peers and the connections to them. */
