Log which requests that broke off are the same

The line `ended` of a request that broke off now names a digest of its method, host, path, caller and body. Nothing acts on it yet.

--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -5,6 +5,7 @@
 import {AttemptRunner} from './attemptrunner.js';
 import {bytesOf, readBodyUntil} from './body.js';
 import {Deadline, StopCause} from './deadline.js';
+import {digestOf} from './digest.js';
 import {rejectionOf, type Ending} from './ending.js';
 import {placementRequestOf, type RequestContext} from './requestcontext.js';
 import type {RequestHead} from './protocol.js';
@@ -128,6 +129,7 @@
         service,
         deadline,
         body,
+        digest: digestOf(request, body, workspace?.name),
         tier: table.tierOf(route, workspace),
         partIds: request.prompt?.parts.map(({id}) => id) ?? [],
         ...(workspace === undefined ? {} : {workspace: workspace.name}),
@@ -288,7 +290,7 @@
 
   /** Ends a request that is not placed or not retried. */
   private giveUp(
-    {route}: RequestContext,
+    {route, digest}: RequestContext,
     notRun: Refusal & {type: 'notRun'},
     lastResult?: AttemptResult,
   ): Ending {
@@ -304,7 +306,7 @@
       lastResult !== undefined && 'cause' in lastResult
         ? lastResult.cause
         : notRun.cause;
-    return this.refuse({type: 'broken', cause}, route);
+    return {...this.refuse({type: 'broken', cause}, route), digest};
   }
 
   /**
--- a/src/forward/requestcontext.ts
+++ b/src/forward/requestcontext.ts
@@ -15,6 +15,8 @@
   body: Buffer;
   tier: number;
   workspace?: string;
+  /** See [[digestOf]]. */
+  digest: string;
   /** Ids of the parts of the prompt, in order; empty without a prompt. */
   partIds: readonly string[];
 }
