Refuse a request that crashes plain services

Cause: the quarantine knew parts of prompts alone, and took for a suspect only what ended after the head of its answer.

Each request now has a part of its own, a digest of method, host, path, caller and body, beside the parts of its prompt; a request to a plain service is under suspicion if its upstream ends before the end of the answer. Plain services have a quarantine of their own: answers of the ones say nothing of whether the others live. Digests are remembered apart, as most never come again. With a prompt, the digest is blamed before the hot parts that come with it.

--- a/src/forward/attempttally.ts
+++ b/src/forward/attempttally.ts
@@ -68,6 +68,22 @@
   );
 }
 
+/**
+ * Whether a request whose attempt ended so may have crashed its upstream: with a
+ * prompt only once it had begun, since many may wait at an engine.
+ */
+export function isCrashSign(
+  result: AttemptResult,
+  hasPrompt: boolean,
+): boolean {
+  if (hasPrompt) return isEarlyBreak(result);
+  return (
+    result.type === 'broken' &&
+    result.progress !== AnswerProgress.Advanced &&
+    result.endedBy === BreakCause.Upstream
+  );
+}
+
 /** Whether the result is a successful response. */
 export function isSuccess(result: AttemptResult): boolean {
   switch (result.type) {
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -7,12 +7,17 @@
 import {Deadline, StopCause} from './deadline.js';
 import {digestOf} from './digest.js';
 import {rejectionOf, type Ending} from './ending.js';
-import {placementRequestOf, type RequestContext} from './requestcontext.js';
+import {
+  partsOf,
+  placementRequestOf,
+  sharesPrompt,
+  type RequestContext,
+} from './requestcontext.js';
 import type {RequestHead} from './protocol.js';
 import {NotRunCause, refusalStatus, type Refusal} from './refusal.js';
 import {notRunCauseOf, decideRetry, Retry} from './retry.js';
 import type {Reply} from './reply.js';
-import {AttemptTally, isEarlyBreak, isSuccess} from './attempttally.js';
+import {AttemptTally, isCrashSign, isSuccess} from './attempttally.js';
 import {StreamSink} from './sink.js';
 import type {ForwardDependencies} from './dependencies.js';
 
@@ -122,6 +127,7 @@
       const service = this.dependencies.serviceStateOf(
         table.pick(route, this.dependencies.random()),
       );
+      const digest = digestOf(request, body, workspace?.name);
       const context: RequestContext = {
         request,
         route,
@@ -129,9 +135,9 @@
         service,
         deadline,
         body,
-        digest: digestOf(request, body, workspace?.name),
+        digest,
         tier: table.tierOf(route, workspace),
-        partIds: request.prompt?.parts.map(({id}) => id) ?? [],
+        parts: partsOf(request, digest),
         ...(workspace === undefined ? {} : {workspace: workspace.name}),
       };
       return await this.forward(context);
@@ -145,7 +151,7 @@
   private async forward(context: RequestContext): Promise<Ending> {
     const {route, deadline, service} = context;
     const sink = new StreamSink(this.reply, context.request.lastEvent, route);
-    const isTrial = this.dependencies.promptGuard.beginTrial(context.partIds);
+    const isTrial = this.dependencies.promptGuard.beginTrial(context.parts);
     const isHeld = () => !isTrial && this.isHeld(context);
     const runner = new AttemptRunner(
       this.dependencies,
@@ -223,9 +229,9 @@
     return undefined;
   }
 
-  /** Whether a part of the prompt crashes upstreams. */
-  private isHeld({partIds, request}: RequestContext): boolean {
-    const hold = this.dependencies.promptGuard.holdOf(partIds);
+  /** Whether the request, or a part of its prompt, crashes upstreams. */
+  private isHeld({parts, request}: RequestContext): boolean {
+    const hold = this.dependencies.promptGuard.holdOf(parts);
     if (hold === undefined) return false;
     // While its upstream is silent, this is asked again and again.
     if (this.hasLoggedHold) return true;
@@ -240,22 +246,23 @@
         crashes,
         ageMs: Math.round(this.dependencies.timer.wallNow() - decidedAt),
       },
-      'Not forwarded: a part of the prompt crashes upstreams.',
+      'Not forwarded: the request or a part of its prompt crashes upstreams.',
     );
     return true;
   }
 
   /** Whether the request may be retried; takes from the retry budget. */
   private mayRetry(
-    {route, deadline, service, partIds}: RequestContext,
+    context: RequestContext,
     sink: StreamSink,
     result: AttemptResult,
   ): boolean {
+    const {route, deadline, service, parts, request} = context;
     const {promptGuard} = this.dependencies;
-    // The last part of a prompt, which no other request has, crashes none.
-    const mayCrash = partIds.length > 1;
-    if (mayCrash && this.tally.earlyBreaks >= MAX_EARLY_BREAKS) return false;
-    if (isEarlyBreak(result) && !promptGuard.mayRepeat(partIds)) return false;
+    const isLimited = sharesPrompt(context);
+    if (isLimited && this.tally.earlyBreaks >= MAX_EARLY_BREAKS) return false;
+    const mayHaveCrashed = isCrashSign(result, request.prompt !== undefined);
+    if (mayHaveCrashed && !promptGuard.mayRepeat(parts)) return false;
     const now = this.dependencies.timer.now();
     const decision = decideRetry({
       route,
--- a/src/forward/promptguard.ts
+++ b/src/forward/promptguard.ts
@@ -3,7 +3,8 @@
   HoldState,
   type Evidence,
   type Hold,
-  type Quarantine,
+  type Quarantines,
+  hasPromptParts,
   type Suspect,
 } from '../quarantine/index.js';
 import {EntryState} from '../registry/index.js';
@@ -15,10 +16,13 @@
 /** Times after the first broken answer at which an upstream is probed, in ms. */
 const PROBE_DELAYS_MS = [30, 300, 1_000];
 
-/** A request whose answer broke off after its head and before an event. */
+/**
+ * A request whose answer broke off as if its upstream had ended on it: one with a
+ * prompt after the head and before an event, any other before its end.
+ */
 export interface BrokenAnswer {
   request: string;
-  /** Ids of all parts of its prompt. */
+  /** See [[RequestContext.parts]]. */
   parts: readonly string[];
   /** When it was sent to the upstream, in monotonic ms. */
   sentAt: number;
@@ -33,15 +37,15 @@
 export interface PromptGuardParts {
   /** Name of this instance. */
   instance: string;
-  quarantine: Quarantine;
+  quarantine: Pick<Quarantines, keyof Quarantines>;
   probes: Pick<LivenessProber, 'probe'>;
   timer: Timer;
   logger: Logger;
 }
 
 /**
- * Keeps prompts away from upstreams that crash whenever they begin to answer a
- * certain part. Tells a crash from a broken connection, and reports it to the
+ * Keeps requests away from upstreams that crash whenever they begin to answer
+ * them, or a part of their prompts. Tells a crash from a broken connection, and reports it to the
  * [[Quarantine]], which decides.
  */
 export class PromptGuard {
@@ -134,6 +138,9 @@
     for (const delayMs of PROBE_DELAYS_MS) {
       await timer.sleep(Math.max(0, at + delayMs - timer.now()));
       const result = await probes.probe(endpoint);
+      // Connections to plain services are reset for many reasons.
+      const isPlain = !answers.some(({parts}) => hasPromptParts(parts));
+      if (result === ProbeResult.Alive && isPlain) break;
       if (result !== ProbeResult.Refused) continue;
       // One that drains may end while it still answers.
       if (state === EntryState.Ready) this.report(endpoint, answers);
@@ -197,8 +204,8 @@
             source,
           },
           state === HoldState.Held
-            ? 'Requests with a prompt part that crashes upstreams are refused.'
-            : 'Requests with a prompt part are forwarded again.',
+            ? 'Requests that crash upstreams, by a prompt part or alone, are refused.'
+            : 'Requests with a prompt part, or one request, are forwarded again.',
         );
         return;
       }
--- a/src/forward/requestcontext.ts
+++ b/src/forward/requestcontext.ts
@@ -1,3 +1,4 @@
+import {RequestKind, requestPart} from '../quarantine/index.js';
 import type {Route, RoutingTable} from '../route/index.js';
 import type {Deadline} from './deadline.js';
 import {isPauseSensitive, prefillShareOf} from './placement.js';
@@ -17,8 +18,29 @@
   workspace?: string;
   /** See [[digestOf]]. */
   digest: string;
-  /** Ids of the parts of the prompt, in order; empty without a prompt. */
-  partIds: readonly string[];
+  /**
+   * Ids of what may crash upstreams: the parts of the prompt in order, if there is
+   * one, then the request as a whole. The last is of this request alone.
+   */
+  parts: readonly string[];
+}
+
+/** See [[RequestContext.parts]]. */
+export function partsOf(
+  {prompt}: RequestHead,
+  digest: string,
+): readonly string[] {
+  if (prompt === undefined) {
+    return [requestPart(RequestKind.Plain, digest), ''];
+  }
+  const ids = prompt.parts.map(({id}) => id);
+  const whole = requestPart(RequestKind.Prompt, digest);
+  return [...ids.slice(0, -1), whole, ids.at(-1) ?? ''];
+}
+
+/** Whether other requests share a part of the prompt. */
+export function sharesPrompt({request}: RequestContext): boolean {
+  return (request.prompt?.parts.length ?? 0) > 1;
 }
 
 /** What the attempts of a request so far mean for its placement. */
--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -7,7 +7,7 @@
 import type {Endpoint} from './endpoint.js';
 import type {Placement, PlacementRequest} from './placementrequest.js';
 import type {RequestContext} from './requestcontext.js';
-import {isEarlyBreak, isSuccess} from './attempttally.js';
+import {isCrashSign} from './attempttally.js';
 import type {AttemptLoad} from './servicestate.js';
 import type {AttemptSink} from './sink.js';
 import {SilenceWatchdog} from './watchdog.js';
@@ -55,7 +55,7 @@
     const {context, dependencies, endpoint, sentAt, placement} = this;
     const {listener, sink} = this;
     const {request, deadline, service, route, body, workspace, tier} = context;
-    const {partIds} = context;
+    const {parts} = context;
     const {timer, protocol, observer} = dependencies;
     if (request.prompt !== undefined) {
       dependencies.promptSent(endpoint, request.prompt);
@@ -96,20 +96,17 @@
           this.controller.signal,
         ]),
         sent: () => listener.onSent(),
-        advanced: () => promptGuard.recordAnswer(partIds),
+        advanced: () => promptGuard.recordAnswer(parts),
         received: () => listener.onAnswer(),
         observe: head => observer.observe(endpoint, head, placement.trial),
       });
       if (!this.controller.signal.aborted) {
         recordHealth(dependencies, context, endpoint, result);
       }
-      if (isSuccess(result)) promptGuard.recordAnswer(partIds);
-      if (isEarlyBreak(result) && partIds.length > 0) {
-        promptGuard.recordBreak(endpoint, {
-          request: request.id,
-          parts: partIds,
-          sentAt,
-        });
+      const isWhole = result.type === 'whole' || result.type === 'delivered';
+      if (isWhole) promptGuard.recordAnswer(parts);
+      if (isCrashSign(result, request.prompt !== undefined)) {
+        promptGuard.recordBreak(endpoint, {request: request.id, parts, sentAt});
       }
       const ms = timer.now() - sentAt;
       if (result.type === 'whole' && !result.asksForPause) {
--- a/src/quarantine/blame.ts
+++ b/src/quarantine/blame.ts
@@ -1,4 +1,5 @@
 import type {Crash, CrashedRequest} from './crashlog.js';
+import {isRequestPart} from './requestid.js';
 
 /** Crashes that convict a part which was never answered. */
 const NEW_PART_CRASHES = 3;
@@ -136,7 +137,7 @@
     );
     this.upstreams.add(crash.upstream);
     this.position = Math.max(this.position, position);
-    this.isFirst ||= position === 0;
+    this.isFirst ||= isFirstPart(this.part, position);
     if (request.sentAt < this.sequenceAt) return;
     this.sequence++;
     this.sequenceAt = crash.at;
@@ -183,6 +184,11 @@
   }
 }
 
+/** Whether it is a first part, which most requests may share. */
+function isFirstPart(part: string, position: number): boolean {
+  return position === 0 && !isRequestPart(part);
+}
+
 function collect(
   crashes: readonly Crash[],
   knowledge: PartKnowledge,
@@ -198,7 +204,7 @@
         if (crash.at <= (knowledge.releasedAt(part) ?? -Infinity)) continue;
         const isProven = answeredAt !== undefined;
         // Crashes that others explain say nothing of a part that was answered.
-        const needsMore = isProven || position === 0;
+        const needsMore = isProven || isFirstPart(part, position);
         if (needsMore && explained.has(crash)) continue;
         let candidate = candidates.get(part);
         if (candidate === undefined) {
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -7,4 +7,6 @@
   type Suspect,
 } from './evidence.js';
 export {Quarantine, type QuarantineOptions} from './quarantine.js';
+export {Quarantines} from './quarantines.js';
+export {hasPromptParts, RequestKind, requestPart} from './requestid.js';
 export type {SuspectPart} from './blame.js';
--- a/src/quarantine/soundparts.ts
+++ b/src/quarantine/soundparts.ts
@@ -1,14 +1,34 @@
+import {isRequestPart} from './requestid.js';
+
 /** Most parts whose last answer is remembered, without those of suspects. */
 const MAX_PARTS = 8000;
 
+/** When parts were last answered, of a bounded number. */
+class Answers {
+  private newer = new Map<string, number>();
+  private older = new Map<string, number>();
+
+  get(part: string): number | undefined {
+    return this.newer.get(part) ?? this.older.get(part);
+  }
+
+  record(part: string, at: number): void {
+    this.newer.set(part, Math.max(this.get(part) ?? at, at));
+    if (this.newer.size < MAX_PARTS / 2) return;
+    this.older = this.newer;
+    this.newer = new Map();
+  }
+}
+
 /**
  * When each part was last answered. Parts are kept in two halves: a part that
  * is answered goes to the newer one, and when that is full, the older one is
- * dropped. Those of suspects stay as long as the crash reports do.
+ * dropped. Those of suspects stay as long as the crash reports do. Whole
+ * requests, of which most never come again, are kept apart.
  */
 export class SoundParts {
-  private newer = new Map<string, number>();
-  private older = new Map<string, number>();
+  private readonly parts = new Answers();
+  private readonly requests = new Answers();
   private readonly suspected = new Map<string, number | undefined>();
 
   /** Whether the part stands in a crash report. */
@@ -18,23 +38,17 @@
 
   /** Time of the last known answer, in monotonic ms. */
   answeredAt(part: string): number | undefined {
-    return (
-      this.suspected.get(part) ?? this.newer.get(part) ?? this.older.get(part)
-    );
+    return this.suspected.get(part) ?? this.answersTo(part).get(part);
   }
 
   /** Records an answer; an earlier one than that known has no effect. */
   record(part: string, at: number): void {
-    if (this.isSuspected(part)) {
-      const known = this.suspected.get(part) ?? at;
-      this.suspected.set(part, Math.max(known, at));
+    if (!this.isSuspected(part)) {
+      this.answersTo(part).record(part, at);
       return;
     }
-    const known = this.newer.get(part) ?? this.older.get(part) ?? at;
-    this.newer.set(part, Math.max(known, at));
-    if (this.newer.size < MAX_PARTS / 2) return;
-    this.older = this.newer;
-    this.newer = new Map();
+    const known = this.suspected.get(part) ?? at;
+    this.suspected.set(part, Math.max(known, at));
   }
 
   /** Keeps the parts of the suspects apart from the others. */
@@ -49,4 +63,8 @@
       this.suspected.set(part, this.answeredAt(part));
     }
   }
+
+  private answersTo(part: string): Answers {
+    return isRequestPart(part) ? this.requests : this.parts;
+  }
 }
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -10,7 +10,7 @@
   UpstreamNotices,
   type Address,
 } from '../forward/index.js';
-import {Quarantine} from '../quarantine/index.js';
+import {Quarantines} from '../quarantine/index.js';
 import {Registry, type KeyedRecord} from '../registry/index.js';
 import {Routing} from '../route/index.js';
 import {
@@ -147,7 +147,7 @@
     this.probes = new LivenessProber(timer, platform.protocol, this.observer);
     this.promptGuard = new PromptGuard({
       instance: settings.instance,
-      quarantine: new Quarantine({
+      quarantine: new Quarantines({
         timer,
         ownsTrial: part => this.fleet.ownsTrial(part),
       }),
