Tell peers nothing of upstreams that declare no rate

Each message between instances told of up to 24 upstreams that had declared no rate: an answer without the header was kept as a statement, and counted as news for a minute. Such an answer now changes nothing while no rate is declared. The test of it failed before.

--- a/src/forward/ratelimit.ts
+++ b/src/forward/ratelimit.ts
@@ -52,6 +52,7 @@
    * a rate, or undefined for none. Returns whether this changes the rate.
    */
   state(perSecond: number | undefined, at: number): boolean {
+    if (perSecond === undefined && this.declared === undefined) return false;
     const settleMs = perSecond === undefined ? REORDER_MS : 0;
     if (at < this.statedAt + settleMs) return false;
     const declared =
--- a/test/ratelimit.test.ts
+++ b/test/ratelimit.test.ts
@@ -96,6 +96,12 @@
     expect(second.limitOf('i-1')?.perSecond).toBeUndefined();
   });
 
+  test('is no news if it states none all the time', () => {
+    const {notices, limitOf} = endpointsWith('i-1');
+    expect(limitOf('i-1')?.state(undefined, 0)).toBe(false);
+    expect(notices.take()).toEqual({});
+  });
+
   test('takes a bounded part of a message, and all is told in turn', () => {
     const ids = Array.from({length: 60}, (_, index) => `i-${index}`);
     const {notices, limitOf} = endpointsWith(...ids);
