Let upstreams of the soak declare rates

--declared-limits SHARE lets a share of the upstreams declare a rate from 0.5 to 20 a second while there are faults. The checker judges the users' rule by what the upstreams got, in each window of 4 s, from gateways told half a second before and without a disruption; the highest counts are in the JSON. By default no upstream declares one.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -15,6 +15,11 @@
     choices: [0, 1, 2, 3] as const,
     describe: 'prompt parts that crash upstreams; by default by the seed',
   })
+  .option('declared-limits', {
+    type: 'number',
+    default: 0,
+    describe: 'share of the upstreams that declare a rate, 0 to 1',
+  })
   .option('json', {type: 'boolean', default: false})
   .strict()
   .parseAsync();
--- a/bench/soak/checker.ts
+++ b/bench/soak/checker.ts
@@ -22,7 +22,15 @@
   mustBeServed,
 } from './expectation.js';
 import type {Lateness} from './lateness.js';
-import {findingOf, Promised, type Finding, type Violation} from './promise.js';
+import {
+  findingOf,
+  findingsOf,
+  Promised,
+  type Description,
+  type Finding,
+  type Violation,
+} from './promise.js';
+import type {DeclaredLimits} from './limits.js';
 import {PromptChecker} from './promptchecker.js';
 
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
@@ -38,6 +46,7 @@
   constructor(
     private readonly history: SoakHistory,
     private readonly lateness: Lateness,
+    private readonly limits?: DeclaredLimits,
   ) {
     this.prompts = new PromptChecker(history);
   }
@@ -58,15 +67,11 @@
           ),
         ),
       ).length;
+    const leftAt = leaves.map(({at}) => at);
+    const acceptedAt = configurations.map(one => one.acceptedAt);
     return {
-      leaves: countHeld(
-        leaves.map(({at}) => at),
-        BOUNDS.drainMs,
-      ),
-      configurations: countHeld(
-        configurations.map(({acceptedAt}) => acceptedAt),
-        BOUNDS.configApplyMs,
-      ),
+      leaves: countHeld(leftAt, BOUNDS.drainMs),
+      configurations: countHeld(acceptedAt, BOUNDS.configApplyMs),
       plannedWork: [...requests.values()].filter(request =>
         this.isInPlannedWork(request),
       ).length,
@@ -82,13 +87,7 @@
   }
 
   private findings(promise: Promised, requests: SentRequest[]): Finding[] {
-    const ofEach = (
-      describe: (request: SentRequest) => string | undefined,
-    ): Finding[] =>
-      requests.flatMap(request => {
-        const message = describe(request);
-        return message === undefined ? [] : [findingOf(request, message)];
-      });
+    const ofEach = (describe: Description) => findingsOf(requests, describe);
     switch (promise) {
       case Promised.Once:
         return ofEach(request => this.describeRepetition(request));
@@ -118,6 +117,8 @@
         return this.checkServed(requests);
       case Promised.Spared:
         return this.prompts.checkSpared();
+      case Promised.Limited:
+        return this.limits?.check() ?? [];
       case Promised.SoundPrompts:
         return this.prompts.checkSound();
     }
--- a/bench/soak/promise.ts
+++ b/bench/soak/promise.ts
@@ -26,6 +26,8 @@
   Served = 'served',
   /** After five crashes, a prompt part is kept away from upstreams. */
   Spared = 'spared',
+  /** An upstream gets no more than the rate that it declares. */
+  Limited = 'limited',
   /** Prompts that share other parts with a bad one are served again. */
   SoundPrompts = 'sound_prompts',
 }
@@ -50,3 +52,17 @@
   const {id, sentAt} = request;
   return {request: id, message, at: sentAt, touchedByStall: false};
 }
+
+/** Describes what is wrong with a request, if something is. */
+export type Description = (request: SentRequest) => string | undefined;
+
+/** A finding for each request that is described. */
+export function findingsOf(
+  requests: SentRequest[],
+  describe: Description,
+): Finding[] {
+  return requests.flatMap(request => {
+    const message = describe(request);
+    return message === undefined ? [] : [findingOf(request, message)];
+  });
+}
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -1,7 +1,11 @@
 import {mkdirSync, rmSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {packageRoot} from '../../src/cli/packageroot.js';
-import {Availability, startKeyedStore} from '../../stand-ins/index.js';
+import {
+  Availability,
+  FaultProxy,
+  startKeyedStore,
+} from '../../stand-ins/index.js';
 import {Random} from '../random.js';
 import {Caller} from './callers.js';
 import {Checker} from './checker.js';
@@ -15,6 +19,7 @@
 import {GatewayProcess} from './gatewayprocess.js';
 import {SoakHistory, STORE} from './history.js';
 import {Lateness, type Stall} from './lateness.js';
+import {DeclaredLimits} from './limits.js';
 import {Operator} from './operator.js';
 import type {Violation} from './promise.js';
 import type {PartSummary} from './promptchecker.js';
@@ -41,6 +46,8 @@
   instances: number;
   /** Number of prompt parts that crash upstreams; by default by the seed. */
   crashingParts?: number;
+  /** Share of the upstreams that declare a rate, 0 to 1; 0 by default. */
+  declaredLimits?: number;
 }
 
 /** Result of a soak. */
@@ -57,6 +64,8 @@
   judged: Record<string, number>;
   /** What was seen of each prompt part that crashes upstreams. */
   parts: PartSummary[];
+  /** Highest count in a window, as a share of what is allowed, by upstream. */
+  limits: Record<string, number>;
   violations: Violation[];
   /** Broken bounds that the soak's own stalls account for. */
   touched: Violation[];
@@ -109,9 +118,10 @@
     private readonly store: Awaited<ReturnType<typeof startKeyedStore>>,
     private readonly gateways: readonly GatewayProcess[],
     private readonly upstreams: readonly SoakUpstream[],
+    private readonly limits: DeclaredLimits,
   ) {
     const {seed, seconds, crashingParts = crashingPartsOf(seed)} = options;
-    this.checker = new Checker(history, this.lateness);
+    this.checker = new Checker(history, this.lateness, limits);
     this.faults = faultsOf(seed, seconds * 1000);
     this.operator = new Operator(store, history, new Random(seed + 1));
     this.prompts = new Prompts(seed, crashingParts, history);
@@ -147,13 +157,26 @@
         await GatewayProcess.open(index, store.port, folder, history),
       );
     }
+    const limits = new DeclaredLimits(
+      seed,
+      options.declaredLimits ?? 0,
+      history,
+    );
     const upstreams: SoakUpstream[] = [];
     for (const service of Object.values(ServiceName)) {
       for (let n = 0; n < UPSTREAMS_PER_SERVICE; n++) {
         const random = new Random(seed * 10 + upstreams.length);
         const name = `${service}-${n}`;
         upstreams.push(
-          await SoakUpstream.open(name, service, store, history, random),
+          new SoakUpstream(
+            name,
+            service,
+            await FaultProxy.open(),
+            store,
+            history,
+            random,
+            limits,
+          ),
         );
       }
     }
@@ -165,6 +188,7 @@
       store,
       gateways,
       upstreams,
+      limits,
     );
   }
 
@@ -179,6 +203,7 @@
       for (const upstream of this.upstreams) upstream.expire();
     });
     this.prompts.start();
+    this.limits.start();
     const calls = this.callers.map(caller => caller.run());
     await sleep(SETTLE_MS);
     this.operator.start();
@@ -236,6 +261,7 @@
   /** Ends the requests that crash upstreams, and waits for the last ones. */
   private async untilSpared(): Promise<void> {
     this.prompts.stop();
+    this.limits.stop();
     const isPending = () =>
       this.upstreams.some(({isAlive}) => !isAlive) ||
       [...this.history.requests.values()].some(
@@ -310,6 +336,7 @@
       faults: countBy(this.faults.map(({kind}) => kind)),
       judged: this.checker.countJudged(this.gateways.map(({name}) => name)),
       parts: this.checker.prompts.summarize(),
+      limits: this.limits.summarize(),
       violations: all.filter(({touchedByStall}) => !touchedByStall),
       touched: all.filter(({touchedByStall}) => touchedByStall),
       maxLatenessMs: Math.round(lateness.maxMs),
--- a/bench/soak/upstream.ts
+++ b/bench/soak/upstream.ts
@@ -7,6 +7,7 @@
 import type {Random} from '../random.js';
 import {BOUNDS, eventDataOf, ServiceName, textOf} from './deployment.js';
 import type {Arrival, SoakHistory} from './history.js';
+import type {DeclaredLimits} from './limits.js';
 
 const LEAVING_HEADER = 'server-leaving';
 /** Topic in which upstreams register themselves. */
@@ -65,26 +66,16 @@
   /** Settled unless the upstream is silent. */
   private silence = Promise.resolve();
 
-  private constructor(
+  constructor(
     readonly name: string,
     readonly service: ServiceName,
     public proxy: FaultProxy,
     private readonly store: KeyedStoreStandIn,
     private readonly history: SoakHistory,
     private readonly random: Random,
+    private readonly limits: DeclaredLimits,
   ) {}
 
-  static async open(
-    name: string,
-    service: ServiceName,
-    store: KeyedStoreStandIn,
-    history: SoakHistory,
-    random: Random,
-  ): Promise<SoakUpstream> {
-    const proxy = await FaultProxy.open();
-    return new SoakUpstream(name, service, proxy, store, history, random);
-  }
-
   /**
    * Starts a new process of this upstream under the same id; does nothing if
    * one runs.
@@ -248,6 +239,7 @@
       ...(authorization === undefined ? {} : {authorization}),
     };
     const expected = headers['x-expect-instance'];
+    this.limits.declare(arrival, response);
     const isFull = this.running >= SLOTS;
     response.setHeader('x-request-id', request);
     response.setHeader('x-response-seal', seal);
