--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -433,11 +433,21 @@
     },
   );
 
+  test(
+    'send upstreams no more than they declare, under seed 501',
+    {timeout: 120_000},
+    async () => {
+      const {limits} = await soak(501, 15, 0, 1);
+      expect(Object.values(limits).some(share => share > 0)).toBe(true);
+    },
+  );
+
   /** Runs a soak as a process of its own; it must break no promise. */
   async function soak(
     seed: number,
     seconds: number,
     crashingParts = 0,
+    declaredLimits = 0,
   ): Promise<SoakResult> {
     const child = spawn(
       process.execPath,
@@ -445,6 +455,7 @@
         join('build', 'bench', 'soak.js'),
         ...['--seed', `${seed}`, '--seconds', `${seconds}`, '--json'],
         ...['--crashing-parts', `${crashingParts}`],
+        ...['--declared-limits', `${declaredLimits}`],
       ],
       {stdio: ['ignore', 'pipe', 'inherit']},
     );
