Let requests of the soak crash plain services

--crashing-requests N has N requests that crash each plain upstream that runs them come again and again, until the faults end. The checker judges the users' rule: at most three reach upstreams later than 4 s after the third crash, from gateways without a disruption.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -15,6 +15,11 @@
     choices: [0, 1, 2, 3] as const,
     describe: 'prompt parts that crash upstreams; by default by the seed',
   })
+  .option('crashing-requests', {
+    type: 'number',
+    default: 0,
+    describe: 'plain requests that crash upstreams',
+  })
   .option('declared-limits', {
     type: 'number',
     default: 0,
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -1,6 +1,7 @@
 import {Agent, request as sendRequest, type IncomingMessage} from 'node:http';
 import {createParser} from 'eventsource-parser';
 import type {Random} from '../random.js';
+import type {BadRequests} from './badrequests.js';
 import {
   HOST,
   isStream,
@@ -36,6 +37,7 @@
     private readonly random: Random,
     private readonly chooseKey: KeyChoice,
     private readonly prompts: Prompts,
+    private readonly badRequests: BadRequests,
   ) {}
 
   async run(): Promise<void> {
@@ -86,6 +88,7 @@
       sentAt: this.history.now(),
       ...(key === undefined ? {} : {key}),
       ...(prompt === undefined ? {} : {prompt}),
+      ...(isStream(kind) ? {} : this.badRequests.next()),
     };
   }
 
--- a/bench/soak/expectation.ts
+++ b/bench/soak/expectation.ts
@@ -44,10 +44,15 @@
   return kind === RequestKind.Public || isLasting;
 }
 
+/** Whether a request crashes upstreams. */
+export function isBad({prompt, badRequest}: SentRequest): boolean {
+  return prompt?.badPart !== undefined || badRequest !== undefined;
+}
+
 /** Whether an undisturbed deployment must serve a request. */
 export function mustBeServed(request: SentRequest): boolean {
-  const {outcome, prompt} = request;
-  if (prompt?.badPart !== undefined) return false;
+  const {outcome} = request;
+  if (isBad(request)) return false;
   return isAlwaysAllowed(request) && outcome?.type !== 'left';
 }
 
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -38,6 +38,8 @@
   events: number;
   lastEvent: number;
   prompt?: Prompt;
+  /** Name of the request, if it crashes each plain upstream that runs it. */
+  badRequest?: string;
   sentAt: number;
   outcome?: Outcome;
 }
--- a/bench/soak/promptchecker.ts
+++ b/bench/soak/promptchecker.ts
@@ -5,6 +5,8 @@
 
 /** Crashes after which a part is to be kept away. */
 const CRASHES = 5;
+/** The same for a request to a plain service. */
+const REQUEST_CRASHES = 3;
 /** Requests with the part that may reach upstreams even then. */
 const LATE_LIMIT = 3;
 /** Time after these crashes from which sound requests begin again, in ms. */
@@ -84,19 +86,22 @@
   }
 
   private lateRequests(part: string): SentRequest[] {
-    const fifthAt = this.crashesOf(part)[CRASHES - 1];
-    if (fifthAt === undefined) return [];
     const {history} = this;
-    return [...history.requests.values()].filter(
-      ({id, gateway, prompt}) =>
-        prompt?.badPart === part &&
-        history
-          .arrivalsOf(id)
-          .some(
-            ({at}) =>
-              at > fifthAt + BOUNDS.stableWindowMs &&
-              this.isUndisturbed(gateway, at),
-          ),
+    const requests = [...history.requests.values()].filter(
+      ({prompt, badRequest}) => (prompt?.badPart ?? badRequest) === part,
+    );
+    const isPlain = requests.some(({badRequest}) => badRequest !== undefined);
+    const limit = isPlain ? REQUEST_CRASHES : CRASHES;
+    const knownAt = this.crashesOf(part)[limit - 1];
+    if (knownAt === undefined) return [];
+    return requests.filter(({id, gateway}) =>
+      history
+        .arrivalsOf(id)
+        .some(
+          ({at}) =>
+            at > knownAt + BOUNDS.stableWindowMs &&
+            this.isUndisturbed(gateway, at),
+        ),
     );
   }
 
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -7,9 +7,11 @@
   startKeyedStore,
 } from '../../stand-ins/index.js';
 import {Random} from '../random.js';
+import {BadRequests} from './badrequests.js';
 import {Caller} from './callers.js';
 import {Checker} from './checker.js';
 import {BOUNDS, ServiceName} from './deployment.js';
+import {isBad} from './expectation.js';
 import {
   Injector,
   scheduleFaults,
@@ -46,6 +48,8 @@
   instances: number;
   /** Number of prompt parts that crash upstreams; by default by the seed. */
   crashingParts?: number;
+  /** Number of plain requests that crash upstreams; 0 by default. */
+  crashingRequests?: number;
   /** Share of the upstreams that declare a rate, 0 to 1; 0 by default. */
   declaredLimits?: number;
 }
@@ -107,6 +111,7 @@
   private readonly callers: Caller[];
   private readonly operator: Operator;
   private readonly prompts: Prompts;
+  private readonly badRequests: BadRequests;
   private readonly intervals: NodeJS.Timeout[] = [];
   private startedAt = 0;
 
@@ -125,6 +130,8 @@
     this.faults = faultsOf(seed, seconds * 1000);
     this.operator = new Operator(store, history, new Random(seed + 1));
     this.prompts = new Prompts(seed, crashingParts, history);
+    const {crashingRequests = 0} = options;
+    this.badRequests = new BadRequests(seed, crashingRequests, history);
     this.callers = gateways.flatMap((gateway, index) =>
       Array.from({length: CALLERS_PER_GATEWAY}, (_, n) => {
         const name = `${seed}-${gateway.name}-${n}`;
@@ -136,6 +143,7 @@
           random,
           source => this.operator.chooseKey(source),
           this.prompts,
+          this.badRequests,
         );
       }),
     );
@@ -203,6 +211,7 @@
       for (const upstream of this.upstreams) upstream.expire();
     });
     this.prompts.start();
+    this.badRequests.start();
     this.limits.start();
     const calls = this.callers.map(caller => caller.run());
     await sleep(SETTLE_MS);
@@ -261,12 +270,12 @@
   /** Ends the requests that crash upstreams, and waits for the last ones. */
   private async untilSpared(): Promise<void> {
     this.prompts.stop();
+    this.badRequests.stop();
     this.limits.stop();
     const isPending = () =>
       this.upstreams.some(({isAlive}) => !isAlive) ||
       [...this.history.requests.values()].some(
-        ({prompt, outcome}) =>
-          prompt?.badPart !== undefined && outcome === undefined,
+        request => isBad(request) && request.outcome === undefined,
       );
     while (isPending()) await sleep(100);
   }
--- a/bench/soak/upstream.ts
+++ b/bench/soak/upstream.ts
@@ -284,6 +284,11 @@
     response: ServerResponse,
   ): Promise<void> {
     const {treatment, random} = this;
+    const {badRequest} = this.history.requests.get(arrival.request) ?? {};
+    if (badRequest !== undefined && !BREAKING.has(treatment)) {
+      await this.crashBy(badRequest, arrival, response);
+      return;
+    }
     const size = Math.floor(random.next() ** 4 * 60_000) + 40;
     const body = textOf(arrival.seal, size);
     arrival.size = size;
@@ -314,7 +319,8 @@
     response: ServerResponse,
   ): Promise<void> {
     await this.silence;
-    response.flushHeaders();
+    // A plain service ends before the head of its answer.
+    if (this.service === ServiceName.Streams) response.flushHeaders();
     arrival.brokeOff = true;
     await sleep(CRASH_DELAY_MS);
     // A proxy that refuses connections still accepts them; a closed port doesn't.
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -428,7 +428,7 @@
     'spare upstreams a prompt part that crashes them, under seed 557',
     {timeout: 120_000},
     async () => {
-      const result = await soak(557, 20, 1);
+      const result = await soak(557, 20, {crashingParts: 1});
       expect(result.parts).toHaveLength(1);
     },
   );
@@ -437,17 +437,25 @@
     'send upstreams no more than they declare, under seed 501',
     {timeout: 120_000},
     async () => {
-      const {limits} = await soak(501, 15, 0, 1);
+      const {limits} = await soak(501, 15, {declaredLimits: 1});
       expect(Object.values(limits).some(share => share > 0)).toBe(true);
     },
   );
 
+  test(
+    'spare upstreams a request that crashes plain services, under seed 603',
+    {timeout: 120_000},
+    async () => {
+      const result = await soak(603, 15, {crashingRequests: 1});
+      expect(result.parts).toHaveLength(1);
+    },
+  );
+
   /** Runs a soak as a process of its own; it must break no promise. */
   async function soak(
     seed: number,
     seconds: number,
-    crashingParts = 0,
-    declaredLimits = 0,
+    {crashingParts = 0, crashingRequests = 0, declaredLimits = 0} = {},
   ): Promise<SoakResult> {
     const child = spawn(
       process.execPath,
@@ -455,6 +463,7 @@
         join('build', 'bench', 'soak.js'),
         ...['--seed', `${seed}`, '--seconds', `${seconds}`, '--json'],
         ...['--crashing-parts', `${crashingParts}`],
+        ...['--crashing-requests', `${crashingRequests}`],
         ...['--declared-limits', `${declaredLimits}`],
       ],
       {stdio: ['ignore', 'pipe', 'inherit']},
