--- a/src/forward/promptguard.ts
+++ b/src/forward/promptguard.ts
@@ -45,8 +45,8 @@
 
 /**
  * Keeps requests away from upstreams that crash whenever they begin to answer
- * them, or a part of their prompts. Tells a crash from a broken connection, and reports it to the
- * [[Quarantine]], which decides.
+ * them, or a part of their prompts. Tells a crash from a broken connection, and
+ * reports it to the [[Quarantines]], which decide.
  */
 export class PromptGuard {
   /** Answers that broke off at upstreams of which more is to be learnt. */
--- a/test/support/crashingengines.ts
+++ b/test/support/crashingengines.ts
@@ -1,10 +1,9 @@
-import {createServer, type Server, type Socket} from 'node:net';
-import type {AddressInfo} from 'node:net';
+import type {Socket} from 'node:net';
 import {Topic} from '../../src/registry/index.js';
 import {successHead, wireEntry, type MemoryFeed} from './gateway.js';
+import {RestartableServer} from './restartableserver.js';
 import {EVENT_STREAM, eventsOf} from './silentupstream.js';
 
-const HOST = '127.0.0.1';
 const SERVICE = 'engine';
 const SLOTS = 16;
 /** Time from a request to the head of its answer, in ms. */
@@ -14,7 +13,6 @@
 const EVENTS = 4;
 /** Time from a crash to the start of the next process, in ms. */
 const RESTART_MS = 500;
-const REBIND_MS = 20;
 
 /** A request that reached an engine which took it. */
 export interface EngineArrival {
@@ -37,7 +35,7 @@
   readonly arrivals: EngineArrival[] = [];
   /** Times of the crashes. */
   readonly crashes: number[] = [];
-  private readonly engines: Engine[];
+  private readonly engines: RestartableServer[];
   private processes = 0;
   private isClosed = false;
 
@@ -46,7 +44,13 @@
     count: number,
     private readonly endsEngine: CrashCondition,
   ) {
-    this.engines = Array.from({length: count}, () => new Engine(this));
+    this.engines = Array.from(
+      {length: count},
+      () =>
+        new RestartableServer((engine, text, socket) =>
+          this.serve(engine, text, socket),
+        ),
+    );
   }
 
   async start(): Promise<void> {
@@ -67,7 +71,7 @@
   }
 
   /** Answers a request that a process of the engine got. */
-  serve(engine: Engine, text: string, socket: Socket): void {
+  private serve(engine: RestartableServer, text: string, socket: Socket): void {
     const headerOf = (name: string) =>
       new RegExp(`^${name}: (.*)\r$`, 'im').exec(text)?.[1] ?? '';
     const id = headerOf('x-request-id');
@@ -91,7 +95,7 @@
   }
 
   private begin(
-    engine: Engine,
+    engine: RestartableServer,
     arrival: EngineArrival,
     socket: Socket,
     last: number,
@@ -119,7 +123,7 @@
     setTimeout(() => sendEvent(last + 1), STEP_MS);
   }
 
-  private async startEngine(engine: Engine): Promise<void> {
+  private async startEngine(engine: RestartableServer): Promise<void> {
     const port = await engine.listen(`i-${++this.processes}`);
     if (this.isClosed) {
       engine.close();
@@ -133,7 +137,7 @@
     this.feed.add(Topic.Upstreams, engine.instance, entry);
   }
 
-  private crash(engine: Engine): void {
+  private crash(engine: RestartableServer): void {
     if (!engine.isRunning) return;
     this.crashes.push(performance.now());
     engine.close();
@@ -145,51 +149,3 @@
     }, RESTART_MS);
   }
 }
-
-/** One engine, whose processes follow each other at the same port. */
-class Engine {
-  /** Id of the process. */
-  instance = '';
-  private server?: Server;
-  private port = 0;
-  private readonly sockets = new Set<Socket>();
-
-  constructor(private readonly engines: CrashingEngines) {}
-
-  get isRunning(): boolean {
-    return this.server?.listening === true;
-  }
-
-  /** Starts a process, once its port is free. */
-  async listen(instance: string): Promise<number> {
-    for (;;) {
-      const server = createServer(socket => this.accept(socket));
-      const isBound = await new Promise<boolean>(resolve => {
-        server.once('error', () => resolve(false));
-        server.listen(this.port, HOST, () => resolve(true));
-      });
-      if (isBound) {
-        this.server = server;
-        this.instance = instance;
-        this.port = (server.address() as AddressInfo).port;
-        return this.port;
-      }
-      await new Promise(resolve => setTimeout(resolve, REBIND_MS));
-    }
-  }
-
-  /** Ends the process with all its connections. */
-  close(): void {
-    this.server?.close();
-    for (const socket of this.sockets) socket.resetAndDestroy();
-  }
-
-  private accept(socket: Socket): void {
-    this.sockets.add(socket);
-    socket.on('error', () => undefined);
-    socket.on('close', () => this.sockets.delete(socket));
-    socket.on('data', bytes =>
-      this.engines.serve(this, bytes.toString('latin1'), socket),
-    );
-  }
-}
--- a/test/support/crashingservices.ts
+++ b/test/support/crashingservices.ts
@@ -1,14 +1,12 @@
-import {createServer, type Server, type Socket} from 'node:net';
-import type {AddressInfo} from 'node:net';
+import type {Socket} from 'node:net';
 import {Topic} from '../../src/registry/index.js';
 import {successHead, wireEntry, type MemoryFeed} from './gateway.js';
+import {RestartableServer} from './restartableserver.js';
 
-const HOST = '127.0.0.1';
 const SERVICE = 'plain';
 const SLOTS = 16;
 /** Time from a request to its answer, or to the crash that it causes, in ms. */
 const RUN_MS = 40;
-const REBIND_MS = 20;
 
 /** A request that reached a service which took it. */
 export interface ServiceArrival {
@@ -25,7 +23,7 @@
   readonly arrivals: ServiceArrival[] = [];
   /** Times of the crashes. */
   readonly crashes: number[] = [];
-  private readonly services: Service[];
+  private readonly services: RestartableServer[];
   private processes = 0;
   private isClosed = false;
 
@@ -43,7 +41,7 @@
     this.services = Array.from(
       {length: count},
       () =>
-        new Service((service, text, socket) =>
+        new RestartableServer((service, text, socket) =>
           this.serve(service, text, socket),
         ),
     );
@@ -62,7 +60,11 @@
     for (const service of this.services) service.close();
   }
 
-  private serve(service: Service, text: string, socket: Socket): void {
+  private serve(
+    service: RestartableServer,
+    text: string,
+    socket: Socket,
+  ): void {
     const headerOf = (name: string) =>
       new RegExp(`^${name}: (.*)\r$`, 'im').exec(text)?.[1] ?? '';
     const id = headerOf('x-request-id');
@@ -86,7 +88,7 @@
     }, RUN_MS);
   }
 
-  private async startService(service: Service): Promise<void> {
+  private async startService(service: RestartableServer): Promise<void> {
     const port = await service.listen(`i-${++this.processes}`);
     if (this.isClosed) {
       service.close();
@@ -100,7 +102,7 @@
     this.feed.add(Topic.Upstreams, service.instance, entry);
   }
 
-  private crash(service: Service): void {
+  private crash(service: RestartableServer): void {
     this.crashes.push(performance.now());
     service.close();
     const {instance} = service;
@@ -111,57 +113,3 @@
     }, this.restartMs);
   }
 }
-
-/** One service, whose processes follow each other at the same port. */
-class Service {
-  /** Id of the process. */
-  instance = '';
-  private server?: Server;
-  private port = 0;
-  private readonly sockets = new Set<Socket>();
-
-  constructor(
-    private readonly serve: (
-      service: Service,
-      text: string,
-      socket: Socket,
-    ) => void,
-  ) {}
-
-  get isRunning(): boolean {
-    return this.server?.listening === true;
-  }
-
-  /** Starts a process, once its port is free. */
-  async listen(instance: string): Promise<number> {
-    for (;;) {
-      const server = createServer(socket => this.accept(socket));
-      const isBound = await new Promise<boolean>(resolve => {
-        server.once('error', () => resolve(false));
-        server.listen(this.port, HOST, () => resolve(true));
-      });
-      if (isBound) {
-        this.server = server;
-        this.instance = instance;
-        this.port = (server.address() as AddressInfo).port;
-        return this.port;
-      }
-      await new Promise(resolve => setTimeout(resolve, REBIND_MS));
-    }
-  }
-
-  /** Ends the process with all its connections. */
-  close(): void {
-    this.server?.close();
-    for (const socket of this.sockets) socket.resetAndDestroy();
-  }
-
-  private accept(socket: Socket): void {
-    this.sockets.add(socket);
-    socket.on('error', () => undefined);
-    socket.on('close', () => this.sockets.delete(socket));
-    socket.on('data', bytes =>
-      this.serve(this, bytes.toString('latin1'), socket),
-    );
-  }
-}
