Count a crash once in a sequence of crashes

One order of the same reports held a prompt part, another didn't.

Cause: a request that was sent when an earlier report on the same process dates its end counted in addition to the one before it, if it came later in the list: one crash was two of a sequence, which convicts. Reports of a process are merged at the earliest time, so such requests exist. Now a crash counts once.

--- a/src/quarantine/blame.ts
+++ b/src/quarantine/blame.ts
@@ -119,6 +119,8 @@
   /** Longest sequence in which each request was sent after the last crash. */
   sequence = 0;
   private sequenceAt = -Infinity;
+  /** The last crash of that sequence. */
+  private sequenceEnd?: Crash;
   private readonly entries: Array<[Crash, CrashedRequest, number]> = [];
 
   constructor(
@@ -138,9 +140,11 @@
     this.upstreams.add(crash.upstream);
     this.position = Math.max(this.position, position);
     this.isFirst ||= isFirstPart(this.part, position);
-    if (request.sentAt < this.sequenceAt) return;
+    // Of the requests of a crash, in whatever order, one counts.
+    if (crash === this.sequenceEnd || request.sentAt < this.sequenceAt) return;
     this.sequence++;
     this.sequenceAt = crash.at;
+    this.sequenceEnd = crash;
   }
 
   /** The same part with its other crashes alone. */
--- a/test/quarantine-decision.test.ts
+++ b/test/quarantine-decision.test.ts
@@ -317,6 +317,46 @@
     expect(quarantine.suspects().length).toBeLessThanOrEqual(256);
   });
 
+  it('counts a crash once in a sequence, whatever the order of its requests', async () => {
+    const base = timer.now();
+    const crash = (
+      id: number,
+      parts: string[],
+      upstream: string,
+      startedAt: number,
+      ms: number,
+    ): Evidence => {
+      const suspects = [{request: `r${id}`, parts, openMs: 100}];
+      const at = base - 5_000 + ms;
+      const reporter = 'p';
+      return {type: 'crash', upstream, startedAt, reporter, suspects, at};
+    };
+    const [first, second, third] = [['hot'], ['hot', 'd'], ['hot', 'a', 'd']];
+    const reports = [
+      crash(0, first, 'u', 2, 0),
+      crash(8, second, 'x', 0, 1),
+      crash(8, second, 'x', 2, 0),
+      crash(8, second, 'u', 0, 1),
+      crash(0, first, 'u', 0, 1),
+      crash(8, second, 'u', 1, 1),
+      crash(0, first, 'u', 3, 0),
+      // It began when the report before it on the same process ended.
+      crash(9, third, 'x', 2, 100),
+    ];
+    const holdsAfter = async (evidence: Evidence[]) => {
+      const clock = new ManualTimer();
+      await clock.advance(base);
+      const learner = new Quarantine({timer: clock});
+      for (const item of evidence) learner.learn(item);
+      await clock.advance(5_000);
+      learner.stop();
+      return learner.holds().map(({part}) => part);
+    };
+    expect(await holdsAfter(reports)).toEqual(
+      await holdsAfter(reports.toReversed()),
+    );
+  });
+
   it('comes to the same holds whatever the order of evidence', async () => {
     const base = timer.now();
     const partsOf = (id: number) =>
