Move a request whose answer is overdue to another upstream

A sound upstream worked on it.

Cause: every open connection of one upstream had been silenced in one direction by a link fault seconds before. The request went out on a kept connection and never arrived. The silence watchdog looks at the upstream as a whole: bytes on any connection, or an answered probe, make it "busy". So the request waited for 2.3 s, until that upstream's process ended, and was then sent on with 0.2 s left. The same holds for a process that drops one request and answers others, and for plain routes as long as other answers keep coming from the upstream.

Evidence: entry-1's log has the request placed on streams-1 at once, `repeats` after 2,306 ms with ECONNRESET, placed on streams-0, and `timedOut` at 2,505 ms; streams-1 never received it. Ruled out: the wait queue (waitedMs 0 both times) and the planned stop of another instance, which only made the check strict.

It goes on at another upstream like one of a silent upstream, within the retry budget, and counts one failure. While engines are busy all answers begin late, so none is overdue.

--- a/src/forward/attempthealth.ts
+++ b/src/forward/attempthealth.ts
@@ -3,7 +3,7 @@
 import type {ForwardDependencies} from './dependencies.js';
 import type {Endpoint} from './endpoint.js';
 import type {RequestContext} from './requestcontext.js';
-import type {HealthSignal} from './health.js';
+import {HealthSignal} from './health.js';
 import {healthSignalOf} from './retry.js';
 
 /** Updates the health of an upstream after an attempt. */
@@ -34,6 +34,22 @@
   logEjection(dependencies, context, endpoint, {silent: true, outMs});
 }
 
+/**
+ * Counts a failure of an upstream whose answer is overdue. It is not ejected for
+ * one, which may be due to a lost connection.
+ */
+export function recordOverdue(
+  dependencies: ForwardDependencies,
+  context: RequestContext,
+  endpoint: Endpoint,
+): void {
+  const sign = HealthSignal.Broken;
+  const outMs = endpoint.health.observe(sign, dependencies.timer.now());
+  if (outMs === undefined) return;
+  const cause = 'the answer is overdue';
+  logEjection(dependencies, context, endpoint, {sign, cause, outMs});
+}
+
 function logEjection(
   {timer, logger}: ForwardDependencies,
   {request}: RequestContext,
--- a/src/forward/attemptrunner.ts
+++ b/src/forward/attemptrunner.ts
@@ -1,7 +1,7 @@
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Subscription} from '../timer/index.js';
 import type {AttemptResult} from './attemptresult.js';
-import {recordSilence} from './attempthealth.js';
+import {recordOverdue, recordSilence} from './attempthealth.js';
 import type {ForwardDependencies} from './dependencies.js';
 import type {Placement, PlacementRequest} from './placementrequest.js';
 import {placementRequestOf, type RequestContext} from './requestcontext.js';
@@ -9,6 +9,7 @@
 import {decideReplacement, Retry} from './retry.js';
 import {RunningAttempt} from './runningattempt.js';
 import type {StreamSink} from './sink.js';
+import {Silence} from './watchdog.js';
 
 /**
  * Longest time for which a request is sent to two upstreams, in ms. An upstream
@@ -92,7 +93,8 @@
           if (attempt === this.current) this.keepCurrent();
         },
         isReplaceable: () => attempt === this.current && this.isReplaceable(),
-        onSilence: silentMs => this.seekSuccessor(silentMs, placement),
+        onSilence: (silence, silentMs) =>
+          this.seekSuccessor(silence, silentMs, placement),
       },
     );
     tally.triedUpstreams.add(placement.endpoint.id);
@@ -131,11 +133,17 @@
     this.resolve(result);
   }
 
-  /** Starts a successor of an attempt whose upstream is silent, if one can. */
-  private seekSuccessor(silentMs: number, {endpoint}: Placement): void {
+  /** Starts a successor of an attempt that meets silence, if one can. */
+  private seekSuccessor(
+    silence: Silence,
+    silentMs: number,
+    {endpoint}: Placement,
+  ): void {
     if (!this.isReplaceable()) return;
     const {dependencies, context} = this;
-    recordSilence(dependencies, context, endpoint);
+    if (silence === Silence.Upstream) {
+      recordSilence(dependencies, context, endpoint);
+    }
     const request = placementRequestOf(context, {
       arrivedAt: this.tally.arrivedAt,
       triedUpstreams: this.tally.triedUpstreams,
@@ -146,6 +154,7 @@
     const details = {
       request: context.request.id,
       upstream: endpoint.id,
+      silence,
       silentMs: Math.round(silentMs),
       lastEvent: this.sink.lastEvent,
     };
@@ -159,6 +168,9 @@
       this.loggedCause = placement;
       return;
     }
+    if (silence === Silence.Connection) {
+      recordOverdue(dependencies, context, endpoint);
+    }
     dependencies.logger.info(
       {event: LogEvent.Silent, ...details, successor: placement.endpoint.id},
       'The upstream is silent; sending the request to another one, too.',
--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -10,7 +10,7 @@
 import {isCrashSign} from './attempttally.js';
 import type {AttemptLoad} from './servicestate.js';
 import type {AttemptSink} from './sink.js';
-import {SilenceWatchdog} from './watchdog.js';
+import {SilenceWatchdog, type Silence} from './watchdog.js';
 
 /** Told of what happens to a [[RunningAttempt]]. */
 export interface AttemptListener {
@@ -20,8 +20,8 @@
   onAnswer(): void;
   /** Whether another upstream could take the request over. */
   isReplaceable(): boolean;
-  /** The upstream is silent, and may be dead; repeated while it is. */
-  onSilence(silentMs: number): void;
+  /** There is silence, repeated while it lasts; the upstream may be dead. */
+  onSilence(silence: Silence, silentMs: number): void;
 }
 
 /** One attempt in progress, with its load on the upstream and its watchdog. */
@@ -31,6 +31,8 @@
   readonly endpoint: Endpoint;
   private readonly load: AttemptLoad;
   private readonly controller = new AbortController();
+  /** Whether the head of an answer has come. */
+  private hasStarted = false;
 
   constructor(
     private readonly dependencies: ForwardDependencies,
@@ -70,7 +72,9 @@
           prefillMs: placement.prefillMs,
           isReplaceable: () => listener.isReplaceable(),
           isAlive: () => dependencies.isAlive(endpoint),
-          onSilence: silentMs => listener.onSilence(silentMs),
+          overdueMs: () => service.starts.overdueMs(route.name),
+          onSilence: (silence, silentMs) =>
+            listener.onSilence(silence, silentMs),
         })
       : undefined;
     // A request that must not be retried runs to its end without its caller.
@@ -97,7 +101,11 @@
         ]),
         sent: () => listener.onSent(),
         advanced: () => promptGuard.recordAnswer(parts),
-        received: () => listener.onAnswer(),
+        received: () => {
+          this.recordStart();
+          watchdog?.noteAnswer();
+          listener.onAnswer();
+        },
         observe: head => observer.observe(endpoint, head, placement.trial),
       });
       if (!this.controller.signal.aborted) {
@@ -121,6 +129,14 @@
     }
   }
 
+  private recordStart(): void {
+    if (this.hasStarted) return;
+    this.hasStarted = true;
+    const {service, route} = this.context;
+    const startMs = this.dependencies.timer.now() - this.sentAt;
+    service.starts.add(route.name, startMs);
+  }
+
   /** Records the first bytes of the response, which end the prefill. */
   recordFirstBytes(now: number): void {
     this.load.recordFirstBytes(now);
--- a/src/forward/servicestate.ts
+++ b/src/forward/servicestate.ts
@@ -1,3 +1,4 @@
+import {AnswerStarts} from './answerstarts.js';
 import type {RetryBudget} from './retrybudget.js';
 import type {Placement, PlacementRequest} from './placementrequest.js';
 import type {WaitQueue} from './waitqueue.js';
@@ -11,8 +12,10 @@
   end(): void;
 }
 
-/** Wait queue, retry budget and speed estimates of one service. */
+/** Wait queue, retry budget and estimates of the times of one service. */
 export class ServiceState {
+  readonly starts = new AnswerStarts();
+
   constructor(
     readonly name: string,
     readonly waitQueue: WaitQueue,
--- a/src/forward/watchdog.ts
+++ b/src/forward/watchdog.ts
@@ -24,13 +24,30 @@
   isReplaceable(): boolean;
   /** Probes the upstream on another connection. */
   isAlive(): Promise<boolean>;
-  /** Called when the upstream is silent, and again while it remains so. */
-  onSilence(silentMs: number): void;
+  /**
+   * Time after which an answer is overdue that has not begun, in ms; undefined
+   * if unknown.
+   */
+  overdueMs(): number | undefined;
+  /** Called when there is silence, and again while it lasts. */
+  onSilence(silence: Silence, silentMs: number): void;
+}
+
+/** What is silent. */
+export enum Silence {
+  /** The upstream, on every connection. */
+  Upstream = 'upstream',
+  /**
+   * Only the connection of the request, for far longer than others took. The
+   * connection may be lost, or the upstream may have dropped the request.
+   */
+  Connection = 'connection',
 }
 
 /**
- * Reports an upstream that sends nothing on any connection for too long. One
- * that still responds to other requests is only busy.
+ * Reports an upstream that sends nothing on any connection for too long, and an
+ * answer that is overdue. An upstream that still responds to other requests is
+ * only busy while answers of the route are as late.
  */
 export class SilenceWatchdog {
   private readonly tick: Subscription;
@@ -40,6 +57,7 @@
   /** When the present silence was last reported, in monotonic ms. */
   private reportedAt?: number;
   private probing = false;
+  private hasAnswer = false;
   private ended = false;
 
   constructor(private readonly spec: SilenceWatchdogSpec) {
@@ -52,9 +70,18 @@
     this.tick.end();
   }
 
+  /** Notes that the answer has begun. */
+  noteAnswer(): void {
+    this.hasAnswer = true;
+  }
+
   private check(): void {
     const {timer, route} = this.spec;
     const now = timer.now();
+    if (this.isOverdue(now)) {
+      this.checkOverdue(now);
+      return;
+    }
     const heardAt = this.heardAt();
     if (this.reportedAt !== undefined && heardAt > this.reportedAt) {
       this.reportedAt = undefined;
@@ -67,7 +94,19 @@
     if (this.probing || !isDue || !this.spec.isReplaceable()) return;
     // A busy engine may send nothing for long.
     if (route.streaming && this.reportedAt === undefined) void this.probe();
-    else this.report();
+    else this.report(Silence.Upstream, heardAt);
+  }
+
+  private isOverdue(now: number): boolean {
+    const overdueMs = this.spec.overdueMs();
+    if (this.hasAnswer || overdueMs === undefined) return false;
+    return now - this.startedAt >= Math.max(this.limitMs(), overdueMs);
+  }
+
+  private checkOverdue(now: number): void {
+    const isDue = now - (this.reportedAt ?? -Infinity) >= REPEAT_MS;
+    if (this.probing || !isDue || !this.spec.isReplaceable()) return;
+    this.report(Silence.Connection, this.startedAt);
   }
 
   private async probe(): Promise<void> {
@@ -77,14 +116,16 @@
     this.probing = false;
     if (alive) this.aliveAt = this.spec.timer.now();
     // A full upstream may leave a probe waiting and yet send on.
-    else if (this.heardAt() <= probedAt) this.report();
+    else if (this.heardAt() <= probedAt) {
+      this.report(Silence.Upstream, this.heardAt());
+    }
   }
 
-  private report(): void {
+  private report(silence: Silence, since: number): void {
     if (this.ended) return;
     const now = this.spec.timer.now();
     this.reportedAt = now;
-    this.spec.onSilence(now - this.heardAt());
+    this.spec.onSilence(silence, now - since);
   }
 
   /** When the upstream last sent anything, or was sent the request. */
