Count the grace of missing upstreams from the store's return

An error answer proves nothing, as a store that refuses may not be back; a failed call starts the time anew, unless it was sent before the store served. A peer's word counts, since peers tell of an epoch only once they have read it.

--- a/bench/fleet/simulatedfleet.ts
+++ b/bench/fleet/simulatedfleet.ts
@@ -95,6 +95,7 @@
       timer: this.timer,
       logger: silent,
       reachableForMs: () => this.fleet.upstreams.reachableForMs(),
+      servedForMs: () => this.fleet.upstreams.servedForMs(),
       changed: () => {
         this.audit.noteUsable(this.registry.usable());
         simulation.noteEntries(this);
--- a/src/registry/follower.ts
+++ b/src/registry/follower.ts
@@ -87,6 +87,11 @@
     return this.replica.reachableForMs();
   }
 
+  /** See [[TopicReplica.servedForMs]]. */
+  servedForMs(): number {
+    return this.replica.servedForMs();
+  }
+
   /**
    * Makes this instance read the store itself, for example after the process
    * was suspended, when the ages of received messages can't be trusted.
--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -19,8 +19,8 @@
 const MISSING_GRACE_MS = 2_000;
 /**
  * The same for entries that a snapshot lacks which tells that the store has
- * returned: their upstreams have to register within two seconds of that, and
- * what they write is read up to half a second later.
+ * returned: their upstreams have to register within two seconds of the return,
+ * and what they write is read up to half a second later.
  */
 const RETURN_GRACE_MS = 2_500;
 /**
@@ -29,6 +29,13 @@
  */
 const MIN_REACHABLE_MS = 3_000;
 
+/** For how long missing entries are still used. */
+interface Grace {
+  ms: number;
+  /** Whether the store has just returned. */
+  isAfterReturn: boolean;
+}
+
 /** Why an entry is missing, and how long it is used. */
 interface Absence {
   /** In monotonic ms. */
@@ -54,6 +61,11 @@
   logger: Logger;
   /** Ms since the store became reachable; 0 while it isn't. */
   reachableForMs(): number;
+  /**
+   * At a snapshot after the store's return: ms since it is known to serve again.
+   * Else 0.
+   */
+  servedForMs(): number;
   /** Called after records were applied or entries were dropped. */
   changed(): void;
 }
@@ -100,10 +112,9 @@
     const missing = [...this.registrations.keys()].filter(
       key => !present.has(key),
     );
-    const hasReturned = this.parts.reachableForMs() === 0;
-    const graceMs = hasReturned ? RETURN_GRACE_MS : MISSING_GRACE_MS;
+    const grace = this.graceOfSnapshot();
     for (const key of missing) {
-      this.handleMissing(key, 'not in the snapshot', graceMs, outdated);
+      this.handleMissing(key, 'not in the snapshot', grace, outdated);
     }
     this.departures.confirmAllBut(present);
     const changes = records.filter(
@@ -141,6 +152,15 @@
     if (dropped) this.parts.changed();
   }
 
+  /** Grace period of the entries that a snapshot lacks. */
+  private graceOfSnapshot(): Grace {
+    if (this.parts.reachableForMs() > 0) {
+      return {ms: MISSING_GRACE_MS, isAfterReturn: false};
+    }
+    const leftMs = RETURN_GRACE_MS - this.parts.servedForMs();
+    return {ms: Math.max(0, leftMs), isAfterReturn: true};
+  }
+
   /** Returns whether the record changed something. */
   private apply(record: KnownRecord): boolean {
     const {key, value} = record;
@@ -236,7 +256,7 @@
   private handleMissing(
     key: string,
     reason: string,
-    graceMs = MISSING_GRACE_MS,
+    grace: Grace = {ms: MISSING_GRACE_MS, isAfterReturn: false},
     isLost = false,
   ): void {
     const {timer, logger} = this.parts;
@@ -246,10 +266,10 @@
       return;
     }
     const {absence} = known;
-    const until = timer.now() + graceMs;
+    const until = timer.now() + grace.ms;
     if (absence !== undefined) {
       // Each return of the store gives its upstream the time to register.
-      if (graceMs === RETURN_GRACE_MS) absence.until = until;
+      if (grace.isAfterReturn) absence.until = until;
       if (!isLost) absence.isRemoved = true;
       return;
     }
@@ -264,10 +284,9 @@
     }
     const leftMs = MIN_REACHABLE_MS - reachableForMs;
     known.absence = {
-      until:
-        graceMs === RETURN_GRACE_MS
-          ? until
-          : Math.min(until, timer.now() + leftMs),
+      until: grace.isAfterReturn
+        ? until
+        : Math.min(until, timer.now() + leftMs),
       isRemoved: !isLost,
     };
     logger.warn(
--- a/src/registry/storeepoch.ts
+++ b/src/registry/storeepoch.ts
@@ -1,7 +1,7 @@
 import type {Result} from 'neverthrow';
 import type {Logger} from 'pino';
 import {LogEvent} from '../telemetry/logevent.js';
-import type {Subscription} from '../timer/index.js';
+import type {Subscription, Timer} from '../timer/index.js';
 import type {FeedFailure, Topic} from './feed.js';
 import {LearnedFrom} from './topicstatus.js';
 
@@ -20,15 +20,32 @@
   private epoch = 0;
   /** Whether the store or a peer has named an epoch. */
   private isKnown = false;
+  /**
+   * Since when the store is known to serve in this epoch without a failed call,
+   * in monotonic ms; undefined if it isn't.
+   */
+  private servesSince?: number;
   private readonly listeners = new Set<EpochListener>();
 
-  constructor(private readonly logger: Logger) {}
+  constructor(
+    private readonly logger: Logger,
+    private readonly timer: Timer,
+  ) {}
 
   /** The newest known epoch; 0 before any is known. */
   get current(): number {
     return this.epoch;
   }
 
+  /**
+   * Ms since the store is known to serve in the current epoch, from its answers
+   * or a peer that has read it; 0 if it isn't, or a call has failed since.
+   */
+  servedForMs(): number {
+    const {servesSince, timer} = this;
+    return servesSince === undefined ? 0 : timer.now() - servesSince;
+  }
+
   /** Calls `listener` after each rise, until the subscription ends. */
   subscribe(listener: EpochListener): Subscription {
     this.listeners.add(listener);
@@ -55,9 +72,25 @@
       this.learn(epoch, LearnedFrom.Store);
       this.isKnown = true;
     }
+    answer.match(
+      () => {
+        if (epoch === this.epoch) this.servesSince ??= this.timer.now();
+      },
+      failure => this.noteFailure(failure),
+    );
     return answer;
   }
 
+  private noteFailure(failure: FeedFailure): void {
+    const sentAt =
+      failure.type === 'timeout'
+        ? this.timer.now() - failure.limitMs
+        : Infinity;
+    // A call from before may time out once the store serves again.
+    if (this.servesSince !== undefined && sentAt < this.servesSince) return;
+    this.servesSince = undefined;
+  }
+
   /** Takes note of an epoch; one that is not higher changes nothing. */
   learn(epoch: number, source: LearnedFrom): void {
     if (epoch <= this.epoch) return;
@@ -65,6 +98,9 @@
     const wasKnown = this.isKnown;
     this.epoch = epoch;
     this.isKnown = true;
+    // Peers tell of an epoch only once they have read the store in it.
+    this.servesSince =
+      source === LearnedFrom.Peer ? this.timer.now() : undefined;
     if (!wasKnown) return;
     const topics = [...this.listeners]
       .map(listener => listener())
--- a/src/registry/topicreplica.ts
+++ b/src/registry/topicreplica.ts
@@ -74,6 +74,8 @@
   private hasSnapshot = false;
   /** Whether the topic was known in an epoch before the current one. */
   private isRestarting = false;
+  /** Whether it isn't known in the current epoch since that has risen. */
+  private awaitsEpoch = false;
   /** Whether what is known may be older than it seems. */
   private mustRead = false;
   /** Until when peers' messages may have waited here unread, in monotonic ms. */
@@ -106,6 +108,14 @@
     return this.age.reachableForMs();
   }
 
+  /**
+   * Before the first snapshot in a new epoch: ms since the store is known to
+   * serve in it. Else 0.
+   */
+  servedForMs(): number {
+    return this.awaitsEpoch ? this.options.epochs.servedForMs() : 0;
+  }
+
   /** Whether this instance reads the topic for the others. */
   isReader(): boolean {
     return this.schedule.reader === this.options.instance;
@@ -257,6 +267,7 @@
   restart(): boolean {
     if (!this.hasSnapshot && !this.isRestarting) return false;
     this.loseSnapshot();
+    this.awaitsEpoch = true;
     this.schedule.restart(this.options.timer.now());
     return true;
   }
@@ -350,6 +361,7 @@
     this.epoch = this.options.epochs.current;
     this.hasSnapshot = true;
     this.isRestarting = false;
+    this.awaitsEpoch = false;
   }
 
   /** Passes new records on; returns those that changed something. */
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -160,6 +160,7 @@
       timer,
       logger: componentLogger(root, Component.Upstream),
       reachableForMs: () => this.fleet.upstreams.reachableForMs(),
+      servedForMs: () => this.fleet.upstreams.servedForMs(),
       changed: () => this.updateEndpoints(),
     });
     this.fleet = this.createFleet();
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -108,6 +108,7 @@
     this.logger = componentLogger(output.logger, Component.Member);
     this.epochs = new StoreEpoch(
       componentLogger(output.logger, Component.Platform),
+      timer,
     );
     this.peers = new Peers(instance, zone, this.logger, random);
     this.configurations = this.follow(
--- a/test/departures.test.ts
+++ b/test/departures.test.ts
@@ -32,6 +32,7 @@
       timer,
       logger: pino({level: 'silent'}),
       reachableForMs: () => store.reachableForMs,
+      servedForMs: () => 0,
       changed: () => undefined,
     });
     const ids = () => [...registry.usable()].map(({id}) => id);
--- a/test/epoch.test.ts
+++ b/test/epoch.test.ts
@@ -1,5 +1,6 @@
 import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {err, ok} from 'neverthrow';
 import {pino} from 'pino';
 import {describe, expect, it, onTestFinished} from 'vitest';
 import {HttpFeed} from '../platform/feed.js';
@@ -10,6 +11,7 @@
   StoreEpoch,
   Topic,
 } from '../src/registry/index.js';
+import {ManualTimer} from '../src/timer/index.js';
 import {FollowingFleet} from './support/returningstore.js';
 
 /** Registers upstreams with consecutive numbers. */
@@ -232,7 +234,8 @@
   });
 
   it('end the following of all topics, whichever answer told of them', () => {
-    const epochs = new StoreEpoch(pino({level: 'silent'}));
+    const timer = new ManualTimer();
+    const epochs = new StoreEpoch(pino({level: 'silent'}), timer);
     const rises: number[] = [];
     epochs.subscribe(() => void rises.push(epochs.current));
     epochs.learn(0, LearnedFrom.Store);
@@ -241,6 +244,29 @@
     epochs.learn(2, LearnedFrom.Store);
     expect([rises, epochs.current]).toEqual([[3], 3]);
   });
+
+  it('tell for how long the store has served without a failed call', async () => {
+    const timer = new ManualTimer();
+    const epochs = new StoreEpoch(pino({level: 'silent'}), timer);
+    const servedForMs = async (): Promise<number> => {
+      await timer.advance(100);
+      return epochs.servedForMs();
+    };
+    epochs.observe(ok({epoch: 1}));
+    // A refusal may come from a store that is not back yet.
+    epochs.observe(err({type: 'refused', status: 503, epoch: 2}));
+    expect(await servedForMs()).toBe(0);
+    epochs.observe(ok({epoch: 2}));
+    epochs.observe(ok({epoch: 1}));
+    expect([await servedForMs(), await servedForMs()]).toEqual([100, 200]);
+    // It was sent before the store served.
+    epochs.observe(err({type: 'timeout', limitMs: 1_000}));
+    expect(await servedForMs()).toBe(300);
+    epochs.observe(err({type: 'timeout', limitMs: 200}));
+    expect(await servedForMs()).toBe(0);
+    epochs.learn(3, LearnedFrom.Peer);
+    expect(await servedForMs()).toBe(100);
+  });
 });
 
 describe('the epoch that the platform names', () => {
--- a/test/evidencerelay.test.ts
+++ b/test/evidencerelay.test.ts
@@ -159,7 +159,7 @@
     const records = new HoldRecords({
       log,
       feed,
-      epochs: new StoreEpoch(logger),
+      epochs: new StoreEpoch(logger, timer),
       timer,
       logger,
       random: () => 0.5,
--- a/test/fleet-links.test.ts
+++ b/test/fleet-links.test.ts
@@ -50,7 +50,7 @@
   };
   const status = [Topic.Configuration, 9, 0, 9, 30, 'entry-2'];
   const exchange = new RecordExchange({
-    epochs: new StoreEpoch(pino({level: 'silent'})),
+    epochs: new StoreEpoch(pino({level: 'silent'}), new ManualTimer()),
     replicas: [replica as unknown as TopicReplica],
     client: {
       call: async () => {
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -197,7 +197,7 @@
     },
     peers,
     records: new RecordExchange({
-      epochs: new StoreEpoch(logger),
+      epochs: new StoreEpoch(logger, timer),
       replicas: [],
       client: {call: () => Promise.resolve(err('none'))},
       server: {handle: () => undefined},
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -40,12 +40,14 @@
 function setUp(initialReachableForMs = 10_000) {
   const timer = new ManualTimer();
   let reachableForMs = initialReachableForMs;
+  let servedForMs = 0;
   const registry = new Registry({
     decode: (_key, value) =>
       JSON.parse(value.toString()) as RegistryEntry | {reason: string},
     timer,
     logger,
     reachableForMs: () => reachableForMs,
+    servedForMs: () => servedForMs,
     changed: () => undefined,
   });
   let offset = 0;
@@ -67,6 +69,9 @@
     setReachableForMs: (ms: number) => {
       reachableForMs = ms;
     },
+    setServedForMs: (ms: number) => {
+      servedForMs = ms;
+    },
   };
 }
 
@@ -101,6 +106,23 @@
   expect(usable()).toEqual([]);
 });
 
+test('entries are kept until 2.5 s after the return that a late snapshot tells of', async () => {
+  const {timer, registry, record, usable, ...store} = setUp();
+  registry.add([record('a', entry('a')), record('b', entry('b'))]);
+  store.setReachableForMs(0);
+  store.setServedForMs(700);
+  registry.replace([], true);
+  store.setReachableForMs(1_790);
+  await timer.advance(1_790);
+  registry.add([record('b', entry('b', {sequence: 2}))]);
+  registry.sweep();
+  expect(usable()).toEqual(['a ready', 'b ready']);
+  store.setReachableForMs(1_800);
+  await timer.advance(10);
+  registry.sweep();
+  expect(usable()).toEqual(['b ready']);
+});
+
 test('a draining upstream that goes missing is dropped without grace', () => {
   const {registry, record, usable} = setUp(500);
   registry.add([record('a', entry('a', {state: EntryState.Draining}))]);
@@ -184,7 +206,7 @@
   const follower = new Follower(
     {
       instance: 'entry-1',
-      epochs: new StoreEpoch(logger),
+      epochs: new StoreEpoch(logger, timer),
       rankOf: () => 0,
       learned: () => undefined,
       feed,
@@ -291,7 +313,7 @@
   const follower = new Follower(
     {
       instance: 'entry-1',
-      epochs: new StoreEpoch(logger),
+      epochs: new StoreEpoch(logger, timer),
       rankOf: () => 0,
       learned: () => undefined,
       feed,
@@ -334,7 +356,7 @@
   const follower = new Follower(
     {
       instance: 'entry-1',
-      epochs: new StoreEpoch(logger),
+      epochs: new StoreEpoch(logger, timer),
       rankOf: () => 0,
       learned: () => undefined,
       feed,
--- a/test/support/returningstore.ts
+++ b/test/support/returningstore.ts
@@ -173,6 +173,7 @@
       timer,
       logger,
       reachableForMs: () => fleet.upstreams.reachableForMs(),
+      servedForMs: () => fleet.upstreams.servedForMs(),
       changed: () => undefined,
     });
     const place = {name, zone: 'z', region: 'r'};
--- a/test/wiring.test.ts
+++ b/test/wiring.test.ts
@@ -63,7 +63,7 @@
     openPort: async () =>
       (await datagrams.bind('127.0.0.1', port)) ? port : undefined,
     feed,
-    epochs: new StoreEpoch(silent),
+    epochs: new StoreEpoch(silent, timer),
     timer,
     logger: silent,
     random: () => 0.5,
