Let the caller of a test leave once the upstream has its request

Cause, in the test: its caller left 60 ms after it had begun, whether or not the upstream had the request. The gateway runs in the same process, and a stall of more than 60 ms lets the caller's timer fire first. The request then is never sent, which is right, and there is no connection that could close.

What it demands of the gateway is unchanged: the caller leaves while the upstream holds the request.

--- a/test/forward.test.ts
+++ b/test/forward.test.ts
@@ -140,16 +140,19 @@
 
 test('a request that outlives its caller still ends at its deadline', async () => {
   let closed = false;
+  let receive: () => void = () => undefined;
+  const received = new Promise<void>(resolve => (receive = resolve));
   const silent = await openUpstream('plain', 'i-1', ({socket}) => {
     socket.on('close', () => {
       closed = true;
     });
+    receive();
   });
   const {gateway, logLines} = await openGateway([silent]);
   await call(gateway.port, '/order/a', 'r1', {
     method: 'POST',
     headers: {'x-deadline-ms': '200'},
-    abortAfterMs: 60,
+    abortOn: received,
   });
   await vi.waitFor(() => expect(closed).toBe(true), {timeout: 2_000});
   const ended = () => logLines.find(({event}) => event === LogEvent.Ended);
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -147,6 +147,8 @@
     headers?: Record<string, string>;
     /** Time after which the caller closes the connection, in ms. */
     abortAfterMs?: number;
+    /** When it resolves, the caller closes the connection. */
+    abortOn?: Promise<void>;
   } = {},
 ): Promise<CallerResponse | undefined> {
   return new Promise(resolve => {
@@ -183,6 +185,7 @@
     if (options.abortAfterMs !== undefined) {
       setTimeout(() => message.destroy(), options.abortAfterMs);
     }
+    void options.abortOn?.then(() => message.destroy());
     message.end();
   });
 }
