Tell peers of a missing upstream that the store has by an older entry

What it does to callers: after the store's return from an older copy, instances could drop an upstream that runs and had registered again.

Cause: an instance that keeps a missing entry for its grace period ends that when it reads any entry of the same process, but took an entry with an old sequence for no change. Only changes are passed on by the one that reads the topic, so its peers moved past the record with the entry still missing, and dropped it 2.5 s later.

Failed before: test/registry.test.ts, "that the store has a missing upstream by an older entry is a change" (no change was returned).

--- a/src/registry/registry.ts
+++ b/src/registry/registry.ts
@@ -210,15 +210,16 @@
         ? this.departures.repeats(key, next)
         : !supersedes(next, known.entry);
     if (isOutdated) {
-      // The store has the upstream, if only by an older entry.
-      if (known !== undefined && isSameProcess(known.entry, next)) {
-        delete known.absence;
-      }
       logger.info(
         {event: LogEvent.Upstream, upstream: key, offset},
         'Ignored an outdated registry entry.',
       );
-      return false;
+      if (known?.absence === undefined || !isSameProcess(known.entry, next)) {
+        return false;
+      }
+      // The store has the upstream, if only by an older entry. Peers may miss it.
+      delete known.absence;
+      return true;
     }
     this.registrations.set(key, {entry: next, record});
     this.departures.delete(key);
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -123,6 +123,15 @@
   expect(usable()).toEqual(['b ready']);
 });
 
+test('that the store has a missing upstream by an older entry is a change', () => {
+  const {registry, record} = setUp(0);
+  registry.add([record('a', entry('a', {sequence: 5}))]);
+  registry.replace([], true);
+  const again = record('a', entry('a', {sequence: 5}));
+  expect(registry.add([again])).toEqual([again]);
+  expect(registry.add([again])).toEqual([]);
+});
+
 test('a draining upstream that goes missing is dropped without grace', () => {
   const {registry, record, usable} = setUp(500);
   registry.add([record('a', entry('a', {state: EntryState.Draining}))]);
