Pass on what a peer's state told before it was read

It applied the records of that state but stayed at 90. When it read 90 to 107, those records changed nothing anymore, so they were left out of what it passes on. Peers at 90 heard that nothing had changed up to 113, moved on, and never got four records; what they held as missing lapsed.

Evidence: the trace of the topic at the reader and a peer: state of 12 records at 12,331 ms with end 90, read of 17 records at 12,873 ms, status {end: 113, since: 90, changedTo: 90}; another reader told {since: 90, changedTo: 99} with four records.

Why it works: changes by records beyond the known end are kept and passed on with the records that hold them, under the first new offset. What a peer knows from earlier epochs is not passed on that way.

--- a/src/registry/changelog.ts
+++ b/src/registry/changelog.ts
@@ -16,6 +16,8 @@
   /** All changes from this offset on are kept. */
   since = 0;
   private changes: KeyedRecord[] = [];
+  /** Changes that came before the records up to them were read. */
+  private early: KeyedRecord[] = [];
   private bytes = 0;
 
   /** Offset after the last kept change; [[since]] if there is none. */
@@ -29,13 +31,27 @@
     this.end = end;
     this.since = end;
     this.changes = [];
+    this.early = [];
     this.bytes = 0;
   }
 
+  /**
+   * Adds changes without moving the end. The records that make them have no
+   * effect once they are read, so peers get the changes along with these.
+   */
+  addEarly(changes: readonly KeyedRecord[]): void {
+    this.early.push(...changes);
+  }
+
   /** Adds the changes up to the offset `end`, in the order of the topic. */
   append(changes: readonly KeyedRecord[], end: number): void {
+    const offset = this.end;
+    const early = end > offset ? this.early.splice(0) : [];
     this.end = end;
-    for (const change of changes) {
+    for (const change of [
+      ...early.map(record => ({...record, offset})),
+      ...changes,
+    ]) {
       this.changes.push(change);
       this.bytes += change.value?.length ?? 0;
     }
--- a/src/registry/topicreplica.ts
+++ b/src/registry/topicreplica.ts
@@ -251,7 +251,10 @@
     );
     for (const position of earlier) this.earlier.add(position, now);
     if (this.hasSnapshot) {
-      this.add(records);
+      const isUnread = ({standing, offset}: KnownRecord) =>
+        standing === undefined && offset >= this.changes.end;
+      this.add(records.filter(record => !isUnread(record)));
+      this.changes.addEarly(this.add(records.filter(isUnread)));
       return Reception.Applied;
     }
     const read = {reader: status.reader, at: now - status.ageMs};
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -14,6 +14,7 @@
   type FeedPage,
   type Snapshot,
 } from '../src/registry/index.js';
+import {ChangeLog} from '../src/registry/changelog.js';
 import {ManualTimer} from '../src/timer/index.js';
 
 const logger = pino({level: 'silent'});
@@ -161,6 +162,22 @@
   expect(usable()).toEqual(['a ready']);
 });
 
+test('changes that came early are passed on with the records that hold them', () => {
+  const {record} = setUp();
+  const changes = new ChangeLog();
+  changes.restart(10);
+  const early = {...record('a', entry('a')), offset: 13};
+  changes.addEarly([early]);
+  expect([changes.end, changes.from(10)]).toEqual([10, []]);
+  changes.append([], 20);
+  expect([changes.changedTo, changes.from(10)]).toEqual([
+    11,
+    [{...early, offset: 10}],
+  ]);
+  changes.append([], 30);
+  expect(changes.from(10)).toHaveLength(1);
+});
+
 /**
  * A feed that returns the given results in order, where undefined stands for a
  * failed call. Further reads wait and find no records.
--- a/test/restoration.test.ts
+++ b/test/restoration.test.ts
@@ -203,6 +203,8 @@
     {seed: 22, path: 31},
     {seed: 47, path: 21},
     {seed: 47, path: 187},
+    {seed: 106, path: 136},
+    {seed: 90417, path: 1},
   ])(
     'bears the schedule $path of seed $seed',
     async ({seed, path}) => {
