Count the drills of the returning store that fail

The check stops at its first failure, which understates how often the property does not hold. The arbitrary moves from the test to the bench; a test compares both sequences.

--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -1,5 +1,6 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
+import {runDrills, type DrillFigures} from './fleet/drills.js';
 import {
   FleetFault,
   runExperiment,
@@ -41,6 +42,12 @@
     default: [] as FleetFault[],
     describe: 'Faults to inject, every 4 s a random one of them',
   })
+  .option('drills', {
+    type: 'number',
+    describe:
+      'Instead, run so many drills of the seed, in which the store returns ' +
+      'from an older copy, and count those that break an invariant',
+  })
   .option('json', {
     type: 'boolean',
     default: false,
@@ -79,6 +86,28 @@
   ];
 }
 
+function printDrills({seed, drills, failed, ...figures}: DrillFigures): void {
+  const share = ((100 * failed) / drills).toFixed(2);
+  process.stdout.write(
+    `seed ${seed}: ${failed} of ${drills} fail, ${share} %\n`,
+  );
+  for (const [name, count] of Object.entries(figures.classes)) {
+    process.stdout.write(`  ${name}: ${count}\n`);
+  }
+  for (const {path, instances, problems} of figures.failures) {
+    process.stdout.write(
+      `  path ${path}, ${instances} instances: ${problems[0] ?? ''}\n`,
+    );
+  }
+}
+
+if (args.drills !== undefined) {
+  const figures = await runDrills(args.drills, args.seed);
+  if (args.json) process.stdout.write(`${JSON.stringify(figures)}\n`);
+  else printDrills(figures);
+  process.exit(figures.failed === 0 ? 0 : 1);
+}
+
 for (const instances of args.instances) {
   const {upstreams, seconds, seed, loss, faults} = args;
   const figures = await runExperiment({
--- a/test/restoration.test.ts
+++ b/test/restoration.test.ts
@@ -1,16 +1,15 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
+import {runDrill, WriterAction, type Drill} from '../bench/fleet/drill.js';
 import {
-  Disturbance,
-  runDrill,
-  WriterAction,
-  type Drill,
-} from '../bench/fleet/drill.js';
-import {
-  MAX_AWAY_MS,
-  MAX_REWRITE_MS,
-  restoreStore,
-} from '../bench/fleet/restoration.js';
+  classesOf,
+  DRILL_UPSTREAMS,
+  drillArbitrary,
+  DrillFailure,
+  NO_HEARTBEATS_MS,
+  runDrills,
+} from '../bench/fleet/drills.js';
+import {restoreStore} from '../bench/fleet/restoration.js';
 import {SimulatedFleet} from '../bench/fleet/simulatedfleet.js';
 import {StoreState, type StoreCalls} from '../bench/fleet/simulatedstore.js';
 import {Topic} from '../src/registry/index.js';
@@ -60,14 +59,10 @@
   return reads + snapshots + puts;
 }
 
-const UPSTREAMS = 12;
-/** Longer than a drill: each change is written once. */
-const NO_HEARTBEATS_MS = 1_000_000;
-
 const QUIET_DRILL: Drill = {
   seed: 5,
   instances: 7,
-  upstreams: UPSTREAMS,
+  upstreams: DRILL_UPSTREAMS,
   heartbeatMs: NO_HEARTBEATS_MS,
   actions: [],
   disturbances: [],
@@ -85,48 +80,6 @@
   slowShare: 0,
 };
 
-const between = (min: number, max: number) => fc.integer({min, max});
-
-const drillArbitrary: fc.Arbitrary<Drill> = fc.record({
-  seed: fc.integer(),
-  instances: fc.constantFrom(1, 2, 7, 24),
-  upstreams: fc.constant(UPSTREAMS),
-  heartbeatMs: fc.constantFrom(1_200, NO_HEARTBEATS_MS),
-  actions: fc.array(
-    fc.record({
-      action: fc.constantFrom(...Object.values(WriterAction)),
-      upstream: between(0, UPSTREAMS - 1),
-      atMs: between(-6_000, 6_000),
-    }),
-    {minLength: 4, maxLength: 24},
-  ),
-  disturbances: fc.array(
-    fc.record({
-      disturbance: fc.constantFrom(...Object.values(Disturbance)),
-      instance: fc.nat(30),
-      atMs: between(-3_000, 5_000),
-      forMs: between(200, 4_000),
-    }),
-    {maxLength: 4},
-  ),
-  restorations: fc.array(
-    fc.record({
-      afterMs: between(0, 2_500),
-      ageMs: between(0, 6_000),
-      awayMs: between(0, MAX_AWAY_MS),
-      state: fc.constantFrom(
-        StoreState.Refuses as const,
-        StoreState.Silent as const,
-      ),
-      rewriteMs: between(200, MAX_REWRITE_MS),
-      lapsedShare: fc.constantFrom(0, 0.3),
-      isWhole: fc.boolean(),
-      slowShare: fc.constantFrom(0, 0.2),
-    }),
-    {minLength: 1, maxLength: 2},
-  ),
-});
-
 describe('a store that returns from an older copy', () => {
   it('tells instances what it gives out under offsets that they know', async () => {
     // The copy lacks an end and a start of upstreams. What follows takes their
@@ -218,3 +171,43 @@
     60_000,
   );
 });
+
+describe('drills that are counted', () => {
+  it('are those that the check above runs', async () => {
+    const seen: Drill[] = [];
+    await fc.assert(
+      fc.asyncProperty(drillArbitrary, drill => {
+        seen.push(drill);
+        return Promise.resolve();
+      }),
+      {seed: SEED, numRuns: RUNS},
+    );
+    expect(fc.sample(drillArbitrary, {seed: SEED, numRuns: RUNS})).toEqual(
+      seen,
+    );
+    expect(await runDrills(2, 47)).toMatchObject({drills: 2, failed: 0});
+  });
+
+  it('fail in classes', () => {
+    const problems = [
+      'entry-0: i-6/0 is used again after its end at 15888 ms',
+      'entry-7 lacks i-1/0 ready',
+      'entry-7 lacks upstreams of 12075 ms',
+      'entry-2 has version 3, not 4',
+      'entry-9 still has i-6/0 ready',
+      'entry-24: i-8/1767 was dropped, but is running at 13941 ms',
+      'entry-1: i-2/0 went back to 7 at 15000 ms',
+      "entry-1 isn't announced",
+      'entry-1 is odd',
+    ];
+    expect([...classesOf(problems)]).toEqual([
+      DrillFailure.UsedAgain,
+      DrillFailure.Lacks,
+      DrillFailure.StillHas,
+      DrillFailure.Dropped,
+      DrillFailure.WentBack,
+      DrillFailure.Peers,
+      DrillFailure.Other,
+    ]);
+  });
+});
