Take an upstream out of use that is silent altogether at an overdue answer

An answer that was overdue counted as one failure of its upstream and skipped the check of the upstream as a whole. One that had crashed without a word stayed in use until three requests in a row had met that, where before the first one took it out.

Why it works: an upstream that sends nothing on any connection is handled as before, and only one that was heard meanwhile, or answered a probe, is spared. An answer can be judged from ten known ones of its route, not twenty, so that a gateway needs less time after its start; the longest of ten, doubled, is still far above the usual.

Failed before: test/overdue.test.ts, "leaves its upstream in use, unless that is silent altogether" (no ejection was logged).

--- a/src/forward/answerstarts.ts
+++ b/src/forward/answerstarts.ts
@@ -1,7 +1,7 @@
 /** Number of latest answers of a route that are remembered. */
 const REMEMBERED = 50;
 /** Fewest answers from which the start of another can be judged. */
-const MIN_REMEMBERED = 20;
+const MIN_REMEMBERED = 10;
 /** How much longer than the slowest one an answer may take to begin. */
 const OVERDUE_FACTOR = 2;
 
--- a/src/forward/watchdog.ts
+++ b/src/forward/watchdog.ts
@@ -56,6 +56,8 @@
   private aliveAt = -Infinity;
   /** When the present silence was last reported, in monotonic ms. */
   private reportedAt?: number;
+  /** When an overdue answer was last reported, in monotonic ms. */
+  private overdueReportedAt = -Infinity;
   private probing = false;
   private hasAnswer = false;
   private ended = false;
@@ -78,10 +80,6 @@
   private check(): void {
     const {timer, route} = this.spec;
     const now = timer.now();
-    if (this.isOverdue(now)) {
-      this.checkOverdue(now);
-      return;
-    }
     const heardAt = this.heardAt();
     if (this.reportedAt !== undefined && heardAt > this.reportedAt) {
       this.reportedAt = undefined;
@@ -91,22 +89,26 @@
       this.reportedAt === undefined
         ? now - quietSince >= this.limitMs()
         : now - this.reportedAt >= REPEAT_MS;
-    if (this.probing || !isDue || !this.spec.isReplaceable()) return;
-    // A busy engine may send nothing for long.
-    if (route.streaming && this.reportedAt === undefined) void this.probe();
-    else this.report(Silence.Upstream, heardAt);
-  }
-
-  private isOverdue(now: number): boolean {
-    const overdueMs = this.spec.overdueMs();
-    if (this.hasAnswer || overdueMs === undefined) return false;
-    return now - this.startedAt >= Math.max(this.limitMs(), overdueMs);
+    if (this.probing || !this.spec.isReplaceable()) return;
+    if (!isDue) {
+      this.checkOverdue(now);
+    } else if (route.streaming && this.reportedAt === undefined) {
+      // A busy engine may send nothing for long.
+      void this.probe();
+    } else {
+      this.report();
+    }
   }
 
+  /** Reports the lack of an answer by an upstream that isn't silent. */
   private checkOverdue(now: number): void {
-    const isDue = now - (this.reportedAt ?? -Infinity) >= REPEAT_MS;
-    if (this.probing || !isDue || !this.spec.isReplaceable()) return;
-    this.report(Silence.Connection, this.startedAt);
+    const overdueMs = this.spec.overdueMs();
+    if (this.hasAnswer || overdueMs === undefined) return;
+    const waitedMs = now - this.startedAt;
+    if (waitedMs < Math.max(this.limitMs(), overdueMs)) return;
+    if (now - this.overdueReportedAt < REPEAT_MS) return;
+    this.overdueReportedAt = now;
+    this.spec.onSilence(Silence.Connection, waitedMs);
   }
 
   private async probe(): Promise<void> {
@@ -116,16 +118,14 @@
     this.probing = false;
     if (alive) this.aliveAt = this.spec.timer.now();
     // A full upstream may leave a probe waiting and yet send on.
-    else if (this.heardAt() <= probedAt) {
-      this.report(Silence.Upstream, this.heardAt());
-    }
+    else if (this.heardAt() <= probedAt) this.report();
   }
 
-  private report(silence: Silence, since: number): void {
+  private report(): void {
     if (this.ended) return;
     const now = this.spec.timer.now();
     this.reportedAt = now;
-    this.spec.onSilence(silence, now - since);
+    this.spec.onSilence(Silence.Upstream, now - this.heardAt());
   }
 
   /** When the upstream last sent anything, or was sent the request. */
--- a/test/overdue.test.ts
+++ b/test/overdue.test.ts
@@ -81,6 +81,21 @@
     expect(performance.now() - sentAt).toBeLessThan(PATIENCE_MS / 2);
   });
 
+  test('leaves its upstream in use, unless that is silent altogether', async () => {
+    const dead: Answer = (_request, upstream) => {
+      upstream.fallSilent(PATIENCE_MS);
+      return Promise.resolve();
+    };
+    const first = byId(answersOf(plainAnswer(BODY)), dead);
+    const plain = await open('plain', 2, first, plainAnswer(BODY));
+    const gateway = await openGateway([plain]);
+    for (const id of earlier) await sendPlain(gateway, '/look/a', id);
+    expectWhole(await sendPlain(gateway, '/look/a', 'r1'), BODY);
+    expect(gateway.logLines).toContainEqual(
+      expect.objectContaining({event: LogEvent.Health, silent: true}),
+    );
+  });
+
   test('that may run only once is sent once', async () => {
     const others = answersOf(plainAnswer(BODY));
     const plain = await open(
