--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -53,6 +53,10 @@
     default: false,
     describe: 'Print one line of JSON for each run',
   })
+  .check(({drills = 1}) => {
+    const isCount = Number.isInteger(drills) && drills > 0;
+    return isCount || '--drills needs a whole number above 0';
+  })
   .strict()
   .parseAsync();
 
