Log the software version of upstreams, and which stream a request takes up

Of streams of two software versions, the logs could not tell what an instance had gone on with from what a caller had taken up, nor name a version without the operator's list. A line placed names the upstream's software version now, and the request that began the stream. An entry whose software version changed describes another process, also where its upstream doesn't tell when it started.

--- a/bench/fleet/limitedupstreams.ts
+++ b/bench/fleet/limitedupstreams.ts
@@ -50,6 +50,7 @@
       host: HOST,
       port: 1 + index,
       zone: ZONES[index % ZONES.length] ?? '',
+      softwareVersion: 'v1',
       slots: SLOTS,
       state: EntryState.Ready,
       coldMs: 0,
--- a/bench/fleet/simulatedwriters.ts
+++ b/bench/fleet/simulatedwriters.ts
@@ -238,6 +238,7 @@
       host: 'h',
       port: index,
       zone: this.zones[index % this.zones.length] ?? '',
+      softwareVersion: 'v1',
       slots: 16,
       state: upstream?.state ?? EntryState.Ready,
       coldMs: 0,
--- a/src/forward/placementlog.ts
+++ b/src/forward/placementlog.ts
@@ -1,13 +1,15 @@
 import type {Logger} from 'pino';
 import {LogEvent} from '../telemetry/logevent.js';
+import type {Endpoint} from './endpoint.js';
 import {tokensUpTo, type LoadView} from './load.js';
 import type {PlacementDecision} from './placement.js';
 import type {QueueEntry} from './queueentry.js';
 
-/** Load on the chosen upstream, before the request is placed there. */
-export interface LoggedLoad {
-  own: LoadView;
-  remote: LoadView & {ageMs: number};
+/** The chosen upstream, before the request is placed there. */
+export interface PlacementTarget {
+  endpoint: Endpoint;
+  /** Load of other instances on it. */
+  remoteLoad: LoadView & {ageMs: number};
 }
 
 /** Logs that a request was placed at `now`, in monotonic ms. */
@@ -15,23 +17,26 @@
   logger: Logger,
   {request, enqueuedAt}: QueueEntry,
   decision: PlacementDecision & {type: 'chosen'},
-  {own, remote}: LoggedLoad,
+  {endpoint, remoteLoad}: PlacementTarget,
   now: number,
 ): void {
+  const ownLoad = endpoint.ownLoad.view(now);
   logger.info(
     {
       event: LogEvent.Placed,
       request: request.requestId,
       tier: request.tier,
       upstream: decision.id,
+      softwareVersion: endpoint.entry.softwareVersion,
+      resumes: request.resumedRequest,
       waitedMs: Math.round(now - enqueuedAt),
       costMs: decision.costMs,
       freshTokens: Math.round(decision.freshTokens),
-      inflight: [own.inflight, remote.inflight],
-      recentTokens: [own, remote].map(({recent}) =>
+      inflight: [ownLoad.inflight, remoteLoad.inflight],
+      recentTokens: [ownLoad, remoteLoad].map(({recent}) =>
         Math.round(tokensUpTo(recent, request.tier)),
       ),
-      othersAgeMs: Math.round(remote.ageMs),
+      othersAgeMs: Math.round(remoteLoad.ageMs),
       weighed: decision.candidateCount,
     },
     'Placed the request on the upstream with the lowest cost.',
--- a/src/forward/placementrequest.ts
+++ b/src/forward/placementrequest.ts
@@ -6,6 +6,8 @@
 /** A request that needs an upstream. */
 export interface PlacementRequest extends Omit<PlacementQuery, 'yields'> {
   requestId: string;
+  /** Id of the request that began the stream, if the caller takes one up. */
+  resumedRequest?: string;
   /** Route, whose requests have similar durations. */
   routeName: string;
   tier: number;
--- a/src/forward/protocol.ts
+++ b/src/forward/protocol.ts
@@ -34,6 +34,8 @@
   prompt?: Prompt;
   /** Id of the last event the caller received of a resumed stream. */
   lastEvent?: string;
+  /** Id of the caller's request that brought the first event of that stream. */
+  resumedRequest?: string;
   /** Headers to forward to the upstream: names and values alternate. */
   forwardedHeaders: string[];
 }
--- a/src/forward/requestcontext.ts
+++ b/src/forward/requestcontext.ts
@@ -73,5 +73,8 @@
     isHeld,
     shortestPauseMs: Math.min(...pausesMs),
     ...(request.prompt === undefined ? {} : {prompt: request.prompt}),
+    ...(request.resumedRequest === undefined
+      ? {}
+      : {resumedRequest: request.resumedRequest}),
   };
 }
--- a/src/forward/waitqueue.ts
+++ b/src/forward/waitqueue.ts
@@ -257,11 +257,9 @@
     ) {
       return WaitCause.Backoff;
     }
-    const load = {
-      own: endpoint.ownLoad.view(now),
-      remote: this.dependencies.remoteLoadOf(endpoint.id),
-    };
-    logPlacement(this.dependencies.logger, entry, decision, load, now);
+    const remoteLoad = this.dependencies.remoteLoadOf(endpoint.id);
+    const target = {endpoint, remoteLoad};
+    logPlacement(this.dependencies.logger, entry, decision, target, now);
     if (!ignoresLoad(request)) this.placementRate.add(now, prefillMs);
     // The next placement must see this load even before the request is sent.
     const trial = endpoint.recordPlacement(request, freshTokens, now);
--- a/src/registry/entry.ts
+++ b/src/registry/entry.ts
@@ -12,6 +12,8 @@
   host: string;
   port: number;
   zone: string;
+  /** Version of its software, which nothing orders. */
+  softwareVersion: string;
   /** Requests that it serves concurrently. */
   slots: number;
   state: EntryState;
@@ -37,7 +39,8 @@
     a.startedAt === b.startedAt &&
     a.service === b.service &&
     a.host === b.host &&
-    a.port === b.port
+    a.port === b.port &&
+    a.softwareVersion === b.softwareVersion
   );
 }
 
--- a/test/attempt.test.ts
+++ b/test/attempt.test.ts
@@ -32,6 +32,7 @@
       host: '127.0.0.1',
       port: await upstream.listen(),
       zone: 'zone-a',
+      softwareVersion: 'v1',
       slots: 4,
       state: EntryState.Ready,
       coldMs: 0,
--- a/test/departures.test.ts
+++ b/test/departures.test.ts
@@ -22,6 +22,7 @@
         host: 'h',
         port: 1,
         zone: 'z',
+        softwareVersion: 'v1',
         slots: 4,
         state: String(record).startsWith('draining')
           ? EntryState.Draining
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -113,6 +113,7 @@
       "sequence": 1,
       "service": "plain",
       "slots": 4,
+      "softwareVersion": "v1",
       "startedAt": 1700000000000,
       "state": "ready",
       "zone": "zone-a",
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -29,6 +29,7 @@
     host: 'h',
     port: 1,
     zone: 'z',
+    softwareVersion: 'v1',
     slots: 4,
     state: EntryState.Ready,
     coldMs: 0,
--- a/test/support/returningstore.ts
+++ b/test/support/returningstore.ts
@@ -54,6 +54,7 @@
       host: 'h',
       port: 1,
       zone: 'z',
+      softwareVersion: 'v1',
       slots: 4,
       state,
       coldMs: 0,
--- a/test/upstream-notices.test.ts
+++ b/test/upstream-notices.test.ts
@@ -318,6 +318,7 @@
     host: 'h',
     port: 1,
     zone: 'z',
+    softwareVersion: 'v1',
     slots: 4,
     state: EntryState.Ready,
     coldMs: 0,
--- a/test/waitqueue.test.ts
+++ b/test/waitqueue.test.ts
@@ -30,6 +30,7 @@
       host: '127.0.0.1',
       port: 1,
       zone: 'z',
+      softwareVersion: 'v1',
       slots: 64,
       state: EntryState.Ready,
       coldMs: 0,
