Show that streams go on at another software version than began them

Callers got events of two software versions of a service in one stream: within one answer, where an upstream broke off and another one went on, and over two tries, where the caller took the stream up at another instance. Engines of two versions and the gateways stand in one process; every event names the version that wrote it.

--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -233,12 +233,17 @@
 }
 
 /** An upstream's entry in the JSON form that the upstream publishes. */
-export function wireEntry(service: string, port: number, seq = 1) {
+export function wireEntry(
+  service: string,
+  port: number,
+  seq = 1,
+  version = 'v1',
+) {
   return {
     service,
     address: `${HOST}:${port}`,
     zone: 'zone-a',
-    version: 'v1',
+    version,
     slots: 4,
     state: 'ready',
     coldRemainingMs: 0,
--- /dev/null
+++ b/test/support/versionedengines.ts
@@ -0,0 +1,150 @@
+import {Topic} from '../../src/registry/index.js';
+import {
+  call,
+  MemoryFeed,
+  RawUpstream,
+  startGatewayOn,
+  successHead,
+  wireConfiguration,
+  wireEntry,
+  type CallerResponse,
+  type RawRequest,
+  type TestGateway,
+} from './gateway.js';
+import {EVENT_STREAM, sleep} from './silentupstream.js';
+
+/** Time-out of the requests of these tests, in ms. */
+const PATIENCE_MS = 4_000;
+const EVENT_PERIOD_MS = 15;
+/** Events of a whole stream. */
+export const EVENTS = 12;
+
+/** A run of a request at an engine. */
+export interface Run {
+  request: string;
+  version: string;
+  /** Event after which it went on; 0 for a new stream. */
+  after: number;
+}
+
+/** Decides after how many events an engine breaks a stream off, if it does. */
+export type BreakPoint = (run: Run) => number | undefined;
+
+/**
+ * Engines of several software versions and gateways before them. Every event
+ * names the version of the engine that wrote it.
+ */
+export class VersionedDeployment {
+  readonly feed = new MemoryFeed();
+  readonly runs: Run[] = [];
+  readonly gateways: TestGateway[] = [];
+  private readonly engines: RawUpstream[] = [];
+  private lastId = 0;
+
+  constructor(private readonly breakPoint: BreakPoint = () => undefined) {
+    const configuration = wireConfiguration(1, PATIENCE_MS);
+    for (const route of configuration.routes) route.maxAttempts *= 3;
+    this.feed.add(Topic.Configuration, 'config', configuration);
+  }
+
+  /** Starts an engine of a version; returns the key of its entry. */
+  async addEngine(version: string): Promise<string> {
+    const engine = new RawUpstream(request => {
+      void this.answer(request, version);
+    });
+    this.engines.push(engine);
+    const key = `engine-${++this.lastId}`;
+    const port = await engine.listen();
+    this.feed.add(Topic.Upstreams, key, wireEntry('engine', port, 1, version));
+    return key;
+  }
+
+  async addEngines(versions: string[]): Promise<void> {
+    for (const version of versions) await this.addEngine(version);
+  }
+
+  async addGateway(): Promise<TestGateway> {
+    const name = `entry-${this.gateways.length + 1}`;
+    const gateway = {
+      feed: this.feed,
+      ...(await startGatewayOn(this.feed, 100, name)),
+    };
+    this.gateways.push(gateway);
+    return gateway;
+  }
+
+  runsOf(request: string): Run[] {
+    return this.runs.filter(run => run.request === request);
+  }
+
+  async close(): Promise<void> {
+    for (const engine of this.engines) engine.close();
+    await Promise.all(this.gateways.map(({gateway}) => gateway.stop()));
+  }
+
+  private async answer(request: RawRequest, version: string): Promise<void> {
+    const {id, text, socket} = request;
+    if (id === '') {
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
+      return;
+    }
+    const after = Number(/last-event-id: (\d+)/i.exec(text)?.[1] ?? 0);
+    const run = {request: id, version, after};
+    this.runs.push(run);
+    const breakAfter = this.breakPoint(run);
+    socket.write(successHead(id, EVENT_STREAM));
+    for (let event = after + 1; event <= EVENTS; event++) {
+      await sleep(EVENT_PERIOD_MS);
+      if (socket.destroyed) return;
+      const data = `id: ${event}\ndata: ${version}\n\n`;
+      socket.write(`${data.length.toString(16)}\r\n${data}\r\n`);
+      if (event - after === breakAfter) {
+        await sleep(EVENT_PERIOD_MS);
+        socket.destroy();
+        return;
+      }
+    }
+    socket.write('0\r\n\r\n');
+  }
+}
+
+/** Requests a stream, or the rest of one that another request began. */
+export function sendStream(
+  {gateway}: TestGateway,
+  id: string,
+  options: {
+    resumes?: string | undefined;
+    lastEvent?: number;
+    abortAfterMs?: number;
+  } = {},
+): Promise<CallerResponse | undefined> {
+  const {resumes, lastEvent, ...others} = options;
+  return call(gateway.port, '/chat/a', id, {
+    ...others,
+    method: 'POST',
+    headers: {
+      'x-deadline-ms': `${PATIENCE_MS}`,
+      'x-model': 'm',
+      'x-token-counts': '10,10',
+      'x-prompt-prefix': `a:5,${id}:5`,
+      ...(resumes === undefined ? {} : {resumes}),
+      ...(lastEvent === undefined ? {} : {'last-event-id': `${lastEvent}`}),
+    },
+  });
+}
+
+/** Numbers and versions of the events in a response, in order. */
+export function eventsIn(
+  response: CallerResponse | undefined,
+): Array<{id: number; version: string}> {
+  const events = (response?.body ?? '').matchAll(/id: (\d+)\ndata: (\S+)\n\n/g);
+  return [...events].map(([, id, version = '']) => ({id: Number(id), version}));
+}
+
+/** The versions of the events in responses, each once. */
+export function versionsIn(
+  ...responses: Array<CallerResponse | undefined>
+): string[] {
+  const events = responses.flatMap(response => eventsIn(response));
+  return [...new Set(events.map(({version}) => version))];
+}
