Go on with a stream only at the software version that began it

Cause: after the first event, a stream was placed like a new request, at any upstream of its service, and so was a successor beside a silent upstream.

The sink of a stream keeps the software version of what was sent to the caller; from then on only upstreams of this version are candidates, and an answer of another one is not passed on. Until the first event, any version may take the request. If no upstream of the version is left, the answer is cut at once, so that its caller knows.

--- a/src/forward/attemptrunner.ts
+++ b/src/forward/attemptrunner.ts
@@ -65,7 +65,8 @@
   ): RunningAttempt {
     const {dependencies, context, tally, sink} = this;
     let hasBytes = false;
-    const attemptSink = sink.forAttempt({
+    const {softwareVersion} = placement.endpoint.entry;
+    const attemptSink = sink.forAttempt(softwareVersion, {
       isCurrent: () => attempt === this.current,
       onBytes: () => {
         if (attempt === this.current) this.keepCurrent();
@@ -149,6 +150,7 @@
       triedUpstreams: this.tally.triedUpstreams,
       answerStarted: this.answerStarted(),
       isHeld: this.isHeld,
+      softwareVersion: this.sink.softwareVersion,
     });
     const placement = this.placeSuccessor(request);
     const details = {
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -167,6 +167,7 @@
         triedUpstreams: this.tally.triedUpstreams,
         answerStarted: this.reply.headersSent,
         isHeld,
+        softwareVersion: sink.softwareVersion,
       });
       const placement = await service.waitQueue.acquire(placementRequest);
       if (placement.type === 'gone') return this.endStopped(context);
--- a/src/forward/pausewait.ts
+++ b/src/forward/pausewait.ts
@@ -75,8 +75,11 @@
       return waitsForLimit(request, delayMs, now)
         ? undefined
         : NotRunCause.Limited;
-    case WaitCause.Full:
     case WaitCause.NoUpstream:
+      return request.softwareVersion === undefined
+        ? undefined
+        : NotRunCause.NoVersion;
+    case WaitCause.Full:
     case WaitCause.Busy:
     case WaitCause.Backoff:
       return undefined;
--- a/src/forward/placementlog.ts
+++ b/src/forward/placementlog.ts
@@ -3,6 +3,7 @@
 import type {Endpoint} from './endpoint.js';
 import {tokensUpTo, type LoadView} from './load.js';
 import type {PlacementDecision} from './placement.js';
+import type {PlacementResult} from './placementrequest.js';
 import type {QueueEntry} from './queueentry.js';
 
 /** The chosen upstream, before the request is placed there. */
@@ -42,3 +43,26 @@
     'Placed the request on the upstream with the lowest cost.',
   );
 }
+
+/** Logs at `now`, in monotonic ms, that a request would wait for too long. */
+export function logRejection(
+  logger: Logger,
+  {request, enqueuedAt}: QueueEntry,
+  {cause, retryAfterMs}: PlacementResult & {type: 'notRun'},
+  waitMs: number,
+  now: number,
+): void {
+  logger.info(
+    {
+      event: LogEvent.Overloaded,
+      request: request.requestId,
+      tier: request.tier,
+      cause,
+      waitedMs: Math.round(now - enqueuedAt),
+      waitMs: Math.round(waitMs),
+      leftMs: Math.round(request.deadlineAt - now),
+      retryAfterMs: Math.round(retryAfterMs),
+    },
+    'Refused: the request would not be answered in time.',
+  );
+}
--- a/src/forward/placementrequest.ts
+++ b/src/forward/placementrequest.ts
@@ -8,6 +8,11 @@
   requestId: string;
   /** Id of the request that began the stream, if the caller takes one up. */
   resumedRequest?: string;
+  /**
+   * Software version that its upstream must have, as it wrote the stream so far;
+   * any if absent.
+   */
+  softwareVersion?: string;
   /** Route, whose requests have similar durations. */
   routeName: string;
   tier: number;
@@ -37,6 +42,17 @@
   | {type: 'notRun'; cause: NotRunCause; retryAfterMs: number}
   | {type: 'gone'};
 
+/** The upstreams whose software version is that of the request, if it has one. */
+export function withVersionOf(
+  {softwareVersion}: PlacementRequest,
+  endpoints: readonly Endpoint[],
+): readonly Endpoint[] {
+  if (softwareVersion === undefined) return endpoints;
+  return endpoints.filter(
+    ({entry}) => entry.softwareVersion === softwareVersion,
+  );
+}
+
 /** Whether the request is placed regardless of the prefill load. */
 export function ignoresLoad({
   prompt,
--- a/src/forward/refusal.ts
+++ b/src/forward/refusal.ts
@@ -32,6 +32,8 @@
   Paused = 'paused',
   /** Every upstream gets as much as it declares that it takes. */
   Limited = 'limited',
+  /** No upstream has the software version that began its stream. */
+  NoVersion = 'no_version',
   /** Its prompt has a part that crashes upstreams. */
   Held = 'held',
 }
--- a/src/forward/requestcontext.ts
+++ b/src/forward/requestcontext.ts
@@ -48,6 +48,8 @@
   PlacementRequest,
   'triedUpstreams' | 'answerStarted' | 'isHeld'
 > {
+  /** Software version that wrote the stream so far, if one did. */
+  softwareVersion: string | undefined;
   /** When the request arrived, in monotonic ms. */
   arrivedAt: number;
 }
@@ -55,7 +57,13 @@
 /** Describes a request to the wait queue of its service. */
 export function placementRequestOf(
   {request, route, table, tier, deadline, service}: RequestContext,
-  {arrivedAt, triedUpstreams, answerStarted, isHeld}: PlacementProgress,
+  {
+    arrivedAt,
+    triedUpstreams,
+    answerStarted,
+    isHeld,
+    softwareVersion,
+  }: PlacementProgress,
 ): PlacementRequest {
   const pausesMs = table.targetGapsOf(service.name);
   return {
@@ -76,5 +84,6 @@
     ...(request.resumedRequest === undefined
       ? {}
       : {resumedRequest: request.resumedRequest}),
+    ...(softwareVersion === undefined ? {} : {softwareVersion}),
   };
 }
--- a/src/forward/sink.ts
+++ b/src/forward/sink.ts
@@ -21,6 +21,11 @@
 export class StreamSink {
   /** Id of the last event sent to the caller; undefined if there is none. */
   lastEvent?: string;
+  /**
+   * Software version of the upstream that wrote what was sent; others can't go on
+   * with it. Undefined if nothing was sent.
+   */
+  softwareVersion?: string;
   /** The attempt whose response was last passed on. */
   private delivering?: AttemptSink;
   /** Whether bytes were sent that no event id covers. */
@@ -39,9 +44,9 @@
     return !this.hasBytesWithoutId;
   }
 
-  /** Creates the sink of a new attempt. */
-  forAttempt(listener: SinkListener): AttemptSink {
-    return new AttemptSink(this, listener);
+  /** Creates the sink of a new attempt on an upstream of a software version. */
+  forAttempt(softwareVersion: string, listener: SinkListener): AttemptSink {
+    return new AttemptSink(this, softwareVersion, listener);
   }
 
   /** Whether the caller has left. */
@@ -95,17 +100,26 @@
 
   constructor(
     private readonly stream: StreamSink,
+    private readonly softwareVersion: string,
     private readonly listener: SinkListener,
   ) {}
 
   start(head: ReceivedHead): boolean {
     this.head = head;
     if (this.stream.splits(head)) this.splitter = new EventSplitter();
-    if (this.stream.callerGone) return false;
+    if (this.stream.callerGone || !this.mayContinue) return false;
     if (this.listener.isCurrent()) this.begin();
     return true;
   }
 
+  /** Whether its upstream has the software version of what was sent. */
+  private get mayContinue(): boolean {
+    const {softwareVersion} = this.stream;
+    return (
+      softwareVersion === undefined || softwareVersion === this.softwareVersion
+    );
+  }
+
   /** Passes on the head, if it has arrived. */
   begin(): void {
     if (this.hasBegun || this.head === undefined) return;
@@ -118,6 +132,7 @@
     const complete = this.splitter?.push(chunk);
     if (complete?.bytes.length === 0) return true;
     this.listener.onOutput();
+    this.stream.softwareVersion ??= this.softwareVersion;
     return complete === undefined
       ? this.stream.writeUnsplit(chunk, resume)
       : this.stream.writeEvents(complete, resume);
--- a/src/forward/waitqueue.ts
+++ b/src/forward/waitqueue.ts
@@ -2,12 +2,14 @@
 import type {Subscription} from '../timer/index.js';
 import {backsOff} from './backoff.js';
 import {candidateOf} from './candidate.js';
+import type {Endpoint} from './endpoint.js';
 import {refusalCauseOf, shortestDelayMs} from './pausewait.js';
 import {chooseUpstream} from './placement.js';
-import {logPlacement} from './placementlog.js';
+import {logPlacement, logRejection} from './placementlog.js';
 import {
   compareUrgency,
   ignoresLoad,
+  withVersionOf,
   type Placement,
   type PlacementRequest,
   type PlacementResult,
@@ -159,11 +161,12 @@
     cause: WaitCause,
     now: number,
   ): PlacementResult | undefined {
-    const endpoints = this.dependencies.endpoints();
     const {request} = entry;
+    const endpoints = this.endpointsFor(request);
     const delayMs = shortestDelayMs(endpoints, now, request.triedUpstreams);
     const refused = refusalCauseOf(request, cause, delayMs, now);
     if (refused === undefined) return undefined;
+    if (refused === NotRunCause.NoVersion) return this.refusalFor(refused);
     return this.reject(entry, refused, delayMs);
   }
 
@@ -209,12 +212,13 @@
   }
 
   /** Prefill time on the engine that has most of the prompt cached, in ms. */
-  private minPrefillMs({prompt}: PlacementRequest): number {
+  private minPrefillMs(request: PlacementRequest): number {
+    const {prompt} = request;
     if (prompt === undefined) return 0;
     const {speeds} = this.dependencies;
-    const cachedTokens = this.dependencies
-      .endpoints()
-      .map(({promptCache}) => promptCache?.cachedTokens(prompt) ?? 0);
+    const cachedTokens = this.endpointsFor(request).map(
+      ({promptCache}) => promptCache?.cachedTokens(prompt) ?? 0,
+    );
     const uncachedTokens = prompt.tokens - Math.max(0, ...cachedTokens);
     return Math.max(0, uncachedTokens) / speeds.estimate(1).prefillTokensPerMs;
   }
@@ -224,7 +228,7 @@
     const {timer, random, speeds} = this.dependencies;
     const {request} = entry;
     const now = timer.now();
-    const endpoints = this.dependencies.endpoints();
+    const endpoints = this.endpointsFor(request);
     const candidates = endpoints.map(endpoint =>
       candidateOf(endpoint, request, this.dependencies, now),
     );
@@ -274,6 +278,10 @@
     return undefined;
   }
 
+  private endpointsFor(request: PlacementRequest): readonly Endpoint[] {
+    return withVersionOf(request, this.dependencies.endpoints());
+  }
+
   /** Estimated time to place `aheadMs` ms of prefill, in ms. */
   private estimateWaitMs(aheadMs: number): number {
     const {timer} = this.dependencies;
@@ -286,16 +294,16 @@
   private enqueue(entry: QueueEntry, cause: WaitCause): void {
     const {logger, timer} = this.dependencies;
     const {request} = entry;
-    if (cause === WaitCause.NoUpstream && request.triedUpstreams.size > 0) {
-      entry.settle(this.refusalFor(NotRunCause.NoUpstream));
-      return;
-    }
     const now = timer.now();
     const refusal = this.refusalOfDelay(entry, cause, now);
     if (refusal !== undefined) {
       entry.settle(refusal);
       return;
     }
+    if (cause === WaitCause.NoUpstream && request.triedUpstreams.size > 0) {
+      entry.settle(this.refusalFor(NotRunCause.NoUpstream));
+      return;
+    }
     const entriesAhead = this.entries.filter(
       other => compareUrgency(other.request, request, now) <= 0,
     );
@@ -350,28 +358,17 @@
 
   /** Rejects a request that would not finish in time and logs why. */
   private reject(
-    {request, enqueuedAt}: QueueEntry,
+    entry: QueueEntry,
     cause: NotRunCause,
     waitMs: number,
   ): PlacementResult & {type: 'notRun'} {
     const {timer, logger} = this.dependencies;
+    const {request} = entry;
     const now = timer.now();
     const isLoad = cause !== NotRunCause.Paused && !ignoresLoad(request);
     if (isLoad) this.lastRejectedAt.set(request.tier, now);
     const refusal = this.refusalFor(cause);
-    logger.info(
-      {
-        event: LogEvent.Overloaded,
-        request: request.requestId,
-        tier: request.tier,
-        cause,
-        waitedMs: Math.round(now - enqueuedAt),
-        waitMs: Math.round(waitMs),
-        leftMs: Math.round(request.deadlineAt - now),
-        retryAfterMs: Math.round(refusal.retryAfterMs),
-      },
-      'Refused: the request would not be answered in time.',
-    );
+    logRejection(logger, entry, refusal, waitMs, now);
     return refusal;
   }
 
--- a/test/softwareversions.test.ts
+++ b/test/softwareversions.test.ts
@@ -5,10 +5,10 @@
   sendStream,
   VersionedDeployment,
   versionsIn,
-  type BreakPoint,
+  type Interrupt,
 } from './support/versionedengines.js';
 
-const STREAMS = 6;
+const STREAMS = 12;
 /** Time for instances to hear of each other and of new streams, in ms. */
 const GOSSIP_MS = 500;
 
@@ -18,8 +18,8 @@
   await Promise.all(deployments.splice(0).map(one => one.close()));
 });
 
-function deploy(breakPoint?: BreakPoint): VersionedDeployment {
-  const deployment = new VersionedDeployment(breakPoint);
+function deploy(interrupt?: Interrupt): VersionedDeployment {
+  const deployment = new VersionedDeployment(interrupt);
   deployments.push(deployment);
   return deployment;
 }
@@ -29,7 +29,8 @@
 const ids = Array.from({length: STREAMS}, (_, n) => `r${n}`);
 
 /** Breaks each stream off once, after its third event. */
-const breakOnce: BreakPoint = ({after}) => (after === 0 ? 3 : undefined);
+const breakOnce: Interrupt = ({after}) =>
+  after === 0 ? {events: 3} : undefined;
 
 describe('a stream that its upstream breaks off', () => {
   test('goes on at the software version that began it', async () => {
@@ -43,6 +44,45 @@
       expect(eventsIn(response)).toHaveLength(EVENTS);
     }
   });
+
+  test('ends if no other upstream has that software version', async () => {
+    const deployment = deploy(breakOnce);
+    await deployment.addEngines(['v1', 'v2', 'v3']);
+    const gateway = await deployment.addGateway();
+    for (const id of ids) {
+      const response = await sendStream(gateway, id);
+      expect(versionsIn(response)).toHaveLength(1);
+      expect(response?.complete).toBe(false);
+      expect(deployment.runsOf(id)).toHaveLength(1);
+    }
+  });
+
+  test('may begin at another software version before its first event', async () => {
+    const deployment = deploy(({version}) =>
+      version === 'v1' ? {events: 0} : undefined,
+    );
+    await deployment.addEngines(['v1', 'v2']);
+    const gateway = await deployment.addGateway();
+    for (const id of ids) {
+      const response = await sendStream(gateway, id);
+      expect(versionsIn(response)).toEqual(['v2']);
+      expect(eventsIn(response)).toHaveLength(EVENTS);
+    }
+  });
+});
+
+describe('a stream whose upstream is silent for a while', () => {
+  test('is not gone on with at another software version', async () => {
+    const silence: Interrupt = ({after}) =>
+      after === 0 ? {events: 3, silentMs: 1_500} : undefined;
+    const deployment = deploy(silence);
+    await deployment.addEngines(['v1', 'v2', 'v3']);
+    const gateway = await deployment.addGateway();
+    const response = await sendStream(gateway, 'r1');
+    expect(versionsIn(response)).toHaveLength(1);
+    expect(eventsIn(response)).toHaveLength(EVENTS);
+    expect(deployment.runsOf('r1')).toHaveLength(1);
+  });
 });
 
 describe('a stream that its caller takes up at another instance', () => {
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -287,6 +287,7 @@
   feed: Feed,
   graceMs: number,
   instance = 'entry-1',
+  retryRatio = 0.2,
 ): Promise<Omit<TestGateway, 'feed'>> {
   const logLines: Array<Record<string, unknown>> = [];
   const logger = pino(
@@ -305,7 +306,7 @@
       gossipPort: 0,
       graceMs,
       upstreamDrainMs: 300,
-      retry: {ratio: 0.2, windowMs: 10_000},
+      retry: {ratio: retryRatio, windowMs: 10_000},
     },
     {
       protocol,
--- a/test/support/versionedengines.ts
+++ b/test/support/versionedengines.ts
@@ -16,6 +16,8 @@
 /** Time-out of the requests of these tests, in ms. */
 const PATIENCE_MS = 4_000;
 const EVENT_PERIOD_MS = 15;
+/** Enough for each stream to be broken off. */
+const RETRY_RATIO = 4;
 /** Events of a whole stream. */
 export const EVENTS = 12;
 
@@ -27,8 +29,18 @@
   after: number;
 }
 
-/** Decides after how many events an engine breaks a stream off, if it does. */
-export type BreakPoint = (run: Run) => number | undefined;
+/** What an engine does after a number of events of a run. */
+export interface Interruption {
+  events: number;
+  /**
+   * Time for which it sends nothing to anyone, in ms; without it, it breaks the
+   * run off.
+   */
+  silentMs?: number;
+}
+
+/** Decides whether an engine interrupts a run. */
+export type Interrupt = (run: Run) => Interruption | undefined;
 
 /**
  * Engines of several software versions and gateways before them. Every event
@@ -41,7 +53,7 @@
   private readonly engines: RawUpstream[] = [];
   private lastId = 0;
 
-  constructor(private readonly breakPoint: BreakPoint = () => undefined) {
+  constructor(private readonly interrupt: Interrupt = () => undefined) {
     const configuration = wireConfiguration(1, PATIENCE_MS);
     for (const route of configuration.routes) route.maxAttempts *= 3;
     this.feed.add(Topic.Configuration, 'config', configuration);
@@ -49,8 +61,9 @@
 
   /** Starts an engine of a version; returns the key of its entry. */
   async addEngine(version: string): Promise<string> {
+    const silence = {until: 0};
     const engine = new RawUpstream(request => {
-      void this.answer(request, version);
+      void this.answer(request, version, silence);
     });
     this.engines.push(engine);
     const key = `engine-${++this.lastId}`;
@@ -67,7 +80,7 @@
     const name = `entry-${this.gateways.length + 1}`;
     const gateway = {
       feed: this.feed,
-      ...(await startGatewayOn(this.feed, 100, name)),
+      ...(await startGatewayOn(this.feed, 100, name, RETRY_RATIO)),
     };
     this.gateways.push(gateway);
     return gateway;
@@ -82,8 +95,13 @@
     await Promise.all(this.gateways.map(({gateway}) => gateway.stop()));
   }
 
-  private async answer(request: RawRequest, version: string): Promise<void> {
-    const {id, text, socket} = request;
+  private async answer(
+    {id, text, socket}: RawRequest,
+    version: string,
+    silence: {until: number},
+  ): Promise<void> {
+    const untilSpeaks = () => sleep(silence.until - performance.now());
+    await untilSpeaks();
     if (id === '') {
       socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
       return;
@@ -91,18 +109,18 @@
     const after = Number(/last-event-id: (\d+)/i.exec(text)?.[1] ?? 0);
     const run = {request: id, version, after};
     this.runs.push(run);
-    const breakAfter = this.breakPoint(run);
+    const interruption = this.interrupt(run);
     socket.write(successHead(id, EVENT_STREAM));
     for (let event = after + 1; event <= EVENTS; event++) {
       await sleep(EVENT_PERIOD_MS);
+      if (event - after - 1 === interruption?.events) {
+        if (interruption.silentMs === undefined) socket.destroy();
+        else silence.until = performance.now() + interruption.silentMs;
+      }
+      await untilSpeaks();
       if (socket.destroyed) return;
       const data = `id: ${event}\ndata: ${version}\n\n`;
       socket.write(`${data.length.toString(16)}\r\n${data}\r\n`);
-      if (event - after === breakAfter) {
-        await sleep(EVENT_PERIOD_MS);
-        socket.destroy();
-        return;
-      }
     }
     socket.write('0\r\n\r\n');
   }
