Take up a stream only at the software version that began it

Instances remember at which service and software version each resumable stream that they pass on began. While a service has several versions, and when a second one appears, they tell the others: all of them in a small fleet, else three holders by rendezvous hashing, in different zones. An instance that takes up a stream it doesn't know asks them. The stream is bound to that version then; if no upstream has it, or nobody knows it, the request is refused as not run. With one version for 30 s nothing is told or asked. The key holds the workspace, so that no caller can bind another's streams.

Ruled out: naming the version to callers, since they echo only the id of the request; keeping it in the store, which would get a write for each stream.

Datagrams can be answered, as the membership's already could. The records of the configuration moved out of the wiring's largest file.

--- a/bench/fleet/simulatednetwork.ts
+++ b/bench/fleet/simulatednetwork.ts
@@ -68,6 +68,8 @@
       datagrams: {
         broadcast: (peers, method, params) =>
           this.broadcast(station, peers, method, params),
+        call: (peer, method, params, timeoutMs) =>
+          this.ask(station, peer, method, params, timeoutMs),
         handle: (method, handler) => {
           station.datagramHandlers.set(method, handler);
         },
@@ -108,6 +110,39 @@
     }
   }
 
+  /** Sends a datagram whose handler's result comes back in another. */
+  private ask(
+    from: Station,
+    {host}: InstanceAddress,
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<Result<unknown, unknown>> {
+    const to = this.stations.get(host);
+    this.traffic.datagrams++;
+    return new Promise(resolve => {
+      from.timer.after(timeoutMs, () => resolve(err({type: 'peerTimeout'})));
+      this.deliver(
+        from,
+        to,
+        JSON.stringify(params),
+        received => {
+          const handler = to?.datagramHandlers.get(method);
+          if (to === undefined || handler === undefined) return;
+          this.traffic.datagrams++;
+          this.deliver(
+            to,
+            from,
+            JSON.stringify(handler(received)),
+            value => resolve(ok(value)),
+            MAX_DATAGRAM_WAIT_MS,
+          );
+        },
+        MAX_DATAGRAM_WAIT_MS,
+      );
+    });
+  }
+
   private async call(
     from: Station,
     {host}: InstanceAddress,
--- a/src/forward/dependencies.ts
+++ b/src/forward/dependencies.ts
@@ -1,4 +1,5 @@
 import type {Logger} from 'pino';
+import type {StreamOrigins} from '../origin/index.js';
 import type {Routing} from '../route/index.js';
 import type {Timer} from '../timer/index.js';
 import type {Endpoint} from './endpoint.js';
@@ -21,6 +22,8 @@
   isAlive(endpoint: Endpoint): Promise<boolean>;
   observer: ResponseObserver;
   promptGuard: PromptGuard;
+  /** Where streams began that callers may take up. */
+  origins: StreamOrigins;
   /** Whether prompts may be forwarded: the holds on their parts are known. */
   mayForwardPrompts(): boolean;
   /** Called for each prompt that is sent to an upstream. */
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -4,6 +4,7 @@
 import type {AttemptResult, BufferedResponse} from './attemptresult.js';
 import {AttemptRunner} from './attemptrunner.js';
 import {bytesOf, readBodyUntil} from './body.js';
+import {ResumableStream, serviceOf} from './continuation.js';
 import {Deadline, StopCause} from './deadline.js';
 import {digestOf} from './digest.js';
 import {rejectionOf, type Ending} from './ending.js';
@@ -14,7 +15,12 @@
   type RequestContext,
 } from './requestcontext.js';
 import type {RequestHead} from './protocol.js';
-import {NotRunCause, refusalStatus, type Refusal} from './refusal.js';
+import {
+  NotRunCause,
+  refusalStatus,
+  UNKNOWN_VERSION_RETRY_MS,
+  type Refusal,
+} from './refusal.js';
 import {notRunCauseOf, decideRetry, Retry} from './retry.js';
 import type {Reply} from './reply.js';
 import {AttemptTally, isCrashSign, isSuccess} from './attempttally.js';
@@ -30,6 +36,13 @@
  */
 const MAX_EARLY_BREAKS = 2;
 
+/** Refusal of a stream that can't be bound to a software version. */
+const UNKNOWN_VERSION: Refusal = {
+  type: 'notRun',
+  cause: NotRunCause.UnknownVersion,
+  retryAfterMs: UNKNOWN_VERSION_RETRY_MS,
+};
+
 /** Forwards one request of a caller and writes its response. */
 export class Exchange {
   private readonly tally: AttemptTally;
@@ -124,8 +137,17 @@
     try {
       const body = await readBodyUntil(deadline, this.message, bodyBytes);
       if ('type' in body) return this.refuse(body, route);
+      const stream = ResumableStream.of(
+        this.dependencies,
+        request,
+        route,
+        workspace?.name,
+        this.tally.arrivedAt + callerTimeoutMs,
+      );
+      const isOriginKnown = (await stream?.findOrigin()) ?? true;
+      if (!isOriginKnown) return this.refuse(UNKNOWN_VERSION, route);
       const service = this.dependencies.serviceStateOf(
-        table.pick(route, this.dependencies.random()),
+        serviceOf(stream, route, table, this.dependencies.random),
       );
       const digest = digestOf(request, body, workspace?.name);
       const context: RequestContext = {
@@ -138,6 +160,7 @@
         digest,
         tier: table.tierOf(route, workspace),
         parts: partsOf(request, digest),
+        ...(stream === undefined ? {} : {stream}),
         ...(workspace === undefined ? {} : {workspace: workspace.name}),
       };
       return await this.forward(context);
@@ -150,7 +173,14 @@
   /** Tries upstreams until one responds or the request may not be retried. */
   private async forward(context: RequestContext): Promise<Ending> {
     const {route, deadline, service} = context;
-    const sink = new StreamSink(this.reply, context.request.lastEvent, route);
+    const {request, stream} = context;
+    const start = {
+      lastEvent: request.lastEvent,
+      softwareVersion: stream?.versionAt(service.name),
+    };
+    const sink = new StreamSink(this.reply, route, start, version =>
+      stream?.noteOrigin(service.name, version),
+    );
     const isTrial = this.dependencies.promptGuard.beginTrial(context.parts);
     const isHeld = () => !isTrial && this.isHeld(context);
     const runner = new AttemptRunner(
--- a/src/forward/refusal.ts
+++ b/src/forward/refusal.ts
@@ -34,6 +34,8 @@
   Limited = 'limited',
   /** No upstream has the software version that began its stream. */
   NoVersion = 'no_version',
+  /** Nobody knows which software version began its stream. */
+  UnknownVersion = 'unknown_version',
   /** Its prompt has a part that crashes upstreams. */
   Held = 'held',
 }
@@ -71,6 +73,9 @@
  */
 export const HELD_RETRY_MS = 60_000;
 
+/** Retry-After of a stream whose origin isn't known, in ms: a peer may return. */
+export const UNKNOWN_VERSION_RETRY_MS = 1_000;
+
 /** Retry-After of a stopping instance, in ms; others accept at once. */
 const LEAVING_RETRY_MS = 20;
 
--- a/src/forward/requestcontext.ts
+++ b/src/forward/requestcontext.ts
@@ -1,5 +1,6 @@
 import {RequestKind, requestPart} from '../quarantine/index.js';
 import type {Route, RoutingTable} from '../route/index.js';
+import type {ResumableStream} from './continuation.js';
 import type {Deadline} from './deadline.js';
 import {isPauseSensitive, prefillShareOf} from './placement.js';
 import type {PlacementRequest} from './placementrequest.js';
@@ -23,6 +24,8 @@
    * one, then the request as a whole. The last is of this request alone.
    */
   parts: readonly string[];
+  /** Absent if the response is no stream that can be taken up. */
+  stream?: ResumableStream;
 }
 
 /** See [[RequestContext.parts]]. */
--- a/src/forward/sink.ts
+++ b/src/forward/sink.ts
@@ -14,6 +14,12 @@
   onOutput(): void;
 }
 
+/** What a caller has of the stream that it takes up; empty for a new one. */
+export interface StreamStart {
+  lastEvent?: string | undefined;
+  softwareVersion?: string | undefined;
+}
+
 /**
  * Delivers a stream to its caller. A resumable stream is delivered in complete
  * events, so that another upstream can continue after the last of them.
@@ -22,8 +28,8 @@
   /** Id of the last event sent to the caller; undefined if there is none. */
   lastEvent?: string;
   /**
-   * Software version of the upstream that wrote what was sent; others can't go on
-   * with it. Undefined if nothing was sent.
+   * Software version of the upstream that wrote what the caller has; others can't
+   * go on with it. Undefined if it has nothing, or any version wrote the same.
    */
   softwareVersion?: string;
   /** The attempt whose response was last passed on. */
@@ -31,12 +37,26 @@
   /** Whether bytes were sent that no event id covers. */
   private hasBytesWithoutId = false;
 
+  private hasBegun = false;
+
   constructor(
     private readonly reply: Reply,
-    lastEvent: string | undefined,
     private readonly route: Route,
+    /** What the caller already has of the stream. */
+    {lastEvent, softwareVersion}: StreamStart,
+    /** Called with the software version that writes the first bytes. */
+    private readonly begun: (softwareVersion: string) => void,
   ) {
     if (lastEvent !== undefined) this.lastEvent = lastEvent;
+    if (softwareVersion !== undefined) this.softwareVersion = softwareVersion;
+  }
+
+  /** Notes that bytes of an upstream are sent. */
+  bind(softwareVersion: string): void {
+    this.softwareVersion ??= softwareVersion;
+    if (this.hasBegun) return;
+    this.hasBegun = true;
+    this.begun(softwareVersion);
   }
 
   /** Whether another upstream can continue where the last one stopped. */
@@ -132,7 +152,7 @@
     const complete = this.splitter?.push(chunk);
     if (complete?.bytes.length === 0) return true;
     this.listener.onOutput();
-    this.stream.softwareVersion ??= this.softwareVersion;
+    this.stream.bind(this.softwareVersion);
     return complete === undefined
       ? this.stream.writeUnsplit(chunk, resume)
       : this.stream.writeEvents(complete, resume);
--- /dev/null
+++ b/src/origin/index.ts
@@ -0,0 +1,5 @@
+export {streamKey} from './origin.js';
+export type {OriginLookup, StreamOrigin} from './origin.js';
+export {OriginExchange} from './originexchange.js';
+export type {StreamOrigins} from './originexchange.js';
+export {SoftwareVersions, VersionMix} from './softwareversions.js';
--- /dev/null
+++ b/src/origin/originexchange.ts
@@ -0,0 +1,258 @@
+import type {Datagrams, InstanceAddress, Peers} from '../fleet/index.js';
+import type {Subscription, Timer} from '../timer/index.js';
+import {holdersOf, holdersToAsk} from './holders.js';
+import {
+  concludeWithoutRecord,
+  type OriginLookup,
+  type StreamOrigin,
+} from './origin.js';
+import {OriginLog, type OriginRecord} from './originlog.js';
+import {
+  FIND_METHOD,
+  findMessageSchema,
+  TELL_METHOD,
+  tellMessageSchema,
+  peerAnswerSchema,
+  type FindMessage,
+  type PeerAnswer,
+  type TellMessage,
+} from './originmessage.js';
+import {
+  VersionMix,
+  type SoftwareVersions,
+  type VersionedUpstream,
+} from './softwareversions.js';
+
+/** Time in which the origins of new streams are collected, in ms. */
+const TELL_DELAY_MS = 10;
+/** Most streams in one message, which has to fit into a datagram. */
+const MAX_TOLD_STREAMS = 200;
+/**
+ * Time to wait for the answer of a peer, and again after the question was
+ * repeated, in ms.
+ */
+const ANSWER_TIMEOUTS_MS = [80, 220];
+
+/** Tells and finds at which software version streams began. */
+export interface StreamOrigins {
+  /** Notes where a stream began that may be taken up until `expiresAt`. */
+  note(record: OriginRecord): void;
+  /** Finds the origin of a stream that an upstream of `services` began. */
+  find(key: string, services: readonly string[]): Promise<OriginLookup>;
+}
+
+/** Dependencies of [[OriginExchange]]. */
+export interface OriginExchangeParts {
+  /** Name of this instance. */
+  name: string;
+  /** Availability zone of this instance. */
+  zone: string;
+  peers: Peers;
+  datagrams: Datagrams;
+  timer: Timer;
+  versions: SoftwareVersions;
+}
+
+/**
+ * Shares where streams began while a service has several software versions.
+ * An instance tells the holders of a stream at its first event, and those of all
+ * its streams when a second version appears; one that takes up a stream and
+ * doesn't know it asks the holders.
+ */
+export class OriginExchange implements StreamOrigins {
+  private readonly log: OriginLog;
+  private readonly own: OriginLog;
+  /** Services of several versions, whose streams are told. */
+  private mixed = new Set<string>();
+  private untold: OriginRecord[] = [];
+  private telling?: Subscription;
+  private queryCount = 0;
+  private unknownCount = 0;
+
+  constructor(private readonly parts: OriginExchangeParts) {
+    const {datagrams, timer} = parts;
+    this.log = new OriginLog(timer);
+    this.own = new OriginLog(timer);
+    datagrams.handle(TELL_METHOD, params => this.receiveOrigins(params));
+    datagrams.handle(FIND_METHOD, params => this.answer(params));
+  }
+
+  /** Takes all registered upstreams. */
+  applyUpstreams(upstreams: Iterable<VersionedUpstream>): void {
+    const {versions} = this.parts;
+    versions.apply(upstreams);
+    const mixed = new Set(
+      [...versions.services()].filter(
+        service => versions.mixOf(service) === VersionMix.Mixed,
+      ),
+    );
+    for (const service of mixed) {
+      if (!this.mixed.has(service)) this.tell(this.own.ofService(service));
+    }
+    this.mixed = mixed;
+  }
+
+  note(record: OriginRecord): void {
+    this.own.add(record);
+    const {versions} = this.parts;
+    if (versions.mixOf(record.origin.service) === VersionMix.Mixed) {
+      this.tell([record]);
+    }
+  }
+
+  async find(key: string, services: readonly string[]): Promise<OriginLookup> {
+    const origin = this.known(key);
+    if (origin !== undefined) return {type: 'known', origin};
+    const mix = this.parts.versions.mixOfAll(services);
+    if (mix === VersionMix.Sole) return {type: 'any'};
+    const lookup = await this.ask(key, services, mix);
+    if (lookup.type === 'unknown') this.unknownCount++;
+    return lookup;
+  }
+
+  /** Gauges of /metrics, by name. */
+  gauges(): Record<string, number> {
+    return {
+      stream_origins: this.own.size + this.log.size,
+      stream_origin_queries_total: this.queryCount,
+      stream_origins_unknown_total: this.unknownCount,
+    };
+  }
+
+  end(): void {
+    this.telling?.end();
+  }
+
+  private known(key: string): StreamOrigin | undefined {
+    return this.own.get(key) ?? this.log.get(key);
+  }
+
+  private tell(records: readonly OriginRecord[]): void {
+    if (records.length === 0) return;
+    this.untold.push(...records);
+    this.telling ??= this.parts.timer.after(TELL_DELAY_MS, () => {
+      this.telling = undefined;
+      this.tellHolders();
+    });
+  }
+
+  private tellHolders(): void {
+    const untold = this.untold.splice(0);
+    const {peers} = this.parts;
+    if (peers.areDirect) {
+      this.tellAll(peers.all(), untold);
+      return;
+    }
+    const byHolder = new Map<string, OriginRecord[]>();
+    for (const record of untold) {
+      for (const holder of holdersOf(record.key, peers, this.parts)) {
+        const records = byHolder.get(holder) ?? [];
+        records.push(record);
+        byHolder.set(holder, records);
+      }
+    }
+    for (const [holder, records] of byHolder) {
+      const address = peers.addressOf(holder);
+      if (address !== undefined) this.tellAll([address], records);
+    }
+  }
+
+  private tellAll(
+    addresses: Iterable<InstanceAddress>,
+    records: readonly OriginRecord[],
+  ): void {
+    const {datagrams, timer} = this.parts;
+    for (let at = 0; at < records.length; at += MAX_TOLD_STREAMS) {
+      const some = records.slice(at, at + MAX_TOLD_STREAMS);
+      const message = tellMessageOf(some, timer.now());
+      datagrams.broadcast(addresses, TELL_METHOD, message);
+    }
+  }
+
+  private receiveOrigins(params: unknown): void {
+    const {data} = tellMessageSchema.safeParse(params);
+    const now = this.parts.timer.now();
+    for (const {streams, ...origin} of data?.groups ?? []) {
+      for (const [key, leftMs] of streams) {
+        this.log.add({key, origin, expiresAt: now + leftMs});
+      }
+    }
+  }
+
+  /** Asks the holders of a stream; the first that knows it decides. */
+  private async ask(
+    key: string,
+    services: readonly string[],
+    ownMix: VersionMix,
+  ): Promise<OriginLookup> {
+    const {peers} = this.parts;
+    this.queryCount++;
+    const message: FindMessage = {key, services: [...services]};
+    const answers = holdersToAsk(key, peers, this.parts)
+      .flatMap(name => peers.addressOf(name) ?? [])
+      .map(address => this.askPeer(address, message));
+    // What was told meanwhile counts, too.
+    const origin = (await firstKnown(answers)) ?? this.known(key);
+    if (origin !== undefined) return {type: 'known', origin};
+    const mixes = (await Promise.all(answers)).flatMap(answer =>
+      answer?.type === 'unknown' ? answer.mix : [],
+    );
+    return concludeWithoutRecord(ownMix, mixes);
+  }
+
+  private async askPeer(
+    address: InstanceAddress,
+    message: FindMessage,
+  ): Promise<PeerAnswer | undefined> {
+    const {datagrams} = this.parts;
+    for (const timeoutMs of ANSWER_TIMEOUTS_MS) {
+      const result = await datagrams.call(
+        address,
+        FIND_METHOD,
+        message,
+        timeoutMs,
+      );
+      if (result.isErr()) continue;
+      return peerAnswerSchema.safeParse(result.value).data;
+    }
+    return undefined;
+  }
+
+  private answer(params: unknown): PeerAnswer | undefined {
+    const {data} = findMessageSchema.safeParse(params);
+    if (data === undefined) return undefined;
+    const origin = this.known(data.key);
+    if (origin !== undefined) return {type: 'known', origin};
+    const mix = this.parts.versions.mixOfAll(data.services);
+    return {type: 'unknown', mix};
+  }
+}
+
+/** The first known origin; undefined if no peer knows it. */
+function firstKnown(
+  answers: ReadonlyArray<Promise<PeerAnswer | undefined>>,
+): Promise<StreamOrigin | undefined> {
+  return new Promise(resolve => {
+    for (const answer of answers) {
+      void answer.then(told => {
+        if (told?.type === 'known') resolve(told.origin);
+      });
+    }
+    void Promise.all(answers).then(() => resolve(undefined));
+  });
+}
+
+/** A message that tells of streams, grouped by their origin. */
+function tellMessageOf(
+  records: readonly OriginRecord[],
+  now: number,
+): TellMessage {
+  const groups = new Map<string, TellMessage['groups'][number]>();
+  for (const {key, origin, expiresAt} of records) {
+    const name = JSON.stringify([origin.service, origin.softwareVersion]);
+    const group = groups.get(name) ?? {...origin, streams: []};
+    group.streams.push([key, Math.max(0, Math.round(expiresAt - now))]);
+    groups.set(name, group);
+  }
+  return {groups: [...groups.values()]};
+}
--- /dev/null
+++ b/src/origin/originmessage.ts
@@ -0,0 +1,44 @@
+import {z} from 'zod';
+import {VersionMix} from './softwareversions.js';
+
+/** Name of the method by which an instance tells where streams began. */
+export const TELL_METHOD = 'streamOrigins';
+
+/** Parameters of [[TELL_METHOD]]. */
+export const tellMessageSchema = z.object({
+  groups: z.array(
+    z.object({
+      service: z.string(),
+      softwareVersion: z.string(),
+      /** Key of each stream, and time for which it may be taken up, in ms. */
+      streams: z.array(z.tuple([z.string(), z.number().min(0)])),
+    }),
+  ),
+});
+
+export type TellMessage = z.output<typeof tellMessageSchema>;
+
+/** Name of the method by which an instance asks where a stream began. */
+export const FIND_METHOD = 'findStreamOrigin';
+
+/** Parameters of [[FIND_METHOD]]. */
+export const findMessageSchema = z.object({
+  key: z.string(),
+  /** Services whose upstreams may have begun it. */
+  services: z.array(z.string()),
+});
+
+export type FindMessage = z.output<typeof findMessageSchema>;
+
+/** Result of [[FIND_METHOD]]. */
+export const peerAnswerSchema = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('known'),
+    origin: z.object({service: z.string(), softwareVersion: z.string()}),
+  }),
+  /** The instance has no record of it, and sees this mix of versions. */
+  z.object({type: z.literal('unknown'), mix: z.enum(VersionMix)}),
+]);
+
+/** What another instance knows of the origin of a stream. */
+export type PeerAnswer = z.output<typeof peerAnswerSchema>;
--- /dev/null
+++ b/src/origin/softwareversions.ts
@@ -0,0 +1,75 @@
+import type {Timer} from '../timer/index.js';
+
+/** Time for which a version that left may still have broken streams, in ms. */
+const REMEMBERED_MS = 30_000;
+
+/** How many software versions of a service may have begun the known streams. */
+export enum VersionMix {
+  /** One, for long enough that no stream of another is taken up anymore. */
+  Sole = 'sole',
+  /** One now; what was before isn't known. */
+  Unsettled = 'unsettled',
+  /** Several. */
+  Mixed = 'mixed',
+}
+
+/** The upstream of an entry, as far as this module needs it. */
+export interface VersionedUpstream {
+  service: string;
+  softwareVersion: string;
+}
+
+/** The software versions of the registered upstreams, now and lately. */
+export class SoftwareVersions {
+  /** When the upstreams were first known, in monotonic ms. */
+  private knownSince?: number;
+  private present = new Map<string, Set<string>>();
+  /** When each version that is gone was last registered, by service. */
+  private readonly left = new Map<string, Map<string, number>>();
+
+  constructor(private readonly timer: Timer) {}
+
+  /** Takes all registered upstreams. */
+  apply(upstreams: Iterable<VersionedUpstream>): void {
+    const now = this.timer.now();
+    this.knownSince ??= now;
+    const present = new Map<string, Set<string>>();
+    for (const {service, softwareVersion} of upstreams) {
+      const versions = present.get(service) ?? new Set();
+      present.set(service, versions.add(softwareVersion));
+    }
+    for (const [service, versions] of this.present) {
+      for (const version of versions) {
+        if (present.get(service)?.has(version) === true) continue;
+        const left = this.left.get(service) ?? new Map<string, number>();
+        this.left.set(service, left.set(version, now));
+      }
+    }
+    this.present = present;
+  }
+
+  /** Services with upstreams. */
+  services(): Iterable<string> {
+    return this.present.keys();
+  }
+
+  mixOf(service: string): VersionMix {
+    const now = this.timer.now();
+    const versions = new Set(this.present.get(service));
+    for (const [version, at] of this.left.get(service) ?? []) {
+      if (now - at <= REMEMBERED_MS) versions.add(version);
+      else this.left.get(service)?.delete(version);
+    }
+    if (versions.size > 1) return VersionMix.Mixed;
+    const knownMs = now - (this.knownSince ?? now);
+    return knownMs >= REMEMBERED_MS ? VersionMix.Sole : VersionMix.Unsettled;
+  }
+
+  /** The most mixed of several services. */
+  mixOfAll(services: readonly string[]): VersionMix {
+    const mixes = services.map(service => this.mixOf(service));
+    if (mixes.includes(VersionMix.Mixed)) return VersionMix.Mixed;
+    if (mixes.includes(VersionMix.Unsettled)) return VersionMix.Unsettled;
+    return VersionMix.Sole;
+  }
+}
--- a/src/report/requesthistory.ts
+++ b/src/report/requesthistory.ts
@@ -87,6 +87,7 @@
     case LogEvent.Peer:
     case LogEvent.Placed:
     case LogEvent.Repeats:
+    case LogEvent.Resumed:
     case LogEvent.Silent:
     case LogEvent.Unreadable:
     case LogEvent.Waits:
--- a/src/telemetry/logevent.ts
+++ b/src/telemetry/logevent.ts
@@ -35,6 +35,8 @@
   Reloaded = 'reloaded',
   /** A request is retried on another upstream. */
   Repeats = 'repeats',
+  /** A caller takes up a stream that another request began. */
+  Resumed = 'resumed',
   /** An upstream sends nothing during an attempt. */
   Silent = 'silent',
   /** The process was suspended or its event loop was blocked. */
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -11,7 +11,7 @@
   type Address,
 } from '../forward/index.js';
 import {Quarantines} from '../quarantine/index.js';
-import {Registry, type KeyedRecord} from '../registry/index.js';
+import {Registry} from '../registry/index.js';
 import {Routing} from '../route/index.js';
 import {
   LogEvent,
@@ -20,6 +20,7 @@
   type OutputLogger,
 } from '../telemetry/index.js';
 import {SystemTimer, type Subscription, type Timer} from '../timer/index.js';
+import {ConfigurationRecords} from './configurationrecords.js';
 import {DrainSchedule} from './drainschedule.js';
 import {NetworkTransport} from './fleettransport.js';
 import {GatewayFleet} from './gatewayfleet.js';
@@ -110,8 +111,6 @@
   private readonly listener: Listener;
   private readonly subscriptions: Subscription[] = [];
   private readonly monitoringServers = new MonitoringServers();
-  /** The record of the configuration in force; none before the first. */
-  private configurationRecords: KeyedRecord[] = [];
   /** Set when the instance begins to drain. */
   private drainSchedule?: DrainSchedule;
   /** Resolves when the instance has stopped; set when it begins to drain. */
@@ -180,6 +179,7 @@
       metrics: this.metrics,
       observer: this.observer,
       promptGuard: this.promptGuard,
+      origins: this.fleet.origins,
       mayForwardPrompts: () => this.fleet.mayForward,
       random: Math.random,
       configurationAgeMs: () => this.fleet.configurations.ageMs(),
@@ -285,11 +285,11 @@
       timer,
       random: Math.random,
       output,
-      configurations: {
-        replaced: records => this.applyConfigurations(records),
-        added: records => this.applyConfigurations(records),
-        known: () => this.configurationRecords,
-      },
+      configurations: new ConfigurationRecords(
+        this.routing,
+        platform,
+        this.logger,
+      ),
       upstreams: {
         replaced: (records, outdated) => {
           this.hasUpstreamList = true;
@@ -314,32 +314,11 @@
     });
   }
 
-  /**
-   * Passes valid configurations to the routing and logs invalid ones. Returns
-   * the records that hold a valid one.
-   */
-  private applyConfigurations(records: KeyedRecord[]): KeyedRecord[] {
-    return records.filter(record => {
-      const document = this.platform.decodeConfiguration(record);
-      if (document === undefined) return false;
-      if ('reason' in document) {
-        this.logger.warn(
-          {event: LogEvent.Configuration, offset: record.offset, ...document},
-          'Ignored an invalid configuration.',
-        );
-        return false;
-      }
-      this.routing.accept(document);
-      if (this.routing.current()?.version === document.version) {
-        this.configurationRecords = [record];
-      }
-      return true;
-    });
-  }
-
   /** Applies the usable upstreams, and places requests that can run now. */
   private updateEndpoints(): void {
-    this.endpoints.apply(this.registry.usable(), this.routing.current());
+    const entries = [...this.registry.usable()];
+    this.fleet.origins.applyUpstreams(entries);
+    this.endpoints.apply(entries, this.routing.current());
     for (const {waitQueue} of this.services.all()) waitQueue.placeWaiting();
   }
 
@@ -389,6 +368,7 @@
       ),
       ...this.observer.gauges(),
       ...this.promptGuard.gauges(),
+      ...this.fleet.origins.gauges(),
       connections_opened_total: this.endpoints.openedConnections(),
       log_lines_dropped_total: this.output.dropped(),
       memory_bytes: process.memoryUsage.rss(),
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -14,6 +14,7 @@
   type SentPrompt,
   type UpstreamLoad,
 } from '../fleet/index.js';
+import {OriginExchange, SoftwareVersions} from '../origin/index.js';
 import {
   Follower,
   StoreEpoch,
@@ -91,6 +92,7 @@
   readonly upstreams: Follower;
   readonly gossip: Gossip;
   readonly permits: PermitExchange;
+  readonly origins: OriginExchange;
   private readonly epochs: StoreEpoch;
   private readonly instances: Follower;
   private readonly records: RecordExchange;
@@ -191,6 +193,14 @@
       upstreams: parts.permits,
       heardSince: () => this.gossip.peerLoads.heardSince(timer.now()),
     });
+    this.origins = new OriginExchange({
+      name: instance,
+      zone,
+      peers: this.peers,
+      datagrams: transport.datagrams,
+      timer,
+      versions: new SoftwareVersions(timer),
+    });
   }
 
   /** Starts following the topics and exchanging messages with the peers. */
@@ -214,6 +224,7 @@
       this.gossip.start(),
       {end: () => this.holds.end()},
       {end: () => this.permits.end()},
+      {end: () => this.origins.end()},
     ];
   }
 
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -191,6 +191,7 @@
     zone: 'zone-a',
     datagrams: {
       broadcast: () => undefined,
+      call: () => Promise.resolve(err('none')),
       handle: (_method, handler) => {
         receive = handler;
       },
--- a/test/softwareversions.test.ts
+++ b/test/softwareversions.test.ts
@@ -1,4 +1,5 @@
 import {afterEach, describe, expect, test} from 'vitest';
+import {LogEvent} from '../src/telemetry/index.js';
 import {
   EVENTS,
   eventsIn,
@@ -7,11 +8,9 @@
   versionsIn,
   type Interrupt,
 } from './support/versionedengines.js';
+import type {CallerResponse, TestGateway} from './support/gateway.js';
 
 const STREAMS = 12;
-/** Time for instances to hear of each other and of new streams, in ms. */
-const GOSSIP_MS = 500;
-
 const deployments: VersionedDeployment[] = [];
 
 afterEach(async () => {
@@ -24,8 +23,6 @@
   return deployment;
 }
 
-const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
-
 const ids = Array.from({length: STREAMS}, (_, n) => `r${n}`);
 
 /** Breaks each stream off once, after its third event. */
@@ -87,34 +84,126 @@
 
 describe('a stream that its caller takes up at another instance', () => {
   test('goes on at the software version that began it', async () => {
-    const deployment = deploy();
-    await deployment.addEngines(['v1', 'v2', 'v2', 'v1']);
-    const [first, second] = [
-      await deployment.addGateway(),
-      await deployment.addGateway(),
-    ];
-    await sleep(GOSSIP_MS);
-    const begun = await Promise.all(ids.map(id => beginAndCut(first, id)));
+    const versions = ['v1', 'v2', 'v2', 'v1'];
+    const {instances} = await deployFleet(versions, 2);
+    const [first, second] = instances;
+    const starts = await Promise.all(ids.map(id => beginAndLeave(first, id)));
     await first.gateway.stop();
-    for (const [index, id] of ids.entries()) {
-      const start = begun[index];
-      const response = await sendStream(second, `${id}-again`, {
-        resumes: id,
-        lastEvent: eventsIn(start).length,
+    for (const start of starts) {
+      const response = await takeUp(second, start);
+      expect(versionsIn(start.response, response)).toHaveLength(1);
+      expect(lastEventIn(response)).toBe(EVENTS);
+    }
+  });
+
+  test('is found by an instance that started after it began', async () => {
+    const versions = ['v1', 'v2', 'v2', 'v1'];
+    const {deployment, instances} = await deployFleet(versions, 2);
+    const [first] = instances;
+    const starts = await Promise.all(ids.map(id => beginAndLeave(first, id)));
+    const late = await deployment.addGateway();
+    for (const start of starts) {
+      const response = await takeUp(late, start);
+      expect(versionsIn(start.response, response)).toHaveLength(1);
+      expect(lastEventIn(response)).toBe(EVENTS);
+    }
+  });
+
+  test('is told of when a second software version appears', async () => {
+    const {deployment, instances} = await deployFleet(['v1', 'v1', 'v1'], 2);
+    const [first, second] = instances;
+    const starts = await Promise.all(ids.map(id => beginAndLeave(first, id)));
+    await deployment.addEngines(['v2', 'v2', 'v2']);
+    await deployment.untilLogged(LogEvent.Upstream, 6);
+    await first.gateway.stop();
+    for (const start of starts) {
+      const response = await takeUp(second, start);
+      expect(versionsIn(response)).toEqual(['v1']);
+      expect(lastEventIn(response)).toBe(EVENTS);
+    }
+  });
+
+  test('is refused as not run once its software version leaves', async () => {
+    const {deployment, instances} = await deployFleet(['v1'], 2);
+    const [first, second] = instances;
+    const start = await beginAndLeave(first, 'r1');
+    await deployment.addEngines(['v2', 'v2']);
+    deployment.drainEngine(0);
+    await deployment.untilLogged(LogEvent.Leaving, 1);
+    const response = await takeUp(second, start);
+    expect(response?.status).toBe(503);
+    expect(response?.headers['retry-after']).toBeDefined();
+    expect(response?.body).toContain('no_version');
+    expect(deployment.runsOf('r1-again')).toEqual([]);
+  });
+
+  test('is refused as not run if nobody knows its software version', async () => {
+    const {deployment, instances} = await deployFleet(['v1', 'v2'], 2);
+    for (const resumes of ['lost', undefined]) {
+      const response = await sendStream(instances[0], `r-${resumes}`, {
+        resumes,
+        lastEvent: 3,
+      });
+      expect(response?.status).toBe(503);
+      expect(response?.headers['retry-after']).toBeDefined();
+      expect(response?.body).toContain('unknown_version');
+    }
+    expect(deployment.runs).toEqual([]);
+  });
+
+  test('goes on where there is only one software version', async () => {
+    const {instances} = await deployFleet(['v1', 'v1'], 2);
+    for (const resumes of ['lost', undefined]) {
+      const response = await sendStream(instances[0], `r-${resumes}`, {
+        resumes,
+        lastEvent: 3,
       });
-      expect(versionsIn(start, response)).toHaveLength(1);
-      expect(eventsIn(start).length + eventsIn(response).length).toBe(EVENTS);
+      expect(lastEventIn(response)).toBe(EVENTS);
     }
   });
 
-  /** Begins a stream at an instance that stops before its end. */
-  async function beginAndCut(
-    instance: Parameters<typeof sendStream>[0],
-    id: string,
-  ) {
-    const response = sendStream(instance, id);
-    await sleep(80);
-    void instance.gateway.stop();
-    return response;
-  }
+  test('is not bound by a request of another workspace with its id', async () => {
+    const {deployment, instances} = await deployFleet(['v1', 'v2'], 1);
+    const [instance] = instances;
+    const start = await beginAndLeave(instance, 'r1');
+    const response = await takeUp(instance, start, 'key-two');
+    expect(response?.status).toBe(503);
+    expect(deployment.runsOf('r1-again')).toEqual([]);
+  });
 });
+
+/** The part of a stream that its caller got. */
+interface Start {
+  id: string;
+  response: CallerResponse | undefined;
+}
+
+async function deployFleet(versions: string[], size: number) {
+  const deployment = deploy();
+  await deployment.addEngines(versions);
+  const first = await deployment.addGateway();
+  const others = [];
+  while (others.length + 1 < size) others.push(await deployment.addGateway());
+  await deployment.untilAcquainted();
+  const second = others[0] ?? first;
+  return {deployment, instances: [first, second] as const};
+}
+
+/** Begins a stream whose caller leaves after some events. */
+async function beginAndLeave(instance: TestGateway, id: string) {
+  const response = await sendStream(instance, id, {abortAfterMs: 100});
+  expect(eventsIn(response).length).toBeGreaterThan(0);
+  return {id, response};
+}
+
+function takeUp(instance: TestGateway, {id, response}: Start, key?: string) {
+  return sendStream(instance, `${id}-again`, {
+    resumes: id,
+    lastEvent: lastEventIn(response) ?? 0,
+    ...(key === undefined ? {} : {key}),
+  });
+}
+
+function lastEventIn(response: CallerResponse | undefined) {
+  return eventsIn(response).at(-1)?.id;
+}
--- a/test/support/versionedengines.ts
+++ b/test/support/versionedengines.ts
@@ -1,4 +1,6 @@
+import {expect, vi} from 'vitest';
 import {Topic} from '../../src/registry/index.js';
+import {LogEvent} from '../../src/telemetry/index.js';
 import {
   call,
   MemoryFeed,
@@ -15,6 +17,7 @@
 
 /** Time-out of the requests of these tests, in ms. */
 const PATIENCE_MS = 4_000;
+const WAIT_OPTIONS = {timeout: 5_000, interval: 20};
 const EVENT_PERIOD_MS = 15;
 /** Enough for each stream to be broken off. */
 const RETRY_RATIO = 4;
@@ -51,25 +54,45 @@
   readonly runs: Run[] = [];
   readonly gateways: TestGateway[] = [];
   private readonly engines: RawUpstream[] = [];
-  private lastId = 0;
+  private readonly entries = new Map<string, object>();
 
   constructor(private readonly interrupt: Interrupt = () => undefined) {
     const configuration = wireConfiguration(1, PATIENCE_MS);
     for (const route of configuration.routes) route.maxAttempts *= 3;
+    const other = {name: 'shop-two', apiKeys: ['key-two'], priority: 1};
+    configuration.tenants.push(other);
     this.feed.add(Topic.Configuration, 'config', configuration);
   }
 
-  /** Starts an engine of a version; returns the key of its entry. */
-  async addEngine(version: string): Promise<string> {
+  /** Starts an engine of a version. */
+  async addEngine(version: string): Promise<void> {
     const silence = {until: 0};
     const engine = new RawUpstream(request => {
       void this.answer(request, version, silence);
     });
     this.engines.push(engine);
-    const key = `engine-${++this.lastId}`;
+    const key = `engine-${this.engines.length - 1}`;
     const port = await engine.listen();
-    this.feed.add(Topic.Upstreams, key, wireEntry('engine', port, 1, version));
-    return key;
+    const entry = wireEntry('engine', port, 1, version);
+    this.entries.set(key, entry);
+    this.feed.add(Topic.Upstreams, key, entry);
+  }
+
+  /** Lets an engine leave, which goes on with what it runs. */
+  drainEngine(index: number): void {
+    const key = `engine-${index}`;
+    const entry = {...this.entries.get(key), state: 'draining', seq: 2};
+    this.feed.add(Topic.Upstreams, key, entry);
+  }
+
+  /** Resolves when each gateway has logged a number of events of a kind. */
+  async untilLogged(kind: LogEvent, count: number): Promise<void> {
+    await vi.waitFor(() => {
+      for (const {logLines} of this.gateways) {
+        const logged = logLines.filter(({event}) => event === kind);
+        expect(logged.length).toBeGreaterThanOrEqual(count);
+      }
+    }, WAIT_OPTIONS);
   }
 
   async addEngines(versions: string[]): Promise<void> {
@@ -86,6 +109,11 @@
     return gateway;
   }
 
+  /** Resolves when each gateway knows the addresses of all others. */
+  async untilAcquainted(): Promise<void> {
+    await this.untilLogged(LogEvent.Peer, this.gateways.length - 1);
+  }
+
   runsOf(request: string): Run[] {
     return this.runs.filter(run => run.request === request);
   }
@@ -134,13 +162,15 @@
     resumes?: string | undefined;
     lastEvent?: number;
     abortAfterMs?: number;
+    key?: string;
   } = {},
 ): Promise<CallerResponse | undefined> {
-  const {resumes, lastEvent, ...others} = options;
+  const {resumes, lastEvent, key = 'key-one', ...others} = options;
   return call(gateway.port, '/chat/a', id, {
     ...others,
     method: 'POST',
     headers: {
+      authorization: `Bearer ${key}`,
       'x-deadline-ms': `${PATIENCE_MS}`,
       'x-model': 'm',
       'x-token-counts': '10,10',
