Judge in the soak which software versions write a stream

The soak's upstreams had one version, and its callers took a broken stream up at the same instance. No stream may hold two; of twelve or more that are taken up while two sound upstreams of their version serve, the share that goes on may not be under half of that of new ones.

The description of answers moved out of the checker's largest file.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -25,14 +25,19 @@
     default: 0,
     describe: 'share of the upstreams that declare a rate, 0 to 1',
   })
+  .option('software-versions', {
+    choices: [1, 2, 3] as const,
+    describe: 'software versions of the upstreams; by default by the seed',
+  })
   .option('json', {type: 'boolean', default: false})
   .strict()
   .parseAsync();
 
-const {crashingParts} = args;
+const {crashingParts, softwareVersions} = args;
 const options = {
   ...args,
   ...(crashingParts === undefined ? {} : {crashingParts}),
+  ...(softwareVersions === undefined ? {} : {softwareVersions}),
 };
 const result = await runSoak(options, lines => {
   process.stdout.write(`${lines.join('\n')}\n`);
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -5,11 +5,9 @@
 import {
   HOST,
   isStream,
-  lastingKeyOf,
   PATIENCE_MS,
   RequestKind,
   textOf,
-  WORKSPACES,
 } from './deployment.js';
 import type {GatewayProcess} from './gatewayprocess.js';
 import type {Outcome, SentRequest, SoakHistory} from './history.js';
@@ -19,6 +17,15 @@
 const GIVE_UP_MS = PATIENCE_MS + 1_000;
 const KINDS = Object.values(RequestKind);
 
+/** The part of a stream that a caller lacks. */
+interface BrokenStream {
+  /** Id of the request that brought the first event. */
+  first: string;
+  key?: string;
+  events: number;
+  lastEvent: number;
+}
+
 /** Gives callers a key to send, if any. */
 export type KeyChoice = (random: Random) => string | undefined;
 
@@ -28,11 +35,13 @@
   private sent = 0;
   private isStopped = false;
   /** Stream that broke, to be resumed by the next request. */
-  private broken?: {events: number; lastEvent: number};
+  private broken?: BrokenStream;
 
   constructor(
     private readonly name: string,
     private readonly gateway: GatewayProcess,
+    /** Gateways that it may turn to with a broken stream. */
+    private readonly others: readonly GatewayProcess[],
     private readonly history: SoakHistory,
     private readonly random: Random,
     private readonly chooseKey: KeyChoice,
@@ -42,9 +51,10 @@
 
   async run(): Promise<void> {
     while (!this.isStopped) {
-      const request = this.next();
+      const gateway = this.chooseGateway();
+      const request = this.next(gateway);
       this.history.requests.set(request.id, request);
-      const outcome = await this.send(request);
+      const outcome = await this.send(request, gateway);
       request.outcome = outcome;
       this.rememberBroken(request, outcome);
       const pauseMs = outcome.type === 'failed' ? 100 : 0;
@@ -59,18 +69,29 @@
     this.isStopped = true;
   }
 
-  private next(): SentRequest {
+  private chooseGateway(): GatewayProcess {
+    const isAlone = this.others.length === 0 || this.broken === undefined;
+    if (isAlone || this.random.next() < 0.5) return this.gateway;
+    return this.random.pick(this.others);
+  }
+
+  private chooseKind(): RequestKind {
+    if (this.broken !== undefined) return RequestKind.Resumable;
+    const cutsStreams = this.others.length > 0 && this.random.next() < 0.4;
+    return cutsStreams ? RequestKind.Resumable : this.random.pick(KINDS);
+  }
+
+  private next(gateway: GatewayProcess): SentRequest {
     const {random, broken} = this;
-    const kind =
-      broken === undefined ? random.pick(KINDS) : RequestKind.Resumable;
+    const kind = this.chooseKind();
     delete this.broken;
-    const fresh = Math.floor(random.between(1, 15));
+    const cutsStreams =
+      this.others.length > 0 && kind === RequestKind.Resumable;
+    const fresh = Math.floor(random.between(1, cutsStreams ? 30 : 15));
+    const cuts = cutsStreams && random.next() < 0.5;
     const events = isStream(kind) ? (broken?.events ?? fresh) : 0;
     const id = `${this.name}-${++this.sent}`;
-    const key =
-      broken === undefined
-        ? this.chooseKey(random)
-        : lastingKeyOf(WORKSPACES[0]);
+    const key = broken === undefined ? this.chooseKey(random) : broken.key;
     const body =
       kind === RequestKind.NonIdempotent
         ? textOf(id, Math.floor(random.next() ** 3 * 20_000) + 1)
@@ -79,14 +100,16 @@
     return {
       id,
       kind,
-      gateway: this.gateway.name,
-      incarnation: this.gateway.incarnation,
+      gateway: gateway.name,
+      incarnation: gateway.incarnation,
       path: `/${kind}/${events}`,
       body,
       events,
       lastEvent: broken?.lastEvent ?? 0,
       sentAt: this.history.now(),
       ...(key === undefined ? {} : {key}),
+      ...(broken === undefined ? {} : {resumes: broken.first}),
+      ...(cuts ? {cutAfterMs: random.between(50, 600)} : {}),
       ...(prompt === undefined ? {} : {prompt}),
       ...(isStream(kind) ? {} : this.badRequests.next()),
     };
@@ -97,13 +120,23 @@
     if (outcome.type !== 'answered' || outcome.complete) return;
     const lastEvent = outcome.events.at(-1)?.id;
     if (lastEvent === undefined || lastEvent >= request.events) return;
-    this.broken = {events: request.events, lastEvent};
+    const first = request.resumes ?? request.id;
+    const {key, events} = request;
+    this.broken = {
+      first,
+      events,
+      lastEvent,
+      ...(key === undefined ? {} : {key}),
+    };
   }
 
-  private send(request: SentRequest): Promise<Outcome> {
+  private send(
+    request: SentRequest,
+    gateway: GatewayProcess,
+  ): Promise<Outcome> {
     const {random, history} = this;
-    const {id, key, body, lastEvent} = request;
-    const isNew = random.next() < 0.15;
+    const {id, key, body, lastEvent, resumes} = request;
+    const isNew = random.next() < 0.15 || gateway !== this.gateway;
     const leavesAfterMs =
       random.next() < 0.06 ? random.between(1, 300) : GIVE_UP_MS;
     return new Promise(resolve => {
@@ -112,8 +145,8 @@
         resolve(outcome);
       };
       const outgoing = sendRequest({
-        host: this.gateway.ingress.host,
-        port: this.gateway.ingress.port,
+        host: gateway.ingress.host,
+        port: gateway.ingress.port,
         agent: isNew ? false : this.agent,
         method: body === '' ? 'GET' : 'POST',
         path: request.path,
@@ -125,6 +158,7 @@
           ...request.prompt?.headers,
           ...(key === undefined ? {} : {authorization: `Bearer ${key}`}),
           ...(lastEvent === 0 ? {} : {'last-event-id': lastEvent}),
+          ...(resumes === undefined ? {} : {resumes}),
           ...(body === '' ? {} : {'content-length': body.length}),
         },
       });
@@ -135,7 +169,11 @@
       outgoing.on('error', ({message: reason}) =>
         end({type: 'failed', endedAt: history.now(), reason}),
       );
-      outgoing.on('response', message => this.receive(message, end));
+      outgoing.on('response', message => {
+        this.receive(message, end);
+        if (request.cutAfterMs === undefined) return;
+        setTimeout(() => message.destroy(), request.cutAfterMs);
+      });
       outgoing.end(body);
     });
   }
--- a/bench/soak/checker.ts
+++ b/bench/soak/checker.ts
@@ -1,10 +1,4 @@
-import {
-  BOUNDS,
-  RequestKind,
-  runsOnce,
-  serviceOf,
-  textOf,
-} from './deployment.js';
+import {BOUNDS, RequestKind, runsOnce, serviceOf} from './deployment.js';
 import {
   isFault,
   Nature,
@@ -15,6 +9,7 @@
   type SoakHistory,
 } from './history.js';
 import {
+  describeAnswer,
   describeDenial,
   describeEvents,
   isServed,
@@ -32,6 +27,7 @@
 } from './promise.js';
 import type {DeclaredLimits} from './limits.js';
 import {PromptChecker} from './promptchecker.js';
+import {VersionChecker} from './versionchecker.js';
 
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 /** Answers that may be lost by an instance in touch without planned work. */
@@ -42,6 +38,7 @@
 /** Judges by what callers, upstreams and the store saw. */
 export class Checker {
   readonly prompts: PromptChecker;
+  readonly softwareVersions: VersionChecker;
 
   constructor(
     private readonly history: SoakHistory,
@@ -49,6 +46,7 @@
     private readonly limits?: DeclaredLimits,
   ) {
     this.prompts = new PromptChecker(history);
+    this.softwareVersions = new VersionChecker(history);
   }
 
   /**
@@ -94,7 +92,9 @@
       case Promised.NotRun:
         return ofEach(request => this.describeFalseRefusal(request));
       case Promised.Whole:
-        return ofEach(request => this.describeAnswer(request));
+        return ofEach(request =>
+          describeAnswer(request, this.history.arrivalsOf(request.id)),
+        );
       case Promised.Order:
         return ofEach(describeEvents);
       case Promised.Unchanged:
@@ -105,6 +105,8 @@
         return this.runs().flatMap(([request, run]) =>
           this.checkKey(request, run),
         );
+      case Promised.SoftwareVersion:
+        return this.softwareVersions.check();
       case Promised.Denied:
         return ofEach(describeDenial);
       case Promised.Leaving:
@@ -138,31 +140,6 @@
     return `answered ${outcome.status}, but ran`;
   }
 
-  private describeAnswer({id, outcome}: SentRequest): string | undefined {
-    if (outcome?.type !== 'answered') return undefined;
-    const {status, seal, echoedId, body, complete, events} = outcome;
-    const isSuccess = status >= 200 && status < 300;
-    const source = this.history
-      .arrivalsOf(id)
-      .find(arrival => arrival.seal === seal);
-    if (seal !== undefined && source === undefined) {
-      return `answer of another request, seal ${seal}`;
-    }
-    if (source !== undefined && source.status !== status) {
-      return `status ${status}, but the upstream answered ${source.status}`;
-    }
-    if (!isSuccess) return undefined;
-    if (source === undefined) return 'success without a seal';
-    if (echoedId !== id) return `success with the id ${echoedId}`;
-    if (source.size === undefined) return undefined;
-    const whole = textOf(source.seal, source.size);
-    if (complete && body !== whole) {
-      return `complete with ${body.length} of ${whole.length} characters`;
-    }
-    const isPart = whole.startsWith(body) && events.length === 0;
-    return isPart ? undefined : 'characters of another answer';
-  }
-
   private checkUnchanged(arrival: Arrival): Finding[] {
     const request = this.history.requests.get(arrival.request);
     const finding = (message: string): Finding => ({
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -112,6 +112,15 @@
 }
 
 /** Data of an event in the stream that answers a request. */
-export function eventDataOf(request: string, event: number): string {
-  return `${request} ${event}`;
+export function eventDataOf(
+  request: string,
+  event: number,
+  softwareVersion = 'v1',
+): string {
+  return `${request} ${event} ${softwareVersion}`;
+}
+
+/** Software version of the upstream that wrote an event. */
+export function softwareVersionIn(data: string): string {
+  return data.split(' ').at(-1) ?? '';
 }
--- a/bench/soak/expectation.ts
+++ b/bench/soak/expectation.ts
@@ -4,9 +4,11 @@
   lastingKeyOf,
   PATIENCE_MS,
   RequestKind,
+  softwareVersionIn,
+  textOf,
   WORKSPACES,
 } from './deployment.js';
-import type {SentRequest} from './history.js';
+import type {Arrival, SentRequest} from './history.js';
 
 const BAD_GATEWAY = 502;
 const DENIALS = new Set([401, 403, 404]);
@@ -20,7 +22,8 @@
   for (const [index, event] of events.entries()) {
     const expected = lastEvent + index + 1;
     if (event.id !== expected) return `event ${event.id} for ${expected}`;
-    if (event.data !== eventDataOf(id, expected)) {
+    const version = softwareVersionIn(event.data);
+    if (event.data !== eventDataOf(id, expected, version)) {
       return `event ${event.id} with the data ${event.data}`;
     }
   }
@@ -30,6 +33,33 @@
     : undefined;
 }
 
+/** How an answer differs from that of the upstream that it claims to be of. */
+export function describeAnswer(
+  {id, outcome}: SentRequest,
+  arrivals: readonly Arrival[],
+): string | undefined {
+  if (outcome?.type !== 'answered') return undefined;
+  const {status, seal, echoedId, body, complete, events} = outcome;
+  const isSuccess = status >= 200 && status < 300;
+  const source = arrivals.find(arrival => arrival.seal === seal);
+  if (seal !== undefined && source === undefined) {
+    return `answer of another request, seal ${seal}`;
+  }
+  if (source !== undefined && source.status !== status) {
+    return `status ${status}, but the upstream answered ${source.status}`;
+  }
+  if (!isSuccess) return undefined;
+  if (source === undefined) return 'success without a seal';
+  if (echoedId !== id) return `success with the id ${echoedId}`;
+  if (source.size === undefined) return undefined;
+  const whole = textOf(source.seal, source.size);
+  if (complete && body !== whole) {
+    return `complete with ${body.length} of ${whole.length} characters`;
+  }
+  const isPart = whole.startsWith(body) && events.length === 0;
+  return isPart ? undefined : 'characters of another answer';
+}
+
 /** Denials of what every configuration allows. */
 export function describeDenial(request: SentRequest): string | undefined {
   const {outcome} = request;
@@ -52,7 +82,7 @@
 /** Whether an undisturbed deployment must serve a request. */
 export function mustBeServed(request: SentRequest): boolean {
   const {outcome} = request;
-  if (isBad(request)) return false;
+  if (isBad(request) || request.cutAfterMs !== undefined) return false;
   return isAlwaysAllowed(request) && outcome?.type !== 'left';
 }
 
@@ -61,10 +91,11 @@
  * `silent`, a 502 of the gateway counts too, and the end of its time doesn't.
  */
 export function isUnanswered(
-  {outcome, sentAt}: SentRequest,
+  {outcome, sentAt, cutAfterMs}: SentRequest,
   silent: boolean,
 ): boolean {
   if (outcome === undefined || outcome.type === 'left') return false;
+  if (cutAfterMs !== undefined) return false;
   if (silent && outcome.endedAt - sentAt >= PATIENCE_MS) return false;
   if (outcome.type === 'failed' || !outcome.complete) return true;
   const {status, seal} = outcome;
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -37,6 +37,10 @@
   /** Number of events of the whole stream; 0 if it isn't one. */
   events: number;
   lastEvent: number;
+  /** Id of the request that brought the stream's first event, if another did. */
+  resumes?: string;
+  /** When its caller cuts the connection to take the stream up again, in ms. */
+  cutAfterMs?: number;
   prompt?: Prompt;
   /** Name of the request, if it crashes each plain upstream that runs it. */
   badRequest?: string;
--- a/bench/soak/promise.ts
+++ b/bench/soak/promise.ts
@@ -10,6 +10,8 @@
   Whole = 'whole',
   /** Events of a stream come in order, and none twice. */
   Order = 'order',
+  /** A stream is written by one software version, over a caller's tries, too. */
+  SoftwareVersion = 'software_version',
   /** Upstreams get requests as their callers sent them. */
   Unchanged = 'unchanged',
   /** Nothing runs without a key that was valid; the workspace is its own. */
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -23,10 +23,16 @@
 import {Lateness, type Stall} from './lateness.js';
 import {DeclaredLimits} from './limits.js';
 import {Operator} from './operator.js';
+import {countBy, countOutcomes} from './outcomes.js';
 import type {Violation} from './promise.js';
 import type {PartSummary} from './promptchecker.js';
 import {crashingPartsOf, Prompts} from './prompts.js';
 import {SoakUpstream} from './upstream.js';
+import {
+  rotate,
+  softwareVersionsOf,
+  type VersionSummary,
+} from './versionchecker.js';
 
 const UPSTREAMS_PER_SERVICE = 3;
 const CALLERS_PER_GATEWAY = 4;
@@ -52,6 +58,8 @@
   crashingRequests?: number;
   /** Share of the upstreams that declare a rate, 0 to 1; 0 by default. */
   declaredLimits?: number;
+  /** Number of software versions of the upstreams; by default by the seed. */
+  softwareVersions?: number;
 }
 
 /** Result of a soak. */
@@ -68,6 +76,8 @@
   judged: Record<string, number>;
   /** What was seen of each prompt part that crashes upstreams. */
   parts: PartSummary[];
+  /** What was seen of streams while upstreams had several software versions. */
+  softwareVersions: VersionSummary;
   /** Highest count in a window, as a share of what is allowed, by upstream. */
   limits: Record<string, number>;
   violations: Violation[];
@@ -132,6 +142,7 @@
     this.prompts = new Prompts(seed, crashingParts, history);
     const {crashingRequests = 0} = options;
     this.badRequests = new BadRequests(seed, crashingRequests, history);
+    const versions = softwareVersionsOf(options).length;
     this.callers = gateways.flatMap((gateway, index) =>
       Array.from({length: CALLERS_PER_GATEWAY}, (_, n) => {
         const name = `${seed}-${gateway.name}-${n}`;
@@ -139,6 +150,7 @@
         return new Caller(
           name,
           gateway,
+          versions > 1 ? gateways.filter(other => other !== gateway) : [],
           history,
           random,
           source => this.operator.chooseKey(source),
@@ -184,6 +196,7 @@
             history,
             random,
             limits,
+            rotate(softwareVersionsOf(options), n),
           ),
         );
       }
@@ -341,10 +354,11 @@
       seed: this.options.seed,
       requests: requests.length,
       runs: history.arrivals.filter(({ran}) => ran).length,
-      outcomes: countBy(requests.map(describeOutcome)),
+      outcomes: countOutcomes(requests),
       faults: countBy(this.faults.map(({kind}) => kind)),
       judged: this.checker.countJudged(this.gateways.map(({name}) => name)),
       parts: this.checker.prompts.summarize(),
+      softwareVersions: this.checker.softwareVersions.summarize(),
       limits: this.limits.summarize(),
       violations: all.filter(({touchedByStall}) => !touchedByStall),
       touched: all.filter(({touchedByStall}) => touchedByStall),
@@ -377,19 +391,3 @@
   const silences = scheduleSilences(random, lengthMs);
   return [...faults, ...silences].sort((a, b) => a.atMs - b.atMs);
 }
-
-function describeOutcome({
-  outcome,
-}: {
-  outcome?: {type: string; status?: number; complete?: boolean};
-}): string {
-  if (outcome === undefined) return 'open';
-  if (outcome.type !== 'answered') return outcome.type;
-  return `${outcome.status}${outcome.complete ? '' : ' incomplete'}`;
-}
-
-function countBy(names: string[]): Record<string, number> {
-  const counts: Record<string, number> = {};
-  for (const name of names) counts[name] = (counts[name] ?? 0) + 1;
-  return counts;
-}
--- a/bench/soak/upstream.ts
+++ b/bench/soak/upstream.ts
@@ -74,8 +74,16 @@
     private readonly history: SoakHistory,
     private readonly random: Random,
     private readonly limits: DeclaredLimits,
+    /** The software versions of its processes, in turn. */
+    private readonly softwareVersions: readonly string[],
   ) {}
 
+  /** Software version of its newest process. */
+  get softwareVersion(): string {
+    const {softwareVersions, incarnation} = this;
+    return softwareVersions[incarnation % softwareVersions.length] ?? '';
+  }
+
   /**
    * Starts a new process of this upstream under the same id; does nothing if
    * one runs.
@@ -170,7 +178,7 @@
       service: this.service,
       address: this.proxy.address,
       zone: 'zone-a',
-      version: 'v1',
+      version: this.softwareVersion,
       slots: SLOTS,
       state: this.registration,
       coldRemainingMs: 0,
@@ -346,7 +354,7 @@
     response: ServerResponse,
     lastEvent: number,
   ): Promise<void> {
-    const {treatment, random} = this;
+    const {treatment, random, softwareVersion} = this;
     const events = Number(arrival.path.split('/').at(-1));
     if (treatment === Treatment.Fails) {
       response.statusCode = arrival.status = 500;
@@ -368,7 +376,7 @@
         this.breakOff(arrival, response);
         return;
       }
-      const text = `id: ${event}\ndata: ${eventDataOf(arrival.request, event)}\n\n`;
+      const text = `id: ${event}\ndata: ${eventDataOf(arrival.request, event, softwareVersion)}\n\n`;
       if (treatment === Treatment.Cuts && event === cutAt) {
         response.write(
           text.slice(0, Math.floor(random.between(0, text.length))),
--- a/src/forward/continuation.ts
+++ b/src/forward/continuation.ts
@@ -20,14 +20,13 @@
     private readonly dependencies: ForwardDependencies,
     private readonly request: RequestHead,
     private readonly route: Route,
-    workspace: string | undefined,
     /** Until when its caller may take it up, in monotonic ms. */
     private readonly expiresAt: number,
   ) {
-    const {id, lastEvent, resumedRequest} = request;
+    const {id, key, lastEvent, resumedRequest} = request;
     const first = lastEvent === undefined ? id : resumedRequest;
     if (first !== undefined && first !== '') {
-      this.key = streamKey(workspace, first);
+      this.key = streamKey(key, first);
     }
   }
 
@@ -39,7 +38,6 @@
     dependencies: ForwardDependencies,
     request: RequestHead,
     route: Route,
-    workspace: string | undefined,
     deadlineAt: number,
   ): ResumableStream | undefined {
     if (route.repetition !== Repetition.Resumable) return undefined;
@@ -47,7 +45,6 @@
       dependencies,
       request,
       route,
-      workspace,
       deadlineAt + GRACE_MS,
     );
   }
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -141,7 +141,6 @@
         this.dependencies,
         request,
         route,
-        workspace?.name,
         this.tally.arrivedAt + callerTimeoutMs,
       );
       const isOriginKnown = (await stream?.findOrigin()) ?? true;
--- a/src/origin/origin.ts
+++ b/src/origin/origin.ts
@@ -1,5 +1,8 @@
+import xxhash from 'xxhash-wasm';
 import {VersionMix} from './softwareversions.js';
 
+const hasher = await xxhash();
+
 /** The upstreams that can go on with a stream, as one of them began it. */
 export interface StreamOrigin {
   service: string;
@@ -35,10 +38,10 @@
   }
 }
 
-/** Identifies a stream by the request that began it and its workspace. */
-export function streamKey(
-  workspace: string | undefined,
-  request: string,
-): string {
-  return `${workspace ?? ''}/${request}`;
+/**
+ * Identifies a stream by the request that began it and its caller's API key, as
+ * callers choose the ids of their requests. The key can't be told from it.
+ */
+export function streamKey(apiKey: string | undefined, request: string): string {
+  return hasher.h64ToString(`${apiKey ?? ''}/${request}`);
 }
