--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -86,6 +86,16 @@
   gateway?: string;
 }
 
+/** A process of an upstream, from its start to its end. */
+export interface UpstreamLife {
+  upstream: string;
+  incarnation: number;
+  service: ServiceName;
+  softwareVersion: string;
+  from: number;
+  to: number;
+}
+
 /** An upstream's crash when it began to answer a prompt with a bad part. */
 export interface PromptCrash {
   part: string;
@@ -130,6 +140,7 @@
   readonly arrivals: Arrival[] = [];
   readonly configurations: AcceptedConfiguration[] = [];
   readonly leaves: Leave[] = [];
+  readonly lives: UpstreamLife[] = [];
   readonly disruptions: Disruption[] = [];
   readonly crashes: PromptCrash[] = [];
   /** When the last fault ended; undefined before. */
@@ -146,6 +157,24 @@
     this.byRequest.set(arrival.request, [...others, arrival]);
   }
 
+  /** Records the start of an upstream's process. */
+  beginLife({
+    name: upstream,
+    incarnation,
+    service,
+    softwareVersion,
+  }: Omit<UpstreamLife, 'upstream' | 'from' | 'to'> & {name: string}): void {
+    const [from, to] = [this.now(), Infinity];
+    const process = {upstream, incarnation, service, softwareVersion};
+    this.lives.push({...process, from, to});
+  }
+
+  /** Records the end of an upstream's process, if one runs. */
+  endLife(upstream: string): void {
+    const life = this.lives.findLast(one => one.upstream === upstream);
+    if (life !== undefined) life.to = Math.min(life.to, this.now());
+  }
+
   /** Adds what is said first of a process, to a gateway or by the store. */
   addLeave(leave: Leave): void {
     const isKnown = this.leaves.some(
--- a/bench/soak/upstream.ts
+++ b/bench/soak/upstream.ts
@@ -100,6 +100,7 @@
     this.silence = Promise.resolve();
     this.born = Date.now();
     const {incarnation} = this;
+    this.history.beginLife(this);
     const server = createServer((message, response) => {
       void this.serve(incarnation, message, response).catch(() =>
         response.destroy(),
@@ -121,6 +122,7 @@
   /** Ends the process at once, without a word. */
   crash(): void {
     this.isAlive = false;
+    this.history.endLife(this.name);
     clearInterval(this.heartbeat);
     this.proxy.inject({refuse: true});
     this.proxy.reset();
--- a/bench/soak/versionchecker.ts
+++ b/bench/soak/versionchecker.ts
@@ -1,4 +1,9 @@
-import {BOUNDS, RequestKind, softwareVersionIn} from './deployment.js';
+import {
+  BOUNDS,
+  RequestKind,
+  ServiceName,
+  softwareVersionIn,
+} from './deployment.js';
 import {isFault, type SentRequest, type SoakHistory} from './history.js';
 import {findingOf, type Finding} from './promise.js';
 
@@ -6,6 +11,8 @@
 const MIN_TAKEN_UP = 12;
 /** Share of that of new streams that begin. */
 const MIN_SHARE = 0.5;
+/** Upstreams of a version that must serve for it to be judged. */
+const MIN_UPSTREAMS = 2;
 const MOST_VERSIONS = 3;
 
 /** What was seen of streams and the software versions that wrote them. */
@@ -85,10 +92,43 @@
 
   private takenUp(): SentRequest[] {
     return this.streams().filter(
-      request => request.resumes !== undefined && this.isJudged(request),
+      request =>
+        request.resumes !== undefined &&
+        this.isJudged(request) &&
+        this.canGoOn(request),
     );
   }
 
+  /** Whether two sound upstreams of its software version served meanwhile. */
+  private canGoOn({resumes = '', sentAt, outcome}: SentRequest): boolean {
+    const version = this.versionOf(resumes);
+    const to = outcome?.endedAt ?? sentAt;
+    const {lives, leaves} = this.history;
+    const serving = lives.filter(
+      ({upstream, incarnation, softwareVersion, service, ...life}) =>
+        service === ServiceName.Streams &&
+        softwareVersion === version &&
+        life.from + BOUNDS.stableWindowMs < sentAt &&
+        life.to > to &&
+        !leaves.some(
+          leave =>
+            leave.upstream === upstream &&
+            leave.incarnation === incarnation &&
+            leave.at < to,
+        ) &&
+        this.isCalm(upstream, sentAt, to),
+    );
+    return serving.length >= MIN_UPSTREAMS;
+  }
+
+  /** Software version that wrote the first event of a request's stream. */
+  private versionOf(request: string): string | undefined {
+    const {outcome} = this.history.requests.get(request) ?? {};
+    if (outcome?.type !== 'answered') return undefined;
+    const [first] = outcome.events;
+    return first === undefined ? undefined : softwareVersionIn(first.data);
+  }
+
   private streams(): SentRequest[] {
     return [...this.history.requests.values()].filter(
       ({kind}) => kind === RequestKind.Resumable,
@@ -98,8 +138,12 @@
   /** Whether a request ended at a gateway that no fault disturbed. */
   private isJudged({gateway, sentAt, outcome}: SentRequest): boolean {
     if (outcome === undefined || outcome.type === 'left') return false;
+    return this.isCalm(gateway, sentAt, outcome.endedAt);
+  }
+
+  private isCalm(target: string, from: number, to: number): boolean {
     return this.history
-      .disruptionsOf([gateway], sentAt - BOUNDS.stableWindowMs, outcome.endedAt)
+      .disruptionsOf([target], from - BOUNDS.stableWindowMs, to)
       .every(({nature}) => !isFault(nature));
   }
 }
