Go on at the right software version where an upstream restarts under its id

Cause: the version was taken from an entry that is behind its process, and upstreams check only their id.

The version that wrote a stream is that of the process that ran when the request was sent, by the newest entry, and is told again if that changes it.

Left: a process of another version that has started in the last moment, before its entry is read. Two tests, each of which failed without its part of the change.

--- a/src/forward/attemptrunner.ts
+++ b/src/forward/attemptrunner.ts
@@ -1,3 +1,4 @@
+import {processAt} from '../registry/index.js';
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Subscription} from '../timer/index.js';
 import type {AttemptResult} from './attemptresult.js';
@@ -65,7 +66,12 @@
   ): RunningAttempt {
     const {dependencies, context, tally, sink} = this;
     let hasBytes = false;
-    const {softwareVersion} = placement.endpoint.entry;
+    const sentAt = dependencies.timer.wallNow();
+    const softwareVersion = () => {
+      const {entry} = placement.endpoint;
+      const newest = dependencies.entryOf(entry.id) ?? entry;
+      return processAt(sentAt, entry, newest).softwareVersion;
+    };
     const attemptSink = sink.forAttempt(softwareVersion, {
       isCurrent: () => attempt === this.current,
       onBytes: () => {
--- a/src/forward/dependencies.ts
+++ b/src/forward/dependencies.ts
@@ -1,5 +1,6 @@
 import type {Logger} from 'pino';
 import type {StreamOrigins} from '../origin/index.js';
+import type {RegistryEntry} from '../registry/index.js';
 import type {Routing} from '../route/index.js';
 import type {Timer} from '../timer/index.js';
 import type {Endpoint} from './endpoint.js';
@@ -20,6 +21,10 @@
   random: () => number;
   /** Whether a silent upstream answers a probe on another connection. */
   isAlive(endpoint: Endpoint): Promise<boolean>;
+  /** Newest entry of an upstream; undefined if it isn't registered. */
+  entryOf(upstream: string): RegistryEntry | undefined;
+  /** Resolves when the entries are current, or the store may be away. */
+  untilEntriesCurrent(): Promise<void>;
   observer: ResponseObserver;
   promptGuard: PromptGuard;
   /** Where streams began that callers may take up. */
--- a/src/forward/endpoints.ts
+++ b/src/forward/endpoints.ts
@@ -81,6 +81,10 @@
     return (endpoint.entry.startedAt ?? 0) === startedAt ? endpoint : undefined;
   }
 
+  entryOf(id: string): RegistryEntry | undefined {
+    return this.byId.get(id)?.entry;
+  }
+
   /** Number of known upstreams that gave notice that they leave. */
   countLeaving(): number {
     const all = [...this.byId.values()];
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -191,6 +191,10 @@
       isHeld,
     );
     for (;;) {
+      // An outdated entry may name the version of an earlier process.
+      if (sink.softwareVersion !== undefined) {
+        await this.dependencies.untilEntriesCurrent();
+      }
       const placementRequest = placementRequestOf(context, {
         arrivedAt: this.tally.arrivedAt,
         triedUpstreams: this.tally.triedUpstreams,
@@ -202,6 +206,7 @@
       if (placement.type === 'gone') return this.endStopped(context);
       if (placement.type === 'notRun') return this.giveUp(context, placement);
       const result = await runner.run(placementRequest, placement);
+      sink.noteWriter();
       const ending = this.endIfFinal(context, sink, result);
       if (ending !== undefined) return ending;
       if (deadline.signal.aborted) return this.endStopped(context);
--- a/src/forward/sink.ts
+++ b/src/forward/sink.ts
@@ -27,36 +27,48 @@
 export class StreamSink {
   /** Id of the last event sent to the caller; undefined if there is none. */
   lastEvent?: string;
-  /**
-   * Software version of the upstream that wrote what the caller has; others can't
-   * go on with it. Undefined if it has nothing, or any version wrote the same.
-   */
-  softwareVersion?: string;
   /** The attempt whose response was last passed on. */
   private delivering?: AttemptSink;
   /** Whether bytes were sent that no event id covers. */
   private hasBytesWithoutId = false;
 
-  private hasBegun = false;
+  /** Software version of the upstream that wrote the first bytes. */
+  private writer?: () => string;
+  private notedVersion?: string;
 
   constructor(
     private readonly reply: Reply,
     private readonly route: Route,
     /** What the caller already has of the stream. */
-    {lastEvent, softwareVersion}: StreamStart,
-    /** Called with the software version that writes the first bytes. */
-    private readonly begun: (softwareVersion: string) => void,
+    private readonly start: StreamStart,
+    /** Called with the software version that writes the stream. */
+    private readonly note: (softwareVersion: string) => void,
   ) {
-    if (lastEvent !== undefined) this.lastEvent = lastEvent;
-    if (softwareVersion !== undefined) this.softwareVersion = softwareVersion;
+    if (start.lastEvent !== undefined) this.lastEvent = start.lastEvent;
   }
 
-  /** Notes that bytes of an upstream are sent. */
-  bind(softwareVersion: string): void {
-    this.softwareVersion ??= softwareVersion;
-    if (this.hasBegun) return;
-    this.hasBegun = true;
-    this.begun(softwareVersion);
+  /**
+   * Software version of the upstream that wrote what the caller has; others can't
+   * go on with it. Undefined if it has nothing, or any version wrote the same.
+   */
+  get softwareVersion(): string | undefined {
+    return this.start.softwareVersion ?? this.writer?.();
+  }
+
+  /** Binds the stream to the upstream whose bytes are sent first. */
+  bind(writer: () => string): void {
+    if (this.writer !== undefined) return;
+    this.writer = writer;
+    this.noteWriter();
+  }
+
+  /** Tells which software version writes the stream, if that is news. */
+  noteWriter(): void {
+    const {softwareVersion} = this;
+    if (this.writer === undefined || softwareVersion === undefined) return;
+    if (softwareVersion === this.notedVersion) return;
+    this.notedVersion = softwareVersion;
+    this.note(softwareVersion);
   }
 
   /** Whether another upstream can continue where the last one stopped. */
@@ -64,8 +76,14 @@
     return !this.hasBytesWithoutId;
   }
 
-  /** Creates the sink of a new attempt on an upstream of a software version. */
-  forAttempt(softwareVersion: string, listener: SinkListener): AttemptSink {
+  /**
+   * Creates the sink of a new attempt. `softwareVersion` returns that of its
+   * upstream as far as it is known.
+   */
+  forAttempt(
+    softwareVersion: () => string,
+    listener: SinkListener,
+  ): AttemptSink {
     return new AttemptSink(this, softwareVersion, listener);
   }
 
@@ -120,7 +138,7 @@
 
   constructor(
     private readonly stream: StreamSink,
-    private readonly softwareVersion: string,
+    private readonly softwareVersion: () => string,
     private readonly listener: SinkListener,
   ) {}
 
@@ -135,9 +153,8 @@
   /** Whether its upstream has the software version of what was sent. */
   private get mayContinue(): boolean {
     const {softwareVersion} = this.stream;
-    return (
-      softwareVersion === undefined || softwareVersion === this.softwareVersion
-    );
+    if (softwareVersion === undefined) return true;
+    return softwareVersion === this.softwareVersion();
   }
 
   /** Passes on the head, if it has arrived. */
--- a/src/registry/entry.ts
+++ b/src/registry/entry.ts
@@ -67,3 +67,17 @@
     a.state === b.state
   );
 }
+
+/**
+ * Which of two entries of the same id describes the process that got what was sent
+ * at `sentAt`, in Unix ms. An upstream may have been restarted before its entry
+ * told that.
+ */
+export function processAt(
+  sentAt: number,
+  known: RegistryEntry,
+  newest: RegistryEntry,
+): RegistryEntry {
+  const startedAt = newest.startedAt ?? Infinity;
+  return startedAt <= sentAt ? newest : known;
+}
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -1,4 +1,4 @@
-export {EntryState, isSameProcess, supersedes} from './entry.js';
+export {EntryState, isSameProcess, processAt, supersedes} from './entry.js';
 export type {RegistryEntry} from './entry.js';
 export {FEED_TIMEOUTS, Topic} from './feed.js';
 export type {
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -29,6 +29,7 @@
 import type {PlatformAdapter} from './platformadapter.js';
 import {ServiceStates} from './servicestates.js';
 import {watchStalls} from './stall.js';
+import {untilCurrent} from './untilcurrent.js';
 
 /** How often a drain checks whether every request has ended, in ms. */
 const DRAIN_CHECK_PERIOD_MS = 50;
@@ -180,6 +181,9 @@
       observer: this.observer,
       promptGuard: this.promptGuard,
       origins: this.fleet.origins,
+      entryOf: upstream => this.endpoints.entryOf(upstream),
+      untilEntriesCurrent: () =>
+        untilCurrent(() => this.fleet.upstreams.ageMs(), timer),
       mayForwardPrompts: () => this.fleet.mayForward,
       random: Math.random,
       configurationAgeMs: () => this.fleet.configurations.ageMs(),
--- a/test/softwareversions.test.ts
+++ b/test/softwareversions.test.ts
@@ -11,6 +11,8 @@
 import type {CallerResponse, TestGateway} from './support/gateway.js';
 
 const STREAMS = 12;
+/** Events of a stream that lasts for longer than entries are on their way. */
+const LONG = 100;
 const deployments: VersionedDeployment[] = [];
 
 afterEach(async () => {
@@ -54,6 +56,43 @@
     }
   });
 
+  test('goes on at the version that wrote it if its upstream had restarted', async () => {
+    let isRestarted = false;
+    const deployment: VersionedDeployment = deploy(({after, engine}) => {
+      if (after > 0 || engine !== 0) return undefined;
+      if (!isRestarted) deployment.restartEngine(0, 'v2');
+      isRestarted = true;
+      return {events: LONG};
+    });
+    // The first engine runs v2 already, though its entry doesn't tell it yet.
+    await deployment.addEngine('v2', 'v1');
+    const gateway = await deployment.addGateway();
+    const stream = sendStream(gateway, 'r1', {path: `/chat/${LONG * 2}`});
+    await deployment.untilLogged(LogEvent.Placed, 1);
+    await deployment.addEngines(['v1', 'v1', 'v1', 'v2']);
+    const response = await stream;
+    expect(versionsIn(response)).toEqual(['v2']);
+    expect(lastEventIn(response)).toBe(LONG * 2);
+  });
+
+  test('is not gone on with by entries that are out of date', async () => {
+    const deployment: VersionedDeployment = deploy(({after, engine}) => {
+      if (after > 0) return undefined;
+      let setReadable = () => {};
+      deployment.feed.readable = new Promise(resolve => {
+        setReadable = resolve;
+      });
+      deployment.restartEngine(1 - engine, 'v2');
+      return {events: LONG, before: () => setTimeout(setReadable, 100)};
+    });
+    await deployment.addEngines(['v1', 'v1']);
+    const gateway = await deployment.addGateway();
+    const options = {path: `/chat/${LONG * 2}`};
+    const response = await sendStream(gateway, 'r1', options);
+    expect(versionsIn(response)).toEqual(['v1']);
+    expect(response?.complete).toBe(false);
+  });
+
   test('may begin at another software version before its first event', async () => {
     const deployment = deploy(({version}) =>
       version === 'v1' ? {events: 0} : undefined,
@@ -162,7 +201,7 @@
     }
   });
 
-  test('is not bound by a request of another workspace with its id', async () => {
+  test('is not found by a caller with another key', async () => {
     const {deployment, instances} = await deployFleet(['v1', 'v2'], 1);
     const [instance] = instances;
     const start = await beginAndLeave(instance, 'r1');
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -29,6 +29,9 @@
     [Topic.Instances]: [],
   };
 
+  /** Reads wait until it resolves. */
+  readable = Promise.resolve();
+
   /** Adds a record; one without a value deletes its key. */
   add(topic: Topic, key: string, value: unknown): void {
     const records = this.records[topic];
@@ -65,6 +68,7 @@
     waitMs: number,
     _maxBytes?: number,
   ): Promise<Result<FeedPage, FeedFailure>> {
+    await this.readable;
     const records = this.records[topic];
     if (records.length <= from) {
       await new Promise(resolve => setTimeout(resolve, Math.min(20, waitMs)));
--- a/test/support/versionedengines.ts
+++ b/test/support/versionedengines.ts
@@ -28,6 +28,8 @@
 export interface Run {
   request: string;
   version: string;
+  /** Number of the engine, from 0. */
+  engine: number;
   /** Event after which it went on; 0 for a new stream. */
   after: number;
 }
@@ -35,6 +37,8 @@
 /** What an engine does after a number of events of a run. */
 export interface Interruption {
   events: number;
+  /** Called right before. */
+  before?: () => void;
   /**
    * Time for which it sends nothing to anyone, in ms; without it, it breaks the
    * run off.
@@ -55,6 +59,8 @@
   readonly gateways: TestGateway[] = [];
   private readonly engines: RawUpstream[] = [];
   private readonly entries = new Map<string, object>();
+  /** Version that each engine runs. */
+  private readonly versions: string[] = [];
 
   constructor(private readonly interrupt: Interrupt = () => undefined) {
     const configuration = wireConfiguration(1, PATIENCE_MS);
@@ -64,20 +70,32 @@
     this.feed.add(Topic.Configuration, 'config', configuration);
   }
 
-  /** Starts an engine of a version. */
-  async addEngine(version: string): Promise<void> {
+  /** Starts an engine of a version, which its entry may not tell yet. */
+  async addEngine(version: string, registered = version): Promise<void> {
     const silence = {until: 0};
+    const index = this.engines.length;
+    this.versions.push(version);
     const engine = new RawUpstream(request => {
-      void this.answer(request, version, silence);
+      void this.answer(request, index, silence);
     });
     this.engines.push(engine);
-    const key = `engine-${this.engines.length - 1}`;
+    const key = `engine-${index}`;
     const port = await engine.listen();
-    const entry = wireEntry('engine', port, 1, version);
+    const entry = wireEntry('engine', port, 1, registered);
     this.entries.set(key, entry);
     this.feed.add(Topic.Upstreams, key, entry);
   }
 
+  /** Registers a new process at the place of an engine. */
+  restartEngine(index: number, version: string): void {
+    const key = `engine-${index}`;
+    // It started before the requests that it has got.
+    const born = Date.now() - 1_000;
+    const entry = {...this.entries.get(key), version, born};
+    this.versions[index] = version;
+    this.feed.add(Topic.Upstreams, key, entry);
+  }
+
   /** Lets an engine leave, which goes on with what it runs. */
   drainEngine(index: number): void {
     const key = `engine-${index}`;
@@ -125,7 +143,7 @@
 
   private async answer(
     {id, text, socket}: RawRequest,
-    version: string,
+    engine: number,
     silence: {until: number},
   ): Promise<void> {
     const untilSpeaks = () => sleep(silence.until - performance.now());
@@ -134,14 +152,17 @@
       socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
       return;
     }
+    const version = this.versions[engine] ?? '';
     const after = Number(/last-event-id: (\d+)/i.exec(text)?.[1] ?? 0);
-    const run = {request: id, version, after};
+    const run = {request: id, version, engine, after};
+    const events = Number(/ \/chat\/(\d+)/.exec(text)?.[1] ?? EVENTS);
     this.runs.push(run);
     const interruption = this.interrupt(run);
     socket.write(successHead(id, EVENT_STREAM));
-    for (let event = after + 1; event <= EVENTS; event++) {
+    for (let event = after + 1; event <= events; event++) {
       await sleep(EVENT_PERIOD_MS);
       if (event - after - 1 === interruption?.events) {
+        interruption.before?.();
         if (interruption.silentMs === undefined) socket.destroy();
         else silence.until = performance.now() + interruption.silentMs;
       }
@@ -163,10 +184,17 @@
     lastEvent?: number;
     abortAfterMs?: number;
     key?: string;
+    path?: string;
   } = {},
 ): Promise<CallerResponse | undefined> {
-  const {resumes, lastEvent, key = 'key-one', ...others} = options;
-  return call(gateway.port, '/chat/a', id, {
+  const {
+    resumes,
+    lastEvent,
+    key = 'key-one',
+    path = '/chat/a',
+    ...others
+  } = options;
+  return call(gateway.port, path, id, {
     ...others,
     method: 'POST',
     headers: {
