Keep an answer that is no stream out of a stream that has begun

A report of other operators: a stream broke off, and the next runner's text ended up in the middle of it. Here, a failure (3xx and more) and a refusal never did. But a success that is no stream of events did if it was longer than 256 KiB: its bytes followed the caller's events. A shorter one made the instance fail with an internal error (headers already sent), which closed the connection.

Such an answer counts as broken by its upstream now, before any of it is passed on.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -26,6 +26,8 @@
 export interface Sink {
   /** Number of bytes that it keeps until their event is complete. */
   readonly heldBytes: number;
+  /** Whether a successful response can begin, or go on, as the caller's. */
+  accepts(head: ReceivedHead): boolean;
   /**
    * Takes the head of a successful response that is streamed to the caller.
    * Returning false aborts the attempt.
@@ -162,6 +164,10 @@
       this.abort('answer without the marks of its upstream');
       return;
     }
+    if (!sink.accepts(head)) {
+      this.abort('a stream is gone on with by no stream', BreakCause.Upstream);
+      return;
+    }
     this.answered = true;
     this.spec.received?.();
     if (!head.isEventStream) return;
--- a/src/forward/sink.ts
+++ b/src/forward/sink.ts
@@ -87,6 +87,11 @@
     return new AttemptSink(this, softwareVersion, listener);
   }
 
+  /** Whether the caller has received the head of a response. */
+  get headersSent(): boolean {
+    return this.reply.headersSent;
+  }
+
   /** Whether the caller has left. */
   get callerGone(): boolean {
     return this.reply.callerGone;
@@ -142,6 +147,10 @@
     private readonly listener: SinkListener,
   ) {}
 
+  accepts({isEventStream}: ReceivedHead): boolean {
+    return isEventStream || !this.stream.headersSent;
+  }
+
   start(head: ReceivedHead): boolean {
     this.head = head;
     if (this.stream.splits(head)) this.splitter = new EventSplitter();
--- a/test/attempt.test.ts
+++ b/test/attempt.test.ts
@@ -53,7 +53,12 @@
     },
     metadata: {upstream: 'i-1', remainingMs: 2_000},
     body: Buffer.alloc(0),
-    sink: {heldBytes: 0, start: () => true, data: () => true},
+    sink: {
+      heldBytes: 0,
+      accepts: () => true,
+      start: () => true,
+      data: () => true,
+    },
     timer,
     signal: AbortSignal.timeout(abortAfterMs),
     observe: () => false,
--- a/test/upstream-notices.test.ts
+++ b/test/upstream-notices.test.ts
@@ -278,7 +278,12 @@
     },
     metadata: {upstream: 'i-1', remainingMs: 1_000},
     body: Buffer.alloc(0),
-    sink: {heldBytes: 0, start: () => true, data: () => true},
+    sink: {
+      heldBytes: 0,
+      accepts: () => true,
+      start: () => true,
+      data: () => true,
+    },
     timer,
     signal: new AbortController().signal,
     observe: () => false,
