--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -7,7 +7,8 @@
 import {BOUNDS} from './deployment.js';
 import type {GatewayProcess} from './gatewayprocess.js';
 import {Nature, STORE, type SoakHistory} from './history.js';
-import {Treatment, type SoakUpstream} from './upstream.js';
+import {Treatment} from './treatment.js';
+import type {SoakUpstream} from './upstream.js';
 
 /** Faults and planned work that a schedule consists of. */
 export enum FaultKind {
--- a/test/softwareversions.test.ts
+++ b/test/softwareversions.test.ts
@@ -93,6 +93,18 @@
     expect(response?.complete).toBe(false);
   });
 
+  test('is not gone on with by a process that no entry names yet', async () => {
+    const deployment: VersionedDeployment = deploy(({after, engine}) => {
+      if (after > 0) return undefined;
+      const before = () => deployment.changeVersion(1 - engine, 'v2');
+      return {events: 3, before};
+    });
+    await deployment.addEngines(['v1', 'v1']);
+    const gateway = await deployment.addGateway();
+    const response = await sendStream(gateway, 'r1');
+    expect(versionsIn(response)).toEqual(['v1']);
+  });
+
   test('may begin at another software version before its first event', async () => {
     const deployment = deploy(({version}) =>
       version === 'v1' ? {events: 0} : undefined,
--- a/test/support/versionedengines.ts
+++ b/test/support/versionedengines.ts
@@ -86,13 +86,18 @@
     this.feed.add(Topic.Upstreams, key, entry);
   }
 
+  /** Lets an engine run another version, which its entry doesn't tell. */
+  changeVersion(index: number, version: string): void {
+    this.versions[index] = version;
+  }
+
   /** Registers a new process at the place of an engine. */
   restartEngine(index: number, version: string): void {
     const key = `engine-${index}`;
     // It started before the requests that it has got.
     const born = Date.now() - 1_000;
     const entry = {...this.entries.get(key), version, born};
-    this.versions[index] = version;
+    this.changeVersion(index, version);
     this.feed.add(Topic.Upstreams, key, entry);
   }
 
