--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -6,6 +6,7 @@
   runExperiment,
   type ExperimentFigures,
 } from './fleet/experiment.js';
+import {runStreamOrigins} from './fleet/streamorigins.js';
 
 const args = await yargs(hideBin(process.argv))
   .scriptName('npm run fleet --')
@@ -48,6 +49,17 @@
       'Instead, run so many drills of the seed, in which the store returns ' +
       'from an older copy, and count those that break an invariant',
   })
+  .option('streams', {
+    type: 'number',
+    describe:
+      'Instead, begin so many streams a second at two software versions, end ' +
+      'the instances of --lost, and take their streams up at others',
+  })
+  .option('lost', {
+    type: 'number',
+    default: 0.34,
+    describe: 'Share of the instances that end in a run with --streams',
+  })
   .option('json', {
     type: 'boolean',
     default: false,
@@ -112,6 +124,18 @@
   process.exit(figures.failed === 0 ? 0 : 1);
 }
 
+if (args.streams !== undefined) {
+  const {streams: streamsPerSecond, seconds, seed, loss, lost} = args;
+  for (const instances of args.instances) {
+    const figures = await runStreamOrigins({
+      ...{instances, streamsPerSecond, seconds, seed, loss, lost},
+    });
+    process.stdout.write(`${JSON.stringify(figures)}\n`);
+    if (figures.wrong > 0) process.exitCode = 1;
+  }
+  process.exit();
+}
+
 for (const instances of args.instances) {
   const {upstreams, seconds, seed, loss, faults} = args;
   const figures = await runExperiment({
--- /dev/null
+++ b/test/streamorigins.test.ts
@@ -0,0 +1,118 @@
+import {describe, expect, test} from 'vitest';
+import {runStreamOrigins} from '../bench/fleet/streamorigins.js';
+import {SoftwareVersions, VersionMix} from '../src/origin/index.js';
+import {concludeWithoutRecord} from '../src/origin/origin.js';
+import {ManualTimer} from '../src/timer/index.js';
+
+const SERVICE = 'engines';
+const V1 = {service: SERVICE, softwareVersion: 'v1'};
+const V2 = {service: SERVICE, softwareVersion: 'v2'};
+/** Share of streams taken up that must go on, with a third of the fleet lost. */
+const MIN_KNOWN_SHARE = 0.9;
+
+describe('the mix of software versions', () => {
+  test('is remembered after a version has left', async () => {
+    const timer = new ManualTimer();
+    const versions = new SoftwareVersions(timer);
+    const seen: Array<[string, VersionMix]> = [];
+    const note = (what: string) => seen.push([what, versions.mixOf(SERVICE)]);
+    versions.apply([V1]);
+    note('known for a moment');
+    await timer.advance(30_000);
+    note('known for 30 s');
+    versions.apply([V1, V2]);
+    note('a second version');
+    versions.apply([V2]);
+    note('the first one left');
+    await timer.advance(29_000);
+    note('29 s later');
+    await timer.advance(2_000);
+    note('31 s later');
+    expect(seen).toMatchInlineSnapshot(`
+      [
+        [
+          "known for a moment",
+          "unsettled",
+        ],
+        [
+          "known for 30 s",
+          "sole",
+        ],
+        [
+          "a second version",
+          "mixed",
+        ],
+        [
+          "the first one left",
+          "mixed",
+        ],
+        [
+          "29 s later",
+          "mixed",
+        ],
+        [
+          "31 s later",
+          "sole",
+        ],
+      ]
+    `);
+  });
+
+  test('decides on a stream without record', () => {
+    const mixes = Object.values(VersionMix);
+    const decided = mixes.flatMap(own =>
+      [[], ...mixes.map(other => [other])].map(
+        others =>
+          `${own}, others ${others.join()}: ${concludeWithoutRecord(own, others).type}`,
+      ),
+    );
+    expect(decided).toMatchInlineSnapshot(`
+      [
+        "sole, others : any",
+        "sole, others sole: any",
+        "sole, others unsettled: any",
+        "sole, others mixed: any",
+        "unsettled, others : any",
+        "unsettled, others sole: any",
+        "unsettled, others unsettled: any",
+        "unsettled, others mixed: unknown",
+        "mixed, others : unknown",
+        "mixed, others sole: unknown",
+        "mixed, others unsettled: unknown",
+        "mixed, others mixed: unknown",
+      ]
+    `);
+  });
+});
+
+describe('a fleet that takes up the streams of lost instances', () => {
+  const spec = {seconds: 5, loss: 0.01, lost: 1 / 3};
+
+  test.each([
+    {instances: 3, streamsPerSecond: 20},
+    {instances: 9, streamsPerSecond: 20},
+    {instances: 82, streamsPerSecond: 400},
+  ])('knows their version with $instances instances', async size => {
+    for (const seed of [1, 2, 3]) {
+      const {takenUp, known, wrong} = await runStreamOrigins({
+        ...spec,
+        ...size,
+        seed,
+      });
+      expect(wrong).toBe(0);
+      expect(known / takenUp).toBeGreaterThanOrEqual(MIN_KNOWN_SHARE);
+    }
+  });
+
+  test('goes on with none at another version if most instances are lost', async () => {
+    const {takenUp, known, wrong} = await runStreamOrigins({
+      ...spec,
+      instances: 82,
+      streamsPerSecond: 400,
+      lost: 0.8,
+      seed: 4,
+    });
+    expect(wrong).toBe(0);
+    expect(known).toBeLessThan(takenUp);
+  });
+});
