Tell where streams began at each release, also long after the last one

Found in review. The services whose streams are told were noted when entries changed, and nothing changes when a release has been over for 30 s. At the next one, minutes later, the service still counted as known to be mixed, and its streams of until then weren't told: whoever took one up after its instance had ended got it refused. The state before a change of the entries is looked up now. The test told of one stream of two before.

Keys of streams in messages are bounded at 32 characters; malformed messages change nothing.

--- a/src/origin/originexchange.ts
+++ b/src/origin/originexchange.ts
@@ -35,6 +35,8 @@
 
 /** Tells and finds at which software version streams began. */
 export interface StreamOrigins {
+  /** Whether a service has, or had lately, several software versions. */
+  isMixed(service: string): boolean;
   /** Notes where a stream began that may be taken up until `expiresAt`. */
   note(record: OriginRecord): void;
   /** Finds the origin of a stream that an upstream of `services` began. */
@@ -62,8 +64,6 @@
 export class OriginExchange implements StreamOrigins {
   private readonly log: OriginLog;
   private readonly own: OriginLog;
-  /** Services of several versions, whose streams are told. */
-  private mixed = new Set<string>();
   private untold: OriginRecord[] = [];
   private telling?: Subscription;
   private queryCount = 0;
@@ -80,24 +80,22 @@
   /** Takes all registered upstreams. */
   applyUpstreams(upstreams: Iterable<VersionedUpstream>): void {
     const {versions} = this.parts;
+    const services = [...versions.services()];
+    const mixed = new Set(services.filter(service => this.isMixed(service)));
     versions.apply(upstreams);
-    const mixed = new Set(
-      [...versions.services()].filter(
-        service => versions.mixOf(service) === VersionMix.Mixed,
-      ),
-    );
-    for (const service of mixed) {
-      if (!this.mixed.has(service)) this.tell(this.own.ofService(service));
+    for (const service of versions.services()) {
+      if (mixed.has(service) || !this.isMixed(service)) continue;
+      this.tell(this.own.ofService(service));
     }
-    this.mixed = mixed;
+  }
+
+  isMixed(service: string): boolean {
+    return this.parts.versions.mixOf(service) === VersionMix.Mixed;
   }
 
   note(record: OriginRecord): void {
     this.own.add(record);
-    const {versions} = this.parts;
-    if (versions.mixOf(record.origin.service) === VersionMix.Mixed) {
-      this.tell([record]);
-    }
+    if (this.isMixed(record.origin.service)) this.tell([record]);
   }
 
   async find(key: string, services: readonly string[]): Promise<OriginLookup> {
--- a/src/origin/originmessage.ts
+++ b/src/origin/originmessage.ts
@@ -1,6 +1,9 @@
 import {z} from 'zod';
 import {VersionMix} from './softwareversions.js';
 
+/** See [[streamKey]]. */
+const keySchema = z.string().max(32);
+
 /** Name of the method by which an instance tells where streams began. */
 export const TELL_METHOD = 'streamOrigins';
 
@@ -11,7 +14,7 @@
       service: z.string(),
       softwareVersion: z.string(),
       /** Key of each stream, and time for which it may be taken up, in ms. */
-      streams: z.array(z.tuple([z.string(), z.number().min(0)])),
+      streams: z.array(z.tuple([keySchema, z.number().min(0)])),
     }),
   ),
 });
@@ -23,7 +26,7 @@
 
 /** Parameters of [[FIND_METHOD]]. */
 export const findMessageSchema = z.object({
-  key: z.string(),
+  key: keySchema,
   /** Services whose upstreams may have begun it. */
   services: z.array(z.string()),
 });
--- a/test/streamorigins.test.ts
+++ b/test/streamorigins.test.ts
@@ -1,6 +1,13 @@
+import {err} from 'neverthrow';
+import {pino} from 'pino';
 import {describe, expect, test} from 'vitest';
 import {runStreamOrigins} from '../bench/fleet/streamorigins.js';
-import {SoftwareVersions, VersionMix} from '../src/origin/index.js';
+import {Peers} from '../src/fleet/index.js';
+import {
+  OriginExchange,
+  SoftwareVersions,
+  VersionMix,
+} from '../src/origin/index.js';
 import {concludeWithoutRecord} from '../src/origin/origin.js';
 import {ManualTimer} from '../src/timer/index.js';
 
@@ -85,6 +92,81 @@
   });
 });
 
+test('streams are told of at each release, also long after the last one', async () => {
+  const timer = new ManualTimer();
+  const told: string[] = [];
+  const peers = new Peers(
+    'entry-0',
+    'zone-a',
+    pino({level: 'silent'}),
+    () => 0,
+  );
+  const value = Buffer.from(JSON.stringify({host: 'entry-1', port: 1}));
+  peers.update([{key: 'entry-1', value, offset: 0}]);
+  const origins = new OriginExchange({
+    name: 'entry-0',
+    zone: 'zone-a',
+    peers,
+    datagrams: {
+      broadcast: (_peers, _method, params) => told.push(JSON.stringify(params)),
+      call: () => Promise.resolve(err('none')),
+      handle: () => undefined,
+    },
+    timer,
+    versions: new SoftwareVersions(timer),
+  });
+  const begin = (key: string, {service, softwareVersion}: typeof V1) => {
+    const origin = {service, softwareVersion};
+    origins.note({key, origin, expiresAt: timer.now() + 5_000});
+  };
+  origins.applyUpstreams([V1]);
+  begin('before', V1);
+  origins.applyUpstreams([V1, V2]);
+  await timer.advance(20);
+  origins.applyUpstreams([V2]);
+  await timer.advance(600_000);
+  begin('long after', V2);
+  await timer.advance(20);
+  origins.applyUpstreams([V2, {...V2, softwareVersion: 'v3'}]);
+  await timer.advance(20);
+  expect(told.map(text => /before|long after/.exec(text)?.[0])).toEqual([
+    'before',
+    'long after',
+  ]);
+});
+
+test('malformed messages about streams change nothing', async () => {
+  const timer = new ManualTimer();
+  const handlers = new Map<string, (params: unknown) => unknown>();
+  const origins = new OriginExchange({
+    name: 'entry-0',
+    zone: 'zone-a',
+    peers: new Peers('entry-0', 'zone-a', pino({level: 'silent'}), () => 0),
+    datagrams: {
+      broadcast: () => undefined,
+      call: () => Promise.resolve(err('none')),
+      handle: (method, handler) => handlers.set(method, handler),
+    },
+    timer,
+    versions: new SoftwareVersions(timer),
+  });
+  origins.applyUpstreams([V1, V2]);
+  const long = 'x'.repeat(100_000);
+  const group = {...V2, streams: [['s', 1_000]]};
+  const odd = [
+    ...[undefined, null, 1, 'text', [], {}, {groups: 1}, {key: 1}],
+    {groups: [{...group, streams: [['s', -1]]}]},
+    {groups: [{...group, streams: [[long, 1_000]]}]},
+    {groups: [{...group, softwareVersion: 2}]},
+    {key: long, services: []},
+  ];
+  for (const handle of handlers.values()) {
+    for (const params of odd) expect(handle(params)).toBeUndefined();
+  }
+  expect(origins.gauges()['stream_origins']).toBe(0);
+  expect(await origins.find('s', [SERVICE])).toEqual({type: 'unknown'});
+});
+
 describe('a fleet that takes up the streams of lost instances', () => {
   const spec = {seconds: 5, loss: 0.01, lost: 1 / 3};
 
