Wait for current entries only while versions are mixed

Found in review: with the store away, each stream that is gone on with would wait 0.4 s, longer than some routes allow between events, although its service has one version.

The file of resumable streams has their name.

--- a/src/forward/dependencies.ts
+++ b/src/forward/dependencies.ts
@@ -24,7 +24,7 @@
   /** Newest entry of an upstream; undefined if it isn't registered. */
   entryOf(upstream: string): RegistryEntry | undefined;
   /** Resolves when the entries are current, or the store may be away. */
-  untilEntriesCurrent(): Promise<void>;
+  untilEntriesCurrent: () => Promise<void>;
   observer: ResponseObserver;
   promptGuard: PromptGuard;
   /** Where streams began that callers may take up. */
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -4,7 +4,7 @@
 import type {AttemptResult, BufferedResponse} from './attemptresult.js';
 import {AttemptRunner} from './attemptrunner.js';
 import {bytesOf, readBodyUntil} from './body.js';
-import {ResumableStream, serviceOf} from './continuation.js';
+import {ResumableStream, serviceOf} from './resumablestream.js';
 import {Deadline, StopCause} from './deadline.js';
 import {digestOf} from './digest.js';
 import {rejectionOf, type Ending} from './ending.js';
@@ -190,10 +190,11 @@
       () => this.reply.headersSent,
       isHeld,
     );
+    const {origins, untilEntriesCurrent} = this.dependencies;
     for (;;) {
       // An outdated entry may name the version of an earlier process.
-      if (sink.softwareVersion !== undefined) {
-        await this.dependencies.untilEntriesCurrent();
+      if (sink.softwareVersion !== undefined && origins.isMixed(service.name)) {
+        await untilEntriesCurrent();
       }
       const placementRequest = placementRequestOf(context, {
         arrivedAt: this.tally.arrivedAt,
--- a/src/forward/requestcontext.ts
+++ b/src/forward/requestcontext.ts
@@ -1,6 +1,6 @@
 import {RequestKind, requestPart} from '../quarantine/index.js';
 import type {Route, RoutingTable} from '../route/index.js';
-import type {ResumableStream} from './continuation.js';
+import type {ResumableStream} from './resumablestream.js';
 import type {Deadline} from './deadline.js';
 import {isPauseSensitive, prefillShareOf} from './placement.js';
 import type {PlacementRequest} from './placementrequest.js';
