Let simulated calls and questions by datagram share their exchange

Found in the read-through: the two functions differed in the handler and in how long a message may wait for a link. The tests of the fleet, of permits and of streams' origins pass. Two fields of the exchange of origins got the comment that a newcomer would miss.

--- a/bench/fleet/simulatednetwork.ts
+++ b/bench/fleet/simulatednetwork.ts
@@ -26,6 +26,15 @@
   callHandlers: Map<string, (params: unknown) => Promise<unknown>>;
 }
 
+interface Question {
+  from: Station;
+  to: Station | undefined;
+  params: unknown;
+  timeoutMs: number;
+  /** Time that a message may wait for a link before it is dropped, in ms. */
+  maxWaitMs: number;
+}
+
 /** Messages that were sent and their bytes. */
 export interface Traffic {
   datagrams: number;
@@ -119,31 +128,16 @@
     timeoutMs: number,
   ): Promise<Result<unknown, unknown>> {
     const to = this.stations.get(host);
-    this.traffic.datagrams++;
-    return new Promise(resolve => {
-      from.timer.after(timeoutMs, () => resolve(err({type: 'peerTimeout'})));
-      this.deliver(
-        from,
-        to,
-        JSON.stringify(params),
-        received => {
-          const handler = to?.datagramHandlers.get(method);
-          if (to === undefined || handler === undefined) return;
-          this.traffic.datagrams++;
-          this.deliver(
-            to,
-            from,
-            JSON.stringify(handler(received)),
-            value => resolve(ok(value)),
-            MAX_DATAGRAM_WAIT_MS,
-          );
-        },
-        MAX_DATAGRAM_WAIT_MS,
-      );
-    });
+    const handler = to?.datagramHandlers.get(method);
+    this.traffic.datagrams += handler === undefined ? 1 : 2;
+    const answer = (received: unknown) => Promise.resolve(handler?.(received));
+    return this.exchange(
+      {from, to, params, timeoutMs, maxWaitMs: MAX_DATAGRAM_WAIT_MS},
+      handler === undefined ? undefined : answer,
+    );
   }
 
-  private async call(
+  private call(
     from: Station,
     {host}: InstanceAddress,
     method: string,
@@ -152,17 +146,27 @@
   ): Promise<Result<unknown, unknown>> {
     const to = this.stations.get(host);
     this.traffic.calls++;
+    return this.exchange(
+      {from, to, params, timeoutMs, maxWaitMs: Infinity},
+      to?.callHandlers.get(method),
+    );
+  }
+
+  /** Delivers a question, and what `answer` returns; fails after the time-out. */
+  private exchange(
+    {from, to, params, timeoutMs, maxWaitMs}: Question,
+    answer: ((params: unknown) => Promise<unknown>) | undefined,
+  ): Promise<Result<unknown, unknown>> {
     return new Promise(resolve => {
       from.timer.after(timeoutMs, () => resolve(err({type: 'peerTimeout'})));
-      this.deliver(from, to, JSON.stringify(params), received => {
-        const handler = to?.callHandlers.get(method);
-        if (to === undefined || handler === undefined) return;
-        void handler(received).then(result => {
-          this.deliver(to, from, JSON.stringify(result), value =>
-            resolve(ok(value)),
-          );
+      const receive = (received: unknown) => {
+        if (to === undefined || answer === undefined) return;
+        void answer(received).then(result => {
+          const text = JSON.stringify(result);
+          this.deliver(to, from, text, value => resolve(ok(value)), maxWaitMs);
         });
-      });
+      };
+      this.deliver(from, to, JSON.stringify(params), receive, maxWaitMs);
     });
   }
 
--- a/src/origin/originexchange.ts
+++ b/src/origin/originexchange.ts
@@ -62,7 +62,9 @@
  * doesn't know it asks the holders.
  */
 export class OriginExchange implements StreamOrigins {
+  /** Streams that other instances told of. */
   private readonly log: OriginLog;
+  /** Streams that this instance passes on, or did. */
   private readonly own: OriginLog;
   private untold: OriginRecord[] = [];
   private telling?: Subscription;
