Let the upstream of many streams fall silent once in a test

Traced: the stand-in fell silent for 1.8 s at the third event of each stream, so that streams which don't reach it together met up to four silences in turn, 7.2 s. Nothing was wrong in the gateway. The upstream falls silent once now, while all four are on it, as the title says; the checks and the bound are the same.

--- a/test/silence.test.ts
+++ b/test/silence.test.ts
@@ -22,6 +22,7 @@
   sleep,
   streamOf,
   type Answer,
+  type SilentUpstream,
   type UpstreamGroup,
 } from './support/silentupstream.js';
 
@@ -67,7 +68,17 @@
   });
 
   test('is not cut when many are on that upstream', async () => {
-    const engines = await open('engine', 2, silentStream, stream);
+    // Silences for each of them would add up beyond their deadlines.
+    const silenced = new Set<SilentUpstream>();
+    const silentOnce = streamOf({
+      events: EVENTS,
+      afterEvent: (event, _request, upstream) => {
+        if (event !== 3 || silenced.has(upstream)) return;
+        silenced.add(upstream);
+        upstream.fallSilent(STREAM_SILENCE_MS);
+      },
+    });
+    const engines = await open('engine', 2, silentOnce, stream);
     const gateway = await openGateway([engines]);
     const ids = ['r1', 'r2', 'r3', 'r4'];
     const responses = await Promise.all(ids.map(id => sendStream(gateway, id)));
