Ask an upstream which process it is before a stream goes on there

Callers could get a stream of two software versions: an upstream that had been started again under its id with another version took a stream up before its new entry was read. Cause: the version came from the entry alone, and upstreams check only their id, which was the same.

An upstream reports when its process started. Before anything of a stream is sent on, it is asked on the same connection, and the connection isn't opened anew afterwards. Ruled out: waiting for current entries, as the entry may not be written yet; asking at each new connection, as about half of the attempts at 59 instances open one.

Left: a new stream may begin at such a process.

--- a/bench/soak/upstream.ts
+++ b/bench/soak/upstream.ts
@@ -221,7 +221,7 @@
     // Probes carry no id.
     if (request === '') {
       await this.silence;
-      response.end('{}');
+      response.end(JSON.stringify({born: this.born}));
       return;
     }
     const seal = `${this.name}.${incarnation}.${++this.answers}`;
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -40,6 +40,8 @@
 /** Inputs of [[runAttempt]]. */
 export interface AttemptSpec {
   endpoint: Endpoint;
+  /** The connection to use; by default, one of the endpoint's. */
+  connection?: Connection;
   /** When the upstream was chosen, in monotonic ms. */
   placedAt: number;
   protocol: Protocol;
@@ -89,7 +91,7 @@
     private readonly spec: AttemptSpec,
     private readonly resolve: (result: AttemptResult) => void,
   ) {
-    this.connection = spec.endpoint.connections.acquire();
+    this.connection = spec.connection ?? spec.endpoint.connections.acquire();
   }
 
   send(): void {
@@ -325,6 +327,7 @@
       case 'broken':
       case 'unsent':
       case 'withheld':
+      case 'misplaced':
         this.release(false);
         break;
       case 'refused':
--- a/src/forward/attemptresult.ts
+++ b/src/forward/attemptresult.ts
@@ -40,6 +40,8 @@
   | {type: 'unsent'; cause: string}
   /** It was not sent, since the upstream asked for a pause meanwhile. */
   | {type: 'withheld'}
+  /** It was not sent, since another process may be at the upstream's address. */
+  | {type: 'misplaced'}
   /** The upstream reported that it did not run the request. */
   | {type: 'refused'; status: number}
   /** A complete response that was not passed to the sink. */
--- a/src/forward/attempttally.ts
+++ b/src/forward/attempttally.ts
@@ -51,6 +51,7 @@
       case 'refused':
       case 'unsent':
       case 'withheld':
+      case 'misplaced':
         return;
     }
   }
@@ -97,6 +98,7 @@
     case 'refused':
     case 'unsent':
     case 'withheld':
+    case 'misplaced':
       return false;
   }
 }
--- a/src/forward/connections.ts
+++ b/src/forward/connections.ts
@@ -23,9 +23,14 @@
   /** Whether it has carried a response. */
   hasResponded = false;
   open = true;
+  /** Whether the socket may be opened anew for a request once it was closed. */
+  reopens = true;
+  /** Start of the process at the other end, in Unix ms, if it reported that. */
+  processStartedAt?: number;
   private readonly client: Client;
   /** Whether a part of a response came since bytes were last read. */
   private hasProgressed = false;
+  private hasConnected = false;
 
   constructor(
     origin: string,
@@ -34,14 +39,20 @@
   ) {
     const connector = buildConnector({timeout: CONNECT_TIMEOUT_MS});
     this.client = new Client(origin, {
-      connect: (options, callback) =>
+      connect: (options, callback) => {
+        if (this.hasConnected && !this.reopens) {
+          callback(new ClosedMeanwhile(), null);
+          return;
+        }
         connector({...options, localAddress}, (...result) => {
           if (result[0] === null) {
+            this.hasConnected = true;
             this.watchForReset(result[1]);
             this.watchForBarrenBytes(result[1]);
           }
           callback(...result);
-        }),
+        });
+      },
       pipelining: 1,
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
@@ -110,6 +121,12 @@
   override message = 'too many bytes outside of a head or body';
 }
 
+/** The socket was closed, and another one may lead to another process. */
+class ClosedMeanwhile extends Error {
+  override name = 'ClosedMeanwhile';
+  override message = 'the connection was closed before the request was sent';
+}
+
 /** Idle and new connections of this instance to one upstream. */
 export class ConnectionPool {
   private readonly idle: Connection[] = [];
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -259,6 +259,7 @@
       case 'refused':
       case 'unsent':
       case 'withheld':
+      case 'misplaced':
         break;
     }
     this.tally.recordFailure(result);
--- a/src/forward/index.ts
+++ b/src/forward/index.ts
@@ -15,6 +15,7 @@
 export {SpeedEstimator} from './speedestimator.js';
 export type {LoadView} from './load.js';
 export type {
+  ProcessReport,
   ResponseHead,
   ResponseHeaders,
   RequestMetadata,
--- a/src/forward/protocol.ts
+++ b/src/forward/protocol.ts
@@ -65,6 +65,12 @@
   /** Requests a second from all instances together. */
   {type: 'rate'; perSecond: number} | {type: 'invalid'; text: string};
 
+/** What an upstream reports of its process. */
+export interface ProcessReport {
+  /** Start of the process, in Unix ms; absent if it doesn't report that. */
+  startedAt?: number;
+}
+
 /** Parsed headers of an upstream's response. */
 export interface ResponseHead {
   /** Id of the request that the response belongs to. */
@@ -94,6 +100,8 @@
 export interface Protocol {
   /** Path at which engines respond immediately under any load. */
   readonly probeTarget: string;
+  /** Reads the body of a response to a probe; one that is invalid is empty. */
+  readReport(body: Buffer): ProcessReport;
   readRequest(message: IncomingMessage): RequestHead;
   /** Headers of the request to the upstream: names and values alternate. */
   writeRequest(head: RequestHead, metadata: RequestMetadata): string[];
--- a/src/forward/retry.ts
+++ b/src/forward/retry.ts
@@ -43,6 +43,7 @@
   switch (result.type) {
     case 'unsent':
     case 'withheld':
+    case 'misplaced':
       return Retry.Free;
     case 'refused':
       // Other upstreams would reject the same malformed request.
@@ -78,7 +79,7 @@
 
 /** Cause to report if the request ended after this attempt without running. */
 export function notRunCauseOf(result: AttemptResult): NotRunCause {
-  return result.type === 'unsent'
+  return result.type === 'unsent' || result.type === 'misplaced'
     ? NotRunCause.Unreachable
     : NotRunCause.Refused;
 }
@@ -100,6 +101,7 @@
         : HealthSignal.Good;
     }
     case 'withheld':
+    case 'misplaced':
       return undefined;
     case 'refused':
       return HealthSignal.Full;
--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -2,10 +2,12 @@
 import {runAttempt} from './attempt.js';
 import type {AttemptResult} from './attemptresult.js';
 import {recordHealth} from './attempthealth.js';
+import type {Connection} from './connections.js';
 import type {ForwardDependencies} from './dependencies.js';
 import {StopCause} from './deadline.js';
 import type {Endpoint} from './endpoint.js';
 import type {Placement, PlacementRequest} from './placementrequest.js';
+import {checkProcess, ProcessCheck} from './processcheck.js';
 import type {RequestContext} from './requestcontext.js';
 import {isCrashSign} from './attempttally.js';
 import type {AttemptLoad} from './servicestate.js';
@@ -38,7 +40,7 @@
     private readonly dependencies: ForwardDependencies,
     private readonly context: RequestContext,
     private readonly placement: Placement,
-    placementRequest: PlacementRequest,
+    private readonly placementRequest: PlacementRequest,
     /** Takes the response. */
     readonly sink: AttemptSink,
     private readonly listener: AttemptListener,
@@ -54,6 +56,52 @@
 
   /** Sends the request; a stream continues after the event `lastEvent`. */
   async run(lastEvent?: string): Promise<AttemptResult> {
+    try {
+      const connection = await this.connect();
+      if (connection === undefined) return {type: 'misplaced'};
+      return await this.send(connection, lastEvent);
+    } finally {
+      this.load.end();
+      this.context.service.waitQueue.placeWaiting();
+    }
+  }
+
+  /**
+   * A connection to the upstream; undefined if it may not lead to the process
+   * that must go on with a stream.
+   */
+  private async connect(): Promise<Connection | undefined> {
+    const {dependencies, endpoint} = this;
+    const {protocol, timer} = dependencies;
+    const connection = endpoint.connections.acquire();
+    if (this.placementRequest.softwareVersion === undefined) return connection;
+    // Without a permit for the question, the entry has to be believed.
+    if (!endpoint.limit.take(timer.now())) return connection;
+    const signal = AbortSignal.any([
+      this.context.deadline.signal,
+      this.controller.signal,
+    ]);
+    const check = await checkProcess({
+      endpoint,
+      connection,
+      protocol,
+      timer,
+      signal,
+    });
+    switch (check) {
+      case ProcessCheck.Same:
+      case ProcessCheck.Unknown:
+        return connection;
+      case ProcessCheck.Other:
+        endpoint.connections.release(connection, false);
+        return undefined;
+    }
+  }
+
+  private async send(
+    connection: Connection,
+    lastEvent?: string,
+  ): Promise<AttemptResult> {
     const {context, dependencies, endpoint, sentAt, placement} = this;
     const {listener, sink} = this;
     const {request, deadline, service, route, body, workspace, tier} = context;
@@ -82,12 +130,13 @@
     try {
       const result = await runAttempt({
         endpoint,
+        connection,
         placedAt: sentAt,
         protocol,
         request,
         metadata: {
           upstream: endpoint.id,
-          remainingMs: Math.max(1, Math.floor(deadline.at - sentAt)),
+          remainingMs: Math.max(1, Math.floor(deadline.at - timer.now())),
           ...(workspace === undefined ? {} : {workspace}),
           ...(request.prompt === undefined ? {} : {tier}),
           ...(lastEvent === undefined ? {} : {lastEvent}),
@@ -124,8 +173,6 @@
       return result;
     } finally {
       watchdog?.end();
-      this.load.end();
-      service.waitQueue.placeWaiting();
     }
   }
 
--- a/test/support/versionedengines.ts
+++ b/test/support/versionedengines.ts
@@ -61,6 +61,8 @@
   private readonly entries = new Map<string, object>();
   /** Version that each engine runs. */
   private readonly versions: string[] = [];
+  /** Start of each engine's process, in Unix ms, as it reports. */
+  private readonly starts: number[] = [];
 
   constructor(private readonly interrupt: Interrupt = () => undefined) {
     const configuration = wireConfiguration(1, PATIENCE_MS);
@@ -82,13 +84,15 @@
     const key = `engine-${index}`;
     const port = await engine.listen();
     const entry = wireEntry('engine', port, 1, registered);
+    this.starts.push(version === registered ? entry.born : Date.now() - 1_000);
     this.entries.set(key, entry);
     this.feed.add(Topic.Upstreams, key, entry);
   }
 
-  /** Lets an engine run another version, which its entry doesn't tell. */
-  changeVersion(index: number, version: string): void {
+  /** Starts a process of a version at an engine, which no entry tells. */
+  changeVersion(index: number, version: string, startedAt = Date.now()): void {
     this.versions[index] = version;
+    this.starts[index] = startedAt;
   }
 
   /** Registers a new process at the place of an engine. */
@@ -97,7 +101,7 @@
     // It started before the requests that it has got.
     const born = Date.now() - 1_000;
     const entry = {...this.entries.get(key), version, born};
-    this.changeVersion(index, version);
+    this.changeVersion(index, version, born);
     this.feed.add(Topic.Upstreams, key, entry);
   }
 
@@ -154,7 +158,10 @@
     const untilSpeaks = () => sleep(silence.until - performance.now());
     await untilSpeaks();
     if (id === '') {
-      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n');
+      const report = JSON.stringify({born: this.starts[engine]});
+      socket.write(
+        `HTTP/1.1 200 OK\r\nContent-Length: ${report.length}\r\n\r\n${report}`,
+      );
       return;
     }
     const version = this.versions[engine] ?? '';
