Observe what the head of a report says before a stream goes on

An upstream that is asked for its process may say in that answer that it leaves, that it wants a pause, or which rate it takes. The answer was read for the start of the process only, so a stream could go on there right after such a notice. Its head is observed like that of any other answer now; an attempt placed before a pause is withheld.

--- a/src/forward/processcheck.ts
+++ b/src/forward/processcheck.ts
@@ -3,7 +3,7 @@
 import {ByteCollector} from './bytes.js';
 import type {Connection} from './connections.js';
 import type {Endpoint} from './endpoint.js';
-import type {Protocol} from './protocol.js';
+import type {Protocol, ResponseHead} from './protocol.js';
 
 /** Time within which an upstream must report, in ms. */
 const REPORT_TIMEOUT_MS = 400;
@@ -28,6 +28,8 @@
   timer: Timer;
   /** Breaks the check off. */
   signal: AbortSignal;
+  /** Called with the head of the report. */
+  observe: (head: ResponseHead & {status: number}) => void;
 }
 
 /**
@@ -59,6 +61,7 @@
   protocol,
   timer,
   signal,
+  observe,
 }: ProcessCheckSpec): Promise<{status: number; body: Buffer} | undefined> {
   return new Promise(resolve => {
     let status = 0;
@@ -74,8 +77,9 @@
     signal.addEventListener('abort', onAbort, {once: true});
     const handler: Dispatcher.DispatchHandler = {
       onRequestStart: () => undefined,
-      onResponseStart: (_controller, received) => {
+      onResponseStart: (_controller, received, headers) => {
         status = received;
+        observe({...protocol.readResponse(status, headers), status});
         connection.noteProgress();
         endpoint.lastHeardAt = timer.now();
       },
--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -72,7 +72,7 @@
    */
   private async connect(): Promise<Connection | undefined> {
     const {dependencies, endpoint} = this;
-    const {protocol, timer} = dependencies;
+    const {protocol, timer, observer} = dependencies;
     const connection = endpoint.connections.acquire();
     if (this.placementRequest.softwareVersion === undefined) return connection;
     // Without a permit for the question, the entry has to be believed.
@@ -87,6 +87,9 @@
       protocol,
       timer,
       signal,
+      observe: head => {
+        observer.observe(endpoint, head);
+      },
     });
     switch (check) {
       case ProcessCheck.Same:
--- a/test/processcheck.test.ts
+++ b/test/processcheck.test.ts
@@ -3,6 +3,7 @@
 import {runAttempt} from '../src/forward/attempt.js';
 import {Endpoint} from '../src/forward/endpoint.js';
 import {checkProcess, ProcessCheck} from '../src/forward/processcheck.js';
+import type {ResponseHead} from '../src/forward/index.js';
 import {EntryState} from '../src/registry/index.js';
 import {SystemTimer} from '../src/timer/index.js';
 import {RawUpstream, type RawRequest} from './support/gateway.js';
@@ -35,9 +36,13 @@
   const endpoint = new Endpoint(entry, HOST);
   const connection = endpoint.connections.acquire();
   const {signal} = new AbortController();
+  const heads: ResponseHead[] = [];
+  const observe = (head: ResponseHead) => {
+    heads.push(head);
+  };
   const check = () =>
-    checkProcess({endpoint, connection, protocol, timer, signal});
-  return {upstream, endpoint, connection, signal, check};
+    checkProcess({endpoint, connection, protocol, timer, signal, observe});
+  return {upstream, endpoint, connection, signal, heads, check};
 }
 
 function reportWith(body: string, status = '200 OK') {
@@ -61,6 +66,13 @@
   expect(await check()).toBe(expected);
 });
 
+test('notices in the head of a report are observed', async () => {
+  const notices = '503 Full\r\nServer-Leaving: 1\r\nRetry-After: 2';
+  const {check, heads} = await deploy(reportWith('', notices));
+  await check();
+  expect(heads).toMatchObject([{leaving: true, retryAfter: '2'}]);
+});
+
 test('an upstream without reports is not known', async () => {
   const {check} = await deploy(reportWith('', '404 Not Found'));
   expect(await check()).toBe(ProcessCheck.Unknown);
@@ -81,14 +93,17 @@
 });
 
 test('a request is not sent to the process that follows the one that reported', async () => {
-  const {check, upstream, ...spec} = await deploy(request => {
+  const deployment = await deploy(request => {
     reportWith(`{"born":${STARTED_AT}}`)(request);
     request.socket.end();
   });
+  const {check, upstream, endpoint, connection, signal} = deployment;
   expect(await check()).toBe(ProcessCheck.Same);
   await new Promise(resolve => setTimeout(resolve, 50));
   const result = await runAttempt({
-    ...spec,
+    endpoint,
+    connection,
+    signal,
     placedAt: timer.now(),
     protocol,
     timer,
