Let upstreams of two tests answer the question for their report

Four tests of streams that go on at another upstream failed since: their stand-ins took the question for the report, which precedes a stream that goes on, for the request itself and broke it off or counted it. They answer it by 404 now, as an upstream without reports does.

--- a/test/forward.test.ts
+++ b/test/forward.test.ts
@@ -9,6 +9,7 @@
   successHead,
   type RawRequest,
   type TestGateway,
+  withoutReports,
 } from './support/gateway.js';
 
 const upstreams: RawUpstream[] = [];
@@ -237,8 +238,9 @@
     const length = `Content-Length: ${bytes.length}\r\n`;
     socket.write(`${successHead(id, STREAM + length)}${bytes}`);
   };
-  const one = await openUpstream('engine', 'i-1', serve);
-  const two = await openUpstream('engine', 'i-2', serve);
+  const respond = withoutReports(serve);
+  const one = await openUpstream('engine', 'i-1', respond);
+  const two = await openUpstream('engine', 'i-2', respond);
   const {gateway} = await openGateway([one, two]);
   const answer = await call(gateway.port, '/chat/a', 'r1', {
     method: 'POST',
--- a/test/stream-end.test.ts
+++ b/test/stream-end.test.ts
@@ -7,6 +7,7 @@
   successHead,
   type RawRequest,
   type TestGateway,
+  withoutReports,
 } from './support/gateway.js';
 
 const upstreams: RawUpstream[] = [];
@@ -62,7 +63,7 @@
 ) {
   const entries = [];
   for (const id of ['i-1', 'i-2']) {
-    const upstream = new RawUpstream(respond);
+    const upstream = new RawUpstream(withoutReports(respond));
     upstreams.push(upstream);
     entries.push({service, id, port: await upstream.listen()});
   }
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -124,6 +124,17 @@
   }
 }
 
+/** Answers questions for a report, which the upstream doesn't give, by 404. */
+export function withoutReports(
+  respond: (request: RawRequest) => void,
+): (request: RawRequest) => void {
+  return request => {
+    if (request.text.startsWith('GET /v1/report ')) {
+      request.socket.write('HTTP/1.1 404 \r\nContent-Length: 0\r\n\r\n');
+    } else respond(request);
+  };
+}
+
 /** Head of a successful answer; `more` holds further header lines. */
 export function successHead(id: string, more: string): string {
   return (
