Review case 1: an unreadable address of another writer ends every process

The decoder of registry entries takes any digits for an address. The HTTP client that is built from it throws, the attempt is started without a handler for its error, and the process ends by an unhandled rejection.

--- /dev/null
+++ b/review/lib/gateway.mjs
@@ -0,0 +1,163 @@
+/** Starts the program of the deploy file as a process of its own. */
+import {spawn} from 'node:child_process';
+import {mkdtempSync, openSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {dirname, join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+
+const root = dirname(dirname(dirname(fileURLToPath(import.meta.url))));
+
+export const sleep = ms => new Promise(done => setTimeout(done, ms));
+
+/** A loopback address that other runs don't use at the same time. */
+export function loopback(index) {
+  const {pid} = process;
+  return `127.${20 + (Math.floor(pid / 250) % 200)}.${pid % 250}.${index}`;
+}
+
+/** Bounds of the pages' example deployment. */
+export const BOUNDS = {
+  seedLagS: 3,
+  reuseAfterS: 2,
+  stableWindowMs: 4000,
+  ackMs: 5000,
+  catchUpS: 4,
+  drainMs: 2500,
+  graceS: 8,
+  lossSlackMs: 200,
+  configApplyMs: 2500,
+  downgradeSlackMs: 250,
+  maxStretchMs: 6000,
+  revokeStrict: false,
+  revokeMs: 5000,
+  retryBudgetRatio: 0.2,
+  budgetWindowS: 10,
+  retryBudgetExtra: 54,
+  recoveryS: 12,
+  passMs: 250,
+  retryAfterS: 10,
+};
+
+export class Gateway {
+  constructor(index, storeAddress, {zone = 'zone-a', zones} = {}) {
+    this.name = `front-${zone}-${index}`;
+    this.host = loopback(100 + index);
+    this.folder = mkdtempSync(join(tmpdir(), 'review-'));
+    this.storeAddress = storeAddress;
+    this.zone = zone;
+    this.zones = zones ?? {[zone]: 'region-a'};
+    this.starts = 0;
+    /** Ends of its processes that nobody asked for. */
+    this.ownEnds = [];
+  }
+
+  get port() {
+    return 8227;
+  }
+
+  start() {
+    const settings = {
+      nodeName: this.name,
+      role: 'gateway',
+      machineClass: 'front',
+      serves: ['front'],
+      ip: this.host,
+      zone: this.zone,
+      region: this.zones[this.zone],
+      zones: this.zones,
+      listen: {front: `${this.host}:8227`, ready: `${this.host}:8220`},
+      internalPorts: [7340, 7355],
+      seeds: [],
+      bootstrap: this.starts === 0,
+      lossCounts: false,
+      limits: {
+        cpuShare: 0.675,
+        cores: 1,
+        memoryMb: 350,
+        maxFds: 4100,
+        linkMbps: 1000,
+        diskMb: 0,
+      },
+      dataDir: null,
+      discovery: 'platform',
+      entry: 'vip',
+      heartbeatMs: 1200,
+      contracts: [
+        ...['base', 'drain', 'config', 'cost', 'retry', 'recover', 'engine'],
+        ...['stream', 'tenants', 'platform'],
+      ],
+      faultTolerance: {machines: 2, zones: 0, regions: 0},
+      bounds: BOUNDS,
+      platform: {
+        address: this.storeAddress,
+        form: 'log',
+        writesPerS: 400,
+        readsPerS: 2000,
+        parts: 12,
+        keep_s: 20,
+      },
+    };
+    const file = join(this.folder, 'node.json');
+    writeFileSync(file, JSON.stringify(settings));
+    const log = openSync(join(this.folder, 'log'), 'a');
+    const {PATH, HOME, LANG} = process.env;
+    const child = spawn(
+      'node',
+      ['--max-old-space-size=200', 'target/gypsumcourse.js'],
+      {
+        cwd: root,
+        stdio: ['ignore', log, log],
+        env: {PATH, HOME, LANG, GYPSUMCOURSE_BOOT: file},
+      },
+    );
+    this.starts++;
+    this.child = child;
+    this.isEnding = false;
+    this.exited = new Promise(done => {
+      child.once('exit', (code, signal) => {
+        if (!this.isEnding) {
+          this.ownEnds.push({at: Date.now(), code, signal});
+        }
+        done({code, signal});
+      });
+    });
+  }
+
+  get isRunning() {
+    return this.child?.exitCode === null && this.child.signalCode === null;
+  }
+
+  async ready(limitMs = 15_000) {
+    const until = Date.now() + limitMs;
+    while (Date.now() < until) {
+      const url = `http://${this.host}:8220/v1/readyz`;
+      const isReady = await fetch(url, {
+        signal: AbortSignal.timeout(1_000),
+      }).then(
+        ({status}) => status === 200,
+        () => false,
+      );
+      if (isReady) return true;
+      await sleep(50);
+    }
+    return false;
+  }
+
+  async signal(name) {
+    if (name !== 'SIGSTOP' && name !== 'SIGCONT' && name !== 'SIGHUP') {
+      this.isEnding = true;
+    }
+    this.child.kill(name);
+  }
+
+  async end() {
+    this.isEnding = true;
+    if (this.isRunning) {
+      this.child.kill('SIGCONT');
+      this.child.kill('SIGKILL');
+      await this.exited;
+    }
+    if (!process.env.KEEP) rmSync(this.folder, {recursive: true});
+    else console.log(this.name, this.folder);
+  }
+}
