Review case 3: a machine that reaches no runner stays ready

Readiness depends on the configuration, the list of runners and the holds, not on whether any runner can be reached. A machine that is partitioned from all runners keeps its place in the rotation, and what it takes there fails.

--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -20,6 +20,9 @@
     /** Headers of every answer. */
     this.extraHeaders = {};
     this.arrivals = [];
+    this.sockets = new Set();
+    /** Addresses of machines whose connections are reset. */
+    this.cutFrom = new Set();
   }
 
   async start({port = 0, heartbeatMs = 1_200} = {}) {
@@ -27,6 +30,11 @@
       this.serve(message, response).catch(() => response.destroy());
     });
     this.server.keepAliveTimeout = 15_000;
+    this.server.on('connection', socket => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+      if (this.cutFrom.has(socket.remoteAddress)) socket.resetAndDestroy();
+    });
     await new Promise(done => this.server.listen(port, this.host, done));
     this.port = this.server.address().port;
     this.register();
@@ -52,6 +60,18 @@
     this.store.append('keyed.servers', this.id, value);
   }
 
+  /** Partitions a machine from this runner: its connections are reset. */
+  cut(address) {
+    this.cutFrom.add(address);
+    for (const socket of this.sockets) {
+      if (socket.remoteAddress === address) socket.resetAndDestroy();
+    }
+  }
+
+  heal(address) {
+    this.cutFrom.delete(address);
+  }
+
   remove() {
     clearInterval(this.beat);
     this.store.append('keyed.servers', this.id, undefined);
