--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -42,7 +42,21 @@
     return this;
   }
 
-  register(changes = {}) {
+  register() {
+    this.store.append('keyed.servers', this.id, this.nextEntry());
+  }
+
+  /** A write that the store carries out late, and whose answer is lost. */
+  registerLate(ms, note) {
+    const entry = this.nextEntry();
+    note(`runner ${this.id} wrote ${entry}; its answer was lost`);
+    setTimeout(() => {
+      this.store.append('keyed.servers', this.id, entry);
+      note(`the store carried out the write of ${this.id}: ${entry}`);
+    }, ms);
+  }
+
+  nextEntry() {
     const {service, zone, slots, state, born} = this;
     const entry = {
       service,
@@ -54,10 +68,8 @@
       coldRemainingMs: 0,
       seq: ++this.seq,
       born,
-      ...changes,
     };
-    const value = Buffer.from(JSON.stringify(entry));
-    this.store.append('keyed.servers', this.id, value);
+    return Buffer.from(JSON.stringify(entry));
   }
 
   /** Partitions a machine from this runner: its connections are reset. */
@@ -77,6 +89,12 @@
     this.store.append('keyed.servers', this.id, undefined);
   }
 
+  /** The store removes an entry that nobody has written for so long. */
+  expire(record) {
+    this.store.append('keyed.servers', this.id, undefined);
+    record.note(`the entry of ${this.id} expired`);
+  }
+
   stop() {
     clearInterval(this.beat);
     this.server.close();
