--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -12,7 +12,9 @@
 import {openStream, streamOf} from '../lib/stream.mjs';
 
 const MACHINES = 3;
-const STREAMS = 18;
+const STREAMS = 24;
+/** Pause between two runners of the release. */
+const RELEASE_GAP_MS = 1_000;
 const EVENTS = 50;
 const EVENT_PAUSE_MS = 200;
 /** A client's longest gap: two seconds, or eight times the pause of 300 ms. */
@@ -79,6 +81,9 @@
     await startRunner('i-0', 0, 'v1'),
     await startRunner('i-1', 1, 'v1'),
   ];
+  // The first half of the service was replaced before.
+  await startRunner('i-2', 2, 'v2');
+  await startRunner('i-3', 3, 'v2');
   for (let index = 0; index < MACHINES; index++) {
     const gateway = new Gateway(index, address);
     gateway.start();
@@ -93,13 +98,13 @@
     openStream(proxies[index % MACHINES], `/spec/${index}`),
   );
   await sleep(1_000);
-  record.note('a release to version v2 begins');
-  await startRunner('i-2', 2, 'v2');
-  await startRunner('i-3', 3, 'v2');
-  await sleep(1_000);
-  for (const runner of old) runner.remove();
-  record.note('the entries of version v1 are removed; its runners serve on');
-  await sleep(1_500);
+  record.note('a release replaces the second half by version v2');
+  for (const [index, runner] of old.entries()) {
+    await startRunner(`i-${4 + index}`, 4 + index, 'v2');
+    runner.remove();
+    record.note(`the entry of ${runner.id} is removed; it serves on`);
+    await sleep(RELEASE_GAP_MS);
+  }
   if (streams.some(({events}) => events.length === 0)) return undefined;
   if (TROUBLE) {
     record.note('all machines lose power');
@@ -118,7 +123,10 @@
   }
   const versions = await Promise.all(streams.map(takeUp));
   const mixed = versions.filter(({size}) => size > 1).length;
-  const summary = `${mixed} of ${STREAMS} streams hold events of two versions`;
+  const begun = streams.filter(stream => stream.versions.has('v1')).length;
+  const summary =
+    `${mixed} streams hold events of two versions, ` +
+    `of ${begun} that began at v1`;
   record.note(summary);
   console.log(summary);
   return mixed <= MOST_MIXED;
--- a/review/lib/gateway.mjs
+++ b/review/lib/gateway.mjs
@@ -7,6 +7,14 @@
 
 const root = dirname(dirname(dirname(fileURLToPath(import.meta.url))));
 
+/** Processes that run; none is left behind, however a case ends. */
+const children = new Set();
+process.on('exit', () => {
+  for (const child of children) child.kill('SIGKILL');
+});
+process.once('SIGINT', () => process.exit(2));
+process.once('SIGTERM', () => process.exit(2));
+
 export const sleep = ms => new Promise(done => setTimeout(done, ms));
 
 /** A loopback address that other runs don't use at the same time. */
@@ -111,6 +119,8 @@
       },
     );
     this.starts++;
+    children.add(child);
+    child.once('exit', () => children.delete(child));
     this.child = child;
     this.isEnding = false;
     this.exited = new Promise(done => {
--- a/review/lib/stream.mjs
+++ b/review/lib/stream.mjs
@@ -24,6 +24,11 @@
   };
 }
 
+/** Id of the shared part of a stream's prompt; another for each path. */
+function partOf(path) {
+  return Buffer.from(path).toString('hex').slice(-8);
+}
+
 /**
  * Opens a stream. `onEvent` is called with the id of each event; the returned
  * object tells what came, and `leave` closes the connection.
@@ -54,7 +59,7 @@
           'x-deadline-ms': '12000',
           'x-model': 'm',
           'x-token-counts': '1460,160',
-          'x-prompt-prefix': `5c1e07a2:800,${stream.id.slice(-8)}:660`,
+          'x-prompt-prefix': `${partOf(path)}:800,${stream.id.slice(-8)}:660`,
           ...(lastEvent === undefined ? {} : {'last-event-id': lastEvent}),
           ...(resumes === undefined ? {} : {resumes}),
         },
