--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -95,7 +95,9 @@
   await sleep(BOUNDS.stableWindowMs);
   if (TROUBLE) {
     for (const [key, value] of Object.entries(foreignEntries())) {
-      record.note(`another writer wrote servers/${key}: ${value}`);
+      const isText = value[0] === '{'.charCodeAt(0);
+      const text = value.toString(isText ? 'utf8' : 'hex');
+      record.note(`another writer wrote servers/${key}: ${text}`);
       store.append('keyed.servers', key, value);
     }
   }
