--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -310,6 +310,7 @@
   graceMs: number,
   instance = 'entry-1',
   retryRatio = 0.2,
+  {host, zone} = {host: HOST, zone: 'zone-a'},
 ): Promise<Omit<TestGateway, 'feed'>> {
   const logLines: Array<Record<string, unknown>> = [];
   const logger = pino(
@@ -319,9 +320,9 @@
   const gateway = await startGateway(
     {
       instance,
-      host: HOST,
-      zone: 'zone-a',
-      regions: {'zone-a': 'region-a'},
+      host,
+      zone,
+      regions: {'zone-a': 'region-a', 'zone-b': 'region-a'},
       callerAddress: {host: HOST, port: 0},
       linkBytesPerSecond: 125_000_000,
       readinessAddress: {host: HOST, port: 0},
