--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -140,7 +140,7 @@
     if (this.settled) return;
     const {protocol, request, endpoint, timer, sink} = this.spec;
     const now = timer.now();
-    endpoint.lastHeardAt = now;
+    endpoint.noteHeard(this.connection.path, now);
     const framed =
       headers['content-length'] !== undefined ||
       headers['transfer-encoding'] !== undefined;
@@ -191,7 +191,8 @@
       }
     }
     if (this.settled) return;
-    this.spec.endpoint.lastHeardAt = this.spec.timer.now();
+    const {endpoint, timer} = this.spec;
+    endpoint.noteHeard(this.connection.path, timer.now());
     if (!this.deliveryStarted) {
       if (this.answered) this.spec.received?.();
       this.buffered.push(chunk);
--- a/src/forward/attempthealth.ts
+++ b/src/forward/attempthealth.ts
@@ -1,4 +1,5 @@
 import {LogEvent} from '../telemetry/logevent.js';
+import {Path} from '../relay/index.js';
 import type {AttemptResult} from './attemptresult.js';
 import type {ForwardDependencies} from './dependencies.js';
 import type {Endpoint} from './endpoint.js';
@@ -6,15 +7,29 @@
 import {HealthSignal} from './health.js';
 import {healthSignalOf} from './retry.js';
 
+/**
+ * Whether an attempt shows the health of its upstream. By a direct connection it
+ * may show no more than that the own links are cut.
+ */
+function showsHealth(
+  {reachesDirectly}: ForwardDependencies,
+  endpoint: Endpoint,
+  path: Path,
+): boolean {
+  return path === Path.Relayed || reachesDirectly(endpoint);
+}
+
 /** Updates the health of an upstream after an attempt. */
 export function recordHealth(
   dependencies: ForwardDependencies,
   context: RequestContext,
   endpoint: Endpoint,
   result: AttemptResult,
+  path: Path,
 ): void {
   const sign = healthSignalOf(result);
   if (context.deadline.signal.aborted || sign === undefined) return;
+  if (!showsHealth(dependencies, endpoint, path)) return;
   const now = dependencies.timer.now();
   const outMs = endpoint.health.observe(sign, now);
   if (outMs === undefined) return;
@@ -27,9 +42,11 @@
   dependencies: ForwardDependencies,
   context: RequestContext,
   endpoint: Endpoint,
+  path: Path,
 ): void {
   const now = dependencies.timer.now();
   if (endpoint.health.isEjected(now)) return;
+  if (!showsHealth(dependencies, endpoint, path)) return;
   const outMs = endpoint.health.eject(now);
   logEjection(dependencies, context, endpoint, {silent: true, outMs});
 }
--- a/src/forward/attemptrunner.ts
+++ b/src/forward/attemptrunner.ts
@@ -1,4 +1,5 @@
 import {processAt} from '../registry/index.js';
+import {Path} from '../relay/index.js';
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Subscription} from '../timer/index.js';
 import type {AttemptResult} from './attemptresult.js';
@@ -149,7 +150,8 @@
     if (!this.isReplaceable()) return;
     const {dependencies, context} = this;
     if (silence === Silence.Upstream) {
-      recordSilence(dependencies, context, endpoint);
+      const path = this.current?.path ?? Path.Direct;
+      recordSilence(dependencies, context, endpoint, path);
     }
     const request = placementRequestOf(context, {
       arrivedAt: this.tally.arrivedAt,
--- a/src/forward/connections.ts
+++ b/src/forward/connections.ts
@@ -1,8 +1,13 @@
 import type {Socket} from 'node:net';
-import {buildConnector, Client, type Dispatcher} from 'undici';
+import {Client, type Dispatcher} from 'undici';
+import {
+  Path,
+  RelayFailure,
+  type DialCallback,
+  type UpstreamAddress,
+  type UpstreamDialer,
+} from '../relay/index.js';
 
-/** Longest time to open a connection, in ms. */
-const CONNECT_TIMEOUT_MS = 800;
 /**
  * An idle connection is no longer used this long before the upstream's
  * announced keep-alive time-out, in ms.
@@ -25,6 +30,8 @@
   open = true;
   /** Whether the socket may be opened anew for a request once it was closed. */
   reopens = true;
+  /** By which way it leads to the upstream, once it is open. */
+  path = Path.Direct;
   /** Start of the process at the other end, in Unix ms, if it reported that. */
   processStartedAt?: number;
   private readonly client: Client;
@@ -33,24 +40,30 @@
   private hasConnected = false;
 
   constructor(
-    origin: string,
-    localAddress: string,
+    private readonly upstream: UpstreamAddress,
+    private readonly dialer: UpstreamDialer,
+    /** Opens its socket. */
+    dial: (upstream: UpstreamAddress, callback: DialCallback) => void,
     private readonly onClose: (connection: Connection) => void,
   ) {
-    const connector = buildConnector({timeout: CONNECT_TIMEOUT_MS});
-    this.client = new Client(origin, {
-      connect: (options, callback) => {
+    this.client = new Client(`http://${upstream.host}:${upstream.port}`, {
+      connect: (_options, callback) => {
         if (this.hasConnected && !this.reopens) {
           callback(new ClosedMeanwhile(), null);
           return;
         }
-        connector({...options, localAddress}, (...result) => {
-          if (result[0] === null) {
-            this.hasConnected = true;
-            this.watchForReset(result[1]);
-            this.watchForBarrenBytes(result[1]);
+        dial(upstream, result => {
+          if (result.isErr()) {
+            this.path = pathOf(result.error);
+            callback(result.error, null);
+            return;
           }
-          callback(...result);
+          const {socket, path} = result.value;
+          this.path = path;
+          this.hasConnected = true;
+          this.watchForReset(socket);
+          this.watchForBarrenBytes(socket);
+          callback(null, socket);
         });
       },
       pipelining: 1,
@@ -82,6 +95,7 @@
   /** Notes that a head or bytes of a body were received. */
   noteProgress(): void {
     this.hasProgressed = true;
+    if (this.path === Path.Direct) this.dialer.noteBytes(this.upstream);
   }
 
   /**
@@ -104,8 +118,10 @@
    * reset for the complete body, so resets are recorded from the socket.
    */
   private watchForReset(socket: Socket): void {
+    const {path} = this;
     socket.on('error', () => {
       this.reset = true;
+      if (path === Path.Direct) this.dialer.noteFailure(this.upstream);
     });
     // A reset that is read together with the last bytes ends the socket like a
     // close. Only a socket that was reset has no remote address then.
@@ -115,6 +131,13 @@
   }
 }
 
+/** By which way a connection was tried that could not be opened. */
+function pathOf(error: Error): Path {
+  return error instanceof RelayFailure && error.code !== ''
+    ? Path.Relayed
+    : Path.Direct;
+}
+
 /** The upstream sent too many bytes that belong to no response. */
 class BarrenBytes extends Error {
   override name = 'BarrenBytes';
@@ -135,31 +158,56 @@
   opened = 0;
 
   constructor(
-    private readonly origin: string,
-    readonly localAddress: string,
+    private readonly upstream: UpstreamAddress,
+    private readonly dialer: UpstreamDialer,
   ) {}
 
   /** Returns the most recently used idle connection, or a new one. */
   acquire(): Connection {
+    if (!this.dialer.trustsIdle(this.upstream)) return this.open();
     return this.idle.pop() ?? this.open();
   }
 
-  /** Returns a connection to the pool; it is destroyed unless `intact`. */
+  /**
+   * Returns a connection to the pool; it is destroyed unless `intact`. One that
+   * a peer relays is not kept, since it would be lost when the peer stops.
+   */
   release(connection: Connection, intact: boolean): void {
-    if (intact && connection.open && !this.retired) this.idle.push(connection);
+    const isKept =
+      intact &&
+      connection.open &&
+      connection.path === Path.Direct &&
+      !this.retired;
+    if (isKept) this.idle.push(connection);
     else connection.destroy();
   }
 
+  /** Closes idle connections. */
+  closeIdle(): void {
+    for (const connection of this.idle.splice(0)) connection.destroy();
+  }
+
   /** Closes idle connections now and busy ones after their requests. */
   retire(): void {
     this.retired = true;
-    for (const connection of this.idle.splice(0)) connection.destroy();
+    this.closeIdle();
   }
 
   /** Creates a connection outside the idle list. */
   open(): Connection {
+    return this.create((...args) => this.dialer.dial(...args));
+  }
+
+  /** Creates a direct connection outside the idle list. */
+  openDirectly(): Connection {
+    return this.create((...args) => this.dialer.dialDirectly(...args));
+  }
+
+  private create(
+    dial: (upstream: UpstreamAddress, callback: DialCallback) => void,
+  ): Connection {
     this.opened++;
-    return new Connection(this.origin, this.localAddress, connection => {
+    return new Connection(this.upstream, this.dialer, dial, connection => {
       const index = this.idle.indexOf(connection);
       if (index < 0) return;
       this.idle.splice(index, 1);
--- a/src/forward/dependencies.ts
+++ b/src/forward/dependencies.ts
@@ -1,5 +1,6 @@
 import type {Logger} from 'pino';
 import type {StreamOrigins} from '../origin/index.js';
+import type {Path} from '../relay/index.js';
 import type {RegistryEntry} from '../registry/index.js';
 import type {Routing} from '../route/index.js';
 import type {Timer} from '../timer/index.js';
@@ -20,7 +21,14 @@
   /** Source of randomness in [0, 1). */
   random: () => number;
   /** Whether a silent upstream answers a probe on another connection. */
-  isAlive(endpoint: Endpoint): Promise<boolean>;
+  isAlive(endpoint: Endpoint, path: Path): Promise<boolean>;
+  /**
+   * Whether this instance reaches an upstream without a peer, as far as known.
+   * If not, failures may be due to its own links.
+   */
+  reachesDirectly: (endpoint: Endpoint) => boolean;
+  /** Called when an upstream sends nothing on a direct connection. */
+  noteSilence(endpoint: Endpoint): void;
   /** Newest entry of an upstream; undefined if it isn't registered. */
   entryOf(upstream: string): RegistryEntry | undefined;
   /** Resolves when the entries are current, or the store may be away. */
--- a/src/forward/endpoint.ts
+++ b/src/forward/endpoint.ts
@@ -1,7 +1,9 @@
 import type {RegistryEntry} from '../registry/index.js';
+import {Path, type UpstreamDialer} from '../relay/index.js';
 import type {Engine} from '../route/index.js';
 import {PromptCacheModel} from './promptcache.js';
 import {ConnectionPool} from './connections.js';
+import {DirectDialer} from './directdialer.js';
 import {Health} from './health.js';
 import {OwnLoad} from './load.js';
 import {Pause, type Trial} from './pause.js';
@@ -16,27 +18,43 @@
   readonly ownLoad = new OwnLoad();
   /** Prompt cache estimate; absent unless the upstream is an engine. */
   promptCache?: PromptCacheModel;
-  /** When the upstream last sent data on any connection, in monotonic ms. */
-  lastHeardAt = -Infinity;
+  /** When the upstream last sent data, in monotonic ms. */
+  private readonly heardAt: Record<Path, number> = {
+    [Path.Direct]: -Infinity,
+    [Path.Relayed]: -Infinity,
+  };
 
   constructor(
     public entry: RegistryEntry,
-    localAddress: string,
+    readonly localAddress: string,
     /** The pause that its process asked for, if any. */
     readonly pause = new Pause(),
     /** The rate that its process declares, if any. */
     readonly limit = new RateLimit(),
+    dialer: UpstreamDialer = new DirectDialer(localAddress),
   ) {
-    this.connections = new ConnectionPool(
-      `http://${entry.host}:${entry.port}`,
-      localAddress,
-    );
+    const {id, service, host, port} = entry;
+    this.connections = new ConnectionPool({id, service, host, port}, dialer);
   }
 
   get id(): string {
     return this.entry.id;
   }
 
+  noteHeard(path: Path, now: number): void {
+    this.heardAt[path] = now;
+  }
+
+  /** When it last sent data on connections of one way, in monotonic ms. */
+  lastHeardBy(path: Path): number {
+    return this.heardAt[path];
+  }
+
+  /** When it last sent data on any connection, in monotonic ms. */
+  get lastHeardAt(): number {
+    return Math.max(...Object.values(this.heardAt));
+  }
+
   /** Sets the cache capacity if the upstream is an engine. */
   configure(engine: Engine | undefined): void {
     if (engine === undefined) return;
--- a/src/forward/endpoints.ts
+++ b/src/forward/endpoints.ts
@@ -3,6 +3,7 @@
   isSameProcess,
   type RegistryEntry,
 } from '../registry/index.js';
+import type {UpstreamAddress, UpstreamDialer} from '../relay/index.js';
 import type {RoutingTable} from '../route/index.js';
 import type {
   LeavingUpstream,
@@ -28,7 +29,11 @@
   /** Rates declared, kept beyond the removal of an entry. */
   private readonly limits = new ProcessMap<RateLimit>();
 
-  constructor(private readonly localAddress: string) {}
+  /** Without `dialer`, connections to upstreams are direct. */
+  constructor(
+    private readonly localAddress: string,
+    private readonly dialer?: UpstreamDialer,
+  ) {}
 
   /**
    * Upstreams of a service that accept new requests. If there are none, those
@@ -91,6 +96,38 @@
     return all.filter(({entry}) => this.leaveNotices.covers(entry)).length;
   }
 
+  /** Ids of all known upstreams of a service. */
+  idsOf(service: string): string[] {
+    return [...this.byId.values()]
+      .filter(({entry}) => entry.service === service)
+      .map(({id}) => id);
+  }
+
+  /** The known upstream of an id. */
+  get(id: string): Endpoint | undefined {
+    return this.byId.get(id);
+  }
+
+  /** The known upstream that listens at an address. */
+  addressed(host: string, port: number): UpstreamAddress | undefined {
+    for (const {entry} of this.byId.values()) {
+      if (entry.host === host && entry.port === port) return entry;
+    }
+    return undefined;
+  }
+
+  /**
+   * Drops what own connections showed of the upstreams of a service: idle
+   * connections, and failures.
+   */
+  discardLinks(service: string): void {
+    for (const {entry, connections, health} of this.byId.values()) {
+      if (entry.service !== service) continue;
+      connections.closeIdle();
+      health.clear();
+    }
+  }
+
   /** All known upstreams, whatever their state. */
   all(): Iterable<Endpoint> {
     return this.byId.values();
@@ -159,7 +196,7 @@
     const limit = this.limits.get(entry);
     this.byId.set(
       entry.id,
-      new Endpoint(entry, this.localAddress, pause, limit),
+      new Endpoint(entry, this.localAddress, pause, limit, this.dialer),
     );
   }
 
--- a/src/forward/health.ts
+++ b/src/forward/health.ts
@@ -60,6 +60,14 @@
     return now < this.ejectedUntil;
   }
 
+  /** Forgets all failures. */
+  clear(): void {
+    this.failureShare = 0;
+    this.consecutiveFailures = 0;
+    this.ejections = 0;
+    this.ejectedUntil = -Infinity;
+  }
+
   isFull(now: number): boolean {
     return now < this.fullUntil;
   }
--- a/src/forward/index.ts
+++ b/src/forward/index.ts
@@ -6,6 +6,7 @@
 export type {Address} from './listener.js';
 export {ForwardMetrics} from './metrics.js';
 export type {ForwardDependencies} from './dependencies.js';
+export {DirectDialer} from './directdialer.js';
 export {LivenessProber} from './liveness.js';
 export {PromptGuard} from './promptguard.js';
 export type {Endpoint} from './endpoint.js';
--- a/src/forward/liveness.ts
+++ b/src/forward/liveness.ts
@@ -1,6 +1,7 @@
 import {connect} from 'node:net';
 import type {Dispatcher} from 'undici';
 import type {Timer} from '../timer/index.js';
+import {Path} from '../relay/index.js';
 import type {Connection} from './connections.js';
 import type {Endpoint} from './endpoint.js';
 import type {Protocol, ResponseHead} from './protocol.js';
@@ -11,8 +12,10 @@
 
 /** What a probe shows of an upstream. */
 export enum ProbeResult {
-  /** It responded, or closed the connection after it had accepted it. */
+  /** It responded, or could not be asked and accepted a connection. */
   Alive = 'alive',
+  /** It closed the connection after it had accepted it. */
+  Closed = 'closed',
   /** Its address refuses connections: no process listens there. */
   Refused = 'refused',
   /** There was no response in time. */
@@ -21,7 +24,10 @@
 
 /** Probes whether upstreams are alive; at most one probe each at a time. */
 export class LivenessProber {
-  private readonly pendingProbes = new Map<Endpoint, Promise<ProbeResult>>();
+  private readonly pendingProbes: Record<
+    Path,
+    Map<Endpoint, Promise<ProbeResult>>
+  > = {[Path.Direct]: new Map(), [Path.Relayed]: new Map()};
 
   constructor(
     private readonly timer: Timer,
@@ -33,30 +39,40 @@
    * Whether an upstream responds to a probe on a new connection, or closes the
    * connection, as one that has too many does. One that asked for a pause is
    * probed once during it, and else taken to be alive. One whose declared rate
-   * admits no request is alive if it accepts a connection.
+   * admits no request is alive if it accepts a connection. With
+   * `Path.Relayed`, the probe may pass through another instance.
    */
-  async isAlive(endpoint: Endpoint): Promise<boolean> {
-    return (await this.probe(endpoint)) === ProbeResult.Alive;
+  async isAlive(endpoint: Endpoint, path = Path.Direct): Promise<boolean> {
+    return showsLife(await this.probe(endpoint, path));
   }
 
-  /** Probes an upstream; see [[isAlive]]. */
-  probe(endpoint: Endpoint): Promise<ProbeResult> {
-    const pending = this.pendingProbes.get(endpoint);
+  /** Whether an upstream responds directly; one in a pause isn't asked. */
+  async answers(endpoint: Endpoint): Promise<boolean> {
+    const isPaused = endpoint.pause.remainingMs(this.timer.now()) > 0;
+    const result = await (isPaused
+      ? this.connect(endpoint)
+      : this.probe(endpoint));
+    return result === ProbeResult.Alive;
+  }
+
+  /** Probes an upstream, by default directly; see [[isAlive]]. */
+  probe(endpoint: Endpoint, path = Path.Direct): Promise<ProbeResult> {
+    const pendingProbes = this.pendingProbes[path];
+    const pending = pendingProbes.get(endpoint);
     if (pending !== undefined) return pending;
     if (!endpoint.pause.admitProbe(this.timer.now())) {
       return Promise.resolve(ProbeResult.Alive);
     }
     const mayAsk = endpoint.limit.take(this.timer.now());
-    const probe = mayAsk ? this.send(endpoint) : this.connect(endpoint);
-    const result = probe.finally(() => this.pendingProbes.delete(endpoint));
-    this.pendingProbes.set(endpoint, result);
+    const probe = mayAsk ? this.send(endpoint, path) : this.connect(endpoint);
+    const result = probe.finally(() => pendingProbes.delete(endpoint));
+    pendingProbes.set(endpoint, result);
     return result;
   }
 
   /** Opens a connection, and closes it without a request. */
-  private connect({entry, connections}: Endpoint): Promise<ProbeResult> {
+  private connect({entry, localAddress}: Endpoint): Promise<ProbeResult> {
     const {host, port} = entry;
-    const {localAddress} = connections;
     return new Promise(resolve => {
       const socket = connect({host, port, localAddress});
       const finish = (result: ProbeResult) => {
@@ -74,8 +90,10 @@
     });
   }
 
-  private send(endpoint: Endpoint): Promise<ProbeResult> {
-    const connection = endpoint.connections.open();
+  private send(endpoint: Endpoint, path: Path): Promise<ProbeResult> {
+    const {connections} = endpoint;
+    const connection =
+      path === Path.Direct ? connections.openDirectly() : connections.open();
     return new Promise(resolve => {
       let finished = false;
       const finish = (result: ProbeResult) => {
@@ -84,8 +102,8 @@
         finished = true;
         timeout.end();
         connection.destroy();
-        if (result === ProbeResult.Alive) {
-          endpoint.lastHeardAt = this.timer.now();
+        if (showsLife(result)) {
+          endpoint.noteHeard(connection.path, this.timer.now());
         }
         resolve(result);
       };
@@ -99,6 +117,11 @@
   }
 }
 
+/** Whether a process listens at the address of an upstream. */
+export function showsLife(result: ProbeResult): boolean {
+  return result === ProbeResult.Alive || result === ProbeResult.Closed;
+}
+
 /** What a connection shows that could not be opened. */
 function resultOf({code}: NodeJS.ErrnoException): ProbeResult {
   return code === 'ECONNREFUSED' ? ProbeResult.Refused : ProbeResult.Silent;
@@ -122,7 +145,7 @@
     onResponseData: () => undefined,
     onResponseEnd: () => undefined,
     onResponseError: (_controller, error: NodeJS.ErrnoException) => {
-      finish(connected ? ProbeResult.Alive : resultOf(error));
+      finish(connected ? ProbeResult.Closed : resultOf(error));
     },
   };
   connection.dispatch({method: 'GET', path: protocol.probeTarget}, handler);
--- a/src/forward/processcheck.ts
+++ b/src/forward/processcheck.ts
@@ -81,7 +81,7 @@
         status = received;
         observe({...protocol.readResponse(status, headers), status});
         connection.noteProgress();
-        endpoint.lastHeardAt = timer.now();
+        endpoint.noteHeard(connection.path, timer.now());
       },
       onResponseData: (controller, chunk) => {
         connection.noteProgress();
--- a/src/forward/promptguard.ts
+++ b/src/forward/promptguard.ts
@@ -11,7 +11,7 @@
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Timer} from '../timer/index.js';
 import type {Endpoint} from './endpoint.js';
-import {ProbeResult, type LivenessProber} from './liveness.js';
+import {ProbeResult, showsLife, type LivenessProber} from './liveness.js';
 
 /** Times after the first broken answer at which an upstream is probed, in ms. */
 const PROBE_DELAYS_MS = [30, 300, 1_000];
@@ -140,7 +140,7 @@
       const result = await probes.probe(endpoint);
       // Connections to plain services are reset for many reasons.
       const isPlain = !answers.some(({parts}) => hasPromptParts(parts));
-      if (result === ProbeResult.Alive && isPlain) break;
+      if (showsLife(result) && isPlain) break;
       if (result !== ProbeResult.Refused) continue;
       // One that drains may end while it still answers.
       if (state === EntryState.Ready) this.report(endpoint, answers);
--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -1,3 +1,4 @@
+import {Path} from '../relay/index.js';
 import {Repetition} from '../route/index.js';
 import {runAttempt} from './attempt.js';
 import type {AttemptResult} from './attemptresult.js';
@@ -33,6 +34,7 @@
   readonly endpoint: Endpoint;
   private readonly load: AttemptLoad;
   private readonly controller = new AbortController();
+  private connection?: Connection;
   /** Whether the head of an answer has come. */
   private hasStarted = false;
 
@@ -101,10 +103,16 @@
     }
   }
 
+  /** By which way the request was sent. */
+  get path(): Path {
+    return this.connection?.path ?? Path.Direct;
+  }
+
   private async send(
     connection: Connection,
     lastEvent?: string,
   ): Promise<AttemptResult> {
+    this.connection = connection;
     const {context, dependencies, endpoint, sentAt, placement} = this;
     const {listener, sink} = this;
     const {request, deadline, service, route, body, workspace, tier} = context;
@@ -115,17 +123,24 @@
     }
     const {promptGuard} = dependencies;
     const isRetryable = route.repetition !== Repetition.AtMostOnce;
-    const watchdog = isRetryable
+    // Silence during any request may mean that the links to upstreams are cut.
+    const isWatched = isRetryable || !route.streaming;
+    const watchdog = isWatched
       ? new SilenceWatchdog({
           timer,
           endpoint,
+          connection,
           route,
           prefillMs: placement.prefillMs,
-          isReplaceable: () => listener.isReplaceable(),
-          isAlive: () => dependencies.isAlive(endpoint),
+          isReplaceable: () => !isRetryable || listener.isReplaceable(),
+          isAlive: () => dependencies.isAlive(endpoint, connection.path),
           overdueMs: () => service.starts.overdueMs(route.name),
-          onSilence: (silence, silentMs) =>
-            listener.onSilence(silence, silentMs),
+          onSilence: (silence, silentMs) => {
+            if (connection.path === Path.Direct) {
+              dependencies.noteSilence(endpoint);
+            }
+            if (isRetryable) listener.onSilence(silence, silentMs);
+          },
         })
       : undefined;
     // A request that must not be retried runs to its end without its caller.
@@ -161,7 +176,8 @@
         observe: head => observer.observe(endpoint, head, placement.trial),
       });
       if (!this.controller.signal.aborted) {
-        recordHealth(dependencies, context, endpoint, result);
+        const {path} = connection;
+        recordHealth(dependencies, context, endpoint, result, path);
       }
       const isWhole = result.type === 'whole' || result.type === 'delivered';
       if (isWhole) promptGuard.recordAnswer(parts);
--- a/src/forward/watchdog.ts
+++ b/src/forward/watchdog.ts
@@ -1,5 +1,6 @@
 import type {Route} from '../route/index.js';
 import type {Subscription, Timer} from '../timer/index.js';
+import type {Connection} from './connections.js';
 import type {Endpoint} from './endpoint.js';
 
 /** Period of the check for silence, in ms. */
@@ -17,6 +18,8 @@
 export interface SilenceWatchdogSpec {
   timer: Timer;
   endpoint: Endpoint;
+  /** Connection of the request. */
+  connection: Pick<Connection, 'path'>;
   route: Route;
   /** Estimated prefill time of the prompt, in ms. */
   prefillMs: number;
@@ -128,9 +131,13 @@
     this.spec.onSilence(Silence.Upstream, now - this.heardAt());
   }
 
-  /** When the upstream last sent anything, or was sent the request. */
+  /**
+   * When the upstream last sent anything by the way of this request, or was sent
+   * the request.
+   */
   private heardAt(): number {
-    return Math.max(this.startedAt, this.spec.endpoint.lastHeardAt);
+    const {endpoint, connection} = this.spec;
+    return Math.max(this.startedAt, endpoint.lastHeardBy(connection.path));
   }
 
   private limitMs(): number {
--- a/src/instance/peerrpc.ts
+++ b/src/instance/peerrpc.ts
@@ -19,6 +19,7 @@
 import {TrafficMeter, meteredConnector} from '../platform/index.js';
 import {MAC_HEADER, type Credential} from './credential.js';
 import {tlsClientOptions, tlsServerOptions, type TlsFiles} from './peertls.js';
+import {serveTunnel, type TunnelHandler} from './peertunnel.js';
 
 /** HTTP path of the JSON-RPC endpoint. */
 const RPC_PATH = '/rpc';
@@ -86,6 +87,18 @@
     this.rpc.addMethod(method, handler);
   }
 
+  /** Opens connections to upstreams for peers; without, they are refused. */
+  handleTunnels(handler: TunnelHandler): void {
+    this.server.on(
+      'connect',
+      (message: IncomingMessage, socket: Socket, head: Buffer) => {
+        serveTunnel(this.credential, handler, message, socket, head).catch(() =>
+          socket.destroy(),
+        );
+      },
+    );
+  }
+
   /** Starts listening and returns the port. */
   async listen(host: string, port: number): Promise<number> {
     await new Promise<void>((resolve, reject) => {
--- a/src/report/requesthistory.ts
+++ b/src/report/requesthistory.ts
@@ -68,11 +68,13 @@
     case LogEvent.Leaving:
     case LogEvent.Limit:
     case LogEvent.Pause:
+    case LogEvent.Relayed:
     case LogEvent.Upstream:
       return upstream !== undefined && upstreams.has(upstream);
     case LogEvent.Configuration:
     case LogEvent.Defect:
     case LogEvent.Hold:
+    case LogEvent.Isolated:
     case LogEvent.Readiness:
     case LogEvent.Reloaded:
     case LogEvent.Stall:
--- a/src/telemetry/logevent.ts
+++ b/src/telemetry/logevent.ts
@@ -19,6 +19,8 @@
   Hold = 'hold',
   /** An upstream announced that it leaves, in its entry or in a response. */
   Leaving = 'leaving',
+  /** The instance became cut off from all upstreams, or reaches them again. */
+  Isolated = 'isolated',
   /** An upstream's declared rate began, changed or ended, or is invalid. */
   Limit = 'limit',
   /** A request was rejected because its wait was, or would be, too long. */
@@ -31,6 +33,8 @@
   Placed = 'placed',
   /** This instance became ready or stopped being ready. */
   Readiness = 'readiness',
+  /** A connection to an upstream was opened through another instance. */
+  Relayed = 'relayed',
   /** The settings were reloaded. */
   Reloaded = 'reloaded',
   /** A request is retried on another upstream. */
--- a/src/wiring/fleettransport.ts
+++ b/src/wiring/fleettransport.ts
@@ -4,6 +4,7 @@
 import {DatagramPort} from '../instance/datagram.js';
 import {openPeerPorts} from '../instance/peerports.js';
 import {PeerClient, PeerServer} from '../instance/peerrpc.js';
+import {PeerTunnels} from '../instance/peertunnel.js';
 import {LogEvent} from '../telemetry/index.js';
 import type {Timer} from '../timer/index.js';
 
@@ -22,6 +23,8 @@
   readonly datagrams: DatagramPort;
   readonly client: PeerClient;
   readonly server: PeerServer;
+  /** Connections to upstreams through peers. */
+  readonly tunnels: PeerTunnels;
 
   constructor(
     private readonly address: {host: string; port: number},
@@ -32,6 +35,7 @@
     this.datagrams = new DatagramPort(credential, timer);
     this.server = new PeerServer(credential);
     this.client = new PeerClient(credential, address.host);
+    this.tunnels = new PeerTunnels(credential, address.host);
   }
 
   async openPort(): Promise<number | undefined> {
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -8,10 +8,10 @@
   PromptGuard,
   ResponseObserver,
   UpstreamNotices,
-  type Address,
 } from '../forward/index.js';
 import {Quarantines} from '../quarantine/index.js';
 import {Registry} from '../registry/index.js';
+import {Path} from '../relay/index.js';
 import {Routing} from '../route/index.js';
 import {
   LogEvent,
@@ -22,11 +22,13 @@
 import {SystemTimer, type Subscription, type Timer} from '../timer/index.js';
 import {ConfigurationRecords} from './configurationrecords.js';
 import {DrainSchedule} from './drainschedule.js';
+import type {GatewaySettings} from './gatewaysettings.js';
 import {NetworkTransport} from './fleettransport.js';
 import {GatewayFleet} from './gatewayfleet.js';
 import {MonitoringServers, type MonitoringPage} from './monitoringservers.js';
 import {LimitedUpstreams} from './limitedupstreams.js';
 import type {PlatformAdapter} from './platformadapter.js';
+import {Relays} from './relays.js';
 import {ServiceStates} from './servicestates.js';
 import {watchStalls} from './stall.js';
 import {untilCurrent} from './untilcurrent.js';
@@ -36,40 +38,6 @@
 /** Time for closing connections to send their last bytes, in ms. */
 const FLUSH_MS = 100;
 
-/** Port of /metrics in the deployment, if the settings name no other. */
-export const DEFAULT_METRICS_PORT = 9464;
-
-/** Decoded settings of one gateway. */
-export interface GatewaySettings {
-  /** Name of this instance. */
-  instance: string;
-  /** Local address of outgoing connections and of the port for peers. */
-  host: string;
-  /** Availability zone of this instance. */
-  zone: string;
-  /** Region of each availability zone. */
-  regions: Record<string, string>;
-  /** Address to listen on for requests of callers. */
-  callerAddress: Address;
-  /** Address that serves the readiness check of the load balancer. */
-  readinessAddress: Address;
-  /** Address that serves /metrics; not served if absent. */
-  metricsAddress?: Address;
-  /** Port for peers, over TCP and UDP. */
-  gossipPort: number;
-  /** Capacity of this instance's own link, in bytes a second. */
-  linkBytesPerSecond: number;
-  /** Time from the stop signal to the end of the process, in ms. */
-  graceMs: number;
-  /**
-   * Time for which a leaving upstream still takes requests if it is the last of
-   * its service, in ms; 0 by default.
-   */
-  upstreamDrainMs?: number;
-  /** Retries allowed per first attempt, counted over a sliding window. */
-  retry: {ratio: number; windowMs: number};
-}
-
 /** A running gateway. */
 export interface Gateway {
   /** Port that accepts requests of callers. */
@@ -102,6 +70,8 @@
   private readonly requestLogger: Logger;
   private readonly routing: Routing;
   private readonly registry: Registry;
+  private readonly transport: NetworkTransport;
+  private readonly relays: Relays;
   private readonly endpoints: Endpoints;
   private readonly services: ServiceStates;
   private readonly metrics = new ForwardMetrics();
@@ -136,7 +106,13 @@
     // Each request listens to it.
     setMaxListeners(0, this.endController.signal);
     this.routing = new Routing(componentLogger(root, Component.Config));
-    this.endpoints = new Endpoints(settings.host);
+    this.transport = new NetworkTransport(
+      {host: settings.host, port: settings.gossipPort},
+      timer,
+      componentLogger(root, Component.Member),
+    );
+    this.relays = this.createRelays();
+    this.endpoints = new Endpoints(settings.host, this.relays.dialer);
     this.observer = new ResponseObserver({
       endpoints: this.endpoints,
       timer,
@@ -193,7 +169,10 @@
           upstream,
           parts: parts.map(({id, tokens}) => [id, tokens]),
         }),
-      isAlive: endpoint => this.probes.isAlive(endpoint),
+      isAlive: (endpoint, path) => this.probes.isAlive(endpoint, path),
+      reachesDirectly: ({entry}) =>
+        this.relays.links.pathTo(entry) === Path.Direct,
+      noteSilence: ({entry}) => this.relays.links.noteSilence(entry),
       canServeFor: timeoutMs =>
         !this.endController.signal.aborted &&
         (this.drainSchedule?.admits(timeoutMs, timer.now()) ?? true),
@@ -258,13 +237,14 @@
       await timer.sleep(DRAIN_CHECK_PERIOD_MS);
       if (!drainSchedule.mayReceiveConnections(timer.now())) {
         listener.closeIdle();
-        if (listener.isIdle) break;
+        if (listener.isIdle && this.relays.isIdle) break;
       }
     }
     const unfinished = listener.inflight;
     this.endController.abort();
     for (const subscription of this.subscriptions) subscription.end();
     this.promptGuard.stop();
+    this.relays.end();
     listener.close();
     this.monitoringServers.close();
     await this.fleet.close();
@@ -275,17 +255,33 @@
     );
   }
 
+  private createRelays(): Relays {
+    const {settings, timer, output, transport} = this;
+    return new Relays({
+      host: settings.host,
+      location: settings,
+      timer,
+      logger: componentLogger(output.logger, Component.Upstream),
+      random: Math.random,
+      endpoints: () => this.endpoints,
+      probes: () => this.probes,
+      tunnels: transport.tunnels,
+      handleTunnels: handler => transport.server.handleTunnels(handler),
+      peers: () => this.fleet.peerAddresses(),
+      isLeaving: () => this.drainSchedule !== undefined,
+    });
+  }
+
   private createFleet(): GatewayFleet {
     const {settings, platform, timer, output} = this;
-    const {instance, host, gossipPort: port, zone} = settings;
-    const logger = componentLogger(output.logger, Component.Member);
+    const {instance, host, zone} = settings;
     return new GatewayFleet({
       instance,
       host,
       zone,
       linkBytesPerSecond: settings.linkBytesPerSecond,
       feed: platform.feed,
-      transport: new NetworkTransport({host, port}, timer, logger),
+      transport: this.transport,
       timer,
       random: Math.random,
       output,
@@ -323,6 +319,7 @@
     const entries = [...this.registry.usable()];
     this.fleet.origins.applyUpstreams(entries);
     this.endpoints.apply(entries, this.routing.current());
+    this.relays.retain(id => this.endpoints.get(id) !== undefined);
     for (const {waitQueue} of this.services.all()) waitQueue.placeWaiting();
   }
 
@@ -370,6 +367,7 @@
       other_instances: this.fleet.gossip.peerLoads.countActive(
         this.timer.now(),
       ),
+      ...this.relays.gauges(),
       ...this.observer.gauges(),
       ...this.promptGuard.gauges(),
       ...this.fleet.origins.gauges(),
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -9,6 +9,7 @@
   PermitExchange,
   RecordExchange,
   type EvidenceLog,
+  type InstanceAddress,
   type NoticeBoard,
   type PermitUpstreams,
   type SentPrompt,
@@ -244,6 +245,11 @@
     return ownsKey(part, {name, zone}, origins);
   }
 
+  /** Addresses of the other instances. */
+  peerAddresses(): Iterable<InstanceAddress> {
+    return this.peers.all();
+  }
+
   /** The newest known epoch of the store. */
   get storeEpoch(): number {
     return this.epochs.current;
--- /dev/null
+++ b/src/wiring/gatewaysettings.ts
@@ -0,0 +1,35 @@
+import type {Address} from '../forward/index.js';
+
+/** Port of /metrics in the deployment, if the settings name no other. */
+export const DEFAULT_METRICS_PORT = 9464;
+
+/** Decoded settings of one gateway. */
+export interface GatewaySettings {
+  /** Name of this instance. */
+  instance: string;
+  /** Local address of outgoing connections and of the port for peers. */
+  host: string;
+  /** Availability zone of this instance. */
+  zone: string;
+  /** Region of each availability zone. */
+  regions: Record<string, string>;
+  /** Address to listen on for requests of callers. */
+  callerAddress: Address;
+  /** Address that serves the readiness check of the load balancer. */
+  readinessAddress: Address;
+  /** Address that serves /metrics; not served if absent. */
+  metricsAddress?: Address;
+  /** Port for peers, over TCP and UDP. */
+  gossipPort: number;
+  /** Capacity of this instance's own link, in bytes a second. */
+  linkBytesPerSecond: number;
+  /** Time from the stop signal to the end of the process, in ms. */
+  graceMs: number;
+  /**
+   * Time for which a leaving upstream still takes requests if it is the last of
+   * its service, in ms; 0 by default.
+   */
+  upstreamDrainMs?: number;
+  /** Retries allowed per first attempt, counted over a sliding window. */
+  retry: {ratio: number; windowMs: number};
+}
