--- a/test/promptguard.test.ts
+++ b/test/promptguard.test.ts
@@ -7,6 +7,7 @@
 import {ProbeResult} from '../src/forward/liveness.js';
 import {PromptGuard} from '../src/forward/promptguard.js';
 import {Quarantine, type CrashReport} from '../src/quarantine/index.js';
+import {Path} from '../src/relay/index.js';
 import {ManualTimer} from '../src/timer/index.js';
 import {wireEntry} from './support/gateway.js';
 
@@ -19,13 +20,20 @@
 let reports: CrashReport[];
 /** What probes show from now on. */
 let shown: ProbeResult;
+/** What probes show that may pass through a peer; as others by default. */
+let shownByPeers: ProbeResult | undefined;
 
 beforeEach(() => {
   timer = new ManualTimer();
   guard = new PromptGuard({
     instance: 'entry-1',
     quarantine: new Quarantine({timer}),
-    probes: {probe: () => Promise.resolve(shown)},
+    probes: {
+      probe: (_endpoint, path) =>
+        Promise.resolve(
+          path === Path.Relayed ? (shownByPeers ?? shown) : shown,
+        ),
+    },
     timer,
     logger: pino({enabled: false}),
   });
@@ -38,6 +46,7 @@
   assert(!('reason' in entry));
   endpoint = new Endpoint(entry, '127.0.0.1');
   shown = ProbeResult.Alive;
+  shownByPeers = undefined;
 });
 
 function breakAnswer(request: string, openMs: number): void {
@@ -76,3 +85,12 @@
   const wire: unknown = JSON.parse(JSON.stringify(encodeEvidence(report, now)));
   expect(decodeEvidence(wire, now)).toEqual(report);
 });
+
+test('an upstream that peers still reach has not crashed', async () => {
+  await timer.advance(5_000);
+  shown = ProbeResult.Refused;
+  shownByPeers = ProbeResult.Alive;
+  breakAnswer('r1', 90);
+  await timer.advance(LAST_PROBE_MS);
+  expect(reports).toEqual([]);
+});
