--- a/src/forward/connections.ts
+++ b/src/forward/connections.ts
@@ -193,6 +193,18 @@
     this.closeIdle();
   }
 
+  /** Opens a socket; with `Path.Relayed`, it may pass through a peer. */
+  dial(path: Path, callback: DialCallback): void {
+    switch (path) {
+      case Path.Direct:
+        this.dialer.dialDirectly(this.upstream, callback);
+        return;
+      case Path.Relayed:
+        this.dialer.dial(this.upstream, callback);
+        return;
+    }
+  }
+
   /** Creates a connection outside the idle list. */
   open(): Connection {
     return this.create((...args) => this.dialer.dial(...args));
--- a/src/forward/endpoint.ts
+++ b/src/forward/endpoint.ts
@@ -26,7 +26,7 @@
 
   constructor(
     public entry: RegistryEntry,
-    readonly localAddress: string,
+    localAddress: string,
     /** The pause that its process asked for, if any. */
     readonly pause = new Pause(),
     /** The rate that its process declares, if any. */
--- a/src/forward/liveness.ts
+++ b/src/forward/liveness.ts
@@ -1,4 +1,3 @@
-import {connect} from 'node:net';
 import type {Dispatcher} from 'undici';
 import type {Timer} from '../timer/index.js';
 import {Path} from '../relay/index.js';
@@ -50,7 +49,7 @@
   async answers(endpoint: Endpoint): Promise<boolean> {
     const isPaused = endpoint.pause.remainingMs(this.timer.now()) > 0;
     const result = await (isPaused
-      ? this.connect(endpoint)
+      ? this.connect(endpoint, Path.Direct)
       : this.probe(endpoint));
     return result === ProbeResult.Alive;
   }
@@ -64,29 +63,25 @@
       return Promise.resolve(ProbeResult.Alive);
     }
     const mayAsk = endpoint.limit.take(this.timer.now());
-    const probe = mayAsk ? this.send(endpoint, path) : this.connect(endpoint);
+    const probe = mayAsk
+      ? this.send(endpoint, path)
+      : this.connect(endpoint, path);
     const result = probe.finally(() => pendingProbes.delete(endpoint));
     pendingProbes.set(endpoint, result);
     return result;
   }
 
   /** Opens a connection, and closes it without a request. */
-  private connect({entry, localAddress}: Endpoint): Promise<ProbeResult> {
-    const {host, port} = entry;
+  private connect({connections}: Endpoint, path: Path): Promise<ProbeResult> {
     return new Promise(resolve => {
-      const socket = connect({host, port, localAddress});
-      const finish = (result: ProbeResult) => {
-        timeout.end();
-        socket.destroy();
-        resolve(result);
-      };
       const timeout = this.timer.after(PROBE_TIMEOUT_MS, () =>
-        finish(ProbeResult.Silent),
-      );
-      socket.once('connect', () => finish(ProbeResult.Alive));
-      socket.once('error', (error: NodeJS.ErrnoException) =>
-        finish(resultOf(error)),
+        resolve(ProbeResult.Silent),
       );
+      connections.dial(path, result => {
+        timeout.end();
+        if (result.isOk()) result.value.socket.destroy();
+        resolve(result.isOk() ? ProbeResult.Alive : resultOf(result.error));
+      });
     });
   }
 
--- a/src/forward/promptguard.ts
+++ b/src/forward/promptguard.ts
@@ -8,6 +8,7 @@
   type Suspect,
 } from '../quarantine/index.js';
 import {EntryState} from '../registry/index.js';
+import {Path} from '../relay/index.js';
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Timer} from '../timer/index.js';
 import type {Endpoint} from './endpoint.js';
@@ -137,7 +138,8 @@
     const {state} = endpoint.entry;
     for (const delayMs of PROBE_DELAYS_MS) {
       await timer.sleep(Math.max(0, at + delayMs - timer.now()));
-      const result = await probes.probe(endpoint);
+      // The own links may be cut: an upstream has ended if peers don't reach it.
+      const result = await probes.probe(endpoint, Path.Relayed);
       // Connections to plain services are reset for many reasons.
       const isPlain = !answers.some(({parts}) => hasPromptParts(parts));
       if (showsLife(result) && isPlain) break;
