--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -1,7 +1,12 @@
 import {Path} from '../relay/index.js';
 import {Repetition} from '../route/index.js';
+import {LogEvent} from '../telemetry/logevent.js';
 import {runAttempt} from './attempt.js';
-import type {AttemptResult} from './attemptresult.js';
+import {
+  AnswerProgress,
+  BreakCause,
+  type AttemptResult,
+} from './attemptresult.js';
 import {recordHealth} from './attempthealth.js';
 import type {Connection} from './connections.js';
 import type {ForwardDependencies} from './dependencies.js';
@@ -35,6 +40,7 @@
   private readonly load: AttemptLoad;
   private readonly controller = new AbortController();
   private connection?: Connection;
+  private isSent = false;
   /** Whether the head of an answer has come. */
   private hasStarted = false;
 
@@ -62,6 +68,8 @@
       const connection = await this.connect();
       if (connection === undefined) return {type: 'misplaced'};
       return await this.send(connection, lastEvent);
+    } catch (cause) {
+      return this.resultOfDefect(cause);
     } finally {
       this.load.end();
       this.context.service.waitQueue.placeWaiting();
@@ -166,7 +174,10 @@
           outlivesCaller ? deadline.expirySignal : deadline.signal,
           this.controller.signal,
         ]),
-        sent: () => listener.onSent(),
+        sent: () => {
+          this.isSent = true;
+          listener.onSent();
+        },
         advanced: () => promptGuard.recordAnswer(parts),
         received: () => {
           this.recordStart();
@@ -195,6 +206,28 @@
     }
   }
 
+  /** Result of an attempt that failed unexpectedly; the request goes on. */
+  private resultOfDefect(cause: unknown): AttemptResult {
+    const {dependencies, context, endpoint, isSent} = this;
+    dependencies.logger.error(
+      {
+        event: LogEvent.Defect,
+        request: context.request.id,
+        upstream: endpoint.id,
+        cause: String(cause),
+      },
+      'An attempt failed unexpectedly.',
+    );
+    if (!isSent) return {type: 'unsent', cause: String(cause)};
+    return {
+      type: 'broken',
+      cause: String(cause),
+      started: this.hasStarted,
+      progress: AnswerProgress.None,
+      endedBy: BreakCause.Abort,
+    };
+  }
+
   private recordStart(): void {
     if (this.hasStarted) return;
     this.hasStarted = true;
