--- a/bench/fleet/streamorigins.ts
+++ b/bench/fleet/streamorigins.ts
@@ -146,6 +146,7 @@
     datagrams,
     timer,
     versions,
+    areCurrent: () => true,
   });
   origins.applyUpstreams(
     VERSIONS.map(softwareVersion => ({service: SERVICE, softwareVersion})),
--- a/src/origin/origin.ts
+++ b/src/origin/origin.ts
@@ -30,6 +30,11 @@
       return {type: 'any'};
     case VersionMix.Mixed:
       return {type: 'unknown'};
+    case VersionMix.Outdated:
+      // A version that joined since may have begun it, by another instance.
+      return others.length === 0 || others.includes(VersionMix.Mixed)
+        ? {type: 'unknown'}
+        : {type: 'any'};
     case VersionMix.Unsettled:
       if (others.includes(VersionMix.Sole)) return {type: 'any'};
       return others.includes(VersionMix.Mixed)
--- a/src/origin/originexchange.ts
+++ b/src/origin/originexchange.ts
@@ -53,6 +53,8 @@
   datagrams: Datagrams;
   timer: Timer;
   versions: SoftwareVersions;
+  /** Whether the entries of the upstreams are current. */
+  areCurrent(this: void): boolean;
 }
 
 /**
@@ -103,7 +105,7 @@
   async find(key: string, services: readonly string[]): Promise<OriginLookup> {
     const origin = this.known(key);
     if (origin !== undefined) return {type: 'known', origin};
-    const mix = this.parts.versions.mixOfAll(services);
+    const mix = this.mixOfAll(services);
     if (mix === VersionMix.Sole) return {type: 'any'};
     const lookup = await this.ask(key, services, mix);
     if (lookup.type === 'unknown') this.unknownCount++;
@@ -197,7 +199,9 @@
     const mixes = (await Promise.all(answers)).flatMap(answer =>
       answer?.type === 'unknown' ? answer.mix : [],
     );
-    return concludeWithoutRecord(ownMix, mixes);
+    // Nobody else can have begun a stream of a lone instance.
+    const isLone = peers.size === 0 && ownMix === VersionMix.Outdated;
+    return concludeWithoutRecord(isLone ? VersionMix.Unsettled : ownMix, mixes);
   }
 
   private async askPeer(
@@ -218,13 +222,21 @@
     return undefined;
   }
 
+  private mixOfAll(services: readonly string[]): VersionMix {
+    const {versions, areCurrent} = this.parts;
+    const mix = versions.mixOfAll(services);
+    return mix === VersionMix.Mixed || areCurrent() ? mix : VersionMix.Outdated;
+  }
+
   private answer(params: unknown): PeerAnswer | undefined {
     const {data} = findMessageSchema.safeParse(params);
     if (data === undefined) return undefined;
     const origin = this.known(data.key);
     if (origin !== undefined) return {type: 'known', origin};
-    const mix = this.parts.versions.mixOfAll(data.services);
-    return {type: 'unknown', mix};
+    const mix = this.mixOfAll(data.services);
+    // Earlier builds know no other word for it.
+    const isOutdated = mix === VersionMix.Outdated;
+    return {type: 'unknown', mix: isOutdated ? VersionMix.Unsettled : mix};
   }
 }
 
--- a/src/origin/softwareversions.ts
+++ b/src/origin/softwareversions.ts
@@ -9,6 +9,8 @@
   Sole = 'sole',
   /** One now; what was before isn't known. */
   Unsettled = 'unsettled',
+  /** One, by entries that are out of date. */
+  Outdated = 'outdated',
   /** Several. */
   Mixed = 'mixed',
 }
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -32,6 +32,7 @@
 } from '../telemetry/index.js';
 import type {Subscription, Timer} from '../timer/index.js';
 import type {FleetTransport} from './fleettransport.js';
+import {isCurrent} from './untilcurrent.js';
 
 /**
  * When each topic is read. Upstreams write so often that a waiting read would
@@ -201,6 +202,7 @@
       datagrams: transport.datagrams,
       timer,
       versions: new SoftwareVersions(timer),
+      areCurrent: () => isCurrent(this.upstreams.ageMs()),
     });
   }
 
--- a/src/wiring/untilcurrent.ts
+++ b/src/wiring/untilcurrent.ts
@@ -6,6 +6,11 @@
 const MAX_WAIT_MS = 400;
 const CHECK_PERIOD_MS = 20;
 
+/** Whether what is known of a topic is current, by its age in ms. */
+export function isCurrent(ageMs: number | undefined): boolean {
+  return ageMs !== undefined && ageMs <= MAX_AGE_MS;
+}
+
 /**
  * Waits for news of a topic if there was none for a while, as after a pause of
  * this process. `ageMs` returns the age of what is known.
@@ -15,7 +20,7 @@
   timer: Timer,
 ): Promise<void> {
   const endsAt = timer.now() + MAX_WAIT_MS;
-  while ((ageMs() ?? Infinity) > MAX_AGE_MS && timer.now() < endsAt) {
+  while (!isCurrent(ageMs()) && timer.now() < endsAt) {
     await timer.sleep(CHECK_PERIOD_MS);
   }
 }
--- a/test/streamorigins.test.ts
+++ b/test/streamorigins.test.ts
@@ -1,4 +1,4 @@
-import {err} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 import {pino} from 'pino';
 import {describe, expect, test} from 'vitest';
 import {runStreamOrigins} from '../bench/fleet/streamorigins.js';
@@ -78,14 +78,22 @@
         "sole, others : any",
         "sole, others sole: any",
         "sole, others unsettled: any",
+        "sole, others outdated: any",
         "sole, others mixed: any",
         "unsettled, others : any",
         "unsettled, others sole: any",
         "unsettled, others unsettled: any",
+        "unsettled, others outdated: any",
         "unsettled, others mixed: unknown",
+        "outdated, others : unknown",
+        "outdated, others sole: any",
+        "outdated, others unsettled: any",
+        "outdated, others outdated: any",
+        "outdated, others mixed: unknown",
         "mixed, others : unknown",
         "mixed, others sole: unknown",
         "mixed, others unsettled: unknown",
+        "mixed, others outdated: unknown",
         "mixed, others mixed: unknown",
       ]
     `);
@@ -114,6 +122,7 @@
     },
     timer,
     versions: new SoftwareVersions(timer),
+    areCurrent: () => true,
   });
   const begin = (key: string, {service, softwareVersion}: typeof V1) => {
     const origin = {service, softwareVersion};
@@ -149,6 +158,7 @@
     },
     timer,
     versions: new SoftwareVersions(timer),
+    areCurrent: () => true,
   });
   origins.applyUpstreams([V1, V2]);
   const long = 'x'.repeat(100_000);
@@ -198,3 +208,58 @@
     expect(known).toBeLessThan(takenUp);
   });
 });
+
+describe('a stream without record at an instance that was out of step', () => {
+  const answers: Array<[string, VersionMix[], number, string]> = [
+    [
+      'is unknown if a version joined meanwhile',
+      [VersionMix.Mixed],
+      1,
+      'unknown',
+    ],
+    ['is unknown if no other instance answers', [], 1, 'unknown'],
+    ['goes on if others know of one version', [VersionMix.Sole], 1, 'any'],
+    [
+      'goes on if others are out of step, too',
+      [VersionMix.Unsettled],
+      1,
+      'any',
+    ],
+    ['goes on if there is no other instance', [], 0, 'any'],
+  ];
+  test.each(answers)('%s', async (_case, mixes, peerCount, expected) => {
+    const timer = new ManualTimer();
+    const peers = new Peers(
+      'entry-0',
+      'zone-a',
+      pino({level: 'silent'}),
+      () => 0,
+    );
+    const value = Buffer.from(JSON.stringify({host: 'entry-1', port: 1}));
+    const records = [{key: 'entry-1', value, offset: 0}];
+    peers.update(records.slice(0, peerCount));
+    let areCurrent = true;
+    const origins = new OriginExchange({
+      name: 'entry-0',
+      zone: 'zone-a',
+      peers,
+      datagrams: {
+        broadcast: () => undefined,
+        call: () => {
+          const [mix] = mixes;
+          const answer = {type: 'unknown', mix};
+          return Promise.resolve(mix === undefined ? err('none') : ok(answer));
+        },
+        handle: () => undefined,
+      },
+      timer,
+      versions: new SoftwareVersions(timer),
+      areCurrent: () => areCurrent,
+    });
+    origins.applyUpstreams([V1]);
+    await timer.advance(60_000);
+    expect(await origins.find('s', [SERVICE])).toEqual({type: 'any'});
+    areCurrent = false;
+    expect((await origins.find('s', [SERVICE])).type).toBe(expected);
+  });
+});
