--- a/src/instance/peerrpc.ts
+++ b/src/instance/peerrpc.ts
@@ -66,6 +66,8 @@
   /** Counts the bytes of all connections. */
   readonly meter = new TrafficMeter();
   private readonly server: Server;
+  /** Connections of peers that have become tunnels, which the server no longer closes. */
+  private readonly tunnels = new Set<Socket>();
 
   /** With `tls`, peers need a client certificate signed by its authority. */
   constructor(
@@ -92,6 +94,8 @@
     this.server.on(
       'connect',
       (message: IncomingMessage, socket: Socket, head: Buffer) => {
+        this.tunnels.add(socket);
+        socket.once('close', () => this.tunnels.delete(socket));
         serveTunnel(this.credential, handler, message, socket, head).catch(() =>
           socket.destroy(),
         );
@@ -112,6 +116,7 @@
     await new Promise<void>(resolve => {
       this.server.close(() => resolve());
       this.server.closeAllConnections();
+      for (const socket of this.tunnels) socket.destroy();
     });
   }
 
--- a/test/tunnel.test.ts
+++ b/test/tunnel.test.ts
@@ -163,6 +163,15 @@
   );
 });
 
+test('a peer that stops closes the tunnels that are left', async () => {
+  const {near} = await openPair();
+  const closed = once(near.resume(), 'close');
+  await server.close();
+  await closed;
+  server = new PeerServer(new Credential([SECRET]));
+  await server.listen(HOST, 0);
+});
+
 test('a peer that serves no tunnels, as earlier builds, is told from others', async () => {
   const earlier = new PeerServer(new Credential([SECRET]));
   peer = {host: HOST, port: await earlier.listen(HOST, 0)};
