Part the writing in turns from the records of holds

Records that every instance knows are written to the store in turns by rank, so that a few of them write. HoldRecords had this in itself; records of software versions need the same. TurnWriter has the turns, the spread and the pauses after failed writes, unchanged.

No change of behaviour: test/evidencerelay.test.ts, which watches who writes and when, passes unchanged.

--- a/src/fleet/holdrecords.ts
+++ b/src/fleet/holdrecords.ts
@@ -8,33 +8,15 @@
   type StoreEpoch,
 } from '../registry/index.js';
 import {LogEvent} from '../telemetry/logevent.js';
-import type {Subscription, Timer} from '../timer/index.js';
+import type {Timer} from '../timer/index.js';
 import type {EvidenceLog} from './evidencelog.js';
 import {decodeHold, encodeHold} from './evidencemessage.js';
+import {TurnWriter} from './turnwriter.js';
 
 const hasher = await xxhash();
 
 /** Starts the keys of holds in the topic of the instances. */
 const KEY_PREFIX = 'hold/';
-/** Instances that write a hold at once; twice as many do so in each next turn. */
-const FIRST_WRITERS = 3;
-/**
- * Time between two turns, in ms: the pause between two reads of the topic, and
- * the time in which the news of a written hold spread.
- */
-const TURN_MS = 2_000;
-/**
- * Time over which the first writers spread, in ms, twice as long in each next
- * turn, up to the whole turn.
- */
-const FIRST_SPREAD_MS = 500;
-/** Pause of the first writers after a failed write, in ms. */
-const RETRY_DELAY_MS = 1_000;
-/** Longest pause after a failed write, in ms. */
-const MAX_RETRY_DELAY_MS = 30_000;
-/** Jitter as a share of such a pause. */
-const JITTER_SHARE = 0.5;
-
 /** Dependencies of [[HoldRecords]]. */
 export interface HoldRecordsParts {
   log: EvidenceLog;
@@ -44,10 +26,9 @@
   logger: Logger;
   /** Returns a random number in [0, 1). */
   random: () => number;
-  /** Rank of this instance among all, from 0. */
-  rank(): number;
-  /** Whether the topic is known in the current epoch of the store. */
-  isKnown(): boolean;
+  /** See [[TurnWriterParts]]. */
+  rank(this: void): number;
+  isKnown(this: void): boolean;
 }
 
 /** Whether a record of the topic of the instances is a hold, not an address. */
@@ -68,11 +49,14 @@
   private readonly acknowledged = new Map<string, number>();
   /** Keys of invalid records that were logged. */
   private readonly invalid = new Set<string>();
-  private pending?: Subscription;
-  private isWriting = false;
-  private hasEnded = false;
+  private readonly writer: TurnWriter;
 
   constructor(private readonly parts: HoldRecordsParts) {
+    this.writer = new TurnWriter({
+      ...parts,
+      isMissing: () => this.missing().length > 0,
+      write: () => this.writeMissing(),
+    });
     parts.log.subscribe(({type}) => {
       if (type === 'hold') this.writeSoon();
     });
@@ -106,15 +90,12 @@
 
   /** Writes what the store lacks, when it is this instance's turn. */
   writeSoon(): void {
-    const turn = this.turn();
-    const spreadMs = Math.min(FIRST_SPREAD_MS * 2 ** turn, TURN_MS);
-    this.schedule(turn * TURN_MS + this.parts.random() * spreadMs);
+    this.writer.writeSoon();
   }
 
   /** Ends the writing. */
   end(): void {
-    this.hasEnded = true;
-    this.pending?.end();
+    this.writer.end();
   }
 
   private apply({key, value, offset}: KeyedRecord): boolean {
@@ -144,36 +125,6 @@
     return revision < hold.revision;
   }
 
-  /** Turn in which this instance writes, from 0. */
-  private turn(): number {
-    return Math.floor(Math.log2(this.parts.rank() / FIRST_WRITERS + 1));
-  }
-
-  private schedule(delayMs: number): void {
-    if (this.isWriting || this.hasEnded) return;
-    this.pending ??= this.parts.timer.after(delayMs, () => {
-      this.pending = undefined;
-      void this.write();
-    });
-  }
-
-  private async write(): Promise<void> {
-    // What the store lacks is known once the topic is.
-    if (!this.parts.isKnown()) return;
-    this.isWriting = true;
-    const isWritten = await this.writeMissing();
-    this.isWriting = false;
-    if (isWritten) {
-      if (this.missing().length > 0) this.writeSoon();
-      return;
-    }
-    const delayMs = Math.min(
-      RETRY_DELAY_MS * 2 ** this.turn(),
-      MAX_RETRY_DELAY_MS,
-    );
-    this.schedule(delayMs * (1 + JITTER_SHARE * this.parts.random()));
-  }
-
   /** Returns whether all writes succeeded. */
   private async writeMissing(): Promise<boolean> {
     const {feed, epochs, logger, random} = this.parts;
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -22,6 +22,8 @@
 export type {PermitDemand, PermitUpstreams} from './permitexchange.js';
 export type {RateStatement, UpstreamProcess} from './permitmessage.js';
 export {RecordExchange} from './recordexchange.js';
+export {TurnWriter} from './turnwriter.js';
+export type {TurnWriterParts} from './turnwriter.js';
 export type {
   PeerCaller,
   PeerListener,
