Keep the software versions that served at the store

What callers saw: all instances lost power for 1.3 s near the end of a release. The last upstreams of v1 had left the list and still wrote their streams.

Cause: an instance that has just started took the versions that it read for all there were. If all instances had just started, nobody contradicted. The class: the unknown taken for the absent.

Change: the instances keep the versions of each service that may have begun streams in the store, beside their addresses, where earlier builds ignore them: some writes a release, in turns by rank. An instance counts them among its own until it has watched the upstreams for 30 s. One that has not read them yet (Unread) concludes nothing: it refuses a stream without record unless another instance knows that one version served, gives peers no answer in place of 'unsettled', and tells its own streams.

Ruled out: that a read of the list was late.

--- a/bench/fleet/simulatednetwork.ts
+++ b/bench/fleet/simulatednetwork.ts
@@ -130,7 +130,8 @@
     const to = this.stations.get(host);
     const handler = to?.datagramHandlers.get(method);
     this.traffic.datagrams += handler === undefined ? 1 : 2;
-    const answer = (received: unknown) => Promise.resolve(handler?.(received));
+    const answer = (received: unknown) =>
+      Promise.resolve(handler?.(received) ?? null);
     return this.exchange(
       {from, to, params, timeoutMs, maxWaitMs: MAX_DATAGRAM_WAIT_MS},
       handler === undefined ? undefined : answer,
--- a/bench/fleet/streamorigins.ts
+++ b/bench/fleet/streamorigins.ts
@@ -139,6 +139,7 @@
   const peers = new Peers(name, zone, silent, random.next);
   const {datagrams} = network.connect(place, timer);
   const versions = new SoftwareVersions(timer);
+  versions.applyRecorded(new Map());
   const origins = new OriginExchange({
     name,
     zone,
--- a/src/origin/origin.ts
+++ b/src/origin/origin.ts
@@ -32,9 +32,14 @@
       return {type: 'unknown'};
     case VersionMix.Outdated:
       // A version that joined since may have begun it, by another instance.
-      return others.length === 0 || others.includes(VersionMix.Mixed)
+      return others.every(mix => mix === VersionMix.Unread) ||
+        others.includes(VersionMix.Mixed)
         ? {type: 'unknown'}
         : {type: 'any'};
+    case VersionMix.Unread:
+      return others.includes(VersionMix.Sole)
+        ? {type: 'any'}
+        : {type: 'unknown'};
     case VersionMix.Unsettled:
       if (others.includes(VersionMix.Sole)) return {type: 'any'};
       return others.includes(VersionMix.Mixed)
--- a/src/origin/originexchange.ts
+++ b/src/origin/originexchange.ts
@@ -99,7 +99,17 @@
 
   note(record: OriginRecord): void {
     this.own.add(record);
-    if (this.isMixed(record.origin.service)) this.tell([record]);
+    switch (this.parts.versions.mixOf(record.origin.service)) {
+      case VersionMix.Mixed:
+      // Others may know of a version that left before this instance started.
+      case VersionMix.Unread:
+        this.tell([record]);
+        return;
+      case VersionMix.Sole:
+      case VersionMix.Unsettled:
+      case VersionMix.Outdated:
+        return;
+    }
   }
 
   async find(key: string, services: readonly string[]): Promise<OriginLookup> {
@@ -225,7 +235,15 @@
   private mixOfAll(services: readonly string[]): VersionMix {
     const {versions, areCurrent} = this.parts;
     const mix = versions.mixOfAll(services);
-    return mix === VersionMix.Mixed || areCurrent() ? mix : VersionMix.Outdated;
+    switch (mix) {
+      case VersionMix.Mixed:
+      case VersionMix.Unread:
+        return mix;
+      case VersionMix.Sole:
+      case VersionMix.Unsettled:
+      case VersionMix.Outdated:
+        return areCurrent() ? mix : VersionMix.Outdated;
+    }
   }
 
   private answer(params: unknown): PeerAnswer | undefined {
@@ -234,9 +252,17 @@
     const origin = this.known(data.key);
     if (origin !== undefined) return {type: 'known', origin};
     const mix = this.mixOfAll(data.services);
-    // Earlier builds know no other word for it.
-    const isOutdated = mix === VersionMix.Outdated;
-    return {type: 'unknown', mix: isOutdated ? VersionMix.Unsettled : mix};
+    switch (mix) {
+      case VersionMix.Unread:
+        return undefined;
+      case VersionMix.Outdated:
+        // Earlier builds know no other word for it.
+        return {type: 'unknown', mix: VersionMix.Unsettled};
+      case VersionMix.Sole:
+      case VersionMix.Unsettled:
+      case VersionMix.Mixed:
+        return {type: 'unknown', mix};
+    }
   }
 }
 
--- a/src/origin/originmessage.ts
+++ b/src/origin/originmessage.ts
@@ -33,7 +33,7 @@
 
 export type FindMessage = z.output<typeof findMessageSchema>;
 
-/** Result of [[FIND_METHOD]]. */
+/** Result of [[FIND_METHOD]]. An instance that knows nothing gives none. */
 export const peerAnswerSchema = z.discriminatedUnion('type', [
   z.object({
     type: z.literal('known'),
--- a/src/origin/softwareversions.ts
+++ b/src/origin/softwareversions.ts
@@ -7,8 +7,10 @@
 export enum VersionMix {
   /** One, for long enough that no stream of another is taken up anymore. */
   Sole = 'sole',
-  /** One now; what was before isn't known. */
+  /** One now and by the store's record; other instances may know of more. */
   Unsettled = 'unsettled',
+  /** One now; the store's record of earlier ones wasn't read yet. */
+  Unread = 'unread',
   /** One, by entries that are out of date. */
   Outdated = 'outdated',
   /** Several. */
@@ -28,6 +30,8 @@
   private present = new Map<string, Set<string>>();
   /** When each version that is gone was last registered, by service. */
   private readonly left = new Map<string, Map<string, number>>();
+  /** Versions by service as the store has them; absent until it was read. */
+  private recorded?: ReadonlyMap<string, readonly string[]>;
 
   constructor(private readonly timer: Timer) {}
 
@@ -50,28 +54,54 @@
     this.present = present;
   }
 
+  /**
+   * Takes what the store tells: the versions of each service that may have begun
+   * streams. They count as long as this instance hasn't watched the upstreams for
+   * long enough to know itself.
+   */
+  applyRecorded(recorded: ReadonlyMap<string, readonly string[]>): void {
+    this.recorded = recorded;
+  }
+
   /** Services with upstreams. */
   services(): Iterable<string> {
     return this.present.keys();
   }
 
-  mixOf(service: string): VersionMix {
+  /** The versions that may have begun streams which are taken up now. */
+  versionsOf(service: string): Set<string> {
     const now = this.timer.now();
     const versions = new Set(this.present.get(service));
     for (const [version, at] of this.left.get(service) ?? []) {
       if (now - at <= REMEMBERED_MS) versions.add(version);
       else this.left.get(service)?.delete(version);
     }
-    if (versions.size > 1) return VersionMix.Mixed;
-    const knownMs = now - (this.knownSince ?? now);
-    return knownMs >= REMEMBERED_MS ? VersionMix.Sole : VersionMix.Unsettled;
+    if (this.isNew()) {
+      for (const version of this.recorded?.get(service) ?? []) {
+        versions.add(version);
+      }
+    }
+    return versions;
+  }
+
+  mixOf(service: string): VersionMix {
+    if (this.versionsOf(service).size > 1) return VersionMix.Mixed;
+    if (!this.isNew()) return VersionMix.Sole;
+    return this.recorded === undefined
+      ? VersionMix.Unread
+      : VersionMix.Unsettled;
   }
 
   /** The most mixed of several services. */
   mixOfAll(services: readonly string[]): VersionMix {
     const mixes = services.map(service => this.mixOf(service));
-    if (mixes.includes(VersionMix.Mixed)) return VersionMix.Mixed;
-    if (mixes.includes(VersionMix.Unsettled)) return VersionMix.Unsettled;
-    return VersionMix.Sole;
+    const order = [VersionMix.Mixed, VersionMix.Unread, VersionMix.Unsettled];
+    return order.find(mix => mixes.includes(mix)) ?? VersionMix.Sole;
+  }
+
+  /** Whether streams may be taken up that began before this instance watched. */
+  private isNew(): boolean {
+    const now = this.timer.now();
+    return now - (this.knownSince ?? now) < REMEMBERED_MS;
   }
 }
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -317,7 +317,7 @@
   /** Applies the usable upstreams, and places requests that can run now. */
   private updateEndpoints(): void {
     const entries = [...this.registry.usable()];
-    this.fleet.origins.applyUpstreams(entries);
+    this.fleet.applyUpstreams(entries);
     this.endpoints.apply(entries, this.routing.current());
     this.relays.retain(id => this.endpoints.get(id) !== undefined);
     for (const {waitQueue} of this.services.all()) waitQueue.placeWaiting();
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -15,7 +15,13 @@
   type SentPrompt,
   type UpstreamLoad,
 } from '../fleet/index.js';
-import {OriginExchange, SoftwareVersions} from '../origin/index.js';
+import {
+  isVersionRecord,
+  OriginExchange,
+  SoftwareVersions,
+  VersionRecords,
+  type VersionedUpstream,
+} from '../origin/index.js';
 import {
   Follower,
   StoreEpoch,
@@ -99,6 +105,8 @@
   private readonly instances: Follower;
   private readonly records: RecordExchange;
   private readonly holds: HoldRecords;
+  private readonly versions: SoftwareVersions;
+  private readonly versionRecords: VersionRecords;
   private hasConsulted = false;
   /** When the upstreams were first known, in monotonic ms. */
   private upstreamsKnownAt = Infinity;
@@ -129,19 +137,19 @@
     });
     this.instances = this.follow(Topic.Instances, {
       replaced: records => {
-        const changes = this.applyInstances(records, holds =>
-          this.holds.replace(holds),
-        );
+        const changes = this.applyInstances(records, 'replace');
         this.hasReadHolds = true;
         void this.consultPeers();
         return changes;
       },
-      added: records =>
-        this.applyInstances(records, holds => this.holds.add(holds)),
-      known: () => [...this.peers.known(), ...this.holds.known()],
+      added: records => this.applyInstances(records, 'add'),
+      known: () => [
+        ...this.peers.known(),
+        ...this.holds.known(),
+        ...this.versionRecords.known(),
+      ],
     });
-    this.holds = new HoldRecords({
-      log: parts.evidence,
+    const writing = {
       feed: parts.feed,
       epochs: this.epochs,
       timer,
@@ -149,6 +157,12 @@
       random,
       rank: () => this.peers.rankOf(Topic.Instances, instance),
       isKnown: () => this.instances.replica.isStarted,
+    };
+    this.holds = new HoldRecords({...writing, log: parts.evidence});
+    this.versions = new SoftwareVersions(timer);
+    this.versionRecords = new VersionRecords({
+      ...writing,
+      versions: this.versions,
     });
     this.records = new RecordExchange({
       epochs: this.epochs,
@@ -201,7 +215,7 @@
       peers: this.peers,
       datagrams: transport.datagrams,
       timer,
-      versions: new SoftwareVersions(timer),
+      versions: this.versions,
       areCurrent: () => isCurrent(this.upstreams.ageMs()),
     });
   }
@@ -226,6 +240,7 @@
       this.instances.start(),
       this.gossip.start(),
       {end: () => this.holds.end()},
+      this.versionRecords.start(),
       {end: () => this.permits.end()},
       {end: () => this.origins.end()},
     ];
@@ -298,17 +313,28 @@
     }
   }
 
+  /** Takes all registered upstreams. */
+  applyUpstreams(upstreams: Iterable<VersionedUpstream>): void {
+    this.origins.applyUpstreams(upstreams);
+    this.versionRecords.check();
+  }
+
   /**
-   * Applies records of the instances' topic: addresses of instances, and holds
-   * by `applyHolds`. Returns those that changed something.
+   * Applies records of the instances' topic: addresses of instances, holds and
+   * software versions, new ones or all. Returns those that changed something.
    */
   private applyInstances(
     records: KeyedRecord[],
-    applyHolds: (holds: KeyedRecord[]) => KeyedRecord[],
+    mode: 'add' | 'replace',
   ): KeyedRecord[] {
     const changes = new Set([
-      ...this.peers.update(records.filter(record => !isHoldRecord(record))),
-      ...applyHolds(records.filter(isHoldRecord)),
+      ...this.peers.update(
+        records.filter(
+          record => !isHoldRecord(record) && !isVersionRecord(record),
+        ),
+      ),
+      ...this.holds[mode](records.filter(isHoldRecord)),
+      ...this.versionRecords[mode](records.filter(isVersionRecord)),
     ]);
     return records.filter(record => changes.has(record));
   }
--- a/test/softwareversions.test.ts
+++ b/test/softwareversions.test.ts
@@ -1,4 +1,5 @@
-import {afterEach, describe, expect, test} from 'vitest';
+import {afterEach, describe, expect, test, vi} from 'vitest';
+import {Topic} from '../src/registry/index.js';
 import {LogEvent} from '../src/telemetry/index.js';
 import {
   EVENTS,
@@ -176,6 +177,41 @@
     }
   });
 
+  // Review case 1: new instances took the versions that they saw for all there were.
+  test('is refused as not run if all instances ended near the end of a release', async () => {
+    const {deployment, instances} = await deployFleet(['v1', 'v2'], 2);
+    const starts = await Promise.all(
+      instances.flatMap((instance, index) =>
+        ids.map(id => beginAndLeave(instance, `${id}-${index}`)),
+      ),
+    );
+    await untilRecorded(deployment, ['v1', 'v2']);
+    deployment.removeEngine(0);
+    await Promise.all(instances.map(({gateway}) => gateway.stop()));
+    const late = await deployment.addGateway();
+    for (const start of starts) {
+      const response = await takeUp(late, start);
+      expect(response?.status).toBe(503);
+      expect(response?.body).toContain('unknown_version');
+    }
+    const begun = await sendStream(late, 'new');
+    expect(lastEventIn(begun)).toBe(EVENTS);
+  });
+
+  test('goes on if all instances ended while one software version served', async () => {
+    const {deployment, instances} = await deployFleet(['v1', 'v1'], 2);
+    const [first] = instances;
+    const starts = await Promise.all(ids.map(id => beginAndLeave(first, id)));
+    await untilRecorded(deployment, ['v1']);
+    await Promise.all(instances.map(({gateway}) => gateway.stop()));
+    const late = await deployment.addGateway();
+    for (const start of starts) {
+      const response = await takeUp(late, start);
+      expect(versionsIn(response)).toEqual(['v1']);
+      expect(lastEventIn(response)).toBe(EVENTS);
+    }
+  });
+
   test('is refused as not run once its software version leaves', async () => {
     const {deployment, instances} = await deployFleet(['v1'], 2);
     const [first, second] = instances;
@@ -242,6 +278,22 @@
   return {deployment, instances: [first, second] as const};
 }
 
+/** Resolves when the store's record names the software versions of the engines. */
+async function untilRecorded(
+  {feed}: VersionedDeployment,
+  softwareVersions: string[],
+) {
+  await vi.waitFor(
+    () => {
+      const values = feed.records[Topic.Instances]
+        .filter(({key}) => key.startsWith('softwareVersions/'))
+        .map(({value}) => JSON.parse(String(value)) as unknown);
+      expect(values).toContainEqual({service: 'engine', softwareVersions});
+    },
+    {timeout: 5_000, interval: 20},
+  );
+}
+
 /** Begins a stream whose caller leaves after some events. */
 async function beginAndLeave(instance: TestGateway, id: string) {
   const response = await sendStream(instance, id, {abortAt: 'id: 4\n'});
--- a/test/streamorigins.test.ts
+++ b/test/streamorigins.test.ts
@@ -21,6 +21,7 @@
   test('is remembered after a version has left', async () => {
     const timer = new ManualTimer();
     const versions = new SoftwareVersions(timer);
+    versions.applyRecorded(new Map());
     const seen: Array<[string, VersionMix]> = [];
     const note = (what: string) => seen.push([what, versions.mixOf(SERVICE)]);
     versions.apply([V1]);
@@ -65,34 +66,85 @@
     `);
   });
 
+  test('before an instance started is that of the store', async () => {
+    const timer = new ManualTimer();
+    const versions = new SoftwareVersions(timer);
+    const seen: Array<[string, VersionMix]> = [];
+    const note = (what: string) => seen.push([what, versions.mixOf(SERVICE)]);
+    versions.apply([V2]);
+    note('before the store is read');
+    versions.applyRecorded(new Map());
+    note('none recorded');
+    versions.applyRecorded(new Map([[SERVICE, ['v2']]]));
+    note('the same recorded');
+    versions.applyRecorded(new Map([[SERVICE, ['v1', 'v2']]]));
+    note('another one recorded');
+    await timer.advance(30_000);
+    note('known for 30 s');
+    expect(seen).toMatchInlineSnapshot(`
+      [
+        [
+          "before the store is read",
+          "unread",
+        ],
+        [
+          "none recorded",
+          "unsettled",
+        ],
+        [
+          "the same recorded",
+          "unsettled",
+        ],
+        [
+          "another one recorded",
+          "mixed",
+        ],
+        [
+          "known for 30 s",
+          "sole",
+        ],
+      ]
+    `);
+  });
+
   test('decides on a stream without record', () => {
     const mixes = Object.values(VersionMix);
     const decided = mixes.flatMap(own =>
-      [[], ...mixes.map(other => [other])].map(
-        others =>
-          `${own}, others ${others.join()}: ${concludeWithoutRecord(own, others).type}`,
-      ),
+      [[], ...mixes.map(other => [other])].map(others => {
+        const {type} = concludeWithoutRecord(own, others);
+        return `${own}, others ${others.join()}: ${type}`;
+      }),
     );
     expect(decided).toMatchInlineSnapshot(`
       [
         "sole, others : any",
         "sole, others sole: any",
         "sole, others unsettled: any",
+        "sole, others unread: any",
         "sole, others outdated: any",
         "sole, others mixed: any",
         "unsettled, others : any",
         "unsettled, others sole: any",
         "unsettled, others unsettled: any",
+        "unsettled, others unread: any",
         "unsettled, others outdated: any",
         "unsettled, others mixed: unknown",
+        "unread, others : unknown",
+        "unread, others sole: any",
+        "unread, others unsettled: unknown",
+        "unread, others unread: unknown",
+        "unread, others outdated: unknown",
+        "unread, others mixed: unknown",
         "outdated, others : unknown",
         "outdated, others sole: any",
         "outdated, others unsettled: any",
+        "outdated, others unread: unknown",
         "outdated, others outdated: any",
         "outdated, others mixed: unknown",
         "mixed, others : unknown",
         "mixed, others sole: unknown",
         "mixed, others unsettled: unknown",
+        "mixed, others unread: unknown",
         "mixed, others outdated: unknown",
         "mixed, others mixed: unknown",
       ]
@@ -111,6 +163,8 @@
   );
   const value = Buffer.from(JSON.stringify({host: 'entry-1', port: 1}));
   peers.update([{key: 'entry-1', value, offset: 0}]);
+  const versions = new SoftwareVersions(timer);
+  versions.applyRecorded(new Map());
   const origins = new OriginExchange({
     name: 'entry-0',
     zone: 'zone-a',
@@ -121,7 +175,7 @@
       handle: () => undefined,
     },
     timer,
-    versions: new SoftwareVersions(timer),
+    versions,
     areCurrent: () => true,
   });
   const begin = (key: string, {service, softwareVersion}: typeof V1) => {
--- a/test/support/versionedengines.ts
+++ b/test/support/versionedengines.ts
@@ -112,6 +112,11 @@
     this.feed.add(Topic.Upstreams, key, entry);
   }
 
+  /** Removes the entry of an engine, which goes on with what it runs. */
+  removeEngine(index: number): void {
+    this.feed.add(Topic.Upstreams, `engine-${index}`, undefined);
+  }
+
   /** Resolves when each gateway has logged a number of events of a kind. */
   async untilLogged(kind: LogEvent, count: number): Promise<void> {
     await vi.waitFor(() => {
