Conclude that a stream nobody was told of began before the release

What callers saw: an instance lost power, and a release began before its callers noticed.

Cause: origins of streams are told from the moment at which a second version appears. The streams of the lost instance had no record anywhere, and the others refused every stream without record while versions were mixed, though one that nobody was told of can only have begun earlier. The class: the unknown taken for the absent, here the other way round.

Change: an instance remembers which version was alone when it saw another one join, for 30 s. Asked for a stream without record, it tells that version if it would have been told of a later one: it keeps that stream's origin by rank (or the fleet is small), and hasn't stalled since. Any such answer decides; different ones mean unknown. As a missing record now says something, origins are told at once in place of after 10 ms, before the first event reaches the caller, and again until the peer confirms. Earlier builds ignore the new field, and confirm as they answer any call.

Ruled out: that the others hadn't read of the release; they saw both versions.

The test of telling at each release took its messages from broadcasts; it takes them from calls now, with the same expectation.

--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -60,6 +60,12 @@
     default: 0.34,
     describe: 'Share of the instances that end in a run with --streams',
   })
+  .option('seconds-alone', {
+    type: 'number',
+    default: 0,
+    describe:
+      'Time in s for which one software version serves first, with --streams',
+  })
   .option('json', {
     type: 'boolean',
     default: false,
@@ -129,6 +135,7 @@
   for (const instances of args.instances) {
     const figures = await runStreamOrigins({
       ...{instances, streamsPerSecond, seconds, seed, loss, lost},
+      secondsAlone: args.secondsAlone,
     });
     process.stdout.write(`${JSON.stringify(figures)}\n`);
     if (figures.wrong > 0) process.exitCode = 1;
--- a/bench/fleet/streamorigins.ts
+++ b/bench/fleet/streamorigins.ts
@@ -19,6 +19,9 @@
   seed: number;
   /** New streams a second of the whole fleet. */
   streamsPerSecond: number;
+  /** Time for which only the first software version serves, at the beginning. */
+  secondsAlone: number;
+  /** Time for which both serve. */
   seconds: number;
   /** Share of the instances that end at once at the end of that time. */
   lost: number;
@@ -61,7 +64,7 @@
 export async function runStreamOrigins(
   spec: StreamOriginSpec,
 ): Promise<StreamOriginFigures> {
-  const {instances, seconds, streamsPerSecond, lost} = spec;
+  const {instances, seconds, secondsAlone, streamsPerSecond, lost} = spec;
   const random = new Random(spec.seed);
   const base = new ManualTimer();
   const network = new SimulatedNetwork(
@@ -74,10 +77,11 @@
   );
   introduce(nodes);
   const streams: Stream[] = [];
-  const before = {...network.traffic};
+  let versions = VERSIONS.slice(0, 1);
   const begins = base.every(1_000 / streamsPerSecond, () => {
     const node = random.pick(nodes);
-    const softwareVersion = random.pick(VERSIONS);
+    // An instance uses the upstreams that it knows.
+    const softwareVersion = random.pick(versions);
     const key = `stream-${streams.length}`;
     const expiresAt = node.timer.now() + STREAM_LIFE_MS;
     node.origins.note({
@@ -87,6 +91,13 @@
     });
     streams.push({key, softwareVersion, node});
   });
+  if (secondsAlone > 0) {
+    for (const {origins} of nodes) origins.applyUpstreams(upstreams(versions));
+    await advance(base, secondsAlone * 1_000);
+  }
+  versions = VERSIONS;
+  for (const {origins} of nodes) origins.applyUpstreams(upstreams(versions));
+  const before = {...network.traffic};
   await advance(base, seconds * 1_000);
   begins.end();
   const {datagrams, bytes} = network.traffic;
@@ -139,7 +150,6 @@
   const peers = new Peers(name, zone, silent, random.next);
   const {datagrams} = network.connect(place, timer);
   const versions = new SoftwareVersions(timer);
-  versions.applyRecorded(new Map());
   const origins = new OriginExchange({
     name,
     zone,
@@ -149,12 +159,17 @@
     versions,
     areCurrent: () => true,
   });
-  origins.applyUpstreams(
-    VERSIONS.map(softwareVersion => ({service: SERVICE, softwareVersion})),
-  );
+  versions.applyRecorded(new Map());
   return {place, timer, origins, peers};
 }
 
+function upstreams(softwareVersions: readonly string[]) {
+  return softwareVersions.map(softwareVersion => ({
+    service: SERVICE,
+    softwareVersion,
+  }));
+}
+
 /** Tells each instance the addresses of all others. */
 function introduce(nodes: readonly Node[]): void {
   const records = nodes.map(({place: {name, zone}}, offset) => ({
--- a/src/origin/origin.ts
+++ b/src/origin/origin.ts
@@ -16,18 +16,37 @@
   | {type: 'any'}
   | {type: 'unknown'};
 
+/** What instances that have no record of a stream know of its service. */
+export interface VersionKnowledge {
+  /** Mix of versions that this instance sees. */
+  own: VersionMix;
+  /** Mixes that other instances see. */
+  others: readonly VersionMix[];
+  /**
+   * Versions that were alone until another one joined, by instances that would
+   * have been told of a stream that began since.
+   */
+  before: readonly StreamOrigin[];
+}
+
 /**
- * Concludes from what this instance and others know that have no record of a
- * stream. Where versions are mixed, every stream leaves a record; one that has
- * none can't be told from one whose records were lost.
+ * Concludes where a stream without record can go on. Where versions are mixed,
+ * every stream leaves a record: one that has none began earlier, if an instance
+ * would have been told of it, or else its records were lost.
  */
-export function concludeWithoutRecord(
-  own: VersionMix,
-  others: readonly VersionMix[],
-): OriginLookup {
+export function concludeWithoutRecord({
+  own,
+  others,
+  before,
+}: VersionKnowledge): OriginLookup {
+  if (own === VersionMix.Sole) return {type: 'any'};
+  const [origin] = before;
+  if (origin !== undefined) {
+    return before.every(other => isSameOrigin(origin, other))
+      ? {type: 'known', origin}
+      : {type: 'unknown'};
+  }
   switch (own) {
-    case VersionMix.Sole:
-      return {type: 'any'};
     case VersionMix.Mixed:
       return {type: 'unknown'};
     case VersionMix.Outdated:
@@ -48,6 +67,10 @@
   }
 }
 
+function isSameOrigin(a: StreamOrigin, b: StreamOrigin): boolean {
+  return a.service === b.service && a.softwareVersion === b.softwareVersion;
+}
+
 /**
  * Identifies a stream by the request that began it and its caller's API key, as
  * callers choose the ids of their requests. The key can't be told from it.
--- a/src/origin/originexchange.ts
+++ b/src/origin/originexchange.ts
@@ -1,6 +1,6 @@
 import type {Datagrams, InstanceAddress, Peers} from '../fleet/index.js';
-import type {Subscription, Timer} from '../timer/index.js';
-import {holdersOf, holdersToAsk} from './holders.js';
+import type {Timer} from '../timer/index.js';
+import {holdersOf, holdersToAsk, isHolder} from './holders.js';
 import {
   concludeWithoutRecord,
   type OriginLookup,
@@ -23,8 +23,13 @@
   type VersionedUpstream,
 } from './softwareversions.js';
 
-/** Time in which the origins of new streams are collected, in ms. */
-const TELL_DELAY_MS = 10;
+/** Time to wait for a peer to confirm what it was told, by attempt, in ms. */
+const TELL_TIMEOUTS_MS = [80, 220, 500];
+/**
+ * Time after a stall of this process in which it doesn't conclude from having no
+ * record of a stream, in ms: until streams of that time aren't taken up anymore.
+ */
+const STALL_MEMORY_MS = 30_000;
 /** Most streams in one message, which has to fit into a datagram. */
 const MAX_TOLD_STREAMS = 200;
 /**
@@ -61,15 +66,17 @@
  * Shares where streams began while a service has several software versions.
  * An instance tells the holders of a stream at its first event, and those of all
  * its streams when a second version appears; one that takes up a stream and
- * doesn't know it asks the holders.
+ * doesn't know it asks the holders. A stream that none of them was told of began
+ * before the second version appeared, unless all of them started later.
  */
 export class OriginExchange implements StreamOrigins {
   /** Streams that other instances told of. */
   private readonly log: OriginLog;
   /** Streams that this instance passes on, or did. */
   private readonly own: OriginLog;
-  private untold: OriginRecord[] = [];
-  private telling?: Subscription;
+  /** When this process last stalled, in monotonic ms. */
+  private stalledAt = -Infinity;
+  private hasEnded = false;
   private queryCount = 0;
   private unknownCount = 0;
 
@@ -131,53 +138,69 @@
     };
   }
 
+  /** Notes that messages of peers may have been lost, as by a suspension. */
+  noteStall(): void {
+    this.stalledAt = this.parts.timer.now();
+  }
+
+  /** Ends the telling. */
   end(): void {
-    this.telling?.end();
+    this.hasEnded = true;
   }
 
   private known(key: string): StreamOrigin | undefined {
     return this.own.get(key) ?? this.log.get(key);
   }
 
+  /**
+   * Tells the holders of streams. Sent at once, before an event of a new stream
+   * reaches its caller, so that the holders know it even if this instance ends.
+   */
   private tell(records: readonly OriginRecord[]): void {
-    if (records.length === 0) return;
-    this.untold.push(...records);
-    this.telling ??= this.parts.timer.after(TELL_DELAY_MS, () => {
-      this.telling = undefined;
-      this.tellHolders();
-    });
-  }
-
-  private tellHolders(): void {
-    const untold = this.untold.splice(0);
     const {peers} = this.parts;
     if (peers.areDirect) {
-      this.tellAll(peers.all(), untold);
+      for (const address of peers.all()) this.tellPeer(address, records);
       return;
     }
     const byHolder = new Map<string, OriginRecord[]>();
-    for (const record of untold) {
+    for (const record of records) {
       for (const holder of holdersOf(record.key, peers, this.parts)) {
-        const records = byHolder.get(holder) ?? [];
-        records.push(record);
-        byHolder.set(holder, records);
+        const held = byHolder.get(holder) ?? [];
+        held.push(record);
+        byHolder.set(holder, held);
       }
     }
-    for (const [holder, records] of byHolder) {
+    for (const [holder, held] of byHolder) {
       const address = peers.addressOf(holder);
-      if (address !== undefined) this.tellAll([address], records);
+      if (address !== undefined) this.tellPeer(address, held);
     }
   }
 
-  private tellAll(
-    addresses: Iterable<InstanceAddress>,
+  private tellPeer(
+    address: InstanceAddress,
     records: readonly OriginRecord[],
   ): void {
-    const {datagrams, timer} = this.parts;
     for (let at = 0; at < records.length; at += MAX_TOLD_STREAMS) {
-      const some = records.slice(at, at + MAX_TOLD_STREAMS);
-      const message = tellMessageOf(some, timer.now());
-      datagrams.broadcast(addresses, TELL_METHOD, message);
+      void this.tellSome(address, records.slice(at, at + MAX_TOLD_STREAMS));
+    }
+  }
+
+  /** Tells a peer, again if it doesn't confirm; messages may be lost. */
+  private async tellSome(
+    address: InstanceAddress,
+    records: readonly OriginRecord[],
+  ): Promise<void> {
+    const {datagrams, timer} = this.parts;
+    for (const timeoutMs of TELL_TIMEOUTS_MS) {
+      if (this.hasEnded) return;
+      const message = tellMessageOf(records, timer.now());
+      const result = await datagrams.call(
+        address,
+        TELL_METHOD,
+        message,
+        timeoutMs,
+      );
+      if (result.isOk()) return;
     }
   }
 
@@ -206,12 +229,20 @@
     // What was told meanwhile counts, too.
     const origin = (await firstKnown(answers)) ?? this.known(key);
     if (origin !== undefined) return {type: 'known', origin};
-    const mixes = (await Promise.all(answers)).flatMap(answer =>
-      answer?.type === 'unknown' ? answer.mix : [],
+    const unknowing = (await Promise.all(answers)).flatMap(answer =>
+      answer?.type === 'unknown' ? answer : [],
     );
     // Nobody else can have begun a stream of a lone instance.
     const isLone = peers.size === 0 && ownMix === VersionMix.Outdated;
-    return concludeWithoutRecord(isLone ? VersionMix.Unsettled : ownMix, mixes);
+    const before = [
+      this.originBefore(key, services),
+      ...unknowing.map(answer => answer.before),
+    ];
+    return concludeWithoutRecord({
+      own: isLone ? VersionMix.Unsettled : ownMix,
+      others: unknowing.map(({mix}) => mix),
+      before: before.filter(origin => origin !== undefined),
+    });
   }
 
   private async askPeer(
@@ -246,6 +277,25 @@
     }
   }
 
+  /**
+   * Where a stream without record began if it was before versions were mixed;
+   * undefined if this instance may not have been told of a later one.
+   */
+  private originBefore(
+    key: string,
+    services: readonly string[],
+  ): StreamOrigin | undefined {
+    const {versions, peers, timer} = this.parts;
+    const [service, ...others] = services;
+    if (service === undefined || others.length > 0) return undefined;
+    if (!this.isMixed(service)) return undefined;
+    const hasStalled = timer.now() - this.stalledAt <= STALL_MEMORY_MS;
+    if (hasStalled || !isHolder(key, peers, this.parts)) return undefined;
+    const softwareVersion = versions.versionBefore(service);
+    if (softwareVersion === undefined) return undefined;
+    return {service, softwareVersion};
+  }
+
   private answer(params: unknown): PeerAnswer | undefined {
     const {data} = findMessageSchema.safeParse(params);
     if (data === undefined) return undefined;
@@ -260,8 +310,10 @@
         return {type: 'unknown', mix: VersionMix.Unsettled};
       case VersionMix.Sole:
       case VersionMix.Unsettled:
-      case VersionMix.Mixed:
-        return {type: 'unknown', mix};
+      case VersionMix.Mixed: {
+        const before = this.originBefore(data.key, data.services);
+        return {type: 'unknown', mix, ...(before && {before})};
+      }
     }
   }
 }
--- a/src/origin/originmessage.ts
+++ b/src/origin/originmessage.ts
@@ -33,14 +33,24 @@
 
 export type FindMessage = z.output<typeof findMessageSchema>;
 
+const originSchema = z.object({
+  service: z.string(),
+  softwareVersion: z.string(),
+});
+
 /** Result of [[FIND_METHOD]]. An instance that knows nothing gives none. */
 export const peerAnswerSchema = z.discriminatedUnion('type', [
+  z.object({type: z.literal('known'), origin: originSchema}),
+  /** The instance has no record of it, and sees this mix of versions. */
   z.object({
-    type: z.literal('known'),
-    origin: z.object({service: z.string(), softwareVersion: z.string()}),
+    type: z.literal('unknown'),
+    mix: z.enum(VersionMix),
+    /**
+     * Where the stream began if it was before versions were mixed, from an
+     * instance that would know it otherwise. Earlier builds tell none.
+     */
+    before: originSchema.optional(),
   }),
-  /** The instance has no record of it, and sees this mix of versions. */
-  z.object({type: z.literal('unknown'), mix: z.enum(VersionMix)}),
 ]);
 
 /** What another instance knows of the origin of a stream. */
--- a/src/origin/softwareversions.ts
+++ b/src/origin/softwareversions.ts
@@ -23,6 +23,13 @@
   softwareVersion: string;
 }
 
+/** A version that was the only one of its service until another one joined. */
+interface EarlierVersion {
+  softwareVersion: string;
+  /** When the other one joined, in monotonic ms. */
+  until: number;
+}
+
 /** The software versions of the registered upstreams, now and lately. */
 export class SoftwareVersions {
   /** When the upstreams were first known, in monotonic ms. */
@@ -30,6 +37,7 @@
   private present = new Map<string, Set<string>>();
   /** When each version that is gone was last registered, by service. */
   private readonly left = new Map<string, Map<string, number>>();
+  private readonly earlier = new Map<string, EarlierVersion>();
   /** Versions by service as the store has them; absent until it was read. */
   private recorded?: ReadonlyMap<string, readonly string[]>;
 
@@ -44,6 +52,7 @@
       const versions = present.get(service) ?? new Set();
       present.set(service, versions.add(softwareVersion));
     }
+    const alone = this.versionsAlone();
     for (const [service, versions] of this.present) {
       for (const version of versions) {
         if (present.get(service)?.has(version) === true) continue;
@@ -52,6 +61,10 @@
       }
     }
     this.present = present;
+    for (const [service, softwareVersion] of alone) {
+      if (this.mixOf(service) !== VersionMix.Mixed) continue;
+      this.earlier.set(service, {softwareVersion, until: now});
+    }
   }
 
   /**
@@ -84,6 +97,17 @@
     return versions;
   }
 
+  /**
+   * The version that was alone when this instance saw another one join; undefined
+   * if it saw none join, or so long ago that no stream of that time is taken up.
+   */
+  versionBefore(service: string): string | undefined {
+    const earlier = this.earlier.get(service);
+    if (earlier === undefined) return undefined;
+    const isRecent = this.timer.now() - earlier.until <= REMEMBERED_MS;
+    return isRecent ? earlier.softwareVersion : undefined;
+  }
+
   mixOf(service: string): VersionMix {
     if (this.versionsOf(service).size > 1) return VersionMix.Mixed;
     if (!this.isNew()) return VersionMix.Sole;
@@ -104,4 +128,17 @@
     const now = this.timer.now();
     return now - (this.knownSince ?? now) < REMEMBERED_MS;
   }
+
+  /** The version of each service that has only one, and had no other lately. */
+  private versionsAlone(): Map<string, string> {
+    const alone = new Map<string, string>();
+    if (this.recorded === undefined && this.isNew()) return alone;
+    for (const service of this.present.keys()) {
+      const [version, ...others] = this.versionsOf(service);
+      if (version !== undefined && others.length === 0) {
+        alone.set(service, version);
+      }
+    }
+    return alone;
+  }
 }
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -289,6 +289,7 @@
     this.upstreams.wake();
     this.instances.wake();
     this.permits.noteStall();
+    this.origins.noteStall();
   }
 
   /** Closes the port for peers and the connections to them. */
--- a/test/softwareversions.test.ts
+++ b/test/softwareversions.test.ts
@@ -177,6 +177,21 @@
     }
   });
 
+  // Review case 3: taken for lost, as no instance had a record of it.
+  test('goes on if its instance ended before a second software version appeared', async () => {
+    const {deployment, instances} = await deployFleet(['v1', 'v1', 'v1'], 2);
+    const [first, second] = instances;
+    const starts = await Promise.all(ids.map(id => beginAndLeave(first, id)));
+    await first.gateway.stop();
+    await deployment.addEngines(['v2', 'v2', 'v2']);
+    await waitForUpstreams(second, 6);
+    for (const start of starts) {
+      const response = await takeUp(second, start);
+      expect(versionsIn(response)).toEqual(['v1']);
+      expect(lastEventIn(response)).toBe(EVENTS);
+    }
+  });
+
   // Review case 1: new instances took the versions that they saw for all there were.
   test('is refused as not run if all instances ended near the end of a release', async () => {
     const {deployment, instances} = await deployFleet(['v1', 'v2'], 2);
@@ -278,6 +293,17 @@
   return {deployment, instances: [first, second] as const};
 }
 
+/** Resolves when an instance has read the entries of a number of upstreams. */
+async function waitForUpstreams({logLines}: TestGateway, count: number) {
+  await vi.waitFor(
+    () => {
+      const read = logLines.filter(({event}) => event === LogEvent.Upstream);
+      expect(read.length).toBeGreaterThanOrEqual(count);
+    },
+    {timeout: 5_000, interval: 20},
+  );
+}
+
 /** Resolves when the store's record names the software versions of the engines. */
 async function untilRecorded(
   {feed}: VersionedDeployment,
--- a/test/streamorigins.test.ts
+++ b/test/streamorigins.test.ts
@@ -107,14 +107,71 @@
     `);
   });
 
+  test('tells which version was alone before others joined', async () => {
+    const timer = new ManualTimer();
+    const versions = new SoftwareVersions(timer);
+    const seen: Array<[string, string | undefined]> = [];
+    const note = (what: string) =>
+      seen.push([what, versions.versionBefore(SERVICE)]);
+    versions.apply([V1]);
+    versions.apply([V1, V2]);
+    note('joined before the store was read');
+    versions.applyRecorded(new Map());
+    await timer.advance(60_000);
+    versions.apply([V1]);
+    await timer.advance(60_000);
+    versions.apply([V1, V2]);
+    note('a second one joined');
+    versions.apply([V1, V2, {...V2, softwareVersion: 'v3'}]);
+    note('a third one joined');
+    await timer.advance(31_000);
+    note('31 s later');
+    expect(seen).toMatchInlineSnapshot(`
+      [
+        [
+          "joined before the store was read",
+          undefined,
+        ],
+        [
+          "a second one joined",
+          "v1",
+        ],
+        [
+          "a third one joined",
+          "v1",
+        ],
+        [
+          "31 s later",
+          undefined,
+        ],
+      ]
+    `);
+  });
+
   test('decides on a stream without record', () => {
     const mixes = Object.values(VersionMix);
     const decided = mixes.flatMap(own =>
       [[], ...mixes.map(other => [other])].map(others => {
-        const {type} = concludeWithoutRecord(own, others);
+        const {type} = concludeWithoutRecord({own, others, before: []});
         return `${own}, others ${others.join()}: ${type}`;
       }),
     );
+    const agreed = mixes.map(own => {
+      const others = [VersionMix.Mixed];
+      const lookups = [[V1], [V1, V1], [V1, V2]].map(
+        before => concludeWithoutRecord({own, others, before}).type,
+      );
+      return `${own}, one before, the same twice, two: ${lookups.join()}`;
+    });
+    expect(agreed).toMatchInlineSnapshot(`
+      [
+        "sole, one before, the same twice, two: any,any,any",
+        "unsettled, one before, the same twice, two: known,known,unknown",
+        "unread, one before, the same twice, two: known,known,unknown",
+        "outdated, one before, the same twice, two: known,known,unknown",
+        "mixed, one before, the same twice, two: known,known,unknown",
+      ]
+    `);
     expect(decided).toMatchInlineSnapshot(`
       [
         "sole, others : any",
@@ -170,8 +227,11 @@
     zone: 'zone-a',
     peers,
     datagrams: {
-      broadcast: (_peers, _method, params) => told.push(JSON.stringify(params)),
-      call: () => Promise.resolve(err('none')),
+      broadcast: () => undefined,
+      call: (_peer, _method, params) => {
+        told.push(JSON.stringify(params));
+        return Promise.resolve(ok(null));
+      },
       handle: () => undefined,
     },
     timer,
@@ -232,7 +292,7 @@
 });
 
 describe('a fleet that takes up the streams of lost instances', () => {
-  const spec = {seconds: 5, loss: 0.01, lost: 1 / 3};
+  const spec = {secondsAlone: 0, seconds: 5, loss: 0.01, lost: 1 / 3};
 
   test.each([
     {instances: 3, streamsPerSecond: 20},
@@ -250,6 +310,27 @@
     }
   });
 
+  // Review case 3: streams from before the release had no record anywhere.
+  test.each([
+    {instances: 3, streamsPerSecond: 20},
+    {instances: 82, streamsPerSecond: 400},
+  ])(
+    'knows those from before a release with $instances instances',
+    async size => {
+      for (const seed of [1, 2, 3]) {
+        const {takenUp, known, wrong} = await runStreamOrigins({
+          ...spec,
+          ...size,
+          secondsAlone: 4,
+          seconds: 1,
+          seed,
+        });
+        expect(wrong).toBe(0);
+        expect(known / takenUp).toBeGreaterThanOrEqual(MIN_KNOWN_SHARE);
+      }
+    },
+  );
+
   test('goes on with none at another version if most instances are lost', async () => {
     const {takenUp, known, wrong} = await runStreamOrigins({
       ...spec,
