The soak: entries of other writers, ends of processes, answers without a length

The soak judges now that no process of a gateway ends by itself, and starts it again as the platform does.

--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -1,3 +1,4 @@
+import {resolve} from 'node:path';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {runSoak} from './soak/soak.js';
@@ -29,15 +30,27 @@
     choices: [1, 2, 3] as const,
     describe: 'software versions of the upstreams; by default by the seed',
   })
+  .option('rare-faults', {
+    type: 'boolean',
+    describe:
+      'entries of other writers, ends of all processes at once, answers ' +
+      'without a length; by default under seeds that are divisible by 3',
+  })
+  .option('program', {
+    type: 'string',
+    describe: 'file of the program to run, as of an earlier build',
+  })
   .option('json', {type: 'boolean', default: false})
   .strict()
   .parseAsync();
 
-const {crashingParts, softwareVersions} = args;
+const {crashingParts, softwareVersions, rareFaults, program} = args;
 const options = {
   ...args,
   ...(crashingParts === undefined ? {} : {crashingParts}),
   ...(softwareVersions === undefined ? {} : {softwareVersions}),
+  ...(rareFaults === undefined ? {} : {rareFaults}),
+  ...(program === undefined ? {} : {program: resolve(program)}),
 };
 const result = await runSoak(options, lines => {
   process.stdout.write(`${lines.join('\n')}\n`);
--- a/bench/soak/checker.ts
+++ b/bench/soak/checker.ts
@@ -121,6 +121,15 @@
         return this.prompts.checkSpared();
       case Promised.Limited:
         return this.limits?.check() ?? [];
+      case Promised.Running:
+        return this.history.ownEnds.map(
+          ({gateway, incarnation, at, status}) => ({
+            request: `${gateway}/${incarnation}`,
+            message: `the process ended by itself with ${status}`,
+            at,
+            touchedByStall: false,
+          }),
+        );
       case Promised.SoundPrompts:
         return this.prompts.checkSound();
     }
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -37,6 +37,30 @@
 }
 
 export const HOST = 'soak.example';
+/** Topic in which upstreams register themselves. */
+export const UPSTREAMS_TOPIC = 'keyed.servers';
+/** Last number of the address of the upstreams; those of gateways are above. */
+const UPSTREAM_ADDRESS = 5;
+const FIRST_GATEWAY_ADDRESS = 10;
+
+/**
+ * Loopback address of a gateway, unlike those of other soaks that run: a port
+ * that one of them closes may be another one's next.
+ */
+export function addressOf(gateway: number): string {
+  return loopbackAddress(FIRST_GATEWAY_ADDRESS + gateway);
+}
+
+/** Loopback address of the upstreams, unlike those of other soaks that run. */
+export function upstreamAddress(): string {
+  return loopbackAddress(UPSTREAM_ADDRESS);
+}
+
+function loopbackAddress(last: number): string {
+  const {pid} = process;
+  return `127.${10 + (Math.floor(pid / 256) % 240)}.${pid % 256}.${last}`;
+}
+
 /** Time for which callers wait for the end of an answer, in ms. */
 export const PATIENCE_MS = 2_500;
 export const WORKSPACES = ['alpha', 'beta'] as const;
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -1,14 +1,4 @@
-import {
-  Availability,
-  type FaultProxy,
-  type KeyedStoreStandIn,
-} from '../../stand-ins/index.js';
-import type {Random} from '../random.js';
-import {BOUNDS} from './deployment.js';
-import type {GatewayProcess} from './gatewayprocess.js';
-import {Nature, STORE, type SoakHistory} from './history.js';
-import {Treatment} from './treatment.js';
-import type {SoakUpstream} from './upstream.js';
+import {Random} from '../random.js';
 
 /** Faults and planned work that a schedule consists of. */
 export enum FaultKind {
@@ -32,16 +22,19 @@
   UpstreamLink = 'upstreamLink',
   /** A sound upstream sends nothing for a while, and goes on. */
   UpstreamSilence = 'upstreamSilence',
+  /** An upstream's process ends, and its connections with it, in good order. */
+  UpstreamExit = 'upstreamExit',
+  /** All gateways are killed at once. */
+  Blackout = 'blackout',
+  /** Another writer adds an entry that names no upstream. */
+  ForeignEntry = 'foreignEntry',
 }
 
-/** How a link is harmed. */
-enum LinkHarm {
-  Delay = 'delay',
-  Refuse = 'refuse',
-  Blackhole = 'blackhole',
-  Reset = 'reset',
-  SilentRequests = 'silentRequests',
-  SilentAnswers = 'silentAnswers',
+/** What the faults of a run depend on. */
+export interface ScheduleOptions {
+  seed: number;
+  /** Whether rare faults come, and answers without a length; by the seed. */
+  rareFaults?: boolean;
 }
 
 /** A fault at its time after the start of the faults, in ms. */
@@ -73,27 +66,16 @@
   [FaultKind.UpstreamLink]: 3,
   // Scheduled apart, so that seeds keep their other faults.
   [FaultKind.UpstreamSilence]: 0,
+  [FaultKind.UpstreamExit]: 0,
+  [FaultKind.Blackout]: 0,
+  [FaultKind.ForeignEntry]: 0,
 };
 const MEAN_INTERVAL_MS = 600;
 const MEAN_SILENCE_INTERVAL_MS = 1_200;
-const RESTART_MS = 300;
-/** Time for which a leaving upstream still serves after the bound, in ms. */
-const LINGER_MS = 1_500;
-const UNAVAILABLE = Object.values(Availability).filter(
-  value => value !== Availability.Serves,
-);
-const FAULTY = Object.values(Treatment).filter(
-  value => value !== Treatment.Serves,
-);
-
-/** Faults of which the first gateway is spared, so that bounds hold for it. */
-const SPARED_KINDS = new Set([
-  FaultKind.Kill,
-  FaultKind.Pause,
-  FaultKind.StoreLink,
-  FaultKind.StoreCaller,
-  FaultKind.Ingress,
-]);
+const MEAN_RARE_INTERVAL_MS = 1_500;
+const SEED_FACTOR = 0x9e3779b1;
+/** Tells the generator of rare faults from that of a seed's silences. */
+const RARE_FAULTS_PART = 0x10_0000;
 const STORE_KINDS = new Set([
   FaultKind.StoreAway,
   FaultKind.StoreRestored,
@@ -104,10 +86,7 @@
  * Returns the faults of a seed, in the order of time. The store as a whole has
  * faults under every second seed.
  */
-export function scheduleFaults(
-  random: Random,
-  lengthMs: number,
-): ScheduledFault[] {
+function scheduleFaults(random: Random, lengthMs: number): ScheduledFault[] {
   const harmsStore = random.next() < 0.5;
   const kinds = Object.values(FaultKind)
     .filter(kind => harmsStore || !STORE_KINDS.has(kind))
@@ -131,10 +110,7 @@
 }
 
 /** Returns when upstreams fall silent, in the order of time. */
-export function scheduleSilences(
-  random: Random,
-  lengthMs: number,
-): ScheduledFault[] {
+function scheduleSilences(random: Random, lengthMs: number): ScheduledFault[] {
   const silences: ScheduledFault[] = [];
   let atMs = 0;
   for (;;) {
@@ -150,203 +126,57 @@
   }
 }
 
-const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
-
-function choose<Item>(items: readonly Item[], share: number): Item {
-  return items[Math.floor(share * items.length)] as Item;
-}
-
-/** Injects faults from outside the gateways. */
-export class Injector {
-  /** Upstreams whose process is being replaced. */
-  private readonly replaced = new Set<SoakUpstream>();
-
-  constructor(
-    private readonly gateways: readonly GatewayProcess[],
-    private readonly upstreams: readonly SoakUpstream[],
-    private readonly store: KeyedStoreStandIn,
-    private readonly history: SoakHistory,
-  ) {}
-
-  /** Injects a fault and resolves when it has ended. */
-  async inject(fault: ScheduledFault): Promise<void> {
-    const {kind, target, variant, durationMs} = fault;
-    const isSpared = SPARED_KINDS.has(kind) && this.gateways.length > 1;
-    const gateway = choose(this.gateways.slice(isSpared ? 1 : 0), target);
-    const upstream = choose(this.upstreams, target);
-    switch (kind) {
-      case FaultKind.Terminate:
-        return this.terminate(gateway);
-      case FaultKind.Kill:
-        return this.during(gateway.name, kind, async () => {
-          await gateway.kill();
-          await this.restart(gateway);
-        });
-      case FaultKind.Pause:
-        return this.during(gateway.name, kind, async () => {
-          gateway.signal('SIGSTOP');
-          await sleep(durationMs);
-          gateway.signal('SIGCONT');
-        });
-      case FaultKind.Hangup: {
-        const end = this.history.disrupt(gateway.name, kind, Nature.Reload);
-        gateway.changeSettings(0.1 + variant / 5);
-        await sleep(BOUNDS.configApplyMs);
-        return end();
-      }
-      case FaultKind.StoreLink:
-        return this.during(gateway.name, kind, () =>
-          this.harm(gateway.storeLink, variant, durationMs),
-        );
-      case FaultKind.Ingress:
-        return this.during(gateway.name, kind, () =>
-          this.harm(gateway.ingress, variant, durationMs),
-        );
-      case FaultKind.StoreCaller:
-        return this.during(gateway.name, kind, async () => {
-          const {callers} = this.store.behaviour;
-          const availability = choose(UNAVAILABLE, variant);
-          this.store.change({
-            callers: {...callers, [gateway.host]: availability},
-          });
-          await sleep(durationMs);
-          const others = {...this.store.behaviour.callers};
-          delete others[gateway.host];
-          this.store.change({callers: others});
-        });
-      case FaultKind.StoreAway:
-        return this.during(STORE, kind, async () => {
-          this.store.change({availability: choose(UNAVAILABLE, variant)});
-          await sleep(durationMs);
-          this.store.change({availability: Availability.Serves});
-        });
-      case FaultKind.StoreRestored:
-        return this.during(STORE, kind, async () => {
-          this.store.log.restore(variant * 3_000);
-          // Upstreams and the operator write again what was lost.
-          await sleep(BOUNDS.heartbeatMs);
-        });
-      case FaultKind.StoreTrimmed:
-        return this.during(STORE, kind, () => {
-          for (const topic of ['keyed.op', 'keyed.servers', 'keyed.status']) {
-            this.store.log.trim(topic, this.store.log.end(topic));
-          }
-        });
-      case FaultKind.UpstreamCrash:
-        return this.replace(upstream, kind, () => sleep(0), durationMs);
-      case FaultKind.UpstreamLeave:
-        return this.leave(upstream, variant, durationMs);
-      case FaultKind.UpstreamTreatment:
-        return this.during(upstream.name, kind, async () => {
-          upstream.treatment = choose(FAULTY, variant);
-          await sleep(durationMs);
-          upstream.treatment = Treatment.Serves;
-        });
-      case FaultKind.UpstreamLink:
-        return this.during(
-          upstream.name,
-          kind,
-          () => this.harm(upstream.proxy, variant, durationMs),
-          Nature.LinkFault,
-        );
-      case FaultKind.UpstreamSilence:
-        return this.during(
-          upstream.name,
-          kind,
-          () => upstream.fallSilent(durationMs),
-          Nature.Silence,
-        );
-    }
-  }
-
-  private async during(
-    target: string,
-    what: string,
-    action: () => void | Promise<void>,
-    nature = Nature.Fault,
-  ): Promise<void> {
-    const end = this.history.disrupt(target, what, nature);
-    await action();
-    end();
-  }
-
-  private async terminate(gateway: GatewayProcess): Promise<void> {
-    if (gateway.isStopping) return;
-    const {name} = gateway;
-    const end = this.history.disrupt(
-      name,
-      FaultKind.Terminate,
-      Nature.PlannedStop,
-    );
-    await gateway.terminate();
-    end();
-    await this.restart(gateway);
-  }
-
-  private async restart(gateway: GatewayProcess): Promise<void> {
-    await sleep(RESTART_MS);
-    gateway.start();
-  }
-
-  private async harm(
-    proxy: FaultProxy,
-    variant: number,
-    durationMs: number,
-  ): Promise<void> {
-    const harm = choose(Object.values(LinkHarm), variant);
-    switch (harm) {
-      case LinkHarm.Delay:
-        proxy.inject({delayMs: 50 + variant * 400});
-        await sleep(durationMs);
-        return proxy.inject({delayMs: 0});
-      case LinkHarm.Refuse:
-        proxy.inject({refuse: true});
-        proxy.reset();
-        await sleep(durationMs);
-        return proxy.inject({refuse: false});
-      case LinkHarm.Blackhole:
-        proxy.inject({blackholed: true});
-        await sleep(durationMs);
-        return proxy.inject({blackholed: false});
-      case LinkHarm.Reset:
-        return proxy.reset();
-      case LinkHarm.SilentRequests:
-        proxy.silence('requests');
-        return;
-      case LinkHarm.SilentAnswers:
-        proxy.silence('answers');
-        return;
-    }
+/** Returns faults that few deployments meet, in the order of time. */
+function scheduleRareFaults(
+  random: Random,
+  lengthMs: number,
+): ScheduledFault[] {
+  const kinds = [
+    FaultKind.UpstreamExit,
+    FaultKind.UpstreamExit,
+    FaultKind.Blackout,
+    FaultKind.ForeignEntry,
+  ];
+  const faults: ScheduledFault[] = [];
+  let atMs = 0;
+  for (;;) {
+    atMs += -Math.log(1 - random.next()) * MEAN_RARE_INTERVAL_MS;
+    if (atMs >= lengthMs) return faults;
+    faults.push({
+      atMs,
+      kind: random.pick(kinds),
+      target: random.next(),
+      variant: random.next(),
+      durationMs: random.between(200, 2_500),
+    });
   }
+}
 
-  private async leave(
-    upstream: SoakUpstream,
-    variant: number,
-    durationMs: number,
-  ): Promise<void> {
-    const serve = async () => {
-      if (variant < 0.3) upstream.announcesLeaving = true;
-      else upstream.leave(variant > 0.7);
-      await sleep(BOUNDS.drainMs + LINGER_MS);
-    };
-    await this.replace(upstream, FaultKind.UpstreamLeave, serve, durationMs);
-  }
+/** Whether rare faults come; by default under seeds that are divisible by 3. */
+export function hasRareFaults({
+  seed,
+  rareFaults = seed % 3 === 0,
+}: ScheduleOptions): boolean {
+  return rareFaults;
+}
 
-  /** Ends the process of an upstream and starts another under its id. */
-  private async replace(
-    upstream: SoakUpstream,
-    what: string,
-    beforeEnd: () => Promise<unknown>,
-    absentMs: number,
-  ): Promise<void> {
-    if (this.replaced.has(upstream)) return;
-    this.replaced.add(upstream);
-    await beforeEnd();
-    await this.during(upstream.name, what, async () => {
-      upstream.crash();
-      await sleep(absentMs);
-      await upstream.start();
-    });
-    this.replaced.delete(upstream);
-  }
+/**
+ * Returns the faults of a seed in the order of time; under even seeds, upstreams
+ * fall silent, too.
+ */
+export function faultsOf(
+  options: ScheduleOptions,
+  lengthMs: number,
+): ScheduledFault[] {
+  const {seed} = options;
+  // Generators with small seeds begin with nearly the same numbers.
+  const randomOf = (part: number) =>
+    new Random(Math.imul(seed + part, SEED_FACTOR));
+  return [
+    ...scheduleFaults(new Random(seed), lengthMs),
+    ...(seed % 2 === 0 ? scheduleSilences(randomOf(0), lengthMs) : []),
+    ...(hasRareFaults(options)
+      ? scheduleRareFaults(randomOf(RARE_FAULTS_PART), lengthMs)
+      : []),
+  ].sort((a, b) => a.atMs - b.atMs);
 }
--- a/bench/soak/gatewayprocess.ts
+++ b/bench/soak/gatewayprocess.ts
@@ -3,7 +3,7 @@
 import {join} from 'node:path';
 import {packageRoot} from '../../src/cli/packageroot.js';
 import {FaultProxy} from '../../stand-ins/index.js';
-import {BOUNDS} from './deployment.js';
+import {addressOf, BOUNDS} from './deployment.js';
 import type {SoakHistory} from './history.js';
 
 const FRONT_PORT = 8227;
@@ -12,6 +12,8 @@
 const LAST_INTERNAL_PORT = 7355;
 const START_LIMIT_MS = 15_000;
 const START_CHECK_MS = 50;
+/** Time from the end of a process to the start of the next one. */
+export const RESTART_MS = 300;
 
 const children = new Set<ChildProcess>();
 
@@ -22,12 +24,6 @@
 process.once('SIGINT', () => process.exit(130));
 process.once('SIGTERM', () => process.exit(143));
 
-/** Loopback address of a gateway, unlike those of other soaks that run. */
-function addressOf(index: number): string {
-  const {pid} = process;
-  return `127.${10 + (Math.floor(pid / 256) % 240)}.${pid % 256}.${10 + index}`;
-}
-
 const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
 /** A gateway as a process of its own, with proxies before it and the store. */
@@ -35,6 +31,8 @@
   incarnation = 0;
   isStopping = false;
   private child?: ChildProcess;
+  /** Whether the soak ends the process. */
+  private isEnding = false;
   private exited: Promise<void> = Promise.resolve();
   private retryRatio = 0.2;
 
@@ -47,6 +45,8 @@
     readonly storeLink: FaultProxy,
     private readonly folder: string,
     private readonly history: SoakHistory,
+    /** File of the program that it runs. */
+    private readonly program: string,
   ) {}
 
   static async open(
@@ -54,6 +54,7 @@
     storePort: number,
     folder: string,
     history: SoakHistory,
+    program = join(packageRoot(), 'target', 'gypsumcourse.js'),
   ): Promise<GatewayProcess> {
     const host = addressOf(index);
     const ingress = await FaultProxy.open();
@@ -61,7 +62,15 @@
     const storeLink = await FaultProxy.open(host);
     storeLink.setTarget(`127.0.0.1:${storePort}`);
     const name = `entry-${index}`;
-    return new GatewayProcess(name, host, ingress, storeLink, folder, history);
+    return new GatewayProcess(
+      name,
+      host,
+      ingress,
+      storeLink,
+      folder,
+      history,
+      program,
+    );
   }
 
   get isRunning(): boolean {
@@ -73,32 +82,37 @@
     if (this.isRunning) return;
     this.incarnation++;
     this.isStopping = false;
+    this.isEnding = false;
     this.history.disrupt(this.name, 'start')();
     this.writeSettings();
     const log = openSync(join(this.folder, `${this.name}.log`), 'a');
-    const child = spawn(
-      process.execPath,
-      [join(packageRoot(), 'target', 'gypsumcourse.js')],
-      {
-        stdio: ['ignore', log, log],
-        env: {
-          PATH: process.env['PATH'],
-          GYPSUMCOURSE_BOOT: this.settingsFile,
-        },
+    const child = spawn(process.execPath, [this.program], {
+      stdio: ['ignore', log, log],
+      env: {
+        PATH: process.env['PATH'],
+        GYPSUMCOURSE_BOOT: this.settingsFile,
       },
-    );
+    });
     closeSync(log);
     children.add(child);
     this.child = child;
     this.exited = new Promise(resolve => {
-      child.once('exit', () => {
+      child.once('exit', (status, signal) => {
         children.delete(child);
         if (this.child === child) delete this.child;
+        if (!this.isEnding) this.noteOwnEnd(String(status ?? signal));
         resolve();
       });
     });
   }
 
+  /** Records that the process ended by itself, and starts another one. */
+  private noteOwnEnd(status: string): void {
+    const {name: gateway, incarnation, history} = this;
+    history.ownEnds.push({gateway, incarnation, at: history.now(), status});
+    setTimeout(() => this.start(), RESTART_MS).unref();
+  }
+
   /** Waits until the gateway says that it is ready. */
   async untilReady(): Promise<void> {
     const limit = Date.now() + START_LIMIT_MS;
@@ -121,6 +135,7 @@
   async terminate(): Promise<void> {
     if (this.isStopping) return;
     this.isStopping = true;
+    this.isEnding = true;
     const {child} = this;
     this.signal('SIGTERM');
     const timeout = setTimeout(() => child?.kill('SIGKILL'), BOUNDS.graceMs);
@@ -129,6 +144,7 @@
   }
 
   async kill(): Promise<void> {
+    this.isEnding = true;
     this.signal('SIGKILL');
     await this.exited;
   }
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -104,6 +104,15 @@
   at: number;
 }
 
+/** The end of a gateway's process that the soak didn't cause. */
+export interface OwnEnd {
+  gateway: string;
+  incarnation: number;
+  at: number;
+  /** Exit status, or name of the signal. */
+  status: string;
+}
+
 /** What a disruption excuses. */
 export enum Nature {
   /** Excuses bounds, but no loss of requests. */
@@ -143,6 +152,7 @@
   readonly lives: UpstreamLife[] = [];
   readonly disruptions: Disruption[] = [];
   readonly crashes: PromptCrash[] = [];
+  readonly ownEnds: OwnEnd[] = [];
   /** When the last fault ended; undefined before. */
   calmSince?: number;
   private readonly byRequest = new Map<string, Arrival[]>();
--- a/bench/soak/promise.ts
+++ b/bench/soak/promise.ts
@@ -30,6 +30,8 @@
   Spared = 'spared',
   /** An upstream gets no more than the rate that it declares. */
   Limited = 'limited',
+  /** No process of a gateway ends by itself. */
+  Running = 'running',
   /** Prompts that share other parts with a bad one are served again. */
   SoundPrompts = 'sound_prompts',
 }
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -10,16 +10,17 @@
 import {BadRequests} from './badrequests.js';
 import {Caller} from './callers.js';
 import {Checker} from './checker.js';
-import {BOUNDS, ServiceName} from './deployment.js';
+import {BOUNDS, ServiceName, upstreamAddress} from './deployment.js';
 import {isBad} from './expectation.js';
 import {
-  Injector,
-  scheduleFaults,
-  scheduleSilences,
+  faultsOf,
+  hasRareFaults,
   type ScheduledFault,
+  type ScheduleOptions,
 } from './faults.js';
 import {GatewayProcess} from './gatewayprocess.js';
 import {SoakHistory, STORE} from './history.js';
+import {Injector} from './injector.js';
 import {Lateness, type Stall} from './lateness.js';
 import {DeclaredLimits} from './limits.js';
 import {Operator} from './operator.js';
@@ -45,10 +46,7 @@
 const ENDING_MS = 1_000;
 const LAST_ANSWERS_MS = 4_000;
 const HISTORY_BEFORE_MS = 5_000;
-const SEED_FACTOR = 0x9e3779b1;
-
-export interface SoakOptions {
-  seed: number;
+export interface SoakOptions extends ScheduleOptions {
   /** Length of the time with faults, in s. */
   seconds: number;
   instances: number;
@@ -60,6 +58,8 @@
   declaredLimits?: number;
   /** Number of software versions of the upstreams; by default by the seed. */
   softwareVersions?: number;
+  /** File of the program that the gateways run; by default this build's. */
+  program?: string;
 }
 
 /** Result of a soak. */
@@ -137,7 +137,7 @@
   ) {
     const {seed, seconds, crashingParts = crashingPartsOf(seed)} = options;
     this.checker = new Checker(history, this.lateness, limits);
-    this.faults = faultsOf(seed, seconds * 1000);
+    this.faults = faultsOf(options, seconds * 1000);
     this.operator = new Operator(store, history, new Random(seed + 1));
     this.prompts = new Prompts(seed, crashingParts, history);
     const {crashingRequests = 0} = options;
@@ -174,7 +174,13 @@
     const gateways: GatewayProcess[] = [];
     for (let index = 0; index < instances; index++) {
       gateways.push(
-        await GatewayProcess.open(index, store.port, folder, history),
+        await GatewayProcess.open(
+          index,
+          store.port,
+          folder,
+          history,
+          options.program,
+        ),
       );
     }
     const limits = new DeclaredLimits(
@@ -195,12 +201,13 @@
           new SoakUpstream(
             name,
             service,
-            await FaultProxy.open(),
+            await FaultProxy.open(upstreamAddress()),
             store,
             history,
             random,
             limits,
             rotate(versions, n),
+            hasRareFaults(options),
           ),
         );
       }
@@ -385,13 +392,3 @@
     return result;
   }
 }
-
-/** The faults of a seed; under even seeds, upstreams fall silent, too. */
-function faultsOf(seed: number, lengthMs: number): ScheduledFault[] {
-  const faults = scheduleFaults(new Random(seed), lengthMs);
-  if (seed % 2 !== 0) return faults;
-  // Generators with small seeds begin with nearly the same numbers.
-  const random = new Random(Math.imul(seed, SEED_FACTOR));
-  const silences = scheduleSilences(random, lengthMs);
-  return [...faults, ...silences].sort((a, b) => a.atMs - b.atMs);
-}
--- a/bench/soak/upstream.ts
+++ b/bench/soak/upstream.ts
@@ -5,26 +5,26 @@
 import {Availability} from '../../stand-ins/index.js';
 import {readBody} from '../../stand-ins/http.js';
 import type {Random} from '../random.js';
-import {BOUNDS, eventDataOf, ServiceName, textOf} from './deployment.js';
+import {
+  BOUNDS,
+  eventDataOf,
+  ServiceName,
+  textOf,
+  upstreamAddress,
+  UPSTREAMS_TOPIC,
+} from './deployment.js';
+import {arrivalOf} from './arrival.js';
 import type {Arrival, SoakHistory} from './history.js';
 import type {DeclaredLimits} from './limits.js';
+import {encodeEntry, Registration, SLOTS} from './registration.js';
 import {BREAKING, Treatment} from './treatment.js';
 
 const LEAVING_HEADER = 'server-leaving';
-/** Topic in which upstreams register themselves. */
-const UPSTREAMS_TOPIC = 'keyed.servers';
-const SLOTS = 16;
 const MISSED_HEARTBEATS = 3;
 /** Time from the head of an answer to the crash that it causes, in ms. */
 const CRASH_DELAY_MS = 25;
-
-/** State in which an upstream registers itself. */
-enum Registration {
-  Ready = 'ready',
-  Draining = 'draining',
-  /** Its entry was removed, though it still serves. */
-  Removed = 'removed',
-}
+/** Time in which the last bytes of a process pass its proxy, in ms. */
+const FLUSH_MS = 100;
 
 const sleep = (ms: number) =>
   new Promise<void>(resolve => setTimeout(resolve, ms));
@@ -57,6 +57,8 @@
     private readonly limits: DeclaredLimits,
     /** The software versions of its processes, in turn. */
     private readonly softwareVersions: readonly string[],
+    /** Whether every second answer ends with its connection. */
+    private readonly omitsLengths: boolean,
   ) {}
 
   /** Id of its newest process; another software version has another one. */
@@ -113,13 +115,29 @@
     this.heartbeat = setInterval(() => this.register(), BOUNDS.heartbeatMs);
   }
 
-  /** Ends the process at once, without a word. */
+  /** Ends the process at once; its connections are reset. */
   crash(): void {
+    this.proxy.reset();
+    this.end();
+  }
+
+  /** Ends the process at once; the system closes its connections in order. */
+  async exit(): Promise<void> {
+    // A proxy that refuses connections still accepts them; a closed port doesn't.
+    const successor = await FaultProxy.open(upstreamAddress());
+    const {proxy} = this;
+    this.proxy = successor;
+    proxy.stopListening();
+    this.end();
+    await sleep(FLUSH_MS);
+    await proxy.close();
+  }
+
+  private end(): void {
     this.isAlive = false;
     this.history.endLife(this.name);
     clearInterval(this.heartbeat);
     this.proxy.inject({refuse: true});
-    this.proxy.reset();
     this.server?.close();
     this.server?.closeAllConnections();
   }
@@ -170,18 +188,14 @@
       if (this.isListed) this.remove();
       return;
     }
-    const entry = {
+    const value = encodeEntry({
       service: this.service,
       address: this.proxy.address,
-      zone: 'zone-a',
       version: this.softwareVersion,
-      slots: SLOTS,
       state: this.registration,
-      coldRemainingMs: 0,
       seq: ++this.sequence,
       born: this.born,
-    };
-    const value = Buffer.from(JSON.stringify(entry));
+    });
     this.store.log.append(UPSTREAMS_TOPIC, this.id, value);
   }
 
@@ -215,7 +229,7 @@
     response: ServerResponse,
   ): Promise<void> {
     const body = (await readBody(message)).toString();
-    const {headers, url = '/', method = ''} = message;
+    const {headers} = message;
     const request = String(headers['x-request-id'] ?? '');
     response.setHeader('x-instance-id', this.id);
     // Probes carry no id.
@@ -225,22 +239,16 @@
       return;
     }
     const seal = `${this.name}.${incarnation}.${++this.answers}`;
-    const {'x-tenant': tenant, authorization} = headers;
+    if (this.omitsLengths && this.answers % 2 === 0) {
+      response.useChunkedEncodingByDefault = false;
+    }
     const arrival: Arrival = {
-      request,
+      ...arrivalOf(message, request, body),
       upstream: this.name,
       incarnation,
       service: this.service,
       at: this.history.now(),
-      ran: true,
-      method,
-      path: url,
-      body,
       seal,
-      status: 200,
-      brokeOff: false,
-      ...(typeof tenant === 'string' ? {tenant} : {}),
-      ...(authorization === undefined ? {} : {authorization}),
     };
     const expected = headers['x-expect-instance'];
     this.limits.declare(arrival, response);
@@ -306,8 +314,10 @@
     if (treatment === Treatment.Fails) {
       response.statusCode = arrival.status = 500;
     }
-    // Without a length, the body is sent in chunks.
-    if (random.next() < 0.7) response.setHeader('content-length', size);
+    // Without a length, the body is sent in chunks, or ends with its connection.
+    if (random.next() < 0.7 && response.useChunkedEncodingByDefault) {
+      response.setHeader('content-length', size);
+    }
     const cut = Math.floor(random.between(0, size));
     await this.write(arrival, response, body.slice(0, cut));
     await sleep(random.between(0, 20));
@@ -328,7 +338,7 @@
     arrival.brokeOff = true;
     await sleep(CRASH_DELAY_MS);
     // A proxy that refuses connections still accepts them; a closed port doesn't.
-    const successor = await FaultProxy.open();
+    const successor = await FaultProxy.open(upstreamAddress());
     if (!this.isAlive || arrival.incarnation !== this.incarnation) {
       await successor.close();
       return;
--- a/stand-ins/connection.ts
+++ b/stand-ins/connection.ts
@@ -68,7 +68,20 @@
     from.on('data', (chunk: Buffer) => {
       this.scheduleDelivery(chunk.length, () => this.forward(chunk));
     });
-    from.on('end', () => this.scheduleDelivery(0, () => this.end()));
+    from.on('end', () => {
+      // A reset that is read together with the last bytes ends a socket like a
+      // close. Only a socket that was reset has no remote address then.
+      const isReset = from.remoteAddress === undefined;
+      this.scheduleDelivery(0, () => this.end(isReset));
+    });
+  }
+
+  /** Closes the receiving side once all data has arrived there. */
+  close(): void {
+    if (this.silent) return;
+    this.scheduleDelivery(0, () => {
+      if (!this.silent) this.to.destroySoon();
+    });
   }
 
   private forward(chunk: Buffer): void {
@@ -77,8 +90,10 @@
     this.to.write(chunk);
   }
 
-  private end(): void {
-    if (!this.dropsTraffic) this.to.end();
+  private end(isReset: boolean): void {
+    if (this.dropsTraffic) return;
+    if (isReset) this.to.resetAndDestroy();
+    else this.to.end();
   }
 
   /**
@@ -154,14 +169,10 @@
     );
     client
       .on('error', () => this.closeAfterError())
-      .on('close', () => {
-        if (!this.requests.silent) target.destroy();
-      });
+      .on('close', () => this.requests.close());
     target
       .on('error', () => this.closeAfterError())
-      .on('close', () => {
-        if (!this.answers.silent) client.destroy();
-      });
+      .on('close', () => this.answers.close());
   }
 
   /** Stops forwarding for good, without closing the connection. */
@@ -176,10 +187,9 @@
     this.target.resetAndDestroy();
   }
 
-  /** Closes both connections, unless a silent one must be left hanging. */
+  /** Resets both connections, unless a silent one must be left hanging. */
   private closeAfterError(): void {
     if (this.answers.silent || this.requests.silent) return;
-    this.client.destroy();
-    this.target.destroy();
+    this.reset();
   }
 }
--- a/stand-ins/faultproxy.ts
+++ b/stand-ins/faultproxy.ts
@@ -130,6 +130,11 @@
     }
   }
 
+  /** Refuses new connections, as a port without listener; open ones go on. */
+  stopListening(): void {
+    this.server.close();
+  }
+
   async close(): Promise<void> {
     this.closed = true;
     for (const socket of this.senderSockets.values()) socket.close();
