Name how the soak replaces the address of an upstream

The next process of an upstream that has ended needs another port, as a proxy that refuses connections still accepts them. Both places share one function.

--- a/bench/soak/upstream.ts
+++ b/bench/soak/upstream.ts
@@ -26,6 +26,12 @@
 /** Time in which the last bytes of a process pass its proxy, in ms. */
 const FLUSH_MS = 100;
 
+/**
+ * The proxy of a next process: one that refuses connections still accepts them,
+ * unlike the closed port of a process that has ended.
+ */
+const openProxy = () => FaultProxy.open(upstreamAddress());
+
 const sleep = (ms: number) =>
   new Promise<void>(resolve => setTimeout(resolve, ms));
 
@@ -123,10 +129,8 @@
 
   /** Ends the process at once; the system closes its connections in order. */
   async exit(): Promise<void> {
-    // A proxy that refuses connections still accepts them; a closed port doesn't.
-    const successor = await FaultProxy.open(upstreamAddress());
     const {proxy} = this;
-    this.proxy = successor;
+    this.proxy = await openProxy();
     proxy.stopListening();
     this.end();
     await sleep(FLUSH_MS);
@@ -337,8 +341,7 @@
     if (this.service === ServiceName.Streams) response.flushHeaders();
     arrival.brokeOff = true;
     await sleep(CRASH_DELAY_MS);
-    // A proxy that refuses connections still accepts them; a closed port doesn't.
-    const successor = await FaultProxy.open(upstreamAddress());
+    const successor = await openProxy();
     if (!this.isAlive || arrival.incarnation !== this.incarnation) {
       await successor.close();
       return;
