Take an answer without a length for whole only if its upstream still runs

Cause: an answer without a length ends with its connection. When a process ends, its system closes its connections in order, so that a part of an answer was taken for all of it. Streams were checked for an event that is cut; between two events nothing tells.

Change: at the end of such an answer, its upstream's address is dialled. If it refuses connections, the answer counts as broken: a resumable stream goes on after its last event, what may be repeated is sent again, and anything else doesn't look complete. Any other outcome of the dial, a silent link among them, leaves the answer whole. It costs one connection for each answer without a length.

The remote address as a sign of a reset: the end was an orderly one.

--- a/src/forward/attemptresult.ts
+++ b/src/forward/attemptresult.ts
@@ -65,3 +65,19 @@
       progress: AnswerProgress;
       endedBy: BreakCause;
     };
+
+/** The head of a complete answer; undefined if there is none. */
+export function headOf(result: AttemptResult): ReceivedHead | undefined {
+  switch (result.type) {
+    case 'whole':
+      return result.answer.head;
+    case 'delivered':
+      return result.head;
+    case 'unsent':
+    case 'withheld':
+    case 'misplaced':
+    case 'refused':
+    case 'broken':
+      return undefined;
+  }
+}
--- a/src/forward/dependencies.ts
+++ b/src/forward/dependencies.ts
@@ -22,6 +22,8 @@
   random: () => number;
   /** Whether a silent upstream answers a probe on another connection. */
   isAlive(endpoint: Endpoint, path: Path): Promise<boolean>;
+  /** Whether no process listens at the address of an upstream. */
+  hasEnded(endpoint: Endpoint, path: Path): Promise<boolean>;
   /**
    * Whether this instance reaches an upstream without a peer, as far as known.
    * If not, failures may be due to its own links.
--- a/src/forward/liveness.ts
+++ b/src/forward/liveness.ts
@@ -54,6 +54,11 @@
     return result === ProbeResult.Alive;
   }
 
+  /** Whether the address of an upstream refuses connections. */
+  async refuses(endpoint: Endpoint, path: Path): Promise<boolean> {
+    return (await this.connect(endpoint, path)) === ProbeResult.Refused;
+  }
+
   /** Probes an upstream, by default directly; see [[isAlive]]. */
   probe(endpoint: Endpoint, path = Path.Direct): Promise<ProbeResult> {
     const pendingProbes = this.pendingProbes[path];
--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -5,6 +5,7 @@
 import {
   AnswerProgress,
   BreakCause,
+  headOf,
   type AttemptResult,
 } from './attemptresult.js';
 import {recordHealth} from './attempthealth.js';
@@ -154,7 +155,7 @@
     // A request that must not be retried runs to its end without its caller.
     const outlivesCaller = !isRetryable && !route.streaming;
     try {
-      const result = await runAttempt({
+      const ended = await runAttempt({
         endpoint,
         connection,
         placedAt: sentAt,
@@ -186,6 +187,7 @@
         },
         observe: head => observer.observe(endpoint, head, placement.trial),
       });
+      const result = await this.confirm(ended, connection.path);
       if (!this.controller.signal.aborted) {
         const {path} = connection;
         recordHealth(dependencies, context, endpoint, result, path);
@@ -206,6 +208,28 @@
     }
   }
 
+  /**
+   * An answer without a length ends with its connection, as does that of a
+   * process that ends: the answer counts as broken if no process listens anymore.
+   */
+  private async confirm(
+    result: AttemptResult,
+    path: Path,
+  ): Promise<AttemptResult> {
+    const head = headOf(result);
+    if (head === undefined || head.framed) return result;
+    if (!(await this.dependencies.hasEnded(this.endpoint, path))) return result;
+    return {
+      type: 'broken',
+      cause: 'the upstream ended with an answer without length',
+      started: result.type === 'delivered',
+      progress: head.isEventStream
+        ? AnswerProgress.Advanced
+        : AnswerProgress.Begun,
+      endedBy: BreakCause.Upstream,
+    };
+  }
+
   /** Result of an attempt that failed unexpectedly; the request goes on. */
   private resultOfDefect(cause: unknown): AttemptResult {
     const {dependencies, context, endpoint, isSent} = this;
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -170,6 +170,7 @@
           parts: parts.map(({id, tokens}) => [id, tokens]),
         }),
       isAlive: (endpoint, path) => this.probes.isAlive(endpoint, path),
+      hasEnded: (endpoint, path) => this.probes.refuses(endpoint, path),
       reachesDirectly: ({entry}) =>
         this.relays.links.pathTo(entry) === Path.Direct,
       noteSilence: ({entry}) => this.relays.links.noteSilence(entry),
