--- a/bench/soak/registration.ts
+++ b/bench/soak/registration.ts
@@ -1,4 +1,5 @@
-import type {ServiceName} from './deployment.js';
+import {Availability, type KeyedStoreStandIn} from '../../stand-ins/index.js';
+import {UPSTREAMS_TOPIC, type ServiceName} from './deployment.js';
 
 export const SLOTS = 16;
 
@@ -26,3 +27,17 @@
   const others = {zone: 'zone-a', slots: SLOTS, coldRemainingMs: 0};
   return Buffer.from(JSON.stringify({...entry, ...others}));
 }
+
+/** Whether the store takes no records now. */
+export function isAway({behaviour}: KeyedStoreStandIn): boolean {
+  return behaviour.availability !== Availability.Serves;
+}
+
+/** Removes an entry, if there is one and the store takes records. */
+export function removeEntry(store: KeyedStoreStandIn, id: string): void {
+  if (isAway(store)) return;
+  const isListed = store.log
+    .newest(UPSTREAMS_TOPIC)
+    .some(({key}) => key === id);
+  if (isListed) store.log.append(UPSTREAMS_TOPIC, id);
+}
--- a/bench/soak/upstream.ts
+++ b/bench/soak/upstream.ts
@@ -2,7 +2,6 @@
 import {createServer} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {FaultProxy, type KeyedStoreStandIn} from '../../stand-ins/index.js';
-import {Availability} from '../../stand-ins/index.js';
 import {readBody} from '../../stand-ins/http.js';
 import type {Random} from '../random.js';
 import {
@@ -16,7 +15,13 @@
 import {arrivalOf} from './arrival.js';
 import type {Arrival, SoakHistory} from './history.js';
 import type {DeclaredLimits} from './limits.js';
-import {encodeEntry, Registration, SLOTS} from './registration.js';
+import {
+  encodeEntry,
+  isAway,
+  Registration,
+  removeEntry,
+  SLOTS,
+} from './registration.js';
 import {BREAKING, Treatment} from './treatment.js';
 
 const LEAVING_HEADER = 'server-leaving';
@@ -76,7 +81,7 @@
   /** Removes the entry of the last process if the next one has another id. */
   private removeEarlierId(): void {
     const changesId = this.softwareVersions.length > 1;
-    if (changesId && !this.isStoreAway && this.isListed) this.remove();
+    if (changesId) removeEntry(this.store, this.id);
   }
 
   /** Software version of its newest process. */
@@ -167,29 +172,15 @@
     if (this.isAlive || silentMs < MISSED_HEARTBEATS * BOUNDS.heartbeatMs) {
       return;
     }
-    if (!this.isStoreAway && this.isListed) this.remove();
-  }
-
-  private get isStoreAway(): boolean {
-    return this.store.behaviour.availability !== Availability.Serves;
-  }
-
-  private get isListed(): boolean {
-    return this.store.log
-      .newest(UPSTREAMS_TOPIC)
-      .some(({key}) => key === this.id);
-  }
-
-  private remove(): void {
-    this.store.log.append(UPSTREAMS_TOPIC, this.id);
+    removeEntry(this.store, this.id);
   }
 
   private register(): void {
-    if (this.isStoreAway) return;
+    if (isAway(this.store)) return;
     this.lastHeartbeatAt = this.history.now();
     if (this.registration !== Registration.Ready) this.noteLeave();
     if (this.registration === Registration.Removed) {
-      if (this.isListed) this.remove();
+      removeEntry(this.store, this.id);
       return;
     }
     const value = encodeEntry({
