--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -6,10 +6,12 @@
   openSync,
   readdirSync,
   readFileSync,
+  renameSync,
   rmSync,
   statSync,
   writeFileSync,
 } from 'node:fs';
+import {open} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import fc from 'fast-check';
@@ -255,25 +257,24 @@
   closeSync(reader);
 });
 
-test('a second SIGTERM does not cut a drain short', async () => {
+/** Settings of a process whose store doesn't listen. */
+const SETTINGS = JSON.stringify({
+  nodeName: 'entry-1',
+  ip: '127.0.0.1',
+  zone: 'zone-a',
+  zones: {'zone-a': 'region-a'},
+  listen: {front: '127.0.0.1:0', ready: '127.0.0.1:0'},
+  bounds: {graceS: 5, retryBudgetRatio: 0.2, budgetWindowS: 10},
+  platform: {address: '127.0.0.1:1'},
+  internalPorts: [0, 0],
+});
+
+/** Starts the program; `prepare` writes its settings file. */
+function startProgram(prepare: (settings: string) => void) {
   execFileSync(process.execPath, [join('scripts', 'bundle.mjs')]);
   const folder = mkdtempSync(join(tmpdir(), 'gypsumcourse-'));
   const settings = join(folder, 'settings.json');
-  const address = '127.0.0.1:0';
-  writeFileSync(
-    settings,
-    JSON.stringify({
-      nodeName: 'entry-1',
-      ip: '127.0.0.1',
-      zone: 'zone-a',
-      zones: {'zone-a': 'region-a'},
-      listen: {front: address, ready: address},
-      bounds: {graceS: 5, retryBudgetRatio: 0.2, budgetWindowS: 10},
-      // Nothing listens there: the process drains all the same.
-      platform: {address: '127.0.0.1:1'},
-      internalPorts: [0, 0],
-    }),
-  );
+  prepare(settings);
   const child = spawn(process.execPath, [join('target', 'gypsumcourse.js')], {
     env: {...process.env, GYPSUMCOURSE_BOOT: settings},
     stdio: ['ignore', 'pipe', 'inherit'],
@@ -287,11 +288,44 @@
   child.stdout.on('data', (chunk: Buffer) => (output += chunk.toString()));
   const untilLogged = (event: string) =>
     vi.waitFor(() => expect(output).toContain(`"event":"${event}"`), 5_000);
+  return {child, ended, settings, untilLogged, output: () => output};
+}
+
+/** Starts the program and sends it a signal while it reads its settings. */
+async function signalAtStart(signal: NodeJS.Signals) {
+  const program = startProgram(path => execFileSync('mkfifo', [path]));
+  const {settings, child} = program;
+  // Opened once the process opens it.
+  const pipe = await open(settings, 'w');
+  child.kill(signal);
+  writeFileSync(`${settings}.next`, SETTINGS);
+  renameSync(`${settings}.next`, settings);
+  await pipe.writeFile(SETTINGS);
+  await pipe.close();
+  return program;
+}
+
+// Review: SIGHUP in the first 0.3 s ended a process.
+test('SIGHUP while a process starts reloads its settings', async () => {
+  const {untilLogged} = await signalAtStart('SIGHUP');
+  await untilLogged('started');
+  await untilLogged('reloaded');
+});
+
+test('SIGTERM while a process starts stops it in order', async () => {
+  const {ended} = await signalAtStart('SIGTERM');
+  expect(await ended).toEqual([0, null]);
+});
+
+test('a second SIGTERM does not cut a drain short', async () => {
+  const {child, ended, untilLogged, output} = startProgram(path =>
+    writeFileSync(path, SETTINGS),
+  );
   await untilLogged('started');
   child.kill('SIGTERM');
   await untilLogged('stopping');
   child.kill('SIGTERM');
   // The exit status, and the signal that ended the process, if any.
   expect(await ended).toEqual([0, null]);
-  expect(output.split('"event":"stopping"')).toHaveLength(2);
+  expect(output().split('"event":"stopping"')).toHaveLength(2);
 });
