Bound what is read of answers to the product's own requests

Another operator reported a faulty runner that sent bytes without end; the machine that had called it kept them all and ran out of memory.

Through the product's own interface it did happen: bodies of failures and of whole answers, load reports and pages of cache events, answers to orders, and a stream's event were read to their end however long they were.

A failure that is too long counts as one that may have run.

Ruled out: the platform's interface, by its tests, run again here and green.

--- a/src/order/engineclient.ts
+++ b/src/order/engineclient.ts
@@ -1,5 +1,5 @@
 import {err, ok, type Result} from 'neverthrow';
-import type {Upstream} from '../upstream/index.js';
+import {BodyTooLong, readBounded, type Upstream} from '../upstream/index.js';
 import {
   engineStateSchema,
   type EngineOrder,
@@ -11,6 +11,8 @@
  * first order, so that no order of the previous holder is under way.
  */
 export const ORDER_TIMEOUT_MS = 1_000;
+/** Longest answer of an engine, in bytes. */
+const ANSWER_LIMIT_BYTES = 1024 * 1024;
 
 /** Why an order to an engine, or a read of its state, failed. */
 export type OrderFailure =
@@ -71,8 +73,9 @@
         body: body === undefined ? null : JSON.stringify(body),
         signal: AbortSignal.timeout(ORDER_TIMEOUT_MS),
       });
-      const text = await response.body.text();
-      this.usage.bytesIn += text.length;
+      const answer = await readBounded(response.body, ANSWER_LIMIT_BYTES);
+      const text = answer.toString('utf8');
+      this.usage.bytesIn += answer.length;
       const status = response.statusCode;
       if (status === 409) return err({type: 'staleFencing', upstream: name});
       if (status >= 300) {
@@ -80,7 +83,7 @@
       }
       return ok(JSON.parse(text) as unknown);
     } catch (cause) {
-      if (cause instanceof SyntaxError) {
+      if (cause instanceof SyntaxError || cause instanceof BodyTooLong) {
         return err({type: 'engineMalformed', upstream: name});
       }
       const reason = String(cause);
--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -13,6 +13,7 @@
 import {cancelStream, resumeStream} from './upstreamstream.js';
 import {relayEvents, STREAM_END, StreamProgress} from './relay.js';
 import type {AnswerSink} from './sink.js';
+import {readBounded} from '../upstream/index.js';
 import {Watchdog, type SilenceLimits} from './watchdog.js';
 import type {ParsedRequest} from './work.js';
 
@@ -21,6 +22,9 @@
 /** Header that tells an upstream the priority of a request; 0 is highest. */
 export const PRIORITY_HEADER = 'x-priority';
 
+/** Longest answer that is no stream, in bytes. */
+const ANSWER_LIMIT_BYTES = 16 * 1024 * 1024;
+
 /** How often one attempt resumes a broken stream at most. */
 const RESUMES_LIMIT = 2;
 
@@ -253,7 +257,7 @@
       this.headSent = true;
       return this.relay(body, watchdog);
     }
-    const whole = Buffer.from(await body.arrayBuffer());
+    const whole = await readBounded(body, ANSWER_LIMIT_BYTES);
     placement.firstToken();
     this.delivered = true;
     sink.head(statusCode, contentType);
--- a/src/request/attemptresult.ts
+++ b/src/request/attemptresult.ts
@@ -1,9 +1,13 @@
 import type {Dispatcher} from 'undici';
+import {BodyTooLong, readBounded} from '../upstream/index.js';
 import type {Failure} from './outcome.js';
 
 /** Response header `true` if the upstream didn't and won't run the request. */
 export const NOT_RUN_HEADER = 'x-not-run';
 
+/** Longest body of a failure that is passed on, in bytes. */
+const ERROR_LIMIT_BYTES = 256 * 1024;
+
 /** The result of one attempt. */
 export type AttemptResult =
   /** The answer was delivered to its end. */
@@ -30,22 +34,28 @@
 /**
  * Classifies a response with a status of 400 or more. Only [[NOT_RUN_HEADER]]
  * proves that the request did not run. Without it, client errors other than 408
- * are passed to the caller; after 408 or a server error the request may have
- * run.
+ * are passed to the caller; after 408, a server error or a body that is too long
+ * the request may have run.
  */
 export async function classifyErrorResponse({
   statusCode: status,
   headers,
   body,
 }: Dispatcher.ResponseData): Promise<AttemptResult> {
-  const text = await body.text();
+  const content = await readBounded(body, ERROR_LIMIT_BYTES).catch(
+    (cause: unknown) => {
+      if (cause instanceof BodyTooLong) return undefined;
+      throw cause;
+    },
+  );
   if (headers[NOT_RUN_HEADER] === 'true') {
     return {type: 'refused', failure: {type: 'upstreamRefused', status}};
   }
   const failure: Failure = {type: 'upstreamFailed', status};
-  if (status >= 500 || status === 408) {
+  if (status >= 500 || status === 408 || content === undefined) {
     return {type: 'broken', failure, delivered: false};
   }
+  const text = content.toString('utf8');
   const contentType = String(headers['content-type'] ?? 'text/plain');
   return {
     type: 'rejected',
--- a/src/upstream/report.ts
+++ b/src/upstream/report.ts
@@ -1,9 +1,12 @@
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
 import type {Timer} from '../timer/index.js';
+import {readBounded} from './boundedbody.js';
 import type {LoadReport, Upstream} from './upstream.js';
 
 const REPORT_TIMEOUT_MS = 1_000;
+/** Longest report, in bytes; a page of cache events is far shorter. */
+const REPORT_LIMIT_BYTES = 4 * 1024 * 1024;
 
 const loadReportSchema = z.object({
   running: z.number().min(0),
@@ -94,7 +97,8 @@
       path,
       signal: AbortSignal.timeout(REPORT_TIMEOUT_MS),
     });
-    const text = await response.body.text();
+    const body = await readBounded(response.body, REPORT_LIMIT_BYTES);
+    const text = body.toString('utf8');
     if (response.statusCode !== 200) {
       return err({type: 'reportUnsupported', status: response.statusCode});
     }
