Send answers without a length in chunks, so that nothing else ends them

Cause: such an answer was passed on in the same form, so that any end of the connection was its end, also that of the instance; and a reset reaches callers on Node.js as an end where data waits.

Change: an answer without a length is sent in chunks, and one that was held back until its end with its length. Only callers of HTTP/1.0 still get the end of the connection, and a reset where it is cut. Connections to other callers are kept.

Weighed: holding back the last bytes hides no end of the process; the form before leaves the doubt to callers, who can't resolve it.

Measured: processend.test.ts runs a process of the program and ends it by SIGKILL and by a stop beyond its grace, with callers that use http, fetch and a raw socket, for answers with a length, in chunks and with neither, on plain routes and streams.

Left: a peer that relays such an answer and is killed ends it like the upstream.

--- a/src/forward/reply.ts
+++ b/src/forward/reply.ts
@@ -27,16 +27,19 @@
   }
 
   /**
-   * Sends the head of a streamed response. A stream of events is sent in chunks
-   * whatever its framing was: its last event tells whether it is whole, and a
-   * break can be shown up to its end.
+   * Sends the head of a streamed response. Without a length, the response is sent
+   * in chunks, whatever its framing was, so that nothing but its last chunk ends
+   * it: neither a break nor the end of this process looks like its end. A caller
+   * of HTTP/1.0 can't take chunks; for it, the connection ends the response.
    */
   start(head: ReceivedHead): void {
     const headers = head.isEventStream
-      ? this.withClosing(withoutLength(head.forwardedHeaders))
-      : this.headersOf(head, head.forwardedHeaders);
-    this.response.writeHead(head.status, headers);
+      ? withoutLength(head.forwardedHeaders)
+      : head.forwardedHeaders;
+    this.response.writeHead(head.status, this.withClosing(headers));
     this.response.flushHeaders();
+    this.endsWithConnection =
+      !this.response.chunkedEncoding && !hasLength(headers);
   }
 
   /** Writes bytes; false asks to wait until `resume` is called. */
@@ -58,10 +61,8 @@
     this.ended = true;
     const headers = withoutLength(head.forwardedHeaders);
     const hasBody = head.status !== 204 && head.status !== 304;
-    if (hasBody && head.framed) {
-      headers.push('content-length', String(body.length));
-    }
-    this.response.writeHead(head.status, this.headersOf(head, headers));
+    if (hasBody) headers.push('content-length', String(body.length));
+    this.response.writeHead(head.status, this.withClosing(headers));
     this.response.end(hasBody ? body : undefined);
   }
 
@@ -95,18 +96,6 @@
     this.response.destroy();
   }
 
-  /**
-   * A response without a length may have been cut when its upstream stopped, so
-   * it is forwarded without a length or chunked encoding, which would mark its
-   * end as complete.
-   */
-  private headersOf({framed}: ReceivedHead, headers: string[]): string[] {
-    if (framed) return this.withClosing(headers);
-    this.endsWithConnection = true;
-    this.response.useChunkedEncodingByDefault = false;
-    return [...headers, 'connection', 'close'];
-  }
-
   private withClosing(headers: string[]): string[] {
     return this.closesConnection()
       ? [...headers, 'connection', 'close']
@@ -114,11 +103,19 @@
   }
 }
 
+function hasLength(headers: readonly string[]): boolean {
+  return headers.some((name, index) => index % 2 === 0 && isLengthHeader(name));
+}
+
+function isLengthHeader(name: string): boolean {
+  return name.toLowerCase() === 'content-length';
+}
+
 function withoutLength(headers: readonly string[]): string[] {
   const remaining: string[] = [];
   for (let index = 0; index < headers.length; index += 2) {
     const name = headers[index] ?? '';
-    if (name.toLowerCase() === 'content-length') continue;
+    if (isLengthHeader(name)) continue;
     remaining.push(name, headers[index + 1] ?? '');
   }
   return remaining;
--- /dev/null
+++ b/test/processend.test.ts
@@ -0,0 +1,243 @@
+import {mkdtempSync, rmSync} from 'node:fs';
+import {createServer, get, type Server} from 'node:http';
+import {connect, type AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {execFileSync} from 'node:child_process';
+import {afterAll, beforeAll, describe, expect, test} from 'vitest';
+import {
+  encodeConfiguration,
+  HOST,
+  lastingKeyOf,
+  ServiceName,
+  UPSTREAMS_TOPIC,
+  WORKSPACES,
+} from '../bench/soak/deployment.js';
+import {GatewayProcess} from '../bench/soak/gatewayprocess.js';
+import {SoakHistory} from '../bench/soak/history.js';
+import {encodeEntry, Registration} from '../bench/soak/registration.js';
+import {startKeyedStore} from '../stand-ins/index.js';
+
+/** How an upstream marks the end of its answer. */
+enum Framing {
+  Length = 'a length',
+  Chunks = 'chunks',
+  Connection = 'its connection',
+}
+
+/** How a process ends. */
+enum End {
+  Kill = 'is killed',
+  Stop = 'is stopped for longer than its grace',
+}
+
+const PART = 'x'.repeat(64 * 1024);
+const EVENT = 'data: x\n\n';
+/** Parts of a whole answer, of which none is ever sent completely. */
+const PARTS = 10_000;
+const PART_PERIOD_MS = 5;
+/** Time after which the process ends, in the middle of all answers, in ms. */
+const END_AFTER_MS = 600;
+const KEY = lastingKeyOf(WORKSPACES[0]);
+const HEADERS = {authorization: `Bearer ${KEY}`};
+const PATHS = ['/look/', '/order/', '/stream/', '/resume/'];
+
+let store: Awaited<ReturnType<typeof startKeyedStore>>;
+let gateway: GatewayProcess;
+const servers: Server[] = [];
+const folder = mkdtempSync(join(tmpdir(), 'gypsumcourse-'));
+
+/** Registers an upstream that answers endlessly, framed as its path says. */
+async function addUpstream(service: ServiceName): Promise<void> {
+  const isStream = service === ServiceName.Streams;
+  const part = isStream ? EVENT : PART;
+  const id = `${service}-0`;
+  const server = createServer((message, response) => {
+    const request = message.headers['x-request-id'];
+    response.setHeader('x-instance-id', id);
+    if (typeof request !== 'string') {
+      response.end('{"born":1}');
+      return;
+    }
+    response.setHeader('x-request-id', request);
+    response.setHeader('x-response-seal', `seal-of-${request}`);
+    if (isStream) response.setHeader('content-type', 'text/event-stream');
+    const framing = Object.values(Framing)[Number(message.url?.split('/')[2])];
+    if (framing === Framing.Length) {
+      response.setHeader('content-length', PARTS * part.length);
+    } else if (framing === Framing.Connection) {
+      response.useChunkedEncodingByDefault = false;
+    }
+    const writing = setInterval(() => response.write(part), PART_PERIOD_MS);
+    response.on('close', () => clearInterval(writing));
+  });
+  servers.push(server);
+  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  const {port} = server.address() as AddressInfo;
+  const entry = encodeEntry({
+    service,
+    address: `127.0.0.1:${port}`,
+    version: 'v1',
+    state: Registration.Ready,
+    seq: 1,
+    born: 1,
+  });
+  store.log.append(UPSTREAMS_TOPIC, id, entry);
+}
+
+beforeAll(async () => {
+  execFileSync(process.execPath, [join('scripts', 'bundle.mjs')]);
+  store = await startKeyedStore();
+  const keys = new Map([[KEY, WORKSPACES[0]]]);
+  const configuration = encodeConfiguration({version: 1, keys});
+  gateway = await GatewayProcess.open(0, store.port, folder, new SoakHistory());
+  // `fetch` names the address as the host.
+  const changed = String(configuration)
+    .replaceAll(/"timeoutMs":\d+/g, '"timeoutMs":60000')
+    .replaceAll(HOST, gateway.host);
+  store.log.append('keyed.op', 'config', Buffer.from(changed));
+  for (const service of Object.values(ServiceName)) await addUpstream(service);
+});
+
+afterAll(async () => {
+  await gateway.kill();
+  for (const server of servers) {
+    server.close();
+    server.closeAllConnections();
+  }
+  await Promise.all([gateway.ingress.close(), gateway.storeLink.close()]);
+  await store.close();
+  rmSync(folder, {recursive: true});
+});
+
+/** What a caller takes its answer for. */
+interface Received {
+  caller: string;
+  path: string;
+  bytes: number;
+  status: number;
+  looksWhole: boolean;
+}
+
+type Send = (path: string, id: string) => Promise<Received>;
+
+const sendByHttp: Send = (path, id) =>
+  new Promise(resolve => {
+    const received = {
+      caller: 'http',
+      path,
+      bytes: 0,
+      status: 0,
+      looksWhole: false,
+    };
+    const options = {
+      host: gateway.host,
+      port: 8227,
+      path,
+      headers: {...HEADERS, 'x-request-id': id},
+      agent: false,
+    };
+    const message = get(options, response => {
+      response.on('data', ({length}: Buffer) => (received.bytes += length));
+      response.on('error', () => undefined);
+      response.on('close', () =>
+        resolve({
+          ...received,
+          status: response.statusCode ?? 0,
+          looksWhole: response.complete,
+        }),
+      );
+    });
+    message.on('error', () => resolve(received));
+  });
+
+const sendByFetch: Send = async (path, id) => {
+  const received = {
+    caller: 'fetch',
+    path,
+    bytes: 0,
+    status: 0,
+    looksWhole: false,
+  };
+  try {
+    const url = `http://${gateway.host}:8227${path}`;
+    const headers = {...HEADERS, 'x-request-id': id};
+    const response = await fetch(url, {headers});
+    received.status = response.status;
+    for await (const chunk of response.body as unknown as AsyncIterable<Uint8Array>) {
+      received.bytes += chunk.length;
+    }
+    return {...received, looksWhole: true};
+  } catch {
+    return received;
+  }
+};
+
+/** A caller that believes the framing of its answer, and nothing else. */
+const sendRaw: Send = (path, id) =>
+  new Promise(resolve => {
+    const socket = connect(8227, gateway.host);
+    let wasReset = false;
+    let head = '';
+    let tail = '';
+    let bytes = 0;
+    socket.on('error', () => (wasReset = true));
+    socket.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (head.length < 1_000) head += chunk.toString('latin1');
+      tail = (tail + chunk.toString('latin1')).slice(-7);
+    });
+    socket.on('close', () => {
+      const framing = head.toLowerCase();
+      const length = Number(/content-length: (\d+)/.exec(framing)?.[1]);
+      const isWhole = framing.includes('transfer-encoding: chunked')
+        ? tail === '\r\n0\r\n\r\n'
+        : Number.isNaN(length)
+          ? !wasReset
+          : bytes >= length;
+      resolve({
+        ...{caller: 'raw', path, bytes},
+        status: Number(framing.split(' ')[1]),
+        looksWhole: isWhole,
+      });
+    });
+    socket.write(
+      `GET ${path} HTTP/1.1\r\nHost: ${gateway.host}\r\nX-Request-Id: ${id}\r\n` +
+        `Authorization: Bearer ${KEY}\r\n\r\n`,
+    );
+  });
+
+async function end(how: End): Promise<void> {
+  switch (how) {
+    case End.Kill:
+      return gateway.kill();
+    case End.Stop:
+      return gateway.terminate();
+  }
+}
+
+describe.each(Object.values(End))('when an instance %s', how => {
+  // Its answers in the form of the upstream's ended like whole ones.
+  test.each(Object.values(Framing))(
+    'no caller takes a part of an answer ended by %s for the whole',
+    async framing => {
+      const form = Object.values(Framing).indexOf(framing);
+      gateway.start();
+      await gateway.untilReady();
+      const answers = PATHS.flatMap(kind =>
+        [sendByHttp, sendRaw, sendByFetch].map((send, n) =>
+          send(`${kind}${form}`, `${how}-${form}-${kind}-${n}`),
+        ),
+      );
+      await new Promise(resolve => setTimeout(resolve, END_AFTER_MS));
+      await end(how);
+      const received = await Promise.all(answers);
+      expect(received.filter(({looksWhole}) => looksWhole)).toEqual([]);
+      const notBegun = received.filter(
+        ({bytes, status}) => bytes === 0 || status !== 200,
+      );
+      expect(notBegun).toEqual([]);
+    },
+    30_000,
+  );
+});
