--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -111,19 +111,11 @@
 
 /** Returns when upstreams fall silent, in the order of time. */
 function scheduleSilences(random: Random, lengthMs: number): ScheduledFault[] {
-  const silences: ScheduledFault[] = [];
-  let atMs = 0;
-  for (;;) {
-    atMs += -Math.log(1 - random.next()) * MEAN_SILENCE_INTERVAL_MS;
-    if (atMs >= lengthMs) return silences;
-    silences.push({
-      atMs,
-      kind: FaultKind.UpstreamSilence,
-      target: random.next(),
-      variant: random.next(),
-      durationMs: random.between(600, 2_500),
-    });
-  }
+  return scheduleApart(random, lengthMs, {
+    meanIntervalMs: MEAN_SILENCE_INTERVAL_MS,
+    shortestMs: 600,
+    choose: () => FaultKind.UpstreamSilence,
+  });
 }
 
 /** Returns faults that few deployments meet, in the order of time. */
@@ -137,17 +129,34 @@
     FaultKind.Blackout,
     FaultKind.ForeignEntry,
   ];
-  const faults: ScheduledFault[] = [];
+  return scheduleApart(random, lengthMs, {
+    meanIntervalMs: MEAN_RARE_INTERVAL_MS,
+    shortestMs: 200,
+    choose: () => random.pick(kinds),
+  });
+}
+
+/** Returns faults that come beside the others, which seeds keep thereby. */
+function scheduleApart(
+  random: Random,
+  lengthMs: number,
+  faults: {
+    meanIntervalMs: number;
+    shortestMs: number;
+    choose: () => FaultKind;
+  },
+): ScheduledFault[] {
+  const scheduled: ScheduledFault[] = [];
   let atMs = 0;
   for (;;) {
-    atMs += -Math.log(1 - random.next()) * MEAN_RARE_INTERVAL_MS;
-    if (atMs >= lengthMs) return faults;
-    faults.push({
+    atMs += -Math.log(1 - random.next()) * faults.meanIntervalMs;
+    if (atMs >= lengthMs) return scheduled;
+    scheduled.push({
       atMs,
-      kind: random.pick(kinds),
+      kind: faults.choose(),
       target: random.next(),
       variant: random.next(),
-      durationMs: random.between(200, 2_500),
+      durationMs: random.between(faults.shortestMs, 2_500),
     });
   }
 }
