--- a/bench/soak/gatewayprocess.ts
+++ b/bench/soak/gatewayprocess.ts
@@ -33,6 +33,7 @@
   private child?: ChildProcess;
   /** Whether the soak ends the process. */
   private isEnding = false;
+  private startedAt = 0;
   private exited: Promise<void> = Promise.resolve();
   private retryRatio = 0.2;
 
@@ -83,6 +84,7 @@
     this.incarnation++;
     this.isStopping = false;
     this.isEnding = false;
+    this.startedAt = this.history.now();
     this.history.disrupt(this.name, 'start')();
     this.writeSettings();
     const log = openSync(join(this.folder, `${this.name}.log`), 'a');
@@ -108,8 +110,9 @@
 
   /** Records that the process ended by itself, and starts another one. */
   private noteOwnEnd(status: string): void {
-    const {name: gateway, incarnation, history} = this;
-    history.ownEnds.push({gateway, incarnation, at: history.now(), status});
+    const {name: gateway, incarnation, startedAt, history} = this;
+    const at = history.now();
+    history.ownEnds.push({gateway, incarnation, startedAt, at, status});
     setTimeout(() => this.start(), RESTART_MS).unref();
   }
 
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -108,6 +108,7 @@
 export interface OwnEnd {
   gateway: string;
   incarnation: number;
+  startedAt: number;
   at: number;
   /** Exit status, or name of the signal. */
   status: string;
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -527,6 +527,15 @@
     },
   );
 
+  // Streams without a length looked complete when their upstream had ended.
+  test(
+    'take no part of an answer for the whole, under seed 8101',
+    {timeout: 120_000},
+    async () => {
+      await soak(8101, 12, {rareFaults: true});
+    },
+  );
+
   /** Runs a soak as a process of its own; it must break no promise. */
   async function soak(
     seed: number,
@@ -536,6 +545,7 @@
       crashingRequests = 0,
       declaredLimits = 0,
       softwareVersions = 1,
+      rareFaults = false,
     } = {},
   ): Promise<SoakResult> {
     const child = spawn(
@@ -547,6 +557,7 @@
         ...['--crashing-requests', `${crashingRequests}`],
         ...['--declared-limits', `${declaredLimits}`],
         ...['--software-versions', `${softwareVersions}`],
+        ...(rareFaults ? ['--rare-faults'] : []),
       ],
       {stdio: ['ignore', 'pipe', 'inherit']},
     );
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -78,6 +78,14 @@
   }
 }
 
+/** Records of addresses among those of the topic of the instances. */
+export function addressesIn<Item extends {key: string}>(
+  records: readonly Item[],
+): Item[] {
+  // Others have a kind before their key.
+  return records.filter(({key}) => !key.includes('/'));
+}
+
 /** A request that a [[RawUpstream]] received. */
 export interface RawRequest {
   id: string;
