Tell why the origin of a stream is unknown, and from what it was concluded

What callers saw: 503 unknown_version.

Change: lookups end with a reason, which stands in the `resumed` line and is counted by reason in /metrics. Where other instances were asked and none had a record, the line tells the versions seen and recorded, how many were asked, what they answered, and how long ago this process stood still. The versions that were read from or written to the store have a line of their own.

--- a/bench/fleet/streamorigins.ts
+++ b/bench/fleet/streamorigins.ts
@@ -113,7 +113,8 @@
   const lookups = Promise.all(
     broken.map(async ({key, softwareVersion}) => {
       const from = base.now();
-      const lookup = await random.pick(rest).origins.find(key, [SERVICE]);
+      const {origins} = random.pick(rest);
+      const {lookup} = await origins.find(key, [SERVICE]);
       const ms = base.now() - from;
       const isKnown = lookup.type === 'known';
       const isWrong =
--- a/src/forward/resumablestream.ts
+++ b/src/forward/resumablestream.ts
@@ -59,7 +59,7 @@
     const {origins, timer, logger} = this.dependencies;
     const askedAt = timer.now();
     const services = this.route.splits.map(({service}) => service);
-    const lookup = await origins.find(this.key ?? '', services);
+    const {lookup, basis} = await origins.find(this.key ?? '', services);
     this.lookup = lookup;
     logger.info(
       {
@@ -68,7 +68,8 @@
         resumes: resumedRequest,
         lastEvent,
         origin: lookup.type,
-        ...(lookup.type === 'known' ? lookup.origin : {}),
+        ...detailsOf(lookup),
+        ...basis,
         lookupMs: Math.round(timer.now() - askedAt),
       },
       'The caller takes up a stream.',
@@ -105,6 +106,18 @@
   }
 }
 
+/** Log fields that tell where a stream began, or why that isn't known. */
+function detailsOf(lookup: OriginLookup): object {
+  switch (lookup.type) {
+    case 'known':
+      return lookup.origin;
+    case 'any':
+      return {};
+    case 'unknown':
+      return {reason: lookup.reason};
+  }
+}
+
 /** The service of a request: that of its stream, or one by weight. */
 export function serviceOf(
   stream: ResumableStream | undefined,
--- a/src/origin/origin.ts
+++ b/src/origin/origin.ts
@@ -9,12 +9,42 @@
   softwareVersion: string;
 }
 
+/** Why nobody can tell where a stream began. */
+export enum UnknownReason {
+  /** Several versions serve or served lately, and no instance has a record. */
+  SeveralVersions = 'several_versions',
+  /** Instances name different versions that were alone earlier. */
+  Disagreement = 'disagreement',
+  /** The entries of the upstreams are out of date. */
+  OutdatedEntries = 'outdated_entries',
+  /** The versions in the store weren't read yet. */
+  UnreadStore = 'unread_store',
+  /** Several versions; this process stood still, so it may have missed a record. */
+  Stalled = 'stalled',
+}
+
 /** What is known of the origin of a stream. */
 export type OriginLookup =
   | {type: 'known'; origin: StreamOrigin}
   /** Every upstream has the software version that began it. */
   | {type: 'any'}
-  | {type: 'unknown'};
+  | {type: 'unknown'; reason: UnknownReason};
+
+/** What a conclusion on a stream without record was drawn from, for the log. */
+export interface LookupBasis {
+  /** Mix of versions that this instance sees. */
+  mix: VersionMix;
+  /** The versions that may have begun the stream, as far as known here. */
+  softwareVersions: string[];
+  /** The versions in the store; absent if they weren't read. */
+  recorded?: string[];
+  /** Number of instances that were asked. */
+  asked: number;
+  /** Mixes that those see which answered. */
+  answers: VersionMix[];
+  /** Time since this process stood still, in ms; absent if it did not. */
+  stalledMs?: number;
+}
 
 /** What instances that have no record of a stream know of its service. */
 export interface VersionKnowledge {
@@ -27,6 +57,8 @@
    * have been told of a stream that began since.
    */
   before: readonly StreamOrigin[];
+  /** Whether this instance may have missed a record while it stood still. */
+  hasStalled: boolean;
 }
 
 /**
@@ -38,35 +70,43 @@
   own,
   others,
   before,
+  hasStalled,
 }: VersionKnowledge): OriginLookup {
   if (own === VersionMix.Sole) return {type: 'any'};
   const [origin] = before;
   if (origin !== undefined) {
     return before.every(other => isSameOrigin(origin, other))
       ? {type: 'known', origin}
-      : {type: 'unknown'};
+      : unknown(UnknownReason.Disagreement);
   }
+  const severalVersions = unknown(
+    hasStalled ? UnknownReason.Stalled : UnknownReason.SeveralVersions,
+  );
   switch (own) {
     case VersionMix.Mixed:
-      return {type: 'unknown'};
+      return severalVersions;
     case VersionMix.Outdated:
       // A version that joined since may have begun it, by another instance.
-      return others.every(mix => mix === VersionMix.Unread) ||
-        others.includes(VersionMix.Mixed)
-        ? {type: 'unknown'}
+      if (others.includes(VersionMix.Mixed)) return severalVersions;
+      return others.every(mix => mix === VersionMix.Unread)
+        ? unknown(UnknownReason.OutdatedEntries)
         : {type: 'any'};
     case VersionMix.Unread:
       return others.includes(VersionMix.Sole)
         ? {type: 'any'}
-        : {type: 'unknown'};
+        : unknown(UnknownReason.UnreadStore);
     case VersionMix.Unsettled:
       if (others.includes(VersionMix.Sole)) return {type: 'any'};
       return others.includes(VersionMix.Mixed)
-        ? {type: 'unknown'}
+        ? severalVersions
         : {type: 'any'};
   }
 }
 
+function unknown(reason: UnknownReason): OriginLookup {
+  return {type: 'unknown', reason};
+}
+
 function isSameOrigin(a: StreamOrigin, b: StreamOrigin): boolean {
   return a.service === b.service && a.softwareVersion === b.softwareVersion;
 }
--- a/src/origin/originexchange.ts
+++ b/src/origin/originexchange.ts
@@ -3,6 +3,8 @@
 import {holdersOf, holdersToAsk, isHolder} from './holders.js';
 import {
   concludeWithoutRecord,
+  UnknownReason,
+  type LookupBasis,
   type OriginLookup,
   type StreamOrigin,
 } from './origin.js';
@@ -38,6 +40,13 @@
  */
 const ANSWER_TIMEOUTS_MS = [80, 220];
 
+/** What was found of a stream. */
+export interface FoundOrigin {
+  lookup: OriginLookup;
+  /** Present if other instances were asked and none had a record of it. */
+  basis?: LookupBasis;
+}
+
 /** Tells and finds at which software version streams began. */
 export interface StreamOrigins {
   /** Whether a service has, or had lately, several software versions. */
@@ -45,7 +54,7 @@
   /** Notes where a stream began that may be taken up until `expiresAt`. */
   note(record: OriginRecord): void;
   /** Finds the origin of a stream that an upstream of `services` began. */
-  find(key: string, services: readonly string[]): Promise<OriginLookup>;
+  find(key: string, services: readonly string[]): Promise<FoundOrigin>;
 }
 
 /** Dependencies of [[OriginExchange]]. */
@@ -78,7 +87,7 @@
   private stalledAt = -Infinity;
   private hasEnded = false;
   private queryCount = 0;
-  private unknownCount = 0;
+  private readonly unknownCounts = new Map<UnknownReason, number>();
 
   constructor(private readonly parts: OriginExchangeParts) {
     const {datagrams, timer} = parts;
@@ -119,22 +128,34 @@
     }
   }
 
-  async find(key: string, services: readonly string[]): Promise<OriginLookup> {
+  async find(key: string, services: readonly string[]): Promise<FoundOrigin> {
     const origin = this.known(key);
-    if (origin !== undefined) return {type: 'known', origin};
+    if (origin !== undefined) return {lookup: {type: 'known', origin}};
     const mix = this.mixOfAll(services);
-    if (mix === VersionMix.Sole) return {type: 'any'};
-    const lookup = await this.ask(key, services, mix);
-    if (lookup.type === 'unknown') this.unknownCount++;
-    return lookup;
+    if (mix === VersionMix.Sole) return {lookup: {type: 'any'}};
+    const found = await this.ask(key, services, mix);
+    if (found.lookup.type === 'unknown') {
+      const {reason} = found.lookup;
+      const count = this.unknownCounts.get(reason) ?? 0;
+      this.unknownCounts.set(reason, count + 1);
+    }
+    return found;
   }
 
   /** Gauges of /metrics, by name. */
   gauges(): Record<string, number> {
+    const counts = Object.values(UnknownReason).map(reason => {
+      const count = this.unknownCounts.get(reason) ?? 0;
+      return [`stream_origins_unknown_${reason}_total`, count] as const;
+    });
     return {
       stream_origins: this.own.size + this.log.size,
       stream_origin_queries_total: this.queryCount,
-      stream_origins_unknown_total: this.unknownCount,
+      stream_origins_unknown_total: counts.reduce(
+        (sum, [, count]) => sum + count,
+        0,
+      ),
+      ...Object.fromEntries(counts),
     };
   }
 
@@ -219,7 +240,7 @@
     key: string,
     services: readonly string[],
     ownMix: VersionMix,
-  ): Promise<OriginLookup> {
+  ): Promise<FoundOrigin> {
     const {peers} = this.parts;
     this.queryCount++;
     const message: FindMessage = {key, services: [...services]};
@@ -228,7 +249,7 @@
       .map(address => this.askPeer(address, message));
     // What was told meanwhile counts, too.
     const origin = (await firstKnown(answers)) ?? this.known(key);
-    if (origin !== undefined) return {type: 'known', origin};
+    if (origin !== undefined) return {lookup: {type: 'known', origin}};
     const unknowing = (await Promise.all(answers)).flatMap(answer =>
       answer?.type === 'unknown' ? answer : [],
     );
@@ -238,11 +259,36 @@
       this.originBefore(key, services),
       ...unknowing.map(answer => answer.before),
     ];
-    return concludeWithoutRecord({
+    const mixes = unknowing.map(({mix}) => mix);
+    const lookup = concludeWithoutRecord({
       own: isLone ? VersionMix.Unsettled : ownMix,
-      others: unknowing.map(({mix}) => mix),
+      others: mixes,
       before: before.filter(origin => origin !== undefined),
+      hasStalled: this.hasStalled(),
     });
+    const basis = {asked: answers.length, answers: mixes, mix: ownMix};
+    return {lookup, basis: {...basis, ...this.versionBasis(services)}};
+  }
+
+  private versionBasis(
+    services: readonly string[],
+  ): Pick<LookupBasis, 'softwareVersions' | 'recorded' | 'stalledMs'> {
+    const {versions, timer} = this.parts;
+    const recorded = services.map(service => versions.recordedOf(service));
+    const stalledMs = timer.now() - this.stalledAt;
+    return {
+      softwareVersions: services.flatMap(service => [
+        ...versions.versionsOf(service),
+      ]),
+      ...(recorded.includes(undefined)
+        ? {}
+        : {recorded: recorded.flatMap(names => names ?? [])}),
+      ...(Number.isFinite(stalledMs) ? {stalledMs: Math.round(stalledMs)} : {}),
+    };
+  }
+
+  private hasStalled(): boolean {
+    return this.parts.timer.now() - this.stalledAt <= STALL_MEMORY_MS;
   }
 
   private async askPeer(
@@ -285,12 +331,12 @@
     key: string,
     services: readonly string[],
   ): StreamOrigin | undefined {
-    const {versions, peers, timer} = this.parts;
+    const {versions, peers} = this.parts;
     const [service, ...others] = services;
     if (service === undefined || others.length > 0) return undefined;
     if (!this.isMixed(service)) return undefined;
-    const hasStalled = timer.now() - this.stalledAt <= STALL_MEMORY_MS;
-    if (hasStalled || !isHolder(key, peers, this.parts)) return undefined;
+    if (this.hasStalled() || !isHolder(key, peers, this.parts))
+      return undefined;
     const softwareVersion = versions.versionBefore(service);
     if (softwareVersion === undefined) return undefined;
     return {service, softwareVersion};
--- a/src/origin/softwareversions.ts
+++ b/src/origin/softwareversions.ts
@@ -76,6 +76,11 @@
     this.recorded = recorded;
   }
 
+  /** The versions of a service as the store has them; undefined if unread. */
+  recordedOf(service: string): readonly string[] | undefined {
+    return this.recorded && (this.recorded.get(service) ?? []);
+  }
+
   /** Services with upstreams. */
   services(): Iterable<string> {
     return this.present.keys();
--- a/src/origin/versionrecords.ts
+++ b/src/origin/versionrecords.ts
@@ -131,6 +131,10 @@
     const known = this.stored.get(key)?.softwareVersions ?? [];
     if (isSame(known, softwareVersions)) return false;
     this.stored.set(key, {...record, readAt: this.parts.timer.now()});
+    this.parts.logger.info(
+      {event: LogEvent.Store, ...record},
+      'Read which software versions may have begun streams.',
+    );
     return true;
   }
 
@@ -182,6 +186,10 @@
         );
         return false;
       }
+      logger.info(
+        {event: LogEvent.Store, ...record},
+        'Wrote which software versions may have begun streams.',
+      );
       if (result.value.epoch === epochs.current) {
         const readAt = this.parts.timer.now();
         this.stored.set(key, {...record, readAt});
--- a/test/streamorigins.test.ts
+++ b/test/streamorigins.test.ts
@@ -152,14 +152,22 @@
     const mixes = Object.values(VersionMix);
     const decided = mixes.flatMap(own =>
       [[], ...mixes.map(other => [other])].map(others => {
-        const {type} = concludeWithoutRecord({own, others, before: []});
-        return `${own}, others ${others.join()}: ${type}`;
+        const lookup = concludeWithoutRecord({
+          own,
+          others,
+          before: [],
+          hasStalled: false,
+        });
+        const {type} = lookup;
+        const told = type === 'unknown' ? lookup.reason : type;
+        return `${own}, others ${others.join()}: ${told}`;
       }),
     );
     const agreed = mixes.map(own => {
       const others = [VersionMix.Mixed];
       const lookups = [[V1], [V1, V1], [V1, V2]].map(
-        before => concludeWithoutRecord({own, others, before}).type,
+        before =>
+          concludeWithoutRecord({own, others, before, hasStalled: false}).type,
       );
       return `${own}, one before, the same twice, two: ${lookups.join()}`;
     });
@@ -185,25 +193,25 @@
         "unsettled, others unsettled: any",
         "unsettled, others unread: any",
         "unsettled, others outdated: any",
-        "unsettled, others mixed: unknown",
-        "unread, others : unknown",
+        "unsettled, others mixed: several_versions",
+        "unread, others : unread_store",
         "unread, others sole: any",
-        "unread, others unsettled: unknown",
-        "unread, others unread: unknown",
-        "unread, others outdated: unknown",
-        "unread, others mixed: unknown",
-        "outdated, others : unknown",
+        "unread, others unsettled: unread_store",
+        "unread, others unread: unread_store",
+        "unread, others outdated: unread_store",
+        "unread, others mixed: unread_store",
+        "outdated, others : outdated_entries",
         "outdated, others sole: any",
         "outdated, others unsettled: any",
-        "outdated, others unread: unknown",
+        "outdated, others unread: outdated_entries",
         "outdated, others outdated: any",
-        "outdated, others mixed: unknown",
-        "mixed, others : unknown",
-        "mixed, others sole: unknown",
-        "mixed, others unsettled: unknown",
-        "mixed, others unread: unknown",
-        "mixed, others outdated: unknown",
-        "mixed, others mixed: unknown",
+        "outdated, others mixed: several_versions",
+        "mixed, others : several_versions",
+        "mixed, others sole: several_versions",
+        "mixed, others unsettled: several_versions",
+        "mixed, others unread: several_versions",
+        "mixed, others outdated: several_versions",
+        "mixed, others mixed: several_versions",
       ]
     `);
   });
@@ -288,7 +296,8 @@
     for (const params of odd) expect(handle(params)).toBeUndefined();
   }
   expect(origins.gauges()['stream_origins']).toBe(0);
-  expect(await origins.find('s', [SERVICE])).toEqual({type: 'unknown'});
+  const {lookup} = await origins.find('s', [SERVICE]);
+  expect(lookup).toEqual({type: 'unknown', reason: 'several_versions'});
 });
 
 describe('a fleet that takes up the streams of lost instances', () => {
@@ -393,8 +402,9 @@
     });
     origins.applyUpstreams([V1]);
     await timer.advance(60_000);
-    expect(await origins.find('s', [SERVICE])).toEqual({type: 'any'});
+    const find = async () => (await origins.find('s', [SERVICE])).lookup.type;
+    expect(await find()).toBe('any');
     areCurrent = false;
-    expect((await origins.find('s', [SERVICE])).type).toBe(expected);
+    expect(await find()).toBe(expected);
   });
 });
