Take an absent record of software versions for no knowledge

Cause: an instance that had just started, had read the topic and found no record of a service counted as `Unsettled` and concluded `any`. And a record said less than it seemed to: instances that had just started wrote what they saw, and the next ones took that for all there was.

Change: a record tells whether it is complete, that is, whether its writer had watched for 30 s, had read a complete record, or knew from the settings that the whole system starts for the first time (`bootstrap` of the platform). An instance without a complete record is `Unrecorded`: it refuses a stream without record unless an instance that has watched knows of one version alone, and tells the holders of its own streams, as where versions are mixed.

Ruled out: a late write.

Tests changed: fresh fleets in tests and experiments name their first start; the mix that test/streamorigins.test.ts expects for "none recorded" was the fault (`unsettled`, now `unrecorded`). The stand-in store can refuse writes.

--- a/bench/fleet/simulatedfleet.ts
+++ b/bench/fleet/simulatedfleet.ts
@@ -134,6 +134,7 @@
       permits: this.requests?.permits ?? NO_LIMITS,
       recordPrompt: () => undefined,
       evidence: this.quarantine,
+      isFirstStart: true,
       isLeaving: () => false,
     });
   }
--- a/bench/fleet/streamorigins.ts
+++ b/bench/fleet/streamorigins.ts
@@ -150,7 +150,7 @@
   const silent = pino({level: 'silent'});
   const peers = new Peers(name, zone, silent, random.next);
   const {datagrams} = network.connect(place, timer);
-  const versions = new SoftwareVersions(timer);
+  const versions = new SoftwareVersions(timer, true);
   const origins = new OriginExchange({
     name,
     zone,
--- a/bench/soak/gatewayprocess.ts
+++ b/bench/soak/gatewayprocess.ts
@@ -187,6 +187,7 @@
         retryBudgetRatio: this.retryRatio,
         budgetWindowS: 10,
       },
+      bootstrap: this.incarnation === 1,
       platform: {address: this.storeLink.address},
     };
     writeFileSync(this.settingsFile, JSON.stringify(settings));
--- a/src/origin/index.ts
+++ b/src/origin/index.ts
@@ -3,5 +3,5 @@
 export {OriginExchange} from './originexchange.js';
 export type {FoundOrigin, StreamOrigins} from './originexchange.js';
 export {SoftwareVersions, VersionMix} from './softwareversions.js';
-export type {VersionedUpstream} from './softwareversions.js';
+export type {RecordedVersions, VersionedUpstream} from './softwareversions.js';
 export {isVersionRecord, VersionRecords} from './versionrecords.js';
--- a/src/origin/origin.ts
+++ b/src/origin/origin.ts
@@ -19,6 +19,8 @@
   OutdatedEntries = 'outdated_entries',
   /** The versions in the store weren't read yet. */
   UnreadStore = 'unread_store',
+  /** The store has no record that tells of all earlier versions. */
+  NoRecord = 'no_record',
   /** Several versions; this process stood still, so it may have missed a record. */
   Stalled = 'stalled',
 }
@@ -88,13 +90,19 @@
     case VersionMix.Outdated:
       // A version that joined since may have begun it, by another instance.
       if (others.includes(VersionMix.Mixed)) return severalVersions;
-      return others.every(mix => mix === VersionMix.Unread)
+      return others.every(
+        mix => mix === VersionMix.Unread || mix === VersionMix.Unrecorded,
+      )
         ? unknown(UnknownReason.OutdatedEntries)
         : {type: 'any'};
     case VersionMix.Unread:
       return others.includes(VersionMix.Sole)
         ? {type: 'any'}
         : unknown(UnknownReason.UnreadStore);
+    case VersionMix.Unrecorded:
+      return others.includes(VersionMix.Sole)
+        ? {type: 'any'}
+        : unknown(UnknownReason.NoRecord);
     case VersionMix.Unsettled:
       if (others.includes(VersionMix.Sole)) return {type: 'any'};
       return others.includes(VersionMix.Mixed)
--- a/src/origin/originexchange.ts
+++ b/src/origin/originexchange.ts
@@ -119,6 +119,7 @@
       case VersionMix.Mixed:
       // Others may know of a version that left before this instance started.
       case VersionMix.Unread:
+      case VersionMix.Unrecorded:
         this.tell([record]);
         return;
       case VersionMix.Sole:
@@ -315,6 +316,7 @@
     switch (mix) {
       case VersionMix.Mixed:
       case VersionMix.Unread:
+      case VersionMix.Unrecorded:
         return mix;
       case VersionMix.Sole:
       case VersionMix.Unsettled:
@@ -335,8 +337,8 @@
     const [service, ...others] = services;
     if (service === undefined || others.length > 0) return undefined;
     if (!this.isMixed(service)) return undefined;
-    if (this.hasStalled() || !isHolder(key, peers, this.parts))
-      return undefined;
+    if (this.hasStalled()) return undefined;
+    if (!isHolder(key, peers, this.parts)) return undefined;
     const softwareVersion = versions.versionBefore(service);
     if (softwareVersion === undefined) return undefined;
     return {service, softwareVersion};
@@ -350,6 +352,7 @@
     const mix = this.mixOfAll(data.services);
     switch (mix) {
       case VersionMix.Unread:
+      case VersionMix.Unrecorded:
         return undefined;
       case VersionMix.Outdated:
         // Earlier builds know no other word for it.
--- a/src/origin/softwareversions.ts
+++ b/src/origin/softwareversions.ts
@@ -11,6 +11,8 @@
   Unsettled = 'unsettled',
   /** One now; the store's record of earlier ones wasn't read yet. */
   Unread = 'unread',
+  /** One now; the store has no record that tells of all earlier ones. */
+  Unrecorded = 'unrecorded',
   /** One, by entries that are out of date. */
   Outdated = 'outdated',
   /** Several. */
@@ -23,6 +25,13 @@
   softwareVersion: string;
 }
 
+/** The versions of a service that may have begun streams, as recorded. */
+export interface RecordedVersions {
+  softwareVersions: readonly string[];
+  /** Whether there were no others, as far as its writer could know. */
+  isComplete: boolean;
+}
+
 /** A version that was the only one of its service until another one joined. */
 interface EarlierVersion {
   softwareVersion: string;
@@ -39,9 +48,13 @@
   private readonly left = new Map<string, Map<string, number>>();
   private readonly earlier = new Map<string, EarlierVersion>();
   /** Versions by service as the store has them; absent until it was read. */
-  private recorded?: ReadonlyMap<string, readonly string[]>;
+  private recorded?: ReadonlyMap<string, RecordedVersions>;
 
-  constructor(private readonly timer: Timer) {}
+  constructor(
+    private readonly timer: Timer,
+    /** Whether the whole system starts for the first time. */
+    private readonly isFirstStart = false,
+  ) {}
 
   /** Takes all registered upstreams. */
   apply(upstreams: Iterable<VersionedUpstream>): void {
@@ -72,13 +85,26 @@
    * streams. They count as long as this instance hasn't watched the upstreams for
    * long enough to know itself.
    */
-  applyRecorded(recorded: ReadonlyMap<string, readonly string[]>): void {
+  applyRecorded(recorded: ReadonlyMap<string, RecordedVersions>): void {
     this.recorded = recorded;
   }
 
   /** The versions of a service as the store has them; undefined if unread. */
   recordedOf(service: string): readonly string[] | undefined {
-    return this.recorded && (this.recorded.get(service) ?? []);
+    if (this.recorded === undefined) return undefined;
+    return this.recorded.get(service)?.softwareVersions ?? [];
+  }
+
+  /**
+   * Whether no other version than those of [[versionsOf]] can have begun a stream
+   * that is taken up now. The absence of a record doesn't show that: the store may
+   * have refused it or lost it.
+   */
+  isComplete(service: string): boolean {
+    if (!this.isNew()) return true;
+    if (this.recorded === undefined) return false;
+    const {isComplete = false} = this.recorded.get(service) ?? {};
+    return isComplete || this.isFirstStart;
   }
 
   /** Services with upstreams. */
@@ -95,7 +121,7 @@
       else this.left.get(service)?.delete(version);
     }
     if (this.isNew()) {
-      for (const version of this.recorded?.get(service) ?? []) {
+      for (const version of this.recordedOf(service) ?? []) {
         versions.add(version);
       }
     }
@@ -116,15 +142,21 @@
   mixOf(service: string): VersionMix {
     if (this.versionsOf(service).size > 1) return VersionMix.Mixed;
     if (!this.isNew()) return VersionMix.Sole;
-    return this.recorded === undefined
-      ? VersionMix.Unread
-      : VersionMix.Unsettled;
+    if (this.recorded === undefined) return VersionMix.Unread;
+    return this.isComplete(service)
+      ? VersionMix.Unsettled
+      : VersionMix.Unrecorded;
   }
 
   /** The most mixed of several services. */
   mixOfAll(services: readonly string[]): VersionMix {
     const mixes = services.map(service => this.mixOf(service));
-    const order = [VersionMix.Mixed, VersionMix.Unread, VersionMix.Unsettled];
+    const order = [
+      VersionMix.Mixed,
+      VersionMix.Unread,
+      VersionMix.Unrecorded,
+      VersionMix.Unsettled,
+    ];
     return order.find(mix => mixes.includes(mix)) ?? VersionMix.Sole;
   }
 
@@ -137,8 +169,8 @@
   /** The version of each service that has only one, and had no other lately. */
   private versionsAlone(): Map<string, string> {
     const alone = new Map<string, string>();
-    if (this.recorded === undefined && this.isNew()) return alone;
     for (const service of this.present.keys()) {
+      if (!this.isComplete(service)) continue;
       const [version, ...others] = this.versionsOf(service);
       if (version !== undefined && others.length === 0) {
         alone.set(service, version);
--- a/src/origin/versionrecords.ts
+++ b/src/origin/versionrecords.ts
@@ -23,6 +23,11 @@
  * know, in ms; before, it may not have read of them.
  */
 const REMOVAL_AGE_MS = 30_000;
+/**
+ * Time after the topic was read before a record is written that may lack
+ * versions, in ms: it must not replace one that another instance completes.
+ */
+const PARTIAL_DELAY_MS = 3_000;
 const MAX_VERSIONS = 64;
 const MAX_NAME_LENGTH = 256;
 
@@ -32,6 +37,11 @@
     .array(z.string().max(MAX_NAME_LENGTH))
     .min(1)
     .max(MAX_VERSIONS),
+  /**
+   * Whether its writer knew that no other version can have begun streams. Records
+   * of earlier builds don't tell.
+   */
+  complete: z.boolean().default(false),
 });
 
 /** The software versions of a service that may have begun streams. */
@@ -67,6 +77,8 @@
 export class VersionRecords {
   private readonly stored = new Map<string, StoredRecord>();
   private readonly writer: TurnWriter;
+  /** When the topic was first read, in monotonic ms. */
+  private readAt = Infinity;
   /** Keys of invalid records that were logged. */
   private readonly invalid = new Set<string>();
 
@@ -98,6 +110,7 @@
 
   /** Applies all records of the topic; returns those that changed something. */
   replace(records: KeyedRecord[]): KeyedRecord[] {
+    this.readAt = Math.min(this.readAt, this.parts.timer.now());
     const keys = new Set(records.map(({key}) => key));
     for (const key of this.stored.keys()) {
       if (!keys.has(key)) this.stored.delete(key);
@@ -109,10 +122,10 @@
 
   /** The records of the store. */
   known(): KeyedRecord[] {
-    return [...this.stored].map(([key, {service, softwareVersions}]) => ({
+    return [...this.stored].map(([key, record]) => ({
       key,
       offset: 0,
-      value: encode({service, softwareVersions}),
+      value: encode(record),
     }));
   }
 
@@ -127,9 +140,7 @@
       this.logInvalid(key, offset);
       return false;
     }
-    const {softwareVersions} = record;
-    const known = this.stored.get(key)?.softwareVersions ?? [];
-    if (isSame(known, softwareVersions)) return false;
+    if (isSameRecord(record, this.stored.get(key))) return false;
     this.stored.set(key, {...record, readAt: this.parts.timer.now()});
     this.parts.logger.info(
       {event: LogEvent.Store, ...record},
@@ -142,9 +153,9 @@
     const records = [...this.stored.values()];
     this.parts.versions.applyRecorded(
       new Map(
-        records.map(({service, softwareVersions}) => [
+        records.map(({service, softwareVersions, complete}) => [
           service,
-          softwareVersions,
+          {softwareVersions, isComplete: complete},
         ]),
       ),
     );
@@ -152,13 +163,16 @@
 
   /** The records that the store should have and doesn't. */
   private missing(): VersionRecord[] {
-    const {versions} = this.parts;
+    const {versions, timer} = this.parts;
+    const mayWritePartial = timer.now() - this.readAt >= PARTIAL_DELAY_MS;
     return [...versions.services()].flatMap(service => {
-      const wanted = this.wanted(service);
-      const stored = this.stored.get(keyOf(service))?.softwareVersions ?? [];
-      return isSame(wanted, stored)
+      const softwareVersions = this.wanted(service).slice(-MAX_VERSIONS);
+      const complete = versions.isComplete(service);
+      if (!complete && !mayWritePartial) return [];
+      const record = {service, softwareVersions, complete};
+      return isSameRecord(record, this.stored.get(keyOf(service)))
         ? []
-        : {service, softwareVersions: wanted.slice(-MAX_VERSIONS)};
+        : record;
     });
   }
 
@@ -208,8 +222,8 @@
   }
 }
 
-function encode({service, softwareVersions}: VersionRecord): Buffer {
-  return Buffer.from(JSON.stringify({service, softwareVersions}));
+function encode({service, softwareVersions, complete}: VersionRecord): Buffer {
+  return Buffer.from(JSON.stringify({service, softwareVersions, complete}));
 }
 
 function decode(value: Buffer): VersionRecord | undefined {
@@ -226,7 +240,11 @@
   return KEY_PREFIX + hasher.h64ToString(service);
 }
 
-function isSame(a: readonly string[], b: readonly string[]): boolean {
-  const known = new Set(b);
-  return known.size === new Set(a).size && a.every(name => known.has(name));
+function isSameRecord(a: VersionRecord, b: VersionRecord | undefined): boolean {
+  if (b === undefined || a.complete !== b.complete) return false;
+  const known = new Set(b.softwareVersions);
+  return (
+    known.size === new Set(a.softwareVersions).size &&
+    a.softwareVersions.every(name => known.has(name))
+  );
 }
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -317,6 +317,7 @@
       recordPrompt: ({upstream, parts}) =>
         this.endpoints.recordPrompt(upstream, parts),
       evidence: this.promptGuard,
+      isFirstStart: settings.isFirstStart ?? false,
       isLeaving: () => this.drainSchedule !== undefined,
     });
   }
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -87,6 +87,8 @@
   recordPrompt(prompt: SentPrompt): void;
   /** Crashes and prompt parts that are known and decided on here. */
   evidence: EvidenceLog;
+  /** Whether the whole system starts for the first time. */
+  isFirstStart: boolean;
   /** Whether this instance is shutting down. */
   isLeaving(): boolean;
 }
@@ -159,7 +161,7 @@
       isKnown: () => this.instances.replica.isStarted,
     };
     this.holds = new HoldRecords({...writing, log: parts.evidence});
-    this.versions = new SoftwareVersions(timer);
+    this.versions = new SoftwareVersions(timer, parts.isFirstStart);
     this.versionRecords = new VersionRecords({
       ...writing,
       versions: this.versions,
--- a/src/wiring/gatewaysettings.ts
+++ b/src/wiring/gatewaysettings.ts
@@ -23,6 +23,11 @@
   gossipPort: number;
   /** Capacity of this instance's own link, in bytes a second. */
   linkBytesPerSecond: number;
+  /**
+   * Whether the whole system starts for the first time, so that nothing that it
+   * did earlier can be missing from the store; false by default.
+   */
+  isFirstStart?: boolean;
   /** Time from the stop signal to the end of the process, in ms. */
   graceMs: number;
   /**
--- a/stand-ins/keyedstore.ts
+++ b/stand-ins/keyedstore.ts
@@ -22,6 +22,8 @@
   availability: Availability;
   /** Treatment of single callers, by the address that they call from. */
   callers: Record<string, Availability>;
+  /** Whether it refuses to write, to whoever it serves. */
+  isReadOnly: boolean;
   /** Time from the decision on an answer until it is sent, in ms. */
   delayMs: number;
   /** Most records in a page of the newest ones. */
@@ -51,6 +53,7 @@
 const DEFAULTS: KeyedStoreBehaviour = {
   availability: Availability.Serves,
   callers: {},
+  isReadOnly: false,
   delayMs: 1,
   pageRecords: 500,
 };
@@ -151,6 +154,7 @@
   }
 
   append(query: URLSearchParams, body: Buffer): Answer {
+    if (this.behaviour.isReadOnly) return json(503, {error: 'read only'});
     const topic = query.get('topic') ?? '';
     if (FOREIGN_TOPICS.has(topic)) return json(403, {error: 'not writable'});
     const records = decodeRecords(body);
--- a/test/softwareversions.test.ts
+++ b/test/softwareversions.test.ts
@@ -314,7 +314,11 @@
       const values = feed.records[Topic.Instances]
         .filter(({key}) => key.startsWith('softwareVersions/'))
         .map(({value}) => JSON.parse(String(value)) as unknown);
-      expect(values).toContainEqual({service: 'engine', softwareVersions});
+      expect(values).toContainEqual({
+        service: 'engine',
+        softwareVersions,
+        complete: true,
+      });
     },
     {timeout: 5_000, interval: 20},
   );
--- a/test/streamorigins.test.ts
+++ b/test/streamorigins.test.ts
@@ -20,7 +20,7 @@
 describe('the mix of software versions', () => {
   test('is remembered after a version has left', async () => {
     const timer = new ManualTimer();
-    const versions = new SoftwareVersions(timer);
+    const versions = new SoftwareVersions(timer, true);
     versions.applyRecorded(new Map());
     const seen: Array<[string, VersionMix]> = [];
     const note = (what: string) => seen.push([what, versions.mixOf(SERVICE)]);
@@ -71,14 +71,24 @@
     const versions = new SoftwareVersions(timer);
     const seen: Array<[string, VersionMix]> = [];
     const note = (what: string) => seen.push([what, versions.mixOf(SERVICE)]);
+    const read = (isComplete: boolean, ...softwareVersions: string[]) => {
+      const recorded = {softwareVersions, isComplete};
+      versions.applyRecorded(new Map([[SERVICE, recorded]]));
+    };
     versions.apply([V2]);
     note('before the store is read');
     versions.applyRecorded(new Map());
     note('none recorded');
-    versions.applyRecorded(new Map([[SERVICE, ['v2']]]));
+    read(false, 'v2');
+    note('the same recorded, by an instance that knew no more');
+    read(true, 'v2');
     note('the same recorded');
-    versions.applyRecorded(new Map([[SERVICE, ['v1', 'v2']]]));
+    read(false, 'v1', 'v2');
+    note('another one recorded, by an instance that knew no more');
+    read(true, 'v1', 'v2');
     note('another one recorded');
+    versions.applyRecorded(new Map());
+    note('the record lost');
     await timer.advance(30_000);
     note('known for 30 s');
     expect(seen).toMatchInlineSnapshot(`
@@ -89,16 +99,28 @@
         ],
         [
           "none recorded",
-          "unsettled",
+          "unrecorded",
+        ],
+        [
+          "the same recorded, by an instance that knew no more",
+          "unrecorded",
         ],
         [
           "the same recorded",
           "unsettled",
         ],
+        [
+          "another one recorded, by an instance that knew no more",
+          "mixed",
+        ],
         [
           "another one recorded",
           "mixed",
         ],
+        [
+          "the record lost",
+          "unrecorded",
+        ],
         [
           "known for 30 s",
           "sole",
@@ -107,6 +129,23 @@
     `);
   });
 
+  test('before the first start of all is none', () => {
+    const versions = new SoftwareVersions(new ManualTimer(), true);
+    versions.apply([V2]);
+    const seen = [versions.mixOf(SERVICE)];
+    versions.applyRecorded(new Map());
+    seen.push(versions.mixOf(SERVICE));
+    versions.applyRecorded(
+      new Map([[SERVICE, {softwareVersions: ['v1', 'v2'], isComplete: false}]]),
+    );
+    seen.push(versions.mixOf(SERVICE));
+    expect(seen).toEqual([
+      VersionMix.Unread,
+      VersionMix.Unsettled,
+      VersionMix.Mixed,
+    ]);
+  });
+
   test('tells which version was alone before others joined', async () => {
     const timer = new ManualTimer();
     const versions = new SoftwareVersions(timer);
@@ -176,6 +215,7 @@
         "sole, one before, the same twice, two: any,any,any",
         "unsettled, one before, the same twice, two: known,known,unknown",
         "unread, one before, the same twice, two: known,known,unknown",
+        "unrecorded, one before, the same twice, two: known,known,unknown",
         "outdated, one before, the same twice, two: known,known,unknown",
         "mixed, one before, the same twice, two: known,known,unknown",
       ]
@@ -186,30 +226,42 @@
         "sole, others sole: any",
         "sole, others unsettled: any",
         "sole, others unread: any",
+        "sole, others unrecorded: any",
         "sole, others outdated: any",
         "sole, others mixed: any",
         "unsettled, others : any",
         "unsettled, others sole: any",
         "unsettled, others unsettled: any",
         "unsettled, others unread: any",
+        "unsettled, others unrecorded: any",
         "unsettled, others outdated: any",
         "unsettled, others mixed: several_versions",
         "unread, others : unread_store",
         "unread, others sole: any",
         "unread, others unsettled: unread_store",
         "unread, others unread: unread_store",
+        "unread, others unrecorded: unread_store",
         "unread, others outdated: unread_store",
         "unread, others mixed: unread_store",
+        "unrecorded, others : no_record",
+        "unrecorded, others sole: any",
+        "unrecorded, others unsettled: no_record",
+        "unrecorded, others unread: no_record",
+        "unrecorded, others unrecorded: no_record",
+        "unrecorded, others outdated: no_record",
+        "unrecorded, others mixed: no_record",
         "outdated, others : outdated_entries",
         "outdated, others sole: any",
         "outdated, others unsettled: any",
         "outdated, others unread: outdated_entries",
+        "outdated, others unrecorded: outdated_entries",
         "outdated, others outdated: any",
         "outdated, others mixed: several_versions",
         "mixed, others : several_versions",
         "mixed, others sole: several_versions",
         "mixed, others unsettled: several_versions",
         "mixed, others unread: several_versions",
+        "mixed, others unrecorded: several_versions",
         "mixed, others outdated: several_versions",
         "mixed, others mixed: several_versions",
       ]
@@ -228,7 +280,7 @@
   );
   const value = Buffer.from(JSON.stringify({host: 'entry-1', port: 1}));
   peers.update([{key: 'entry-1', value, offset: 0}]);
-  const versions = new SoftwareVersions(timer);
+  const versions = new SoftwareVersions(timer, true);
   versions.applyRecorded(new Map());
   const origins = new OriginExchange({
     name: 'entry-0',
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -334,7 +334,7 @@
   graceMs: number,
   instance = 'entry-1',
   retryRatio = 0.2,
-  {host, zone} = {host: HOST, zone: 'zone-a'},
+  {host = HOST, zone = 'zone-a', isFirstStart = false} = {},
 ): Promise<Omit<TestGateway, 'feed'>> {
   const logLines: Array<Record<string, unknown>> = [];
   const logger = pino(
@@ -351,6 +351,7 @@
       linkBytesPerSecond: 125_000_000,
       readinessAddress: {host: HOST, port: 0},
       gossipPort: 0,
+      isFirstStart,
       graceMs,
       upstreamDrainMs: 300,
       retry: {ratio: retryRatio, windowMs: 10_000},
--- a/test/support/returningstore.ts
+++ b/test/support/returningstore.ts
@@ -208,6 +208,7 @@
         subscribe: () => undefined,
         holds: () => [],
       },
+      isFirstStart: true,
       isLeaving: () => false,
     });
     fleet.start();
--- a/test/support/versionedengines.ts
+++ b/test/support/versionedengines.ts
@@ -64,12 +64,16 @@
   /** Start of each engine's process, in Unix ms, as it reports. */
   private readonly starts: number[] = [];
 
-  constructor(private readonly interrupt: Interrupt = () => undefined) {
+  constructor(
+    private readonly interrupt: Interrupt = () => undefined,
+    /** Takes the configuration and the entries. */
+    private readonly registry: Pick<MemoryFeed, 'add'> = this.feed,
+  ) {
     const configuration = wireConfiguration(1, PATIENCE_MS);
     for (const route of configuration.routes) route.maxAttempts *= 3;
     const other = {name: 'shop-two', apiKeys: ['key-two'], priority: 1};
     configuration.tenants.push(other);
-    this.feed.add(Topic.Configuration, 'config', configuration);
+    this.registry.add(Topic.Configuration, 'config', configuration);
   }
 
   /** Starts an engine of a version, which its entry may not tell yet. */
@@ -86,7 +90,7 @@
     const entry = wireEntry('engine', port, 1, registered);
     this.starts.push(version === registered ? entry.born : Date.now() - 1_000);
     this.entries.set(key, entry);
-    this.feed.add(Topic.Upstreams, key, entry);
+    this.registry.add(Topic.Upstreams, key, entry);
   }
 
   /** Starts a process of a version at an engine, which no entry tells. */
@@ -102,19 +106,19 @@
     const born = Date.now() - 1_000;
     const entry = {...this.entries.get(key), version, born};
     this.changeVersion(index, version, born);
-    this.feed.add(Topic.Upstreams, key, entry);
+    this.registry.add(Topic.Upstreams, key, entry);
   }
 
   /** Lets an engine leave, which goes on with what it runs. */
   drainEngine(index: number): void {
     const key = `engine-${index}`;
     const entry = {...this.entries.get(key), state: 'draining', seq: 2};
-    this.feed.add(Topic.Upstreams, key, entry);
+    this.registry.add(Topic.Upstreams, key, entry);
   }
 
   /** Removes the entry of an engine, which goes on with what it runs. */
   removeEngine(index: number): void {
-    this.feed.add(Topic.Upstreams, `engine-${index}`, undefined);
+    this.registry.add(Topic.Upstreams, `engine-${index}`, undefined);
   }
 
   /** Resolves when each gateway has logged a number of events of a kind. */
@@ -133,9 +137,12 @@
 
   async addGateway(): Promise<TestGateway> {
     const name = `entry-${this.gateways.length + 1}`;
+    const isFirstStart = this.gateways.length === 0;
     const gateway = {
       feed: this.feed,
-      ...(await startGatewayOn(this.feed, 100, name, RETRY_RATIO)),
+      ...(await startGatewayOn(this.feed, 100, name, RETRY_RATIO, {
+        isFirstStart,
+      })),
     };
     this.gateways.push(gateway);
     return gateway;
@@ -194,7 +201,7 @@
 
 /** Requests a stream, or the rest of one that another request began. */
 export function sendStream(
-  {gateway}: TestGateway,
+  {gateway}: {gateway: {port: number}},
   id: string,
   options: {
     resumes?: string | undefined;
--- a/test/versionrecords.test.ts
+++ b/test/versionrecords.test.ts
@@ -20,12 +20,13 @@
 /** An instance that keeps the versions of its upstreams in a store. */
 class Instance {
   readonly timer = new ManualTimer();
-  readonly versions = new SoftwareVersions(this.timer);
+  readonly versions: SoftwareVersions;
   /** What it has written, oldest first. */
   readonly written: KeyedRecord[] = [];
   readonly records: VersionRecords;
 
-  constructor(rank = 0) {
+  constructor(rank = 0, isFirstStart = true) {
+    this.versions = new SoftwareVersions(this.timer, isFirstStart);
     this.records = new VersionRecords({
       versions: this.versions,
       epochs: new StoreEpoch(logger, this.timer),
@@ -79,6 +80,60 @@
     expect(instance.written).toHaveLength(3);
   });
 
+  // A record of what a new instance sees must not count as one of all there was.
+  test('is complete only if its writer knows of all versions', async () => {
+    const instance = new Instance(0, false);
+    const seen: string[] = [];
+    const note = (what: string) => {
+      const {newest, versions} = instance;
+      seen.push(`${what}: ${String(newest)}, ${versions.mixOf(SERVICE)}`);
+    };
+    instance.records.replace([]);
+    instance.see(V2);
+    await instance.timer.advance(2_000);
+    note('2 s after the start');
+    await instance.timer.advance(4_000);
+    instance.records.add(instance.written);
+    note('6 s');
+    const isComplete = () => String(instance.written.at(-1)?.value);
+    expect(isComplete()).toContain('"complete":false');
+    await instance.timer.advance(30_000);
+    note('36 s');
+    expect(isComplete()).toContain('"complete":true');
+    expect(seen).toMatchInlineSnapshot(`
+      [
+        "2 s after the start: undefined, unrecorded",
+        "6 s: v2, unrecorded",
+        "36 s: v2, sole",
+      ]
+    `);
+  });
+
+  test('that is complete is not replaced by an instance that knows less', async () => {
+    const first = new Instance();
+    const other = new Instance(0, false);
+    for (const instance of [first, other]) {
+      instance.records.replace([]);
+      instance.see(V1);
+    }
+    await first.timer.advance(2_000);
+    await other.timer.advance(2_000);
+    other.records.add(first.written);
+    await other.timer.advance(60_000);
+    expect([first.written.length, other.written.length]).toEqual([1, 0]);
+  });
+
+  // Earlier builds wrote what they saw, whatever they knew.
+  test('of an earlier build is not taken for complete', async () => {
+    const instance = new Instance(0, false);
+    const record = {service: SERVICE, softwareVersions: ['v1']};
+    const value = Buffer.from(JSON.stringify(record));
+    instance.records.replace([{key: keyOfSound, value, offset: 0}]);
+    instance.see(V1);
+    await instance.timer.advance(1_000);
+    expect(instance.versions.mixOf(SERVICE)).toBe(VersionMix.Unrecorded);
+  });
+
   test('is left to others where they write in time', async () => {
     const first = new Instance(0);
     const last = new Instance(100);
