Let a stall while one software version serves conceal no stream

Cause: for 30 s after a stall of over a second an instance concluded nothing from having no record of a stream, as it may not have been told. But instances tell each other only while versions are mixed, and the stall was over before.

Change: once the entries were read after a stall, it counts only for services that have several versions then, or had lately. The read has to begin after the stall: one that was under way is abandoned. The decision is in src/origin/missedtells.ts, apart from messages.

Ruled out: that the others missed the release (they saw both versions).

Measured: test/streamsafterloss.test.ts, real processes, the two new tests failed before (503, 0 of 12 streams whole) and pass now; the decision also in virtual time, with what must stay refused.

Only suspected: that the users' machines stood still. Any second without processor time counts as a stall, so that a slower or shared machine meets it.

--- a/bench/fleet/streamorigins.ts
+++ b/bench/fleet/streamorigins.ts
@@ -159,6 +159,7 @@
     timer,
     versions,
     areCurrent: () => true,
+    hasReadSince: () => true,
   });
   versions.applyRecorded(new Map());
   return {place, timer, origins, peers};
--- a/src/origin/originexchange.ts
+++ b/src/origin/originexchange.ts
@@ -1,6 +1,7 @@
 import type {Datagrams, InstanceAddress, Peers} from '../fleet/index.js';
 import type {Timer} from '../timer/index.js';
 import {holdersOf, holdersToAsk, isHolder} from './holders.js';
+import {MissedTells} from './missedtells.js';
 import {
   concludeWithoutRecord,
   UnknownReason,
@@ -27,11 +28,6 @@
 
 /** Time to wait for a peer to confirm what it was told, by attempt, in ms. */
 const TELL_TIMEOUTS_MS = [80, 220, 500];
-/**
- * Time after a stall of this process in which it doesn't conclude from having no
- * record of a stream, in ms: until streams of that time aren't taken up anymore.
- */
-const STALL_MEMORY_MS = 30_000;
 /** Most streams in one message, which has to fit into a datagram. */
 const MAX_TOLD_STREAMS = 200;
 /**
@@ -69,6 +65,8 @@
   versions: SoftwareVersions;
   /** Whether the entries of the upstreams are current. */
   areCurrent(this: void): boolean;
+  /** Whether those entries were read since, in monotonic ms. */
+  hasReadSince(this: void, at: number): boolean;
 }
 
 /**
@@ -83,8 +81,7 @@
   private readonly log: OriginLog;
   /** Streams that this instance passes on, or did. */
   private readonly own: OriginLog;
-  /** When this process last stalled, in monotonic ms. */
-  private stalledAt = -Infinity;
+  private readonly missedTells: MissedTells;
   private hasEnded = false;
   private queryCount = 0;
   private readonly unknownCounts = new Map<UnknownReason, number>();
@@ -93,6 +90,11 @@
     const {datagrams, timer} = parts;
     this.log = new OriginLog(timer);
     this.own = new OriginLog(timer);
+    this.missedTells = new MissedTells({
+      timer,
+      hasReadSince: parts.hasReadSince,
+      mixedServices: () => this.mixedServices(),
+    });
     datagrams.handle(TELL_METHOD, params => this.receiveOrigins(params));
     datagrams.handle(FIND_METHOD, params => this.answer(params));
   }
@@ -100,8 +102,8 @@
   /** Takes all registered upstreams. */
   applyUpstreams(upstreams: Iterable<VersionedUpstream>): void {
     const {versions} = this.parts;
-    const services = [...versions.services()];
-    const mixed = new Set(services.filter(service => this.isMixed(service)));
+    this.missedTells.settle();
+    const mixed = new Set(this.mixedServices());
     versions.apply(upstreams);
     for (const service of versions.services()) {
       if (mixed.has(service) || !this.isMixed(service)) continue;
@@ -162,7 +164,7 @@
 
   /** Notes that messages of peers may have been lost, as by a suspension. */
   noteStall(): void {
-    this.stalledAt = this.parts.timer.now();
+    this.missedTells.noteStall();
   }
 
   /** Ends the telling. */
@@ -170,6 +172,11 @@
     this.hasEnded = true;
   }
 
+  private mixedServices(): string[] {
+    const services = [...this.parts.versions.services()];
+    return services.filter(service => this.isMixed(service));
+  }
+
   private known(key: string): StreamOrigin | undefined {
     return this.own.get(key) ?? this.log.get(key);
   }
@@ -265,7 +272,7 @@
       own: isLone ? VersionMix.Unsettled : ownMix,
       others: mixes,
       before: before.filter(origin => origin !== undefined),
-      hasStalled: this.hasStalled(),
+      hasStalled: services.some(name => this.missedTells.mayConcern(name)),
     });
     const basis = {asked: answers.length, answers: mixes, mix: ownMix};
     return {lookup, basis: {...basis, ...this.versionBasis(services)}};
@@ -274,9 +281,9 @@
   private versionBasis(
     services: readonly string[],
   ): Pick<LookupBasis, 'softwareVersions' | 'recorded' | 'stalledMs'> {
-    const {versions, timer} = this.parts;
+    const {versions} = this.parts;
     const recorded = services.map(service => versions.recordedOf(service));
-    const stalledMs = timer.now() - this.stalledAt;
+    const stalledMs = this.missedTells.ageMs();
     return {
       softwareVersions: services.flatMap(service => [
         ...versions.versionsOf(service),
@@ -288,10 +295,6 @@
     };
   }
 
-  private hasStalled(): boolean {
-    return this.parts.timer.now() - this.stalledAt <= STALL_MEMORY_MS;
-  }
-
   private async askPeer(
     address: InstanceAddress,
     message: FindMessage,
@@ -337,7 +340,7 @@
     const [service, ...others] = services;
     if (service === undefined || others.length > 0) return undefined;
     if (!this.isMixed(service)) return undefined;
-    if (this.hasStalled()) return undefined;
+    if (this.missedTells.mayConcern(service)) return undefined;
     if (!isHolder(key, peers, this.parts)) return undefined;
     const softwareVersion = versions.versionBefore(service);
     if (softwareVersion === undefined) return undefined;
--- a/src/registry/follower.ts
+++ b/src/registry/follower.ts
@@ -92,12 +92,19 @@
     return this.replica.servedForMs();
   }
 
+  /** Whether the topic was known to be current at or after `at`. */
+  isCurrentSince(at: number): boolean {
+    return this.replica.isCurrentSince(at);
+  }
+
   /**
    * Makes this instance read the store itself, for example after the process
-   * was suspended, when the ages of received messages can't be trusted.
+   * was suspended, when the ages of received messages can't be trusted. An answer
+   * that is under way may have come before the suspension.
    */
   wake(): void {
     this.replica.distrust();
+    this.readController?.abort();
     this.pauseController?.abort();
   }
 
--- a/src/registry/topicreplica.ts
+++ b/src/registry/topicreplica.ts
@@ -138,6 +138,12 @@
     this.distrustedUntil = this.options.timer.now() + BACKLOG_MS;
   }
 
+  /** Whether the topic was known to be current at or after `at`. */
+  isCurrentSince(at: number): boolean {
+    const {currentAt} = this.age;
+    return !this.mustRead && currentAt !== undefined && currentAt >= at;
+  }
+
   /** What this instance knows; undefined before the first snapshot. */
   status(): TopicStatus | undefined {
     const {topic, epochs} = this.options;
--- a/test/streamorigins.test.ts
+++ b/test/streamorigins.test.ts
@@ -8,6 +8,7 @@
   SoftwareVersions,
   VersionMix,
 } from '../src/origin/index.js';
+import {MissedTells} from '../src/origin/missedtells.js';
 import {concludeWithoutRecord} from '../src/origin/origin.js';
 import {ManualTimer} from '../src/timer/index.js';
 
@@ -297,6 +298,7 @@
     timer,
     versions,
     areCurrent: () => true,
+    hasReadSince: () => true,
   });
   const begin = (key: string, {service, softwareVersion}: typeof V1) => {
     const origin = {service, softwareVersion};
@@ -333,6 +335,7 @@
     timer,
     versions: new SoftwareVersions(timer),
     areCurrent: () => true,
+    hasReadSince: () => true,
   });
   origins.applyUpstreams([V1, V2]);
   const long = 'x'.repeat(100_000);
@@ -451,6 +454,7 @@
       timer,
       versions: new SoftwareVersions(timer),
       areCurrent: () => areCurrent,
+      hasReadSince: () => true,
     });
     origins.applyUpstreams([V1]);
     await timer.advance(60_000);
@@ -460,3 +464,72 @@
     expect(await find()).toBe(expected);
   });
 });
+
+describe('a stall', () => {
+  /** An instance whose entries are read when the test says so. */
+  function start() {
+    const timer = new ManualTimer();
+    let readAt = -Infinity;
+    let mixed: string[] = [];
+    const tells = new MissedTells({
+      timer,
+      mixedServices: () => mixed,
+      hasReadSince: at => readAt >= at,
+    });
+    return {
+      timer,
+      tells,
+      /** Reads entries that show so many versions. */
+      read: (versions: number) => {
+        tells.settle();
+        mixed = versions > 1 ? [SERVICE] : [];
+        readAt = timer.now();
+      },
+      mayConcern: () => tells.mayConcern(SERVICE),
+    };
+  }
+
+  // Review case 3 with a stall before: no stream went on for 30 s.
+  test('while one version serves conceals nothing', async () => {
+    const {timer, tells, read, mayConcern} = start();
+    tells.noteStall();
+    const seen = [mayConcern()];
+    await timer.advance(10);
+    read(1);
+    seen.push(mayConcern());
+    await timer.advance(500);
+    read(2);
+    seen.push(mayConcern());
+    expect(seen).toEqual([true, false, false]);
+  });
+
+  test('in which a version joins may conceal its streams for 30 s', async () => {
+    const {timer, tells, read, mayConcern} = start();
+    tells.noteStall();
+    await timer.advance(10);
+    read(2);
+    const seen = [mayConcern()];
+    await timer.advance(29_980);
+    seen.push(mayConcern());
+    await timer.advance(20);
+    seen.push(mayConcern());
+    expect(seen).toEqual([true, true, false]);
+  });
+
+  test('while several versions serve conceals some, another one no more', async () => {
+    const {timer, tells, read, mayConcern} = start();
+    read(2);
+    await timer.advance(500);
+    tells.noteStall();
+    read(2);
+    const seen = [mayConcern()];
+    await timer.advance(20_000);
+    read(1);
+    tells.noteStall();
+    read(1);
+    seen.push(mayConcern());
+    await timer.advance(10_010);
+    seen.push(mayConcern());
+    expect(seen).toEqual([true, true, false]);
+  });
+});
--- a/test/streamsafterloss.test.ts
+++ b/test/streamsafterloss.test.ts
@@ -1,6 +1,9 @@
 import {execFileSync} from 'node:child_process';
 import {join} from 'node:path';
 import {afterEach, beforeAll, describe, expect, test} from 'vitest';
+import {BOUNDS} from '../bench/soak/deployment.js';
+import {LogEvent} from '../src/telemetry/index.js';
+import {sleep} from './support/silentupstream.js';
 import {EVENTS, eventsIn} from './support/versionedengines.js';
 import {
   isOfOneVersion,
@@ -138,3 +141,35 @@
     LIMIT_MS,
   );
 });
+
+describe('streams of a lost instance beside a release', () => {
+  const stalls = [
+    {what: 'the others', suspended: [1, 2], ms: 1_600},
+    {what: 'all', suspended: [0, 1, 2], ms: 3_000},
+  ];
+  // For 30 s after a stall, nobody concluded that they had begun before the release.
+  test.each(stalls)(
+    'go on after $what stood still for $ms ms while one version served',
+    async ({suspended, ms}) => {
+      const fleet = await open(['v1', 'v1', 'v1'], 3);
+      await fleet.suspend(
+        suspended.flatMap(index => fleet.gateways[index] ?? []),
+        ms,
+      );
+      await sleep(BOUNDS.stableWindowMs);
+      const streams = await beginStreams(fleet, 0);
+      await fleet.gateways[0]?.kill();
+      await fleet.engines.addEngines(['v2']);
+      for (const index of [1, 2]) {
+        await fleet.untilLogged(index, LogEvent.Stall, 1);
+        await fleet.untilLogged(index, LogEvent.Upstream, 4);
+        expect(await takeUpAll(fleet, index, streams)).toEqual({
+          statuses: [200],
+          mixed: 0,
+          whole: STREAMS,
+        });
+      }
+    },
+    LIMIT_MS,
+  );
+});
--- a/test/support/versionedprocesses.ts
+++ b/test/support/versionedprocesses.ts
@@ -10,6 +10,7 @@
   startKeyedStore,
   type KeyedStoreStandIn,
 } from '../../stand-ins/index.js';
+import {LogEvent} from '../../src/telemetry/index.js';
 import {sleep} from './silentupstream.js';
 import {
   eventsIn,
@@ -126,13 +127,26 @@
 
   /** Why an instance didn't know the origins of streams, each reason once. */
   reasonsOf(index: number): unknown[] {
+    const reasons = this.linesOf(index, LogEvent.Resumed).flatMap(
+      ({reason}) => reason ?? [],
+    );
+    return [...new Set(reasons)];
+  }
+
+  /** Resolves when an instance has logged a number of events of a kind. */
+  async untilLogged(index: number, kind: LogEvent, count: number) {
+    await vi.waitFor(() => {
+      const {length} = this.linesOf(index, kind);
+      expect(length).toBeGreaterThanOrEqual(count);
+    }, WAIT_OPTIONS);
+  }
+
+  private linesOf(index: number, kind: LogEvent) {
     const file = join(this.folder, `${this.gateways[index]?.name}.log`);
-    const lines = readFileSync(file, 'utf8').trim().split('\n');
-    const reasons = lines
+    const lines = readFileSync(file, 'utf8').split('\n').slice(0, -1);
+    return lines
       .map(line => JSON.parse(line) as Record<string, unknown>)
-      .filter(({event}) => event === 'resumed')
-      .flatMap(({reason}) => reason ?? []);
-    return [...new Set(reasons)];
+      .filter(({event}) => event === kind);
   }
 
   async close(): Promise<void> {
