--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -212,7 +212,13 @@
       }));
     }
     this.logger.info(
-      {event: LogEvent.Started, instance, zone},
+      {
+        event: LogEvent.Started,
+        instance,
+        zone,
+        revision: this.platform.revision,
+        isFirstStart: this.settings.isFirstStart,
+      },
       'Instance started.',
     );
   }
--- a/src/wiring/platformadapter.ts
+++ b/src/wiring/platformadapter.ts
@@ -4,6 +4,8 @@
 
 /** Adapter of a gateway to the platform that it is deployed on. */
 export interface PlatformAdapter {
+  /** The build of the program, for the log; absent if it isn't known. */
+  revision?: string | undefined;
   /** Headers of requests and answers. */
   protocol: Protocol;
   /** Source of configurations, upstreams and addresses of instances. */
