End a lookup of an origin that spans a stall as unknown

What callers saw: nothing reported.

Cause: an instance that was asked to take a stream up asked its peers, stood still for 3.7 s while a release began, and concluded from the mix of versions that it had seen before that any upstream may go on.

Change: the mix is that at the end of the lookup, and a lookup that took over a second by either clock, though it is given up after 300 ms, is unknown. What tells other instances moved to src/origin/originteller.ts, unchanged.

--- a/src/origin/originexchange.ts
+++ b/src/origin/originexchange.ts
@@ -1,6 +1,6 @@
 import type {Datagrams, InstanceAddress, Peers} from '../fleet/index.js';
 import type {Timer} from '../timer/index.js';
-import {holdersOf, holdersToAsk, isHolder} from './holders.js';
+import {holdersToAsk, isHolder} from './holders.js';
 import {MissedTells} from './missedtells.js';
 import {
   concludeWithoutRecord,
@@ -10,6 +10,7 @@
   type StreamOrigin,
 } from './origin.js';
 import {OriginLog, type OriginRecord} from './originlog.js';
+import {OriginTeller} from './originteller.js';
 import {
   FIND_METHOD,
   findMessageSchema,
@@ -18,7 +19,6 @@
   peerAnswerSchema,
   type FindMessage,
   type PeerAnswer,
-  type TellMessage,
 } from './originmessage.js';
 import {
   VersionMix,
@@ -26,15 +26,13 @@
   type VersionedUpstream,
 } from './softwareversions.js';
 
-/** Time to wait for a peer to confirm what it was told, by attempt, in ms. */
-const TELL_TIMEOUTS_MS = [80, 220, 500];
-/** Most streams in one message, which has to fit into a datagram. */
-const MAX_TOLD_STREAMS = 200;
 /**
  * Time to wait for the answer of a peer, and again after the question was
  * repeated, in ms.
  */
 const ANSWER_TIMEOUTS_MS = [80, 220];
+/** Time after which a lookup counts as interrupted by a stall, in ms. */
+const MAX_LOOKUP_MS = 1_000;
 
 /** What was found of a stream. */
 export interface FoundOrigin {
@@ -82,7 +80,7 @@
   /** Streams that this instance passes on, or did. */
   private readonly own: OriginLog;
   private readonly missedTells: MissedTells;
-  private hasEnded = false;
+  private readonly teller: OriginTeller;
   private queryCount = 0;
   private readonly unknownCounts = new Map<UnknownReason, number>();
 
@@ -90,6 +88,7 @@
     const {datagrams, timer} = parts;
     this.log = new OriginLog(timer);
     this.own = new OriginLog(timer);
+    this.teller = new OriginTeller(parts);
     this.missedTells = new MissedTells({
       timer,
       hasReadSince: parts.hasReadSince,
@@ -107,7 +106,7 @@
     versions.apply(upstreams);
     for (const service of versions.services()) {
       if (mixed.has(service) || !this.isMixed(service)) continue;
-      this.tell(this.own.ofService(service));
+      this.teller.tell(this.own.ofService(service));
     }
   }
 
@@ -122,7 +121,7 @@
       // Others may know of a version that left before this instance started.
       case VersionMix.Unread:
       case VersionMix.Unrecorded:
-        this.tell([record]);
+        this.teller.tell([record]);
         return;
       case VersionMix.Sole:
       case VersionMix.Unsettled:
@@ -136,7 +135,7 @@
     if (origin !== undefined) return {lookup: {type: 'known', origin}};
     const mix = this.mixOfAll(services);
     if (mix === VersionMix.Sole) return {lookup: {type: 'any'}};
-    const found = await this.ask(key, services, mix);
+    const found = await this.ask(key, services);
     if (found.lookup.type === 'unknown') {
       const {reason} = found.lookup;
       const count = this.unknownCounts.get(reason) ?? 0;
@@ -169,7 +168,7 @@
 
   /** Ends the telling. */
   end(): void {
-    this.hasEnded = true;
+    this.teller.end();
   }
 
   private mixedServices(): string[] {
@@ -181,58 +180,6 @@
     return this.own.get(key) ?? this.log.get(key);
   }
 
-  /**
-   * Tells the holders of streams. Sent at once, before an event of a new stream
-   * reaches its caller, so that the holders know it even if this instance ends.
-   */
-  private tell(records: readonly OriginRecord[]): void {
-    const {peers} = this.parts;
-    if (peers.areDirect) {
-      for (const address of peers.all()) this.tellPeer(address, records);
-      return;
-    }
-    const byHolder = new Map<string, OriginRecord[]>();
-    for (const record of records) {
-      for (const holder of holdersOf(record.key, peers, this.parts)) {
-        const held = byHolder.get(holder) ?? [];
-        held.push(record);
-        byHolder.set(holder, held);
-      }
-    }
-    for (const [holder, held] of byHolder) {
-      const address = peers.addressOf(holder);
-      if (address !== undefined) this.tellPeer(address, held);
-    }
-  }
-
-  private tellPeer(
-    address: InstanceAddress,
-    records: readonly OriginRecord[],
-  ): void {
-    for (let at = 0; at < records.length; at += MAX_TOLD_STREAMS) {
-      void this.tellSome(address, records.slice(at, at + MAX_TOLD_STREAMS));
-    }
-  }
-
-  /** Tells a peer, again if it doesn't confirm; messages may be lost. */
-  private async tellSome(
-    address: InstanceAddress,
-    records: readonly OriginRecord[],
-  ): Promise<void> {
-    const {datagrams, timer} = this.parts;
-    for (const timeoutMs of TELL_TIMEOUTS_MS) {
-      if (this.hasEnded) return;
-      const message = tellMessageOf(records, timer.now());
-      const result = await datagrams.call(
-        address,
-        TELL_METHOD,
-        message,
-        timeoutMs,
-      );
-      if (result.isOk()) return;
-    }
-  }
-
   private receiveOrigins(params: unknown): void {
     const {data} = tellMessageSchema.safeParse(params);
     const now = this.parts.timer.now();
@@ -247,10 +194,10 @@
   private async ask(
     key: string,
     services: readonly string[],
-    ownMix: VersionMix,
   ): Promise<FoundOrigin> {
-    const {peers} = this.parts;
+    const {peers, timer} = this.parts;
     this.queryCount++;
+    const askedAt = {now: timer.now(), wall: timer.wallNow()};
     const message: FindMessage = {key, services: [...services]};
     const answers = holdersToAsk(key, peers, this.parts)
       .flatMap(name => peers.addressOf(name) ?? [])
@@ -261,21 +208,39 @@
     const unknowing = (await Promise.all(answers)).flatMap(answer =>
       answer?.type === 'unknown' ? answer : [],
     );
+    // A version may have joined while the peers were asked.
+    const mix = this.mixOfAll(services);
     // Nobody else can have begun a stream of a lone instance.
-    const isLone = peers.size === 0 && ownMix === VersionMix.Outdated;
+    const isLone = peers.size === 0 && mix === VersionMix.Outdated;
     const before = [
       this.originBefore(key, services),
       ...unknowing.map(answer => answer.before),
     ];
     const mixes = unknowing.map(({mix}) => mix);
+    const basis = {
+      ...this.versionBasis(services),
+      mix,
+      asked: answers.length,
+      answers: mixes,
+    };
+    const elapsedMs = Math.max(
+      timer.now() - askedAt.now,
+      timer.wallNow() - askedAt.wall,
+    );
+    // What was answered, and what is known here, may be of before a stall.
+    if (elapsedMs > MAX_LOOKUP_MS) {
+      return {
+        lookup: {type: 'unknown', reason: UnknownReason.Stalled},
+        basis,
+      };
+    }
     const lookup = concludeWithoutRecord({
-      own: isLone ? VersionMix.Unsettled : ownMix,
+      own: isLone ? VersionMix.Unsettled : mix,
       others: mixes,
       before: before.filter(origin => origin !== undefined),
       hasStalled: services.some(name => this.missedTells.mayConcern(name)),
     });
-    const basis = {asked: answers.length, answers: mixes, mix: ownMix};
-    return {lookup, basis: {...basis, ...this.versionBasis(services)}};
+    return {lookup, basis};
   }
 
   private versionBasis(
@@ -383,18 +348,3 @@
     void Promise.all(answers).then(() => resolve(undefined));
   });
 }
-
-/** A message that tells of streams, grouped by their origin. */
-function tellMessageOf(
-  records: readonly OriginRecord[],
-  now: number,
-): TellMessage {
-  const groups = new Map<string, TellMessage['groups'][number]>();
-  for (const {key, origin, expiresAt} of records) {
-    const name = JSON.stringify([origin.service, origin.softwareVersion]);
-    const group = groups.get(name) ?? {...origin, streams: []};
-    group.streams.push([key, Math.max(0, Math.round(expiresAt - now))]);
-    groups.set(name, group);
-  }
-  return {groups: [...groups.values()]};
-}
--- a/test/streamorigins.test.ts
+++ b/test/streamorigins.test.ts
@@ -12,6 +12,7 @@
 import {concludeWithoutRecord} from '../src/origin/origin.js';
 import {ManualTimer} from '../src/timer/index.js';
 
+const silent = pino({level: 'silent'});
 const SERVICE = 'engines';
 const V1 = {service: SERVICE, softwareVersion: 'v1'};
 const V2 = {service: SERVICE, softwareVersion: 'v2'};
@@ -533,3 +534,47 @@
     expect(seen).toEqual([true, true, false]);
   });
 });
+
+describe('a stream without record whose origin is asked for', () => {
+  /** Asks a peer that doesn't know it; `meanwhile` happens before the answer. */
+  async function find(meanwhile: (timer: ManualTimer) => unknown) {
+    const timer = new ManualTimer();
+    const peers = new Peers('entry-0', 'zone-a', silent, () => 0);
+    const value = Buffer.from(JSON.stringify({host: 'entry-1', port: 1}));
+    peers.update([{key: 'entry-1', value, offset: 0}]);
+    const versions = new SoftwareVersions(timer, true);
+    versions.applyRecorded(new Map());
+    const origins = new OriginExchange({
+      name: 'entry-0',
+      zone: 'zone-a',
+      peers,
+      datagrams: {
+        broadcast: () => undefined,
+        call: async () => {
+          await meanwhile(timer);
+          return ok({type: 'unknown', mix: VersionMix.Unsettled});
+        },
+        handle: () => undefined,
+      },
+      timer,
+      versions,
+      areCurrent: () => true,
+      hasReadSince: () => true,
+    });
+    origins.applyUpstreams([V1]);
+    const {lookup} = await origins.find('s', [SERVICE]);
+    return lookup;
+  }
+
+  // It went on at a version that joined while the instance stood still.
+  test('is refused if the instance stood still meanwhile', async () => {
+    const lookups = [
+      await find(timer => timer.advance(300)),
+      await find(timer => timer.advance(1_200)),
+    ];
+    expect(lookups).toEqual([
+      {type: 'any'},
+      {type: 'unknown', reason: 'stalled'},
+    ]);
+  });
+});
