--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -44,6 +44,12 @@
       'connections of upstreams that end in order in the middle of answers, ' +
       'answers without a length',
   })
+  .option('record-faults', {
+    type: 'boolean',
+    default: false,
+    describe:
+      'stalls and ends of all processes at once, a store that refuses to write',
+  })
   .option('stream-upstreams', {
     type: 'number',
     default: 3,
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -32,6 +32,10 @@
   UpstreamAbsence = 'upstreamAbsence',
   /** All gateways are killed at once. */
   Blackout = 'blackout',
+  /** All gateways stand still at once. */
+  Standstill = 'standstill',
+  /** The store refuses to write, and serves reads. */
+  StoreReadOnly = 'storeReadOnly',
   /** Another writer adds an entry that names no upstream. */
   ForeignEntry = 'foreignEntry',
 }
@@ -46,6 +50,11 @@
    * answers without a length come; not by default.
    */
   orderlyEnds?: boolean;
+  /**
+   * Whether all gateways stand still or end at once, beside a store that refuses
+   * to write; not by default.
+   */
+  recordFaults?: boolean;
 }
 
 /** A fault at its time after the start of the faults, in ms. */
@@ -82,16 +91,20 @@
   [FaultKind.UpstreamHangup]: 0,
   [FaultKind.UpstreamAbsence]: 0,
   [FaultKind.Blackout]: 0,
+  [FaultKind.Standstill]: 0,
+  [FaultKind.StoreReadOnly]: 0,
   [FaultKind.ForeignEntry]: 0,
 };
 const MEAN_INTERVAL_MS = 600;
 const MEAN_SILENCE_INTERVAL_MS = 1_200;
 const MEAN_RARE_INTERVAL_MS = 1_500;
 const MEAN_ORDERLY_END_INTERVAL_MS = 700;
+const MEAN_RECORD_FAULT_INTERVAL_MS = 2_000;
 const SEED_FACTOR = 0x9e3779b1;
 /** Tells the generator of rare faults from that of a seed's silences. */
 const RARE_FAULTS_PART = 0x10_0000;
 const ORDERLY_ENDS_PART = 0x20_0000;
+const RECORD_FAULTS_PART = 0x30_0000;
 const STORE_KINDS = new Set([
   FaultKind.StoreAway,
   FaultKind.StoreRestored,
@@ -171,6 +184,24 @@
   });
 }
 
+/** Returns what may leave streams without a record, in the order of time. */
+function scheduleRecordFaults(
+  random: Random,
+  lengthMs: number,
+): ScheduledFault[] {
+  const kinds = [
+    FaultKind.Blackout,
+    FaultKind.Standstill,
+    FaultKind.Standstill,
+    FaultKind.StoreReadOnly,
+  ];
+  return scheduleApart(random, lengthMs, {
+    meanIntervalMs: MEAN_RECORD_FAULT_INTERVAL_MS,
+    shortestMs: 1_300,
+    choose: () => random.pick(kinds),
+  });
+}
+
 /** Returns faults that come beside the others, which seeds keep thereby. */
 function scheduleApart(
   random: Random,
@@ -201,7 +232,12 @@
  * fall silent, too.
  */
 export function faultsOf(
-  {seed, rareFaults = false, orderlyEnds = false}: ScheduleOptions,
+  {
+    seed,
+    rareFaults = false,
+    orderlyEnds = false,
+    recordFaults = false,
+  }: ScheduleOptions,
   lengthMs: number,
 ): ScheduledFault[] {
   // Generators with small seeds begin with nearly the same numbers.
@@ -216,5 +252,8 @@
     ...(orderlyEnds
       ? scheduleOrderlyEnds(randomOf(ORDERLY_ENDS_PART), lengthMs)
       : []),
+    ...(recordFaults
+      ? scheduleRecordFaults(randomOf(RECORD_FAULTS_PART), lengthMs)
+      : []),
   ].sort((a, b) => a.atMs - b.atMs);
 }
--- a/bench/soak/injector.ts
+++ b/bench/soak/injector.ts
@@ -76,11 +76,9 @@
           await this.restart(gateway);
         });
       case FaultKind.Pause:
-        return this.during(gateway.name, kind, async () => {
-          gateway.signal('SIGSTOP');
-          await sleep(durationMs);
-          gateway.signal('SIGCONT');
-        });
+        return this.during(gateway.name, kind, () =>
+          this.pause(gateway, durationMs),
+        );
       case FaultKind.Hangup: {
         const end = this.history.disrupt(gateway.name, kind, Nature.Reload);
         gateway.changeSettings(0.1 + variant / 5);
@@ -189,6 +187,19 @@
           ),
         );
         return;
+      case FaultKind.Standstill:
+        await Promise.all(
+          this.gateways.map(one =>
+            this.during(one.name, kind, () => this.pause(one, durationMs)),
+          ),
+        );
+        return;
+      case FaultKind.StoreReadOnly:
+        return this.during(STORE, kind, async () => {
+          this.store.change({isReadOnly: true});
+          await sleep(durationMs);
+          this.store.change({isReadOnly: false});
+        });
       case FaultKind.ForeignEntry:
         return writeForeignEntry(this.store.log, upstream.service, variant);
     }
@@ -218,6 +229,12 @@
     await this.restart(gateway);
   }
 
+  private async pause(gateway: GatewayProcess, ms: number): Promise<void> {
+    gateway.signal('SIGSTOP');
+    await sleep(ms);
+    gateway.signal('SIGCONT');
+  }
+
   private async restart(gateway: GatewayProcess): Promise<void> {
     await sleep(RESTART_MS);
     gateway.start();
--- a/test/orderlyends.test.ts
+++ b/test/orderlyends.test.ts
@@ -54,6 +54,23 @@
   );
 });
 
+test('the faults of a seed are the same beside those of records', () => {
+  const recordKinds = [
+    FaultKind.Blackout,
+    FaultKind.Standstill,
+    FaultKind.StoreReadOnly,
+  ];
+  for (let seed = 1; seed <= 50; seed++) {
+    const without = faultsOf({seed}, LENGTH_MS);
+    const all = faultsOf({seed, recordFaults: true}, LENGTH_MS);
+    expect(all.filter(({kind}) => !recordKinds.includes(kind))).toEqual(
+      without,
+    );
+    const kinds = all.map(({kind}) => kind);
+    expect(recordKinds.every(kind => kinds.includes(kind))).toBe(true);
+  }
+});
+
 describe('the places of instances and upstreams', () => {
   test('are far apart if there are two regions', async () => {
     const geography = new Geography(2, 3);
