Count a read after a stall by its start, in place of abandoning it

What callers saw: nothing shown.

Suspected, by reading only: since an instance that stood still abandoned the reads of all three topics that were under way and asked again. One that stands still again and again would read nothing for that long.

Change: reads go on as before. Each notes when it began, and only one that began after the stall shows which versions served then.

--- a/src/registry/follower.ts
+++ b/src/registry/follower.ts
@@ -1,13 +1,10 @@
 import {LogEvent} from '../telemetry/logevent.js';
+import type {FollowerListener} from './followerlistener.js';
 import type {Subscription} from '../timer/index.js';
 import {CallRetries, type CallFailure} from './callretries.js';
 import type {Feed, FeedPage, Topic} from './feed.js';
 import {ReadSchedule, type ReadTiming} from './readschedule.js';
-import {
-  TopicReplica,
-  type FollowerListener,
-  type TopicReplicaOptions,
-} from './topicreplica.js';
+import {TopicReplica, type TopicReplicaOptions} from './topicreplica.js';
 
 /** Pause after a snapshot older than the records already read, in ms. */
 const STALE_SNAPSHOT_DELAY_MS = 250;
@@ -92,19 +89,17 @@
     return this.replica.servedForMs();
   }
 
-  /** Whether the topic was known to be current at or after `at`. */
-  isCurrentSince(at: number): boolean {
-    return this.replica.isCurrentSince(at);
+  /** See [[TopicReplica.isReadSince]]. */
+  isReadSince(at: number): boolean {
+    return this.replica.isReadSince(at);
   }
 
   /**
    * Makes this instance read the store itself, for example after the process
-   * was suspended, when the ages of received messages can't be trusted. An answer
-   * that is under way may have come before the suspension.
+   * was suspended, when the ages of received messages can't be trusted.
    */
   wake(): void {
     this.replica.distrust();
-    this.readController?.abort();
     this.pauseController?.abort();
   }
 
@@ -145,7 +140,8 @@
 
   /** Takes a snapshot; returns the pause before the next call, in ms. */
   private async loadSnapshot(): Promise<number> {
-    const {feed, topic, epochs} = this.options;
+    const {feed, topic, epochs, timer} = this.options;
+    const since = timer.now();
     const wasStarted = this.replica.isStarted;
     const result = epochs.observe(await feed.snapshot(topic));
     if (result.isErr()) return this.recordFailure('snapshot', result.error);
@@ -155,13 +151,14 @@
     // A peer told the state meanwhile. What a snapshot removes can be told to
     // others only by those that knew it; the records after the state tell all.
     if (!wasStarted && this.replica.isStarted) return 0;
-    const isApplied = this.replica.applySnapshot(result.value);
+    const isApplied = this.replica.applySnapshot(result.value, since);
     return isApplied ? 0 : STALE_SNAPSHOT_DELAY_MS;
   }
 
   /** Reads new records; returns the pause before the next call, in ms. */
   private async readNext(maxBytes?: number): Promise<number> {
-    const {feed, topic, waitMs, logger, epochs} = this.options;
+    const {feed, topic, waitMs, logger, epochs, timer} = this.options;
+    const since = timer.now();
     const from = this.replica.end;
     const epoch = epochs.current;
     const result = await this.untilEpochEnds(
@@ -187,16 +184,16 @@
         }
         return this.loadSnapshot();
       case 'records':
-        return this.readOn(page, from, maxBytes);
+        return this.readOn(page, {from, since, maxBytes});
     }
   }
 
   /** Applies a page, and reads what the store has beyond it. */
   private readOn(
     page: Extract<FeedPage, {type: 'records'}>,
-    from: number,
-    maxBytes: number | undefined,
+    read: {from: number; since: number; maxBytes: number | undefined},
   ): number | Promise<number> {
+    const {from, since, maxBytes} = read;
     const {replica} = this;
     if (page.records.length === 0 && page.end > replica.end) {
       // The next record alone exceeds the limit of the read.
@@ -207,7 +204,7 @@
       return this.recordFailure('read', {type: 'malformed', reason, epoch});
     }
     this.retries.recordSuccess();
-    if (!replica.applyRecords(page, from)) return 0;
+    if (!replica.applyRecords(page, from, since)) return 0;
     // A snapshot is smaller than a history that replaces each record.
     return page.end - replica.end > replica.recordCount
       ? this.loadSnapshot()
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -19,7 +19,8 @@
 export type {RegistryParts} from './registry.js';
 export {StoreEpoch} from './storeepoch.js';
 export {TopicReplica} from './topicreplica.js';
-export type {FollowerListener, TopicReplicaOptions} from './topicreplica.js';
+export type {FollowerListener} from './followerlistener.js';
+export type {TopicReplicaOptions} from './topicreplica.js';
 export {Learned, LearnedFrom, Reception, Standing} from './topicstatus.js';
 export type {
   Changes,
--- a/src/registry/topicage.ts
+++ b/src/registry/topicage.ts
@@ -12,6 +12,8 @@
   currentAt?: number;
   /** Instance whose read told so. */
   reader = '';
+  /** When that read began, as far as known, in monotonic ms. */
+  readSince = -Infinity;
   /** Since when the topic has been current without a long gap. */
   private reachableSince?: number;
 
@@ -35,10 +37,10 @@
   }
 
   /**
-   * Notes that the topic was known to be current at `at`. Returns whether that
-   * is newer than what was known.
+   * Notes that the topic was known to be current at `at`, by a read that began at
+   * `since`. Returns whether that is newer than what was known.
    */
-  noteCurrent(at: number, reader: string): boolean {
+  noteCurrent(at: number, reader: string, since: number): boolean {
     const {currentAt} = this;
     if (currentAt !== undefined && at < currentAt) return false;
     if (currentAt === undefined || at - currentAt > MAX_REACHABLE_AGE_MS) {
@@ -47,6 +49,7 @@
     this.reachableSince ??= at;
     this.currentAt = at;
     this.reader = reader;
+    this.readSince = since;
     return true;
   }
 
--- a/src/registry/topicreplica.ts
+++ b/src/registry/topicreplica.ts
@@ -6,6 +6,7 @@
 import type {FeedPage, KeyedRecord, Snapshot, Topic} from './feed.js';
 import type {KnownRead, ReadSchedule} from './readschedule.js';
 import type {StoreEpoch} from './storeepoch.js';
+import type {FollowerListener} from './followerlistener.js';
 import {TopicAge} from './topicage.js';
 import {
   Learned,
@@ -29,23 +30,6 @@
  */
 const MIN_FRESHNESS_GAIN_MS = 100;
 
-/** Receives the records that a [[Follower]] reads or peers send. */
-export interface FollowerListener {
-  /**
-   * Called with a snapshot: the newest record of every key. Returns what it
-   * changed, with a record without value for each key that is gone. If it may
-   * be `outdated`, the store or a peer may lack records that are known here.
-   */
-  replaced(records: KnownRecord[], outdated: boolean): KeyedRecord[];
-  /**
-   * Called with new records, in the order of the topic. Returns those that
-   * changed something, which the other instances have to know.
-   */
-  added(records: KnownRecord[]): KeyedRecord[];
-  /** All that is known, from which another instance can start. */
-  known(): KnownRecord[];
-}
-
 /** Dependencies of a [[TopicReplica]]. */
 export interface TopicReplicaOptions {
   /** Name of this instance. */
@@ -138,10 +122,9 @@
     this.distrustedUntil = this.options.timer.now() + BACKLOG_MS;
   }
 
-  /** Whether the topic was known to be current at or after `at`. */
-  isCurrentSince(at: number): boolean {
-    const {currentAt} = this.age;
-    return !this.mustRead && currentAt !== undefined && currentAt >= at;
+  /** Whether a read that began at `at` or later has reached the end of the topic. */
+  isReadSince(at: number): boolean {
+    return !this.mustRead && this.age.readSince >= at;
   }
 
   /** What this instance knows; undefined before the first snapshot. */
@@ -296,10 +279,10 @@
 
   /**
    * Applies a snapshot of the current epoch. One that ends before what is known,
-   * as peers may have told during the call, is discarded. Returns whether it was
-   * applied.
+   * as peers may have told during the call, is discarded. The read began at
+   * `since`. Returns whether it was applied.
    */
-  applySnapshot({records, end}: Snapshot): boolean {
+  applySnapshot({records, end}: Snapshot, since: number): boolean {
     const {topic, logger, epochs} = this.options;
     const known = this.changes.end;
     if (end < known) {
@@ -322,7 +305,7 @@
     const mayBeOutdated = this.earlierPositions().length > 0;
     const changed = this.listener.replaced(records, mayBeOutdated);
     const wasRestarting = this.isRestarting;
-    this.noteOwnRead();
+    this.noteOwnRead(since);
     if (this.hasSnapshot) this.appendSnapshot(changed, end);
     else this.startAt(end);
     if (wasRestarting) {
@@ -332,12 +315,13 @@
   }
 
   /**
-   * Applies the result of a read from the offset `from`. Returns whether it is
-   * only a part of the records that the store has.
+   * Applies the result of a read from the offset `from`, which began at `since`.
+   * Returns whether it is only a part of the records that the store has.
    */
   applyRecords(
     page: Extract<FeedPage, {type: 'records'}>,
     from: number,
+    since: number,
   ): boolean {
     // Peers may have told of some of the records during the call.
     const known = this.changes.end;
@@ -347,7 +331,7 @@
     );
     this.changes.append(changed, end);
     const isPart = end < page.end;
-    if (!isPart) this.noteOwnRead();
+    if (!isPart) this.noteOwnRead(since);
     this.options.learned(
       changed.length > 0 ? Learned.Changes : Learned.Freshness,
       LearnedFrom.Store,
@@ -379,10 +363,10 @@
   }
 
   /** Notes that a read of this instance has reached the end of the topic. */
-  private noteOwnRead(): void {
+  private noteOwnRead(since: number): void {
     const {timer, instance} = this.options;
     const now = timer.now();
-    this.noteCurrent(now, instance);
+    this.noteCurrent(now, instance, since);
     this.noteRead({reader: instance, at: now}, now);
   }
 
@@ -400,7 +384,7 @@
   }
 
   /** Notes that the topic was known to be current at `at`. */
-  private noteCurrent(at: number, reader: string): void {
-    if (this.age.noteCurrent(at, reader)) this.mustRead = false;
+  private noteCurrent(at: number, reader: string, since = at): void {
+    if (this.age.noteCurrent(at, reader, since)) this.mustRead = false;
   }
 }
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -219,7 +219,7 @@
       timer,
       versions: this.versions,
       areCurrent: () => isCurrent(this.upstreams.ageMs()),
-      hasReadSince: at => this.upstreams.isCurrentSince(at),
+      hasReadSince: at => this.upstreams.isReadSince(at),
     });
   }
 
--- a/test/registry.test.ts
+++ b/test/registry.test.ts
@@ -428,6 +428,52 @@
   ]);
 });
 
+// Its answer may be older than a stall, so that a version that joined is missing.
+test('a read that was under way before a suspension is none since', async () => {
+  const timer = new ManualTimer();
+  const pages: Array<(end: number) => void> = [];
+  const feed: Feed = {
+    snapshot: () => Promise.resolve(ok({records: [], end: 0, epoch: 0})),
+    put: () => Promise.resolve(ok({epoch: 0})),
+    read: () =>
+      new Promise(resolve =>
+        pages.push(end =>
+          resolve(ok({type: 'records', records: [], end, epoch: 0})),
+        ),
+      ),
+  };
+  const follower = new Follower(
+    {
+      instance: 'entry-1',
+      feed,
+      epochs: new StoreEpoch(logger, timer),
+      topic: Topic.Upstreams,
+      timer,
+      logger,
+      random: () => 0.5,
+      rankOf: () => 0,
+      learned: () => undefined,
+      readPauseMs: 100,
+      waitMs: 0,
+    },
+    {replaced: () => [], added: () => [], known: () => []},
+  );
+  follower.start();
+  await timer.advance(1);
+  await timer.advance(200);
+  follower.wake();
+  const at = timer.now();
+  const seen = [follower.isReadSince(at)];
+  for (const answer of pages.splice(0)) answer(0);
+  await timer.advance(1);
+  seen.push(follower.isReadSince(at));
+  await timer.advance(200);
+  for (const answer of pages.splice(0)) answer(0);
+  await timer.advance(1);
+  seen.push(follower.isReadSince(at));
+  expect(seen).toEqual([false, false, true]);
+});
+
 test('a suspension or a step of the clock is no outage of the store', async () => {
   const {follower, timer} = await runFollower(
     [{records: [], end: 0, epoch: 0}],
