Log and count each attempt beyond the first, with its cause and what paid for it

The lines of a request told where a repeat was sent, but not when that upstream was last heard, what paid for the repeat, how long after the first it was sent and how much time it was handed; so the hypotheses on repeats beside silent upstreams (docs/incidents/repeats-into-silence.md) could not be told apart. Each attempt beyond the first now writes a line 'resent', and gypsumcourse_repeats_total counts them by service and cause.

--- a/src/forward/attemptrunner.ts
+++ b/src/forward/attemptrunner.ts
@@ -10,6 +10,7 @@
 import {isSuccess, type AttemptTally} from './attempttally.js';
 import {decideReplacement, Retry} from './retry.js';
 import {RunningAttempt} from './runningattempt.js';
+import {isCharged, RepeatCause} from './repeatcause.js';
 import type {StreamSink} from './sink.js';
 import {Silence} from './watchdog.js';
 
@@ -55,18 +56,22 @@
   run(request: PlacementRequest, placement: Placement): Promise<AttemptResult> {
     return new Promise(resolve => {
       this.resolve = resolve;
-      const attempt = this.create(request, placement);
+      const {repeatCause} = this.tally;
+      const attempt = this.create(request, placement, repeatCause);
       this.current = attempt;
       void this.send(attempt);
     });
   }
 
+  /** `cause` tells why the attempt is a repeat; absent for the first one. */
   private create(
     request: PlacementRequest,
     placement: Placement,
+    cause?: RepeatCause,
   ): RunningAttempt {
     const {dependencies, context, tally, sink} = this;
     let hasBytes = false;
+    const heardAt = placement.endpoint.lastHeardAt;
     const sentAt = dependencies.timer.wallNow();
     const softwareVersion = () => {
       const {entry} = placement.endpoint;
@@ -95,6 +100,7 @@
       attemptSink,
       {
         onSent: () => {
+          this.recordSending(attempt, cause, heardAt);
           if (attempt === this.successor) this.limitOverlap();
         },
         onAnswer: () => {
@@ -109,6 +115,33 @@
     return attempt;
   }
 
+  /** Tells of a repeat; `heardAt` is when its upstream was last heard. */
+  private recordSending(
+    {endpoint}: RunningAttempt,
+    cause: RepeatCause | undefined,
+    heardAt: number,
+  ): void {
+    const {dependencies, context, tally} = this;
+    const now = dependencies.timer.now();
+    const firstSentAt = (tally.firstSentAt ??= now);
+    if (cause === undefined) return;
+    const charged = isCharged(cause);
+    dependencies.metrics.recordRepeat(context.service.name, cause);
+    dependencies.logger.info(
+      {
+        event: LogEvent.Resent,
+        request: context.request.id,
+        upstream: endpoint.id,
+        cause,
+        charged,
+        sinceFirstMs: Math.round(now - firstSentAt),
+        leftMs: Math.round(context.deadline.at - now),
+        heardMsAgo: heardAt === -Infinity ? null : Math.round(now - heardAt),
+      },
+      'The request was sent to an upstream once more.',
+    );
+  }
+
   private async send(attempt: RunningAttempt): Promise<void> {
     const {tally, sink, context} = this;
     if (tally.attempts === 0) {
@@ -189,7 +222,9 @@
       {event: LogEvent.Silent, ...details, successor: placement.endpoint.id},
       'The upstream is silent; sending the request to another one, too.',
     );
-    this.successor = this.create(request, placement);
+    const cause =
+      silence === Silence.Upstream ? RepeatCause.Silent : RepeatCause.Overdue;
+    this.successor = this.create(request, placement, cause);
     void this.send(this.successor);
   }
 
--- a/src/forward/attempttally.ts
+++ b/src/forward/attempttally.ts
@@ -4,6 +4,7 @@
   type AttemptResult,
   type BufferedResponse,
 } from './attemptresult.js';
+import {repeatCauseOf, type RepeatCause} from './repeatcause.js';
 
 /** What the attempts of a request have come to so far. */
 export class AttemptTally {
@@ -18,6 +19,10 @@
   streamBreaks = 0;
   /** Last complete error response of an upstream. */
   upstreamFailure?: BufferedResponse;
+  /** Why the next attempt is a repeat, after one that brought no success. */
+  repeatCause?: RepeatCause;
+  /** When the request was first sent to an upstream, in monotonic ms. */
+  firstSentAt?: number;
   /** Time from sending to the first bytes of a streamed response, in ms. */
   startMs?: number;
   /** Time from arrival to the first bytes of a streamed response, in ms. */
@@ -40,6 +45,7 @@
 
   /** Records an attempt that brought no success. */
   recordFailure(result: AttemptResult): void {
+    this.repeatCause = repeatCauseOf(result);
     switch (result.type) {
       case 'whole':
         this.possibleRuns++;
--- a/src/forward/metrics.ts
+++ b/src/forward/metrics.ts
@@ -1,5 +1,6 @@
 import {build, type Histogram} from 'hdr-histogram-js';
 import type {Ending} from './ending.js';
+import {isCharged, type RepeatCause} from './repeatcause.js';
 
 /** Largest latency that the histograms can record, in ms. */
 const MAX_TRACKABLE_MS = 60_000;
@@ -8,6 +9,7 @@
 /** Counters and latency histograms of forwarded requests. */
 export class ForwardMetrics {
   private readonly requestCounts = new Map<string, number>();
+  private readonly repeatCounts = new Map<string, number>();
   private readonly latencies = new Map<string, Histogram>();
 
   /** Counts the end of a request, and its latency if it was answered. */
@@ -25,12 +27,21 @@
     histogram.recordValue(Math.min(MAX_TRACKABLE_MS, Math.max(1, ms)));
   }
 
+  /** Counts a request that was sent to an upstream of a service once more. */
+  recordRepeat(service: string, cause: RepeatCause): void {
+    const labels = `service="${service}",cause="${cause}",charged="${isCharged(cause)}"`;
+    this.repeatCounts.set(labels, (this.repeatCounts.get(labels) ?? 0) + 1);
+  }
+
   /** Metrics in the Prometheus text format; `gauges` adds plain values. */
   exposition(gauges: Record<string, number>): string {
     const lines: string[] = [];
     for (const [labels, count] of this.requestCounts) {
       lines.push(`gypsumcourse_requests_total{${labels}} ${count}`);
     }
+    for (const [labels, count] of this.repeatCounts) {
+      lines.push(`gypsumcourse_repeats_total{${labels}} ${count}`);
+    }
     for (const [route, histogram] of this.latencies) {
       for (const quantile of QUANTILES) {
         const value = histogram.getValueAtPercentile(quantile);
--- a/src/report/requesthistory.ts
+++ b/src/report/requesthistory.ts
@@ -89,6 +89,7 @@
     case LogEvent.Peer:
     case LogEvent.Placed:
     case LogEvent.Repeats:
+    case LogEvent.Resent:
     case LogEvent.Resumed:
     case LogEvent.Silent:
     case LogEvent.Unreadable:
--- a/src/telemetry/logevent.ts
+++ b/src/telemetry/logevent.ts
@@ -39,6 +39,8 @@
   Reloaded = 'reloaded',
   /** A request is retried on another upstream. */
   Repeats = 'repeats',
+  /** A request was sent to an upstream once more. */
+  Resent = 'resent',
   /** A caller takes up a stream that another request began. */
   Resumed = 'resumed',
   /** An upstream sends nothing during an attempt. */
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -94,6 +94,8 @@
   upstream: string;
   /** The received bytes, decoded as Latin-1. */
   text: string;
+  /** When the upstream read it, in monotonic ms. */
+  readAt: number;
   socket: Socket;
 }
 
@@ -104,6 +106,7 @@
   severedFrom?: string;
   private readonly sockets = new Set<Socket>();
   private readonly server: Server;
+  private reads = true;
 
   constructor(respond: (request: RawRequest) => void) {
     this.server = createServer(socket => {
@@ -112,6 +115,7 @@
         return;
       }
       this.sockets.add(socket);
+      if (!this.reads) socket.pause();
       socket.on('error', () => undefined);
       socket.on('close', () => this.sockets.delete(socket));
       socket.on('data', bytes => {
@@ -120,6 +124,7 @@
           id: REQUEST_ID.exec(text)?.[1] ?? '',
           upstream: EXPECTED_INSTANCE.exec(text)?.[1] ?? '',
           text,
+          readAt: performance.now(),
           socket,
         };
         this.received.push(received);
@@ -133,6 +138,15 @@
     return (this.server.address() as AddressInfo).port;
   }
 
+  /** Leaves what is sent to it with the kernel, or reads that. */
+  setReading(reads: boolean): void {
+    this.reads = reads;
+    for (const socket of this.sockets) {
+      if (reads) socket.resume();
+      else socket.pause();
+    }
+  }
+
   /** Ends all connections in order, or those of a host, and accepts others. */
   hangUp(host?: string): void {
     for (const socket of this.sockets) {
--- a/test/support/silentupstream.ts
+++ b/test/support/silentupstream.ts
@@ -27,6 +27,13 @@
     this.silence = sleep(ms);
   }
 
+  /** Neither reads nor sends anything for a time, and then goes on. */
+  standStill(ms: number): void {
+    this.fallSilent(ms);
+    this.raw.setReading(false);
+    void this.silence.then(() => this.raw.setReading(true));
+  }
+
   /** Sends bytes once the upstream isn't silent. */
   async send({socket}: RawRequest, bytes: string): Promise<void> {
     await this.silence;
