Send a request beside a silent upstream only to one that was heard since

Callers' repeats piled up at upstreams that had fallen silent with the first one (BUDGET): a request whose upstream was silent for 1.5 times its target went to another healthy one, whichever, and where the whole service stood still, that one's kernel kept it. It was read when the upstream went on, with the time that had been left at its sending; and each such repeat was in vain.

Cause: health tells only of failures that were seen, so an upstream without a request of this instance counted as sound throughout a silence. Now a successor goes to an upstream that was heard within the last 250 ms or half of the silence; else up to three are asked, and the first that answers gets it.

An answer is no longer reported as overdue while its upstream is reported as silent, which named the wrong cause.

--- a/src/forward/attemptrunner.ts
+++ b/src/forward/attemptrunner.ts
@@ -12,6 +12,7 @@
 import {RunningAttempt} from './runningattempt.js';
 import {isCharged, RepeatCause} from './repeatcause.js';
 import type {StreamSink} from './sink.js';
+import {Successors} from './successors.js';
 import {Silence} from './watchdog.js';
 
 /**
@@ -26,6 +27,8 @@
   Budget = 'budget',
   /** No healthy upstream takes it now. */
   NoUpstream = 'no_upstream',
+  /** Of those that would take it, none was heard during the silence. */
+  Unheard = 'unheard',
 }
 
 /**
@@ -39,6 +42,7 @@
   private overlap?: Subscription;
   /** Why the current upstream was last left to go on, as logged. */
   private loggedCause?: KeepCause;
+  private readonly successors: Successors;
   private resolve: (result: AttemptResult) => void = () => undefined;
 
   constructor(
@@ -50,7 +54,10 @@
     private readonly answerStarted: () => boolean,
     /** Whether the prompt has a part that crashes upstreams. */
     private readonly isHeld: () => boolean,
-  ) {}
+  ) {
+    const {waitQueue} = context.service;
+    this.successors = new Successors(dependencies, waitQueue);
+  }
 
   /** Resolves to the result of the attempt that was not replaced. */
   run(request: PlacementRequest, placement: Placement): Promise<AttemptResult> {
@@ -108,7 +115,7 @@
         },
         isReplaceable: () => attempt === this.current && this.isReplaceable(),
         onSilence: (silence, silentMs) =>
-          this.seekSuccessor(silence, silentMs, placement),
+          this.seekSuccessor(attempt, silence, silentMs),
       },
     );
     tally.triedUpstreams.add(placement.endpoint.id);
@@ -180,12 +187,13 @@
 
   /** Starts a successor of an attempt that meets silence, if one can. */
   private seekSuccessor(
+    attempt: RunningAttempt,
     silence: Silence,
     silentMs: number,
-    {endpoint}: Placement,
   ): void {
     if (!this.isReplaceable()) return;
     const {dependencies, context} = this;
+    const {endpoint} = attempt;
     if (silence === Silence.Upstream) {
       const path = this.current?.path ?? Path.Direct;
       recordSilence(dependencies, context, endpoint, path);
@@ -197,7 +205,17 @@
       isHeld: this.isHeld,
       softwareVersion: this.sink.softwareVersion,
     });
-    const placement = this.placeSuccessor(request);
+    const askedAt = dependencies.timer.now();
+    const heardAt = endpoint.lastHeardAt;
+    const placement = this.placeSuccessor(request, silentMs, () => {
+      const isOver =
+        silence === Silence.Upstream
+          ? endpoint.lastHeardAt > heardAt
+          : attempt.hasAnswer;
+      if (isOver || attempt !== this.current) return;
+      const passedMs = dependencies.timer.now() - askedAt;
+      this.seekSuccessor(attempt, silence, silentMs + passedMs);
+    });
     const details = {
       request: context.request.id,
       upstream: endpoint.id,
@@ -241,14 +259,24 @@
     return successor === undefined && decision !== Retry.Never;
   }
 
-  private placeSuccessor(request: PlacementRequest): Placement | KeepCause {
-    const {service} = this.context;
+  /** Calls `onAlive` for each upstream that is asked and answers. */
+  private placeSuccessor(
+    request: PlacementRequest,
+    silentMs: number,
+    onAlive: () => void,
+  ): Placement | KeepCause {
+    const {successors} = this;
+    const {retryBudget} = this.context.service;
     const now = this.dependencies.timer.now();
-    if (service.retryBudget.remaining(now) < 1) return KeepCause.Budget;
-    const placement = service.waitQueue.placeNow(request);
-    if (placement === undefined) return KeepCause.NoUpstream;
-    service.retryBudget.take(now);
-    return placement;
+    if (retryBudget.remaining(now) < 1) return KeepCause.Budget;
+    const placement = successors.place(request, silentMs);
+    if (placement !== undefined) {
+      retryBudget.take(now);
+      return placement;
+    }
+    return successors.ask(request, onAlive)
+      ? KeepCause.Unheard
+      : KeepCause.NoUpstream;
   }
 
   /** Replaces the current attempt by its successor. */
--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -73,6 +73,11 @@
     );
   }
 
+  /** Whether the head of a successful answer has come. */
+  get hasAnswer(): boolean {
+    return this.hasStarted;
+  }
+
   /** Sends the request; a stream continues after the event `lastEvent`. */
   async run(lastEvent?: string): Promise<AttemptResult> {
     try {
--- a/src/forward/waitqueue.ts
+++ b/src/forward/waitqueue.ts
@@ -1,10 +1,8 @@
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Subscription} from '../timer/index.js';
 import {backsOff} from './backoff.js';
-import {candidateOf} from './candidate.js';
 import type {Endpoint} from './endpoint.js';
 import {refusalCauseOf, shortestDelayMs} from './pausewait.js';
-import {chooseUpstream} from './placement.js';
 import {logPlacement, logRejection} from './placementlog.js';
 import {
   compareUrgency,
@@ -18,6 +16,7 @@
 import {retryDelayMs} from './retrydelay.js';
 import {PlacementRate} from './placementrate.js';
 import {WaitCause, type QueueEntry} from './queueentry.js';
+import {among, chooseFor, preferredFor} from './upstreamchoice.js';
 import type {WaitQueueDependencies} from './waitqueuedependencies.js';
 
 /** Period of placing waiting requests, in ms; a small part of any target. */
@@ -95,25 +94,33 @@
     });
   }
 
-  /** Places a request on a healthy upstream now, if one takes it. */
-  placeNow(request: PlacementRequest): Placement | undefined {
-    const now = this.dependencies.timer.now();
-    const ejected = this.dependencies
-      .endpoints()
-      .filter(({health}) => health.isEjected(now));
-    const triedUpstreams = new Set([
-      ...request.triedUpstreams,
-      ...ejected.map(({id}) => id),
-    ]);
+  /** Places a request on a healthy upstream now, if one accepted takes it. */
+  placeNow(
+    request: PlacementRequest,
+    accepts: (endpoint: Endpoint) => boolean,
+  ): Placement | undefined {
     let placement: Placement | undefined;
     if (request.isHeld()) return undefined;
-    const entry = this.entryOf({...request, triedUpstreams}, result => {
-      if (result.type === 'placed') placement = result;
-    });
+    const entry = this.entryOf(
+      among(accepts, request, this.dependencies),
+      result => {
+        if (result.type === 'placed') placement = result;
+      },
+    );
     this.tryPlace(entry);
     return placement;
   }
 
+  /** Healthy accepted upstreams for a request, the best first. */
+  preferred(
+    request: PlacementRequest,
+    accepts: (endpoint: Endpoint) => boolean,
+    count: number,
+  ): Endpoint[] {
+    const healthy = among(accepts, request, this.dependencies);
+    return preferredFor(healthy, count, this.dependencies);
+  }
+
   private entryOf(
     request: PlacementRequest,
     settle: QueueEntry['settle'],
@@ -225,16 +232,14 @@
 
   /** Tries to place a request; returns why it has to wait. */
   private tryPlace(entry: QueueEntry): WaitCause | undefined {
-    const {timer, random, speeds} = this.dependencies;
+    const {timer, random} = this.dependencies;
     const {request} = entry;
     const now = timer.now();
-    const endpoints = this.endpointsFor(request);
-    const candidates = endpoints.map(endpoint =>
-      candidateOf(endpoint, request, this.dependencies, now),
+    const {decision, endpoint, estimate} = chooseFor(
+      request,
+      this.isMoreUrgentWaiting(request),
+      this.dependencies,
     );
-    const estimate = speeds.estimate(endpoints.length);
-    const query = {...request, yields: this.isMoreUrgentWaiting(request)};
-    const decision = chooseUpstream(query, candidates, estimate, random);
     if (decision.type !== 'chosen') delete entry.backoffUntil;
     if (decision.type === 'paused') return WaitCause.Paused;
     if (decision.type === 'limited') return WaitCause.Limited;
@@ -243,10 +248,6 @@
       entry.prefillMs = decision.prefillMs;
       return WaitCause.Busy;
     }
-    const endpoint =
-      decision.type === 'none'
-        ? undefined
-        : endpoints.find(({id}) => id === decision.id);
     if (decision.type === 'none' || endpoint === undefined) {
       return WaitCause.NoUpstream;
     }
--- a/src/forward/watchdog.ts
+++ b/src/forward/watchdog.ts
@@ -94,7 +94,7 @@
         : now - this.reportedAt >= REPEAT_MS;
     if (this.probing || !this.spec.isReplaceable()) return;
     if (!isDue) {
-      this.checkOverdue(now);
+      if (this.reportedAt === undefined) this.checkOverdue(now);
     } else if (route.streaming && this.reportedAt === undefined) {
       // A busy engine may send nothing for long.
       void this.probe();
