Keep a request at its silent upstream until the other one shows that it reads

A stream whose upstream stood still was cut, though that upstream went on later (LOST): 250 ms after the request had been sent to another one, the first attempt was abandoned, on the guess that no refusal meant acceptance. An upstream that falls silent, too, refuses later, and then nobody is left.

Now the first attempt is abandoned only if the other upstream was heard since the request was sent there, or answers a question.

--- a/src/forward/attemptrunner.ts
+++ b/src/forward/attemptrunner.ts
@@ -108,7 +108,9 @@
       {
         onSent: () => {
           this.recordSending(attempt, cause, heardAt);
-          if (attempt === this.successor) this.limitOverlap();
+          if (attempt === this.successor) {
+            this.limitOverlap(dependencies.timer.now());
+          }
         },
         onAnswer: () => {
           if (attempt === this.current) this.keepCurrent();
@@ -247,16 +249,21 @@
   }
 
   private isReplaceable(): boolean {
-    const {tally, sink, successor} = this;
+    const {tally, successor} = this;
+    return successor === undefined && this.mayReplace(tally.possibleRuns);
+  }
+
+  /** Whether an attempt may get a successor after `possibleRuns` others. */
+  private mayReplace(possibleRuns: number): boolean {
     const {route, deadline} = this.context;
     const decision = decideReplacement({
       route,
-      attempts: tally.attempts,
-      possibleRuns: tally.possibleRuns,
-      resumable: sink.resumable,
+      attempts: this.tally.attempts,
+      possibleRuns,
+      resumable: this.sink.resumable,
       leftMs: deadline.at - this.dependencies.timer.now(),
     });
-    return successor === undefined && decision !== Retry.Never;
+    return decision !== Retry.Never;
   }
 
   /** Calls `onAlive` for each upstream that is asked and answers. */
@@ -309,9 +316,28 @@
     dropped?.abandon();
   }
 
-  private limitOverlap(): void {
-    this.overlap = this.dependencies.timer.after(MAX_OVERLAP_MS, () =>
-      this.promote(),
-    );
+  /** Limits how long a request that was sent at `sentAt` is at two upstreams. */
+  private limitOverlap(sentAt: number): void {
+    this.overlap = this.dependencies.timer.after(MAX_OVERLAP_MS, () => {
+      void this.endOverlap(sentAt);
+    });
+  }
+
+  /**
+   * Replaces the current attempt by a successor that was not refused, unless its
+   * upstream has been silent, too, since the request was sent at `sentAt`.
+   */
+  private async endOverlap(sentAt: number): Promise<void> {
+    const {successor, dependencies} = this;
+    if (successor === undefined) return;
+    const {endpoint, path} = successor;
+    const isReading =
+      endpoint.lastHeardAt >= sentAt ||
+      (await dependencies.isAlive(endpoint, path));
+    if (successor !== this.successor) return;
+    if (isReading) this.promote();
+    else if (this.mayReplace(this.tally.possibleRuns + 1)) this.dropSuccessor();
+    // Otherwise whichever goes on first has the request.
+    else this.limitOverlap(sentAt);
   }
 }
--- a/test/silentservice.test.ts
+++ b/test/silentservice.test.ts
@@ -6,10 +6,14 @@
   expectWhole,
   open,
   openGateway,
+  sendStream,
 } from './support/silencegateway.js';
 import {
+  eventsOf,
   plainAnswer,
+  refuse,
   sleep,
+  streamOf,
   type Answer,
   type SilentUpstream,
   type UpstreamGroup,
@@ -23,6 +27,7 @@
 const REQUESTS = 4;
 const UPSTREAMS = 8;
 const BODY = 'the whole body';
+const EVENTS = 6;
 
 afterEach(closeAll);
 
@@ -116,3 +121,26 @@
     );
   });
 });
+
+describe('a stream whose upstream stands still', () => {
+  // Guards against a sound answer that is given up for none (LOST).
+  test('is not cut when the upstream that was to continue it falls silent, and refuses it', async () => {
+    const refuseLate: Answer = (request, upstream) => {
+      upstream.standStill(1_000);
+      return refuse(request, upstream);
+    };
+    const engines = await open(
+      'engine',
+      2,
+      streamOf({
+        events: EVENTS,
+        afterEvent: (event, _request, upstream) => {
+          if (event === 3) upstream.standStill(1_900);
+        },
+      }),
+      refuseLate,
+    );
+    const gateway = await openGateway([engines]);
+    expectWhole(await sendStream(gateway, 'r1'), eventsOf(1, EVENTS));
+  });
+});
