Place late repeats on upstreams that were heard since the first attempt

A request whose upstream broke off went, late in its time, to any healthy one, which might have fallen silent meanwhile: what callers saw and the cause are those of the repeats beside silent upstreams (BUDGET), by another way. Repeats sent 150 ms or more after the first now go to an upstream that was heard lately, or to one that is asked and answers; if none does, they are placed as before.

--- a/src/forward/attemptrunner.ts
+++ b/src/forward/attemptrunner.ts
@@ -5,7 +5,11 @@
 import type {AttemptResult} from './attemptresult.js';
 import {recordOverdue, recordSilence} from './attempthealth.js';
 import type {ForwardDependencies} from './dependencies.js';
-import type {Placement, PlacementRequest} from './placementrequest.js';
+import type {
+  Placement,
+  PlacementRequest,
+  PlacementResult,
+} from './placementrequest.js';
 import {placementRequestOf, type RequestContext} from './requestcontext.js';
 import {isSuccess, type AttemptTally} from './attempttally.js';
 import {decideReplacement, Retry} from './retry.js';
@@ -21,6 +25,9 @@
  */
 const MAX_OVERLAP_MS = 250;
 
+/** Time from the first attempt on after which a repeat is late, in ms. */
+const LATE_REPEAT_MS = 150;
+
 /** Why a silent upstream keeps a request. */
 enum KeepCause {
   /** The retry budget is spent. */
@@ -59,6 +66,21 @@
     this.successors = new Successors(dependencies, waitQueue);
   }
 
+  /**
+   * Finds an upstream for the next attempt. Late repeats go to one that reads
+   * them at once, as far as there is one.
+   */
+  async place(request: PlacementRequest): Promise<PlacementResult> {
+    const {tally, context, successors} = this;
+    const now = this.dependencies.timer.now();
+    const sinceFirstMs = now - (tally.firstSentAt ?? now);
+    if (sinceFirstMs >= LATE_REPEAT_MS) {
+      const placement = await successors.placeLate(request, sinceFirstMs);
+      if (placement !== undefined) return {type: 'placed', ...placement};
+    }
+    return context.service.waitQueue.acquire(request);
+  }
+
   /** Resolves to the result of the attempt that was not replaced. */
   run(request: PlacementRequest, placement: Placement): Promise<AttemptResult> {
     return new Promise(resolve => {
@@ -281,9 +303,8 @@
       retryBudget.take(now);
       return placement;
     }
-    return successors.ask(request, onAlive)
-      ? KeepCause.Unheard
-      : KeepCause.NoUpstream;
+    successors.ask(request, onAlive);
+    return successors.awaitsAnswer ? KeepCause.Unheard : KeepCause.NoUpstream;
   }
 
   /** Replaces the current attempt by its successor. */
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -200,7 +200,7 @@
         isHeld,
         softwareVersion: sink.softwareVersion,
       });
-      const placement = await service.waitQueue.acquire(placementRequest);
+      const placement = await runner.place(placementRequest);
       if (placement.type === 'gone') return this.endStopped(context);
       if (placement.type === 'notRun') return this.giveUp(context, placement);
       const result = await runner.run(placementRequest, placement);
--- a/src/forward/successors.ts
+++ b/src/forward/successors.ts
@@ -10,6 +10,8 @@
 const MAX_HEARD_AGE_SHARE = 0.5;
 /** Most upstreams that are asked at once. */
 const MAX_ASKED = 3;
+/** Time after which others are asked, too, in ms. */
+const ASK_PERIOD_MS = 100;
 
 /** Whether an upstream was heard lately, and not only before a silence. */
 export function isHeard(
@@ -29,6 +31,8 @@
 export class Successors {
   /** Upstreams that were asked and have not answered. */
   private readonly asked = new Set<Endpoint>();
+  /** Questions that may still be answered. */
+  private pending = 0;
 
   constructor(
     private readonly dependencies: Pick<
@@ -46,23 +50,50 @@
     );
   }
 
+  /**
+   * Places a request that was first sent `sinceFirstMs` ms ago on an upstream
+   * that was heard since, or that is asked and answers. Resolves to undefined if
+   * none answers.
+   */
+  async placeLate(
+    request: PlacementRequest,
+    sinceFirstMs: number,
+  ): Promise<Placement | undefined> {
+    const {timer} = this.dependencies;
+    while (!request.signal.aborted) {
+      const placement = this.place(request, sinceFirstMs);
+      if (placement !== undefined) return placement;
+      const answered = new Promise<void>(resolve => this.ask(request, resolve));
+      if (this.pending === 0) return undefined;
+      await Promise.race([answered, timer.sleep(ASK_PERIOD_MS)]);
+    }
+    return undefined;
+  }
+
   /**
    * Asks upstreams that could take a request whether they are alive, and calls
    * `onAlive` for each that answers; one that doesn't is not asked again.
-   * Returns false if there is none.
    */
-  ask(request: PlacementRequest, onAlive: () => void): boolean {
+  ask(request: PlacementRequest, onAlive: () => void): void {
     const isNew = (endpoint: Endpoint) => !this.asked.has(endpoint);
     const found = this.waitQueue.preferred(request, isNew, MAX_ASKED);
     for (const endpoint of found) void this.askOne(endpoint, onAlive);
+  }
+
+  /** Whether one was asked that has not answered. */
+  get awaitsAnswer(): boolean {
     return this.asked.size > 0;
   }
 
   private async askOne(endpoint: Endpoint, onAlive: () => void): Promise<void> {
+    const {timer, isAlive} = this.dependencies;
     this.asked.add(endpoint);
+    this.pending++;
     // The request would take the same way.
-    const isAlive = await this.dependencies.isAlive(endpoint, Path.Relayed);
-    if (!isAlive) return;
+    const alive = await isAlive(endpoint, Path.Relayed);
+    this.pending--;
+    // One may count as alive without having been asked.
+    if (!alive || !isHeard(endpoint, Infinity, timer.now())) return;
     this.asked.delete(endpoint);
     onAlive();
   }
--- a/test/silentservice.test.ts
+++ b/test/silentservice.test.ts
@@ -21,6 +21,8 @@
 
 /** Most by which a repeat may end after the first and its caller, in ms. */
 const SLACK_MS = 500;
+/** How long upstreams stand still, in ms. */
+const SILENCE_MS = 1_200;
 /** What the callers of plain requests wait, in ms. */
 const CALLER_MS = 1_500;
 /** Fewer requests than upstreams, so that some have none when they fall silent. */
@@ -39,8 +41,13 @@
   };
 }
 
-function standStill(upstreams: SilentUpstream[], ms: number): void {
-  for (const upstream of upstreams) upstream.standStill(ms);
+/**
+ * Lets upstreams stand still. Resolves once they have read what was sent to
+ * them, also where its connection was closed meanwhile.
+ */
+async function standStill(upstreams: SilentUpstream[]): Promise<void> {
+  for (const upstream of upstreams) upstream.standStill(SILENCE_MS);
+  await sleep(SILENCE_MS + 100);
 }
 
 function look({gateway}: TestGateway, id: string) {
@@ -54,9 +61,9 @@
 }
 
 /** Arrivals that were handed more time than was left of the first ones. */
-function overlong({arrivals}: UpstreamGroup, ids: readonly string[]): string[] {
+function overlong(group: UpstreamGroup, ids: readonly string[]): string[] {
   return ids.flatMap(id => {
-    const [first, ...repeats] = arrivals(id);
+    const [first, ...repeats] = group.arrivals(id);
     if (first === undefined) return [];
     return repeats
       .filter(repeat => endOf(repeat) > endOf(first) + SLACK_MS)
@@ -85,10 +92,9 @@
   // Guards against repeats that are read with time that has passed (BUDGET).
   test('no repeat is handed more time than is left', async () => {
     const {plain, ids, responses} = await openRequests();
-    standStill(plain.members, 1_200);
+    const afterwards = standStill(plain.members);
     for (const response of await responses) expectWhole(response, BODY);
-    // What was sent is read even if its connection was closed meanwhile.
-    await sleep(100);
+    await afterwards;
     expect(overlong(plain, ids)).toEqual([]);
   });
 });
@@ -100,21 +106,33 @@
     const index = plain.entries.findIndex(({id}) => !busy.includes(id));
     const {id: readingId} = plain.entries[index]!;
     const still = plain.members.filter((_, other) => other !== index);
-    standStill(still, 1_200);
+    const afterwards = standStill(still);
     for (const response of await responses) expectWhole(response, BODY);
-    await sleep(100);
-    const resent = gateway.logLines.filter(
-      ({event}) => event === LogEvent.Resent,
-    );
-    expect(resent).toEqual(
-      ids.map(() =>
-        expect.objectContaining({
-          upstream: readingId,
-          cause: 'silent',
-          charged: true,
-        }),
-      ),
+    await afterwards;
+    const resent = gateway.logLines
+      .filter(({event}) => event === LogEvent.Resent)
+      .map(({upstream, cause, charged}) => ({upstream, cause, charged}));
+    const expected = {upstream: readingId, cause: 'silent', charged: true};
+    expect(resent).toEqual(ids.map(() => expected));
+    const repeated = ids.flatMap(id => plain.arrivals(id).slice(1));
+    expect(repeated.map(({upstream}) => upstream)).toEqual(
+      ids.map(() => readingId),
     );
+  });
+
+  // Guards against late repeats that silent upstreams read too late (BUDGET).
+  test('requests whose upstreams crash are sent to that one alone', async () => {
+    const {plain, ids, responses} = await openRequests();
+    const busy = ids.map(id => plain.arrivals(id)[0]?.upstream);
+    const index = plain.entries.findIndex(({id}) => !busy.includes(id));
+    const {id: readingId} = plain.entries[index]!;
+    const still = plain.members.filter((_, other) => other !== index);
+    const afterwards = standStill(still);
+    await sleep(200);
+
+    for (const id of ids) plain.arrivals(id)[0]?.socket.resetAndDestroy();
+    for (const response of await responses) expectWhole(response, BODY);
+    await afterwards;
     const repeated = ids.flatMap(id => plain.arrivals(id).slice(1));
     expect(repeated.map(({upstream}) => upstream)).toEqual(
       ids.map(() => readingId),
