Test that hostile clients leave an instance within its machine

Clients that send many unfinished, oversized or finely chunked bodies, or requests ahead whose answers they don't read, end a process by its memory. Each test starts the system's own process on a loopback address, as the deploy file does but on a machine of 192 MB with the heap in proportion, and judges that it lives, its peak of memory, its descriptors, and that an ordinary request is answered beside and after the crowd.

--- a/bench/soak/gatewayprocess.ts
+++ b/bench/soak/gatewayprocess.ts
@@ -31,6 +31,12 @@
 export class GatewayProcess {
   incarnation = 0;
   isStopping = false;
+  /** Whether another process starts after one that ended by itself. */
+  restarts = true;
+  /** Limits of its machine, as the settings file names them. */
+  limits: Record<string, number> = {};
+  /** Arguments of Node.js. */
+  nodeArguments: readonly string[] = [];
   private child?: ChildProcess;
   /** Whether the soak ends the process. */
   private isEnding = false;
@@ -81,6 +87,11 @@
     );
   }
 
+  /** Id of its process; undefined if none runs. */
+  get processId(): number | undefined {
+    return this.child?.pid;
+  }
+
   get isRunning(): boolean {
     return this.child !== undefined;
   }
@@ -95,13 +106,17 @@
     this.history.disrupt(this.name, 'start')();
     this.writeSettings();
     const log = openSync(join(this.folder, `${this.name}.log`), 'a');
-    const child = spawn(process.execPath, [this.program], {
-      stdio: ['ignore', log, log],
-      env: {
-        PATH: process.env['PATH'],
-        GYPSUMCOURSE_BOOT: this.settingsFile,
+    const child = spawn(
+      process.execPath,
+      [...this.nodeArguments, this.program],
+      {
+        stdio: ['ignore', log, log],
+        env: {
+          PATH: process.env['PATH'],
+          GYPSUMCOURSE_BOOT: this.settingsFile,
+        },
       },
-    });
+    );
     closeSync(log);
     children.add(child);
     this.child = child;
@@ -120,7 +135,7 @@
     const {name: gateway, incarnation, startedAt, history} = this;
     const at = history.now();
     history.ownEnds.push({gateway, incarnation, startedAt, at, status});
-    setTimeout(() => this.start(), RESTART_MS).unref();
+    if (this.restarts) setTimeout(() => this.start(), RESTART_MS).unref();
   }
 
   /** Waits until the gateway says that it is ready. */
@@ -187,6 +202,7 @@
         retryBudgetRatio: this.retryRatio,
         budgetWindowS: 10,
       },
+      limits: this.limits,
       bootstrap: this.incarnation === 1,
       platform: {address: this.storeLink.address},
     };
--- /dev/null
+++ b/test/support/boundedinstance.ts
@@ -0,0 +1,149 @@
+import {mkdtempSync, readdirSync, readFileSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {UPSTREAMS_TOPIC} from '../../bench/soak/deployment.js';
+import {GatewayProcess} from '../../bench/soak/gatewayprocess.js';
+import {SoakHistory} from '../../bench/soak/history.js';
+import {
+  startKeyedStore,
+  type KeyedStoreStandIn,
+} from '../../stand-ins/index.js';
+import {
+  call,
+  RawUpstream,
+  successHead,
+  wireConfiguration,
+  wireEntry,
+} from './gateway.js';
+import {sleep} from './silentupstream.js';
+
+/** Memory of the machine, in MB. */
+const MEMORY_MB = 192;
+/** Share of the memory that the deploy file gives to the heap. */
+const HEAP_SHARE = 200 / 350;
+/** Descriptors of the machine. */
+const DESCRIPTORS = 400;
+/** Longest body that the configuration allows, in bytes. */
+export const BODY_LIMIT_BYTES = 4 * 1024 * 1024;
+/** Longest time that a route waits, in ms. */
+const ROUTE_TIMEOUT_MS = 30_000;
+const SAMPLE_MS = 50;
+const RETRY_MS = 250;
+
+/** What a process took at its peak, against what its machine has. */
+export interface Usage {
+  /** Whether it still runs. */
+  lives: boolean;
+  staysInMemory: boolean;
+  staysInDescriptors: boolean;
+}
+
+/** An instance as a process of its own, on a machine with little memory. */
+export class BoundedInstance {
+  private peakDescriptors = 0;
+  private readonly sampler = setInterval(() => this.sample(), SAMPLE_MS);
+
+  private constructor(
+    private readonly store: KeyedStoreStandIn,
+    private readonly upstream: RawUpstream,
+    private readonly gateway: GatewayProcess,
+    private readonly folder: string,
+  ) {}
+
+  static async open(): Promise<BoundedInstance> {
+    const folder = mkdtempSync(join(tmpdir(), 'gypsumcourse-'));
+    const store = await startKeyedStore(0);
+    const upstream = new RawUpstream(({id, socket, text}) => {
+      // The rest of a long body has no head.
+      if (!text.includes('HTTP/1.1\r\n')) return;
+      socket.write(`${successHead(id, 'Content-Length: 2\r\n')}ok`);
+    });
+    const port = await upstream.listen();
+    const configuration = wireConfiguration(1, ROUTE_TIMEOUT_MS);
+    const limits = {...configuration.limits, maxBodyBytes: BODY_LIMIT_BYTES};
+    const records = [
+      ['keyed.op', 'config', {...configuration, limits}],
+      [UPSTREAMS_TOPIC, 'plain-0', wireEntry('plain', port)],
+    ] as const;
+    for (const [topic, key, value] of records) {
+      store.log.append(topic, key, Buffer.from(JSON.stringify(value)));
+    }
+    const history = new SoakHistory();
+    const gateway = await GatewayProcess.open(0, store.port, folder, history);
+    gateway.limits = {memoryMb: MEMORY_MB, maxFds: DESCRIPTORS};
+    const heapMb = Math.floor(MEMORY_MB * HEAP_SHARE);
+    gateway.nodeArguments = [`--max-old-space-size=${heapMb}`];
+    gateway.restarts = false;
+    gateway.start();
+    await gateway.untilReady();
+    return new BoundedInstance(store, upstream, gateway, folder);
+  }
+
+  /** Where callers connect. */
+  get host(): string {
+    return this.gateway.host;
+  }
+
+  get usage(): Usage {
+    const lives = this.gateway.isRunning;
+    return {
+      lives,
+      staysInMemory: lives && this.peakMb() < MEMORY_MB,
+      staysInDescriptors: this.peakDescriptors < DESCRIPTORS,
+    };
+  }
+
+  /** Resident memory at its peak, in MB; 0 if the process has ended. */
+  peakMb(): number {
+    const status = this.read('status');
+    return Number(/VmHWM:\s+(\d+) kB/.exec(status)?.[1] ?? 0) / 1024;
+  }
+
+  /** Sends an ordinary request, again after a refusal, until it is answered. */
+  async serveOne(id: string): Promise<string | undefined> {
+    for (let attempt = 0; this.gateway.isRunning; attempt++) {
+      const response = await call(
+        this.gateway.ingress.port,
+        '/order/a',
+        `${id}-${attempt}`,
+        {method: 'POST'},
+      );
+      if (response?.status === 200) return response.body;
+      await sleep(RETRY_MS);
+    }
+    return undefined;
+  }
+
+  async close(): Promise<void> {
+    clearInterval(this.sampler);
+    await this.gateway.kill();
+    this.upstream.close();
+    await Promise.all([
+      this.gateway.ingress.close(),
+      this.gateway.storeLink.close(),
+      this.store.close(),
+    ]);
+    rmSync(this.folder, {recursive: true});
+  }
+
+  private sample(): void {
+    const {processId} = this.gateway;
+    if (processId === undefined) return;
+    try {
+      const {length} = readdirSync(`/proc/${processId}/fd`);
+      this.peakDescriptors = Math.max(this.peakDescriptors, length);
+    } catch {
+      // The process has just ended.
+    }
+  }
+
+  private read(file: string): string {
+    const {processId} = this.gateway;
+    if (processId === undefined) return '';
+    try {
+      return readFileSync(`/proc/${processId}/${file}`, 'utf8');
+    } catch {
+      return '';
+    }
+  }
+}
