Bound the memory of bodies, and what is read after a refusal

Clients that sent many bodies at once ended a process by its memory, and with it what it served: bodies in chunks of one byte kept an object for each chunk (8 clients were enough), bodies just short of their end were held in whole, whatever their number, and a body over the limit was read to its end after its 413.

Bodies are now collected into few blocks, which are used again, and share 0.15 of the machine's memory (memoryMb of the settings). Where that is used up, the body that is still being received and held most for longest is refused with 503 and Retry-After, as it has not run; a request whose body is complete keeps it. A single body is always taken, and small ones have a part of their own. What is announced over the limit is refused before it is read; of a refused body 256 KiB are read, then its connection waits and is closed after 1 s.

--- a/src/forward/dependencies.ts
+++ b/src/forward/dependencies.ts
@@ -4,6 +4,7 @@
 import type {RegistryEntry} from '../registry/index.js';
 import type {Routing} from '../route/index.js';
 import type {Timer} from '../timer/index.js';
+import type {ByteBudget} from './bytebudget.js';
 import type {Endpoint} from './endpoint.js';
 import type {PromptGuard} from './promptguard.js';
 import type {ResponseObserver} from './responseobserver.js';
@@ -36,6 +37,8 @@
   entryOf(upstream: string): RegistryEntry | undefined;
   /** Resolves when the entries are current, or the store may be away. */
   untilEntriesCurrent: () => Promise<void>;
+  /** Memory for the bodies of requests. */
+  bodies: ByteBudget;
   observer: ResponseObserver;
   promptGuard: PromptGuard;
   /** Where streams began that callers may take up. */
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -7,7 +7,7 @@
   ReceivedHead,
 } from './attemptresult.js';
 import {AttemptRunner} from './attemptrunner.js';
-import {bytesOf, readBodyUntil} from './body.js';
+import {bytesOf, receiveBody, type ReceivedBody} from './body.js';
 import {ResumableStream, serviceOf} from './resumablestream.js';
 import {Deadline, StopCause} from './deadline.js';
 import {digestOf} from './digest.js';
@@ -29,7 +29,9 @@
 import type {Reply} from './reply.js';
 import {AttemptTally, isCrashSign, isSuccess} from './attempttally.js';
 import {StreamSink} from './sink.js';
+import {discardRest} from './unreadbody.js';
 import type {ForwardDependencies} from './dependencies.js';
+import {HoldCheck} from './holdcheck.js';
 
 /** Time-out of a request that states none, in ms; the route's also applies. */
 const DEFAULT_CALLER_TIMEOUT_MS = 60_000;
@@ -45,7 +47,6 @@
   private readonly tally: AttemptTally;
   /** Objective of the request's route, in ms. */
   private targetMs?: number;
-  private hasLoggedHold = false;
 
   constructor(
     private readonly dependencies: ForwardDependencies,
@@ -65,6 +66,7 @@
       table === undefined
         ? this.refuse({type: 'notReady'})
         : await this.serve(request, table);
+    discardRest(this.message, timer);
     const {arrivedAt, attempts, startMs, toFirstMs} = this.tally;
     const ms = Math.round(timer.now() - arrivedAt);
     this.dependencies.metrics.recordEnding(ending, ms);
@@ -131,9 +133,15 @@
       if (!this.response.writableFinished) deadline.stop(StopCause.Gone);
     };
     this.response.once('close', onClose);
+    let received: ReceivedBody | undefined;
     try {
-      const body = await readBodyUntil(deadline, this.message, bodyBytes);
-      if ('type' in body) return this.refuse(body, route);
+      const body = await receiveBody(this.message, {
+        limitBytes: bodyBytes,
+        budget: this.dependencies.bodies,
+        deadline,
+      });
+      if (body.type !== 'received') return this.refuse(body, route);
+      received = body;
       const stream = ResumableStream.of(
         this.dependencies,
         request,
@@ -145,14 +153,14 @@
       const service = this.dependencies.serviceStateOf(
         serviceOf(stream, route, table, this.dependencies.random),
       );
-      const digest = digestOf(request, body, workspace?.name);
+      const digest = digestOf(request, body.bytes, workspace?.name);
       const context: RequestContext = {
         request,
         route,
         table,
         service,
         deadline,
-        body,
+        body: body.bytes,
         digest,
         tier: table.tierOf(route, workspace),
         parts: partsOf(request, digest),
@@ -161,6 +169,7 @@
       };
       return await this.forward(context);
     } finally {
+      received?.release();
       deadline.end();
       this.response.off('close', onClose);
     }
@@ -178,7 +187,8 @@
       stream?.noteOrigin(service.name, version),
     );
     const isTrial = this.dependencies.promptGuard.beginTrial(context.parts);
-    const isHeld = () => !isTrial && this.isHeld(context);
+    const hold = new HoldCheck(this.dependencies, context);
+    const isHeld = () => !isTrial && hold.isHeld();
     const runner = new AttemptRunner(
       this.dependencies,
       context,
@@ -272,28 +282,6 @@
     return {outcome: 'answered', status, route: route.name, framed};
   }
 
-  /** Whether the request, or a part of its prompt, crashes upstreams. */
-  private isHeld({parts, request}: RequestContext): boolean {
-    const hold = this.dependencies.promptGuard.holdOf(parts);
-    if (hold === undefined) return false;
-    // While its upstream is silent, this is asked again and again.
-    if (this.hasLoggedHold) return true;
-    this.hasLoggedHold = true;
-    const {part, revision, crashes, decidedAt} = hold;
-    this.dependencies.logger.info(
-      {
-        event: LogEvent.Held,
-        request: request.id,
-        prompt: part,
-        revision,
-        crashes,
-        ageMs: Math.round(this.dependencies.timer.wallNow() - decidedAt),
-      },
-      'Not forwarded: the request or a part of its prompt crashes upstreams.',
-    );
-    return true;
-  }
-
   /** Whether the request may be retried; takes from the retry budget. */
   private mayRetry(
     context: RequestContext,
--- a/src/forward/listener.ts
+++ b/src/forward/listener.ts
@@ -52,7 +52,7 @@
   private readonly inflightBySocket = new WeakMap<Duplex, number>();
   private readonly connections = new CallerConnections();
 
-  constructor(dependencies: ForwardDependencies) {
+  constructor(private readonly dependencies: ForwardDependencies) {
     this.server = createServer(
       {
         maxHeaderSize: MAX_HEAD_BYTES,
@@ -120,6 +120,12 @@
     );
   }
 
+  /** Gauges of /metrics, by name. */
+  gauges(): Record<string, number> {
+    const {inflight, dependencies} = this;
+    return {inflight, body_bytes: dependencies.bodies.heldBytes};
+  }
+
   listen(address: Address): Promise<number> {
     return listen(this.server, address);
   }
--- a/src/forward/refusal.ts
+++ b/src/forward/refusal.ts
@@ -38,6 +38,8 @@
   UnknownVersion = 'unknown_version',
   /** Its prompt has a part that crashes upstreams. */
   Held = 'held',
+  /** The bodies of other requests use the memory. */
+  NoMemory = 'no_memory',
 }
 
 /** The HTTP status of a refusal. */
@@ -82,6 +84,15 @@
   retryAfterMs: UNKNOWN_VERSION_RETRY_MS,
 };
 
+/** Retry-After of a body that there is no memory for, in ms. */
+const NO_MEMORY_RETRY_MS = 1_000;
+/** Refusal of a request whose body finds no memory. */
+export const NO_MEMORY: Refusal = {
+  type: 'notRun',
+  cause: NotRunCause.NoMemory,
+  retryAfterMs: NO_MEMORY_RETRY_MS,
+};
+
 /** Retry-After of a stopping instance, in ms; others accept at once. */
 const LEAVING_RETRY_MS = 20;
 
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -1,6 +1,7 @@
 import {setMaxListeners} from 'node:events';
 import type {Logger} from 'pino';
 import {
+  type ByteBudget,
   Endpoints,
   ForwardMetrics,
   LivenessProber,
@@ -21,6 +22,7 @@
   type OutputLogger,
 } from '../telemetry/index.js';
 import {SystemTimer, type Subscription, type Timer} from '../timer/index.js';
+import {bodyBudgetOf} from './bodybudget.js';
 import {ConfigurationRecords} from './configurationrecords.js';
 import {DrainSchedule} from './drainschedule.js';
 import type {GatewaySettings} from './gatewaysettings.js';
@@ -76,6 +78,7 @@
   private readonly endpoints: Endpoints;
   private readonly services: ServiceStates;
   private readonly metrics = new ForwardMetrics();
+  private readonly bodies: ByteBudget;
   private readonly observer: ResponseObserver;
   private readonly probes: LivenessProber;
   private readonly promptGuard: PromptGuard;
@@ -104,6 +107,7 @@
     const root = output.logger;
     this.logger = componentLogger(root, Component.Router);
     this.requestLogger = componentLogger(root, Component.Request);
+    this.bodies = bodyBudgetOf(settings, timer);
     // Each request listens to it.
     setMaxListeners(0, this.endController.signal);
     this.routing = new Routing(componentLogger(root, Component.Config));
@@ -155,6 +159,7 @@
       timer,
       logger: this.requestLogger,
       metrics: this.metrics,
+      bodies: this.bodies,
       observer: this.observer,
       promptGuard: this.promptGuard,
       origins: this.fleet.origins,
@@ -374,7 +379,7 @@
       store_epoch: this.fleet.storeEpoch,
       configuration_age_ms: this.fleet.configurations.ageMs() ?? -1,
       upstreams_age_ms: this.fleet.upstreams.ageMs() ?? -1,
-      inflight: this.listener.inflight,
+      ...this.listener.gauges(),
       ...this.services.gauges(),
       reads_configuration: Number(this.fleet.configurations.isReader()),
       reads_upstreams: Number(this.fleet.upstreams.isReader()),
--- a/src/wiring/gatewaysettings.ts
+++ b/src/wiring/gatewaysettings.ts
@@ -3,6 +3,9 @@
 /** Port of /metrics in the deployment, if the settings name no other. */
 export const DEFAULT_METRICS_PORT = 9464;
 
+/** Memory of a machine whose settings don't name it, in bytes. */
+export const DEFAULT_MEMORY_BYTES = 250_000_000;
+
 /** Decoded settings of one gateway. */
 export interface GatewaySettings {
   /** Name of this instance. */
@@ -21,6 +24,8 @@
   metricsAddress?: Address;
   /** Port for peers, over TCP and UDP. */
   gossipPort: number;
+  /** Memory of the machine, in bytes; [[DEFAULT_MEMORY_BYTES]] if absent. */
+  memoryBytes?: number;
   /** Capacity of this instance's own link, in bytes a second. */
   linkBytesPerSecond: number;
   /**
