Serve the requests of a connection one after another, and bound those that wait

Clients that sent requests ahead and read no answers ended a process by its memory: each request that was read started at once, whatever waited before it on its connection, and its answer was kept for the reader; 20 such clients were enough, with a key or without. What Node.js answers by itself (no host, an expectation that it doesn't know) was not counted at all.

A request now starts when the answers before it are sent. Requests without a host and with unknown expectations are counted like others. A request whose deadline passes while it waits is refused as not run, where it would have been sent.

--- a/src/forward/callerconnections.ts
+++ b/src/forward/callerconnections.ts
@@ -1,10 +1,16 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {bytesOf} from './body.js';
+
+/** Most bytes of the heads that wait on a connection. */
+const MAX_WAITING_BYTES = 64 * 1024;
 
 /** A connection that has carried a request. */
 interface CallerConnection {
   /** Responses that are not sent completely. */
   responses: Set<ServerResponse>;
+  /** Start the requests that wait for earlier ones, in order. */
+  waiting: Array<{start: () => void; headBytes: number}>;
   /** Bytes received when it became idle; absent while it isn't. */
   idleBytes?: number;
 }
@@ -13,6 +19,9 @@
 export class CallerConnections {
   private readonly connections = new Map<Socket, CallerConnection>();
 
+  /** `maxAhead`: requests of a connection that may wait for earlier ones. */
+  constructor(private readonly maxAhead: number) {}
+
   /** Whether every response is sent, as far as its caller is connected. */
   get areAllSent(): boolean {
     for (const {responses} of this.connections.values()) {
@@ -23,19 +32,30 @@
 
   /**
    * Follows the response to a request until it is sent. There is none if the
-   * connection was being closed when the request arrived.
+   * connection was being closed when the request arrived. Returns a promise that
+   * resolves when the responses to earlier requests are sent, or the connection
+   * is closed; undefined if too many wait.
    */
-  add(message: IncomingMessage, response: ServerResponse): void {
+  add(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> | undefined {
     const {socket} = message;
-    if (!socket.writable) return;
+    if (!socket.writable) return Promise.resolve();
     const connection = this.connectionOf(socket);
+    const {responses, waiting} = connection;
+    const headBytes = responses.size > 0 ? bytesOf(message.rawHeaders) : 0;
+    if (this.exceedsBounds(waiting, headBytes)) return undefined;
     delete connection.idleBytes;
-    connection.responses.add(response);
+    responses.add(response);
     response.once('close', () => {
-      connection.responses.delete(response);
-      if (connection.responses.size > 0 || !message.complete) return;
+      responses.delete(response);
+      waiting.shift()?.start();
+      if (responses.size > 0 || !message.complete) return;
       connection.idleBytes = socket.bytesRead;
     });
+    if (responses.size === 1) return Promise.resolve();
+    return new Promise(start => waiting.push({start, headBytes}));
   }
 
   /** Whether no later request was read on the connection of a response. */
@@ -51,12 +71,24 @@
     }
   }
 
+  private exceedsBounds(
+    waiting: CallerConnection['waiting'],
+    headBytes: number,
+  ): boolean {
+    if (waiting.length >= this.maxAhead) return true;
+    const bytes = waiting.reduce((sum, one) => sum + one.headBytes, headBytes);
+    return bytes > MAX_WAITING_BYTES;
+  }
+
   private connectionOf(socket: Socket): CallerConnection {
     const known = this.connections.get(socket);
     if (known !== undefined) return known;
-    const connection = {responses: new Set<ServerResponse>()};
+    const connection: CallerConnection = {responses: new Set(), waiting: []};
     this.connections.set(socket, connection);
-    socket.once('close', () => this.connections.delete(socket));
+    socket.once('close', () => {
+      this.connections.delete(socket);
+      for (const {start} of connection.waiting.splice(0)) start();
+    });
     return connection;
   }
 }
--- a/src/forward/dependencies.ts
+++ b/src/forward/dependencies.ts
@@ -37,6 +37,8 @@
   entryOf(upstream: string): RegistryEntry | undefined;
   /** Resolves when the entries are current, or the store may be away. */
   untilEntriesCurrent: () => Promise<void>;
+  /** Requests of a connection that may wait for earlier ones. */
+  maxRequestsAhead: number;
   /** Memory for the bodies of requests. */
   bodies: ByteBudget;
   observer: ResponseObserver;
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -20,6 +20,7 @@
 } from './requestcontext.js';
 import type {RequestHead} from './protocol.js';
 import {
+  EXPIRED,
   NotRunCause,
   refusalStatus,
   UNKNOWN_VERSION,
@@ -92,6 +93,10 @@
   ): Promise<Ending> {
     const {destroyed, socket} = this.message;
     if (destroyed || !socket.writable) return {outcome: 'gone'};
+    const {httpVersion, headers} = this.message;
+    if (httpVersion === '1.1' && headers.host === undefined) {
+      return this.refuse({type: 'incomplete'});
+    }
     const {headerBytes: limitBytes, bodyBytes} = table.limits;
     if (bytesOf(this.message.rawHeaders) > limitBytes) {
       return this.refuse({type: 'headTooLarge', limitBytes});
@@ -124,11 +129,10 @@
     if (!this.dependencies.canServeFor(limitMs)) {
       return this.refuse({type: 'leaving'}, route);
     }
-    const deadline = new Deadline(
-      this.dependencies.timer,
-      this.tally.arrivedAt + limitMs,
-      this.dependencies.instanceSignal,
-    );
+    const {timer, instanceSignal} = this.dependencies;
+    const deadlineAt = this.tally.arrivedAt + limitMs;
+    if (deadlineAt <= timer.now()) return this.refuse(EXPIRED, route);
+    const deadline = new Deadline(timer, deadlineAt, instanceSignal);
     const onClose = () => {
       if (!this.response.writableFinished) deadline.stop(StopCause.Gone);
     };
--- a/src/forward/listener.ts
+++ b/src/forward/listener.ts
@@ -1,6 +1,12 @@
 import {LogEvent} from '../telemetry/logevent.js';
-import {createServer, STATUS_CODES, type Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {
+  createServer,
+  STATUS_CODES,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {RoutingTable} from '../route/index.js';
 import {Exchange} from './exchange.js';
@@ -50,43 +56,25 @@
   inflight = 0;
   /** Requests that are being served, by connection. */
   private readonly inflightBySocket = new WeakMap<Duplex, number>();
-  private readonly connections = new CallerConnections();
+  private readonly connections: CallerConnections;
+  /** Connections closed for requests sent ahead. */
+  private overruns = 0;
 
   constructor(private readonly dependencies: ForwardDependencies) {
-    this.server = createServer(
-      {
-        maxHeaderSize: MAX_HEAD_BYTES,
-        connectionsCheckingInterval: TIMEOUT_CHECK_PERIOD_MS,
-        headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
-        requestTimeout: 0,
-        noDelay: true,
-      },
-      (message, response) => {
-        const {socket} = message;
-        this.changeInflight(socket, 1);
-        this.connections.add(message, response);
-        // A caller that pipelines gets all its answers before the close.
-        const reply = new Reply(
-          response,
-          () =>
-            dependencies.isDraining() &&
-            this.connections.isNewest(socket, response),
-        );
-        const exchange = new Exchange(dependencies, message, response, reply);
-        afterNextPoll()
-          .then(() => exchange.run())
-          .catch((cause: unknown) => {
-            dependencies.logger.error(
-              {event: LogEvent.Defect, cause: String(cause)},
-              'Serving a request failed unexpectedly.',
-            );
-            response.destroy();
-          })
-          .finally(() => {
-            this.changeInflight(socket, -1);
-          });
-      },
-    );
+    this.connections = new CallerConnections(dependencies.maxRequestsAhead);
+    this.server = createServer({
+      maxHeaderSize: MAX_HEAD_BYTES,
+      connectionsCheckingInterval: TIMEOUT_CHECK_PERIOD_MS,
+      headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
+      requestTimeout: 0,
+      // The server would answer such requests by itself, however many there are.
+      requireHostHeader: false,
+      noDelay: true,
+    });
+    const serve = (message: IncomingMessage, response: ServerResponse) =>
+      this.serve(message, response);
+    this.server.on('request', serve);
+    this.server.on('checkExpectation', serve);
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       // The caller disconnected; the exchange logs the end of its request.
       if (!socket.writable) {
@@ -112,6 +100,54 @@
     dependencies.routing.subscribe(table => this.applyLimits(table));
   }
 
+  private serve(message: IncomingMessage, response: ServerResponse): void {
+    const {dependencies, connections} = this;
+    const {socket} = message;
+    // Its connection was closed for what was read before.
+    if (socket.destroyed) return;
+    const turn = connections.add(message, response);
+    if (turn === undefined) {
+      this.closeOverrun(socket);
+      return;
+    }
+    this.changeInflight(socket, 1);
+    // A caller that pipelines gets all its answers before the close.
+    const reply = new Reply(
+      response,
+      () => dependencies.isDraining() && connections.isNewest(socket, response),
+    );
+    const exchange = new Exchange(dependencies, message, response, reply);
+    turn
+      .then(afterNextPoll)
+      .then(() => exchange.run())
+      .catch((cause: unknown) => {
+        dependencies.logger.error(
+          {event: LogEvent.Defect, cause: String(cause)},
+          'Serving a request failed unexpectedly.',
+        );
+        response.destroy();
+      })
+      .finally(() => {
+        this.changeInflight(socket, -1);
+      });
+  }
+
+  /** Closes a connection on which too many requests were sent ahead. */
+  private closeOverrun(socket: Socket): void {
+    this.overruns++;
+    const inflight = this.inflightBySocket.get(socket) ?? 0;
+    this.dependencies.logger.info(
+      {
+        event: LogEvent.Unreadable,
+        cause: 'requests_ahead',
+        limit: this.dependencies.maxRequestsAhead,
+        inflight,
+      },
+      'Closing a connection on which too many requests were sent ahead.',
+    );
+    socket.destroy();
+  }
+
   private changeInflight(socket: Duplex, change: 1 | -1): void {
     this.inflight += change;
     this.inflightBySocket.set(
@@ -123,7 +159,11 @@
   /** Gauges of /metrics, by name. */
   gauges(): Record<string, number> {
     const {inflight, dependencies} = this;
-    return {inflight, body_bytes: dependencies.bodies.heldBytes};
+    return {
+      inflight,
+      body_bytes: dependencies.bodies.heldBytes,
+      connections_overrun_total: this.overruns,
+    };
   }
 
   listen(address: Address): Promise<number> {
--- a/src/forward/refusal.ts
+++ b/src/forward/refusal.ts
@@ -84,6 +84,13 @@
   retryAfterMs: UNKNOWN_VERSION_RETRY_MS,
 };
 
+/** Refusal of a request whose deadline passed before it was served. */
+export const EXPIRED: Refusal = {
+  type: 'notRun',
+  cause: NotRunCause.Waited,
+  retryAfterMs: 0,
+};
+
 /** Retry-After of a body that there is no memory for, in ms. */
 const NO_MEMORY_RETRY_MS = 1_000;
 /** Refusal of a request whose body finds no memory. */
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -1,7 +1,6 @@
 import {setMaxListeners} from 'node:events';
 import type {Logger} from 'pino';
 import {
-  type ByteBudget,
   Endpoints,
   ForwardMetrics,
   LivenessProber,
@@ -22,7 +21,7 @@
   type OutputLogger,
 } from '../telemetry/index.js';
 import {SystemTimer, type Subscription, type Timer} from '../timer/index.js';
-import {bodyBudgetOf} from './bodybudget.js';
+import {callerBoundsOf} from './callerbounds.js';
 import {ConfigurationRecords} from './configurationrecords.js';
 import {DrainSchedule} from './drainschedule.js';
 import type {GatewaySettings} from './gatewaysettings.js';
@@ -78,7 +77,6 @@
   private readonly endpoints: Endpoints;
   private readonly services: ServiceStates;
   private readonly metrics = new ForwardMetrics();
-  private readonly bodies: ByteBudget;
   private readonly observer: ResponseObserver;
   private readonly probes: LivenessProber;
   private readonly promptGuard: PromptGuard;
@@ -107,7 +105,6 @@
     const root = output.logger;
     this.logger = componentLogger(root, Component.Router);
     this.requestLogger = componentLogger(root, Component.Request);
-    this.bodies = bodyBudgetOf(settings, timer);
     // Each request listens to it.
     setMaxListeners(0, this.endController.signal);
     this.routing = new Routing(componentLogger(root, Component.Config));
@@ -159,7 +156,7 @@
       timer,
       logger: this.requestLogger,
       metrics: this.metrics,
-      bodies: this.bodies,
+      ...callerBoundsOf(settings, timer),
       observer: this.observer,
       promptGuard: this.promptGuard,
       origins: this.fleet.origins,
--- a/src/wiring/gatewaysettings.ts
+++ b/src/wiring/gatewaysettings.ts
@@ -6,6 +6,12 @@
 /** Memory of a machine whose settings don't name it, in bytes. */
 export const DEFAULT_MEMORY_BYTES = 250_000_000;
 
+/**
+ * Requests of a connection that may wait for earlier ones, if the settings don't
+ * say.
+ */
+export const DEFAULT_REQUESTS_AHEAD = 64;
+
 /** Decoded settings of one gateway. */
 export interface GatewaySettings {
   /** Name of this instance. */
@@ -26,6 +32,11 @@
   gossipPort: number;
   /** Memory of the machine, in bytes; [[DEFAULT_MEMORY_BYTES]] if absent. */
   memoryBytes?: number;
+  /**
+   * Requests of a caller's connection that may wait for earlier ones;
+   * [[DEFAULT_REQUESTS_AHEAD]] if absent. A connection with more is closed.
+   */
+  requestsAhead?: number;
   /** Capacity of this instance's own link, in bytes a second. */
   linkBytesPerSecond: number;
   /**
