Ask the upstreams that would be chosen before a late repeat goes to others

Late repeats went to the best of the upstreams that were heard in the last 250 ms; in a large service an instance hears few of them, so that a long prompt would miss the engine that has its parts cached. The one that would be chosen is now asked first, with the next two, unless it was heard; the first that answers, or after 100 ms any that was heard, gets the request.

--- a/src/forward/successors.ts
+++ b/src/forward/successors.ts
@@ -52,24 +52,43 @@
 
   /**
    * Places a request that was first sent `sinceFirstMs` ms ago on an upstream
-   * that was heard since, or that is asked and answers. Resolves to undefined if
-   * none answers.
+   * that was heard since, or that is asked and answers; those that would be
+   * chosen are asked first. Resolves to undefined if none answers.
    */
   async placeLate(
     request: PlacementRequest,
     sinceFirstMs: number,
   ): Promise<Placement | undefined> {
-    const {timer} = this.dependencies;
+    if (!this.isPreferredHeard(request, sinceFirstMs)) {
+      await this.askAndWait(request);
+    }
     while (!request.signal.aborted) {
       const placement = this.place(request, sinceFirstMs);
       if (placement !== undefined) return placement;
-      const answered = new Promise<void>(resolve => this.ask(request, resolve));
-      if (this.pending === 0) return undefined;
-      await Promise.race([answered, timer.sleep(ASK_PERIOD_MS)]);
+      if (!(await this.askAndWait(request))) return undefined;
     }
     return undefined;
   }
 
+  /** Whether the upstream that would be chosen for a request was heard lately. */
+  private isPreferredHeard(
+    request: PlacementRequest,
+    silentMs: number,
+  ): boolean {
+    const [preferred] = this.waitQueue.preferred(request, () => true, 1);
+    if (preferred === undefined) return true;
+    return isHeard(preferred, silentMs, this.dependencies.timer.now());
+  }
+
+  /** Waits a while for answers; false if there is nothing to wait for. */
+  private async askAndWait(request: PlacementRequest): Promise<boolean> {
+    const answered = new Promise<void>(resolve => this.ask(request, resolve));
+    if (this.pending === 0) return false;
+    const {timer} = this.dependencies;
+    await Promise.race([answered, timer.sleep(ASK_PERIOD_MS)]);
+    return true;
+  }
+
   /**
    * Asks upstreams that could take a request whether they are alive, and calls
    * `onAlive` for each that answers; one that doesn't is not asked again.
