Stop reading a connection at the bound of requests that wait

With 120 clients that send requests ahead without a key or a host, a trial of the tests at full size (350 MB, heap of 200 MB) still ended the process: all that one read of a socket held, over a thousand requests, became objects before the connection was closed, for every connection that was read in the same turn. The class of callers' requests now tells the parser to stop at the first request beyond the bound, and the connection is closed there; 32 requests may wait, in place of 64. Requests that ask for an upgrade are served as before, and tunnels are refused as before (test/requestbounds.test.ts).

The eight tests of test/hostileclients.test.ts pass.

--- a/src/forward/callerconnections.ts
+++ b/src/forward/callerconnections.ts
@@ -30,22 +30,23 @@
     return true;
   }
 
+  /** Whether a connection may send no further request ahead. */
+  isFull(socket: Socket): boolean {
+    const {waiting = []} = this.connections.get(socket) ?? {};
+    const bytes = waiting.reduce((sum, {headBytes}) => sum + headBytes, 0);
+    return waiting.length >= this.maxAhead || bytes > MAX_WAITING_BYTES;
+  }
+
   /**
    * Follows the response to a request until it is sent. There is none if the
-   * connection was being closed when the request arrived. Returns a promise that
-   * resolves when the responses to earlier requests are sent, or the connection
-   * is closed; undefined if too many wait.
+   * connection was being closed when the request arrived. Resolves when the
+   * responses to earlier requests are sent, or the connection is closed.
    */
-  add(
-    message: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<void> | undefined {
+  add(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const {socket} = message;
     if (!socket.writable) return Promise.resolve();
     const connection = this.connectionOf(socket);
     const {responses, waiting} = connection;
-    const headBytes = responses.size > 0 ? bytesOf(message.rawHeaders) : 0;
-    if (this.exceedsBounds(waiting, headBytes)) return undefined;
     delete connection.idleBytes;
     responses.add(response);
     response.once('close', () => {
@@ -55,6 +56,7 @@
       connection.idleBytes = socket.bytesRead;
     });
     if (responses.size === 1) return Promise.resolve();
+    const headBytes = bytesOf(message.rawHeaders);
     return new Promise(start => waiting.push({start, headBytes}));
   }
 
@@ -71,15 +73,6 @@
     }
   }
 
-  private exceedsBounds(
-    waiting: CallerConnection['waiting'],
-    headBytes: number,
-  ): boolean {
-    if (waiting.length >= this.maxAhead) return true;
-    const bytes = waiting.reduce((sum, one) => sum + one.headBytes, headBytes);
-    return bytes > MAX_WAITING_BYTES;
-  }
-
   private connectionOf(socket: Socket): CallerConnection {
     const known = this.connections.get(socket);
     if (known !== undefined) return known;
--- a/src/forward/listener.ts
+++ b/src/forward/listener.ts
@@ -6,12 +6,13 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {AddressInfo} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {RoutingTable} from '../route/index.js';
 import {Exchange} from './exchange.js';
 import type {ForwardDependencies} from './dependencies.js';
 import {CallerConnections} from './callerconnections.js';
+import {callerMessageClass} from './callermessage.js';
 import {afterNextPoll} from './nextpoll.js';
 import {Reply} from './reply.js';
 
@@ -63,6 +64,9 @@
   constructor(private readonly dependencies: ForwardDependencies) {
     this.connections = new CallerConnections(dependencies.maxRequestsAhead);
     this.server = createServer({
+      IncomingMessage: callerMessageClass(socket =>
+        this.connections.isFull(socket),
+      ),
       maxHeaderSize: MAX_HEAD_BYTES,
       connectionsCheckingInterval: TIMEOUT_CHECK_PERIOD_MS,
       headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
@@ -75,6 +79,7 @@
       this.serve(message, response);
     this.server.on('request', serve);
     this.server.on('checkExpectation', serve);
+    this.server.on('upgrade', (_message, socket) => this.closeOverrun(socket));
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       // The caller disconnected; the exchange logs the end of its request.
       if (!socket.writable) {
@@ -103,13 +108,7 @@
   private serve(message: IncomingMessage, response: ServerResponse): void {
     const {dependencies, connections} = this;
     const {socket} = message;
-    // Its connection was closed for what was read before.
-    if (socket.destroyed) return;
     const turn = connections.add(message, response);
-    if (turn === undefined) {
-      this.closeOverrun(socket);
-      return;
-    }
     this.changeInflight(socket, 1);
     // A caller that pipelines gets all its answers before the close.
     const reply = new Reply(
@@ -133,15 +132,15 @@
   }
 
   /** Closes a connection on which too many requests were sent ahead. */
-  private closeOverrun(socket: Socket): void {
+  private closeOverrun(socket: Duplex): void {
     this.overruns++;
-    const inflight = this.inflightBySocket.get(socket) ?? 0;
-    this.dependencies.logger.info(
+    const {logger, maxRequestsAhead} = this.dependencies;
+    logger.info(
       {
         event: LogEvent.Unreadable,
         cause: 'requests_ahead',
-        limit: this.dependencies.maxRequestsAhead,
-        inflight,
+        limit: maxRequestsAhead,
+        inflight: this.inflightBySocket.get(socket) ?? 0,
       },
       'Closing a connection on which too many requests were sent ahead.',
     );
--- a/src/wiring/gatewaysettings.ts
+++ b/src/wiring/gatewaysettings.ts
@@ -10,7 +10,7 @@
  * Requests of a connection that may wait for earlier ones, if the settings don't
  * say.
  */
-export const DEFAULT_REQUESTS_AHEAD = 64;
+export const DEFAULT_REQUESTS_AHEAD = 32;
 
 /** Decoded settings of one gateway. */
 export interface GatewaySettings {
