Read bodies from their heads on, and bound the processor time on small chunks

Beside 120 clients with bodies in chunks of one byte, ordinary requests were not answered within 60 s, and in some trials the process ended by its heap. Chunks that wait for the reader of a body are an object each, and a request was first read some turns of the event loop after its head; and each such client takes processor time without a bound, 0.1 s for each read of 64 KiB.

The body is now read as soon as its head is, into the memory that is counted. Bodies with over 1,000 chunks below 64 bytes share 50,000 of them a second; beyond that they are refused, and their connection is closed, as the rest of the body would be kept while it is not read. A single such body is received as before, in calm (test/requestbounds.test.ts).

--- a/src/forward/dependencies.ts
+++ b/src/forward/dependencies.ts
@@ -5,6 +5,7 @@
 import type {Routing} from '../route/index.js';
 import type {Timer} from '../timer/index.js';
 import type {ByteBudget} from './bytebudget.js';
+import type {ChunkLimit} from './chunklimit.js';
 import type {Endpoint} from './endpoint.js';
 import type {PromptGuard} from './promptguard.js';
 import type {ResponseObserver} from './responseobserver.js';
@@ -41,6 +42,8 @@
   maxRequestsAhead: number;
   /** Memory for the bodies of requests. */
   bodies: ByteBudget;
+  /** Processor time for bodies in small chunks. */
+  smallChunks: ChunkLimit;
   observer: ResponseObserver;
   promptGuard: PromptGuard;
   /** Where streams began that callers may take up. */
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -7,7 +7,7 @@
   ReceivedHead,
 } from './attemptresult.js';
 import {AttemptRunner} from './attemptrunner.js';
-import {bytesOf, receiveBody, type ReceivedBody} from './body.js';
+import {BodyReader, bytesOf} from './body.js';
 import {ResumableStream, serviceOf} from './resumablestream.js';
 import {Deadline, StopCause} from './deadline.js';
 import {digestOf} from './digest.js';
@@ -46,6 +46,7 @@
 /** Forwards one request of a caller and writes its response. */
 export class Exchange {
   private readonly tally: AttemptTally;
+  private readonly body: BodyReader;
   /** Objective of the request's route, in ms. */
   private targetMs?: number;
 
@@ -55,11 +56,23 @@
     private readonly response: ServerResponse,
     private readonly reply: Reply,
   ) {
-    this.tally = new AttemptTally(dependencies.timer.now());
+    const {timer, routing, bodies: budget, smallChunks: chunks} = dependencies;
+    this.tally = new AttemptTally(timer.now());
+    const limitBytes = routing.current()?.limits.bodyBytes ?? 0;
+    this.body = new BodyReader(message, {limitBytes, budget, chunks});
   }
 
   /** Serves the request; resolves once its response is written. */
   async run(): Promise<void> {
+    try {
+      await this.serveAndLog();
+    } finally {
+      this.body.release();
+      discardRest(this.message, this.dependencies.timer);
+    }
+  }
+
+  private async serveAndLog(): Promise<void> {
     const {routing, protocol, logger, timer} = this.dependencies;
     const request = protocol.readRequest(this.message);
     const table = routing.current();
@@ -67,7 +80,6 @@
       table === undefined
         ? this.refuse({type: 'notReady'})
         : await this.serve(request, table);
-    discardRest(this.message, timer);
     const {arrivedAt, attempts, startMs, toFirstMs} = this.tally;
     const ms = Math.round(timer.now() - arrivedAt);
     this.dependencies.metrics.recordEnding(ending, ms);
@@ -91,13 +103,14 @@
     request: RequestHead,
     table: RoutingTable,
   ): Promise<Ending> {
-    const {destroyed, socket} = this.message;
-    if (destroyed || !socket.writable) return {outcome: 'gone'};
+    const {destroyed, complete, socket} = this.message;
+    // A message that was read to its end counts as destroyed.
+    if ((destroyed && !complete) || !socket.writable) return {outcome: 'gone'};
     const {httpVersion, headers} = this.message;
     if (httpVersion === '1.1' && headers.host === undefined) {
       return this.refuse({type: 'incomplete'});
     }
-    const {headerBytes: limitBytes, bodyBytes} = table.limits;
+    const {headerBytes: limitBytes} = table.limits;
     if (bytesOf(this.message.rawHeaders) > limitBytes) {
       return this.refuse({type: 'headTooLarge', limitBytes});
     }
@@ -137,15 +150,9 @@
       if (!this.response.writableFinished) deadline.stop(StopCause.Gone);
     };
     this.response.once('close', onClose);
-    let received: ReceivedBody | undefined;
     try {
-      const body = await receiveBody(this.message, {
-        limitBytes: bodyBytes,
-        budget: this.dependencies.bodies,
-        deadline,
-      });
+      const body = await this.body.receive(deadline);
       if (body.type !== 'received') return this.refuse(body, route);
-      received = body;
       const stream = ResumableStream.of(
         this.dependencies,
         request,
@@ -173,7 +180,6 @@
       };
       return await this.forward(context);
     } finally {
-      received?.release();
       deadline.end();
       this.response.off('close', onClose);
     }
--- a/src/forward/index.ts
+++ b/src/forward/index.ts
@@ -4,6 +4,7 @@
 export {WaitQueue} from './waitqueue.js';
 export {listen, Listener} from './listener.js';
 export type {Address} from './listener.js';
+export {ChunkLimit} from './chunklimit.js';
 export {ByteBudget} from './bytebudget.js';
 export {ForwardMetrics} from './metrics.js';
 export type {ForwardDependencies} from './dependencies.js';
--- a/src/forward/refusal.ts
+++ b/src/forward/refusal.ts
@@ -40,6 +40,8 @@
   Held = 'held',
   /** The bodies of other requests use the memory. */
   NoMemory = 'no_memory',
+  /** Its body came in very small chunks, as others did. */
+  SmallChunks = 'small_chunks',
 }
 
 /** The HTTP status of a refusal. */
@@ -91,13 +93,19 @@
   retryAfterMs: 0,
 };
 
-/** Retry-After of a body that there is no memory for, in ms. */
-const NO_MEMORY_RETRY_MS = 1_000;
+/** Retry-After of a body that is too much beside others, in ms. */
+const BODY_RETRY_MS = 1_000;
 /** Refusal of a request whose body finds no memory. */
 export const NO_MEMORY: Refusal = {
   type: 'notRun',
   cause: NotRunCause.NoMemory,
-  retryAfterMs: NO_MEMORY_RETRY_MS,
+  retryAfterMs: BODY_RETRY_MS,
+};
+/** Refusal of a request whose body comes in very small chunks. */
+export const SMALL_CHUNKS: Refusal = {
+  type: 'notRun',
+  cause: NotRunCause.SmallChunks,
+  retryAfterMs: BODY_RETRY_MS,
 };
 
 /** Retry-After of a stopping instance, in ms; others accept at once. */
--- a/src/wiring/callerbounds.ts
+++ b/src/wiring/callerbounds.ts
@@ -1,4 +1,8 @@
-import {ByteBudget, type ForwardDependencies} from '../forward/index.js';
+import {
+  ByteBudget,
+  ChunkLimit,
+  type ForwardDependencies,
+} from '../forward/index.js';
 import type {Timer} from '../timer/index.js';
 import {
   DEFAULT_MEMORY_BYTES,
@@ -13,11 +17,12 @@
 export function callerBoundsOf(
   settings: GatewaySettings,
   timer: Timer,
-): Pick<ForwardDependencies, 'bodies' | 'maxRequestsAhead'> {
+): Pick<ForwardDependencies, 'bodies' | 'smallChunks' | 'maxRequestsAhead'> {
   const {memoryBytes = DEFAULT_MEMORY_BYTES} = settings;
   const {requestsAhead = DEFAULT_REQUESTS_AHEAD} = settings;
   return {
     bodies: new ByteBudget(memoryBytes * BODY_SHARE, timer),
+    smallChunks: new ChunkLimit(timer),
     maxRequestsAhead: requestsAhead,
   };
 }
--- a/test/requestbounds.test.ts
+++ b/test/requestbounds.test.ts
@@ -72,6 +72,19 @@
     expect(await send(callers, 'r1', {bytes})).toEqual(expected);
   });
 
+  test('in chunks of one byte is served', async () => {
+    const {port} = await open();
+    const caller = connect(port, '127.0.0.1');
+    closers.push(() => caller.destroy());
+    caller.write(
+      'POST /order/a HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r1\r\n' +
+        'Authorization: Bearer key-one\r\nTransfer-Encoding: chunked\r\n\r\n' +
+        `${'1\r\nx\r\n'.repeat(100_000)}0\r\n\r\n`,
+    );
+    const [bytes] = (await once(caller, 'data')) as [Buffer];
+    expect(bytes.toString().split('\r\n')[0]).toBe('HTTP/1.1 200 OK');
+  });
+
   test('over the limit is refused, and the connection serves the next request', async () => {
     const callers = await open();
     const {status} = await send(callers, 'r1', {bytes: LIMIT_BYTES + 100_000});
