Choose alike between prompt parts with as many crashes

Callers of two instances could be refused for two different parts: which one of several parts that explain as many crashes was held depended on the order in which an instance heard of the requests of a crash. Each instance decides by itself, so the fleet held them all, and sound requests with the wrong one were refused.

Cause: convictNewParts took the first of equals in the order of the reports. Now the part that comes later in prompts is taken, then the one with the smaller id, as it was already for parts that were answered before.

The new test has that case without the randomness; before the change it failed with "expected [ 'c', 'b' ] to deeply equal [ 'd', 'c' ]".

Ruled out: the random clearances and holds of the property, as the shrunk case has none.

--- a/src/quarantine/blame.ts
+++ b/src/quarantine/blame.ts
@@ -280,8 +280,17 @@
 }
 
 /**
- * Takes the part that explains most crashes, of equals the one with most in
- * all, and those that can't be told from it; then the next, until none is left.
+ * Orders parts with the same crashes, whichever was heard of first: positive if
+ * `a` comes later in prompts, of those at one position if its id is smaller.
+ */
+function compareParts(a: Candidate, b: Candidate): number {
+  return a.position - b.position || Number(a.part < b.part) || -1;
+}
+
+/**
+ * Takes the part that explains most crashes, of equals the one with most in all,
+ * then the one later in prompts, and those that can't be told from it; then the
+ * next, until none is left.
  */
 function convictNewParts(
   candidates: readonly Candidate[],
@@ -295,7 +304,8 @@
       const own = candidate.unexplained(explained);
       const difference =
         own.length - unexplained.length ||
-        candidate.crashes.length - (best?.crashes.length ?? 0);
+        candidate.crashes.length - (best?.crashes.length ?? 0) ||
+        compareParts(candidate, best ?? candidate);
       if (own.length === 0 || difference <= 0) continue;
       best = candidate;
       unexplained = own;
@@ -318,8 +328,7 @@
         ? 1
         : candidate.crashes.length - best.crashes.length ||
           Number(best.isFirst) - Number(candidate.isFirst) ||
-          candidate.position - best.position ||
-          (candidate.part < best.part ? 1 : -1);
+          compareParts(candidate, best);
     if (difference > 0) best = candidate;
   }
   return best;
--- a/test/quarantine-decision.test.ts
+++ b/test/quarantine-decision.test.ts
@@ -357,6 +357,38 @@
     );
   });
 
+  it('holds the same of parts with as many crashes, whatever the order of requests', () => {
+    const base = timer.now();
+    const crash = (
+      upstream: string,
+      startedAt: number,
+      at: number,
+      id: number,
+      parts: string[],
+    ): Evidence => {
+      const suspects = [{request: `r${id}`, parts, openMs: 100}];
+      const reporter = 'p';
+      return {type: 'crash', upstream, startedAt, reporter, suspects, at};
+    };
+    const reports = [
+      crash('u', 2, base - 8_000, 4, ['hot', 'c']),
+      crash('u', 2, base - 8_000, 10, ['hot', 'b', 'd']),
+      crash('w', 0, base - 8_000, 6, ['hot', 'b', 'c']),
+      crash('w', 3, base - 8_000, 14, ['hot', 'b', 'c', 'd']),
+      crash('u', 0, base - 7_900, 10, ['hot', 'b', 'd']),
+      crash('u', 3, base - 7_900, 12, ['hot', 'c', 'd']),
+    ];
+    const blamedAfter = (evidence: Evidence[]) => {
+      const learner = new Quarantine({timer});
+      for (const item of evidence) learner.learn(item);
+      const parts = learner.suspects().map(({part}) => part);
+      learner.stop();
+      return parts;
+    };
+    expect(blamedAfter(reports)).toEqual(['d', 'c']);
+    expect(blamedAfter(reports.toReversed())).toEqual(['d', 'c']);
+  });
+
   it('comes to the same holds whatever the order of evidence', async () => {
     const base = timer.now();
     const partsOf = (id: number) =>
