Log what clears suspected prompt parts, and what probes of broken answers showed

The logs of an instance couldn't tell apart why requests with a part that crashes upstreams go on: that an answer cleared the part (of which upstream, an event or a whole answer, a success or a failure), or that crashes weren't seen as such. Lines 'crash' and 'hold' tell only of crashes that were seen.

Now 'cleared' names the request, the upstream, the sign and the crashes that no longer count; 'examined' tells for each upstream that broke off answers what its probes showed and what was concluded.

No change of behaviour. Tests: the two lines, in test/promptguard.test.ts.

--- a/src/forward/promptguard.ts
+++ b/src/forward/promptguard.ts
@@ -16,6 +16,8 @@
 
 /** Times after the first broken answer at which an upstream is probed, in ms. */
 const PROBE_DELAYS_MS = [30, 300, 1_000];
+/** Most requests that one log line names. */
+const MAX_LOGGED_REQUESTS = 16;
 
 /**
  * A request whose answer broke off as if its upstream had ended on it: one with a
@@ -29,6 +31,36 @@
   sentAt: number;
 }
 
+/** How far the answer to a request came that its upstream survived. */
+export enum AnswerSign {
+  /** A complete event of a stream. */
+  Event = 'event',
+  /** A whole success. */
+  Success = 'success',
+  /** A whole failure. */
+  Failure = 'failure',
+}
+
+/** An answer that shows that a request doesn't crash its upstream. */
+export interface SurvivedAnswer {
+  request: string;
+  upstream: string;
+  /** See [[RequestContext.parts]]. */
+  parts: readonly string[];
+  sign: AnswerSign;
+}
+
+/** What the probes of an upstream came to that broke off answers. */
+enum Verdict {
+  Crashed = 'crashed',
+  /** A plain service that answers, and so doesn't count as crashed. */
+  Lives = 'lives',
+  /** It was said to be leaving, so its end proves nothing. */
+  Leaving = 'leaving',
+  /** No probe was refused. */
+  Unproven = 'unproven',
+}
+
 interface TimedBreak extends BrokenAnswer {
   /** When the answer broke off, in monotonic ms. */
   at: number;
@@ -77,8 +109,10 @@
   }
 
   /** Records that an answer got beyond its beginning. */
-  recordAnswer(parts: readonly string[]): void {
-    this.parts.quarantine.recordAnswer(parts);
+  recordAnswer(answer: SurvivedAnswer): void {
+    const {quarantine} = this.parts;
+    this.logCleared(answer);
+    quarantine.recordAnswer(answer.parts);
   }
 
   /** Records an answer that its upstream broke off at the beginning. */
@@ -136,19 +170,61 @@
   ): Promise<void> {
     const {timer, probes} = this.parts;
     const {state} = endpoint.entry;
+    const results: ProbeResult[] = [];
+    let verdict = Verdict.Unproven;
     for (const delayMs of PROBE_DELAYS_MS) {
       await timer.sleep(Math.max(0, at + delayMs - timer.now()));
       // The own links may be cut: an upstream has ended if peers don't reach it.
       const result = await probes.probe(endpoint, Path.Relayed);
+      results.push(result);
       // Connections to plain services are reset for many reasons.
       const isPlain = !answers.some(({parts}) => hasPromptParts(parts));
-      if (showsLife(result) && isPlain) break;
+      if (showsLife(result) && isPlain) {
+        verdict = Verdict.Lives;
+        break;
+      }
       if (result !== ProbeResult.Refused) continue;
       // One that drains may end while it still answers.
-      if (state === EntryState.Ready) this.report(endpoint, answers);
+      verdict = state === EntryState.Ready ? Verdict.Crashed : Verdict.Leaving;
       break;
     }
+    if (verdict === Verdict.Crashed) this.report(endpoint, answers);
     this.broken.delete(endpoint);
+    this.logExamined(endpoint, answers, results, verdict);
+  }
+
+  private logExamined(
+    {id}: Endpoint,
+    answers: readonly TimedBreak[],
+    probes: readonly ProbeResult[],
+    verdict: Verdict,
+  ): void {
+    const requests = answers.map(({request}) => request);
+    this.parts.logger.info(
+      {
+        event: LogEvent.Examined,
+        upstream: id,
+        requests: requests.slice(0, MAX_LOGGED_REQUESTS),
+        broken: requests.length,
+        probes,
+        verdict,
+      },
+      'An upstream broke off answers at their beginning and was probed.',
+    );
+  }
+
+  /** Logs which parts an answer clears of the crashes before it. */
+  private logCleared({request, upstream, parts, sign}: SurvivedAnswer): void {
+    const {quarantine, logger} = this.parts;
+    const cleared = quarantine
+      .suspects()
+      .filter(({part}) => parts.slice(0, -1).includes(part))
+      .map(({part, crashes}) => ({part, crashes}));
+    if (cleared.length === 0) return;
+    logger.info(
+      {event: LogEvent.Cleared, request, upstream, sign, cleared},
+      'An answer clears prompt parts that were suspected of crashing upstreams.',
+    );
   }
 
   private report(
--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -16,8 +16,9 @@
 import type {Endpoint} from './endpoint.js';
 import type {Placement, PlacementRequest} from './placementrequest.js';
 import {checkProcess, ProcessCheck} from './processcheck.js';
+import {AnswerSign} from './promptguard.js';
 import type {RequestContext} from './requestcontext.js';
-import {isCrashSign} from './attempttally.js';
+import {isCrashSign, isSuccess} from './attempttally.js';
 import type {AttemptLoad} from './servicestate.js';
 import type {AttemptSink} from './sink.js';
 import {SilenceWatchdog, type Silence} from './watchdog.js';
@@ -199,7 +200,7 @@
         },
         advanced: () => {
           this.hasAdvanced = true;
-          promptGuard.recordAnswer(parts);
+          this.recordSurvival(AnswerSign.Event);
         },
         received: () => {
           this.recordStart();
@@ -221,8 +222,11 @@
         const {path} = connection;
         recordHealth(dependencies, context, endpoint, result, path);
       }
-      const isWhole = result.type === 'whole' || result.type === 'delivered';
-      if (isWhole) promptGuard.recordAnswer(parts);
+      if (result.type === 'whole' || result.type === 'delivered') {
+        this.recordSurvival(
+          isSuccess(result) ? AnswerSign.Success : AnswerSign.Failure,
+        );
+      }
       if (isCrashSign(result, request.prompt !== undefined)) {
         promptGuard.recordBreak(endpoint, {request: request.id, parts, sentAt});
       }
@@ -237,6 +241,17 @@
     }
   }
 
+  /** Records an answer that its upstream lived on to send. */
+  private recordSurvival(sign: AnswerSign): void {
+    const {dependencies, context, endpoint} = this;
+    dependencies.promptGuard.recordAnswer({
+      request: context.request.id,
+      upstream: endpoint.id,
+      parts: context.parts,
+      sign,
+    });
+  }
+
   private prepareWitness(connection?: Connection): WitnessedAnswer | undefined {
     const {dependencies, endpoint, context} = this;
     const {name} = context.route;
--- a/src/report/requesthistory.ts
+++ b/src/report/requesthistory.ts
@@ -64,6 +64,7 @@
 ): boolean {
   switch (event) {
     case LogEvent.Crash:
+    case LogEvent.Examined:
     case LogEvent.Health:
     case LogEvent.Leaving:
     case LogEvent.Limit:
@@ -83,6 +84,7 @@
     case LogEvent.Stopping:
     case LogEvent.Store:
       return true;
+    case LogEvent.Cleared:
     case LogEvent.Ended:
     case LogEvent.Held:
     case LogEvent.Overloaded:
--- a/src/telemetry/logevent.ts
+++ b/src/telemetry/logevent.ts
@@ -3,6 +3,8 @@
  * docs/LOGS.md.
  */
 export enum LogEvent {
+  /** An answer cleared prompt parts under suspicion of crashing upstreams. */
+  Cleared = 'cleared',
   /** A configuration was applied or ignored. */
   Configuration = 'configuration',
   /** An upstream crashed while it began to answer. */
@@ -11,6 +13,8 @@
   Defect = 'defect',
   /** A request ended. */
   Ended = 'ended',
+  /** Probes showed whether an upstream crashed that broke off answers. */
+  Examined = 'examined',
   /** An upstream was taken out of use. */
   Health = 'health',
   /** A request was refused for a part of its prompt. */
--- a/test/promptguard.test.ts
+++ b/test/promptguard.test.ts
@@ -5,7 +5,7 @@
 import {decodeEvidence, encodeEvidence} from '../src/fleet/evidencemessage.js';
 import {Endpoint} from '../src/forward/endpoint.js';
 import {ProbeResult} from '../src/forward/liveness.js';
-import {PromptGuard} from '../src/forward/promptguard.js';
+import {AnswerSign, PromptGuard} from '../src/forward/promptguard.js';
 import {Quarantine, type CrashReport} from '../src/quarantine/index.js';
 import {Path} from '../src/relay/index.js';
 import {ManualTimer} from '../src/timer/index.js';
@@ -22,8 +22,11 @@
 let shown: ProbeResult;
 /** What probes show that may pass through a peer; as others by default. */
 let shownByPeers: ProbeResult | undefined;
+/** Log lines of the guard. */
+const lines: string[] = [];
 
 beforeEach(() => {
+  lines.length = 0;
   timer = new ManualTimer();
   guard = new PromptGuard({
     instance: 'entry-1',
@@ -35,23 +38,30 @@
         ),
     },
     timer,
-    logger: pino({enabled: false}),
+    logger: pino(
+      {base: null, timestamp: false, messageKey: 'text'},
+      {write: (line: string) => void lines.push(line)},
+    ),
   });
   reports = [];
   guard.subscribe(evidence => {
     if (evidence.type === 'crash') reports.push(evidence);
   });
-  const value = Buffer.from(JSON.stringify(wireEntry('engine', 1)));
-  const entry = decodeEntry('i-1', value);
-  assert(!('reason' in entry));
-  endpoint = new Endpoint(entry, '127.0.0.1');
+  endpoint = endpointOf('i-1');
   shown = ProbeResult.Alive;
   shownByPeers = undefined;
 });
 
-function breakAnswer(request: string, openMs: number): void {
+function endpointOf(id: string): Endpoint {
+  const value = Buffer.from(JSON.stringify(wireEntry('engine', 1)));
+  const entry = decodeEntry(id, value);
+  assert(!('reason' in entry));
+  return new Endpoint(entry, '127.0.0.1');
+}
+
+function breakAnswer(request: string, openMs: number, at = endpoint): void {
   const sentAt = timer.now() - openMs;
-  guard.recordBreak(endpoint, {request, parts: ['hot', 'bad', 'own'], sentAt});
+  guard.recordBreak(at, {request, parts: ['hot', 'bad', 'own'], sentAt});
 }
 
 test('requests that end together are the suspects of one crash', async () => {
@@ -94,3 +104,69 @@
   await timer.advance(LAST_PROBE_MS);
   expect(reports).toEqual([]);
 });
+
+/** Fields of the log lines about an event. */
+const logged = (event: string) =>
+  lines
+    .map(line => JSON.parse(line) as Record<string, unknown>)
+    .filter(line => line['event'] === event);
+
+test('a log line tells what probes showed of an upstream that broke off answers', async () => {
+  shown = ProbeResult.Silent;
+  await timer.advance(5_000);
+  breakAnswer('r1', 90);
+  breakAnswer('r2', 60);
+  await timer.advance(LAST_PROBE_MS);
+  expect(logged('examined')).toMatchInlineSnapshot(`
+    [
+      {
+        "broken": 2,
+        "event": "examined",
+        "level": 30,
+        "probes": [
+          "silent",
+          "silent",
+          "silent",
+        ],
+        "requests": [
+          "r1",
+          "r2",
+        ],
+        "text": "An upstream broke off answers at their beginning and was probed.",
+        "upstream": "i-1",
+        "verdict": "unproven",
+      },
+    ]
+  `);
+});
+
+test('a log line tells which answer cleared a part under suspicion', async () => {
+  shown = ProbeResult.Refused;
+  for (const [index, request] of ['r1', 'r2'].entries()) {
+    await timer.advance(5_000);
+    breakAnswer(request, 90, endpointOf(`i-${index}`));
+    await timer.advance(LAST_PROBE_MS);
+  }
+  const answer = {upstream: 'i-2', sign: AnswerSign.Failure};
+  guard.recordAnswer({...answer, request: 'r4', parts: ['other', 'own']});
+  guard.recordAnswer({...answer, request: 'r5', parts: ['hot', 'bad', 'own']});
+  guard.recordAnswer({...answer, request: 'r6', parts: ['hot', 'bad', 'own']});
+  expect(logged('cleared')).toMatchInlineSnapshot(`
+    [
+      {
+        "cleared": [
+          {
+            "crashes": 2,
+            "part": "bad",
+          },
+        ],
+        "event": "cleared",
+        "level": 30,
+        "request": "r5",
+        "sign": "failure",
+        "text": "An answer clears prompt parts that were suspected of crashing upstreams.",
+        "upstream": "i-2",
+      },
+    ]
+  `);
+});
