Take no bytes that are no event for one

Requests with a prompt part that crashes upstreams went on reaching them long after the fifth crash (BUDGET), where another upstream sent bytes that are no answer in the body of a stream.

Cause: any lines before a blank one counted as a complete event, and an event shows that the upstream lives on with the request: it cleared all parts of the prompt of the crashes so far, and the part counted as one that was answered before, which takes five crashes and more. Among random bytes two line ends stand next to each other within some 16 KiB.

Now a block of lines is an event if it has a line of a field of the standard (data, event, id or retry). A stream that ends inside any other block still counts as broken.

Now it passes, as do the other tests of quarantines, which share their deployment with it. Spoiled heads passed before, too.

Ruled out: that the crashes aren't seen (the engines of the test crash as in the tests that pass), and lost knowledge, as no gateway restarts.

--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -3,6 +3,10 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const COLON = 0x3a;
+/** Fields of events; lines of other fields are ignored. */
+const FIELDS = new Map(
+  ['data', 'event', 'id', 'retry'].map(name => [name.charCodeAt(0), name]),
+);
 /** Matches the id field of events; lines end with CR, LF or both. */
 const ID_FIELD = /(?:^|[\r\n])id:([^\r\n]*)/g;
 
@@ -22,7 +26,7 @@
 
 /** Finds the ends of events in a stream without keeping its bytes. */
 export class EventScanner {
-  /** Number of complete events so far. */
+  /** Number of complete events so far, of those with a line of a known field. */
   events = 0;
   /** Whether the bytes so far end inside an event. */
   insideEvent = false;
@@ -30,6 +34,11 @@
   private afterCarriageReturn = false;
   /** Whether a line, which may be a comment, follows the last blank one. */
   private insideBlock = false;
+  /** Whether a line of a known field does. */
+  private hasField = false;
+  /** The field that the line may have, and how much of its name has come. */
+  private field?: string | undefined;
+  private fieldLength = 0;
 
   /**
    * Reads the next bytes. Returns the offset in them after the last blank line
@@ -42,7 +51,12 @@
       const completesLineEnd = byte === LINE_FEED && this.afterCarriageReturn;
       this.afterCarriageReturn = byte === CARRIAGE_RETURN;
       if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) {
-        if (this.lineIsEmpty && byte !== COLON) this.insideEvent = true;
+        if (this.lineIsEmpty) {
+          if (byte !== COLON) this.insideEvent = true;
+          this.field = FIELDS.get(byte ?? 0);
+          this.fieldLength = 0;
+        }
+        if (this.field !== undefined) this.readName(byte);
         this.lineIsEmpty = false;
         this.insideBlock = true;
         continue;
@@ -53,12 +67,27 @@
     return end;
   }
 
+  /** Reads a byte of a line that began with the name of a field so far. */
+  private readName(byte: number | undefined): void {
+    const {field = '', fieldLength} = this;
+    if (byte === field.charCodeAt(fieldLength)) {
+      this.fieldLength++;
+      return;
+    }
+    if (byte === COLON && fieldLength === field.length) this.hasField = true;
+    this.field = undefined;
+  }
+
   private endLine(): void {
     if (!this.lineIsEmpty) {
+      // A line of a name alone is a field without a value.
+      if (this.field?.length === this.fieldLength) this.hasField = true;
+      this.field = undefined;
       this.lineIsEmpty = true;
       return;
     }
-    if (this.insideEvent) this.events++;
+    if (this.hasField) this.events++;
+    this.hasField = false;
     this.insideEvent = false;
     this.insideBlock = false;
   }
--- a/test/stream-end.test.ts
+++ b/test/stream-end.test.ts
@@ -167,4 +167,19 @@
     });
     expect(scan(': begun')).toMatchObject({ends: [0], insideEvent: false});
   });
+
+  test.each([
+    ['id: 1\n\n', 1],
+    ['data\n\n', 1],
+    ['x: y\nretry:1\n\n', 1],
+    ['x: y\n\n', 0],
+    ['dat: y\n\n', 0],
+    ['datas\n\nidx: 1\n\n', 0],
+    ['xdata: y\n\n', 0],
+    [': data: y\n\n', 0],
+    ['\u0001\u00ff\r\r', 0],
+  ])('%j has %d with a field of events', (text, events) => {
+    expect(scan(text)).toMatchObject({events, insideEvent: false});
+    expect(scan(...text)).toMatchObject({events, insideEvent: false});
+  });
 });
--- a/test/support/crashingengines.ts
+++ b/test/support/crashingengines.ts
@@ -1,10 +1,15 @@
 import type {Socket} from 'node:net';
 import {Topic} from '../../src/registry/index.js';
+import {seededRandom} from '../../stand-ins/random.js';
+import {failureHead, STREAM, UNFRAMED} from './endless.js';
+import {Flood} from './flood.js';
 import {successHead, wireEntry, type MemoryFeed} from './gateway.js';
 import {RestartableServer} from './restartableserver.js';
 import {EVENT_STREAM, eventsOf} from './silentupstream.js';
 
 const SERVICE = 'engine';
+/** Bytes that are no answer, blank lines among them. */
+const GARBAGE = garbage(16 * 1024);
 const SLOTS = 16;
 /** Time from a request to the head of its answer, in ms. */
 const START_MS = 30;
@@ -27,6 +32,22 @@
 /** Whether the answer to a request with these parts ends its engine. */
 export type CrashCondition = (parts: readonly string[]) => boolean;
 
+/** How an engine spoils an answer in place of running its request. */
+export enum SpoiledAnswer {
+  /** Bytes without end that are no answer, in place of a head. */
+  Head = 'head',
+  /** The head of a stream, then bytes without end that are none. */
+  Body = 'body',
+  /** A whole failure. */
+  Failure = 'failure',
+}
+
+/** How the engine of an index spoils an answer to these parts, if it does. */
+export type SpoilCondition = (
+  engine: number,
+  parts: readonly string[],
+) => SpoiledAnswer | undefined;
+
 /**
  * Engines that end when they begin certain answers. Each returns at its port
  * under a new id.
@@ -43,6 +64,7 @@
     private readonly feed: MemoryFeed,
     count: number,
     private readonly endsEngine: CrashCondition,
+    private readonly spoils: SpoilCondition = () => undefined,
   ) {
     this.engines = Array.from(
       {length: count},
@@ -101,6 +123,11 @@
     last: number,
   ): void {
     if (socket.destroyed) return;
+    const spoiled = this.spoils(this.engines.indexOf(engine), arrival.parts);
+    if (spoiled !== undefined) {
+      spoil(spoiled, arrival.id, socket);
+      return;
+    }
     arrival.began = true;
     socket.write(successHead(arrival.id, EVENT_STREAM));
     const {instance} = engine;
@@ -149,3 +176,23 @@
     }, RESTART_MS);
   }
 }
+
+function garbage(length: number): string {
+  const random = seededRandom(71);
+  const codes = Array.from({length}, () => Math.floor(random() * 256));
+  return String.fromCharCode(...codes);
+}
+
+function spoil(answer: SpoiledAnswer, id: string, socket: Socket): void {
+  switch (answer) {
+    case SpoiledAnswer.Head:
+      new Flood(socket, GARBAGE);
+      return;
+    case SpoiledAnswer.Body:
+      socket.write(successHead(id, STREAM + UNFRAMED));
+      new Flood(socket, GARBAGE);
+      return;
+    case SpoiledAnswer.Failure:
+      socket.write(failureHead(id, 'Content-Length: 2\r\n') + 'no');
+  }
+}
