Let failures of an upstream clear no part that crashes upstreams

Requests with a prompt part that crashes upstreams went on reaching them long after the fifth crash (BUDGET), where another upstream failed such requests with an error of its own.

Cause: any whole answer counted as a sign that the upstream lives on with the request, also a 500. An upstream that fails a part of its requests may never read them; each failure cleared the part of the crashes before, and it counted as answered from then on.

Now a whole answer of 500 and above shows nothing. One below still clears, as it concerns the request. The request itself is handled as before: repeated, or its failure passed on.

The test, with two of six engines that fail such requests, on the code before: 28 sends later than 4 s after the fifth crash, of three allowed ("expected 28 to be less than or equal to 3"). Now it passes, and so do the tests of requests that crash plain services.

Weighed: letting no answer but a success clear. A lookup that a sound service answers with 404 again and again would be held after ends of that service that have other causes.

--- /dev/null
+++ b/src/forward/answersign.ts
@@ -0,0 +1,9 @@
+/** How far the answer to a request came that its upstream survived. */
+export enum AnswerSign {
+  /** A complete event of a stream. */
+  Event = 'event',
+  /** A whole success. */
+  Success = 'success',
+  /** A whole answer below 500 that is no success: it concerns the request. */
+  Rejection = 'rejection',
+}
--- a/src/forward/attempttally.ts
+++ b/src/forward/attempttally.ts
@@ -1,3 +1,4 @@
+import {AnswerSign} from './answersign.js';
 import {
   AnswerProgress,
   BreakCause,
@@ -101,6 +102,29 @@
   );
 }
 
+/**
+ * What the result shows of an upstream that lived on with the request. A failure
+ * of its own shows nothing, since it may not have read the request.
+ */
+export function answerSignOf(result: AttemptResult): AnswerSign | undefined {
+  switch (result.type) {
+    case 'delivered':
+      return AnswerSign.Success;
+    case 'whole': {
+      if (isSuccess(result)) return AnswerSign.Success;
+      const isOwnFailure = result.answer.head.status >= 500;
+      return isOwnFailure ? undefined : AnswerSign.Rejection;
+    }
+    case 'doubtful':
+    case 'broken':
+    case 'refused':
+    case 'unsent':
+    case 'withheld':
+    case 'misplaced':
+      return undefined;
+  }
+}
+
 /** Whether the result is a successful response. */
 export function isSuccess(result: AttemptResult): boolean {
   switch (result.type) {
--- a/src/forward/promptguard.ts
+++ b/src/forward/promptguard.ts
@@ -11,6 +11,7 @@
 import {Path} from '../relay/index.js';
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Timer} from '../timer/index.js';
+import type {AnswerSign} from './answersign.js';
 import type {Endpoint} from './endpoint.js';
 import {ProbeResult, showsLife, type LivenessProber} from './liveness.js';
 
@@ -31,16 +32,6 @@
   sentAt: number;
 }
 
-/** How far the answer to a request came that its upstream survived. */
-export enum AnswerSign {
-  /** A complete event of a stream. */
-  Event = 'event',
-  /** A whole success. */
-  Success = 'success',
-  /** A whole failure. */
-  Failure = 'failure',
-}
-
 /** An answer that shows that a request doesn't crash its upstream. */
 export interface SurvivedAnswer {
   request: string;
--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -16,9 +16,9 @@
 import type {Endpoint} from './endpoint.js';
 import type {Placement, PlacementRequest} from './placementrequest.js';
 import {checkProcess, ProcessCheck} from './processcheck.js';
-import {AnswerSign} from './promptguard.js';
+import {AnswerSign} from './answersign.js';
 import type {RequestContext} from './requestcontext.js';
-import {isCrashSign, isSuccess} from './attempttally.js';
+import {answerSignOf, isCrashSign} from './attempttally.js';
 import type {AttemptLoad} from './servicestate.js';
 import type {AttemptSink} from './sink.js';
 import {SilenceWatchdog, type Silence} from './watchdog.js';
@@ -222,11 +222,8 @@
         const {path} = connection;
         recordHealth(dependencies, context, endpoint, result, path);
       }
-      if (result.type === 'whole' || result.type === 'delivered') {
-        this.recordSurvival(
-          isSuccess(result) ? AnswerSign.Success : AnswerSign.Failure,
-        );
-      }
+      const sign = answerSignOf(result);
+      if (sign !== undefined) this.recordSurvival(sign);
       if (isCrashSign(result, request.prompt !== undefined)) {
         promptGuard.recordBreak(endpoint, {request: request.id, parts, sentAt});
       }
--- a/test/clearedcrashes.test.ts
+++ b/test/clearedcrashes.test.ts
@@ -16,7 +16,7 @@
 afterEach(closeDeployments);
 
 describe('answers that are none clear no part that crashes engines', () => {
-  test.each([SpoiledAnswer.Head, SpoiledAnswer.Body])(
+  test.each(Object.values(SpoiledAnswer))(
     'where engines spoil theirs by %j',
     async answer => {
       const deployment = await CrashDeployment.open(
--- a/test/promptguard.test.ts
+++ b/test/promptguard.test.ts
@@ -5,7 +5,8 @@
 import {decodeEvidence, encodeEvidence} from '../src/fleet/evidencemessage.js';
 import {Endpoint} from '../src/forward/endpoint.js';
 import {ProbeResult} from '../src/forward/liveness.js';
-import {AnswerSign, PromptGuard} from '../src/forward/promptguard.js';
+import {AnswerSign} from '../src/forward/answersign.js';
+import {PromptGuard} from '../src/forward/promptguard.js';
 import {Quarantine, type CrashReport} from '../src/quarantine/index.js';
 import {Path} from '../src/relay/index.js';
 import {ManualTimer} from '../src/timer/index.js';
@@ -147,7 +148,7 @@
     breakAnswer(request, 90, endpointOf(`i-${index}`));
     await timer.advance(LAST_PROBE_MS);
   }
-  const answer = {upstream: 'i-2', sign: AnswerSign.Failure};
+  const answer = {upstream: 'i-2', sign: AnswerSign.Rejection};
   guard.recordAnswer({...answer, request: 'r4', parts: ['other', 'own']});
   guard.recordAnswer({...answer, request: 'r5', parts: ['hot', 'bad', 'own']});
   guard.recordAnswer({...answer, request: 'r6', parts: ['hot', 'bad', 'own']});
@@ -163,7 +164,7 @@
         "event": "cleared",
         "level": 30,
         "request": "r5",
-        "sign": "failure",
+        "sign": "rejection",
         "text": "An answer clears prompt parts that were suspected of crashing upstreams.",
         "upstream": "i-2",
       },
