Probe an upstream after each broken answer, not only after the first

An upstream that crashed on a request within a second after another answer of it had broken off was not seen to crash if its next process listened soon: it was probed 30, 300 and 1,000 ms after the first of these answers alone.

Now each broken answer is followed by these probes. Answers within 20 ms share them, and two probes are 100 ms apart at least, so that an upstream that breaks off many is probed ten times a second at most.

The new test, a crash 350 ms after another break and a next process 500 ms later, failed before with "expected [] to have a length of 1 but got +0".

That callers met this is not shown: it was found by reading, beside the hypothesis that crashes aren't seen.

--- a/src/forward/promptguard.ts
+++ b/src/forward/promptguard.ts
@@ -15,10 +15,16 @@
 import type {Endpoint} from './endpoint.js';
 import {ProbeResult, showsLife, type LivenessProber} from './liveness.js';
 
-/** Times after the first broken answer at which an upstream is probed, in ms. */
+/** Times after a broken answer at which its upstream is probed, in ms. */
 const PROBE_DELAYS_MS = [30, 300, 1_000];
+/** Shortest time between two probes of an upstream, in ms. */
+const MIN_PROBE_GAP_MS = 100;
+/** Answers share a probe that is due for one of them this much earlier, in ms. */
+const SHARED_MS = 20;
 /** Most requests that one log line names. */
 const MAX_LOGGED_REQUESTS = 16;
+/** Most probes that one log line names, the last ones. */
+const MAX_LOGGED_PROBES = 8;
 
 /**
  * A request whose answer broke off as if its upstream had ended on it: one with a
@@ -55,6 +61,26 @@
 interface TimedBreak extends BrokenAnswer {
   /** When the answer broke off, in monotonic ms. */
   at: number;
+  /** Probes of the upstream that were due since. */
+  probes: number;
+}
+
+/** When the next probe after a broken answer is due; infinite after the last. */
+function nextProbeAt({at, probes}: TimedBreak): number {
+  return at + (PROBE_DELAYS_MS[probes] ?? Infinity);
+}
+
+/** Broken answers of an upstream, and what its probes showed so far. */
+interface Examination {
+  /** Answers that are followed by further probes. */
+  pending: TimedBreak[];
+  /** Answers whose probes are over. */
+  finished: TimedBreak[];
+  results: ProbeResult[];
+  /** When the upstream was last probed, in monotonic ms. */
+  probedAt: number;
+  /** Ends the wait for the next probe. */
+  wake: AbortController;
 }
 
 /** Dependencies of [[PromptGuard]]. */
@@ -73,8 +99,8 @@
  * reports it to the [[Quarantines]], which decide.
  */
 export class PromptGuard {
-  /** Answers that broke off at upstreams of which more is to be learnt. */
-  private readonly broken = new Map<Endpoint, TimedBreak[]>();
+  /** Upstreams of which more is to be learnt, since answers broke off there. */
+  private readonly examinations = new Map<Endpoint, Examination>();
   private crashes = 0;
 
   constructor(private readonly parts: PromptGuardParts) {
@@ -108,15 +134,22 @@
 
   /** Records an answer that its upstream broke off at the beginning. */
   recordBreak(endpoint: Endpoint, answer: BrokenAnswer): void {
-    const at = this.parts.timer.now();
-    const known = this.broken.get(endpoint);
+    const timed = {...answer, at: this.parts.timer.now(), probes: 0};
+    const known = this.examinations.get(endpoint);
     if (known !== undefined) {
-      known.push({...answer, at});
+      known.pending.push(timed);
+      known.wake.abort();
       return;
     }
-    const answers = [{...answer, at}];
-    this.broken.set(endpoint, answers);
-    void this.examine(endpoint, answers, at);
+    const examination: Examination = {
+      pending: [timed],
+      finished: [],
+      results: [],
+      probedAt: -Infinity,
+      wake: new AbortController(),
+    };
+    this.examinations.set(endpoint, examination);
+    void this.examine(endpoint, examination);
   }
 
   /** Takes over what another instance or the store told. */
@@ -153,51 +186,88 @@
     };
   }
 
-  /** Reports a crash if the process of the upstream has ended. */
+  /**
+   * Reports a crash if the process of the upstream has ended. Each broken answer
+   * is followed by probes of its own, since an earlier one may have broken off
+   * for another reason.
+   */
   private async examine(
     endpoint: Endpoint,
-    answers: TimedBreak[],
-    at: number,
+    examination: Examination,
   ): Promise<void> {
-    const {timer, probes} = this.parts;
-    const {state} = endpoint.entry;
-    const results: ProbeResult[] = [];
+    const {pending, finished} = examination;
     let verdict = Verdict.Unproven;
-    for (const delayMs of PROBE_DELAYS_MS) {
-      await timer.sleep(Math.max(0, at + delayMs - timer.now()));
-      // The own links may be cut: an upstream has ended if peers don't reach it.
-      const result = await probes.probe(endpoint, Path.Relayed);
-      results.push(result);
-      // Connections to plain services are reset for many reasons.
-      const isPlain = !answers.some(({parts}) => hasPromptParts(parts));
-      if (showsLife(result) && isPlain) {
-        verdict = Verdict.Lives;
-        break;
-      }
-      if (result !== ProbeResult.Refused) continue;
+    while (pending.length > 0) {
+      const due = await this.untilDue(examination);
+      for (const answer of due) answer.probes++;
+      verdict = await this.judge(endpoint, examination);
+      const isOver = (answer: TimedBreak) => {
+        switch (verdict) {
+          case Verdict.Crashed:
+          case Verdict.Leaving:
+            return true;
+          case Verdict.Lives:
+            return due.includes(answer);
+          case Verdict.Unproven:
+            return nextProbeAt(answer) === Infinity;
+        }
+      };
+      finished.push(...pending.filter(isOver));
+      pending.splice(0, Infinity, ...pending.filter(one => !isOver(one)));
+    }
+    this.examinations.delete(endpoint);
+    this.logExamined(endpoint, examination, verdict);
+  }
+
+  /** Waits for the next probe; returns the answers that it is due for. */
+  private async untilDue(examination: Examination): Promise<TimedBreak[]> {
+    const {timer} = this.parts;
+    const {pending, probedAt} = examination;
+    for (;;) {
+      const dueAt = Math.min(...pending.map(nextProbeAt));
+      const waitMs = Math.max(dueAt, probedAt + MIN_PROBE_GAP_MS) - timer.now();
+      if (waitMs <= 0) break;
+      examination.wake = new AbortController();
+      await timer.sleep(waitMs, examination.wake.signal);
+    }
+    const now = timer.now();
+    examination.probedAt = now;
+    return pending.filter(answer => nextProbeAt(answer) <= now + SHARED_MS);
+  }
+
+  /** Probes the upstream, and reports a crash if it has ended. */
+  private async judge(
+    endpoint: Endpoint,
+    {pending, results}: Examination,
+  ): Promise<Verdict> {
+    const {state} = endpoint.entry;
+    // The own links may be cut: an upstream has ended if peers don't reach it.
+    const result = await this.parts.probes.probe(endpoint, Path.Relayed);
+    results.push(result);
+    if (result === ProbeResult.Refused) {
       // One that drains may end while it still answers.
-      verdict = state === EntryState.Ready ? Verdict.Crashed : Verdict.Leaving;
-      break;
+      if (state !== EntryState.Ready) return Verdict.Leaving;
+      this.report(endpoint, pending);
+      return Verdict.Crashed;
     }
-    if (verdict === Verdict.Crashed) this.report(endpoint, answers);
-    this.broken.delete(endpoint);
-    this.logExamined(endpoint, answers, results, verdict);
+    // Connections to plain services are reset for many reasons.
+    const isPlain = !pending.some(({parts}) => hasPromptParts(parts));
+    return showsLife(result) && isPlain ? Verdict.Lives : Verdict.Unproven;
   }
 
   private logExamined(
     {id}: Endpoint,
-    answers: readonly TimedBreak[],
-    probes: readonly ProbeResult[],
+    {finished, results}: Examination,
     verdict: Verdict,
   ): void {
-    const requests = answers.map(({request}) => request);
+    const requests = finished.map(({request}) => request);
     this.parts.logger.info(
       {
         event: LogEvent.Examined,
         upstream: id,
         requests: requests.slice(0, MAX_LOGGED_REQUESTS),
         broken: requests.length,
-        probes,
+        probes: results.slice(-MAX_LOGGED_PROBES),
         verdict,
       },
       'An upstream broke off answers at their beginning and was probed.',
--- a/test/promptguard.test.ts
+++ b/test/promptguard.test.ts
@@ -14,6 +14,7 @@
 
 const FIRST_PROBE_MS = 30;
 const LAST_PROBE_MS = 1_000;
+const MIN_GAP_MS = 100;
 
 let timer: ManualTimer;
 let guard: PromptGuard;
@@ -97,6 +98,19 @@
   expect(decodeEvidence(wire, now)).toEqual(report);
 });
 
+test('a crash after a connection that broke off for another reason is seen', async () => {
+  await timer.advance(5_000);
+  breakAnswer('broken connection', 90);
+  await timer.advance(350);
+  breakAnswer('crash', 100);
+  shown = ProbeResult.Refused;
+  await timer.advance(500);
+  // The next process listens before the last probe after the first break.
+  shown = ProbeResult.Alive;
+  await timer.advance(LAST_PROBE_MS);
+  expect(reports).toHaveLength(1);
+});
+
 test('an upstream that peers still reach has not crashed', async () => {
   await timer.advance(5_000);
   shown = ProbeResult.Refused;
@@ -116,8 +130,10 @@
   shown = ProbeResult.Silent;
   await timer.advance(5_000);
   breakAnswer('r1', 90);
+  await timer.advance(2);
   breakAnswer('r2', 60);
-  await timer.advance(LAST_PROBE_MS);
+  await timer.advance(2);
+  await timer.advance(LAST_PROBE_MS + MIN_GAP_MS);
   expect(logged('examined')).toMatchInlineSnapshot(`
     [
       {
