Hold back lines of a stream that are no event until the next one

A resumable stream whose upstream goes on with lines that are no event, blank ones among them, without end, lasted until its caller left or its deadline, and its caller got all of these bytes. One whose lines are never blank was broken off at 256 KiB.

Cause: each blank line ended what is held back, whatever came before it. Now such lines belong to the next event: they are passed on with it, as before, or count towards the 256 KiB, after which the stream goes on at another upstream.

Two new tests: the scanner's failed before with "expected { ends: [ 6 ], events: +0, ...(1) } to match object { ends: [ +0 ] }"; with the one of endless streams, the test process, which holds the caller, ran out of memory ("Worker exited unexpectedly").

Streams that can't be taken up are passed on as they come, so nothing of them is held back.

--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -36,13 +36,16 @@
   private insideBlock = false;
   /** Whether a line of a known field does. */
   private hasField = false;
+  /** Whether the last lines before a blank one were neither an event nor comments. */
+  private afterStray = false;
   /** The field that the line may have, and how much of its name has come. */
   private field?: string | undefined;
   private fieldLength = 0;
 
   /**
    * Reads the next bytes. Returns the offset in them after the last blank line
-   * that ends an event or a comment; 0 if there is none.
+   * that ends an event or a comment; 0 if there is none. Lines that are neither
+   * belong to the next one.
    */
   scan(chunk: Buffer): number {
     let end = 0;
@@ -62,7 +65,7 @@
         continue;
       }
       if (!completesLineEnd) this.endLine();
-      if (!this.insideBlock) end = at + 1;
+      if (!this.insideBlock && !this.afterStray) end = at + 1;
     }
     return end;
   }
@@ -86,6 +89,7 @@
       this.lineIsEmpty = true;
       return;
     }
+    if (this.insideBlock) this.afterStray = this.insideEvent && !this.hasField;
     if (this.hasField) this.events++;
     this.hasField = false;
     this.insideEvent = false;
--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -73,6 +73,11 @@
       start: id => successHead(id, STREAM + CHUNKED),
       unit: '8\r\nxxxxxxxx\r\n',
     },
+    {
+      name: 'after blank lines that end none',
+      start: id => successHead(id, STREAM + UNFRAMED),
+      unit: '?: x\n\n',
+    },
   ])('$name goes on at another upstream', async answer => {
     const whole = 'id: 1\ndata: x\n\n';
     let attempts = 0;
--- a/test/stream-end.test.ts
+++ b/test/stream-end.test.ts
@@ -168,6 +168,13 @@
     expect(scan(': begun')).toMatchObject({ends: [0], insideEvent: false});
   });
 
+  test('takes the lines with it before it that are no event', () => {
+    expect(scan('x: y\n\n')).toMatchObject({ends: [0]});
+    expect(scan('id: 1\n\nx: y\n\n')).toMatchObject({ends: [7]});
+    const text = 'x: y\n\n\nid: 1\n\n';
+    expect(scan(text)).toMatchObject({ends: [text.length], events: 1});
+  });
+
   test.each([
     ['id: 1\n\n', 1],
     ['data\n\n', 1],
