Survive the end of an upstream whose answer waits for its caller

Callers saw all their requests end at once: the process ended by itself. While a caller reads slowly, the reading of its answer is paused. If the upstream then closed or reset the connection with nothing left unread, undici finished its parser, which asserts that it isn't paused; the assertion failed in an event listener and ended the process. This concerns answers that end with their connection: without a length, or with "Connection: close".

The reading goes on at the end of the connection, where all bytes have been read, before undici finishes the parser. At a reset the socket is destroyed, so that this isn't possible; there, the error gets a code for which undici fails the answer instead of finishing the parser.

The test in attempt.test.ts failed before in its four cases, with "AssertionError: The expression evaluated to a falsy value: assert(!this.paused)" (Parser.finish, called by Socket.onHttpSocketEnd and Socket.onHttpSocketError) as uncaught exceptions. A plain undici client ends in the same way. Ruled out: the close event, as everything that destroys these sockets without an error comes after the end of the answer.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -191,6 +191,8 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    // The end of a connection may resume its parser, which passes on nothing.
+    if (chunk.length === 0) return;
     this.connection.noteProgress();
     if (this.refusalTimeout !== undefined) {
       this.buffered.push(chunk);
@@ -264,10 +266,10 @@
   ): void {
     this.scan(chunk);
     const {sink} = this.spec;
-    const wantsMore = sink.data(chunk, () => controller.resume());
+    const wantsMore = sink.data(chunk, () => this.connection.resume());
     if (sink.heldBytes > BUFFER_LIMIT_BYTES) {
       this.abort('an event that is too long', BreakCause.Upstream);
-    } else if (!wantsMore) controller.pause();
+    } else if (!wantsMore) this.connection.pause(controller);
   }
 
   private scan(chunk: Buffer): void {
--- a/src/forward/connections.ts
+++ b/src/forward/connections.ts
@@ -58,6 +58,8 @@
   /** Whether its socket was ever open. */
   hasConnected = false;
   private readonly client: Client;
+  /** The response whose reading is paused. */
+  private paused?: Pick<Dispatcher.DispatchController, 'resume'>;
   /** Whether a part of a response came since bytes were last read. */
   private hasProgressed = false;
 
@@ -123,6 +125,18 @@
     this.client.dispatch(options, handler);
   }
 
+  /** Stops the reading of the response until [[resume]]. */
+  pause(controller: Dispatcher.DispatchController): void {
+    this.paused = controller;
+    controller.pause();
+  }
+
+  resume(): void {
+    const {paused} = this;
+    delete this.paused;
+    paused?.resume();
+  }
+
   destroy(): void {
     this.open = false;
     void this.client.destroy();
@@ -155,16 +169,24 @@
    */
   private watchForReset(socket: Socket): void {
     const {path} = this;
-    socket.on('error', error => {
+    socket.on('error', (error: NodeJS.ErrnoException) => {
       this.reset = true;
       if (path === Path.Direct && this.isLinkFailure(error)) {
         this.dialer.noteFailure(this.upstream);
       }
+      // On a reset, the HTTP client may finish its parser, which throws while
+      // the parser is paused. Any other code fails the response.
+      if (this.paused !== undefined && error.code === RESET_CODE) {
+        error.code = PAUSED_RESET_CODE;
+      }
     });
     // A reset that is read together with the last bytes ends the socket like a
     // close. Only a socket that was reset has no remote address then.
     socket.on('end', () => {
       if (socket.remoteAddress === undefined) this.reset = true;
+      // The HTTP client finishes its parser next, which throws while the parser
+      // is paused. All bytes have been read at the end.
+      this.resume();
     });
   }
 
@@ -178,6 +200,11 @@
   }
 }
 
+/** Code of the system's error for a reset. */
+const RESET_CODE = 'ECONNRESET';
+/** Takes its place while the response is paused. */
+const PAUSED_RESET_CODE = 'ERR_RESET_WHILE_PAUSED';
+
 /** Code of the HTTP client's error where the other end closed in order. */
 const CLOSED_CODE = 'UND_ERR_SOCKET';
 
--- a/test/attempt.test.ts
+++ b/test/attempt.test.ts
@@ -1,6 +1,6 @@
-import {afterEach, expect, test} from 'vitest';
+import {afterEach, describe, expect, test} from 'vitest';
 import {protocol} from '../platform/headers.js';
-import {runAttempt} from '../src/forward/attempt.js';
+import {runAttempt, type Sink} from '../src/forward/attempt.js';
 import {
   AnswerProgress,
   BreakCause,
@@ -17,10 +17,19 @@
   for (const upstream of upstreams.splice(0)) upstream.close();
 });
 
+/** Takes whatever comes, at once. */
+const ACCEPTING: Sink = {
+  heldBytes: 0,
+  accepts: () => true,
+  start: () => true,
+  data: () => true,
+};
+
 /** Makes an attempt at an upstream; it is aborted after `abortAfterMs`. */
 async function attempt(
   respond: (request: RawRequest) => void,
   abortAfterMs = 2_000,
+  sink = ACCEPTING,
 ): Promise<AttemptResult> {
   const upstream = new RawUpstream(respond);
   upstreams.push(upstream);
@@ -53,12 +62,7 @@
     },
     metadata: {upstream: 'i-1', remainingMs: 2_000},
     body: Buffer.alloc(0),
-    sink: {
-      heldBytes: 0,
-      accepts: () => true,
-      start: () => true,
-      data: () => true,
-    },
+    sink,
     timer,
     signal: AbortSignal.timeout(abortAfterMs),
     observe: () => false,
@@ -176,3 +180,46 @@
     endedBy: BreakCause.Upstream,
   });
 });
+
+/** Time for which a caller does not read, in ms. */
+const UNREAD_MS = 300;
+
+// Guards against a process that ends with its upstream while a caller is slow.
+describe('an upstream whose last bytes wait for their caller', () => {
+  test.each([
+    {name: 'without a length', framing: '', whole: true},
+    {name: 'of a length', framing: 'Content-Length: 15\r\n', whole: true},
+    {name: 'of a longer length', framing: 'Content-Length: 16\r\n'},
+    {name: 'in chunks', framing: CHUNKED},
+  ])('may end its answer $name', async ({framing, whole = false}) => {
+    const head = successHead(
+      'r1',
+      `Connection: close\r\nContent-Type: text/event-stream\r\n${framing}`,
+    );
+    const results = [];
+    for (const {end} of ENDS.slice(0, 2)) {
+      const result = await attempt(
+        request => {
+          request.socket.write(
+            head + (framing === CHUNKED ? chunk(EVENT) : EVENT),
+          );
+          setTimeout(() => end(request), UNREAD_MS / 2);
+        },
+        2_000,
+        {
+          ...ACCEPTING,
+          data: (_bytes, resume) => {
+            setTimeout(resume, UNREAD_MS);
+            return false;
+          },
+        },
+      );
+      results.push(result);
+    }
+    const broken = {type: 'broken', endedBy: BreakCause.Upstream};
+    expect(results).toMatchObject([
+      whole ? {type: 'delivered'} : broken,
+      broken,
+    ]);
+  });
+});
