Measure the event loop's lag, and the heap beside resident memory

Of an instance that ran out of memory, or answered late, neither the log nor /metrics told whether it kept bytes, kept many small objects, or did not get to its work. Now heap_bytes and external_bytes stand beside memory_bytes, and event_loop_lag_ms is the longest delay of the last ten seconds in which the process ran its check of 250 ms late. Delays from 250 ms on are logged, once in ten seconds. There is no new timer.

--- a/src/report/requesthistory.ts
+++ b/src/report/requesthistory.ts
@@ -75,6 +75,7 @@
     case LogEvent.Defect:
     case LogEvent.Hold:
     case LogEvent.Isolated:
+    case LogEvent.Lag:
     case LogEvent.Readiness:
     case LogEvent.Reloaded:
     case LogEvent.Stall:
--- a/src/telemetry/logevent.ts
+++ b/src/telemetry/logevent.ts
@@ -17,6 +17,8 @@
   Held = 'held',
   /** A prompt part was held or released. */
   Hold = 'hold',
+  /** The event loop was late, but not as late as in a stall. */
+  Lag = 'lag',
   /** An upstream announced that it leaves, in its entry or in a response. */
   Leaving = 'leaving',
   /** The instance became cut off from all upstreams, or reaches them again. */
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -24,12 +24,15 @@
 import {callerBoundsOf} from './callerbounds.js';
 import {ConfigurationRecords} from './configurationrecords.js';
 import {DrainSchedule} from './drainschedule.js';
+import {EventLoopLag} from './eventlooplag.js';
 import type {GatewaySettings} from './gatewaysettings.js';
 import {NetworkTransport} from './fleettransport.js';
 import {GatewayFleet} from './gatewayfleet.js';
 import {MonitoringServers, type MonitoringPage} from './monitoringservers.js';
 import {LimitedUpstreams} from './limitedupstreams.js';
 import type {PlatformAdapter} from './platformadapter.js';
+import {processGauges} from './processgauges.js';
+import {Readiness} from './readiness.js';
 import {Relays} from './relays.js';
 import {ServiceStates} from './servicestates.js';
 import {watchStalls} from './stall.js';
@@ -77,6 +80,7 @@
   private readonly endpoints: Endpoints;
   private readonly services: ServiceStates;
   private readonly metrics = new ForwardMetrics();
+  private readonly lag: EventLoopLag;
   private readonly observer: ResponseObserver;
   private readonly probes: LivenessProber;
   private readonly promptGuard: PromptGuard;
@@ -92,7 +96,7 @@
   private readonly endController = new AbortController();
   /** Whether the first snapshot of the upstreams was read. */
   private hasUpstreamList = false;
-  private wasReady = false;
+  private readonly readiness: Readiness;
   port = 0;
   readinessPort = 0;
 
@@ -107,6 +111,8 @@
     this.requestLogger = componentLogger(root, Component.Request);
     // Each request listens to it.
     setMaxListeners(0, this.endController.signal);
+    this.readiness = new Readiness(this.logger);
+    this.lag = new EventLoopLag(timer, this.logger);
     this.routing = new Routing(componentLogger(root, Component.Config));
     this.transport = new NetworkTransport(
       {host: settings.host, port: settings.gossipPort},
@@ -115,10 +121,11 @@
     );
     this.relays = this.createRelays();
     this.endpoints = new Endpoints(settings.host, this.relays.dialer, timer);
+    const upstreamLogger = componentLogger(root, Component.Upstream);
     this.observer = new ResponseObserver({
       endpoints: this.endpoints,
       timer,
-      logger: componentLogger(root, Component.Upstream),
+      logger: upstreamLogger,
       random: Math.random,
       rateChanged: () => this.fleet.permits.wake(),
     });
@@ -131,12 +138,12 @@
       }),
       probes: this.probes,
       timer,
-      logger: componentLogger(root, Component.Upstream),
+      logger: upstreamLogger,
     });
     this.registry = new Registry({
       decode: (key, value) => platform.decodeEntry(key, value),
       timer,
-      logger: componentLogger(root, Component.Upstream),
+      logger: upstreamLogger,
       reachableForMs: () => this.fleet.upstreams.reachableForMs(),
       servedForMs: () => this.fleet.upstreams.servedForMs(),
       changed: () => this.updateEndpoints(),
@@ -197,7 +204,10 @@
     this.subscriptions.push(
       ...this.fleet.start(),
       watchStalls(this.timer, this.logger, {
-        checked: () => this.registry.sweep(),
+        checked: lateMs => {
+          this.registry.sweep();
+          this.lag.note(lateMs);
+        },
         resumed: () => this.fleet.wake(),
       }),
     );
@@ -339,38 +349,25 @@
     for (const {waitQueue} of this.services.all()) waitQueue.placeWaiting();
   }
 
-  /** Answers the readiness check and logs each change of readiness. */
+  /** Answers the readiness check. */
   private readinessPage(): MonitoringPage {
     const table = this.routing.current();
+    const leaving = this.drainSchedule !== undefined;
     const isReady =
-      this.drainSchedule === undefined &&
+      !leaving &&
       table !== undefined &&
       this.hasUpstreamList &&
       this.fleet.mayForward;
-    if (isReady !== this.wasReady) {
-      this.wasReady = isReady;
-      this.logger.info(
-        {
-          event: LogEvent.Readiness,
-          ready: isReady,
-          version: table?.version,
-          listed: this.hasUpstreamList,
-          leaving: this.drainSchedule !== undefined,
-        },
-        isReady
-          ? 'Ready for new connections.'
-          : 'Not ready for new connections.',
-      );
-    }
-    return {
-      status: isReady ? 200 : 503,
-      body: JSON.stringify({ready: isReady, version: table?.version ?? null}),
-    };
+    return this.readiness.page({
+      isReady,
+      version: table?.version,
+      listed: this.hasUpstreamList,
+      leaving,
+    });
   }
 
   /** Current values of the gauges and counters of /metrics, by name. */
   private gauges(): Record<string, number> {
-    const cpu = process.cpuUsage();
     return {
       configuration_version: this.routing.current()?.version ?? 0,
       store_epoch: this.fleet.storeEpoch,
@@ -389,8 +386,8 @@
       ...this.fleet.origins.gauges(),
       connections_opened_total: this.endpoints.openedConnections(),
       log_lines_dropped_total: this.output.dropped(),
-      memory_bytes: process.memoryUsage.rss(),
-      cpu_seconds_total: (cpu.user + cpu.system) / 1e6,
+      ...processGauges(),
+      event_loop_lag_ms: Math.round(this.lag.longestMs),
     };
   }
 }
--- a/src/wiring/stall.ts
+++ b/src/wiring/stall.ts
@@ -9,8 +9,11 @@
 
 /** Receives the events of [[watchStalls]]. */
 export interface StallListener {
-  /** Called at each check, after [[resumed]] if there was a stall. */
-  checked(): void;
+  /**
+   * Called at each check, after [[resumed]] if there was a stall. `delayMs`: how
+   * late the check is by the monotonic clock.
+   */
+  checked(delayMs: number): void;
   /** Called when the process runs again after a stall. */
   resumed(): void;
 }
@@ -39,8 +42,9 @@
       );
       listener.resumed();
     }
+    const delayMs = Math.max(0, now - previous - CHECK_PERIOD_MS);
     previous = now;
     previousWall = wall;
-    listener.checked();
+    listener.checked(delayMs);
   });
 }
