Break off answers whose status HTTP doesn't have

Callers got answers with status 600 to 999 as their upstream sent them, with its seal, direct and by way of a peer. Where such an answer had no length, on a connection that stayed open, they got 504 at the deadline: the answer couldn't end. That explains the time-outs that were seen beside it; 504 didn't come for answers with a length, with chunks or that end.

Cause: the parser of the HTTP client takes any three digits for a status. It ends the connection by an assertion of its own on 000 to 099 and on 101, and passes 600 to 999 on, where an attempt took each status from 300 on for a failure to be forwarded. Reports, probes and questions of witnesses saw the heads of all of these.

Each response on a connection to an upstream now passes StatusGuard, whichever way it comes and whatever asked: a status outside of 200 to 599 breaks the request off as a failure of the upstream, with the cause "InvalidStatus: a response with status 600". Health counts it, the attempt is repeated as its route allows, and the caller gets 502 otherwise. Interim responses end there, too, so that handlers see final heads alone.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -140,7 +140,6 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
-    if (status < 200) return;
     this.connection.noteProgress();
     if (this.settled) return;
     const {protocol, request, endpoint, timer, sink} = this.spec;
--- a/src/forward/connections.ts
+++ b/src/forward/connections.ts
@@ -10,6 +10,7 @@
 } from '../relay/index.js';
 import type {Timer} from '../timer/index.js';
 import {IdleEnds} from './idleends.js';
+import {StatusGuard} from './statusguard.js';
 
 /**
  * An idle connection is no longer used this long before the upstream's
@@ -120,7 +121,7 @@
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): void {
-    this.client.dispatch(options, handler);
+    this.client.dispatch(options, new StatusGuard(handler));
   }
 
   destroy(): void {
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -196,6 +196,7 @@
   options: {
     method?: string;
     headers?: Record<string, string>;
+    body?: Buffer;
     /** Time after which the caller closes the connection, in ms. */
     abortAfterMs?: number;
     /** When it resolves, the caller closes the connection. */
@@ -244,7 +245,7 @@
       setTimeout(() => message.destroy(), options.abortAfterMs);
     }
     void options.abortOn?.then(() => message.destroy());
-    message.end();
+    message.end(options.body);
   });
 }
 
--- a/test/whole.test.ts
+++ b/test/whole.test.ts
@@ -229,6 +229,14 @@
     expect(reply).toMatchObject({status: 204, outcome: 'completed', text: ''});
   });
 
+  it.each([600, 999])(
+    'does not reach its caller with status %i',
+    async status => {
+      const reply = await ask({body: COMPLETION, status});
+      expect(reply).toMatchObject({status: 502, outcome: 'failed'});
+    },
+  );
+
   it('is asked for again if it is a part', async () => {
     const reply = await ask(cut, {body: COMPLETION});
     expect(reply).toMatchObject({outcome: 'completed', text: COMPLETION});
