Don't take the end of an unread request's answer for whole

An upstream answered an upload at once by a 200 without a length, sent a part of its body, closed its direction, and reset the connection while the upload was still on its way. Callers got the part as a whole answer, direct and by way of a peer; requests that may be repeated weren't.

Cause: the end in order is the end of such an answer. The HTTP client closes the socket right then, so the reset that follows, as the upstream closes with bytes of the request unread, wasn't seen; the peer did likewise. Nothing looked at whether the request had been sent at all.

The socket stays half-open meanwhile and the end of the answer waits; a peer that relays waits in place of the instance that asked and passes the reset on.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -218,17 +218,16 @@
     } else if (!head.framed && this.connection.reset) {
       const cause = 'reset within an answer without length';
       this.break(cause, BreakCause.Upstream);
+    } else if (!head.framed && this.connection.hasUnsentBytes) {
+      const cause = 'ended without length before the request was sent';
+      this.break(cause, BreakCause.Upstream);
     } else if (!head.framed && this.hasNoEvent) {
       this.break('ended before an event', BreakCause.Upstream);
     } else if (this.events?.insideEvent === true) {
       this.break('ended inside an event', BreakCause.Upstream);
-    } else if (this.deliveryStarted) {
-      this.settle({type: 'delivered', head});
-    } else {
-      const body = this.buffered.take();
-      const {asksForPause} = this;
-      this.settle({type: 'whole', answer: {head, body}, asksForPause});
-    }
+    } else if (!head.framed && this.connection.mayBeResetLate) {
+      void this.completeUnlessReset(head);
+    } else this.complete(head);
   }
 
   onResponseError(
@@ -241,6 +240,23 @@
     else this.break(cause, BreakCause.Upstream);
   }
 
+  private async completeUnlessReset(head: ReceivedHead): Promise<void> {
+    const wasReset = await this.connection.awaitReset(this.spec.timer);
+    if (wasReset) {
+      this.break('reset after an answer without length', BreakCause.Upstream);
+    } else this.complete(head);
+  }
+
+  private complete(head: ReceivedHead): void {
+    if (this.deliveryStarted) {
+      this.settle({type: 'delivered', head});
+      return;
+    }
+    const {asksForPause} = this;
+    const body = this.buffered.take();
+    this.settle({type: 'whole', answer: {head, body}, asksForPause});
+  }
+
   /** Starts streaming a body that exceeds the buffer limit. */
   private flush(controller: Dispatcher.DispatchController): void {
     const {head} = this;
--- a/src/forward/connections.ts
+++ b/src/forward/connections.ts
@@ -1,6 +1,8 @@
 import type {Socket} from 'node:net';
 import {Client, type Dispatcher} from 'undici';
 import {
+  LATE_RESET_MS,
+  LONG_REQUEST_BYTES,
   Path,
   RelayFailure,
   type DialCallback,
@@ -59,6 +61,9 @@
   /** Whether its socket was ever open. */
   hasConnected = false;
   private readonly client: Client;
+  private socket?: Socket;
+  /** Whether the last request is too long to be taken by a system at once. */
+  private isRequestLong = false;
   /** Whether a part of a response came since bytes were last read. */
   private hasProgressed = false;
 
@@ -84,9 +89,11 @@
           const {socket, path, peer} = result.value;
           this.path = path;
           if (peer !== undefined) this.peer = peer;
+          this.socket = socket;
           this.hasConnected = true;
           // A socket that is opened anew may lead to another process.
           delete this.processStartedAt;
+          this.setHalfOpen(socket);
           this.watchForReset(socket);
           this.watchForBarrenBytes(socket);
           callback(null, socket);
@@ -117,18 +124,64 @@
     return this.hasConnected && this.open;
   }
 
+  /** Whether a part of the request waits here, as the other end takes no more. */
+  get hasUnsentBytes(): boolean {
+    return this.socket !== undefined && this.socket.writableLength > 0;
+  }
+
   dispatch(
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): void {
+    const {body} = options;
+    this.isRequestLong =
+      Buffer.isBuffer(body) && body.length > LONG_REQUEST_BYTES;
+    if (this.socket !== undefined) this.setHalfOpen(this.socket);
     this.client.dispatch(options, new StatusGuard(handler));
   }
 
+  /**
+   * Whether a reset may follow the end of a response in order, as the other end
+   * may not have read the whole request. A peer awaits that itself.
+   */
+  get mayBeResetLate(): boolean {
+    return this.isRequestLong && this.path === Path.Direct;
+  }
+
+  /**
+   * Keeps the socket open for a while after its other end has closed it in
+   * order, though the HTTP client is done with it; resolves to whether it was
+   * reset meanwhile.
+   */
+  async awaitReset(timer: Pick<Timer, 'sleep'>): Promise<boolean> {
+    const {socket} = this;
+    if (socket === undefined) return true;
+    let cause: NodeJS.ErrnoException | undefined;
+    socket.destroy = (error?: NodeJS.ErrnoException) => {
+      cause ??= error;
+      return socket;
+    };
+    await timer.sleep(LATE_RESET_MS);
+    Reflect.deleteProperty(socket, 'destroy');
+    const isFailure = cause?.syscall !== undefined;
+    const wasReset = isFailure || socket.remoteAddress === undefined;
+    socket.destroy(cause);
+    return wasReset;
+  }
+
   destroy(): void {
     this.open = false;
     void this.client.destroy();
   }
 
+  /**
+   * Keeps a socket half-open after its other end has closed it, if a reset may
+   * follow: one that both ends have closed looks like one that was reset.
+   */
+  private setHalfOpen(socket: Socket): void {
+    socket.allowHalfOpen = this.mayBeResetLate;
+  }
+
   /** Notes that a head or bytes of a body were received. */
   noteProgress(): void {
     this.hasProgressed = true;
@@ -163,8 +216,10 @@
       }
     });
     // A reset that is read together with the last bytes ends the socket like a
-    // close. Only a socket that was reset has no remote address then.
+    // close. Only a socket that was reset has no remote address then. Once read,
+    // the address is kept, so that a later reset would not be seen.
     socket.on('end', () => {
+      if (this.mayBeResetLate) return;
       if (socket.remoteAddress === undefined) this.reset = true;
     });
   }
--- a/src/instance/peerrpc.ts
+++ b/src/instance/peerrpc.ts
@@ -19,6 +19,7 @@
 import {TrafficMeter, meteredConnector} from '../platform/index.js';
 import {MAC_HEADER, type Credential} from './credential.js';
 import {tlsClientOptions, tlsServerOptions, type TlsFiles} from './peertls.js';
+import type {Timer} from '../timer/index.js';
 import {serveTunnel, type TunnelHandler} from './peertunnel.js';
 
 /** HTTP path of the JSON-RPC endpoint. */
@@ -90,15 +91,20 @@
   }
 
   /** Opens connections to upstreams for peers; without, they are refused. */
-  handleTunnels(handler: TunnelHandler): void {
+  handleTunnels(handler: TunnelHandler, timer: Pick<Timer, 'sleep'>): void {
     this.server.on(
       'connect',
       (message: IncomingMessage, socket: Socket, head: Buffer) => {
         this.tunnels.add(socket);
         socket.once('close', () => this.tunnels.delete(socket));
-        serveTunnel(this.credential, handler, message, socket, head).catch(() =>
-          socket.destroy(),
-        );
+        serveTunnel(
+          this.credential,
+          handler,
+          message,
+          socket,
+          head,
+          timer,
+        ).catch(() => socket.destroy());
       },
     );
   }
--- a/src/instance/peertunnel.ts
+++ b/src/instance/peertunnel.ts
@@ -10,6 +10,7 @@
   type Tunnels,
   type UpstreamAddress,
 } from '../relay/index.js';
+import type {Timer} from '../timer/index.js';
 import {MAC_HEADER, type Credential} from './credential.js';
 import {tlsClientOptions, type TlsFiles} from './peertls.js';
 
@@ -39,6 +40,7 @@
   {url = '', headers}: Pick<IncomingMessage, 'url' | 'headers'>,
   socket: Socket,
   head: Buffer,
+  timer: Pick<Timer, 'sleep'>,
 ): Promise<void> {
   socket.on('error', () => undefined);
   const mac = headers[MAC_HEADER];
@@ -68,7 +70,7 @@
       socket.setTimeout(IDLE_LIMIT_MS, () => socket.destroy());
       socket.write('HTTP/1.1 200 Connection Established\r\n\r\n');
       if (head.length > 0) reply.socket.write(head);
-      joinSockets(socket, reply.socket);
+      joinSockets(socket, reply.socket, timer);
   }
 }
 
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -1,5 +1,6 @@
 export {Dialer, RelayFailure} from './dialer.js';
 export type {DialCallback, OpenConnection, UpstreamDialer} from './dialer.js';
+export {LATE_RESET_MS, LONG_REQUEST_BYTES} from './latereset.js';
 export {Isolation, Path, Reachability} from './reachability.js';
 export {RelayChoice} from './relaychoice.js';
 export type {RelayPeer} from './relaychoice.js';
--- a/src/relay/relayserver.ts
+++ b/src/relay/relayserver.ts
@@ -1,6 +1,7 @@
 import type {Socket} from 'node:net';
 import type {Timer} from '../timer/index.js';
 import type {UpstreamDialer} from './dialer.js';
+import {LATE_RESET_MS, LONG_REQUEST_BYTES} from './latereset.js';
 import {Path} from './reachability.js';
 import type {TunnelReply, UpstreamAddress} from './tunnel.js';
 import type {UpstreamLinks} from './upstreamlinks.js';
@@ -97,14 +98,19 @@
 }
 
 /** Passes bytes on between a peer and an upstream until either ends. */
-export function joinSockets(peer: Socket, upstream: Socket): void {
-  // A reset that is read together with the last bytes ends the socket like a
-  // close. Only a socket that was reset has no remote address then.
+export function joinSockets(
+  peer: Socket,
+  upstream: Socket,
+  timer: Pick<Timer, 'sleep'>,
+): void {
+  // Its end is passed on only once no reset follows.
+  upstream.allowHalfOpen = true;
   upstream.once('end', () => {
-    if (upstream.remoteAddress === undefined) peer.resetAndDestroy();
+    if (upstream.bytesWritten <= LONG_REQUEST_BYTES) passEnd(peer, upstream);
+    else void timer.sleep(LATE_RESET_MS).then(() => passEnd(peer, upstream));
   });
   peer.pipe(upstream, {end: false});
-  upstream.pipe(peer);
+  upstream.pipe(peer, {end: false});
   // HTTP clients close a connection as a whole.
   for (const event of ['end', 'close', 'error']) {
     peer.once(event, () => upstream.destroy());
@@ -115,3 +121,19 @@
     if (!upstream.readableEnded) peer.resetAndDestroy();
   });
 }
+
+/**
+ * Ends a peer's connection like that of its upstream. A reset that is read
+ * together with the last bytes ends the socket like a close; only a socket that
+ * was reset has no remote address then. An upstream that ends the connection
+ * while it takes no more of the request may have broken off.
+ */
+function passEnd(peer: Socket, upstream: Socket): void {
+  const wasReset = upstream.remoteAddress === undefined;
+  if (wasReset || upstream.writableLength > 0) {
+    peer.resetAndDestroy();
+  } else {
+    peer.end();
+    upstream.end();
+  }
+}
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -281,7 +281,7 @@
       endpoints: () => this.endpoints,
       probes: () => this.probes,
       tunnels: transport.tunnels,
-      handleTunnels: handler => transport.server.handleTunnels(handler),
+      handleTunnels: handler => transport.server.handleTunnels(handler, timer),
       peers: () => this.fleet.peerAddresses(),
       isLeaving: () => this.drainSchedule !== undefined,
     });
--- a/test/tunnel.test.ts
+++ b/test/tunnel.test.ts
@@ -5,6 +5,7 @@
 import {Credential, PeerServer} from '../src/instance/index.js';
 import {PeerTunnels} from '../src/instance/peertunnel.js';
 import type {TunnelReply} from '../src/relay/index.js';
+import {SystemTimer} from '../src/timer/index.js';
 
 const HOST = '127.0.0.1';
 const SECRET = 'a-secret-of-sixteen-letters';
@@ -34,7 +35,7 @@
     const socket = connect({host, port});
     await once(socket, 'connect');
     return {type: 'opened', socket};
-  });
+  }, new SystemTimer());
   peer = {host: HOST, port: await server.listen(HOST, 0)};
 });
 
