Judge the end of an answer while a late reset is awaited

For long requests the question whether the end of the process ended an answer without a length was asked 250 ms after that end, once no reset had followed. Ends of other connections count as signs for 250 ms, so those at the same moment could have been missed, and a connection opened meanwhile taken for one that stood before. The question now begins with the end, and the wait costs no more.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -61,6 +61,11 @@
   sent?(): void;
   /** Called at the head of an answer, and at bytes of it that are buffered. */
   received?(): void;
+  /**
+   * Called when an answer has ended whose connection may still be reset, before
+   * that is awaited.
+   */
+  ended?(): void;
   /** Called when the first event of a stream is complete. */
   advanced?(): void;
   /**
@@ -241,6 +246,7 @@
   }
 
   private async completeUnlessReset(head: ReceivedHead): Promise<void> {
+    this.spec.ended?.();
     const wasReset = await this.connection.awaitReset(this.spec.timer);
     if (wasReset) {
       this.break('reset after an answer without length', BreakCause.Upstream);
--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -50,6 +50,8 @@
    * is expected.
    */
   private answer?: WitnessedAnswer;
+  /** Who ended the answer, if that is sought before the attempt has ended. */
+  private answerEnd?: Promise<AnswerEnd>;
   /** Whether the head of an answer has come. */
   private hasStarted = false;
   /** Whether a complete event has come. */
@@ -197,6 +199,9 @@
           this.answer ??= this.prepareWitness(connection);
           listener.onSent();
         },
+        ended: () => {
+          this.answerEnd = this.answer?.judge(deadline.at - timer.now());
+        },
         advanced: () => {
           this.hasAdvanced = true;
           promptGuard.recordAnswer(parts);
@@ -273,7 +278,7 @@
       return result;
     }
     const leftMs = this.context.deadline.at - this.dependencies.timer.now();
-    const end = await answer.judge(leftMs);
+    const end = await (this.answerEnd ?? answer.judge(leftMs));
     switch (end) {
       case AnswerEnd.Whole:
         return result;
--- a/test/early-answers.test.ts
+++ b/test/early-answers.test.ts
@@ -1,7 +1,9 @@
+import type {Socket} from 'node:net';
 import {afterEach, describe, expect, test} from 'vitest';
 import {
   call,
   openTestFeed,
+  PROCESS_START,
   RawUpstream,
   startGatewayOn,
   successHead,
@@ -188,6 +190,37 @@
   expect([answer?.status, answer?.complete]).toEqual([502, true]);
 });
 
+test.each([
+  {listener: 'the same process', bornMs: 0},
+  {listener: 'the next process', bornMs: 1_000},
+])(
+  'an answer without a length to a long upload whose connection ends with others, where $listener listens, does not look whole',
+  async ({bornMs}) => {
+    let born = PROCESS_START;
+    const asked: Socket[] = [];
+    const raw = new RawUpstream(({id, text, socket}) => {
+      if (text.startsWith('GET /v1/report ')) {
+        asked.push(socket);
+        const body = JSON.stringify({born});
+        const length = `Content-Length: ${body.length}\r\n`;
+        socket.write(`HTTP/1.1 200 \r\n${length}\r\n${body}`);
+      } else if (id !== '') {
+        socket.write(`${successHead(id, '')}part`);
+        setTimeout(() => {
+          born += bornMs;
+          raw.hangUp();
+        }, 150);
+      }
+    });
+    upstreams.push(raw);
+    const entry = {service: 'plain', id: 'i-1', port: await raw.listen()};
+    ({gateway} = await startGatewayOn(openTestFeed([entry]), 300));
+    const answer = await send(gateway.port, '/order/a');
+    expect(asked.length).toBeGreaterThan(0);
+    expect([answer?.status, answer?.complete]).toEqual([502, true]);
+  },
+);
+
 test('answers without a length are whole if their upload was read', async () => {
   const respond = (request: RawRequest) =>
     readThenAnswer(request, `${successHead(request.id, '')}whole`);
