--- a/src/forward/endpoint.ts
+++ b/src/forward/endpoint.ts
@@ -3,7 +3,7 @@
 import type {Engine} from '../route/index.js';
 import {SystemTimer, type Timer} from '../timer/index.js';
 import {PromptCacheModel} from './promptcache.js';
-import {ConnectionPool} from './connections.js';
+import {ConnectionPool} from './connectionpool.js';
 import {DirectDialer} from './directdialer.js';
 import {Health} from './health.js';
 import {OwnLoad} from './load.js';
--- a/test/defects.test.ts
+++ b/test/defects.test.ts
@@ -1,5 +1,5 @@
 import {afterEach, expect, test, vi} from 'vitest';
-import {ConnectionPool} from '../src/forward/connections.js';
+import {ConnectionPool} from '../src/forward/connectionpool.js';
 import {LogEvent} from '../src/telemetry/index.js';
 import {
   call,
