Bound the processor time that answers in small parts take

Callers got no answer while upstreams answered without end in chunks of one byte or events of nine: with 120 such requests a second for 4 s, deadline 2 s, some took up to 30 s, and requests to a sound upstream beside them up to 28 s. Resident memory reached 185 MB.

Cause: bytes of answers were bounded, objects and processor time weren't. Each chunk was passed on by itself, and became a write to the caller and an object that waits for it; the event loop was late for everything, deadlines among it.

The chunks of one read are now passed on as one piece, in the same turn. Each answer has a share of work of its own, and draws on one pool of the instance beyond that; when the pool is empty, it isn't read for a while. One in small parts that has waited for a second in sum is broken off as its upstream's fault, so that health counts it. The parser stops in the middle of a read, as undici returns what is left to the socket. Reports count in the same limit. The last id of a piece of events is sought from its end, without a list of all ids.

What is broken off here is logged (answerFault) and counted by cause, for callers' requests and for the instance's own questions; a late event loop is logged with the upstream whose answers brought most.

Deadlines of the test of paused answers in attempt.test.ts are as before, but it now sends its bytes twice, as the parser pauses at the next bytes only.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,6 +1,9 @@
 import type {Dispatcher} from 'undici';
 import type {Subscription, Timer} from '../timer/index.js';
+import {AnswerFlow} from './answerflow.js';
+import {AnswerFault, type Answers} from './answers.js';
 import {ByteCollector} from './bytes.js';
+import {ChunkJoiner} from './chunkjoiner.js';
 import type {Connection} from './connections.js';
 import {
   AnswerProgress,
@@ -55,6 +58,7 @@
   body: Buffer;
   sink: Sink;
   timer: Timer;
+  answers: Answers;
   /** Aborts the attempt. */
   signal: AbortSignal;
   /** Called when the request is about to be written to its connection. */
@@ -91,12 +95,24 @@
   private readonly onAbort = () =>
     this.abort(`broken off: ${String(this.spec.signal.reason)}`);
   private readonly connection: Connection;
+  private readonly flow: AnswerFlow;
+  private readonly joiner = new ChunkJoiner(bytes => this.receive(bytes));
 
   constructor(
     private readonly spec: AttemptSpec,
     private readonly resolve: (result: AttemptResult) => void,
   ) {
-    this.connection = spec.connection ?? spec.endpoint.connections.acquire();
+    const {endpoint, answers, timer, request} = spec;
+    const connection = spec.connection ?? endpoint.connections.acquire();
+    this.connection = connection;
+    this.flow = new AnswerFlow({
+      answers,
+      timer,
+      endpoint,
+      connection,
+      request: request.id,
+      breakOff: () => this.breakOff(AnswerFault.SmallParts),
+    });
   }
 
   send(): void {
@@ -193,28 +209,38 @@
   ): void {
     // The end of a connection may resume its parser, which passes on nothing.
     if (chunk.length === 0) return;
-    this.connection.noteProgress();
+    if (this.settled && this.refusalTimeout === undefined) return;
+    if (this.joiner.isEmpty) this.connection.noteProgress();
+    this.joiner.push(chunk);
+    this.flow.addChunk(controller, chunk.length);
+  }
+
+  /** Takes the bytes of one read. */
+  private receive(bytes: Buffer): void {
+    const {controller, buffered} = this;
+    this.flow.noteRead(bytes.length);
     if (this.refusalTimeout !== undefined) {
-      this.buffered.push(chunk);
-      if (this.buffered.length > REFUSAL_BODY_LIMIT_BYTES) {
-        this.endRefusal(false);
+      buffered.push(bytes);
+      if (buffered.length > REFUSAL_BODY_LIMIT_BYTES) {
+        this.breakOff(AnswerFault.LongRefusal);
       }
     }
-    if (this.settled) return;
+    if (this.settled || controller === undefined) return;
     const {endpoint, timer} = this.spec;
     endpoint.noteHeard(this.connection.path, timer.now());
     if (!this.deliveryStarted) {
       if (this.answered) this.spec.received?.();
-      this.buffered.push(chunk);
-      if (this.buffered.length > BUFFER_LIMIT_BYTES) this.flush(controller);
+      buffered.push(bytes);
+      if (buffered.length > BUFFER_LIMIT_BYTES) this.flush(controller);
       return;
     }
-    this.deliver(controller, chunk);
+    this.deliver(controller, bytes);
   }
 
   onResponseEnd(): void {
     const {head} = this;
     this.connection.hasResponded = true;
+    this.joiner.flush();
     this.endRefusal(true);
     if (head === undefined) {
       this.break('no answer', BreakCause.Upstream);
@@ -239,6 +265,8 @@
     error: Error,
   ): void {
     const cause = `${error.name}: ${error.message}`;
+    this.joiner.flush();
+    this.flow.recordError(error);
     this.endRefusal(false);
     if (this.controller === undefined) this.settle({type: 'unsent', cause});
     else this.break(cause, BreakCause.Upstream);
@@ -249,7 +277,7 @@
     const {head} = this;
     if (head === undefined) return;
     if (head.status >= 300) {
-      this.abort('a failure that is too long', BreakCause.Upstream);
+      this.breakOff(AnswerFault.LongFailure);
       return;
     }
     this.deliveryStarted = true;
@@ -264,20 +292,28 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
-    this.scan(chunk);
+    this.scan(controller, chunk);
     const {sink} = this.spec;
-    const wantsMore = sink.data(chunk, () => this.connection.resume());
+    const wantsMore = sink.data(chunk, () => this.flow.callerReads());
     if (sink.heldBytes > BUFFER_LIMIT_BYTES) {
-      this.abort('an event that is too long', BreakCause.Upstream);
-    } else if (!wantsMore) this.connection.pause(controller);
+      this.breakOff(AnswerFault.LongEvent);
+    } else if (!wantsMore) this.flow.waitForCaller(controller);
   }
 
-  private scan(chunk: Buffer): void {
+  private scan(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     const {events} = this;
     if (events === undefined) return;
-    const isFirst = events.events === 0;
+    const before = events.events;
     events.scan(chunk);
-    if (isFirst && events.events > 0) this.spec.advanced?.();
+    if (before === 0 && events.events > 0) this.spec.advanced?.();
+    this.flow.addEvents(controller, events.events - before);
+  }
+
+  /** Breaks off an answer for what its upstream has sent. */
+  private breakOff(fault: AnswerFault): void {
+    this.flow.recordFault(fault);
+    if (this.refusalTimeout !== undefined) this.endRefusal(false);
+    else this.abort(`broken off: ${fault}`, BreakCause.Upstream);
   }
 
   private abort(cause: string, endedBy = BreakCause.Abort): void {
@@ -321,6 +357,7 @@
     const {refusalTimeout, controller} = this;
     if (refusalTimeout === undefined) return;
     refusalTimeout.end();
+    this.flow.end();
     delete this.refusalTimeout;
     this.release(intact);
     if (!intact) controller?.abort(new Interruption());
@@ -329,6 +366,7 @@
   private settle(result: AttemptResult): void {
     if (this.settled) return;
     this.settled = true;
+    if (result.type !== 'refused') this.flow.end();
     this.spec.signal.removeEventListener('abort', this.onAbort);
     switch (result.type) {
       case 'whole':
--- a/src/forward/dependencies.ts
+++ b/src/forward/dependencies.ts
@@ -4,6 +4,7 @@
 import type {RegistryEntry} from '../registry/index.js';
 import type {Routing} from '../route/index.js';
 import type {Timer} from '../timer/index.js';
+import type {Answers} from './answers.js';
 import type {ByteBudget} from './bytebudget.js';
 import type {ChunkLimit} from './chunklimit.js';
 import type {Endpoint} from './endpoint.js';
@@ -44,6 +45,7 @@
   bodies: ByteBudget;
   /** Processor time for bodies in small chunks. */
   smallChunks: ChunkLimit;
+  answers: Answers;
   observer: ResponseObserver;
   promptGuard: PromptGuard;
   /** Where streams began that callers may take up. */
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -3,8 +3,9 @@
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const COLON = 0x3a;
-/** Matches the id field of events; lines end with CR, LF or both. */
-const ID_FIELD = /(?:^|[\r\n])id:([^\r\n]*)/g;
+const ID_FIELD = Buffer.from('id:');
+/** Matches the rest of a line; lines end with CR, LF or both. */
+const REST_OF_LINE = /^[^\r\n]*/;
 
 /** The complete events at the head of the buffered stream. */
 export interface CompleteEvents {
@@ -82,11 +83,8 @@
     }
     const bytes = this.completeWith(chunk.subarray(0, end));
     this.pending.push(chunk.subarray(end));
-    return {
-      bytes,
-      events: this.scanner.events - eventsBefore,
-      ...readIds(bytes),
-    };
+    const events = this.scanner.events - eventsBefore;
+    return {bytes, events, ...readIds(bytes, events)};
   }
 
   /** Number of bytes after the last complete event. */
@@ -106,14 +104,28 @@
   }
 }
 
-/** Id of the last event that has one, and whether others follow it. */
+/** Id of the last of `events` events that has one, and whether others follow. */
 function readIds(
   complete: Buffer,
+  events: number,
 ): Pick<CompleteEvents, 'lastEvent' | 'endsWithoutId'> {
-  const last = [...complete.toString('latin1').matchAll(ID_FIELD)].at(-1);
-  const rest = new EventScanner();
-  rest.scan(complete.subarray(last?.index));
-  const {events} = rest;
-  if (last === undefined) return {endsWithoutId: events > 0};
-  return {lastEvent: (last[1] ?? '').trim(), endsWithoutId: events > 1};
+  const at = lastIdField(complete);
+  if (at === undefined) return {endsWithoutId: events > 0};
+  const rest = complete.subarray(at);
+  const line = rest.toString('latin1', ID_FIELD.length);
+  const [id = ''] = REST_OF_LINE.exec(line) ?? [];
+  const scanner = new EventScanner();
+  scanner.scan(rest);
+  return {lastEvent: id.trim(), endsWithoutId: scanner.events > 1};
+}
+
+/** Offset of the last id field; undefined if there is none. */
+function lastIdField(bytes: Buffer): number | undefined {
+  let at = bytes.lastIndexOf(ID_FIELD);
+  while (at > 0) {
+    const before = bytes[at - 1];
+    if (before === LINE_FEED || before === CARRIAGE_RETURN) return at;
+    at = bytes.lastIndexOf(ID_FIELD, at - 1);
+  }
+  return at === 0 ? 0 : undefined;
 }
--- a/src/forward/index.ts
+++ b/src/forward/index.ts
@@ -4,6 +4,8 @@
 export {WaitQueue} from './waitqueue.js';
 export {listen, Listener} from './listener.js';
 export type {Address} from './listener.js';
+export {Answers} from './answers.js';
+export type {UpstreamRead} from './answers.js';
 export {ChunkLimit} from './chunklimit.js';
 export {ByteBudget} from './bytebudget.js';
 export {ForwardMetrics} from './metrics.js';
--- a/src/forward/metrics.ts
+++ b/src/forward/metrics.ts
@@ -1,4 +1,5 @@
 import {build, type Histogram} from 'hdr-histogram-js';
+import type {AnswerFault} from './answers.js';
 import type {Ending} from './ending.js';
 import {isCharged, type RepeatCause} from './repeatcause.js';
 
@@ -10,6 +11,7 @@
 export class ForwardMetrics {
   private readonly requestCounts = new Map<string, number>();
   private readonly repeatCounts = new Map<string, number>();
+  private readonly answerFaultCounts = new Map<string, number>();
   private readonly latencies = new Map<string, Histogram>();
 
   /** Counts the end of a request, and its latency if it was answered. */
@@ -33,6 +35,16 @@
     this.repeatCounts.set(labels, (this.repeatCounts.get(labels) ?? 0) + 1);
   }
 
+  /**
+   * Counts an answer that was broken off here; `ofRequest`: whether it answered a
+   * caller's request, and not a question of this instance.
+   */
+  recordAnswerFault(fault: AnswerFault, ofRequest: boolean): void {
+    const labels = `cause="${fault}",asked_by="${ofRequest ? 'caller' : 'instance'}"`;
+    const count = this.answerFaultCounts.get(labels) ?? 0;
+    this.answerFaultCounts.set(labels, count + 1);
+  }
+
   /** Metrics in the Prometheus text format; `gauges` adds plain values. */
   exposition(gauges: Record<string, number>): string {
     const lines: string[] = [];
@@ -42,6 +54,9 @@
     for (const [labels, count] of this.repeatCounts) {
       lines.push(`gypsumcourse_repeats_total{${labels}} ${count}`);
     }
+    for (const [labels, count] of this.answerFaultCounts) {
+      lines.push(`gypsumcourse_answers_broken_off_total{${labels}} ${count}`);
+    }
     for (const [route, histogram] of this.latencies) {
       for (const quantile of QUANTILES) {
         const value = histogram.getValueAtPercentile(quantile);
--- a/src/forward/processreport.ts
+++ b/src/forward/processreport.ts
@@ -1,6 +1,8 @@
 import {err, ok, type Result} from 'neverthrow';
 import type {Dispatcher} from 'undici';
 import type {Timer} from '../timer/index.js';
+import {AnswerFlow} from './answerflow.js';
+import {AnswerFault, type Answers} from './answers.js';
 import {ByteCollector} from './bytes.js';
 import type {Connection} from './connections.js';
 import type {Endpoint} from './endpoint.js';
@@ -16,6 +18,7 @@
   connection: Connection;
   protocol: Protocol;
   timer: Timer;
+  answers: Answers;
   /** Breaks the request off. */
   signal: AbortSignal;
   /** Called with the head of the report. */
@@ -34,21 +37,36 @@
   connection,
   protocol,
   timer,
+  answers,
   signal,
   observe,
 }: ReportSpec): Promise<Result<Report, Error>> {
   return new Promise(resolve => {
     let status = 0;
     const body = new ByteCollector();
+    let breakOff = () => {};
+    const flow = new AnswerFlow({
+      answers,
+      timer,
+      endpoint,
+      connection,
+      breakOff: () => {
+        flow.recordFault(AnswerFault.SmallParts);
+        breakOff();
+      },
+    });
     const finish = (result: Result<Report, Error>) => {
       signal.removeEventListener('abort', onAbort);
+      flow.end();
       if (result.isOk()) connection.hasResponded = true;
       resolve(result);
     };
     const onAbort = () => finish(err(new BrokenOff()));
     signal.addEventListener('abort', onAbort, {once: true});
     const handler: Dispatcher.DispatchHandler = {
-      onRequestStart: () => undefined,
+      onRequestStart: controller => {
+        breakOff = () => controller.abort(new BrokenOff());
+      },
       onResponseStart: (_controller, received, headers) => {
         status = received;
         observe({...protocol.readResponse(status, headers), status});
@@ -59,12 +77,17 @@
       onResponseData: (controller, chunk) => {
         connection.noteProgress();
         body.push(chunk);
+        flow.addChunk(controller, chunk.length);
         if (body.length > REPORT_LIMIT_BYTES) {
+          flow.recordFault(AnswerFault.LongReport);
           controller.abort(new OversizedReport());
         }
       },
       onResponseEnd: () => finish(ok({status, body: body.take()})),
-      onResponseError: (_controller, error) => finish(err(error)),
+      onResponseError: (_controller, error) => {
+        flow.recordError(error);
+        finish(err(error));
+      },
     };
     try {
       connection.dispatch({method: 'GET', path: protocol.probeTarget}, handler);
--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -99,7 +99,7 @@
    */
   private async connect(): Promise<Connection | undefined> {
     const {dependencies, endpoint} = this;
-    const {protocol, timer, observer} = dependencies;
+    const {protocol, timer, observer, answers} = dependencies;
     this.answer = this.prepareWitness();
     const connection = endpoint.connections.acquire();
     if (this.placementRequest.softwareVersion === undefined) return connection;
@@ -114,6 +114,7 @@
       connection,
       protocol,
       timer,
+      answers,
       signal,
       observe: head => {
         observer.observe(endpoint, head);
@@ -188,6 +189,7 @@
         body,
         sink,
         timer,
+        answers: dependencies.answers,
         signal: AbortSignal.any([
           outlivesCaller ? deadline.expirySignal : deadline.signal,
           this.controller.signal,
--- a/src/forward/witness.ts
+++ b/src/forward/witness.ts
@@ -3,6 +3,7 @@
 import {Closing, type Connection} from './connections.js';
 import type {Endpoint} from './endpoint.js';
 import type {LivenessProber} from './liveness.js';
+import type {Answers} from './answers.js';
 import {fetchReport} from './processreport.js';
 import type {Protocol} from './protocol.js';
 import type {ResponseObserver} from './responseobserver.js';
@@ -24,6 +25,7 @@
   protocol: Protocol;
   timer: Timer;
   observer: ResponseObserver;
+  answers: Answers;
   prober: Pick<LivenessProber, 'refuses'>;
 }
 
@@ -299,7 +301,7 @@
   /** Asks for the upstream's report, if it takes a request beyond its callers'. */
   private async askOn(connection: Connection): Promise<Finding> {
     const {parts, endpoint} = this;
-    const {protocol, timer, observer} = parts;
+    const {protocol, timer, observer, answers} = parts;
     const isPaused = endpoint.pause.remainingMs(timer.now()) > 0;
     if (isPaused || endpoint.limit.perSecond !== undefined) {
       const refuses = await parts.prober.refuses(endpoint, this.sample.path);
@@ -312,6 +314,7 @@
       connection,
       protocol,
       timer,
+      answers,
       signal: NEVER,
       observe: head => {
         asksForPause = observer.observe(endpoint, head);
--- a/src/report/requesthistory.ts
+++ b/src/report/requesthistory.ts
@@ -63,6 +63,7 @@
   upstreams: ReadonlySet<string | undefined>,
 ): boolean {
   switch (event) {
+    case LogEvent.AnswerFault:
     case LogEvent.Crash:
     case LogEvent.Health:
     case LogEvent.Leaving:
--- a/src/telemetry/logevent.ts
+++ b/src/telemetry/logevent.ts
@@ -3,6 +3,8 @@
  * docs/LOGS.md.
  */
 export enum LogEvent {
+  /** An answer of an upstream was broken off here. */
+  AnswerFault = 'answerFault',
   /** A configuration was applied or ignored. */
   Configuration = 'configuration',
   /** An upstream crashed while it began to answer. */
--- a/src/wiring/eventlooplag.ts
+++ b/src/wiring/eventlooplag.ts
@@ -1,4 +1,5 @@
 import type {Logger} from 'pino';
+import type {UpstreamRead} from '../forward/index.js';
 import {LogEvent} from '../telemetry/index.js';
 import type {Timer} from '../timer/index.js';
 
@@ -18,7 +19,11 @@
     private readonly logger: Logger,
   ) {}
 
-  note(ms: number): void {
+  /**
+   * Notes a delay. `largest`: the upstream whose answers brought most since the
+   * last call.
+   */
+  note(ms: number, largest: UpstreamRead | undefined): void {
     const now = this.timer.now();
     const {delays} = this;
     this.forget();
@@ -27,7 +32,7 @@
     if (ms < LOGGED_DELAY_MS || now - this.loggedAt < WINDOW_MS) return;
     this.loggedAt = now;
     this.logger.warn(
-      {event: LogEvent.Lag, lateMs: Math.round(ms)},
+      {event: LogEvent.Lag, lateMs: Math.round(ms), ...largest},
       'The event loop is late.',
     );
   }
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -1,6 +1,7 @@
 import {setMaxListeners} from 'node:events';
 import type {Logger} from 'pino';
 import {
+  Answers,
   Endpoints,
   ForwardMetrics,
   LivenessProber,
@@ -81,6 +82,7 @@
   private readonly services: ServiceStates;
   private readonly metrics = new ForwardMetrics();
   private readonly lag: EventLoopLag;
+  private readonly answers: Answers;
   private readonly observer: ResponseObserver;
   private readonly probes: LivenessProber;
   private readonly promptGuard: PromptGuard;
@@ -122,6 +124,8 @@
     this.relays = this.createRelays();
     this.endpoints = new Endpoints(settings.host, this.relays.dialer, timer);
     const upstreamLogger = componentLogger(root, Component.Upstream);
+    const {metrics} = this;
+    this.answers = new Answers({timer, logger: upstreamLogger, metrics});
     this.observer = new ResponseObserver({
       endpoints: this.endpoints,
       timer,
@@ -164,6 +168,7 @@
       logger: this.requestLogger,
       metrics: this.metrics,
       ...callerBoundsOf(settings, timer),
+      answers: this.answers,
       observer: this.observer,
       promptGuard: this.promptGuard,
       origins: this.fleet.origins,
@@ -184,6 +189,7 @@
         protocol: platform.protocol,
         timer,
         observer: this.observer,
+        answers: this.answers,
         prober: this.probes,
       }),
       reachesDirectly: ({entry}) =>
@@ -206,7 +212,7 @@
       watchStalls(this.timer, this.logger, {
         checked: lateMs => {
           this.registry.sweep();
-          this.lag.note(lateMs);
+          this.lag.note(lateMs, this.answers.takeLargest());
         },
         resumed: () => this.fleet.wake(),
       }),
@@ -381,6 +387,7 @@
         this.timer.now(),
       ),
       ...this.relays.gauges(),
+      ...this.answers.gauges(),
       ...this.observer.gauges(),
       ...this.promptGuard.gauges(),
       ...this.fleet.origins.gauges(),
--- a/test/attempt.test.ts
+++ b/test/attempt.test.ts
@@ -9,6 +9,7 @@
 import {Endpoint} from '../src/forward/endpoint.js';
 import {EntryState} from '../src/registry/index.js';
 import {SystemTimer} from '../src/timer/index.js';
+import {openAnswers} from './support/answers.js';
 import {RawUpstream, successHead, type RawRequest} from './support/gateway.js';
 
 const upstreams: RawUpstream[] = [];
@@ -64,6 +65,7 @@
     body: Buffer.alloc(0),
     sink,
     timer,
+    answers: openAnswers(),
     signal: AbortSignal.timeout(abortAfterMs),
     observe: () => false,
   });
@@ -188,8 +190,8 @@
 describe('an upstream whose last bytes wait for their caller', () => {
   test.each([
     {name: 'without a length', framing: '', whole: true},
-    {name: 'of a length', framing: 'Content-Length: 15\r\n', whole: true},
-    {name: 'of a longer length', framing: 'Content-Length: 16\r\n'},
+    {name: 'of a length', framing: 'Content-Length: 30\r\n', whole: true},
+    {name: 'of a longer length', framing: 'Content-Length: 31\r\n'},
     {name: 'in chunks', framing: CHUNKED},
   ])('may end its answer $name', async ({framing, whole = false}) => {
     const head = successHead(
@@ -200,9 +202,10 @@
     for (const {end} of ENDS.slice(0, 2)) {
       const result = await attempt(
         request => {
-          request.socket.write(
-            head + (framing === CHUNKED ? chunk(EVENT) : EVENT),
-          );
+          const bytes = framing === CHUNKED ? chunk(EVENT) : EVENT;
+          request.socket.write(head + bytes);
+          // The parser pauses at the first bytes that come while it has to.
+          setTimeout(() => request.socket.write(bytes), UNREAD_MS / 4);
           setTimeout(() => end(request), UNREAD_MS / 2);
         },
         2_000,
--- a/test/eventlooplag.test.ts
+++ b/test/eventlooplag.test.ts
@@ -13,7 +13,7 @@
   const note = async (...delays: number[]) => {
     for (const ms of delays) {
       await timer.advance(250);
-      lag.note(ms);
+      lag.note(ms, {upstream: 'i-1', chunks: 7, bytes: 70});
     }
   };
   return {timer, lag, lines, note};
@@ -37,7 +37,7 @@
   await timer.advance(10_000);
   await note(400);
   expect(lines).toMatchObject([
-    {event: LogEvent.Lag, lateMs: 250},
+    {event: LogEvent.Lag, lateMs: 250, upstream: 'i-1', chunks: 7},
     {event: LogEvent.Lag, lateMs: 400},
   ]);
 });
--- a/test/processcheck.test.ts
+++ b/test/processcheck.test.ts
@@ -6,11 +6,13 @@
 import type {ResponseHead} from '../src/forward/index.js';
 import {EntryState} from '../src/registry/index.js';
 import {SystemTimer} from '../src/timer/index.js';
+import {openAnswers} from './support/answers.js';
 import {RawUpstream, type RawRequest} from './support/gateway.js';
 
 const HOST = '127.0.0.1';
 const STARTED_AT = 1_700_000_000_000;
 const timer = new SystemTimer();
+const answers = openAnswers();
 const upstreams: RawUpstream[] = [];
 
 afterEach(() => {
@@ -41,7 +43,15 @@
     heads.push(head);
   };
   const check = () =>
-    checkProcess({endpoint, connection, protocol, timer, signal, observe});
+    checkProcess({
+      endpoint,
+      connection,
+      protocol,
+      timer,
+      answers,
+      signal,
+      observe,
+    });
   return {upstream, endpoint, connection, signal, heads, check};
 }
 
@@ -107,6 +117,7 @@
     placedAt: timer.now(),
     protocol,
     timer,
+    answers,
     request: {
       id: 'r1',
       method: 'POST',
--- a/test/support/boundedinstance.ts
+++ b/test/support/boundedinstance.ts
@@ -13,12 +13,16 @@
 import {call, wireConfiguration, wireEntry} from './gateway.js';
 import {sleep} from './silentupstream.js';
 
-/** Memory of the machine, in MB. */
-const MEMORY_MB = 192;
+/** What a machine has. */
+interface Machine {
+  memoryMb: number;
+  /** Number of descriptors. */
+  maxFds: number;
+}
+
+const SMALL_MACHINE: Machine = {memoryMb: 192, maxFds: 400};
 /** Share of the memory that the deploy file gives to the heap. */
 const HEAP_SHARE = 200 / 350;
-/** Descriptors of the machine. */
-const DESCRIPTORS = 400;
 /** Longest body that the configuration allows, in bytes. */
 export const BODY_LIMIT_BYTES = 4 * 1024 * 1024;
 /** Longest time that a route waits, in ms. */
@@ -26,6 +30,13 @@
 const SAMPLE_MS = 50;
 const RETRY_MS = 250;
 
+/** An upstream that a test opened. */
+export interface UpstreamAt {
+  service: string;
+  id: string;
+  port: number;
+}
+
 /** What a process took at its peak, against what its machine has. */
 export interface Usage {
   /** Whether it still runs. */
@@ -44,9 +55,14 @@
     private readonly upstream: Server,
     private readonly gateway: GatewayProcess,
     private readonly folder: string,
+    private readonly machine: Machine,
   ) {}
 
-  static async open(): Promise<BoundedInstance> {
+  /** `others`: upstreams beside the one that serves ordinary requests. */
+  static async open(
+    machine = SMALL_MACHINE,
+    others: readonly UpstreamAt[] = [],
+  ): Promise<BoundedInstance> {
     const folder = mkdtempSync(join(tmpdir(), 'gypsumcourse-'));
     const store = await startKeyedStore(0);
     // It keeps nothing of what it receives.
@@ -63,19 +79,23 @@
     const records = [
       ['keyed.op', 'config', {...configuration, limits}],
       [UPSTREAMS_TOPIC, 'plain-0', wireEntry('plain', port)],
+      ...others.map(
+        ({service, id, port}) =>
+          [UPSTREAMS_TOPIC, id, wireEntry(service, port)] as const,
+      ),
     ] as const;
     for (const [topic, key, value] of records) {
       store.log.append(topic, key, Buffer.from(JSON.stringify(value)));
     }
     const history = new SoakHistory();
     const gateway = await GatewayProcess.open(0, store.port, folder, history);
-    gateway.limits = {memoryMb: MEMORY_MB, maxFds: DESCRIPTORS};
-    const heapMb = Math.floor(MEMORY_MB * HEAP_SHARE);
+    gateway.limits = {...machine};
+    const heapMb = Math.floor(machine.memoryMb * HEAP_SHARE);
     gateway.nodeArguments = [`--max-old-space-size=${heapMb}`];
     gateway.restarts = false;
     gateway.start();
     await gateway.untilReady();
-    return new BoundedInstance(store, upstream, gateway, folder);
+    return new BoundedInstance(store, upstream, gateway, folder, machine);
   }
 
   /** Where callers connect. */
@@ -83,12 +103,17 @@
     return this.gateway.host;
   }
 
+  /** Port that callers reach it by. */
+  get port(): number {
+    return this.gateway.ingress.port;
+  }
+
   get usage(): Usage {
     const lives = this.gateway.isRunning;
     return {
       lives,
-      staysInMemory: lives && this.peakMb() < MEMORY_MB,
-      staysInDescriptors: this.peakDescriptors < DESCRIPTORS,
+      staysInMemory: lives && this.peakMb() < this.machine.memoryMb,
+      staysInDescriptors: this.peakDescriptors < this.machine.maxFds,
     };
   }
 
@@ -101,12 +126,9 @@
   /** Sends an ordinary request, again after a refusal, until it is answered. */
   async serveOne(id: string): Promise<string | undefined> {
     for (let attempt = 0; this.gateway.isRunning; attempt++) {
-      const response = await call(
-        this.gateway.ingress.port,
-        '/order/a',
-        `${id}-${attempt}`,
-        {method: 'POST'},
-      );
+      const response = await call(this.port, '/order/a', `${id}-${attempt}`, {
+        method: 'POST',
+      });
       if (response?.status === 200) return response.body;
       await sleep(RETRY_MS);
     }
--- a/test/upstream-notices.test.ts
+++ b/test/upstream-notices.test.ts
@@ -8,6 +8,7 @@
 import {EntryState, Topic, type RegistryEntry} from '../src/registry/index.js';
 import {LogEvent} from '../src/telemetry/index.js';
 import {SystemTimer} from '../src/timer/index.js';
+import {openAnswers} from './support/answers.js';
 import {
   call,
   startGatewayOn,
@@ -288,6 +289,7 @@
       data: () => true,
     },
     timer,
+    answers: openAnswers(),
     signal: new AbortController().signal,
     observe: () => false,
   });
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,7 +1,7 @@
 import {defineConfig} from 'vitest/config';
 
 /** Tests that measure a process, which run one at a time after all others. */
-const MEASURED = 'test/hostileclients.test.ts';
+const MEASURED = ['test/hostileclients.test.ts', 'test/smallparts.test.ts'];
 
 export default defineConfig({
   test: {
@@ -17,7 +17,7 @@
         test: {
           name: 'parallel',
           include: ['test/**/*.test.ts'],
-          exclude: [MEASURED],
+          exclude: MEASURED,
           sequence: {groupOrder: 0},
         },
       },
@@ -25,7 +25,7 @@
         extends: true,
         test: {
           name: 'measured',
-          include: [MEASURED],
+          include: MEASURED,
           maxWorkers: 1,
           sequence: {groupOrder: 1},
         },
