--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -102,7 +102,7 @@
    */
   private async connect(): Promise<Connection | undefined> {
     const {dependencies, endpoint} = this;
-    const {protocol, timer, observer} = dependencies;
+    const {protocol, timer, observer, answers} = dependencies;
     this.answer = this.prepareWitness();
     const connection = endpoint.connections.acquire();
     if (this.placementRequest.softwareVersion === undefined) return connection;
@@ -117,6 +117,7 @@
       connection,
       protocol,
       timer,
+      answers,
       signal,
       observe: head => {
         observer.observe(endpoint, head);
@@ -191,6 +192,7 @@
         body,
         sink,
         timer,
+        answers: dependencies.answers,
         signal: AbortSignal.any([
           outlivesCaller ? deadline.expirySignal : deadline.signal,
           this.controller.signal,
--- a/src/telemetry/logevent.ts
+++ b/src/telemetry/logevent.ts
@@ -3,6 +3,8 @@
  * docs/LOGS.md.
  */
 export enum LogEvent {
+  /** An answer of an upstream was broken off here. */
+  AnswerFault = 'answerFault',
   /** An answer cleared prompt parts under suspicion of crashing upstreams. */
   Cleared = 'cleared',
   /** A configuration was applied or ignored. */
--- a/test/invalidstatus.test.ts
+++ b/test/invalidstatus.test.ts
@@ -8,6 +8,7 @@
 import {fetchReport} from '../src/forward/processreport.js';
 import {Topic} from '../src/registry/index.js';
 import {SystemTimer} from '../src/timer/index.js';
+import {openAnswers} from './support/answers.js';
 import {
   call,
   RawUpstream,
@@ -172,6 +173,7 @@
       connection: endpoint.connections.openDirectly(),
       protocol,
       timer,
+      answers: openAnswers(),
       signal: new AbortController().signal,
       observe: head => heads.push(head.status),
     });
