--- a/bench/soak.ts
+++ b/bench/soak.ts
@@ -50,6 +50,16 @@
     describe:
       'stalls and ends of all processes at once, a store that refuses to write',
   })
+  .option('endless-share', {
+    type: 'number',
+    default: 0,
+    describe: 'share of the upstreams that send bytes without end at times',
+  })
+  .option('crash-kills', {
+    type: 'boolean',
+    default: false,
+    describe: 'kills of instances shortly after crashes by prompt parts',
+  })
   .option('stream-upstreams', {
     type: 'number',
     default: 3,
--- a/bench/soak/answers.ts
+++ b/bench/soak/answers.ts
@@ -6,10 +6,16 @@
 import {eventDataOf, ServiceName, textOf} from './deployment.js';
 import type {Arrival, SoakHistory} from './history.js';
 import type {DeclaredLimits} from './limits.js';
+import {writeEndlessly} from './endlessanswer.js';
 import {OpenAnswer} from './openanswer.js';
 import {SLOTS} from './registration.js';
 import {BREAKING, Treatment} from './treatment.js';
 
+/** Share of the requests that an upstream in trouble doesn't answer. */
+const SPOILED_SHARE = 0.5;
+/** Share of these that get a failure of the upstream's own. */
+const FAILED_SHARE = 0.3;
+
 const LEAVING_HEADER = 'server-leaving';
 
 const sleep = (ms: number) =>
@@ -22,6 +28,8 @@
   readonly treatment: Treatment;
   /** Whether answers say that the upstream leaves. */
   readonly announcesLeaving: boolean;
+  /** Number of faults by which it sends bytes without end. */
+  readonly endlessAnswers: number;
   /** Id, start and software version of its newest process. */
   readonly id: string;
   readonly born: number;
@@ -72,7 +80,7 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const {upstream} = this;
+    const {upstream, random} = this;
     const body = (await readBody(message)).toString();
     // The connection ended while the request was read: nothing runs it.
     if (message.socket.writableEnded) return;
@@ -113,7 +121,9 @@
         this.running = Math.max(0, this.running - 1);
       });
       const answer = this.begin(arrival, response);
-      if (upstream.service === ServiceName.Streams) {
+      if (upstream.endlessAnswers > 0 && random.next() < SPOILED_SHARE) {
+        await this.spoil(answer);
+      } else if (upstream.service === ServiceName.Streams) {
         const lastEvent = Number(headers['last-event-id'] ?? 0);
         await this.stream(answer, lastEvent);
       } else {
@@ -122,6 +132,17 @@
     }
   }
 
+  /** Answers by a failure or by bytes without end, without a crash. */
+  private async spoil(answer: OpenAnswer): Promise<void> {
+    await this.upstream.silence;
+    if (this.random.next() < FAILED_SHARE) {
+      answer.response.statusCode = answer.arrival.status = 500;
+      answer.end();
+    } else {
+      await writeEndlessly(answer, this.random);
+    }
+  }
+
   /** Records a request that gets an answer now. */
   private begin(arrival: Arrival, response: ServerResponse): OpenAnswer {
     this.history.addArrival(arrival);
--- a/bench/soak/expectation.ts
+++ b/bench/soak/expectation.ts
@@ -35,7 +35,7 @@
 
 /** How an answer differs from that of the upstream that it claims to be of. */
 export function describeAnswer(
-  {id, outcome}: SentRequest,
+  {id, kind, outcome}: SentRequest,
   arrivals: readonly Arrival[],
 ): string | undefined {
   if (outcome?.type !== 'answered') return undefined;
@@ -51,6 +51,9 @@
   if (!isSuccess) return undefined;
   if (source === undefined) return 'success without a seal';
   if (echoedId !== id) return `success with the id ${echoedId}`;
+  if (complete && source.isEndless === true && !isStream(kind)) {
+    return 'complete with bytes that are no answer';
+  }
   if (source.size === undefined) return undefined;
   const whole = textOf(source.seal, source.size);
   if (complete && body !== whole) {
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -36,6 +36,8 @@
   Standstill = 'standstill',
   /** The store refuses to write, and serves reads. */
   StoreReadOnly = 'storeReadOnly',
+  /** Some upstreams answer by failures, and by bytes without end. */
+  EndlessAnswers = 'endlessAnswers',
   /** Another writer adds an entry that names no upstream. */
   ForeignEntry = 'foreignEntry',
 }
@@ -55,6 +57,8 @@
    * to write; not by default.
    */
   recordFaults?: boolean;
+  /** Share of the upstreams that send bytes without end at times; 0 by default. */
+  endlessShare?: number;
 }
 
 /** A fault at its time after the start of the faults, in ms. */
@@ -93,6 +97,7 @@
   [FaultKind.Blackout]: 0,
   [FaultKind.Standstill]: 0,
   [FaultKind.StoreReadOnly]: 0,
+  [FaultKind.EndlessAnswers]: 0,
   [FaultKind.ForeignEntry]: 0,
 };
 const MEAN_INTERVAL_MS = 600;
@@ -100,11 +105,13 @@
 const MEAN_RARE_INTERVAL_MS = 1_500;
 const MEAN_ORDERLY_END_INTERVAL_MS = 700;
 const MEAN_RECORD_FAULT_INTERVAL_MS = 2_000;
+const MEAN_ENDLESS_INTERVAL_MS = 3_000;
 const SEED_FACTOR = 0x9e3779b1;
 /** Tells the generator of rare faults from that of a seed's silences. */
 const RARE_FAULTS_PART = 0x10_0000;
 const ORDERLY_ENDS_PART = 0x20_0000;
 const RECORD_FAULTS_PART = 0x30_0000;
+const ENDLESS_PART = 0x40_0000;
 const STORE_KINDS = new Set([
   FaultKind.StoreAway,
   FaultKind.StoreRestored,
@@ -202,6 +209,18 @@
   });
 }
 
+/** Returns when some upstreams send bytes without end, in the order of time. */
+function scheduleEndlessAnswers(
+  random: Random,
+  lengthMs: number,
+): ScheduledFault[] {
+  return scheduleApart(random, lengthMs, {
+    meanIntervalMs: MEAN_ENDLESS_INTERVAL_MS,
+    shortestMs: 1_500,
+    choose: () => FaultKind.EndlessAnswers,
+  });
+}
+
 /** Returns faults that come beside the others, which seeds keep thereby. */
 function scheduleApart(
   random: Random,
@@ -237,6 +256,7 @@
     rareFaults = false,
     orderlyEnds = false,
     recordFaults = false,
+    endlessShare = 0,
   }: ScheduleOptions,
   lengthMs: number,
 ): ScheduledFault[] {
@@ -255,5 +275,8 @@
     ...(recordFaults
       ? scheduleRecordFaults(randomOf(RECORD_FAULTS_PART), lengthMs)
       : []),
+    ...(endlessShare > 0
+      ? scheduleEndlessAnswers(randomOf(ENDLESS_PART), lengthMs)
+      : []),
   ].sort((a, b) => a.atMs - b.atMs);
 }
--- a/bench/soak/history.ts
+++ b/bench/soak/history.ts
@@ -68,6 +68,8 @@
   status: number;
   /** Size of the whole body of the answer; undefined for streams. */
   size?: number;
+  /** Whether bytes that are no answer came for one, without end. */
+  isEndless?: boolean;
   /** How the answer marks its end; undefined before its head. */
   framing?: Framing;
   /** Whether the answer ended before it was whole. */
--- a/bench/soak/injector.ts
+++ b/bench/soak/injector.ts
@@ -59,6 +59,8 @@
     private readonly upstreams: readonly SoakUpstream[],
     private readonly store: KeyedStoreStandIn,
     private readonly history: SoakHistory,
+    /** Share of the upstreams that send bytes without end at a time. */
+    private readonly endlessShare = 0,
   ) {}
 
   /** Injects a fault and resolves when it has ended. */
@@ -200,11 +202,30 @@
           await sleep(durationMs);
           this.store.change({isReadOnly: false});
         });
+      case FaultKind.EndlessAnswers:
+        await Promise.all(
+          this.upstreams
+            .filter((_, index) => this.isChosen(index, target))
+            .map(one =>
+              this.during(one.name, kind, async () => {
+                one.endlessAnswers++;
+                await sleep(durationMs);
+                one.endlessAnswers--;
+              }),
+            ),
+        );
+        return;
       case FaultKind.ForeignEntry:
         return writeForeignEntry(this.store.log, upstream.service, variant);
     }
   }
 
+  /** Whether an upstream is of the share that sends bytes without end. */
+  private isChosen(index: number, target: number): boolean {
+    const {length} = this.upstreams;
+    return (index / length + target) % 1 < this.endlessShare;
+  }
+
   private async during(
     target: string,
     what: string,
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -6,6 +6,7 @@
 import {BadRequests} from './badrequests.js';
 import {Caller} from './callers.js';
 import {Checker} from './checker.js';
+import {CrashKills} from './crashkills.js';
 import {BOUNDS, ServiceName} from './deployment.js';
 import {isBad} from './expectation.js';
 import {faultsOf, type ScheduledFault, type ScheduleOptions} from './faults.js';
@@ -13,24 +14,20 @@
 import {GatewayProcess} from './gatewayprocess.js';
 import {SoakHistory, STORE} from './history.js';
 import {Injector} from './injector.js';
-import {Lateness, type Stall} from './lateness.js';
+import {Lateness} from './lateness.js';
 import {DeclaredLimits} from './limits.js';
 import {Operator} from './operator.js';
 import {countBy, countEarlyEnds, countOutcomes} from './outcomes.js';
 import type {Violation} from './promise.js';
-import type {PartSummary} from './promptchecker.js';
 import {crashingPartsOf, Prompts} from './prompts.js';
+import type {SoakResult} from './result.js';
 import {SoakUpstream} from './upstream.js';
 import {
   countUpstreams,
   omitsLengthsIn,
   type UpstreamOptions,
 } from './upstreamoptions.js';
-import {
-  rotate,
-  softwareVersionsOf,
-  type VersionSummary,
-} from './versionchecker.js';
+import {rotate, softwareVersionsOf} from './versionchecker.js';
 
 const CALLERS_PER_GATEWAY = 4;
 const CHECK_PERIOD_MS = 1_000;
@@ -54,40 +51,12 @@
   declaredLimits?: number;
   /** Number of software versions of the upstreams; by default by the seed. */
   softwareVersions?: number;
+  /** Whether crashes by prompt parts are followed by kills; not by default. */
+  crashKills?: boolean;
   /** File of the program that the gateways run; by default this build's. */
   program?: string;
 }
 
-/** Result of a soak. */
-export interface SoakResult {
-  seed: number;
-  requests: number;
-  runs: number;
-  /** Number of requests by how they ended for their callers. */
-  outcomes: Record<string, number>;
-  faults: Record<string, number>;
-  /** Time from the last fault until everything was served, in ms. */
-  recoveredAfterMs?: number;
-  /** How often there was something to judge bounds in time on. */
-  judged: Record<string, number>;
-  /** What was seen of each prompt part that crashes upstreams. */
-  parts: PartSummary[];
-  /** What was seen of streams while upstreams had several software versions. */
-  softwareVersions: VersionSummary;
-  /** Highest count in a window, as a share of what is allowed, by upstream. */
-  limits: Record<string, number>;
-  /** Answers that looked whole too early, by framing and what ended them. */
-  earlyEnds: Record<string, number>;
-  violations: Violation[];
-  /** Broken bounds that the soak's own stalls account for. */
-  touched: Violation[];
-  /** Largest delay of the soak's event loop, and its stalls, in ms. */
-  maxLatenessMs: number;
-  stalls: Stall[];
-  /** Where the logs are if a promise was broken. */
-  folder: string;
-}
-
 const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
 /** Folder of the logs of a seed. */
@@ -242,7 +211,15 @@
     const calls = this.callers.map(caller => caller.run());
     await sleep(SETTLE_MS);
     this.operator.start();
+    const {crashKills = false, seed} = this.options;
+    const kills = new CrashKills(
+      this.gateways,
+      this.history,
+      new Random(seed + 2),
+    );
+    if (crashKills) kills.start();
     await this.injectFaults();
+    kills.stop();
     this.operator.stop();
     await this.untilSpared();
     this.history.calmSince = this.history.now();
@@ -277,6 +254,7 @@
       this.upstreams,
       this.store,
       this.history,
+      this.options.endlessShare,
     );
     const from = this.history.now();
     const pending: Array<Promise<void>> = [];
@@ -372,6 +350,7 @@
       judged: this.checker.countJudged(this.gateways.map(({name}) => name)),
       parts: this.checker.prompts.summarize(),
       softwareVersions: this.checker.softwareVersions.summarize(),
+      endless: history.arrivals.filter(({isEndless}) => isEndless).length,
       limits: this.limits.summarize(),
       earlyEnds: countEarlyEnds(all, id => history.arrivalsOf(id)),
       violations: all.filter(({touchedByStall}) => !touchedByStall),
--- a/bench/soak/upstream.ts
+++ b/bench/soak/upstream.ts
@@ -45,6 +45,8 @@
   treatment = Treatment.Serves;
   /** Whether answers say that the upstream leaves. */
   announcesLeaving = false;
+  /** Number of faults by which it sends bytes without end. */
+  endlessAnswers = 0;
   incarnation = 0;
   isAlive = false;
   born = 0;
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -18,7 +18,7 @@
   type SentRequest,
 } from '../bench/soak/history.js';
 import {Lateness} from '../bench/soak/lateness.js';
-import type {SoakResult} from '../bench/soak/soak.js';
+import type {SoakResult} from '../bench/soak/result.js';
 
 const ALPHA_KEY = 'alpha-lasting';
 const START = 100_000;
@@ -461,6 +461,20 @@
       ]
     `);
   });
+
+  test('finds bytes that are no answer in one that looks whole', () => {
+    const found = judge(written => {
+      for (const [id, complete] of Object.entries({cut: false, whole: true})) {
+        const request = written.send(id, 0);
+        const run = written.run(request, {isEndless: true});
+        delete run.size;
+        written.answer(request, {body: 'qq\n', complete});
+      }
+    });
+    expect(found).toEqual([
+      'whole whole: complete with bytes that are no answer',
+    ]);
+  });
 });
 
 describe('gateway processes among faults', () => {
@@ -527,6 +541,21 @@
     },
   );
 
+  // Upstreams that spoil answers, and kills, hid crashes and cleared the part.
+  test(
+    'spare upstreams a crashing part beside endless answers and kills, under seed 7104',
+    {timeout: 120_000},
+    async () => {
+      const result = await soak(7104, 20, {
+        crashingParts: 1,
+        endlessShare: 0.3,
+        crashKills: true,
+      });
+      expect(result.parts).toHaveLength(1);
+      expect(result.endless).toBeGreaterThan(0);
+    },
+  );
+
   // Streams without a length looked complete when their upstream had ended.
   test(
     'take no part of an answer for the whole, under seed 8101',
@@ -546,6 +575,8 @@
       declaredLimits = 0,
       softwareVersions = 1,
       rareFaults = false,
+      endlessShare = 0,
+      crashKills = false,
     } = {},
   ): Promise<SoakResult> {
     const child = spawn(
@@ -558,6 +589,8 @@
         ...['--declared-limits', `${declaredLimits}`],
         ...['--software-versions', `${softwareVersions}`],
         ...(rareFaults ? ['--rare-faults'] : []),
+        ...['--endless-share', `${endlessShare}`],
+        ...(crashKills ? ['--crash-kills'] : []),
       ],
       {stdio: ['ignore', 'pipe', 'inherit']},
     );
