Let no peer that stands still hide the end of an upstream

Requests with a prompt part that crashes upstreams may go on reaching them (BUDGET), as an instance doesn't see crashes while one of its peers stands still.

Cause: after a direct refusal a peer is asked, as the own links may be cut. The time for its answer was 500 ms, as for the whole probe, which began before and so ended first, as silent: nothing was concluded. The next probe asked the same peer.

Now peers have 400 ms, and answer for an upstream that they don't reach after 300 ms instead of 400, so that the order of the times stays. If none answers, the direct refusal counts, as it did without peers; if another one has said that it doesn't reach the upstream, that does.

The test failed before: "expected 'silent' to be 'refused'", with the only peer or one of two standing still. Those of isolated instances and zones, tunnels, relayed ends and liveness pass (51 tests).

--- a/src/relay/relayclient.ts
+++ b/src/relay/relayclient.ts
@@ -6,8 +6,11 @@
 
 /** Time after which another peer is asked beside a silent one, in ms. */
 const HEDGE_MS = 100;
-/** Time within which a peer must have opened a connection, in ms. */
-const OPEN_TIMEOUT_MS = 500;
+/**
+ * Time within which a peer must have opened a connection, in ms; shorter than that
+ * of a probe, whose result would else be the silence of the peer.
+ */
+const OPEN_TIMEOUT_MS = 400;
 /** Time for which peers aren't asked for an upstream that they don't reach, in ms. */
 const UNREACHED_MS = 500;
 
@@ -91,9 +94,8 @@
   ) {}
 
   run(): Promise<Result<RelayedConnection, TunnelFailure>> {
-    const timeout = this.parts.timer.after(OPEN_TIMEOUT_MS, () =>
-      this.finish(err({type: 'peer', cause: 'no peer answered in time'})),
-    );
+    const {timer} = this.parts;
+    const timeout = timer.after(OPEN_TIMEOUT_MS, () => this.handleTimeout());
     return new Promise<Result<RelayedConnection, TunnelFailure>>(resolve => {
       this.resolve = resolve;
       this.askNext();
@@ -153,6 +155,12 @@
     this.askNext();
   }
 
+  private handleTimeout(): void {
+    const isAnswered = this.cutOff.length > 0;
+    const silence = {type: 'peer', cause: 'no peer answered in time'} as const;
+    this.finish(err(isAnswered ? this.failure : silence));
+  }
+
   private finish(result: Result<RelayedConnection, TunnelFailure>): void {
     if (this.isOver) return;
     this.isOver = true;
--- a/src/relay/relayserver.ts
+++ b/src/relay/relayserver.ts
@@ -11,8 +11,11 @@
  * descriptors, and buffers of some 100 kB at the most.
  */
 const MAX_RELAYED = 256;
-/** Time within which a connection to an upstream must open, in ms. */
-const OPEN_TIMEOUT_MS = 400;
+/**
+ * Time within which a connection to an upstream must open, in ms; shorter than the
+ * time for which a peer waits for the answer.
+ */
+const OPEN_TIMEOUT_MS = 300;
 
 /** Dependencies of [[RelayServer]]. */
 export interface RelayServerParts {
