Refuse a body that comes before the first configuration as not ready

Cause: bodies are read from the head of the request on, two turns of the event loop before it is served. Without a configuration the limit was taken as 0 bytes, so that each body was too large, and the configuration came into force between the two.

Now a body that comes without a known limit is refused with 503, as not run.

--- a/src/forward/body.ts
+++ b/src/forward/body.ts
@@ -7,8 +7,8 @@
 
 /** What bounds the body of a request. */
 export interface BodyBounds {
-  /** Longest body that the configuration allows, in bytes. */
-  limitBytes: number;
+  /** Longest body that the configuration allows, in bytes; if it is known. */
+  limitBytes: number | undefined;
   budget: ByteBudget;
   chunks: ChunkLimit;
 }
@@ -37,7 +37,7 @@
     private readonly message: IncomingMessage,
     {limitBytes, budget, chunks}: BodyBounds,
   ) {
-    this.limitBytes = limitBytes;
+    this.limitBytes = limitBytes ?? 0;
     this.collector = new ByteCollector(budget.blocks);
     this.hold = budget.open(() => this.fail(NO_MEMORY));
     this.chunks = chunks.open();
@@ -45,6 +45,8 @@
     const announcedBytes = Number(headers['content-length'] ?? 0);
     if (headers['transfer-encoding'] === undefined && announcedBytes === 0) {
       this.result = EMPTY;
+    } else if (limitBytes === undefined) {
+      this.result = {type: 'notReady'};
     } else if (announcedBytes > limitBytes) {
       this.result = {type: 'bodyTooLarge', limitBytes};
     } else {
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -58,7 +58,7 @@
   ) {
     const {timer, routing, bodies: budget, smallChunks: chunks} = dependencies;
     this.tally = new AttemptTally(timer.now());
-    const limitBytes = routing.current()?.limits.bodyBytes ?? 0;
+    const limitBytes = routing.current()?.limits.bodyBytes;
     this.body = new BodyReader(message, {limitBytes, budget, chunks});
   }
 
