--- a/bench/soak/gatewayprocess.ts
+++ b/bench/soak/gatewayprocess.ts
@@ -1,5 +1,5 @@
 import {spawn, type ChildProcess} from 'node:child_process';
-import {closeSync, openSync, writeFileSync} from 'node:fs';
+import {closeSync, openSync, renameSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
 import {packageRoot} from '../../src/cli/packageroot.js';
 import {FaultProxy} from '../../stand-ins/index.js';
@@ -206,6 +206,9 @@
       bootstrap: this.incarnation === 1,
       platform: {address: this.storeLink.address},
     };
-    writeFileSync(this.settingsFile, JSON.stringify(settings));
+    // A process that starts may read the file at any time.
+    const unfinished = `${this.settingsFile}.new`;
+    writeFileSync(unfinished, JSON.stringify(settings));
+    renameSync(unfinished, this.settingsFile);
   }
 }
