--- a/src/forward/answerlimit.ts
+++ b/src/forward/answerlimit.ts
@@ -14,7 +14,7 @@
 const MIN_OWN = 50;
 /** A chunk is one unit, whatever its size. */
 const EVENTS_PER_UNIT = 8;
-const BYTES_PER_UNIT = 16 * 1024;
+const BYTES_PER_UNIT = 4 * 1024;
 /** Chunks and events below this mean size, in bytes, are small. */
 const SMALL_PART_BYTES = 64;
 /** Period in which answers that wait are looked at, in ms. */
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -13,6 +13,7 @@
 } from './attemptresult.js';
 import type {Endpoint} from './endpoint.js';
 import {EventScanner} from './events.js';
+import {isFramed} from './framing.js';
 import type {RequestMetadata, Protocol, RequestHead} from './protocol.js';
 
 /**
@@ -25,11 +26,6 @@
 /** Longest time in which the body of a refusal is received, in ms. */
 const REFUSAL_BODY_TIMEOUT_MS = 500;
 
-/** Matches a transfer encoding that delimits the body. */
-const CHUNKED = /(?:^|,)\s*chunked\s*$/i;
-/** Statuses of answers that never have a body. */
-const BODILESS = new Set([204, 304]);
-
 /** Receives a response as it arrives. */
 export interface Sink {
   /** Number of bytes that it keeps until their event is complete. */
@@ -101,7 +97,10 @@
     this.abort(`broken off: ${String(this.spec.signal.reason)}`);
   private readonly connection: Connection;
   private readonly flow: AnswerFlow;
-  private readonly joiner = new ChunkJoiner(bytes => this.receive(bytes));
+  private readonly joiner = new ChunkJoiner(
+    bytes => this.receive(bytes),
+    cause => this.abort(String(cause)),
+  );
 
   constructor(
     private readonly spec: AttemptSpec,
@@ -167,11 +166,7 @@
     const now = timer.now();
     endpoint.noteHeard(this.connection.path, now);
     endpoint.connections.idleEnds.readAnnouncement(headers);
-    const framed =
-      request.method === 'HEAD' ||
-      BODILESS.has(status) ||
-      headers['content-length'] !== undefined ||
-      CHUNKED.test(String(headers['transfer-encoding'] ?? ''));
+    const framed = isFramed(request.method, status, headers);
     const head = {...protocol.readResponse(status, headers), status, framed};
     this.head = head;
     this.asksForPause = this.spec.observe(head);
--- a/test/answerlimit.test.ts
+++ b/test/answerlimit.test.ts
@@ -4,6 +4,9 @@
 
 /** Chunks of an answer without end that are read at once. */
 const READ = 10_000;
+const LARGE_BYTES = 64 * 1024;
+/** Pace of an answer in large chunks beside many that are endless. */
+const MIN_BYTES_PER_SECOND = 10 * 1024 * 1024;
 
 /** A limit in virtual time, and answers that come until they have to wait. */
 function openLimit() {
@@ -75,12 +78,13 @@
 
 test('answers in large chunks beside them wait, and are never broken off', async () => {
   const {timer, open} = openLimit();
-  const large = open(64 * 1024);
+  const large = open(LARGE_BYTES);
   large.receive(50);
   const endless = Array.from({length: 200}, () => open());
   for (const {receive} of endless) receive(READ);
   large.receive(READ);
   await timer.advance(10_000);
   expect(large.answer.brokenOff).toBe(false);
-  expect(large.answer.received).toBeGreaterThan(READ);
+  const receivedBytes = large.answer.received * LARGE_BYTES;
+  expect(receivedBytes).toBeGreaterThan(10 * MIN_BYTES_PER_SECOND);
 });
--- a/test/attempt.test.ts
+++ b/test/attempt.test.ts
@@ -183,6 +183,29 @@
   });
 });
 
+class Defect extends Error {
+  override name = 'Defect';
+  override message = 'a defect';
+}
+
+test('a defect while bytes are passed on breaks the attempt off', async () => {
+  const result = await attempt(
+    ({socket}) => socket.write(successHead('r1', STREAM) + chunk(EVENT)),
+    2_000,
+    {
+      ...ACCEPTING,
+      data: () => {
+        throw new Defect();
+      },
+    },
+  );
+  expect(result).toMatchObject({
+    type: 'broken',
+    cause: 'Defect: a defect',
+    endedBy: BreakCause.Abort,
+  });
+});
+
 /** Time for which a caller does not read, in ms. */
 const UNREAD_MS = 300;
 
