--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,7 +1,8 @@
 import type {Dispatcher} from 'undici';
-import type {Subscription, Timer} from '../timer/index.js';
+import type {Subscription} from '../timer/index.js';
 import {AnswerFlow} from './answerflow.js';
-import {AnswerFault, type Answers} from './answers.js';
+import {AnswerFault} from './answers.js';
+import type {AttemptSpec} from './attemptspec.js';
 import {ByteCollector} from './bytes.js';
 import {ChunkJoiner} from './chunkjoiner.js';
 import type {Connection} from './connections.js';
@@ -11,10 +12,8 @@
   type AttemptResult,
   type ReceivedHead,
 } from './attemptresult.js';
-import type {Endpoint} from './endpoint.js';
 import {EventScanner} from './events.js';
 import {isFramed} from './framing.js';
-import type {RequestMetadata, Protocol, RequestHead} from './protocol.js';
 
 /**
  * Bodies and events of resumable streams up to this size, in bytes, are buffered
@@ -26,55 +25,6 @@
 /** Longest time in which the body of a refusal is received, in ms. */
 const REFUSAL_BODY_TIMEOUT_MS = 500;
 
-/** Receives a response as it arrives. */
-export interface Sink {
-  /** Number of bytes that it keeps until their event is complete. */
-  readonly heldBytes: number;
-  /** Whether a successful response can begin, or go on, as the caller's. */
-  accepts(head: ReceivedHead): boolean;
-  /**
-   * Takes the head of a successful response that is streamed to the caller.
-   * Returning false aborts the attempt.
-   */
-  start(head: ReceivedHead): boolean;
-  /** Takes bytes; false pauses the response until `resume` is called. */
-  data(chunk: Buffer, resume: () => void): boolean;
-}
-
-/** Inputs of [[runAttempt]]. */
-export interface AttemptSpec {
-  endpoint: Endpoint;
-  /** The connection to use; by default, one of the endpoint's. */
-  connection?: Connection;
-  /** When the upstream was chosen, in monotonic ms. */
-  placedAt: number;
-  protocol: Protocol;
-  request: RequestHead;
-  metadata: RequestMetadata;
-  body: Buffer;
-  sink: Sink;
-  timer: Timer;
-  answers: Answers;
-  /** Aborts the attempt. */
-  signal: AbortSignal;
-  /** Called when the request is about to be written to its connection. */
-  sent?(): void;
-  /** Called at the head of an answer, and at bytes of it that are buffered. */
-  received?(): void;
-  /**
-   * Called when an answer has ended whose connection may still be reset, before
-   * that is awaited.
-   */
-  ended?(): void;
-  /** Called when the first event of a stream is complete. */
-  advanced?(): void;
-  /**
-   * Called with the head of the response; returns whether the upstream asks for
-   * a pause in it.
-   */
-  observe(head: ReceivedHead): boolean;
-}
-
 /** Sends a request to one upstream. Resolves on every end; never rejects. */
 export function runAttempt(spec: AttemptSpec): Promise<AttemptResult> {
   return new Promise(resolve => new Attempt(spec, resolve).send());
--- a/src/forward/sink.ts
+++ b/src/forward/sink.ts
@@ -1,5 +1,5 @@
 import {Repetition, type Route} from '../route/index.js';
-import type {Sink} from './attempt.js';
+import type {Sink} from './attemptspec.js';
 import type {ReceivedHead} from './attemptresult.js';
 import {EventSplitter, type CompleteEvents} from './events.js';
 import type {Reply} from './reply.js';
--- a/test/attempt.test.ts
+++ b/test/attempt.test.ts
@@ -1,6 +1,7 @@
 import {afterEach, describe, expect, test} from 'vitest';
 import {protocol} from '../platform/headers.js';
-import {runAttempt, type Sink} from '../src/forward/attempt.js';
+import {runAttempt} from '../src/forward/attempt.js';
+import type {Sink} from '../src/forward/attemptspec.js';
 import {
   AnswerProgress,
   BreakCause,
