Reset relayed connections over TLS without ending the process

Where instances talk over TLS, an upstream that reset a connection which this instance relayed for a peer ended the process, and with it the requests of all its callers.

Cause: a relayed connection is reset by resetAndDestroy, which throws on a TLS socket, as its handle is none of TCP. It was called in listeners of the socket's events and after the wait for a late reset, where nothing catches it. The same happened where an upstream closed while it took no more of the request.

Now the TCP connection below is reset, which the server of peers knows by the address of its other end. The end of a TLS socket in order wouldn't do: the peer would take the answer for whole.

The tests of a tunnel's bytes and ends run over TLS as well now. Before, the one of resets failed there with "TypeError: This handle type cannot be sent" (Socket.resetAndDestroy, called by joinSockets) as an uncaught exception, and timed out. The deployment of the users' report has no TLS between its instances as far as its settings show, so this isn't its cause.

--- a/src/instance/peerrpc.ts
+++ b/src/instance/peerrpc.ts
@@ -69,6 +69,8 @@
   private readonly server: Server;
   /** Connections of peers that have become tunnels, which the server no longer closes. */
   private readonly tunnels = new Set<Socket>();
+  /** TCP connections by the address of their peer; TLS wraps them. */
+  private readonly connections = new Map<string, Socket>();
 
   /** With `tls`, peers need a client certificate signed by its authority. */
   constructor(
@@ -82,7 +84,10 @@
       tls === undefined
         ? createServer({noDelay: true}, onRequest)
         : createTlsServer({noDelay: true, ...tlsServerOptions(tls)}, onRequest);
-    this.server.on('connection', (socket: Socket) => this.meter.track(socket));
+    this.server.on('connection', (socket: Socket) => {
+      this.meter.track(socket);
+      this.trackConnection(socket);
+    });
   }
 
   /** Registers a method that peers can call. */
@@ -97,6 +102,7 @@
       (message: IncomingMessage, socket: Socket, head: Buffer) => {
         this.tunnels.add(socket);
         socket.once('close', () => this.tunnels.delete(socket));
+        const connection = this.connections.get(peerOf(socket)) ?? socket;
         serveTunnel(
           this.credential,
           handler,
@@ -104,6 +110,8 @@
           socket,
           head,
           timer,
+          // A TLS socket can't be reset itself.
+          () => connection.resetAndDestroy(),
         ).catch(() => socket.destroy());
       },
     );
@@ -126,6 +134,14 @@
     });
   }
 
+  private trackConnection(socket: Socket): void {
+    const peer = peerOf(socket);
+    this.connections.set(peer, socket);
+    socket.once('close', () => {
+      if (this.connections.get(peer) === socket) this.connections.delete(peer);
+    });
+  }
+
   private async handleRequest(
     message: IncomingMessage,
     response: ServerResponse,
@@ -168,6 +184,10 @@
   }
 }
 
+function peerOf({remoteAddress, remotePort}: Socket): string {
+  return `${remoteAddress}:${remotePort}`;
+}
+
 /** Reads a body; undefined if it is too large or the connection fails. */
 async function readBoundedBody(
   message: IncomingMessage,
--- a/src/instance/peertunnel.ts
+++ b/src/instance/peertunnel.ts
@@ -32,7 +32,7 @@
 
 /**
  * Serves a CONNECT request (RFC 9110, section 9.3.6) of a peer. `head`: bytes
- * that came behind it.
+ * that came behind it; `reset` resets the TCP connection that carries it.
  */
 export async function serveTunnel(
   credential: Credential,
@@ -41,6 +41,7 @@
   socket: Socket,
   head: Buffer,
   timer: Pick<Timer, 'sleep'>,
+  reset: () => void,
 ): Promise<void> {
   socket.on('error', () => undefined);
   const mac = headers[MAC_HEADER];
@@ -70,7 +71,7 @@
       socket.setTimeout(IDLE_LIMIT_MS, () => socket.destroy());
       socket.write('HTTP/1.1 200 Connection Established\r\n\r\n');
       if (head.length > 0) reply.socket.write(head);
-      joinSockets(socket, reply.socket, timer);
+      joinSockets(socket, reply.socket, timer, reset);
   }
 }
 
--- a/src/relay/relayserver.ts
+++ b/src/relay/relayserver.ts
@@ -100,17 +100,29 @@
   return 'code' in error && typeof error.code === 'string' ? error.code : '';
 }
 
-/** Passes bytes on between a peer and an upstream until either ends. */
+/**
+ * Passes bytes on between a peer and an upstream until either ends.
+ * `resetPeer` resets the TCP connection of the peer, over TLS as well.
+ */
 export function joinSockets(
   peer: Socket,
   upstream: Socket,
   timer: Pick<Timer, 'sleep'>,
+  resetPeer: () => void,
 ): void {
+  const passEnd = () => {
+    if (mayBeBroken(upstream)) {
+      resetPeer();
+      return;
+    }
+    peer.end();
+    upstream.end();
+  };
   // Its end is passed on only once no reset follows.
   upstream.allowHalfOpen = true;
   upstream.once('end', () => {
-    if (upstream.bytesWritten <= LONG_REQUEST_BYTES) passEnd(peer, upstream);
-    else void timer.sleep(LATE_RESET_MS).then(() => passEnd(peer, upstream));
+    if (upstream.bytesWritten <= LONG_REQUEST_BYTES) passEnd();
+    else void timer.sleep(LATE_RESET_MS).then(passEnd);
   });
   peer.pipe(upstream, {end: false});
   upstream.pipe(peer, {end: false});
@@ -119,24 +131,19 @@
     peer.once(event, () => upstream.destroy());
   }
   // An answer without a length is whole only if its connection was closed.
-  upstream.once('error', () => peer.resetAndDestroy());
+  upstream.once('error', resetPeer);
   upstream.once('close', () => {
-    if (!upstream.readableEnded) peer.resetAndDestroy();
+    if (!upstream.readableEnded) resetPeer();
   });
 }
 
 /**
- * Ends a peer's connection like that of its upstream. A reset that is read
- * together with the last bytes ends the socket like a close; only a socket that
- * was reset has no remote address then. An upstream that ends the connection
- * while it takes no more of the request may have broken off.
+ * Whether an upstream that ended its connection in order may have broken off. A
+ * reset that is read together with the last bytes ends the socket like a close;
+ * only a socket that was reset has no remote address then. An upstream that ends
+ * the connection while it takes no more of the request may have broken off, too.
  */
-function passEnd(peer: Socket, upstream: Socket): void {
+function mayBeBroken(upstream: Socket): boolean {
   const wasReset = upstream.remoteAddress === undefined;
-  if (wasReset || upstream.writableLength > 0) {
-    peer.resetAndDestroy();
-  } else {
-    peer.end();
-    upstream.end();
-  }
+  return wasReset || upstream.writableLength > 0;
 }
--- a/test/tunnel.test.ts
+++ b/test/tunnel.test.ts
@@ -1,8 +1,15 @@
 import {once} from 'node:events';
 import {connect, createServer, type Server, type Socket} from 'node:net';
 import type {AddressInfo} from 'node:net';
+import {join} from 'node:path';
 import {afterEach, beforeEach, describe, expect, test} from 'vitest';
-import {Credential, PeerServer} from '../src/instance/index.js';
+import {packageRoot} from '../src/cli/packageroot.js';
+import {
+  Credential,
+  PeerServer,
+  readTlsFiles,
+  type TlsFiles,
+} from '../src/instance/index.js';
 import {PeerTunnels} from '../src/instance/peertunnel.js';
 import type {TunnelReply} from '../src/relay/index.js';
 import {SystemTimer} from '../src/timer/index.js';
@@ -10,12 +17,23 @@
 const HOST = '127.0.0.1';
 const SECRET = 'a-secret-of-sixteen-letters';
 
+const fixture = (name: string) =>
+  join(packageRoot(), 'test', 'fixtures', `${name}.pem`);
+
+const TLS = readTlsFiles({
+  peerCert: fixture('peer-cert'),
+  peerKey: fixture('peer-key'),
+  peerCa: fixture('peer-ca'),
+});
+
 let server: PeerServer;
 let upstream: Server;
 let upstreamPort: number;
 let peer: {host: string; port: number};
 /** Connections that the upstream has accepted. */
 let accepted: Socket[];
+/** Files of the peer and its caller; absent without TLS. */
+let tls: TlsFiles | undefined;
 /** What the peer answers, by default a connection to the upstream. */
 let reply: (() => Promise<TunnelReply>) | undefined;
 
@@ -29,14 +47,8 @@
   upstream.listen(0, HOST);
   await once(upstream, 'listening');
   upstreamPort = (upstream.address() as AddressInfo).port;
-  server = new PeerServer(new Credential([SECRET]));
-  server.handleTunnels(async (host, port) => {
-    if (reply !== undefined) return reply();
-    const socket = connect({host, port});
-    await once(socket, 'connect');
-    return {type: 'opened', socket};
-  }, new SystemTimer());
-  peer = {host: HOST, port: await server.listen(HOST, 0)};
+  tls = undefined;
+  await serve();
 });
 
 afterEach(async () => {
@@ -45,8 +57,20 @@
   await server.close();
 });
 
+/** Starts the peer. */
+async function serve(): Promise<void> {
+  server = new PeerServer(new Credential([SECRET]), tls);
+  server.handleTunnels(async (host, port) => {
+    if (reply !== undefined) return reply();
+    const socket = connect({host, port});
+    await once(socket, 'connect');
+    return {type: 'opened', socket};
+  }, new SystemTimer());
+  peer = {host: HOST, port: await server.listen(HOST, 0)};
+}
+
 function open(secret = SECRET, signal = new AbortController().signal) {
-  const tunnels = new PeerTunnels(new Credential([secret]), HOST);
+  const tunnels = new PeerTunnels(new Credential([secret]), HOST, tls);
   const address = {id: 'i-1', service: 'plain', host: HOST, port: upstreamPort};
   return tunnels.open(peer, address, signal);
 }
@@ -59,64 +83,76 @@
   return {near, far};
 }
 
-describe('a tunnel', () => {
-  test('passes bytes on in both directions, however many', async () => {
-    const {near, far} = await openPair();
-    const sent = Buffer.alloc(3_000_000, 'ab');
-    far.end(sent);
-    near.write('ask');
-    expect(String(((await once(far, 'data')) as [Buffer])[0])).toBe('ask');
-    const chunks: Buffer[] = [];
-    for await (const chunk of near) chunks.push(chunk as Buffer);
-    expect(Buffer.concat(chunks).equals(sent)).toBe(true);
-  });
-
-  test('ends in order when the upstream closes it', async () => {
-    const {near, far} = await openPair();
-    far.end('whole');
-    const chunks: string[] = [];
-    for await (const chunk of near) chunks.push(String(chunk));
-    expect(chunks.join('')).toBe('whole');
-  });
-
-  test('is reset when the upstream resets it, as an answer is not whole then', async () => {
-    const {near, far} = await openPair();
-    far.write('half');
-    await once(near, 'data');
-    far.resetAndDestroy();
-    const [error] = (await once(near, 'error')) as [NodeJS.ErrnoException];
-    expect(error.code).toBe('ECONNRESET');
-  });
+describe.each([{name: 'a tunnel'}, {name: 'a tunnel over TLS', files: TLS}])(
+  '$name',
+  ({files}) => {
+    beforeEach(async () => {
+      if (files === undefined) return;
+      await server.close();
+      tls = files;
+      await serve();
+    });
+
+    test('passes bytes on in both directions, however many', async () => {
+      const {near, far} = await openPair();
+      const sent = Buffer.alloc(3_000_000, 'ab');
+      far.end(sent);
+      near.write('ask');
+      expect(String(((await once(far, 'data')) as [Buffer])[0])).toBe('ask');
+      const chunks: Buffer[] = [];
+      for await (const chunk of near) chunks.push(chunk as Buffer);
+      expect(Buffer.concat(chunks).equals(sent)).toBe(true);
+    });
+
+    test('ends in order when the upstream closes it', async () => {
+      const {near, far} = await openPair();
+      far.end('whole');
+      const chunks: string[] = [];
+      for await (const chunk of near) chunks.push(String(chunk));
+      expect(chunks.join('')).toBe('whole');
+    });
 
-  test('is reset when the reset comes with the last bytes', async () => {
-    let ended = 0;
-    for (let n = 0; n < 40; n++) {
+    test('is reset when the upstream resets it, as an answer is not whole then', async () => {
       const {near, far} = await openPair();
-      near.on('error', () => undefined);
-      // A socket that was reset has no remote address.
-      near.once(
-        'end',
-        () => (ended += near.remoteAddress === undefined ? 0 : 1),
-      );
-      near.resume();
-      far.write('x'.repeat(1 + n * 500));
-      // Both are read at once where the reader is late.
+      far.write('half');
+      await once(near, 'data');
       far.resetAndDestroy();
-      const until = performance.now() + 3;
-      while (performance.now() < until);
-      await once(near, 'close');
-      accepted = [];
-    }
-    expect(ended).toBe(0);
-  });
+      const [error] = (await once(near, 'error')) as [NodeJS.ErrnoException];
+      expect(error.code).toBe('ECONNRESET');
+    });
+
+    test('is reset when the reset comes with the last bytes', async () => {
+      let ended = 0;
+      for (let n = 0; n < 40; n++) {
+        const {near, far} = await openPair();
+        near.on('error', () => undefined);
+        // A socket that was reset has no remote address.
+        near.once(
+          'end',
+          () => (ended += near.remoteAddress === undefined ? 0 : 1),
+        );
+        near.resume();
+        far.write('x'.repeat(1 + n * 500));
+        // Both are read at once where the reader is late.
+        far.resetAndDestroy();
+        const until = performance.now() + 3;
+        while (performance.now() < until);
+        await once(near, 'close');
+        accepted = [];
+      }
+      expect(ended).toBe(0);
+    });
 
-  test('is closed at the upstream when its caller leaves', async () => {
-    const {near, far} = await openPair();
-    near.destroy();
-    await once(far.resume(), 'end');
-    expect(far.readableEnded).toBe(true);
-  });
+    test('is closed at the upstream when its caller leaves', async () => {
+      const {near, far} = await openPair();
+      near.destroy();
+      await once(far.resume(), 'end');
+      expect(far.readableEnded).toBe(true);
+    });
+  },
+);
 
+describe('a tunnel', () => {
   test('is not opened for a peer without the secret', async () => {
     expect(await open('another-secret-of-letters')).toMatchInlineSnapshot(`
       Err {
