Let answers of requests that did not run clear no part that crashes upstreams

A whole answer with 408, 421 or 429 cleared the parts of its prompt of the crashes before, if it lacked the mark of a request that was not run. Answers with the mark are refusals and never cleared anything.

Now the statuses that the protocol has for requests that did not run show nothing. The other answers below 500 clear as before.

The new test failed before for 408, 421 and 429 with "expected 'rejection' to be undefined". That callers met this is not shown: it was found by reading.

--- a/src/forward/answersign.ts
+++ b/src/forward/answersign.ts
@@ -4,6 +4,6 @@
   Event = 'event',
   /** A whole success. */
   Success = 'success',
-  /** A whole answer below 500 that is no success: it concerns the request. */
+  /** Another whole answer below 500, which concerns the request. */
   Rejection = 'rejection',
 }
--- a/src/forward/attempttally.ts
+++ b/src/forward/attempttally.ts
@@ -5,6 +5,7 @@
   type AttemptResult,
   type BufferedResponse,
 } from './attemptresult.js';
+import type {Protocol} from './protocol.js';
 import {repeatCauseOf, type RepeatCause} from './repeatcause.js';
 
 /** What the attempts of a request have come to so far. */
@@ -104,16 +105,21 @@
 
 /**
  * What the result shows of an upstream that lived on with the request. A failure
- * of its own shows nothing, since it may not have read the request.
+ * of its own shows nothing, since it may not have read the request, and neither
+ * does a status of requests that did not run.
  */
-export function answerSignOf(result: AttemptResult): AnswerSign | undefined {
+export function answerSignOf(
+  result: AttemptResult,
+  protocol: Pick<Protocol, 'impliesNotRun'>,
+): AnswerSign | undefined {
   switch (result.type) {
     case 'delivered':
       return AnswerSign.Success;
     case 'whole': {
       if (isSuccess(result)) return AnswerSign.Success;
-      const isOwnFailure = result.answer.head.status >= 500;
-      return isOwnFailure ? undefined : AnswerSign.Rejection;
+      const {status} = result.answer.head;
+      const showsNothing = status >= 500 || protocol.impliesNotRun(status);
+      return showsNothing ? undefined : AnswerSign.Rejection;
     }
     case 'doubtful':
     case 'broken':
--- a/src/forward/runningattempt.ts
+++ b/src/forward/runningattempt.ts
@@ -229,7 +229,7 @@
         const {path} = connection;
         recordHealth(dependencies, context, endpoint, result, path);
       }
-      const sign = answerSignOf(result);
+      const sign = answerSignOf(result, protocol);
       if (sign !== undefined) this.recordSurvival(sign);
       if (isCrashSign(result, request.prompt !== undefined)) {
         promptGuard.recordBreak(endpoint, {request: request.id, parts, sentAt});
--- a/test/attempttally.test.ts
+++ b/test/attempttally.test.ts
@@ -1,5 +1,7 @@
 import {expect, test} from 'vitest';
-import {AttemptTally} from '../src/forward/attempttally.js';
+import {protocol} from '../platform/headers.js';
+import {AnswerSign} from '../src/forward/answersign.js';
+import {answerSignOf, AttemptTally} from '../src/forward/attempttally.js';
 import type {ReceivedHead} from '../src/forward/attemptresult.js';
 
 const head: ReceivedHead = {
@@ -20,3 +22,20 @@
   tally.recordFailure({type: 'delivered', head});
   expect(tally.possibleRuns).toBe(1);
 });
+
+test.each([
+  {status: 200, sign: AnswerSign.Success},
+  {status: 404, sign: AnswerSign.Rejection},
+  {status: 408, sign: undefined},
+  {status: 421, sign: undefined},
+  {status: 429, sign: undefined},
+  {status: 500, sign: undefined},
+  {status: 503, sign: undefined},
+])(
+  'an answer of $status counts as sign $sign of an upstream that lived on',
+  ({status, sign}) => {
+    const answer = {head: {...head, status}, body: Buffer.alloc(0)};
+    const result = {type: 'whole', answer, asksForPause: false} as const;
+    expect(answerSignOf(result, protocol)).toBe(sign);
+  },
+);
