Test with a real process that upstreams which reset unread answers don't end it

Callers that don't read, answers without a length of 1.8 to 5.1 MB, reset 200 ms after their last byte: the state in which the paused parser of the HTTP client ended the process, on its own machine's terms and without knowledge of how.

Which size meets the state depends on what the systems at both ends keep for a reader that is late, so the sizes go from less than that to more.

--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,7 +1,11 @@
 import {defineConfig} from 'vitest/config';
 
 /** Tests that measure a process, which run one at a time after all others. */
-const MEASURED = ['test/hostileclients.test.ts', 'test/smallparts.test.ts'];
+const MEASURED = [
+  'test/hostileclients.test.ts',
+  'test/smallparts.test.ts',
+  'test/unreadanswers.test.ts',
+];
 
 export default defineConfig({
   test: {
