Survive the end of a router's upstream while a reader is slow

Cause: a router reads streams by undici's own bodies, which pause the parser while 64 KiB wait to be read. At the end of an answer that ends with its connection, undici finishes the parser, which asserts that it isn't paused, in a listener of the socket.

Now the clients of upstreams note which response is paused. At the end of the connection it is resumed before undici sees the end; all bytes have been read then. On a reset, the error gets a code for which undici fails the response.

Ruled out: bodies that are read whole as soon as their head has come, as those of the store, the log, the lists and peers: they resume in the turn of the event loop that paused them.

--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -1,5 +1,5 @@
 import type {EventSourceMessage} from 'eventsource-parser';
-import type {Client, Dispatcher} from 'undici';
+import type {Dispatcher} from 'undici';
 import {type Recorder, WasteCause} from '../telemetry/index.js';
 import type {Timer} from '../timer/index.js';
 import {openProbedConnection} from './connection.js';
@@ -202,7 +202,7 @@
 
   /** Runs an exchange on a dedicated connection and closes it afterwards. */
   private async useClient<Value>(
-    client: Client,
+    client: Dispatcher,
     exchange: () => Promise<Value>,
   ): Promise<Value> {
     try {
--- a/src/request/connection.ts
+++ b/src/request/connection.ts
@@ -1,4 +1,4 @@
-import type {Client} from 'undici';
+import type {Dispatcher} from 'undici';
 import type {Upstream} from '../upstream/index.js';
 import type {Timer} from '../timer/index.js';
 
@@ -15,7 +15,7 @@
   upstream: Upstream,
   timer: Timer,
   signal: AbortSignal,
-): Promise<Client | undefined> {
+): Promise<Dispatcher | undefined> {
   const client = upstream.openConnection();
   const timeout = new AbortController();
   const timeoutTimer = timer.after(PROBE_TIMEOUT_MS, () => timeout.abort());
--- a/src/request/upstreamstream.ts
+++ b/src/request/upstreamstream.ts
@@ -1,4 +1,4 @@
-import type {Client, Dispatcher} from 'undici';
+import type {Dispatcher} from 'undici';
 import type {Upstream} from '../upstream/index.js';
 import type {Timer} from '../timer/index.js';
 
@@ -6,7 +6,7 @@
 
 /** Requests the events of a buffered stream after `lastEventId`. */
 export function resumeStream(
-  client: Client,
+  client: Dispatcher,
   id: string,
   lastEventId: string | undefined,
   signal: AbortSignal,
--- a/src/upstream/upstream.ts
+++ b/src/upstream/upstream.ts
@@ -1,6 +1,7 @@
-import {Client, Pool as Connections} from 'undici';
+import {Pool as Connections, type Dispatcher} from 'undici';
 import type {Pool} from '../config/index.js';
 import {ObservedState} from './observedstate.js';
+import {openGuardedClient} from './pauseguard.js';
 
 /** Limits the connections of one router instance to one upstream. */
 const MAX_CONNECTIONS_PER_UPSTREAM = 256;
@@ -58,12 +59,13 @@
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
       connect: {timeout: CONNECT_TIMEOUT_MS},
       localAddress,
+      factory: (origin, options) => openGuardedClient(origin, options),
     });
   }
 
   /** Opens a connection outside the pool; the caller has to close it. */
-  openConnection(): Client {
-    return new Client(new URL(this.url).origin, {
+  openConnection(): Dispatcher.ComposedDispatcher {
+    return openGuardedClient(new URL(this.url).origin, {
       pipelining: 1,
       connect: {timeout: CONNECT_TIMEOUT_MS},
       localAddress: this.localAddress,
