Let streams without an event and unmarked answers clear no part that crashes upstreams

Streams are known by their first event, at which they clear as before.

Two new tests failed before with "expected 'success' to be undefined" and "expected 'rejection' to be undefined".

--- a/src/forward/attempttally.ts
+++ b/src/forward/attempttally.ts
@@ -114,10 +114,12 @@
 ): AnswerSign | undefined {
   switch (result.type) {
     case 'delivered':
-      return AnswerSign.Success;
+      // A stream has shown it by its first event, or has had none.
+      return result.head.isEventStream ? undefined : AnswerSign.Success;
     case 'whole': {
       if (isSuccess(result)) return AnswerSign.Success;
-      const {status} = result.answer.head;
+      const {status, sealed, request} = result.answer.head;
+      if (!sealed || request === undefined) return undefined;
       const showsNothing = status >= 500 || protocol.impliesNotRun(status);
       return showsNothing ? undefined : AnswerSign.Rejection;
     }
--- a/test/attempttally.test.ts
+++ b/test/attempttally.test.ts
@@ -5,6 +5,7 @@
 import type {ReceivedHead} from '../src/forward/attemptresult.js';
 
 const head: ReceivedHead = {
+  request: 'r1',
   status: 200,
   framed: false,
   notRun: false,
@@ -39,3 +40,20 @@
     expect(answerSignOf(result, protocol)).toBe(sign);
   },
 );
+
+test('the end of a stream is no sign of an upstream that lived on without an event', () => {
+  expect(answerSignOf({type: 'delivered', head}, protocol)).toBeUndefined();
+  const plain = {...head, isEventStream: false};
+  const sign = answerSignOf({type: 'delivered', head: plain}, protocol);
+  expect(sign).toBe(AnswerSign.Success);
+});
+
+test('a rejection without the marks of its upstream is no sign', () => {
+  const unnamed: ReceivedHead = {...head, status: 404};
+  delete unnamed.request;
+  for (const bare of [unnamed, {...head, status: 404, sealed: false}]) {
+    const answer = {head: bare, body: Buffer.alloc(0)};
+    const result = {type: 'whole', answer, asksForPause: false} as const;
+    expect(answerSignOf(result, protocol)).toBeUndefined();
+  }
+});
