--- a/test/early-answers.test.ts
+++ b/test/early-answers.test.ts
@@ -19,6 +19,8 @@
 
 /** Less than the system of an upstream keeps that reads nothing. */
 const UPLOAD = Buffer.alloc(900_000, 'u');
+/** More than TCP sends without an acknowledgement at first. */
+const SHORT_UPLOAD = Buffer.alloc(20_000, 'u');
 /** More than the systems of both ends keep. */
 const LONG_UPLOAD = Buffer.alloc(12_000_000, 'u');
 const MAX_BODY_BYTES = 16_000_000;
@@ -111,6 +113,14 @@
       expect([answer?.status, answer?.complete]).toEqual([502, true]);
     });
 
+    test('does not look whole if the upload is longer than a first flight', async () => {
+      const port = await start('plain', 1, request =>
+        breakOff(request, `${successHead(request.id, '')}part`, resetMs),
+      );
+      const answer = await send(port, '/order/a', SHORT_UPLOAD);
+      expect([answer?.status, answer?.complete]).toEqual([502, true]);
+    });
+
     test('is replaced by that of another upstream where it may be', async () => {
       const port = await start('plain', 2, (request, run) => {
         const head = successHead(request.id, 'Connection: close\r\n');
