Don't reset a relayed connection that is ending already

An instance that relays connections could lose a descriptor for good for each upstream that failed in the turn of the event loop in which its end in order had been passed on: in Node.js, a socket that is reset after its end began is not closed (EINVAL). At a few thousand descriptors an instance takes no more connections.

Now such a connection is destroyed, so that the peer doesn't take the answer for whole.

The new test failed before with "expected [ false, 1 ] to deeply equal [ true, +0 ]". The leak was shown by a review with a script; that an instance met it is not shown.

--- a/src/relay/relayserver.ts
+++ b/src/relay/relayserver.ts
@@ -110,9 +110,14 @@
   timer: Pick<Timer, 'sleep'>,
   resetPeer: () => void,
 ): void {
+  const passBreak = () => {
+    // Node.js leaks the descriptor of a socket that is reset while it ends.
+    if (peer.writableEnded) peer.destroy();
+    else resetPeer();
+  };
   const passEnd = () => {
     if (mayBeBroken(upstream)) {
-      resetPeer();
+      passBreak();
       return;
     }
     peer.end();
@@ -131,9 +136,9 @@
     peer.once(event, () => upstream.destroy());
   }
   // An answer without a length is whole only if its connection was closed.
-  upstream.once('error', resetPeer);
+  upstream.once('error', passBreak);
   upstream.once('close', () => {
-    if (!upstream.readableEnded) resetPeer();
+    if (!upstream.readableEnded) passBreak();
   });
 }
 
--- a/test/tunnel.test.ts
+++ b/test/tunnel.test.ts
@@ -11,7 +11,7 @@
   type TlsFiles,
 } from '../src/instance/index.js';
 import {PeerTunnels} from '../src/instance/peertunnel.js';
-import type {TunnelReply} from '../src/relay/index.js';
+import {joinSockets, type TunnelReply} from '../src/relay/index.js';
 import {SystemTimer} from '../src/timer/index.js';
 
 const HOST = '127.0.0.1';
@@ -221,6 +221,19 @@
   );
 });
 
+test('a connection that ends in order is not reset any more', async () => {
+  const {near} = await openPair();
+  let resets = 0;
+  const upstreamSide = connect(peer);
+  await once(upstreamSide, 'connect');
+  upstreamSide.on('error', () => undefined);
+  joinSockets(near, upstreamSide, new SystemTimer(), () => resets++);
+  upstreamSide.emit('end');
+  upstreamSide.emit('error', new TypeError('read ECONNRESET'));
+  upstreamSide.destroy();
+  expect([near.destroyed, resets]).toEqual([true, 0]);
+});
+
 test('a peer that stops closes the tunnels that are left', async () => {
   const {near} = await openPair();
   const closed = once(near.resume(), 'close');
