Read the rest of a stream's line without a look at each byte's state

Streams cost processor time for each of their bytes, though only the name of a field and the ends of lines matter: some 9 ns a byte of an event of 120 bytes, and an instance beside upstreams that send events without end spent a fifth of its time there (a profile, 620 of 2,900 ms).

--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -25,6 +25,10 @@
 
 const EMPTY = Buffer.alloc(0);
 
+function isLineEnd(byte: number | undefined): boolean {
+  return byte === LINE_FEED || byte === CARRIAGE_RETURN;
+}
+
 /** Finds the ends of events in a stream without keeping its bytes. */
 export class EventScanner {
   /** Number of complete events so far, of those with a line of a known field. */
@@ -50,27 +54,43 @@
    */
   scan(chunk: Buffer): number {
     let end = 0;
-    for (let at = 0; at < chunk.length; at++) {
+    let at = 0;
+    while (at < chunk.length) {
       const byte = chunk[at];
-      const completesLineEnd = byte === LINE_FEED && this.afterCarriageReturn;
-      this.afterCarriageReturn = byte === CARRIAGE_RETURN;
-      if (byte !== LINE_FEED && byte !== CARRIAGE_RETURN) {
-        if (this.lineIsEmpty) {
-          if (byte !== COLON) this.insideEvent = true;
-          this.field = FIELDS.get(byte ?? 0);
-          this.fieldLength = 0;
-        }
-        if (this.field !== undefined) this.readName(byte);
-        this.lineIsEmpty = false;
-        this.insideBlock = true;
+      if (!isLineEnd(byte)) {
+        at = this.readLine(chunk, at);
+        this.afterCarriageReturn = false;
         continue;
       }
+      const completesLineEnd = byte === LINE_FEED && this.afterCarriageReturn;
       if (!completesLineEnd) this.endLine();
-      if (!this.insideBlock && !this.afterStray) end = at + 1;
+      this.afterCarriageReturn = byte === CARRIAGE_RETURN;
+      at++;
+      if (!this.insideBlock && !this.afterStray) end = at;
     }
     return end;
   }
 
+  /** Reads a line on to its end, or to that of the bytes; returns the offset. */
+  private readLine(chunk: Buffer, from: number): number {
+    let at = from;
+    if (this.lineIsEmpty) {
+      const byte = chunk[at];
+      if (byte !== COLON) this.insideEvent = true;
+      this.field = FIELDS.get(byte ?? 0);
+      this.fieldLength = 0;
+      this.lineIsEmpty = false;
+      this.insideBlock = true;
+    }
+    const {length} = chunk;
+    while (this.field !== undefined && at < length && !isLineEnd(chunk[at])) {
+      this.readName(chunk[at]);
+      at++;
+    }
+    while (at < length && !isLineEnd(chunk[at])) at++;
+    return at;
+  }
+
   /** Reads a byte of a line that began with the name of a field so far. */
   private readName(byte: number | undefined): void {
     const {field = '', fieldLength} = this;
