Let the work of answers follow the event loop of the machine

Cause: the pool that answers draw from was 50,000 units a second whatever the machine can do, and as it grows while a read goes on, one read on a slow machine never came to its end.

The pool is 20,000 units a second now, and follows the event loop: while a look that is due every 50 ms is overdue, nothing is drawn; each late look halves the rate, down to a quarter.

--- a/src/forward/answerlimit.ts
+++ b/src/forward/answerlimit.ts
@@ -1,13 +1,10 @@
 import type {Subscription, Timer} from '../timer/index.js';
+import {WorkPool} from './workpool.js';
 
 /** Work that each answer may cause at once, in units. */
 const OWN_BURST = 400;
 /** Work that each answer may cause all the time, in units a second. */
 const OWN_PER_SECOND = 200;
-/** Work that all answers may cause at once beyond that, in units. */
-const POOL_BURST = 50_000;
-/** Work that all answers may cause beyond that, in units a second. */
-const POOL_PER_SECOND = 50_000;
 /** Work that an answer draws from the pool at a time, in units. */
 const DRAW = 500;
 /** Work of its own share for which an answer that waits goes on, in units. */
@@ -118,18 +115,18 @@
  * Limits the processor time that answers of upstreams take. Each has a share of
  * its own, which answers at the pace of a model don't exceed. Those that exceed
  * it draw from one pool and wait once it is empty; one in small parts that has
- * waited for long is broken off. In calm, a single one never waits.
+ * waited for long is broken off. In calm, a single one never waits. While the
+ * event loop is late, none draws, and the pool grows more slowly.
  */
 export class AnswerLimit {
-  private left = POOL_BURST;
-  private refilledAt: number;
+  private readonly pool: WorkPool;
   /** When answers last drew from the pool, in monotonic ms. */
   private readonly drewAt = new Map<AnswerMeter, number>();
   private readonly waiting = new Set<AnswerMeter>();
   private nextGrant?: Subscription;
 
   constructor(private readonly timer: Pick<Timer, 'now' | 'after'>) {
-    this.refilledAt = timer.now();
+    this.pool = new WorkPool(timer.now());
   }
 
   /** Number of answers that wait. */
@@ -150,7 +147,7 @@
     if (this.waiting.size === 0 && this.grant(meter, now)) return true;
     this.waiting.add(meter);
     meter.startWaiting(now);
-    this.nextGrant ??= this.timer.after(GRANT_PERIOD_MS, () => this.grantAll());
+    this.scheduleGrant(now);
     return false;
   }
 
@@ -159,30 +156,47 @@
     this.drewAt.delete(meter);
   }
 
-  /** Lets an answer draw if the pool isn't empty, or no other one draws. */
+  /** Lets an answer draw if the pool isn't empty, or no other one draws in calm. */
   private grant(meter: AnswerMeter, now: number): boolean {
-    const added = ((now - this.refilledAt) / 1_000) * POOL_PER_SECOND;
-    this.refilledAt = now;
-    this.left = Math.min(POOL_BURST, this.left + added);
     const {need} = meter;
-    if (this.left > 0) this.left -= need;
-    else if (!this.isAlone(meter, now)) return false;
+    if (this.pool.isLate(now)) return false;
+    const draws =
+      this.pool.take(need, now) ||
+      (this.pool.isFullRate(now) && this.isAlone(meter, now));
+    if (!draws) return false;
     meter.draw(need);
     this.drewAt.set(meter, now);
+    this.scheduleGrant(now);
     return true;
   }
 
   private isAlone(meter: AnswerMeter, now: number): boolean {
-    for (const [other, at] of this.drewAt) {
-      if (now - at > DRAW_MEMORY_MS) this.drewAt.delete(other);
-      else if (other !== meter) return false;
+    this.forgetDraws(now);
+    return this.drewAt.size === (this.drewAt.has(meter) ? 1 : 0);
+  }
+
+  private forgetDraws(now: number): void {
+    for (const [meter, at] of this.drewAt) {
+      if (now - at > DRAW_MEMORY_MS) this.drewAt.delete(meter);
     }
-    return true;
+  }
+
+  /** Looks again after a period, which also shows how late the event loop is. */
+  private scheduleGrant(now: number): void {
+    if (this.nextGrant !== undefined) return;
+    this.pool.expectLook(now + GRANT_PERIOD_MS);
+    this.nextGrant = this.timer.after(GRANT_PERIOD_MS, () => {
+      delete this.nextGrant;
+      const at = this.timer.now();
+      this.pool.look(at);
+      this.grantAll();
+      this.forgetDraws(at);
+      if (this.waiting.size > 0 || this.drewAt.size > 0) this.scheduleGrant(at);
+    });
   }
 
   /** Lets answers go on in the order in which they began to wait. */
   private grantAll(): void {
-    delete this.nextGrant;
     for (const meter of [...this.waiting]) {
       const now = this.timer.now();
       // One that goes on may end others.
@@ -192,7 +206,5 @@
         meter.goOn(now);
       } else meter.waitOn(now);
     }
-    if (this.waiting.size === 0) return;
-    this.nextGrant ??= this.timer.after(GRANT_PERIOD_MS, () => this.grantAll());
   }
 }
--- a/test/answerlimit.test.ts
+++ b/test/answerlimit.test.ts
@@ -1,6 +1,8 @@
 import {expect, test} from 'vitest';
 import {AnswerLimit} from '../src/forward/answerlimit.js';
+import {WorkPool} from '../src/forward/workpool.js';
 import {ManualTimer} from '../src/timer/index.js';
+import {SlowMachine} from './support/slowmachine.js';
 
 /** Chunks of an answer without end that are read at once. */
 const READ = 10_000;
@@ -8,15 +10,23 @@
 /** Pace of an answer in large chunks beside many that are endless. */
 const MIN_BYTES_PER_SECOND = 10 * 1024 * 1024;
 
-/** A limit in virtual time, and answers that come until they have to wait. */
-function openLimit() {
+/** Time within which each request has ended after its deadline, in ms. */
+const SLACK_MS = 500;
+
+/**
+ * A limit in virtual time, and answers that come until they have to wait.
+ * `msPerChunk`: processor time that a chunk takes.
+ */
+function openLimit(msPerChunk = 0) {
   const timer = new ManualTimer();
-  const limit = new AnswerLimit(timer);
+  const machine = new SlowMachine(timer);
+  const limit = new AnswerLimit(machine);
   const open = (chunkBytes = 1) => {
     const answer = {received: 0, waits: false, brokenOff: false};
     const receive = (chunks: number) => {
       for (let sent = 0; sent < chunks && !answer.waits; sent++) {
         answer.received++;
+        machine.work(msPerChunk);
         answer.waits = !meter.addChunk(chunkBytes);
       }
     };
@@ -33,7 +43,7 @@
     });
     return {answer, meter, receive};
   };
-  return {timer, limit, open};
+  return {timer, machine, limit, open};
 }
 
 test('a single answer in small chunks never waits', () => {
@@ -51,7 +61,7 @@
   await timer.advance(3_000);
   const received = answers.reduce((sum, {answer}) => sum + answer.received, 0);
   const brokenOff = answers.filter(({answer}) => answer.brokenOff).length;
-  // 400 each, 50,000 of the pool, and what they draw at once beyond that.
+  // 400 each, 50,000 of the pool at most, and what they draw at once beyond that.
   expect(atOnce).toBeLessThanOrEqual(200 * 400 + 50_000 + 1_000);
   expect(received - atOnce).toBeLessThanOrEqual(3 * (50_000 + 200 * 200));
   expect(brokenOff).toBeGreaterThan(100);
@@ -88,3 +98,49 @@
   const receivedBytes = large.answer.received * LARGE_BYTES;
   expect(receivedBytes).toBeGreaterThan(10 * MIN_BYTES_PER_SECOND);
 });
+
+// Guards against a share of work that is more than a small machine can do.
+test('on a slow machine they leave time for what is due', async () => {
+  const {timer, machine, open} = openLimit(0.06);
+  const start = () => {
+    const endless = open();
+    endless.receive(READ);
+    return endless;
+  };
+  const answers = Array.from({length: 20}, start);
+  let longestDelayMs = 0;
+  for (let tick = 0; tick < 100; tick++) {
+    const dueAt = timer.now() + 100;
+    await timer.advance(100);
+    longestDelayMs = Math.max(longestDelayMs, machine.now() - dueAt);
+    // Callers ask again.
+    answers.forEach(({answer}, index) => {
+      if (answer.brokenOff) answers[index] = start();
+    });
+  }
+  expect(longestDelayMs).toBeLessThan(SLACK_MS);
+});
+
+test('the pool of work gives less while the event loop is late, and then more again', () => {
+  const pool = new WorkPool(0);
+  const seconds: string[] = [];
+  let now = 0;
+  for (const lateMs of [0, 100, 100, 0, 0]) {
+    let units = 0;
+    for (const end = now + 1_000; now < end; now += 50 + lateMs) {
+      while (pool.take(100, now)) units += 100;
+      pool.expectLook(now + 50);
+      pool.look(now + 50 + lateMs);
+    }
+    seconds.push(`${lateMs} ms late: ${units}, full: ${pool.isFullRate(now)}`);
+  }
+  expect(seconds).toMatchInlineSnapshot(`
+    [
+      "0 ms late: 29000, full: true",
+      "100 ms late: 8700, full: false",
+      "100 ms late: 5200, full: false",
+      "0 ms late: 9800, full: false",
+      "0 ms late: 18300, full: true",
+    ]
+  `);
+});
