--- a/src/registry/feed.ts
+++ b/src/registry/feed.ts
@@ -50,6 +50,8 @@
   | {type: 'refused'; status: number; epoch?: number}
   /** The response does not follow the store's protocol. */
   | {type: 'malformed'; reason: string; epoch?: number}
+  /** The response is longer than the protocol allows; it was broken off. */
+  | {type: 'tooLong'; limitBytes: number}
   /** The epoch rose between the pages of a snapshot, to `epoch`. */
   | {type: 'interrupted'; epoch: number};
 
--- a/src/registry/storeepoch.ts
+++ b/src/registry/storeepoch.ts
@@ -25,6 +25,8 @@
    * in monotonic ms; undefined if it isn't.
    */
   private servesSince?: number;
+  /** Answers that were broken off here. */
+  private brokenOff = 0;
   private readonly listeners = new Set<EpochListener>();
 
   constructor(
@@ -46,6 +48,14 @@
     return servesSince === undefined ? 0 : timer.now() - servesSince;
   }
 
+  /** Gauges and counters of /metrics, by name. */
+  gauges(): Record<string, number> {
+    return {
+      store_epoch: this.epoch,
+      store_answers_broken_off_total: this.brokenOff,
+    };
+  }
+
   /** Calls `listener` after each rise, until the subscription ends. */
   subscribe(listener: EpochListener): Subscription {
     this.listeners.add(listener);
@@ -82,6 +92,7 @@
   }
 
   private noteFailure(failure: FeedFailure): void {
+    if (failure.type === 'tooLong') this.brokenOff++;
     const sentAt =
       failure.type === 'timeout'
         ? this.timer.now() - failure.limitMs
@@ -116,6 +127,7 @@
   switch (failure.type) {
     case 'unreachable':
     case 'timeout':
+    case 'tooLong':
       return undefined;
     case 'refused':
     case 'malformed':
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -376,7 +376,7 @@
   private gauges(): Record<string, number> {
     return {
       configuration_version: this.routing.current()?.version ?? 0,
-      store_epoch: this.fleet.storeEpoch,
+      ...this.fleet.epochs.gauges(),
       configuration_age_ms: this.fleet.configurations.ageMs() ?? -1,
       upstreams_age_ms: this.fleet.upstreams.ageMs() ?? -1,
       ...this.listener.gauges(),
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -103,7 +103,7 @@
   readonly gossip: Gossip;
   readonly permits: PermitExchange;
   readonly origins: OriginExchange;
-  private readonly epochs: StoreEpoch;
+  readonly epochs: StoreEpoch;
   private readonly instances: Follower;
   private readonly records: RecordExchange;
   private readonly holds: HoldRecords;
@@ -270,11 +270,6 @@
     return this.peers.all();
   }
 
-  /** The newest known epoch of the store. */
-  get storeEpoch(): number {
-    return this.epochs.current;
-  }
-
   followerOf(topic: Topic): Follower {
     switch (topic) {
       case Topic.Configuration:
@@ -305,7 +300,7 @@
    * started. Nothing is lost where the store names no epoch.
    */
   private async consultPeers(): Promise<void> {
-    if (this.hasConsulted || this.storeEpoch === 0) return;
+    if (this.hasConsulted || this.epochs.current === 0) return;
     this.hasConsulted = true;
     const topics = [Topic.Configuration, Topic.Upstreams];
     const peers = [
