--- a/test/endless-store.test.ts
+++ b/test/endless-store.test.ts
@@ -119,6 +119,33 @@
   });
 });
 
+test.each([
+  {name: 'full pages', items: 500, valueBytes: 1024, pages: 200},
+  {name: 'pages of empty records', items: 500, valueBytes: 0, pages: 1_000},
+])('a snapshot of $name without end is broken off', async page => {
+  const {items, valueBytes, pages} = page;
+  const value = 'x'.repeat(valueBytes);
+  let served = 0;
+  const server = createServer((_message, response) => {
+    const first = served * items;
+    served++;
+    const records = Array.from({length: items}, (_, index) => ({
+      key: `key-${first + index}`,
+      value,
+      offset: first + index,
+    }));
+    const end = pages * items;
+    const hasMore = served < pages;
+    response.end(JSON.stringify({items: records, hasMore, end}));
+  });
+  const port = await listen(server, {host: HOST, port: 0});
+  const feed = new HttpFeed(`${HOST}:${port}`, HOST, FEED_TIMEOUTS);
+  const snapshot = await feed.snapshot(Topic.Upstreams);
+  server.close();
+  server.closeAllConnections();
+  expect(snapshot).toMatchObject({error: {type: 'tooLong'}});
+});
+
 /** Passes calls on to a store, or answers them without end. */
 class FaultyStore {
   isEndless = false;
