Collect bodies of peers, operators and product callers into few blocks

A call of a peer that came in very small chunks took some 230 bytes of memory for each byte: 8 MiB, which is allowed, would have taken 1.8 GB, before its authentication was checked. Bodies of requests of the product's own interface and of the console, and reports and orders' answers of its engines, were read in the same way.

Cause: each chunk was kept as an object of its own until the body was whole. Now all of them read with one function, which copies chunks into blocks as the gateway's bodies do.

--- a/src/console/http.ts
+++ b/src/console/http.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 import type {Markup} from '../markup/index.js';
+import {BodyTooLong, readBounded} from '../upstream/boundedbody.js';
 
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
 
@@ -26,20 +27,14 @@
 export async function readBody(
   message: IncomingMessage,
 ): Promise<Result<string, BodyReadFailure>> {
-  const chunks: Buffer[] = [];
-  let size = 0;
   try {
-    for await (const chunk of message as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > MAX_BODY_BYTES) {
-        return err({type: 'bodyTooLarge', limitBytes: MAX_BODY_BYTES});
-      }
-      chunks.push(chunk);
-    }
-  } catch {
-    return err({type: 'bodyBroken'});
+    const body = await readBounded(message, MAX_BODY_BYTES);
+    return ok(body.toString('utf8'));
+  } catch (cause) {
+    return cause instanceof BodyTooLong
+      ? err({type: 'bodyTooLarge', limitBytes: MAX_BODY_BYTES})
+      : err({type: 'bodyBroken'});
   }
-  return ok(Buffer.concat(chunks).toString('utf8'));
 }
 
 /** Sends text of any content type. */
--- a/src/instance/peerrpc.ts
+++ b/src/instance/peerrpc.ts
@@ -20,6 +20,7 @@
 import {MAC_HEADER, type Credential} from './credential.js';
 import {tlsClientOptions, tlsServerOptions, type TlsFiles} from './peertls.js';
 import type {Timer} from '../timer/index.js';
+import {readBounded} from '../upstream/boundedbody.js';
 import {serveTunnel, type TunnelHandler} from './peertunnel.js';
 
 /** HTTP path of the JSON-RPC endpoint. */
@@ -192,18 +193,11 @@
 async function readBoundedBody(
   message: IncomingMessage,
 ): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  let size = 0;
   try {
-    for await (const chunk of message as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > MAX_BODY_BYTES) return undefined;
-      chunks.push(chunk);
-    }
+    return await readBounded(message, MAX_BODY_BYTES);
   } catch {
     return undefined;
   }
-  return Buffer.concat(chunks);
 }
 
 /**
--- a/src/request/parse.ts
+++ b/src/request/parse.ts
@@ -13,7 +13,7 @@
 } from '../config/index.js';
 import {KEY_TIME_HEADER, keyIssueTime} from '../claim/index.js';
 import type {Timer} from '../timer/index.js';
-import {promptText} from '../upstream/index.js';
+import {BodyTooLong, promptText, readBounded} from '../upstream/index.js';
 import type {Failure} from './outcome.js';
 import type {Demand, ParsedRequest} from './work.js';
 
@@ -53,23 +53,17 @@
   message: IncomingMessage,
   timer: Timer,
 ): Promise<Result<Buffer, Failure>> {
-  const chunks: Buffer[] = [];
-  let size = 0;
   let timedOut = false;
   const timeoutTimer = timer.after(BODY_TIMEOUT_MS, () => {
     timedOut = true;
     message.destroy();
   });
   try {
-    for await (const chunk of message as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > BODY_LIMIT_BYTES) {
-        return err({type: 'bodyTooLarge', limitBytes: BODY_LIMIT_BYTES});
-      }
-      chunks.push(chunk);
+    return ok(await readBounded(message, BODY_LIMIT_BYTES));
+  } catch (cause) {
+    if (cause instanceof BodyTooLong) {
+      return err({type: 'bodyTooLarge', limitBytes: BODY_LIMIT_BYTES});
     }
-    return ok(Buffer.concat(chunks));
-  } catch {
     if (timedOut) return err({type: 'slowCaller', limitMs: BODY_TIMEOUT_MS});
     return err({type: 'cancelled'});
   } finally {
--- a/src/upstream/boundedbody.ts
+++ b/src/upstream/boundedbody.ts
@@ -1,3 +1,5 @@
+import {ByteCollector} from '../forward/bytes.js';
+
 /** A body that is longer than allowed; the rest of it wasn't read. */
 export class BodyTooLong extends Error {
   override name = 'BodyTooLong';
@@ -15,12 +17,12 @@
   body: AsyncIterable<Buffer>,
   limitBytes: number,
 ): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
+  const collector = new ByteCollector();
   for await (const chunk of body) {
-    bytes += chunk.length;
-    if (bytes > limitBytes) throw new BodyTooLong(limitBytes);
-    chunks.push(chunk);
+    if (collector.length + chunk.length > limitBytes) {
+      throw new BodyTooLong(limitBytes);
+    }
+    collector.push(chunk);
   }
-  return Buffer.concat(chunks);
+  return collector.take();
 }
