Bound the replies of peers in bytes

Whatever answered a call at a peer's address was read until the call timed out, and kept.

test/peer-rpc.test.ts, "a reply without end is broken off before its call times out", failed before (peerTimeout after 2 s) and passes, one run each.

--- a/src/instance/peerrpc.ts
+++ b/src/instance/peerrpc.ts
@@ -251,7 +251,8 @@
           dispatcher: this.agent,
         },
       );
-      const text = await response.body.text();
+      const reply = await readBounded(response.body, MAX_BODY_BYTES);
+      const text = reply.toString('utf8');
       this.usage.bytesIn += text.length;
       const mac = String(response.headers[MAC_HEADER] ?? '');
       if (!this.credential.verify(text, mac)) {
--- a/test/peer-rpc.test.ts
+++ b/test/peer-rpc.test.ts
@@ -1,6 +1,8 @@
+import {createServer} from 'node:http';
 import {join} from 'node:path';
-import {afterEach, describe, expect, it} from 'vitest';
+import {afterEach, describe, expect, it, test} from 'vitest';
 import {packageRoot} from '../src/cli/packageroot.js';
+import {listen} from '../src/forward/index.js';
 import {
   Credential,
   PeerClient,
@@ -80,6 +82,25 @@
   });
 });
 
+// Guards against whatever answers at a peer's address without end.
+test('a reply without end is broken off before its call times out', async () => {
+  const server = createServer((message, response) => {
+    message.resume();
+    const write = () => {
+      while (!response.destroyed && response.write(Buffer.alloc(64 * 1024)));
+    };
+    response.on('drain', write);
+    write();
+  });
+  const port = await listen(server, {host: HOST, port: 0});
+  closers.push(async () => {
+    server.close();
+    server.closeAllConnections();
+    await Promise.resolve();
+  });
+  expect(await echo({host: HOST, port}, [NEW_SECRET])).toBe('peerUnreachable');
+});
+
 describe('TLS files', () => {
   it('must be set all together or not at all', () => {
     expect(readTlsFiles({})).toBeUndefined();
