--- a/src/instance/peerrpc.ts
+++ b/src/instance/peerrpc.ts
@@ -20,6 +20,7 @@
 import {MAC_HEADER, type Credential} from './credential.js';
 import {tlsClientOptions, tlsServerOptions, type TlsFiles} from './peertls.js';
 import type {Timer} from '../timer/index.js';
+import {readBounded} from '../upstream/boundedbody.js';
 import {serveTunnel, type TunnelHandler} from './peertunnel.js';
 
 /** HTTP path of the JSON-RPC endpoint. */
@@ -192,18 +193,11 @@
 async function readBoundedBody(
   message: IncomingMessage,
 ): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  let size = 0;
   try {
-    for await (const chunk of message as AsyncIterable<Buffer>) {
-      size += chunk.length;
-      if (size > MAX_BODY_BYTES) return undefined;
-      chunks.push(chunk);
-    }
+    return await readBounded(message, MAX_BODY_BYTES);
   } catch {
     return undefined;
   }
-  return Buffer.concat(chunks);
 }
 
 /**
@@ -257,7 +251,8 @@
           dispatcher: this.agent,
         },
       );
-      const text = await response.body.text();
+      const reply = await readBounded(response.body, MAX_BODY_BYTES);
+      const text = reply.toString('utf8');
       this.usage.bytesIn += text.length;
       const mac = String(response.headers[MAC_HEADER] ?? '');
       if (!this.credential.verify(text, mac)) {
