--- a/test/support/crashdeployment.ts
+++ b/test/support/crashdeployment.ts
@@ -24,8 +24,6 @@
 const GATEWAYS = 3;
 /** Longest wait for the fifth crash, which may not come, in ms. */
 const CRASHES_LIMIT_MS = 4_000;
-const SOUND_PERIOD_MS = 50;
-const BAD_PERIOD_MS = 400;
 const SHARED_PARTS = 5;
 
 const closers: Array<() => Promise<void> | void> = [];
@@ -35,6 +33,18 @@
   for (const close of closers.splice(0).reverse()) await close();
 }
 
+/** How often what happens in a deployment. */
+interface Pace {
+  /** Time between two sound requests to a gateway, in ms. */
+  soundPeriodMs: number;
+  /** Time between two requests with the bad part to a gateway, in ms. */
+  badPeriodMs: number;
+  /** Time from a crash to the start of the engine's next process, in ms. */
+  restartMs?: () => number;
+}
+
+const USUAL_PACE: Pace = {soundPeriodMs: 50, badPeriodMs: 400};
+
 interface SentRequest {
   id: string;
   sentAt: number;
@@ -51,15 +61,24 @@
   private constructor(
     private readonly feed: MemoryFeed,
     readonly engines: CrashingEngines,
+    private readonly pace: Pace,
   ) {}
 
   static async open(
     endsEngine: CrashCondition,
     spoils?: SpoilCondition,
+    pace = USUAL_PACE,
   ): Promise<CrashDeployment> {
     const feed = openTestFeed([]);
-    const engines = new CrashingEngines(feed, ENGINES, endsEngine, spoils);
-    const deployment = new CrashDeployment(feed, engines);
+    const {restartMs, soundPeriodMs} = pace;
+    const engines = new CrashingEngines(
+      feed,
+      ENGINES,
+      endsEngine,
+      spoils,
+      restartMs,
+    );
+    const deployment = new CrashDeployment(feed, engines, pace);
     closers.push(() => engines.close());
     await engines.start();
     for (let index = 0; index < GATEWAYS; index++) {
@@ -68,7 +87,7 @@
     await vi.waitFor(() =>
       expect(addressesIn(feed.records[Topic.Instances])).toHaveLength(GATEWAYS),
     );
-    deployment.every(SOUND_PERIOD_MS, gateway => {
+    deployment.every(soundPeriodMs, gateway => {
       const sentAt = performance.now();
       deployment.sound.push({id: deployment.send(gateway, false), sentAt});
     });
@@ -94,7 +113,7 @@
   /** Sends requests with the bad part to the exposed gateways. */
   sendBad(): void {
     for (const gateway of this.gateways) this.exposed.add(gateway);
-    this.every(BAD_PERIOD_MS, gateway => {
+    this.every(this.pace.badPeriodMs, gateway => {
       if (this.exposed.has(gateway)) this.send(gateway, true);
     });
   }
--- a/test/support/crashingengines.ts
+++ b/test/support/crashingengines.ts
@@ -65,6 +65,7 @@
     count: number,
     private readonly endsEngine: CrashCondition,
     private readonly spoils: SpoilCondition = () => undefined,
+    private readonly restartMs = () => RESTART_MS,
   ) {
     this.engines = Array.from(
       {length: count},
@@ -173,7 +174,7 @@
       if (this.isClosed) return;
       this.feed.add(Topic.Upstreams, instance, undefined);
       void this.startEngine(engine);
-    }, RESTART_MS);
+    }, this.restartMs());
   }
 }
 
