Read no more of a paused answer than its socket may buffer

An instance kept far more of an answer than its caller had read: each time the reading of an answer was paused, for a slow caller or for other answers, its connection read up to 64 KiB more. Answers that are paused often, in small parts or to callers that read slowly, grew by megabytes each until their deadline, and each resumption copied all of it. So a few upstreams that answer without end could use up the memory of a machine although few bytes were passed on.

Cause: the HTTP client takes all bytes that wait in a socket and puts those back that its paused parser doesn't take. To the socket, a read of all bytes is a reason to read once more, whatever is put back. Now a socket begins to read only after the parser has put back what it doesn't take, and only while fewer bytes wait than its high-water mark. Connections of the product's own interface paused in the same way.

--- a/src/forward/connections.ts
+++ b/src/forward/connections.ts
@@ -12,6 +12,7 @@
 } from '../relay/index.js';
 import type {Timer} from '../timer/index.js';
 import {StatusGuard} from './statusguard.js';
+import {boundUnreadBytes} from './unreadbytes.js';
 
 /**
  * An idle connection is no longer used this long before the upstream's
@@ -95,6 +96,7 @@
           // A socket that is opened anew may lead to another process.
           delete this.processStartedAt;
           this.setHalfOpen(socket);
+          boundUnreadBytes(socket);
           this.watchForReset(socket);
           this.watchForBarrenBytes(socket);
           callback(null, socket);
--- a/src/upstream/pauseguard.ts
+++ b/src/upstream/pauseguard.ts
@@ -1,5 +1,6 @@
 import type {Socket} from 'node:net';
 import {buildConnector, Client, type Dispatcher} from 'undici';
+import {boundUnreadBytes} from '../forward/unreadbytes.js';
 
 /** Code of the system's error for a reset. */
 const RESET_CODE = 'ECONNRESET';
@@ -49,6 +50,7 @@
 
   /** To be called before the HTTP client listens to the socket. */
   watch(socket: Socket): void {
+    boundUnreadBytes(socket);
     // All bytes have been read at the end.
     socket.on('end', () => this.resume());
     // With any other code, the response fails and the parser isn't finished.
