Describe invalid records by their first problem

Cause: the reason of the failure was the message of the schema, which holds every problem of every record.

Ruled out: other messages of schemas in the gateway, by reading.

--- a/src/fleet/gossip.ts
+++ b/src/fleet/gossip.ts
@@ -1,5 +1,6 @@
 import type {Logger} from 'pino';
 import {Learned, LearnedFrom} from '../registry/index.js';
+import {describeIssue} from '../telemetry/issue.js';
 import {LogEvent} from '../telemetry/logevent.js';
 import type {Subscription, Timer} from '../timer/index.js';
 import type {Datagrams} from './datagrams.js';
@@ -328,7 +329,7 @@
     const parsed = gossipMessageSchema.safeParse(params);
     if (!parsed.success) {
       logger.warn(
-        {event: LogEvent.Peer, problem: parsed.error.message},
+        {event: LogEvent.Peer, problem: describeIssue(parsed.error)},
         'Ignored a malformed gossip message.',
       );
       return;
--- a/test/endless-store.test.ts
+++ b/test/endless-store.test.ts
@@ -148,6 +148,20 @@
   expect(snapshot).toMatchObject({error: {type: 'tooLong'}});
 });
 
+// Guards against failures of the store's pages that take far more memory than the pages.
+test('a page of many invalid records fails with a short reason', async () => {
+  const items = Array.from({length: 100_000}, () => 0);
+  const page = JSON.stringify({items, hasMore: false, end: 0});
+  const server = createServer((_message, response) => response.end(page));
+  const port = await listen(server, {host: HOST, port: 0});
+  const feed = new HttpFeed(`${HOST}:${port}`, HOST, FEED_TIMEOUTS);
+  const snapshot = await feed.snapshot(Topic.Upstreams);
+  server.close();
+  server.closeAllConnections();
+  expect(snapshot).toMatchObject({error: {type: 'malformed'}});
+  expect(JSON.stringify(snapshot).length).toBeLessThan(page.length);
+});
+
 /** Passes calls on to a store, or answers them without end. */
 class FaultyStore {
   isEndless = false;
