Count the lines of streams as work, not only their events

Cause: a stream's reading was counted by its chunks, bytes and events, and lines that make no event cost as much to find. Now eight lines are one unit, and an answer whose lines are below 8 bytes on average is one in small parts, which is broken off after a second of waiting.

--- a/src/forward/answerflow.ts
+++ b/src/forward/answerflow.ts
@@ -47,9 +47,13 @@
     if (!this.meter.addChunk(bytes)) this.waitForOthers(controller);
   }
 
-  /** Counts events that were found in what was read. */
-  addEvents(controller: Dispatcher.DispatchController, events: number): void {
-    if (!this.meter.addEvents(events)) this.waitForOthers(controller);
+  /** Counts events and lines that were found in what was read. */
+  addEvents(
+    controller: Dispatcher.DispatchController,
+    events: number,
+    lines: number,
+  ): void {
+    if (!this.meter.addEvents(events, lines)) this.waitForOthers(controller);
   }
 
   /** Counts what was read at once. */
--- a/src/forward/answerlimit.ts
+++ b/src/forward/answerlimit.ts
@@ -10,10 +10,12 @@
 /** Work of its own share for which an answer that waits goes on, in units. */
 const MIN_OWN = 50;
 /** A chunk is one unit, whatever its size. */
-const EVENTS_PER_UNIT = 8;
+const LINES_PER_UNIT = 8;
 const BYTES_PER_UNIT = 4 * 1024;
 /** Chunks and events below this mean size, in bytes, are small. */
 const SMALL_PART_BYTES = 64;
+/** Lines below this mean size, in bytes, are small. */
+const SMALL_LINE_BYTES = 8;
 /** Period in which answers that wait are looked at, in ms. */
 const GRANT_PERIOD_MS = 50;
 /** Time that an answer in small parts may wait in sum, in ms. */
@@ -35,6 +37,7 @@
 export class AnswerMeter {
   chunks = 0;
   events = 0;
+  lines = 0;
   bytes = 0;
   /** Work that it may cause before it draws or waits, in units. */
   private credit = OWN_BURST;
@@ -60,9 +63,10 @@
   }
 
   /** Counts events; false if the answer has to wait before the next chunk. */
-  addEvents(events: number): boolean {
+  addEvents(events: number, lines: number): boolean {
     this.events += events;
-    this.credit -= events / EVENTS_PER_UNIT;
+    this.lines += lines;
+    this.credit -= lines / LINES_PER_UNIT;
     return this.credit >= 0 || this.pool.admits(this);
   }
 
@@ -105,9 +109,13 @@
     else this.listener.breakOff();
   }
 
-  /** Whether it comes in small chunks or events. */
+  /** Whether it comes in small chunks or events, or in lines that are no event. */
   private get isSmall(): boolean {
-    return this.bytes < (this.chunks + this.events) * SMALL_PART_BYTES;
+    const {bytes, chunks, events, lines} = this;
+    return (
+      bytes < (chunks + events) * SMALL_PART_BYTES ||
+      bytes < lines * SMALL_LINE_BYTES
+    );
   }
 }
 
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -269,10 +269,11 @@
   private scan(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     const {events} = this;
     if (events === undefined) return;
-    const before = events.events;
+    const before = {events: events.events, lines: events.lines};
     events.scan(chunk);
-    if (before === 0 && events.events > 0) this.spec.advanced?.();
-    this.flow.addEvents(controller, events.events - before);
+    if (before.events === 0 && events.events > 0) this.spec.advanced?.();
+    const lines = events.lines - before.lines;
+    this.flow.addEvents(controller, events.events - before.events, lines);
   }
 
   /** Breaks off an answer for what its upstream has sent. */
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -33,6 +33,8 @@
 export class EventScanner {
   /** Number of complete events so far, of those with a line of a known field. */
   events = 0;
+  /** Number of lines so far. */
+  lines = 0;
   /** Whether the bytes so far end inside an event. */
   insideEvent = false;
   private lineIsEmpty = true;
@@ -103,6 +105,7 @@
   }
 
   private endLine(): void {
+    this.lines++;
     if (!this.lineIsEmpty) {
       // A line of a name alone is a field without a value.
       if (this.field?.length === this.fieldLength) this.hasField = true;
--- a/test/smallparts.test.ts
+++ b/test/smallparts.test.ts
@@ -66,6 +66,16 @@
       start: id => successHead(id, STREAM + UNFRAMED),
       unit: 'data: x\n\n',
     },
+    {
+      name: 'streams of comments in large reads',
+      start: id => successHead(id, STREAM + UNFRAMED),
+      unit: ':\n\n',
+    },
+    {
+      name: 'streams of blank lines in large reads',
+      start: id => successHead(id, STREAM + UNFRAMED),
+      unit: '\n',
+    },
   ])('in the form of $name', async answer => {
     const ids = ['bad-0', 'bad-1', 'bad-2', 'bad-3'];
     instance = await BoundedInstance.open(
