Let an answer that has ended wait for no other

An answer that is complete, but held for 250 ms since a reset may follow, could be broken off as one in small parts if its last bytes had to wait, or counted as waiting meanwhile. Its flow now ends with it. Found by reading; no test shows it failing. attempt.test.ts and answerlimit.test.ts pass, 23 of 23.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -190,6 +190,8 @@
     const {head} = this;
     this.connection.hasResponded = true;
     this.joiner.flush();
+    // No more comes, so it need not wait for other answers.
+    this.flow.end();
     this.endRefusal(true);
     if (head === undefined) {
       this.break('no answer', BreakCause.Upstream);
