Print with a declared rate that fails how long the test had no processor

Failures of both tests with gateways now print the time that passed and for how much of it their thread waited for a processor. No check is changed.

Not mended: that requests of a process without processors end by 504 in place of an early 503 may be the product's.

--- a/test/declaredlimit.test.ts
+++ b/test/declaredlimit.test.ts
@@ -11,6 +11,7 @@
   type TestGateway,
 } from './support/gateway.js';
 import {sleep} from './support/silentupstream.js';
+import {Stopwatch} from './support/starvation.js';
 
 const GATEWAYS = 5;
 const PERIOD_MS = 60;
@@ -109,20 +110,29 @@
     const {upstreams, statuses} = await openDeployment(3);
     const [limited] = upstreams;
     limited?.declare(1);
+    const stopwatch = new Stopwatch();
     const from = performance.now() + STABLE_WINDOW_MS;
     await sleep(STABLE_WINDOW_MS + JUDGED_MS);
-    expect(limited?.mostInWindow(from)).toBeLessThanOrEqual(allowedAt(1));
+    const starvation = stopwatch.describe();
+    expect(limited?.mostInWindow(from), starvation).toBeLessThanOrEqual(
+      allowedAt(1),
+    );
     // The others of its service take what it doesn't.
     const judged = statuses.filter(({at}) => at >= from);
-    expect(judged.filter(({status}) => status !== 200)).toEqual([]);
+    expect(
+      judged.filter(({status}) => status !== 200),
+      starvation,
+    ).toEqual([]);
   });
 
   test('gets most of its rate where requests wait for it', async () => {
     const {upstreams, statuses} = await openDeployment(2);
     const rates = [1, 10];
     upstreams.forEach((upstream, index) => upstream.declare(rates[index] ?? 0));
+    const stopwatch = new Stopwatch();
     const from = performance.now() + STABLE_WINDOW_MS;
     await sleep(STABLE_WINDOW_MS + JUDGED_MS);
+    const starvation = stopwatch.describe();
     const to = from + JUDGED_MS;
     const seen = upstreams.map((upstream, index) => {
       const rate = rates[index] ?? 0;
@@ -131,13 +141,13 @@
         isUsed: upstream.countIn(from, to) >= 0.8 * rate * (JUDGED_MS / 1_000),
       };
     });
-    expect(seen).toEqual([
+    expect(seen, starvation).toEqual([
       {withinLimit: true, isUsed: true},
       {withinLimit: true, isUsed: true},
     ]);
     // What is refused has not run, and may come again.
     const kinds = new Set(statuses.map(({status}) => status));
-    expect([...kinds].sort()).toEqual([200, 503]);
+    expect([...kinds].sort(), starvation).toEqual([200, 503]);
   });
 });
 
--- a/test/support/starvation.ts
+++ b/test/support/starvation.ts
@@ -43,7 +43,8 @@
     }
   }
 
-  private describe(): string {
+  /** Tells how long it has run, and how much of that without a processor. */
+  describe(): string {
     const [elapsed, starved] = [this.elapsedMs, this.starvedMs].map(Math.round);
     return `${elapsed} ms passed; for ${starved} of them no processor was free`;
   }
