Forward requests with a part that turned bad one at a time

Callers saw requests with a prompt part that crashes upstreams reach them long after its fifth crash (BUDGET), without any bad answer beside: a part that was answered before and then turns bad. While all upstreams are down nothing is learnt, ten answers to others or ten crashes are awaited, and each upstream that returns is ended by the requests that wait.

From the third crash since its last answer on, requests with such a part are rationed: instances take turns of 2 s, and the owner of a turn forwards one, to an upstream that takes it now. The others wait apart from the queue, at most half of their time. An answer or a hold ends it, and 15 s without a crash. A crash of a request that was sent in a turn counts as evidence in place of answers to others; two replace weight and share.

The model decides now when a request is sent whether its part is bad, not when it arrives: requests from before were answered seconds later, and cleared the crashes.

--- a/bench/fleet/limitedupstreams.ts
+++ b/bench/fleet/limitedupstreams.ts
@@ -3,7 +3,7 @@
   Endpoints,
   ResponseObserver,
   UpstreamNotices,
-  type PlacementResult,
+  type QueueResult,
 } from '../../src/forward/index.js';
 import {EntryState, type RegistryEntry} from '../../src/registry/index.js';
 import type {GatewayFleet} from '../../src/wiring/gatewayfleet.js';
@@ -151,13 +151,14 @@
         pauseSensitive: false,
         answerStarted: false,
         isHeld: () => false,
+        isRationed: () => false,
         shortestPauseMs: 300,
         triedUpstreams: new Set(),
       });
     this.deliver(result, tier);
   }
 
-  private deliver(result: PlacementResult, tier: number): void {
+  private deliver(result: QueueResult, tier: number): void {
     if (result.type !== 'placed') {
       this.refused++;
       return;
--- a/bench/quarantine.ts
+++ b/bench/quarantine.ts
@@ -1,7 +1,11 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
-import {runScenario, type Outcome, type Scenario} from './quarantine/model.js';
-import type {Timer} from '../src/timer/index.js';
+import {
+  runScenario,
+  type Outcome,
+  type PolicyFactory,
+  type Scenario,
+} from './quarantine/model.js';
 import {createPolicy, Way} from './quarantine/policies.js';
 import {scenarios} from './quarantine/scenarios.js';
 
@@ -57,7 +61,8 @@
     for (const way of options.way ?? Object.values(Way)) {
       const outcomes: Outcome[] = [];
       for (let seed = 1; seed <= options.seeds; seed++) {
-        const create = (timer: Timer) => createPolicy(way, timer);
+        const create: PolicyFactory = (timer, instance, instances) =>
+          createPolicy(way, timer, instance, instances);
         outcomes.push(await runScenario(scenario, seed, create));
       }
       const results = summary(scenario, outcomes);
--- a/bench/quarantine/model.ts
+++ b/bench/quarantine/model.ts
@@ -20,6 +20,12 @@
 
 const MAX_ATTEMPTS = 3;
 
+/** Longest time for which a request waits for an upstream, in ms. */
+const MAX_WAIT_MS = 10_000;
+
+/** Time between two looks at what a request waits for, in ms. */
+const POLL_MS = 100;
+
 /** What goes wrong in a run. */
 export interface Scenario {
   name: string;
@@ -84,6 +90,13 @@
   attempts: Set<Attempt>;
 }
 
+/** Creates the policy of one instance of `instances`, by its index. */
+export type PolicyFactory = (
+  timer: ManualTimer,
+  instance: number,
+  instances: number,
+) => Policy;
+
 class Run {
   readonly timer = new ManualTimer();
   readonly random: Random;
@@ -102,7 +115,7 @@
   constructor(
     private readonly scenario: Scenario,
     seed: number,
-    private readonly createPolicy: (timer: ManualTimer) => Policy,
+    private readonly createPolicy: PolicyFactory,
   ) {
     this.random = new Random(seed);
     this.groupCrashTimes = scenario.bad.map(() => []);
@@ -160,7 +173,7 @@
   }
 
   private start(index: number): void {
-    const policy = this.createPolicy(this.timer);
+    const policy = this.createPolicy(this.timer, index, INSTANCES);
     this.policies[index] = policy;
     policy.subscribe(evidence => this.exchange(index, evidence));
   }
@@ -205,7 +218,7 @@
     const parts = isFirst
       ? [...group, ...middles, request]
       : [this.first(), ...this.random.shuffle([...group, ...middles]), request];
-    this.send(request, parts, this.isTroubled ? index : undefined);
+    this.send(request, parts, index);
   }
 
   private send(request: string, parts: string[], group?: number): void {
@@ -235,13 +248,21 @@
     if (policy?.holdOf(attempt.parts) !== undefined) return;
     const up = this.upstreams.filter(upstream => upstream.isUp);
     if (up.length === 0) {
-      if (now - attempt.sentAt > 10_000) return;
-      timer.after(100, () =>
-        this.attempt({...attempt, number: attempt.number}),
-      );
+      if (now - attempt.sentAt > MAX_WAIT_MS) return;
+      timer.after(POLL_MS, () => this.attempt(attempt));
       if (isCounted && isSound) this.sent--;
       return;
     }
+    const rationed = policy?.rationed(attempt.parts) ?? [];
+    if (policy !== undefined && rationed.length > 0) {
+      if (!policy.hasTurn(attempt.parts)) {
+        if (now - attempt.sentAt > MAX_WAIT_MS) return;
+        timer.after(POLL_MS, () => this.attempt(attempt));
+        if (isCounted && isSound) this.sent--;
+        return;
+      }
+      policy.takeTurn(attempt.parts);
+    }
     if (attempt.group !== undefined) {
       const fifthOfGroup = this.groupCrashTimes[attempt.group]?.[4];
       const isLate = now > (fifthOfGroup ?? Infinity) + 4000;
@@ -251,12 +272,13 @@
     }
     const upstream = random.pick(up);
     const sent = {...attempt, sentAt: now};
+    const crashes = attempt.group !== undefined && this.isTroubled;
     upstream.attempts.add(sent);
     timer.after(random.between(20, 60), () => {
       if (!upstream.attempts.has(sent)) return;
       sent.hasHead = true;
-      if (sent.group !== undefined) {
-        const {group} = sent;
+      const {group} = sent;
+      if (group !== undefined && crashes) {
         timer.after(random.between(75, 110), () => {
           if (!upstream.attempts.has(sent)) return;
           this.crashTimes.push(timer.now());
@@ -360,7 +382,7 @@
 export function runScenario(
   scenario: Scenario,
   seed: number,
-  createPolicy: (timer: ManualTimer) => Policy,
+  createPolicy: PolicyFactory,
 ): Promise<Outcome> {
   return new Run(scenario, seed, createPolicy).run();
 }
--- a/bench/quarantine/policies.ts
+++ b/bench/quarantine/policies.ts
@@ -15,6 +15,12 @@
   learn(evidence: Evidence): void;
   holdOf(parts: readonly string[]): Hold | undefined;
   mayRepeat(parts: readonly string[]): boolean;
+  /** See [[Quarantine.rationed]]. */
+  rationed(parts: readonly string[]): string[];
+  /** See [[Quarantine.hasTurn]]. */
+  hasTurn(parts: readonly string[]): boolean;
+  /** See [[Quarantine.takeTurn]]. */
+  takeTurn(parts: readonly string[]): void;
   held(): string[];
 }
 
@@ -69,6 +75,18 @@
     return parts.every(part => (this.crashes.get(part)?.size ?? 0) < 2);
   }
 
+  rationed(): string[] {
+    return [];
+  }
+
+  hasTurn(): boolean {
+    return true;
+  }
+
+  takeTurn(): void {
+    // Nothing is rationed.
+  }
+
   held(): string[] {
     return [...this.holds.keys()];
   }
@@ -109,13 +127,22 @@
   Quarantine = 'quarantine',
 }
 
-export function createPolicy(way: Way, timer: Timer): Policy {
+/** Creates the policy of one instance of `instances`, by its index. */
+export function createPolicy(
+  way: Way,
+  timer: Timer,
+  instance: number,
+  instances: number,
+): Policy {
   switch (way) {
     case Way.Counting:
       return new Counting(false);
     case Way.CountingSinceAnswer:
       return new Counting(true);
     case Way.Quarantine:
-      return new Explaining({timer});
+      return new Explaining({
+        timer,
+        ownsTurn: turn => turn % instances === instance,
+      });
   }
 }
--- a/src/forward/attemptrunner.ts
+++ b/src/forward/attemptrunner.ts
@@ -5,11 +5,14 @@
 import type {AttemptResult} from './attemptresult.js';
 import {recordOverdue, recordSilence} from './attempthealth.js';
 import type {ForwardDependencies} from './dependencies.js';
+import type {HoldCheck} from './holdcheck.js';
 import type {
   Placement,
   PlacementRequest,
   PlacementResult,
+  QueueResult,
 } from './placementrequest.js';
+import {RationedPlacement} from './rationedplacement.js';
 import {placementRequestOf, type RequestContext} from './requestcontext.js';
 import {isSuccess, type AttemptTally} from './attempttally.js';
 import {decideReplacement, Retry} from './retry.js';
@@ -50,6 +53,7 @@
   /** Why the current upstream was last left to go on, as logged. */
   private loggedCause?: KeepCause;
   private readonly successors: Successors;
+  private readonly rationed: RationedPlacement;
   private resolve: (result: AttemptResult) => void = () => undefined;
 
   constructor(
@@ -59,11 +63,11 @@
     private readonly sink: StreamSink,
     /** Whether the caller already received a part of the response. */
     private readonly answerStarted: () => boolean,
-    /** Whether the prompt has a part that crashes upstreams. */
-    private readonly isHeld: () => boolean,
+    private readonly hold: HoldCheck,
   ) {
     const {waitQueue} = context.service;
     this.successors = new Successors(dependencies, waitQueue);
+    this.rationed = new RationedPlacement(dependencies, context);
   }
 
   /**
@@ -71,6 +75,15 @@
    * them at once, as far as there is one.
    */
   async place(request: PlacementRequest): Promise<PlacementResult> {
+    for (;;) {
+      const placement =
+        (await this.rationed.place(request)) ??
+        (await this.placeFreely(request));
+      if (placement.type !== 'rationed') return placement;
+    }
+  }
+
+  private async placeFreely(request: PlacementRequest): Promise<QueueResult> {
     const {tally, context, successors} = this;
     const now = this.dependencies.timer.now();
     const sinceFirstMs = now - (tally.firstSentAt ?? now);
@@ -226,7 +239,7 @@
       arrivedAt: this.tally.arrivedAt,
       triedUpstreams: this.tally.triedUpstreams,
       answerStarted: this.answerStarted(),
-      isHeld: this.isHeld,
+      hold: this.hold,
       softwareVersion: this.sink.softwareVersion,
     });
     const askedAt = dependencies.timer.now();
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -196,16 +196,14 @@
     const sink = new StreamSink(this.reply, route, start, version =>
       stream?.noteOrigin(service.name, version),
     );
-    const isTrial = this.dependencies.promptGuard.beginTrial(context.parts);
     const hold = new HoldCheck(this.dependencies, context);
-    const isHeld = () => !isTrial && hold.isHeld();
     const runner = new AttemptRunner(
       this.dependencies,
       context,
       this.tally,
       sink,
       () => this.reply.headersSent,
-      isHeld,
+      hold,
     );
     const {origins, untilEntriesCurrent} = this.dependencies;
     for (;;) {
@@ -217,7 +215,7 @@
         arrivedAt: this.tally.arrivedAt,
         triedUpstreams: this.tally.triedUpstreams,
         answerStarted: this.reply.headersSent,
-        isHeld,
+        hold,
         softwareVersion: sink.softwareVersion,
       });
       const placement = await runner.place(placementRequest);
--- a/src/forward/holdcheck.ts
+++ b/src/forward/holdcheck.ts
@@ -2,17 +2,29 @@
 import type {ForwardDependencies} from './dependencies.js';
 import type {RequestContext} from './requestcontext.js';
 
-/** Tells whether a request is held for a part that crashes upstreams. */
+/** Tells whether a request is kept back for a part that crashes upstreams. */
 export class HoldCheck {
+  /** Whether the request tries the held parts that it has. */
+  private readonly isTrial: boolean;
   private hasLogged = false;
 
   constructor(
     private readonly dependencies: ForwardDependencies,
     private readonly context: RequestContext,
-  ) {}
+  ) {
+    this.isTrial = dependencies.promptGuard.beginTrial(context.parts);
+  }
+
+  /** See [[PlacementRequest.isRationed]]. */
+  isRationed(): boolean {
+    if (this.isTrial) return false;
+    const {promptGuard} = this.dependencies;
+    return promptGuard.rationed(this.context.parts).length > 0;
+  }
 
   /** Whether the request, or a part of its prompt, crashes upstreams. */
   isHeld(): boolean {
+    if (this.isTrial) return false;
     const {request, parts} = this.context;
     const {promptGuard, logger, timer} = this.dependencies;
     const hold = promptGuard.holdOf(parts);
--- a/src/forward/index.ts
+++ b/src/forward/index.ts
@@ -14,7 +14,7 @@
 export {LivenessProber} from './liveness.js';
 export {PromptGuard} from './promptguard.js';
 export type {Endpoint} from './endpoint.js';
-export type {PlacementResult} from './placementrequest.js';
+export type {QueueResult} from './placementrequest.js';
 export {rateStatementOf, UpstreamNotices} from './upstreamnotices.js';
 export {ResponseObserver} from './responseobserver.js';
 export {Witnesses} from './witnesses.js';
--- a/src/forward/placementrequest.ts
+++ b/src/forward/placementrequest.ts
@@ -1,7 +1,7 @@
 import type {Endpoint} from './endpoint.js';
 import type {Trial} from './pause.js';
 import type {PlacementQuery} from './placement.js';
-import type {NotRunCause} from './refusal.js';
+import {HELD_RETRY_MS, NotRunCause} from './refusal.js';
 
 /** A request that needs an upstream. */
 export interface PlacementRequest extends Omit<PlacementQuery, 'yields'> {
@@ -23,6 +23,8 @@
   signal: AbortSignal;
   /** Whether its prompt has a part that crashes upstreams. */
   isHeld(): boolean;
+  /** Whether it has a part of which requests are forwarded one at a time. */
+  isRationed(): boolean;
 }
 
 /** The upstream that a request was assigned to. */
@@ -36,12 +38,29 @@
   trial?: Trial;
 }
 
-/** Result of [[WaitQueue.acquire]]; `gone`: the request was aborted. */
+/** How the wait for an upstream ends; `gone`: the request was aborted. */
 export type PlacementResult =
   | ({type: 'placed'} & Placement)
   | {type: 'notRun'; cause: NotRunCause; retryAfterMs: number}
   | {type: 'gone'};
 
+/** Result of [[WaitQueue.acquire]]; `rationed`: it has to wait for a turn. */
+export type QueueResult = PlacementResult | {type: 'rationed'};
+
+/** What keeps a request from upstreams for the parts that it has, if any. */
+export function withheldFor(
+  request: Pick<PlacementRequest, 'isHeld' | 'isRationed'>,
+): QueueResult | undefined {
+  if (request.isHeld()) {
+    return {
+      type: 'notRun',
+      cause: NotRunCause.Held,
+      retryAfterMs: HELD_RETRY_MS,
+    };
+  }
+  return request.isRationed() ? {type: 'rationed'} : undefined;
+}
+
 /** The upstreams whose software version is that of the request, if it has one. */
 export function withVersionOf(
   {softwareVersion}: PlacementRequest,
--- a/src/forward/promptguard.ts
+++ b/src/forward/promptguard.ts
@@ -125,6 +125,21 @@
     return this.parts.quarantine.mayRepeat(parts);
   }
 
+  /** See [[Quarantine.rationed]]. */
+  rationed(parts: readonly string[]): string[] {
+    return this.parts.quarantine.rationed(parts);
+  }
+
+  /** See [[Quarantine.hasTurn]]. */
+  hasTurn(parts: readonly string[]): boolean {
+    return this.parts.quarantine.hasTurn(parts);
+  }
+
+  /** See [[Quarantine.takeTurn]]. */
+  takeTurn(parts: readonly string[]): void {
+    this.parts.quarantine.takeTurn(parts);
+  }
+
   /** Records that an answer got beyond its beginning. */
   recordAnswer(answer: SurvivedAnswer): void {
     const {quarantine} = this.parts;
--- a/src/forward/queueentry.ts
+++ b/src/forward/queueentry.ts
@@ -1,4 +1,4 @@
-import type {PlacementRequest, PlacementResult} from './placementrequest.js';
+import type {PlacementRequest, QueueResult} from './placementrequest.js';
 
 /** A request that waits for an upstream. */
 export interface QueueEntry {
@@ -8,7 +8,7 @@
   prefillMs: number;
   /** Earliest time to use the capacity that was found, in monotonic ms. */
   backoffUntil?: number;
-  settle(result: PlacementResult): void;
+  settle(result: QueueResult): void;
 }
 
 /** Why a request has to wait. */
--- a/src/forward/refusal.ts
+++ b/src/forward/refusal.ts
@@ -38,6 +38,8 @@
   UnknownVersion = 'unknown_version',
   /** Its prompt has a part that crashes upstreams. */
   Held = 'held',
+  /** Its prompt has a part that may crash upstreams, and it met no turn. */
+  Rationed = 'rationed',
   /** The bodies of other requests use the memory. */
   NoMemory = 'no_memory',
   /** Its body came in very small chunks, as others did. */
@@ -77,6 +79,9 @@
  */
 export const HELD_RETRY_MS = 60_000;
 
+/** Retry-After of a request that met no turn, in ms: the time of a few turns. */
+export const RATIONED_RETRY_MS = 5_000;
+
 /** Retry-After of a stream whose origin isn't known, in ms: a peer may return. */
 const UNKNOWN_VERSION_RETRY_MS = 1_000;
 /** Refusal of a stream that can't be bound to a software version. */
--- a/src/forward/requestcontext.ts
+++ b/src/forward/requestcontext.ts
@@ -2,6 +2,7 @@
 import type {Route, RoutingTable} from '../route/index.js';
 import type {ResumableStream} from './resumablestream.js';
 import type {Deadline} from './deadline.js';
+import type {HoldCheck} from './holdcheck.js';
 import {isPauseSensitive, prefillShareOf} from './placement.js';
 import type {PlacementRequest} from './placementrequest.js';
 import type {RequestHead} from './protocol.js';
@@ -49,8 +50,9 @@
 /** What the attempts of a request so far mean for its placement. */
 export interface PlacementProgress extends Pick<
   PlacementRequest,
-  'triedUpstreams' | 'answerStarted' | 'isHeld'
+  'triedUpstreams' | 'answerStarted'
 > {
+  hold: Pick<HoldCheck, 'isHeld' | 'isRationed'>;
   /** Software version that wrote the stream so far, if one did. */
   softwareVersion: string | undefined;
   /** When the request arrived, in monotonic ms. */
@@ -64,7 +66,7 @@
     arrivedAt,
     triedUpstreams,
     answerStarted,
-    isHeld,
+    hold,
     softwareVersion,
   }: PlacementProgress,
 ): PlacementRequest {
@@ -81,7 +83,8 @@
     triedUpstreams,
     pauseSensitive: isPauseSensitive(route.targetGapMs, pausesMs),
     answerStarted,
-    isHeld,
+    isHeld: () => hold.isHeld(),
+    isRationed: () => hold.isRationed(),
     shortestPauseMs: Math.min(...pausesMs),
     ...(request.prompt === undefined ? {} : {prompt: request.prompt}),
     ...(request.resumedRequest === undefined
--- a/src/forward/waitqueue.ts
+++ b/src/forward/waitqueue.ts
@@ -7,12 +7,14 @@
 import {
   compareUrgency,
   ignoresLoad,
+  withheldFor,
   withVersionOf,
   type Placement,
   type PlacementRequest,
   type PlacementResult,
+  type QueueResult,
 } from './placementrequest.js';
-import {HELD_RETRY_MS, NotRunCause} from './refusal.js';
+import {NotRunCause} from './refusal.js';
 import {retryDelayMs} from './retrydelay.js';
 import {PlacementRate} from './placementrate.js';
 import {WaitCause, type QueueEntry} from './queueentry.js';
@@ -44,13 +46,6 @@
 /** Time for which a request counts as demand for permits, in ms. */
 const DEMAND_MS = 500;
 
-/** Result of a request whose prompt is held. */
-const HELD: PlacementResult = {
-  type: 'notRun',
-  cause: NotRunCause.Held,
-  retryAfterMs: HELD_RETRY_MS,
-};
-
 /** Requests of one service that wait for an upstream. */
 export class WaitQueue {
   private readonly entries: QueueEntry[] = [];
@@ -80,11 +75,12 @@
   }
 
   /** Resolves once the request is placed, rejected or aborted. */
-  acquire(request: PlacementRequest): Promise<PlacementResult> {
+  acquire(request: PlacementRequest): Promise<QueueResult> {
     return new Promise(resolve => {
       const entry = this.entryOf(request, resolve);
-      if (request.isHeld()) {
-        resolve(HELD);
+      const withheld = withheldFor(request);
+      if (withheld !== undefined) {
+        resolve(withheld);
         return;
       }
       const {speeds} = this.dependencies;
@@ -100,7 +96,7 @@
     accepts: (endpoint: Endpoint) => boolean,
   ): Placement | undefined {
     let placement: Placement | undefined;
-    if (request.isHeld()) return undefined;
+    if (withheldFor(request) !== undefined) return undefined;
     const entry = this.entryOf(
       among(accepts, request, this.dependencies),
       result => {
@@ -138,8 +134,9 @@
     let aheadMs = 0;
     for (const entry of [...this.entries]) {
       const {request} = entry;
+      const withheld = withheldFor(request);
       if (request.signal.aborted) this.removeAndSettle(entry, {type: 'gone'});
-      else if (request.isHeld()) this.removeAndSettle(entry, HELD);
+      else if (withheld !== undefined) this.removeAndSettle(entry, withheld);
       else if (this.willMissDeadline(entry, aheadMs, now)) {
         const waitMs = this.estimateWaitMs(aheadMs);
         this.removeAndSettle(
@@ -343,7 +340,7 @@
     );
   }
 
-  private removeAndSettle(entry: QueueEntry, result: PlacementResult): void {
+  private removeAndSettle(entry: QueueEntry, result: QueueResult): void {
     if (this.remove(entry)) entry.settle(result);
   }
 
--- a/src/quarantine/blame.ts
+++ b/src/quarantine/blame.ts
@@ -1,5 +1,10 @@
-import type {Crash, CrashedRequest} from './crashlog.js';
-import {isRequestPart} from './requestid.js';
+import {
+  Candidate,
+  isFirstPart,
+  PROVEN_SUSPICION_CRASHES,
+  type SuspectPart,
+} from './candidate.js';
+import type {Crash} from './crashlog.js';
 
 /** Crashes that convict a part which was never answered. */
 const NEW_PART_CRASHES = 3;
@@ -80,8 +85,14 @@
 /** Crashes with which a part that was never answered is under suspicion. */
 const SUSPICION_CRASHES = 2;
 
-/** Crashes with which any other is, but a first part answered before. */
-const PROVEN_SUSPICION_CRASHES = 3;
+/**
+ * Crashes of a part whose requests were forwarded one at a time that replace
+ * answers to others as evidence.
+ */
+const RATIONED_CRASHES_UNANSWERED = 1;
+
+/** The same that replace its weight and share. */
+const RATIONED_CRASHES_AMONG_OTHERS = 2;
 
 /** What is known of parts, beside the crashes. */
 export interface PartKnowledge {
@@ -92,105 +103,22 @@
   isHeld(part: string): boolean;
 }
 
-/** A part that crashed requests have. */
-export interface SuspectPart {
+/** A part of which requests are forwarded one at a time. */
+export interface RationedPart {
   part: string;
-  /** Whether it was answered before its crashes. */
-  isProven: boolean;
-  /** Its position in a prompt, the highest seen. */
-  position: number;
-  /** Crashes since its last answer, without those that others explain. */
-  crashes: number;
+  /** Time of its last crash, in monotonic ms. */
+  crashedAt: number;
 }
 
 /** Parts to hold, and parts whose requests aren't to be repeated. */
 export interface Blame {
   convicted: SuspectPart[];
   suspected: SuspectPart[];
-}
-
-class Candidate {
-  readonly crashes: Crash[] = [];
-  /** The weight of each request, that of its crash with fewest suspects. */
-  readonly requests = new Map<string, number>();
-  readonly upstreams = new Set<string>();
-  position = 0;
-  isFirst = false;
-  /** Longest sequence in which each request was sent after the last crash. */
-  sequence = 0;
-  private sequenceAt = -Infinity;
-  /** The last crash of that sequence. */
-  private sequenceEnd?: Crash;
-  private readonly entries: Array<[Crash, CrashedRequest, number]> = [];
-
-  constructor(
-    readonly part: string,
-    readonly isProven: boolean,
-  ) {}
-
-  /** Adds a crash; crashes come in order of time. */
-  add(crash: Crash, request: CrashedRequest, position: number): void {
-    this.entries.push([crash, request, position]);
-    if (this.crashes.at(-1) !== crash) this.crashes.push(crash);
-    const weight = this.requests.get(request.request) ?? 0;
-    this.requests.set(
-      request.request,
-      Math.max(weight, 1 / crash.requests.length),
-    );
-    this.upstreams.add(crash.upstream);
-    this.position = Math.max(this.position, position);
-    this.isFirst ||= isFirstPart(this.part, position);
-    // Of the requests of a crash, in whatever order, one counts.
-    if (crash === this.sequenceEnd || request.sentAt < this.sequenceAt) return;
-    this.sequence++;
-    this.sequenceAt = crash.at;
-    this.sequenceEnd = crash;
-  }
-
-  /** The same part with its other crashes alone. */
-  without(explained: ReadonlySet<Crash>): Candidate {
-    if (!this.crashes.some(crash => explained.has(crash))) return this;
-    const rest = new Candidate(this.part, this.isProven);
-    for (const [crash, request, position] of this.entries) {
-      if (!explained.has(crash)) rest.add(crash, request, position);
-    }
-    return rest;
-  }
-
-  /** Share of the crashes from its first to its last that it explains. */
-  share(crashes: readonly Crash[], explained: ReadonlySet<Crash>): number {
-    const own = new Set(this.crashes);
-    const first = this.crashes[0]?.at ?? 0;
-    const last = this.crashes.at(-1)?.at ?? 0;
-    let count = 0;
-    for (const crash of crashes) {
-      if (crash.at < first || crash.at > last) continue;
-      if (own.has(crash) || !explained.has(crash)) count++;
-    }
-    return own.size / count;
-  }
-
-  get weight(): number {
-    return [...this.requests.values()].reduce((sum, weight) => sum + weight, 0);
-  }
-
-  get needsMore(): boolean {
-    return this.isProven || this.isFirst;
-  }
-
-  unexplained(explained: ReadonlySet<Crash>): Crash[] {
-    return this.crashes.filter(crash => !explained.has(crash));
-  }
-
-  summary(crashes: number): SuspectPart {
-    const {part, isProven, position} = this;
-    return {part, isProven, position, crashes};
-  }
-}
-
-/** Whether it is a first part, which most requests may share. */
-function isFirstPart(part: string, position: number): boolean {
-  return position === 0 && !isRequestPart(part);
+  /**
+   * Parts that were answered before and crashed upstreams since, whichever part
+   * explains the crashes.
+   */
+  rationed: RationedPart[];
 }
 
 function collect(
@@ -250,6 +178,18 @@
     : PROVEN_PART_CRASHES_UNANSWERED;
 }
 
+/**
+ * Answers to others since the first crash of a part, of `answers` in all. One that
+ * is rationed is hardly sent, so those after its last crash say nothing of it.
+ */
+function answersToOthers(
+  {crashes, isRationed}: Candidate,
+  answers: number,
+): number {
+  const until = isRationed ? (crashes.at(-1)?.answers ?? answers) : answers;
+  return until - (crashes[0]?.answers ?? until);
+}
+
 function isOtherPartConvicted(
   candidate: Candidate,
   share: () => number,
@@ -259,15 +199,18 @@
   const {length} = crashes;
   const least = isProven ? PROVEN_PART_CRASHES : FIRST_PART_CRASHES;
   const leastWeight = isProven ? PROVEN_PART_WEIGHT : FIRST_PART_WEIGHT;
-  const answersSince = answers - (crashes[0]?.answers ?? answers);
+  const rationedCrashes = candidate.isRationed ? candidate.rationedCrashes : 0;
   return (
     length >= least &&
     sequence >= OTHER_PART_SEQUENCE &&
     requests.size >= MIN_REQUESTS &&
     (upstreams.size > 1 || length >= OTHER_ONE_UPSTREAM_CRASHES) &&
     ((candidate.weight >= leastWeight && share() >= OTHER_PART_SHARE) ||
-      sequence >= OTHER_PART_SEQUENCE_AMONG_OTHERS) &&
-    (answersSince >= OTHER_PART_ANSWERS || length >= leastUnanswered(candidate))
+      sequence >= OTHER_PART_SEQUENCE_AMONG_OTHERS ||
+      rationedCrashes >= RATIONED_CRASHES_AMONG_OTHERS) &&
+    (answersToOthers(candidate, answers) >= OTHER_PART_ANSWERS ||
+      rationedCrashes >= RATIONED_CRASHES_UNANSWERED ||
+      length >= leastUnanswered(candidate))
   );
 }
 
@@ -374,12 +317,18 @@
     for (const crash of candidate.crashes) covered.add(crash);
   }
   let others = candidates.filter(candidate => candidate.needsMore);
+  const rationed = others
+    .filter(({isRationed}) => isRationed)
+    .map(({part, crashes}) => ({
+      part,
+      crashedAt: crashes.at(-1)?.at ?? -Infinity,
+    }));
   for (;;) {
     others = others
       .map(candidate => candidate.without(covered))
       .filter(({crashes}) => crashes.length >= PROVEN_SUSPICION_CRASHES);
     const best = strongest(others);
-    if (best === undefined) return {convicted, suspected};
+    if (best === undefined) return {convicted, suspected, rationed};
     const count = best.crashes.length;
     const share = () => best.share(crashes, explained);
     if (isOtherPartConvicted(best, share, answers)) {
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -9,4 +9,4 @@
 export {Quarantine, type QuarantineOptions} from './quarantine.js';
 export {Quarantines} from './quarantines.js';
 export {hasPromptParts, RequestKind, requestPart} from './requestid.js';
-export type {SuspectPart} from './blame.js';
+export type {SuspectPart} from './candidate.js';
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -1,5 +1,6 @@
 import type {Subscription, Timer} from '../timer/index.js';
-import {blame, type Blame, type SuspectPart} from './blame.js';
+import {blame, type Blame} from './blame.js';
+import type {SuspectPart} from './candidate.js';
 import {CrashLog} from './crashlog.js';
 import {
   HoldState,
@@ -9,6 +10,7 @@
   type Hold,
 } from './evidence.js';
 import {HoldRegister} from './holdregister.js';
+import {rationedOf, Turns} from './ration.js';
 import {SoundParts} from './soundparts.js';
 import {Trials} from './trials.js';
 
@@ -39,7 +41,7 @@
 /** Time after the newest crash in which decisions are made, in ms. */
 const REVIEW_MS = 60_000;
 
-const NO_BLAME: Blame = {convicted: [], suspected: []};
+const NO_BLAME: Blame = {convicted: [], suspected: [], rationed: []};
 
 /** What a [[Quarantine]] works with. */
 export interface QuarantineOptions {
@@ -49,6 +51,11 @@
    * last until an operator ends them.
    */
   ownsTrial?: (part: string) => boolean;
+  /**
+   * Whether it is the turn of this instance to forward a request with a part
+   * under suspicion; without it, it always is.
+   */
+  ownsTurn?: (turn: number) => boolean;
 }
 
 /**
@@ -67,6 +74,7 @@
   private readonly register = new HoldRegister();
   private readonly trials = new Trials();
   private readonly ownsTrial: (part: string) => boolean;
+  private readonly turns: Turns;
   /** When each part was released, in monotonic ms. */
   private readonly releases = new Map<string, number>();
   /** When each part of a suspect was cleared last, in monotonic ms. */
@@ -80,9 +88,14 @@
   private review: Subscription | undefined;
   private blameNow: Blame | undefined;
 
-  constructor({timer, ownsTrial = () => false}: QuarantineOptions) {
+  constructor({
+    timer,
+    ownsTrial = () => false,
+    ownsTurn = () => true,
+  }: QuarantineOptions) {
     this.timer = timer;
     this.ownsTrial = ownsTrial;
+    this.turns = new Turns(ownsTurn);
     this.startedAt = timer.now();
   }
 
@@ -152,6 +165,25 @@
     );
   }
 
+  /**
+   * Parts of a request that were answered before and are under suspicion now.
+   * Requests with such a part are forwarded one at a time, by instances in turn.
+   */
+  rationed(parts: readonly string[]): string[] {
+    const shared = parts.slice(0, -1);
+    return rationedOf(this.blame().rationed, shared, this.timer.now());
+  }
+
+  /** Whether this instance may forward a request with these parts now. */
+  hasTurn(parts: readonly string[]): boolean {
+    return this.turns.isFree(this.rationed(parts), this.timer.wallNow());
+  }
+
+  /** Notes that a request with these parts was forwarded. */
+  takeTurn(parts: readonly string[]): void {
+    this.turns.take(this.rationed(parts), this.timer.wallNow());
+  }
+
   /** Whether this instance may try the part with one request. */
   trialDue(part: string): boolean {
     const hold = this.register.get(part);
--- a/src/quarantine/quarantines.ts
+++ b/src/quarantine/quarantines.ts
@@ -1,5 +1,5 @@
 import type {Subscription} from '../timer/index.js';
-import type {SuspectPart} from './blame.js';
+import type {SuspectPart} from './candidate.js';
 import type {CrashReport, Evidence, Hold} from './evidence.js';
 import {Quarantine, type QuarantineOptions} from './quarantine.js';
 import {hasPromptParts} from './requestid.js';
@@ -48,6 +48,21 @@
     return this.of(parts).mayRepeat(parts);
   }
 
+  /** See [[Quarantine.rationed]]. */
+  rationed(parts: readonly string[]): string[] {
+    return this.of(parts).rationed(parts);
+  }
+
+  /** See [[Quarantine.hasTurn]]. */
+  hasTurn(parts: readonly string[]): boolean {
+    return this.of(parts).hasTurn(parts);
+  }
+
+  /** See [[Quarantine.takeTurn]]. */
+  takeTurn(parts: readonly string[]): void {
+    this.of(parts).takeTurn(parts);
+  }
+
   /** See [[Quarantine.beginTrial]]. */
   beginTrial(parts: readonly string[]): boolean {
     return this.of(parts).beginTrial(parts);
--- a/src/report/requesthistory.ts
+++ b/src/report/requesthistory.ts
@@ -92,6 +92,7 @@
     case LogEvent.Overloaded:
     case LogEvent.Peer:
     case LogEvent.Placed:
+    case LogEvent.Rationed:
     case LogEvent.Repeats:
     case LogEvent.Resent:
     case LogEvent.Resumed:
--- a/src/telemetry/logevent.ts
+++ b/src/telemetry/logevent.ts
@@ -39,6 +39,8 @@
   Peer = 'peer',
   /** A request was assigned to an upstream. */
   Placed = 'placed',
+  /** A request waits for its turn, as a part of its prompt may crash upstreams. */
+  Rationed = 'rationed',
   /** This instance became ready or stopped being ready. */
   Readiness = 'readiness',
   /** A connection to an upstream was opened through another instance. */
--- a/src/wiring/gateway.ts
+++ b/src/wiring/gateway.ts
@@ -139,6 +139,7 @@
       quarantine: new Quarantines({
         timer,
         ownsTrial: part => this.fleet.ownsTrial(part),
+        ownsTurn: turn => this.fleet.ownsTurn(turn),
       }),
       probes: this.probes,
       timer,
@@ -383,9 +384,7 @@
       ...this.services.gauges(),
       reads_configuration: Number(this.fleet.configurations.isReader()),
       reads_upstreams: Number(this.fleet.upstreams.isReader()),
-      other_instances: this.fleet.gossip.peerLoads.countActive(
-        this.timer.now(),
-      ),
+      other_instances: this.fleet.countOthers(),
       ...this.relays.gauges(),
       ...this.answers.gauges(),
       ...this.observer.gauges(),
--- a/src/wiring/gatewayfleet.ts
+++ b/src/wiring/gatewayfleet.ts
@@ -260,9 +260,23 @@
 
   /** Whether this instance is the one that tries a held prompt part. */
   ownsTrial(part: string): boolean {
+    return this.owns(part);
+  }
+
+  /** Whether a turn to forward rationed requests is that of this instance. */
+  ownsTurn(turn: number): boolean {
+    return this.owns(`turn ${turn}`);
+  }
+
+  private owns(key: string): boolean {
     const {instance: name, zone, timer} = this.parts;
     const origins = this.gossip.peerLoads.activeOrigins(timer.now());
-    return ownsKey(part, {name, zone}, origins);
+    return ownsKey(key, {name, zone}, origins);
+  }
+
+  /** Number of other instances that told of their load lately. */
+  countOthers(): number {
+    return this.gossip.peerLoads.countActive(this.parts.timer.now());
   }
 
   /** Addresses of the other instances. */
--- a/test/quarantine-decision.test.ts
+++ b/test/quarantine-decision.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check';
 import {beforeEach, describe, expect, it} from 'vitest';
-import {runScenario} from '../bench/quarantine/model.js';
+import {runScenario, type PolicyFactory} from '../bench/quarantine/model.js';
 import {createPolicy, Way} from '../bench/quarantine/policies.js';
 import {scenarios} from '../bench/quarantine/scenarios.js';
 import {
@@ -456,8 +456,8 @@
   for (const scenario of [6, 30].flatMap(scenarios)) {
     const title = `${scenario.name}, ${scenario.upstreams} upstreams`;
     it(`decide well: ${title}`, async () => {
-      const create = (timer: ManualTimer) =>
-        createPolicy(Way.Quarantine, timer);
+      const create: PolicyFactory = (timer, instance, instances) =>
+        createPolicy(Way.Quarantine, timer, instance, instances);
       for (const seed of [1, 2, 3]) {
         const outcome = await runScenario(scenario, seed, create);
         if (scenario.bad.length === 0) {
--- a/test/waitqueue.test.ts
+++ b/test/waitqueue.test.ts
@@ -3,7 +3,7 @@
 import {Endpoint} from '../src/forward/endpoint.js';
 import type {
   PlacementRequest,
-  PlacementResult,
+  QueueResult,
 } from '../src/forward/placementrequest.js';
 import {WaitQueue} from '../src/forward/waitqueue.js';
 import {SpeedEstimator} from '../src/forward/speedestimator.js';
@@ -69,6 +69,7 @@
     pauseSensitive: false,
     answerStarted: false,
     isHeld: () => false,
+    isRationed: () => false,
     shortestPauseMs: 300,
     triedUpstreams: new Set<string>(),
     prompt: {
@@ -121,7 +122,7 @@
   const {timer, queue, makeRequest} = setUp();
   const first = await queue.acquire(makeRequest('first', 2));
   expect(first.type).toBe('placed');
-  const results: PlacementResult[] = [];
+  const results: QueueResult[] = [];
   for (let index = 0; index < 20; index++) {
     void queue
       .acquire(makeRequest(`r${index}`, 2))
@@ -196,7 +197,7 @@
   await timer.advance(5_000);
   void queue.acquire(makeRequest('ahead', 2));
   await timer.advance(1);
-  let result: PlacementResult | undefined;
+  let result: QueueResult | undefined;
   void queue.acquire(makeRequest('next', 2)).then(settled => {
     result = settled;
   });
