Keep a SIGHUP from ending a process that loads its bundle

A SIGHUP, which means that the settings changed, ended a process that had just started, so that callers lacked an instance for another start: Node.js reads and parses the bundle of 2.8 MB before the first handler is set, and the default of the signal is to end the process.

The process's first file is start.cjs now. It sets what signals do and then loads the bundle: SIGHUP changes nothing, as the settings are read later, and leads to one reload if it is delivered once the bundle runs; SIGTERM ends the process at once with 0, the status of a stop in order. The program takes over before it reads the settings.

Two tests of test/platform.test.ts failed before: SIGHUP and SIGTERM that come while the bundle is a pipe that the test has not written yet. The tests of a failed build ask for the new file as well.

--- a/bench/soak/gatewayprocess.ts
+++ b/bench/soak/gatewayprocess.ts
@@ -71,7 +71,7 @@
     storePort: number,
     folder: string,
     history: SoakHistory,
-    program = join(packageRoot(), 'target', 'gypsumcourse.js'),
+    program = join(packageRoot(), 'target', 'start.cjs'),
     geography = new Geography(),
   ): Promise<GatewayProcess> {
     const host = addressOf(index);
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,6 +1,6 @@
 /**
  * Bundles the router for the hosting platform into one file, which starts
- * faster than loading its modules one by one.
+ * faster than loading its modules one by one, and the small file that loads it.
  */
 import {execFileSync} from 'node:child_process';
 import {renameSync, rmSync} from 'node:fs';
@@ -10,7 +10,9 @@
 const root = dirname(dirname(fileURLToPath(import.meta.url)));
 
 const bundle = join(root, 'target', 'gypsumcourse.js');
-const unfinished = `${bundle}.${process.pid}`;
+/** The first file of the process. Node.js loads CommonJS sooner. */
+const start = join(root, 'target', 'start.cjs');
+const unfinished = file => `${file}.${process.pid}`;
 
 /** The commit that is built; with a suffix if files were changed since. */
 function revision() {
@@ -23,33 +25,46 @@
   }
 }
 
-async function bundleTo(outfile) {
+async function buildAll() {
   // Packages that were installed on another kind of machine fail here.
   const {build} = await import('esbuild');
-  await build({
-    entryPoints: [join(root, 'platform', 'main.ts')],
-    outfile,
+  const options = {
     bundle: true,
     platform: 'node',
     target: 'node20',
+    logLevel: 'warning',
+  };
+  await build({
+    ...options,
+    entryPoints: [join(root, 'platform', 'start.ts')],
+    outfile: unfinished(start),
+    format: 'cjs',
+  });
+  await build({
+    ...options,
+    entryPoints: [join(root, 'platform', 'main.ts')],
+    outfile: unfinished(bundle),
     format: 'esm',
     // Bundled CommonJS packages call `require`, which ES modules do not define.
     banner: {
       js: "import {createRequire} from 'node:module'; const require = createRequire(import.meta.url);",
     },
     define: {'process.env.GYPSUMCOURSE_REVISION': JSON.stringify(revision())},
-    logLevel: 'warning',
   });
 }
 
 try {
-  await bundleTo(unfinished);
+  await buildAll();
 } catch (error) {
   // Whoever starts the program next must not get an earlier build.
-  rmSync(bundle, {force: true});
+  for (const file of [start, bundle]) {
+    rmSync(file, {force: true});
+    rmSync(unfinished(file), {force: true});
+  }
   throw error;
 }
 
 // The rename is atomic, so that a process that starts during the build never
-// reads a partly written bundle.
-renameSync(unfinished, bundle);
+// reads a partly written file. The program goes first, as `start.cjs` relies on
+// it to take the signals over.
+for (const file of [bundle, start]) renameSync(unfinished(file), file);
--- a/test/bundle.test.ts
+++ b/test/bundle.test.ts
@@ -13,6 +13,8 @@
 import {join} from 'node:path';
 import {afterEach, expect, test} from 'vitest';
 
+const START = "console.log('start');";
+
 const folders: string[] = [];
 
 afterEach(() => {
@@ -29,23 +31,30 @@
   const script = join(folder, 'scripts', 'bundle.mjs');
   cpSync(join('scripts', 'bundle.mjs'), script);
   symlinkSync(packages, join(folder, 'node_modules'));
+  writeFileSync(join(folder, 'platform', 'start.ts'), START);
   writeFileSync(join(folder, 'platform', 'main.ts'), source);
-  const bundle = join(folder, 'target', 'gypsumcourse.js');
-  writeFileSync(bundle, 'earlier');
+  const files = ['start.cjs', 'gypsumcourse.js'].map(name =>
+    join(folder, 'target', name),
+  );
+  for (const file of files) writeFileSync(file, 'earlier');
   const {status} = spawnSync(process.execPath, [script]);
-  const text = existsSync(bundle) ? readFileSync(bundle, 'utf8') : undefined;
-  return {isBuilt: status === 0, text};
+  const [start, text] = files.map(file =>
+    existsSync(file) ? readFileSync(file, 'utf8') : undefined,
+  );
+  return {isBuilt: status === 0, start, text};
 }
 
 // The program of an earlier build ran on, with the faults that were mended since.
 test('a build that fails leaves no earlier bundle', () => {
-  expect(build('const = 1;')).toEqual({isBuilt: false, text: undefined});
-  expect(build('', tmpdir())).toEqual({isBuilt: false, text: undefined});
+  const failed = {isBuilt: false, start: undefined, text: undefined};
+  expect(build('const = 1;')).toEqual(failed);
+  expect(build('', tmpdir())).toEqual(failed);
 });
 
 test('a bundle names the commit that was built', () => {
   const source = "console.log(process.env['GYPSUMCOURSE_REVISION']);";
-  const {isBuilt, text} = build(source);
+  const {isBuilt, start, text} = build(source);
   expect(isBuilt).toBe(true);
+  expect(start).toContain('start');
   expect(text).toMatch(/console\.log\("[-\w]+"\)/);
 });
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -2,6 +2,8 @@
 import {once} from 'node:events';
 import {
   closeSync,
+  cpSync,
+  mkdirSync,
   mkdtempSync,
   openSync,
   readdirSync,
@@ -269,13 +271,22 @@
   internalPorts: [0, 0],
 });
 
+/** The file that the deploy file starts. */
+const [, PROGRAM = ''] =
+  /^run = "node .*?(\S+)"$/m.exec(
+    readFileSync(join('deploy', 'system.toml'), 'utf8'),
+  ) ?? [];
+
 /** Starts the program; `prepare` writes its settings file. */
-function startProgram(prepare: (settings: string) => void) {
+function startProgram(
+  prepare: (settings: string) => void,
+  install: (folder: string) => string = () => PROGRAM,
+) {
   execFileSync(process.execPath, [join('scripts', 'bundle.mjs')]);
   const folder = mkdtempSync(join(tmpdir(), 'gypsumcourse-'));
   const settings = join(folder, 'settings.json');
   prepare(settings);
-  const child = spawn(process.execPath, [join('target', 'gypsumcourse.js')], {
+  const child = spawn(process.execPath, [install(folder)], {
     env: {...process.env, GYPSUMCOURSE_BOOT: settings},
     stdio: ['ignore', 'pipe', 'inherit'],
   });
@@ -288,7 +299,7 @@
   child.stdout.on('data', (chunk: Buffer) => (output += chunk.toString()));
   const untilLogged = (event: string) =>
     vi.waitFor(() => expect(output).toContain(`"event":"${event}"`), 5_000);
-  return {child, ended, settings, untilLogged, output: () => output};
+  return {child, ended, folder, settings, untilLogged, output: () => output};
 }
 
 /** Starts the program and sends it a signal while it reads its settings. */
@@ -329,3 +340,45 @@
   expect(await ended).toEqual([0, null]);
   expect(output().split('"event":"stopping"')).toHaveLength(2);
 });
+
+const BUNDLE = join('target', 'gypsumcourse.js');
+
+/** Installs the program in `folder` with a pipe in place of its bundle. */
+function installSlowly(folder: string): string {
+  mkdirSync(join(folder, 'target'));
+  writeFileSync(join(folder, 'package.json'), '{"type": "module"}');
+  cpSync(PROGRAM, join(folder, PROGRAM));
+  rmSync(join(folder, BUNDLE), {force: true});
+  execFileSync('mkfifo', [join(folder, BUNDLE)]);
+  return join(folder, PROGRAM);
+}
+
+/** Starts the program and sends it a signal while it waits for its bundle. */
+async function signalInLoading(signal: NodeJS.Signals, bundle: () => string) {
+  const program = startProgram(
+    path => writeFileSync(path, SETTINGS),
+    installSlowly,
+  );
+  // Opened once the process opens it.
+  const pipe = await open(join(program.folder, BUNDLE), 'w');
+  program.child.kill(signal);
+  // Nobody reads on if the signal has ended the process.
+  await pipe.writeFile(bundle()).catch(() => undefined);
+  await pipe.close();
+  return program;
+}
+
+// It ended each process that was started just before its settings changed.
+test('SIGHUP while the bundle is loaded does not end a process', async () => {
+  const {child, untilLogged} = await signalInLoading('SIGHUP', () =>
+    readFileSync(BUNDLE, 'utf8'),
+  );
+  await untilLogged('started');
+  expect([child.exitCode, child.signalCode]).toEqual([null, null]);
+});
+
+test('SIGTERM while the bundle is loaded ends a process in order', async () => {
+  const program = 'setInterval(() => {}, 1_000);';
+  const {ended} = await signalInLoading('SIGTERM', () => program);
+  expect(await ended).toEqual([0, null]);
+});
