Keep a page of many records from stopping the event loop

Where a page of a topic's log held very many changes, such as empty records of four bytes, an instance stood still, and all deadlines and probes of its callers were late: the log of changes dropped the oldest one by one from the front of an array, so that each moved all others. It drops them at once now.

--- a/src/registry/changelog.ts
+++ b/src/registry/changelog.ts
@@ -55,15 +55,22 @@
       this.changes.push(change);
       this.bytes += change.value?.length ?? 0;
     }
+    this.dropOldest();
+  }
+
+  /** Drops the oldest changes at once, as a page may bring very many. */
+  private dropOldest(): void {
+    const {changes} = this;
+    let count = 0;
     while (
-      this.changes.length > MAX_CHANGES ||
-      (this.bytes > MAX_BYTES && this.changes.length > 1)
+      changes.length - count > MAX_CHANGES ||
+      (this.bytes > MAX_BYTES && changes.length - count > 1)
     ) {
-      const dropped = this.changes.shift();
-      if (dropped === undefined) break;
-      this.since = dropped.offset + 1;
-      this.bytes -= dropped.value?.length ?? 0;
+      this.bytes -= changes[count]?.value?.length ?? 0;
+      count++;
     }
+    const last = changes.splice(0, count).at(-1);
+    if (last !== undefined) this.since = last.offset + 1;
   }
 
   /** Changes from an offset on; undefined if some are no longer kept. */
