--- a/src/forward/answerlimit.ts
+++ b/src/forward/answerlimit.ts
@@ -45,6 +45,7 @@
   /** Present while it waits, in monotonic ms. */
   private waitsSince?: number;
   private waitedMs = 0;
+  private ended = false;
 
   constructor(
     private readonly pool: AnswerLimit,
@@ -59,7 +60,7 @@
     this.chunks++;
     this.bytes += bytes;
     this.credit -= 1 + bytes / BYTES_PER_UNIT;
-    return this.credit >= 0 || this.pool.admits(this);
+    return this.goesOn();
   }
 
   /** Counts events; false if the answer has to wait before the next chunk. */
@@ -67,11 +68,12 @@
     this.events += events;
     this.lines += lines;
     this.credit -= lines / LINES_PER_UNIT;
-    return this.credit >= 0 || this.pool.admits(this);
+    return this.goesOn();
   }
 
-  /** No more of the answer comes. */
+  /** No more of the answer counts, though more of what was read may be told of. */
   end(): void {
+    this.ended = true;
     this.pool.leave(this);
   }
 
@@ -109,6 +111,10 @@
     else this.listener.breakOff();
   }
 
+  private goesOn(): boolean {
+    return this.ended || this.credit >= 0 || this.pool.admits(this);
+  }
+
   /** Whether it comes in small chunks or events, or in lines that are no event. */
   private get isSmall(): boolean {
     const {bytes, chunks, events, lines} = this;
--- a/test/answerlimit.test.ts
+++ b/test/answerlimit.test.ts
@@ -100,6 +100,20 @@
 });
 
 // Guards against a share of work that is more than a small machine can do.
+// One that is broken off within a chunk is told of that chunk afterwards.
+test('an answer that was broken off does not wait again', () => {
+  const {limit, open} = openLimit();
+  for (const {receive} of Array.from({length: 60}, () => open())) receive(READ);
+  const before = limit.waitingCount;
+  const {answer, meter, receive} = open();
+  receive(READ);
+  expect(answer.waits).toBe(true);
+  meter.end();
+  expect(meter.addChunk(LARGE_BYTES)).toBe(true);
+  expect(meter.addEvents(1, LARGE_BYTES)).toBe(true);
+  expect(limit.waitingCount).toBe(before);
+});
+
 test('on a slow machine they leave time for what is due', async () => {
   const {timer, machine, open} = openLimit(0.06);
   const start = () => {
