Bound the bodies of calls whose callers aren't authenticated

Cause: only single bodies had a bound. The code covers the body, so it can't be checked before; but a call without one, for another path or announced as too long is now refused from its head, and all other bodies share a budget of 16 MiB until the code is checked. Beyond, the one that held most for longest yields with 503 and a closed connection, so that the small calls of peers go on. Calls of earlier builds carry the same code and length as before.

--- a/src/instance/peerrpc.ts
+++ b/src/instance/peerrpc.ts
@@ -16,16 +16,20 @@
 } from 'json-rpc-2.0';
 import {err, ok, type Result} from 'neverthrow';
 import {Agent, request} from 'undici';
+import {ByteBudget} from '../forward/bytebudget.js';
 import {TrafficMeter, meteredConnector} from '../platform/index.js';
-import {MAC_HEADER, type Credential} from './credential.js';
+import {receiveBody} from './callbody.js';
+import {MAC_HEADER, MAC_LENGTH, type Credential} from './credential.js';
 import {tlsClientOptions, tlsServerOptions, type TlsFiles} from './peertls.js';
-import type {Timer} from '../timer/index.js';
+import {SystemTimer, type Timer} from '../timer/index.js';
 import {readBounded} from '../upstream/boundedbody.js';
 import {serveTunnel, type TunnelHandler} from './peertunnel.js';
 
 /** HTTP path of the JSON-RPC endpoint. */
 const RPC_PATH = '/rpc';
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
+/** Memory for all bodies whose callers aren't authenticated yet, in bytes. */
+const UNAUTHENTICATED_BYTES = 2 * MAX_BODY_BYTES;
 const MAX_CONNECTIONS_PER_PEER = 16;
 
 /** Address at which a peer is reached, over TCP and UDP. */
@@ -73,10 +77,17 @@
   /** TCP connections by the address of their peer; TLS wraps them. */
   private readonly connections = new Map<string, Socket>();
 
-  /** With `tls`, peers need a client certificate signed by its authority. */
+  /**
+   * With `tls`, peers need a client certificate signed by its authority.
+   * `bodies`: memory for bodies whose callers aren't authenticated yet.
+   */
   constructor(
     private readonly credential: Credential,
     tls?: TlsFiles,
+    private readonly bodies = new ByteBudget(
+      UNAUTHENTICATED_BYTES,
+      new SystemTimer(),
+    ),
   ) {
     const onRequest = (message: IncomingMessage, response: ServerResponse) => {
       void this.handleRequest(message, response);
@@ -147,17 +158,23 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const body = await readBoundedBody(message);
     const mac = message.headers[MAC_HEADER];
-    const credential =
-      body === undefined || typeof mac !== 'string'
-        ? undefined
-        : this.credential.findMatch(body, mac);
     if (
-      body === undefined ||
-      credential === undefined ||
-      message.url !== RPC_PATH
+      message.url !== RPC_PATH ||
+      typeof mac !== 'string' ||
+      mac.length !== MAC_LENGTH
     ) {
+      refuse(message, response, 403);
+      return;
+    }
+    const received = await receiveBody(message, MAX_BODY_BYTES, this.bodies);
+    if (received.isErr()) {
+      refuse(message, response, received.error);
+      return;
+    }
+    const body = received.value;
+    const credential = this.credential.findMatch(body, mac);
+    if (credential === undefined) {
       response.writeHead(403).end();
       return;
     }
@@ -189,15 +206,14 @@
   return `${remoteAddress}:${remotePort}`;
 }
 
-/** Reads a body; undefined if it is too large or the connection fails. */
-async function readBoundedBody(
+/** Refuses a call without the rest of its body, which closes the connection. */
+function refuse(
   message: IncomingMessage,
-): Promise<Buffer | undefined> {
-  try {
-    return await readBounded(message, MAX_BODY_BYTES);
-  } catch {
-    return undefined;
-  }
+  response: ServerResponse,
+  status: number,
+): void {
+  message.resume();
+  response.writeHead(status, {connection: 'close'}).end();
 }
 
 /**
--- a/test/peer-rpc.test.ts
+++ b/test/peer-rpc.test.ts
@@ -1,8 +1,11 @@
 import {createServer} from 'node:http';
+import {connect} from 'node:net';
 import {join} from 'node:path';
 import {afterEach, describe, expect, it, test} from 'vitest';
 import {packageRoot} from '../src/cli/packageroot.js';
+import {ByteBudget} from '../src/forward/bytebudget.js';
 import {listen} from '../src/forward/index.js';
+import {MAC_HEADER, MAC_LENGTH} from '../src/instance/credential.js';
 import {
   Credential,
   PeerClient,
@@ -10,6 +13,7 @@
   readTlsFiles,
   type TlsFiles,
 } from '../src/instance/index.js';
+import {SystemTimer} from '../src/timer/index.js';
 
 const HOST = '127.0.0.1';
 const OLD_SECRET = 'the-old-shared-secret';
@@ -101,6 +105,63 @@
   expect(await echo({host: HOST, port}, [NEW_SECRET])).toBe('peerUnreachable');
 });
 
+/** Begins a call that is not a peer's; resolves to the status of its refusal. */
+const beginCall = (port: number, headers: string, sentBytes: number) => {
+  const socket = connect(port, HOST);
+  socket.on('error', () => undefined);
+  closers.push(async () => {
+    socket.destroy();
+    await Promise.resolve();
+  });
+  socket.write(`POST /rpc HTTP/1.1\r\nHost: peer\r\n${headers}\r\n`);
+  socket.write(Buffer.alloc(sentBytes));
+  return new Promise<string>(resolve => {
+    socket.once('data', reply => resolve(reply.toString().slice(9, 12)));
+  });
+};
+
+const CODE = `${MAC_HEADER}: ${'x'.repeat(MAC_LENGTH)}\r\n`;
+
+// Guards against strangers whose bodies fill the memory of an instance.
+describe('the body of a stranger', () => {
+  it('yields to others where all such bodies take too much memory', async () => {
+    const budget = new ByteBudget(1024 * 1024, new SystemTimer());
+    const server = new PeerServer(
+      new Credential([NEW_SECRET]),
+      undefined,
+      budget,
+    );
+    server.handle('echo', params => Promise.resolve(params));
+    const port = await server.listen(HOST, 0);
+    closers.push(() => server.close());
+    const calls: Array<Promise<string>> = [];
+    const sentBytes = 512 * 1024;
+    const head = `${CODE}Content-Length: ${2 * sentBytes}\r\n`;
+    while (calls.length < 20) {
+      calls.push(beginCall(port, head, sentBytes));
+      await expect
+        .poll(() => server.meter.read().bytesIn)
+        .toBeGreaterThan(calls.length * sentBytes);
+    }
+    expect(budget.heldBytes).toBeLessThan(1024 * 1024);
+    expect(await echo({host: HOST, port}, [NEW_SECRET])).toEqual({n: 1});
+    const refused = await Promise.all(calls.slice(0, -1));
+    expect(new Set(refused)).toEqual(new Set(['503']));
+  });
+
+  it.each([
+    {name: 'without a code', headers: 'Content-Length: 9\r\n', status: '403'},
+    {
+      name: 'that is too long',
+      headers: `${CODE}Content-Length: ${9 * 1024 * 1024}\r\n`,
+      status: '413',
+    },
+  ])('$name is refused before it arrives', async ({headers, status}) => {
+    const {port} = await serve([NEW_SECRET]);
+    expect(await beginCall(port, headers, 0)).toBe(status);
+  });
+});
+
 describe('TLS files', () => {
   it('must be set all together or not at all', () => {
     expect(readTlsFiles({})).toBeUndefined();
