--- a/src/registry/callretries.ts
+++ b/src/registry/callretries.ts
@@ -21,6 +21,8 @@
 /** Why a call to the store has to be repeated. */
 export type CallFailure =
   | FeedFailure
+  /** The newest records of all keys take more memory than a topic may. */
+  | {type: 'topicTooLarge'; limitBytes: number}
   /** The answer is of an epoch that has ended. */
   | {type: 'outdated'; epoch: number; known: number};
 
--- a/src/registry/follower.ts
+++ b/src/registry/follower.ts
@@ -4,6 +4,7 @@
 import {CallRetries, type CallFailure} from './callretries.js';
 import type {Feed, FeedPage, Topic} from './feed.js';
 import {ReadSchedule, type ReadTiming} from './readschedule.js';
+import {MAX_TOPIC_BYTES, TopicContent} from './topiccontent.js';
 import {TopicReplica, type TopicReplicaOptions} from './topicreplica.js';
 
 /** Pause after a snapshot older than the records already read, in ms. */
@@ -25,6 +26,8 @@
   random: () => number;
   /** Rank of an instance in the order in which they read this topic. */
   rankOf(instance: string): number;
+  /** Most memory for the newest records of all keys, in bytes. */
+  maxTopicBytes?: number;
 }
 
 /**
@@ -35,7 +38,10 @@
 export class Follower {
   /** What is known of the topic. */
   readonly replica: TopicReplica;
+  private readonly content: TopicContent;
   private readonly retries: CallRetries;
+  /** Whether the next call takes a snapshot, as what was read is too much. */
+  private mustReload = false;
   /** Ends the current pause early. */
   private pauseController?: AbortController;
   /** Ends the wait for a read of an epoch that has ended. */
@@ -48,10 +54,12 @@
     listener: FollowerListener,
   ) {
     const {instance, readPauseMs, waitMs, topic, logger} = options;
+    const {maxTopicBytes = MAX_TOPIC_BYTES} = options;
     const schedule = new ReadSchedule(instance, {readPauseMs, waitMs}, name =>
       options.rankOf(name),
     );
-    this.replica = new TopicReplica(options, listener, schedule);
+    this.content = new TopicContent(listener, maxTopicBytes);
+    this.replica = new TopicReplica(options, this.content, schedule);
     this.retries = new CallRetries(topic, logger, () =>
       options.rankOf(instance),
     );
@@ -119,7 +127,9 @@
         await this.pause(delayMs);
         continue;
       }
-      const pauseMs = replica.isStarted
+      const canRead = replica.isStarted && !this.mustReload;
+      this.mustReload = false;
+      const pauseMs = canRead
         ? await this.readNext(MAX_READ_BYTES)
         : await this.loadSnapshot();
       if (pauseMs > 0) await this.pause(pauseMs);
@@ -203,6 +213,13 @@
       const {epoch} = page;
       return this.recordFailure('read', {type: 'malformed', reason, epoch});
     }
+    const unread = page.records.filter(({offset}) => offset >= replica.end);
+    if (!this.content.hasRoomFor(unread)) {
+      // What follows may remove keys again, which only a snapshot shows.
+      this.mustReload = true;
+      const {limitBytes} = this.content;
+      return this.recordFailure('read', {type: 'topicTooLarge', limitBytes});
+    }
     this.retries.recordSuccess();
     if (!replica.applyRecords(page, from, since)) return 0;
     // A snapshot is smaller than a history that replaces each record.
--- a/src/registry/index.ts
+++ b/src/registry/index.ts
@@ -18,6 +18,7 @@
 export {Registry} from './registry.js';
 export type {RegistryParts} from './registry.js';
 export {StoreEpoch} from './storeepoch.js';
+export {MAX_TOPIC_BYTES, memoryOf} from './topiccontent.js';
 export {TopicReplica} from './topicreplica.js';
 export type {FollowerListener} from './followerlistener.js';
 export type {TopicReplicaOptions} from './topicreplica.js';
--- a/src/registry/topicreplica.ts
+++ b/src/registry/topicreplica.ts
@@ -6,8 +6,8 @@
 import type {FeedPage, KeyedRecord, Snapshot, Topic} from './feed.js';
 import type {KnownRead, ReadSchedule} from './readschedule.js';
 import type {StoreEpoch} from './storeepoch.js';
-import type {FollowerListener} from './followerlistener.js';
 import {TopicAge} from './topicage.js';
+import type {TopicContent} from './topiccontent.js';
 import {
   Learned,
   LearnedFrom,
@@ -67,7 +67,7 @@
 
   constructor(
     private readonly options: TopicReplicaOptions,
-    private readonly listener: FollowerListener,
+    private readonly listener: TopicContent,
     private readonly schedule: ReadSchedule,
   ) {
     this.age = new TopicAge(options.timer);
@@ -197,6 +197,7 @@
     if (end < status.changedTo) {
       if (sent === undefined || sent.from > end) return Reception.Behind;
       const missing = sent.records.filter(({offset}) => offset >= end);
+      if (!this.listener.hasRoomFor(missing)) return Reception.Ignored;
       // Passed on as received: they may have no effect here but at other peers.
       this.add(missing);
       this.changes.append(missing, status.end);
@@ -223,9 +224,8 @@
     epochs.learn(status.epoch, LearnedFrom.Peer);
     if (status.epoch < epochs.current) return Reception.Ignored;
     // A state that ends before what is known may lack newer records.
-    if (this.hasSnapshot && status.end < this.changes.end) {
-      return Reception.Ignored;
-    }
+    const isOlder = this.hasSnapshot && status.end < this.changes.end;
+    if (isOlder || !this.listener.hasRoomFor(records)) return Reception.Ignored;
     logger.info(
       {
         event: LogEvent.Store,
