Bound the memory of upstreams that have left

A store that lists ever new upstreams and removes them again grew an instance's memory even where the topic itself is bounded: each removed entry was remembered for a minute, whatever their number.

Cause: departures had a bound of time alone. Now those that aren't withheld take 8 MiB at most, some 15,000, counted with the texts of their entries; beyond, the first to leave are forgotten.

--- a/src/registry/departures.ts
+++ b/src/registry/departures.ts
@@ -14,6 +14,11 @@
  */
 const WITHHELD_MS = 10_000;
 
+/** Most memory for all departures that aren't withheld, in bytes. */
+const MAX_BYTES = 8 * 1024 * 1024;
+/** Memory of a departure beside the texts of its entry, in bytes. */
+const OVERHEAD_BYTES = 512;
+
 /** An entry that was removed or stayed missing, and since when. */
 interface Departure {
   entry: RegistryEntry;
@@ -33,18 +38,37 @@
  * that still lists them.
  */
 export class Departures {
+  /** By key, the last to depart last. */
   private readonly departures = new Map<string, Departure>();
+  private bytes = 0;
 
-  constructor(private readonly timer: Timer) {}
+  constructor(
+    private readonly timer: Timer,
+    private readonly maxBytes = MAX_BYTES,
+  ) {}
 
-  /** Remembers an entry that was removed, or that the store lost. */
+  /**
+   * Remembers an entry that was removed, or that the store lost. Forgets the
+   * first ones where all take too much memory.
+   */
   add(key: string, entry: RegistryEntry, isRemoved = true): void {
+    this.delete(key);
     this.departures.set(key, {entry, isRemoved, at: this.timer.now()});
+    this.bytes += memoryOf(entry);
+    if (this.bytes <= this.maxBytes) return;
+    for (const [first, {withheld}] of this.departures) {
+      // The store lists what is withheld, so that there is a bound on it.
+      if (withheld === undefined) this.delete(first);
+      if (this.bytes <= this.maxBytes) return;
+    }
   }
 
   /** Forgets a departure, as the upstream is registered again. */
   delete(key: string): void {
+    const known = this.departures.get(key);
+    if (known === undefined) return;
     this.departures.delete(key);
+    this.bytes -= memoryOf(known.entry);
   }
 
   /** Withholds a record of a process that left before. Returns whether it did. */
@@ -109,9 +133,14 @@
     for (const [key, {at, withheld}] of this.departures) {
       const limitMs = withheld === undefined ? REMEMBERED_MS : WITHHELD_MS;
       if (now - at < limitMs) continue;
-      this.departures.delete(key);
+      this.delete(key);
       if (withheld !== undefined) released.push(withheld);
     }
     return released;
   }
 }
+
+function memoryOf({id, service, zone, softwareVersion}: RegistryEntry): number {
+  const texts = [id, service, zone, softwareVersion];
+  return texts.reduce((sum, {length}) => sum + length, OVERHEAD_BYTES);
+}
