Read a topic on without keeping the calls before

A store that is always a record ahead of what it returns grew an instance's memory with each read, though no key was new, and a follower that had been stopped went on reading it.

Cause: a page that isn't the last called for the next read within its own call, so that each call waited for all after it. Now the loop of the follower makes the next call: what is known isn't current yet, so it stays due at once.

--- a/src/registry/follower.ts
+++ b/src/registry/follower.ts
@@ -198,7 +198,11 @@
     }
   }
 
-  /** Applies a page, and reads what the store has beyond it. */
+  /**
+   * Applies a page; returns the pause before the next call, in ms. What the store
+   * has beyond the page is due at once: calls within calls would all be kept until
+   * the last one.
+   */
   private readOn(
     page: Extract<FeedPage, {type: 'records'}>,
     read: {from: number; since: number; maxBytes: number | undefined},
@@ -223,9 +227,8 @@
     this.retries.recordSuccess();
     if (!replica.applyRecords(page, from, since)) return 0;
     // A snapshot is smaller than a history that replaces each record.
-    return page.end - replica.end > replica.recordCount
-      ? this.loadSnapshot()
-      : this.readNext(MAX_READ_BYTES);
+    const isFar = page.end - replica.end > replica.recordCount;
+    return isFar ? this.loadSnapshot() : 0;
   }
 
   /** Resolves like `call`, or to undefined as soon as the epoch ends. */
--- a/test/topiccontent.test.ts
+++ b/test/topiccontent.test.ts
@@ -20,6 +20,8 @@
 /** A topic whose reads tell of new keys, of which its snapshots have none. */
 class FloodedTopic implements Feed {
   isFlooded = false;
+  /** Whether each read leaves a record to be read, and tells of one key. */
+  isAhead = false;
   private end = 1;
   /** Reads and snapshots that were answered. */
   calls = 0;
@@ -35,14 +37,15 @@
     this.calls++;
     const records: KeyedRecord[] = this.isFlooded
       ? Array.from({length: PAGE_RECORDS}, (_, index) => ({
-          key: `key-${from + index}`,
+          key: this.isAhead ? 'kept' : `key-${from + index}`,
           value: Buffer.alloc(1024),
           offset: from + index,
         }))
       : [];
     this.end = from + records.length;
     const type = 'records' as const;
-    return ok({type, records, end: this.end, epoch: 0});
+    const end = this.isAhead ? this.end + 1 : this.end;
+    return ok({type, records, end, epoch: 0});
   }
 
   put() {
@@ -50,20 +53,17 @@
   }
 }
 
-// Guards against a store whose keys fill the memory of an instance, page by page.
-test('new keys without end are not kept, and the topic is followed after them', async () => {
-  const feed = new FloodedTopic();
+/** Follows a topic with what is known of it. */
+function follow(feed: Feed) {
   const timer = new SystemTimer();
   const logger = openStderrLogger(Level.Silent);
   const known = new Map<string, KeyedRecord>();
-  let highestBytes = 0;
+  const memory = {highestBytes: 0};
   const add = (records: KnownRecord[]) => {
     for (const record of records) known.set(record.key, record);
-    const bytes = [...known.values()].map(memoryOf);
-    highestBytes = Math.max(
-      highestBytes,
-      bytes.reduce((sum, size) => sum + size, 0),
-    );
+    const sizes = [...known.values()].map(memoryOf);
+    const bytes = sizes.reduce((sum, size) => sum + size, 0);
+    memory.highestBytes = Math.max(memory.highestBytes, bytes);
     return records;
   };
   const follower = new Follower(
@@ -90,15 +90,40 @@
       known: () => [...known.values()],
     },
   );
+  return {follower, timer, known, memory};
+}
+
+// Guards against a store whose keys fill the memory of an instance, page by page.
+test('new keys without end are not kept, and the topic is followed after them', async () => {
+  const feed = new FloodedTopic();
+  const {follower, timer, known, memory} = follow(feed);
   const subscription = follower.start();
   await expect.poll(() => known.size, POLL).toBe(1);
   feed.isFlooded = true;
   const calls = feed.calls;
   await expect.poll(() => feed.calls, POLL).toBeGreaterThan(calls + 20);
   feed.isFlooded = false;
-  expect(highestBytes).toBeGreaterThan(MAX_TOPIC_BYTES / 2);
-  expect(highestBytes).toBeLessThanOrEqual(MAX_TOPIC_BYTES);
+  expect(memory.highestBytes).toBeGreaterThan(MAX_TOPIC_BYTES / 2);
+  expect(memory.highestBytes).toBeLessThanOrEqual(MAX_TOPIC_BYTES);
   const endedAt = timer.now();
   await expect.poll(() => follower.isReadSince(endedAt), POLL).toBe(true);
   subscription.end();
 });
+
+// Guards against reads that are all kept while the store is always ahead.
+test('a topic whose end is never reached is read call by call', async () => {
+  const feed = new FloodedTopic();
+  const {follower, known} = follow(feed);
+  const subscription = follower.start();
+  await expect.poll(() => known.size, POLL).toBe(1);
+  feed.isFlooded = true;
+  feed.isAhead = true;
+  const calls = feed.calls;
+  await expect.poll(() => feed.calls, POLL).toBeGreaterThan(calls + 20);
+  subscription.end();
+  const callsAtEnd = feed.calls;
+  for (let turn = 0; turn < 100; turn++) await setImmediate();
+  feed.isAhead = false;
+  // The call that was under way.
+  expect(feed.calls).toBeLessThanOrEqual(callsAtEnd + 1);
+});
