Check lists of upstreams and callers up to their first problem

In the product, a list with many invalid items in an upstream's report, an engine's state or a caller's request took far more memory to check than its bytes: a report of 1 MB ran out a heap of 200 MB in a review.

Cause: the schemas collected every problem of every item. Now lists are checked in parts of 256 items up to the first part that has one, also the blocks of each cache event and the counters of an engine, whose answers had the same fault; and the reason of a refused request is described like those of the store.

--- a/src/order/protocol.ts
+++ b/src/order/protocol.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {listOf, recordOf} from '../upstream/index.js';
 
 /** Phase of inference that an engine specializes in. */
 export type EngineRole = 'general' | 'prefill' | 'decode';
@@ -24,7 +25,7 @@
 const loadedSchema = z.object({
   model: z.string(),
   version: z.string(),
-  adapters: z.array(z.string()),
+  adapters: listOf(z.string()),
 });
 
 const pendingSchema = z.object({
@@ -36,17 +37,17 @@
 /** Schema of an engine's response to `GET /models`. */
 export const engineStateSchema = z.object({
   /** Models in memory. */
-  loaded: z.array(loadedSchema),
+  loaded: listOf(loadedSchema),
   /** Loads under way. */
-  pending: z.array(pendingSchema),
+  pending: listOf(pendingSchema),
   /** Loads that failed recently, and how long ago. */
-  failed: z.array(pendingSchema.extend({ageMs: z.number()})),
+  failed: listOf(pendingSchema.extend({ageMs: z.number()})),
   /** Number of models that fit into memory at once. */
   modelSlots: z.number().int().positive(),
   /** Highest fencing number the engine has seen, or -1. */
   fencing: z.number().int(),
   /** Requests since the engine started, by `MODEL` or `MODEL:ADAPTER`. */
-  asked: z.record(z.string(), z.number()),
+  asked: recordOf(z.number()),
 });
 
 /** Models of an engine, loads under way, and request counters. */
--- a/src/request/parse.ts
+++ b/src/request/parse.ts
@@ -12,8 +12,14 @@
   type Workspace,
 } from '../config/index.js';
 import {KEY_TIME_HEADER, keyIssueTime} from '../claim/index.js';
+import {describeIssue} from '../telemetry/index.js';
 import type {Timer} from '../timer/index.js';
-import {BodyTooLong, promptText, readBounded} from '../upstream/index.js';
+import {
+  BodyTooLong,
+  listOf,
+  promptText,
+  readBounded,
+} from '../upstream/index.js';
 import type {Failure} from './outcome.js';
 import type {Demand, ParsedRequest} from './work.js';
 
@@ -44,8 +50,8 @@
   stream: z.boolean().nullish(),
   max_tokens: z.number().int().positive().nullish(),
   max_completion_tokens: z.number().int().positive().nullish(),
-  messages: z.array(messageSchema).min(1).optional(),
-  prompt: z.union([z.string(), z.array(z.string())]).optional(),
+  messages: listOf(messageSchema, 1).optional(),
+  prompt: z.union([z.string(), listOf(z.string())]).optional(),
 });
 
 /** Reads the request body, up to a maximum size and time. */
@@ -178,9 +184,7 @@
   }
   const parsed = generationSchema.safeParse(json);
   if (!parsed.success) {
-    const issue = parsed.error.issues[0];
-    const reason = `${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`;
-    return err({type: 'badRequest', reason});
+    return err({type: 'badRequest', reason: describeIssue(parsed.error)});
   }
   const {model, stream, max_tokens, max_completion_tokens} = parsed.data;
   const requiredField = target.type === 'chat' ? 'messages' : 'prompt';
--- a/src/upstream/report.ts
+++ b/src/upstream/report.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import type {Timer} from '../timer/index.js';
 import {readBounded} from './boundedbody.js';
+import {listOf} from './checkedlist.js';
 import type {LoadReport, Upstream} from './upstream.js';
 
 const REPORT_TIMEOUT_MS = 1_000;
@@ -14,15 +15,15 @@
   memory: z.number().min(0),
   slots: z.number().positive().optional(),
   leaving: z.boolean().default(false),
-  models: z.array(z.string()).optional(),
+  models: listOf(z.string()).optional(),
 });
 
 const cacheEventPageSchema = z.object({
-  events: z.array(
+  events: listOf(
     z.object({
       sequence: z.number(),
       type: z.enum(['stored', 'evicted']),
-      blocks: z.array(z.string()),
+      blocks: listOf(z.string()),
     }),
   ),
   first: z.number(),
