Keep one schema for lists that are checked in parts

The one that checks in parts stays, beside the description of problems, and the configuration uses it.

--- a/src/order/protocol.ts
+++ b/src/order/protocol.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import {listOf, recordOf} from '../upstream/index.js';
+import {listOf, recordOf} from '../telemetry/index.js';
 
 /** Phase of inference that an engine specializes in. */
 export type EngineRole = 'general' | 'prefill' | 'decode';
--- a/src/request/parse.ts
+++ b/src/request/parse.ts
@@ -12,14 +12,9 @@
   type Workspace,
 } from '../config/index.js';
 import {KEY_TIME_HEADER, keyIssueTime} from '../claim/index.js';
-import {describeIssue} from '../telemetry/index.js';
+import {describeIssue, listOf} from '../telemetry/index.js';
 import type {Timer} from '../timer/index.js';
-import {
-  BodyTooLong,
-  listOf,
-  promptText,
-  readBounded,
-} from '../upstream/index.js';
+import {BodyTooLong, promptText, readBounded} from '../upstream/index.js';
 import type {Failure} from './outcome.js';
 import type {Demand, ParsedRequest} from './work.js';
 
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -16,7 +16,8 @@
   setLevel,
 } from './logger.js';
 export type {OutputLogger} from './logger.js';
-export {describeIssue, listOf} from './issue.js';
+export {listOf, recordOf} from './checkedlist.js';
+export {describeIssue} from './issue.js';
 export {describeTargets, meetsTargets} from './targets.js';
 export type {RequestTimes} from './targets.js';
 export {Accumulator, cellSchema, emptyCell} from './accumulator.js';
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -1,5 +1,4 @@
 export {BodyTooLong, readBounded} from './boundedbody.js';
-export {listOf, recordOf} from './checkedlist.js';
 export {CachedBlocks} from './cachedblocks.js';
 export type {CacheMatch} from './cachedblocks.js';
 export {ObservedState} from './observedstate.js';
--- a/src/upstream/report.ts
+++ b/src/upstream/report.ts
@@ -1,8 +1,8 @@
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
+import {listOf} from '../telemetry/checkedlist.js';
 import type {Timer} from '../timer/index.js';
 import {readBounded} from './boundedbody.js';
-import {listOf} from './checkedlist.js';
 import type {LoadReport, Upstream} from './upstream.js';
 
 const REPORT_TIMEOUT_MS = 1_000;
