--- a/bench/silence/experiment.ts
+++ b/bench/silence/experiment.ts
@@ -6,6 +6,7 @@
 import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
 import {startKeyedStore} from '../../stand-ins/index.js';
+import {LOOPBACK} from '../../stand-ins/loopback.js';
 import {UPSTREAMS_TOPIC} from '../soak/deployment.js';
 import {GatewayProcess} from '../soak/gatewayprocess.js';
 import {SoakHistory} from '../soak/history.js';
@@ -67,7 +68,7 @@
  */
 export async function runSilences(spec: SilenceSpec): Promise<SilenceResult> {
   const folder = spec.logs ?? mkdtempSync(join(tmpdir(), 'gypsumcourse-'));
-  const store = await startKeyedStore(0);
+  const store = await startKeyedStore(0, {}, LOOPBACK);
   const arrivals: Arrival[] = [];
   const put = (topic: string, key: string, value: unknown) =>
     store.log.append(topic, key, Buffer.from(JSON.stringify(value)));
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -1,4 +1,5 @@
 import {createHash} from 'node:crypto';
+import {loopbackAddress} from '../../stand-ins/loopback.js';
 
 /** Bounds of the platform's example deployment, in ms. */
 export const BOUNDS = {
@@ -56,11 +57,6 @@
   return loopbackAddress(UPSTREAM_ADDRESS);
 }
 
-function loopbackAddress(last: number): string {
-  const {pid} = process;
-  return `127.${10 + (Math.floor(pid / 256) % 240)}.${pid % 256}.${last}`;
-}
-
 /** Time for which callers wait for the end of an answer, in ms. */
 export const PATIENCE_MS = 2_500;
 export const WORKSPACES = ['alpha', 'beta'] as const;
--- a/bench/soak/gatewayprocess.ts
+++ b/bench/soak/gatewayprocess.ts
@@ -9,6 +9,7 @@
 import {join} from 'node:path';
 import {packageRoot} from '../../src/cli/packageroot.js';
 import {FaultProxy} from '../../stand-ins/index.js';
+import {LOOPBACK} from '../../stand-ins/loopback.js';
 import {addressOf, BOUNDS} from './deployment.js';
 import {Geography} from './geography.js';
 import type {SoakHistory} from './history.js';
@@ -75,10 +76,10 @@
     geography = new Geography(),
   ): Promise<GatewayProcess> {
     const host = addressOf(index);
-    const ingress = await FaultProxy.open();
+    const ingress = await FaultProxy.open(LOOPBACK);
     ingress.setTarget(`${host}:${FRONT_PORT}`);
     const storeLink = await FaultProxy.open(host);
-    storeLink.setTarget(`127.0.0.1:${storePort}`);
+    storeLink.setTarget(`${LOOPBACK}:${storePort}`);
     storeLink.setDistance(geography.distanceMs(index), host);
     const name = `entry-${index}`;
     return new GatewayProcess(
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -2,6 +2,7 @@
 import {join} from 'node:path';
 import {packageRoot} from '../../src/cli/packageroot.js';
 import {Availability, startKeyedStore} from '../../stand-ins/index.js';
+import {LOOPBACK} from '../../stand-ins/loopback.js';
 import {Random} from '../random.js';
 import {BadRequests} from './badrequests.js';
 import {Caller} from './callers.js';
@@ -137,7 +138,7 @@
     rmSync(folder, {recursive: true, force: true});
     mkdirSync(folder, {recursive: true});
     const history = new SoakHistory();
-    const store = await startKeyedStore();
+    const store = await startKeyedStore(0, {}, LOOPBACK);
     const geography = new Geography(options.regions, instances);
     const gateways: GatewayProcess[] = [];
     for (let index = 0; index < instances; index++) {
--- a/bench/soak/upstream.ts
+++ b/bench/soak/upstream.ts
@@ -5,6 +5,7 @@
   type FaultProxy,
   type KeyedStoreStandIn,
 } from '../../stand-ins/index.js';
+import {LOOPBACK} from '../../stand-ins/loopback.js';
 import type {Random} from '../random.js';
 import {Answers} from './answers.js';
 import {EndCause} from './arrival.js';
@@ -135,13 +136,15 @@
       this.connections.set(socket, this.incarnation);
       socket.once('close', () => this.connections.delete(socket));
     });
-    await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+    await new Promise<void>(done => server.listen(0, LOOPBACK, done));
     if (!this.isAlive || incarnation !== this.incarnation) {
       server.close();
       return;
     }
     this.server = server;
-    this.proxy.setTarget(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+    this.proxy.setTarget(
+      `${LOOPBACK}:${(server.address() as AddressInfo).port}`,
+    );
     this.proxy.inject({refuse: false, acceptance: Acceptance.Forwarded});
     this.beginHeartbeats();
   }
--- a/stand-ins/keyedstore.ts
+++ b/stand-ins/keyedstore.ts
@@ -81,6 +81,7 @@
 export async function startKeyedStore(
   port = 0,
   initial: Partial<KeyedStoreBehaviour> = {},
+  host?: string,
 ): Promise<KeyedStoreStandIn> {
   const store = new KeyedStore({...DEFAULTS, ...initial});
   const routes = findMyWay({
@@ -101,7 +102,7 @@
   routes.on('GET', '/v1/log-newest', (message, response) =>
     store.serve('snapshots', message, response, query => store.newest(query)),
   );
-  const standIn = await serveRoutes(routes, port);
+  const standIn = await serveRoutes(routes, port, host);
   const {log, behaviour, calls} = store;
   const change = (changed: Partial<KeyedStoreBehaviour>) => {
     Object.assign(behaviour, changed);
--- a/test/attempt.test.ts
+++ b/test/attempt.test.ts
@@ -10,6 +10,7 @@
 import {Endpoint} from '../src/forward/endpoint.js';
 import {EntryState} from '../src/registry/index.js';
 import {SystemTimer} from '../src/timer/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {openAnswers} from './support/answers.js';
 import {RawUpstream, successHead, type RawRequest} from './support/gateway.js';
 
@@ -40,7 +41,7 @@
     {
       id: 'i-1',
       service: 'plain',
-      host: '127.0.0.1',
+      host: LOOPBACK,
       port: await upstream.listen(),
       zone: 'zone-a',
       softwareVersion: 'v1',
@@ -49,7 +50,7 @@
       coldMs: 0,
       sequence: 1,
     },
-    '127.0.0.1',
+    LOOPBACK,
   );
   return runAttempt({
     endpoint,
--- a/test/change.test.ts
+++ b/test/change.test.ts
@@ -3,6 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {afterEach, expect, test, vi} from 'vitest';
 import {Topic} from '../src/registry/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {
   call,
   startTestGateway,
@@ -153,7 +154,7 @@
     gateways.push(started);
     const {gateway, feed, logLines} = started;
     await sleep(startMs);
-    const callerOfHalf = connect(gateway.port, '127.0.0.1');
+    const callerOfHalf = connect(gateway.port, LOOPBACK);
     await once(callerOfHalf, 'connect');
     callerOfHalf.write(
       'POST /order/a HTTP/1.1\r\nhost: shop.example\r\nx-request-id: r0\r\n' +
--- a/test/drain.test.ts
+++ b/test/drain.test.ts
@@ -3,6 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {afterEach, expect, test, vi} from 'vitest';
 import {LogEvent} from '../src/telemetry/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {
   call,
   startTestGateway,
@@ -42,7 +43,7 @@
 }
 
 async function open(port: number): Promise<Socket> {
-  const socket = connect(port, '127.0.0.1');
+  const socket = connect(port, LOOPBACK);
   socket.on('error', () => undefined);
   await once(socket, 'connect');
   return socket;
@@ -51,7 +52,7 @@
 /** Waits until a server accepts no new connections. */
 async function untilClosed(port: number): Promise<void> {
   for (;;) {
-    const socket = connect(port, '127.0.0.1');
+    const socket = connect(port, LOOPBACK);
     const isOpen = await new Promise(resolve => {
       socket.on('connect', () => resolve(true));
       socket.on('error', () => resolve(false));
--- a/test/endless-product.test.ts
+++ b/test/endless-product.test.ts
@@ -12,6 +12,7 @@
 import {SystemTimer} from '../src/timer/index.js';
 import {fetchLoad} from '../src/upstream/report.js';
 import {Upstream} from '../src/upstream/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {Flood, MemorySampler} from './support/flood.js';
 
 /** Most that may be kept of what an upstream sends without end, in bytes. */
@@ -39,14 +40,14 @@
     });
   });
   servers.push(server);
-  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  await new Promise<void>(done => server.listen(0, LOOPBACK, done));
   const {port} = server.address() as AddressInfo;
   const upstream = new Upstream(
     'engine',
     'zone-a',
-    `http://127.0.0.1:${port}`,
+    `http://${LOOPBACK}:${port}`,
     {} as never,
-    '127.0.0.1',
+    LOOPBACK,
   );
   upstreams.push(upstream);
   return {upstream, floods};
--- a/test/endless-store.test.ts
+++ b/test/endless-store.test.ts
@@ -8,6 +8,7 @@
 import {Level, openStderrLogger} from '../src/telemetry/index.js';
 import {SystemTimer} from '../src/timer/index.js';
 import {startKeyedStore, type KeyedStoreStandIn} from '../stand-ins/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {
   CHUNKED,
   closeAll,
@@ -19,7 +20,6 @@
 } from './support/endless.js';
 import {MemorySampler} from './support/flood.js';
 
-const HOST = '127.0.0.1';
 /** Most memory that a call may take, in bytes. */
 const CALL_BYTES = 24 * 1024 * 1024;
 const OK = 'HTTP/1.1 200 OK\r\n';
@@ -111,7 +111,7 @@
     },
   ])('for $call is broken off', async ({make}) => {
     const {port} = await openUpstream('store', 'store', flood(answer));
-    const feed = new HttpFeed(`${HOST}:${port}`, HOST, FEED_TIMEOUTS);
+    const feed = new HttpFeed(`${LOOPBACK}:${port}`, LOOPBACK, FEED_TIMEOUTS);
     const memory = new MemorySampler();
     const result = await make(feed);
     await untilClosed();
@@ -140,8 +140,8 @@
     const hasMore = served < pages;
     response.end(JSON.stringify({items: records, hasMore, end}));
   });
-  const port = await listen(server, {host: HOST, port: 0});
-  const feed = new HttpFeed(`${HOST}:${port}`, HOST, FEED_TIMEOUTS);
+  const port = await listen(server, {host: LOOPBACK, port: 0});
+  const feed = new HttpFeed(`${LOOPBACK}:${port}`, LOOPBACK, FEED_TIMEOUTS);
   const snapshot = await feed.snapshot(Topic.Upstreams);
   server.close();
   server.closeAllConnections();
@@ -153,8 +153,8 @@
   const items = Array.from({length: 100_000}, () => 0);
   const page = JSON.stringify({items, hasMore: false, end: 0});
   const server = createServer((_message, response) => response.end(page));
-  const port = await listen(server, {host: HOST, port: 0});
-  const feed = new HttpFeed(`${HOST}:${port}`, HOST, FEED_TIMEOUTS);
+  const port = await listen(server, {host: LOOPBACK, port: 0});
+  const feed = new HttpFeed(`${LOOPBACK}:${port}`, LOOPBACK, FEED_TIMEOUTS);
   const snapshot = await feed.snapshot(Topic.Upstreams);
   server.close();
   server.closeAllConnections();
@@ -188,7 +188,7 @@
   constructor(private readonly store: KeyedStoreStandIn) {}
 
   async listen(): Promise<number> {
-    return listen(this.server, {host: HOST, port: 0});
+    return listen(this.server, {host: LOOPBACK, port: 0});
   }
 
   close(): void {
@@ -198,7 +198,7 @@
 }
 
 test('a topic is read on once the store no longer answers without end', async () => {
-  const store = await startKeyedStore();
+  const store = await startKeyedStore(0, {}, LOOPBACK);
   const publish = (key: string) =>
     store.log.append('keyed.op', key, Buffer.from('value'));
   publish('early');
@@ -214,7 +214,7 @@
       epochs,
       rankOf: () => 0,
       learned: () => undefined,
-      feed: new HttpFeed(`${HOST}:${port}`, HOST, FEED_TIMEOUTS),
+      feed: new HttpFeed(`${LOOPBACK}:${port}`, LOOPBACK, FEED_TIMEOUTS),
       topic: Topic.Configuration,
       timer,
       logger,
--- a/test/endless.test.ts
+++ b/test/endless.test.ts
@@ -1,5 +1,6 @@
 import {connect} from 'node:net';
 import {afterEach, describe, expect, test, vi} from 'vitest';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {
   CHUNKED,
   closeAll,
@@ -236,7 +237,7 @@
   bytes: number,
 ): Promise<number> {
   return new Promise(resolve => {
-    const socket = connect(port, '127.0.0.1');
+    const socket = connect(port, LOOPBACK);
     socket.write(
       `POST ${path} HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r1\r\n` +
         'Authorization: Bearer key-one\r\nContent-Length: 0\r\n\r\n',
@@ -343,7 +344,7 @@
         unit: 'x',
       }),
     );
-    const socket = connect(gateway.port, '127.0.0.1');
+    const socket = connect(gateway.port, LOOPBACK);
     let wasReset = false;
     let received = '';
     socket.on('error', () => {
--- a/test/epoch.test.ts
+++ b/test/epoch.test.ts
@@ -12,6 +12,7 @@
   Topic,
 } from '../src/registry/index.js';
 import {ManualTimer} from '../src/timer/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {FollowingFleet} from './support/returningstore.js';
 
 /** Registers upstreams with consecutive numbers. */
@@ -280,11 +281,11 @@
       response.writeHead(status, headers).end(JSON.stringify(body));
     });
     await new Promise<void>(resolve =>
-      server.listen(0, '127.0.0.1', () => resolve()),
+      server.listen(0, LOOPBACK, () => resolve()),
     );
     onTestFinished(() => void server.close());
     const {port} = server.address() as AddressInfo;
-    return new HttpFeed(`127.0.0.1:${port}`, '127.0.0.1', FEED_TIMEOUTS);
+    return new HttpFeed(`${LOOPBACK}:${port}`, LOOPBACK, FEED_TIMEOUTS);
   }
 
   it('is read from each answer, to writes and of errors too', async () => {
--- a/test/forward.test.ts
+++ b/test/forward.test.ts
@@ -2,6 +2,7 @@
 import {connect} from 'node:net';
 import {afterEach, expect, test, vi} from 'vitest';
 import {LogEvent} from '../src/telemetry/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {
   call,
   startTestGateway,
@@ -162,7 +163,7 @@
 test('a request whose caller left before a late process read it is not sent', async () => {
   const plain = await openUpstream('plain', 'i-1', answerWith('hello'));
   const {gateway, logLines} = await openGateway([plain]);
-  const socket = connect(gateway.port, '127.0.0.1');
+  const socket = connect(gateway.port, LOOPBACK);
   await once(socket, 'connect');
   // Lets the gateway accept the connection.
   await call(gateway.port, '/look/a', 'r1');
@@ -298,7 +299,7 @@
 /** Sends bytes on a new connection; resolves to the bytes received. */
 function sendBytes(port: number, bytes: string): Promise<string> {
   return new Promise(resolve => {
-    const socket = connect(port, '127.0.0.1', () => socket.write(bytes));
+    const socket = connect(port, LOOPBACK, () => socket.write(bytes));
     let text = '';
     socket.on('data', chunk => {
       text += chunk.toString('latin1');
@@ -365,7 +366,7 @@
 test('a request that crosses the time-out of its connection is not sent', async () => {
   const plain = await openUpstream('plain', 'i-1', answerWith('hello'));
   const {gateway, logLines} = await openGateway([plain]);
-  const socket = connect(gateway.port, '127.0.0.1');
+  const socket = connect(gateway.port, LOOPBACK);
   const [bytes] = (await once(socket, 'data')) as [Buffer];
   socket.write(
     'POST /order/a HTTP/1.1\r\nhost: shop.example\r\nx-request-id: r1\r\n' +
--- a/test/graceperiod.test.ts
+++ b/test/graceperiod.test.ts
@@ -1,5 +1,6 @@
 import {Agent, request} from 'node:http';
 import {afterEach, describe, expect, test} from 'vitest';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {
   RawUpstream,
   startTestGateway,
@@ -37,7 +38,7 @@
   return new Promise<Sent>(resolve => {
     const sent: Sent = {id, sentAt: performance.now()};
     const message = request({
-      ...{agent, host: '127.0.0.1', port, path},
+      ...{agent, host: LOOPBACK, port, path},
       method: 'POST',
       headers: {
         host: 'shop.example',
--- a/test/invalid-lists.test.ts
+++ b/test/invalid-lists.test.ts
@@ -9,9 +9,9 @@
 import {SystemTimer} from '../src/timer/index.js';
 import {Upstream} from '../src/upstream/index.js';
 import {fetchCacheEvents, fetchLoad} from '../src/upstream/report.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {MemorySampler} from './support/flood.js';
 
-const HOST = '127.0.0.1';
 const ITEMS = 250_000;
 const ZEROS = JSON.stringify(Array.from({length: ITEMS}, () => 0));
 const COUNTERS = Array.from({length: 75_000}, (_, n) => `"${n}":""`).join();
@@ -28,9 +28,9 @@
 /** An upstream that answers each request by a text. */
 async function openUpstream(text: string): Promise<Upstream> {
   const server = createServer((_message, response) => response.end(text));
-  const port = await listen(server, {host: HOST, port: 0});
-  const url = `http://${HOST}:${port}`;
-  const upstream = new Upstream('engine', 'zone-a', url, {} as never, HOST);
+  const port = await listen(server, {host: LOOPBACK, port: 0});
+  const url = `http://${LOOPBACK}:${port}`;
+  const upstream = new Upstream('engine', 'zone-a', url, {} as never, LOOPBACK);
   closers.push(() => {
     server.close();
     server.closeAllConnections();
--- a/test/invalidstatus.test.ts
+++ b/test/invalidstatus.test.ts
@@ -8,6 +8,7 @@
 import {fetchReport} from '../src/forward/processreport.js';
 import {Topic} from '../src/registry/index.js';
 import {SystemTimer} from '../src/timer/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {openAnswers} from './support/answers.js';
 import {
   call,
@@ -21,7 +22,6 @@
 } from './support/gateway.js';
 import {CHAT_HEADERS, RelayedFleet, WARM_UP} from './support/relayedfleet.js';
 
-const HOST = '127.0.0.1';
 const STATUSES = ['000', '099', '101', '600', '700', '999'].map(status => ({
   status,
 }));
@@ -165,7 +165,7 @@
     const value = Buffer.from(JSON.stringify(wireEntry('engine', port)));
     const entry = decodeEntry('i-1', value);
     assert(!('reason' in entry));
-    const endpoint = new Endpoint(entry, HOST);
+    const endpoint = new Endpoint(entry, LOOPBACK);
     const timer = new SystemTimer();
     const heads: number[] = [];
     const report = await fetchReport({
@@ -197,9 +197,9 @@
       socket.write(`HTTP/1.1 ${status} \r\n${length}\r\n${body}`);
     });
     upstreams.push(raw);
-    const address = `${HOST}:${await raw.listen()}`;
+    const address = `${LOOPBACK}:${await raw.listen()}`;
     const timeouts = {connectMs: 300, responseMs: 300};
-    const feed = new HttpFeed(address, HOST, timeouts);
+    const feed = new HttpFeed(address, LOOPBACK, timeouts);
     const page = await feed.snapshot(Topic.Configuration);
     expect(page.isErr()).toBe(true);
     const put = await feed.put(Topic.Instances, 'entry-1', Buffer.from('x'));
--- a/test/linkfailures.test.ts
+++ b/test/linkfailures.test.ts
@@ -7,8 +7,8 @@
 import {DirectDialer} from '../src/forward/directdialer.js';
 import {Dialer, Isolation, UpstreamLinks} from '../src/relay/index.js';
 import {SystemTimer} from '../src/timer/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 
-const HOST = '127.0.0.1';
 const SERVICE = 'plain';
 const RESPONSE = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
 /** Time in which an end is read, in ms. */
@@ -85,9 +85,9 @@
     socket.once('data', () => end.respond(socket));
   });
   servers.push(server);
-  await new Promise<void>(done => server.listen(0, HOST, done));
+  await new Promise<void>(done => server.listen(0, LOOPBACK, done));
   const {port} = server.address() as AddressInfo;
-  const address = {id, service: SERVICE, host: HOST, port};
+  const address = {id, service: SERVICE, host: LOOPBACK, port};
   const pool = new ConnectionPool(address, dialer, new SystemTimer());
   const connection = pool.openDirectly();
   connection.dispatch(
@@ -122,7 +122,7 @@
     links.push(upstreamLinks);
     const unused = () => new Promise<never>(() => undefined);
     const dialer = new Dialer({
-      direct: new DirectDialer(HOST),
+      direct: new DirectDialer(LOOPBACK),
       relays: {open: unused, openThrough: unused},
       links: upstreamLinks,
       timer,
--- a/test/liveness.test.ts
+++ b/test/liveness.test.ts
@@ -6,6 +6,7 @@
 import {Endpoint} from '../src/forward/endpoint.js';
 import {LivenessProber, type ResponseObserver} from '../src/forward/index.js';
 import {SystemTimer} from '../src/timer/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {
   call,
   startTestGateway,
@@ -83,7 +84,7 @@
   );
   assert(!('reason' in entry));
   const timer = new SystemTimer();
-  const endpoint = new Endpoint(entry, '127.0.0.1');
+  const endpoint = new Endpoint(entry, LOOPBACK);
   const observer = {observe: () => false} as unknown as ResponseObserver;
   const prober = new LivenessProber(timer, protocol, observer);
   expect(await prober.isAlive(endpoint)).toBe(expected);
--- a/test/orderlyends.test.ts
+++ b/test/orderlyends.test.ts
@@ -15,6 +15,7 @@
 import {DeclaredLimits} from '../bench/soak/limits.js';
 import {Succession, SoakUpstream} from '../bench/soak/upstream.js';
 import {Acceptance, FaultProxy, startKeyedStore} from '../stand-ins/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 
 const LENGTH_MS = 60_000;
 const ORDERLY_ENDS = new Set([
@@ -85,9 +86,9 @@
       socket.on('error', () => undefined);
       socket.pipe(socket);
     });
-    await new Promise<void>(done => echo.listen(0, '127.0.0.1', done));
+    await new Promise<void>(done => echo.listen(0, LOOPBACK, done));
     const {port} = echo.address() as AddressInfo;
-    proxy.setTarget(`127.0.0.1:${port}`);
+    proxy.setTarget(`${LOOPBACK}:${port}`);
     const near = await roundTripMs(proxy, addressOf(1));
     const far = await roundTripMs(proxy, addressOf(2));
     expect(near).toBeLessThan(far);
@@ -164,7 +165,7 @@
 
   beforeEach(async () => {
     history = new SoakHistory();
-    store = await startKeyedStore();
+    store = await startKeyedStore(0, {}, LOOPBACK);
     upstream = new SoakUpstream(
       'streams-0',
       ServiceName.Streams,
--- a/test/pausedanswers.test.ts
+++ b/test/pausedanswers.test.ts
@@ -6,11 +6,11 @@
 import {decodeEntry} from '../platform/entry.js';
 import {Endpoint} from '../src/forward/endpoint.js';
 import {openGuardedClient} from '../src/upstream/pauseguard.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {CHUNKED, closeAll, openUpstream} from './support/endless.js';
 import {successHead, wireEntry} from './support/gateway.js';
 import {sleep} from './support/silentupstream.js';
 
-const HOST = '127.0.0.1';
 const CONNECTIONS = 8;
 const ANSWER_BYTES = 8 * 1024 * 1024;
 /** Most bytes that a connection may hold unread. */
@@ -48,7 +48,7 @@
   const value = Buffer.from(JSON.stringify(wireEntry('plain', port)));
   const entry = decodeEntry('i-1', value);
   assert(!('reason' in entry));
-  const connection = new Endpoint(entry, HOST).connections.openDirectly();
+  const connection = new Endpoint(entry, LOOPBACK).connections.openDirectly();
   return {
     dispatch: handler => connection.dispatch(REQUEST, handler),
     pause: controller => {
@@ -62,7 +62,7 @@
 
 /** Opens a connection of the product's own interface. */
 function openOfProduct(port: number): PausableConnection {
-  const client = openGuardedClient(`http://${HOST}:${port}`, {});
+  const client = openGuardedClient(`http://${LOOPBACK}:${port}`, {});
   return {
     dispatch: handler => client.dispatch(REQUEST, handler),
     pause: controller => controller.pause(),
--- a/test/peer-rpc.test.ts
+++ b/test/peer-rpc.test.ts
@@ -14,8 +14,8 @@
   type TlsFiles,
 } from '../src/instance/index.js';
 import {SystemTimer} from '../src/timer/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 
-const HOST = '127.0.0.1';
 const OLD_SECRET = 'the-old-shared-secret';
 const NEW_SECRET = 'the-new-shared-secret';
 
@@ -46,9 +46,9 @@
 const serve = async (secrets: string[], tls?: TlsFiles) => {
   const server = new PeerServer(new Credential(secrets), tls);
   server.handle('echo', params => Promise.resolve(params));
-  const port = await server.listen(HOST, 0);
+  const port = await server.listen(LOOPBACK, 0);
   closers.push(() => server.close());
-  return {host: HOST, port};
+  return {host: LOOPBACK, port};
 };
 
 const echo = async (
@@ -56,7 +56,7 @@
   secrets: string[],
   tls?: TlsFiles,
 ) => {
-  const client = new PeerClient(new Credential(secrets), HOST, tls);
+  const client = new PeerClient(new Credential(secrets), LOOPBACK, tls);
   closers.push(() => client.close());
   const answer = await client.call(peer, 'echo', {n: 1}, 2_000);
   return answer.isOk() ? answer.value : answer.error.type;
@@ -96,18 +96,20 @@
     response.on('drain', write);
     write();
   });
-  const port = await listen(server, {host: HOST, port: 0});
+  const port = await listen(server, {host: LOOPBACK, port: 0});
   closers.push(async () => {
     server.close();
     server.closeAllConnections();
     await Promise.resolve();
   });
-  expect(await echo({host: HOST, port}, [NEW_SECRET])).toBe('peerUnreachable');
+  expect(await echo({host: LOOPBACK, port}, [NEW_SECRET])).toBe(
+    'peerUnreachable',
+  );
 });
 
 /** Begins a call that is not a peer's; resolves to the status of its refusal. */
 const beginCall = (port: number, headers: string, sentBytes: number) => {
-  const socket = connect(port, HOST);
+  const socket = connect(port, LOOPBACK);
   socket.on('error', () => undefined);
   closers.push(async () => {
     socket.destroy();
@@ -132,7 +134,7 @@
       budget,
     );
     server.handle('echo', params => Promise.resolve(params));
-    const port = await server.listen(HOST, 0);
+    const port = await server.listen(LOOPBACK, 0);
     closers.push(() => server.close());
     const calls: Array<Promise<string>> = [];
     const sentBytes = 512 * 1024;
@@ -144,7 +146,7 @@
         .toBeGreaterThan(calls.length * sentBytes);
     }
     expect(budget.heldBytes).toBeLessThan(1024 * 1024);
-    expect(await echo({host: HOST, port}, [NEW_SECRET])).toEqual({n: 1});
+    expect(await echo({host: LOOPBACK, port}, [NEW_SECRET])).toEqual({n: 1});
     const refused = await Promise.all(calls.slice(0, -1));
     expect(new Set(refused)).toEqual(new Set(['503']));
   });
--- a/test/platform.test.ts
+++ b/test/platform.test.ts
@@ -106,7 +106,7 @@
 });
 
 test('an entry is decoded only if every field is valid', () => {
-  const valid = wireEntry('plain', 9_000);
+  const valid = {...wireEntry('plain', 9_000), address: '127.0.0.1:9000'};
   const encode = (value: unknown) => Buffer.from(JSON.stringify(value));
   expect(decodeEntry('i-1', encode(valid))).toMatchInlineSnapshot(`
     {
--- a/test/processcheck.test.ts
+++ b/test/processcheck.test.ts
@@ -6,10 +6,10 @@
 import type {ResponseHead} from '../src/forward/index.js';
 import {EntryState} from '../src/registry/index.js';
 import {SystemTimer} from '../src/timer/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {openAnswers} from './support/answers.js';
 import {RawUpstream, type RawRequest} from './support/gateway.js';
 
-const HOST = '127.0.0.1';
 const STARTED_AT = 1_700_000_000_000;
 const timer = new SystemTimer();
 const answers = openAnswers();
@@ -25,7 +25,7 @@
   const entry = {
     id: 'i-1',
     service: 'engine',
-    host: HOST,
+    host: LOOPBACK,
     port: await upstream.listen(),
     zone: 'zone-a',
     softwareVersion: 'v1',
@@ -35,7 +35,7 @@
     startedAt: STARTED_AT,
     sequence: 1,
   };
-  const endpoint = new Endpoint(entry, HOST);
+  const endpoint = new Endpoint(entry, LOOPBACK);
   const connection = endpoint.connections.acquire();
   const {signal} = new AbortController();
   const heads: ResponseHead[] = [];
--- a/test/processend.test.ts
+++ b/test/processend.test.ts
@@ -17,6 +17,7 @@
 import {SoakHistory} from '../bench/soak/history.js';
 import {encodeEntry, Registration} from '../bench/soak/registration.js';
 import {FaultProxy, startKeyedStore} from '../stand-ins/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {CALLERS} from './support/callers.js';
 
 /** How an upstream marks the end of its answer. */
@@ -80,11 +81,11 @@
     response.on('close', () => clearInterval(writing));
   });
   servers.push(server);
-  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  await new Promise<void>(done => server.listen(0, LOOPBACK, done));
   const {port} = server.address() as AddressInfo;
   const entry = encodeEntry({
     service,
-    address: `127.0.0.1:${port}`,
+    address: `${LOOPBACK}:${port}`,
     version: 'v1',
     state: Registration.Ready,
     seq: 1,
@@ -95,7 +96,7 @@
 
 beforeAll(async () => {
   execFileSync(process.execPath, [join('scripts', 'bundle.mjs')]);
-  store = await startKeyedStore();
+  store = await startKeyedStore(0, {}, LOOPBACK);
   const keys = new Map([[KEY, WORKSPACES[0]]]);
   const configuration = encodeConfiguration({version: 1, keys});
   gateway = await GatewayProcess.open(0, store.port, folder, new SoakHistory());
--- a/test/ratelimit.test.ts
+++ b/test/ratelimit.test.ts
@@ -13,6 +13,7 @@
 import {RateLimit} from '../src/forward/ratelimit.js';
 import {ManualTimer, SystemTimer} from '../src/timer/index.js';
 import {pino} from 'pino';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {RawUpstream, wireEntry} from './support/gateway.js';
 
 const upstreams: RawUpstream[] = [];
@@ -23,7 +24,7 @@
 
 function endpointsWith(...ids: string[]) {
   const timer = new ManualTimer();
-  const endpoints = new Endpoints('127.0.0.1');
+  const endpoints = new Endpoints(LOOPBACK);
   const entries = ids.map(id => {
     const value = Buffer.from(JSON.stringify(wireEntry('plain', 1)));
     const entry = decodeEntry(id, value);
@@ -125,7 +126,7 @@
     Buffer.from(JSON.stringify(wireEntry('plain', port))),
   );
   if (entry === undefined || 'reason' in entry) throw new TypeError();
-  const endpoint = new Endpoint(entry, '127.0.0.1');
+  const endpoint = new Endpoint(entry, LOOPBACK);
   const timer = new SystemTimer();
   const observer = {observe: () => false} as unknown as ResponseObserver;
   const prober = new LivenessProber(timer, protocol, observer);
--- a/test/relayedprocessend.test.ts
+++ b/test/relayedprocessend.test.ts
@@ -17,6 +17,7 @@
 import {SoakHistory} from '../bench/soak/history.js';
 import {encodeEntry, Registration} from '../bench/soak/registration.js';
 import {startKeyedStore} from '../stand-ins/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {CALLERS, type Received} from './support/callers.js';
 
 /** How an upstream marks the end of its answer. */
@@ -96,11 +97,11 @@
     if (socket.remoteAddress === gateway.host) socket.resetAndDestroy();
   });
   servers.push(server);
-  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  await new Promise<void>(done => server.listen(0, LOOPBACK, done));
   const {port} = server.address() as AddressInfo;
   const entry = encodeEntry({
     service,
-    address: `127.0.0.1:${port}`,
+    address: `${LOOPBACK}:${port}`,
     version: 'v1',
     state: Registration.Ready,
     seq: 1,
@@ -111,7 +112,7 @@
 
 beforeAll(async () => {
   execFileSync(process.execPath, [join('scripts', 'bundle.mjs')]);
-  store = await startKeyedStore();
+  store = await startKeyedStore(0, {}, LOOPBACK);
   const keys = new Map([[KEY, WORKSPACES[0]]]);
   const configuration = encodeConfiguration({version: 1, keys});
   const history = new SoakHistory();
--- a/test/requestbounds.test.ts
+++ b/test/requestbounds.test.ts
@@ -2,6 +2,7 @@
 import {Agent, request} from 'node:http';
 import {connect} from 'node:net';
 import {afterEach, describe, expect, test} from 'vitest';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {RawUpstream, startTestGateway, successHead} from './support/gateway.js';
 
 const LIMIT_BYTES = 1_000_000;
@@ -39,6 +40,7 @@
     const length = {'content-length': String(announcedBytes)};
     const message = request(
       {
+        host: LOOPBACK,
         port,
         agent,
         path: '/order/a',
@@ -74,7 +76,7 @@
 
   test('in chunks of one byte is served', async () => {
     const {port} = await open();
-    const caller = connect(port, '127.0.0.1');
+    const caller = connect(port, LOOPBACK);
     closers.push(() => caller.destroy());
     caller.write(
       'POST /order/a HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r1\r\n' +
@@ -110,7 +112,7 @@
     'Authorization: Bearer key-one\r\n\r\n';
 
   function sendAhead(port: number, count: number) {
-    const caller = connect(port, '127.0.0.1');
+    const caller = connect(port, LOOPBACK);
     let answers = '';
     caller.on('error', () => undefined);
     caller.on('data', chunk => (answers += chunk.toString()));
@@ -149,7 +151,7 @@
   /** The first line that a caller receives; undefined if there is none. */
   async function answerTo(head: string): Promise<string | undefined> {
     const {port} = await open();
-    const caller = connect(port, '127.0.0.1');
+    const caller = connect(port, LOOPBACK);
     caller.on('error', () => undefined);
     closers.push(() => caller.destroy());
     caller.write(`${head}\r\n\r\n`);
--- a/test/response-boundary.test.ts
+++ b/test/response-boundary.test.ts
@@ -2,6 +2,7 @@
 import {request} from 'node:http';
 import type {Socket} from 'node:net';
 import {afterAll, beforeAll, expect, test} from 'vitest';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {
   call,
   startTestGateway,
@@ -160,7 +161,7 @@
     let answered = false;
     const message = request(
       {
-        host: '127.0.0.1',
+        host: LOOPBACK,
         port,
         method: 'POST',
         agent: false,
--- a/test/restoredstore.test.ts
+++ b/test/restoredstore.test.ts
@@ -8,6 +8,7 @@
   startKeyedStore,
   type KeyedStoreStandIn,
 } from '../stand-ins/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {
   addressesIn,
   call,
@@ -23,7 +24,6 @@
 /** Drills that run at the same time. */
 const CONCURRENCY = 6;
 
-const HOST = '127.0.0.1';
 const INSTANCES = 3;
 const HEARTBEAT_MS = 300;
 const PROBE_PERIOD_MS = 50;
@@ -107,7 +107,7 @@
   const random = new Random(seed);
   // The first numbers of neighbouring seeds are alike.
   for (let n = 0; n < 20; n++) random.next();
-  const store = await startKeyedStore();
+  const store = await startKeyedStore(0, {}, LOOPBACK);
   const upstreams = [1, 2].map(
     () =>
       new RawUpstream(({id, socket}) => {
@@ -121,7 +121,11 @@
   const heartbeat = setInterval(() => writers.beat(), HEARTBEAT_MS);
   const started = await Promise.all(
     Array.from({length: INSTANCES}, (_, index) => {
-      const feed = new HttpFeed(`${HOST}:${store.port}`, HOST, FEED_TIMEOUTS);
+      const feed = new HttpFeed(
+        `${LOOPBACK}:${store.port}`,
+        LOOPBACK,
+        FEED_TIMEOUTS,
+      );
       return startGatewayOn(feed, 300, `entry-${index}`);
     }),
   );
--- a/test/slowcaller.test.ts
+++ b/test/slowcaller.test.ts
@@ -2,6 +2,7 @@
 import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {afterEach, expect, test} from 'vitest';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {
   startTestGateway,
   RawUpstream,
@@ -30,7 +31,7 @@
     300,
   );
   gateways.push(started);
-  const caller = connect(started.gateway.port, '127.0.0.1');
+  const caller = connect(started.gateway.port, LOOPBACK);
   caller.on('error', () => undefined);
   await once(caller, 'connect');
   caller.pause();
--- a/test/slowreaders.test.ts
+++ b/test/slowreaders.test.ts
@@ -5,8 +5,8 @@
 import {afterEach, describe, expect, test} from 'vitest';
 import {relayEvents, StreamProgress} from '../src/request/relay.js';
 import {Upstream} from '../src/upstream/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 
-const HOST = '127.0.0.1';
 const EVENTS = 40;
 const HEAD =
   'HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/event-stream\r\n\r\n';
@@ -31,15 +31,15 @@
       setTimeout(() => end(socket), END_MS);
     });
   });
-  server.listen(0, HOST);
+  server.listen(0, LOOPBACK);
   await once(server, 'listening');
   const {port} = server.address() as AddressInfo;
   const upstream = new Upstream(
     'i-1',
     'zone-a',
-    `http://${HOST}:${port}`,
+    `http://${LOOPBACK}:${port}`,
     {} as ConstructorParameters<typeof Upstream>[3],
-    HOST,
+    LOOPBACK,
   );
   const {body} = await upstream.connections.request({method: 'GET', path: '/'});
   let delivered = 0;
--- a/test/smallparts.test.ts
+++ b/test/smallparts.test.ts
@@ -1,4 +1,5 @@
 import {afterEach, describe, expect, test} from 'vitest';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {BoundedInstance} from './support/boundedinstance.js';
 import {
   CHUNKED,
@@ -84,7 +85,7 @@
         ids.map(id => openUpstream('engine', id, flood(answer))),
       ),
     );
-    const at = {host: '127.0.0.1', port: instance.port};
+    const at = {host: LOOPBACK, port: instance.port};
     const [ends, ordinary] = await Promise.all([
       sendSeries({...at, ...SERIES}),
       sendSeries({...at, ...ORDINARY}),
--- a/test/storefeed.test.ts
+++ b/test/storefeed.test.ts
@@ -13,8 +13,8 @@
   startKeyedStore,
   type KeyedStoreStandIn,
 } from '../stand-ins/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 
-const HOST = '127.0.0.1';
 const OTHER_HOST = '127.0.0.2';
 const TIMEOUTS = {connectMs: 300, responseMs: 300};
 
@@ -22,8 +22,8 @@
 let feed: HttpFeed;
 
 beforeEach(async () => {
-  store = await startKeyedStore();
-  feed = new HttpFeed(`${HOST}:${store.port}`, HOST, TIMEOUTS);
+  store = await startKeyedStore(0, {}, LOOPBACK);
+  feed = new HttpFeed(`${LOOPBACK}:${store.port}`, LOOPBACK, TIMEOUTS);
 });
 afterEach(() => store.close());
 
@@ -158,7 +158,7 @@
 
 test('the store may be away for all or for one of its callers', async () => {
   publish('config', 'one');
-  const other = new HttpFeed(`${HOST}:${store.port}`, OTHER_HOST, TIMEOUTS);
+  const other = new HttpFeed(`${LOOPBACK}:${store.port}`, OTHER_HOST, TIMEOUTS);
   const read = (reader: HttpFeed) => reader.read(Topic.Configuration, 0, 0);
   store.change({callers: {[OTHER_HOST]: Availability.Resets}});
   expect([await read(feed), await read(other)]).toMatchObject([
@@ -200,7 +200,7 @@
   });
 
   async listen(): Promise<number> {
-    await new Promise<void>(done => this.server.listen(0, HOST, done));
+    await new Promise<void>(done => this.server.listen(0, LOOPBACK, done));
     return (this.server.address() as AddressInfo).port;
   }
 
@@ -230,7 +230,7 @@
       epochs: new StoreEpoch(logger, timer),
       rankOf: () => 0,
       learned: () => undefined,
-      feed: new HttpFeed(`${HOST}:${port}`, HOST, TIMEOUTS),
+      feed: new HttpFeed(`${LOOPBACK}:${port}`, LOOPBACK, TIMEOUTS),
       topic: Topic.Configuration,
       timer,
       logger,
@@ -267,7 +267,7 @@
   const proxy = new UnframedStore();
   const port = await proxy.listen();
   proxy.cutAt = PAGE_HEADER_BYTES + RECORD_BYTES;
-  const cutFeed = new HttpFeed(`${HOST}:${port}`, HOST, TIMEOUTS);
+  const cutFeed = new HttpFeed(`${LOOPBACK}:${port}`, LOOPBACK, TIMEOUTS);
   const page = (await cutFeed.read(Topic.Configuration, 0, 0))._unsafeUnwrap();
   expect(page).toMatchObject({records: [{key: 'late-0'}], end: 3});
   proxy.close();
--- a/test/support/boundedinstance.ts
+++ b/test/support/boundedinstance.ts
@@ -10,6 +10,7 @@
   startKeyedStore,
   type KeyedStoreStandIn,
 } from '../../stand-ins/index.js';
+import {LOOPBACK} from '../../stand-ins/loopback.js';
 import {call, wireConfiguration, wireEntry} from './gateway.js';
 import {sleep} from './silentupstream.js';
 
@@ -64,7 +65,7 @@
     others: readonly UpstreamAt[] = [],
   ): Promise<BoundedInstance> {
     const folder = mkdtempSync(join(tmpdir(), 'gypsumcourse-'));
-    const store = await startKeyedStore(0);
+    const store = await startKeyedStore(0, {}, LOOPBACK);
     // It keeps nothing of what it receives.
     const upstream = createServer((message, response) => {
       message.resume().once('end', () => {
@@ -73,7 +74,7 @@
         response.writeHead(200, headers).end('ok');
       });
     });
-    const port = await listen(upstream, {host: '127.0.0.1', port: 0});
+    const port = await listen(upstream, {host: LOOPBACK, port: 0});
     const configuration = wireConfiguration(1, ROUTE_TIMEOUT_MS);
     const limits = {...configuration.limits, maxBodyBytes: BODY_LIMIT_BYTES};
     const records = [
--- a/test/support/gateway.ts
+++ b/test/support/gateway.ts
@@ -17,8 +17,8 @@
 } from '../../src/registry/index.js';
 import type {Timer} from '../../src/timer/index.js';
 import {startGateway, type Gateway} from '../../src/wiring/gateway.js';
+import {LOOPBACK} from '../../stand-ins/loopback.js';
 
-const HOST = '127.0.0.1';
 const EXPECTED_INSTANCE = /x-expect-instance: (\S+)/i;
 const REQUEST_ID = /x-request-id: (\S+)/i;
 
@@ -134,7 +134,7 @@
   }
 
   async listen(): Promise<number> {
-    await new Promise<void>(resolve => this.server.listen(0, HOST, resolve));
+    await new Promise<void>(done => this.server.listen(0, LOOPBACK, done));
     return (this.server.address() as AddressInfo).port;
   }
 
@@ -208,7 +208,7 @@
   return new Promise(resolve => {
     const message = request(
       {
-        host: HOST,
+        host: LOOPBACK,
         port,
         path,
         method: options.method ?? 'GET',
@@ -303,7 +303,7 @@
 ) {
   return {
     service,
-    address: `${HOST}:${port}`,
+    address: `${LOOPBACK}:${port}`,
     zone: 'zone-a',
     version,
     slots: 4,
@@ -351,7 +351,7 @@
   instance = 'entry-1',
   retryRatio = 0.2,
   {
-    host = HOST,
+    host = LOOPBACK,
     zone = 'zone-a',
     isFirstStart = false,
     timer,
@@ -373,9 +373,9 @@
       host,
       zone,
       regions: {'zone-a': 'region-a', 'zone-b': 'region-a'},
-      callerAddress: {host: HOST, port: 0},
+      callerAddress: {host: LOOPBACK, port: 0},
       linkBytesPerSecond: 125_000_000,
-      readinessAddress: {host: HOST, port: 0},
+      readinessAddress: {host: LOOPBACK, port: 0},
       gossipPort: 0,
       isFirstStart,
       graceMs,
--- a/test/support/instances.ts
+++ b/test/support/instances.ts
@@ -11,6 +11,11 @@
 import {Level, openStderrLogger} from '../../src/telemetry/index.js';
 import {SystemTimer} from '../../src/timer/index.js';
 import {FaultProxy} from '../../stand-ins/index.js';
+import {loopbackAddress} from '../../stand-ins/loopback.js';
+
+/** Added to the index of an instance for the last number of an address. */
+const HOSTS = 20;
+const PROXIES = 40;
 
 export const SECRET = 'a-secret-of-sixteen-letters';
 
@@ -27,8 +32,7 @@
 }
 
 /**
- * Starts an instance on its own loopback address. Its name, address and proxy
- * address end in `index`.
+ * Starts an instance on its own loopback address. Its name ends in `index`.
  */
 export async function startInstance(
   index: number,
@@ -37,14 +41,15 @@
 ): Promise<TestInstance> {
   const timer = new SystemTimer();
   const logger = openStderrLogger(Level.Silent);
-  const host = `127.0.3.${index}`;
+  const host = loopbackAddress(HOSTS + index);
   const name = `router-${index}`;
   const credential = new Credential(options.secrets ?? [SECRET]);
   const server = new PeerServer(credential);
   const client = new PeerClient(credential, host);
   const datagrams = new DatagramPort(credential, timer);
   const port = await openPeerPorts(server, datagrams, {host, peerPort: 0});
-  const proxy = options.proxy ?? (await FaultProxy.open(`127.0.4.${index}`));
+  const proxy =
+    options.proxy ?? (await FaultProxy.open(loopbackAddress(PROXIES + index)));
   proxy.setTarget(`${host}:${port}`);
   const membership = new GossipMembership(
     {
--- a/test/support/isolatedinstances.ts
+++ b/test/support/isolatedinstances.ts
@@ -7,6 +7,7 @@
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {Topic} from '../../src/registry/index.js';
+import {LOOPBACK, loopbackAddress} from '../../stand-ins/loopback.js';
 import {
   addressesIn,
   call,
@@ -17,7 +18,6 @@
 } from './gateway.js';
 import {sleep} from './silentupstream.js';
 
-const HOST = '127.0.0.1';
 const GRACE_MS = 1_000;
 const WORK_MS = 20;
 /** Time in which the gateways learn of each other, in ms. */
@@ -34,6 +34,9 @@
   NewOnes = 'newOnes',
 }
 
+/** Last number of the address of the first gateway. */
+const FIRST_ADDRESS = 61;
+
 /** An upstream that can be cut off from single instances, by their hosts. */
 export class SeverableUpstream {
   private readonly cuts = new Map<string, Cut>();
@@ -73,7 +76,7 @@
   }
 
   async listen(): Promise<number> {
-    await new Promise<void>(resolve => this.server.listen(0, HOST, resolve));
+    await new Promise<void>(done => this.server.listen(0, LOOPBACK, done));
     return (this.server.address() as AddressInfo).port;
   }
 
@@ -149,7 +152,7 @@
     }
     const feed = openTestFeed(entries);
     for (const [index, zone] of zones.entries()) {
-      const host = `127.0.5.${index + 1}`;
+      const host = loopbackAddress(FIRST_ADDRESS + index);
       const name = `entry-${index + 1}`;
       const place = {host, zone};
       const gateway = await startGatewayOn(feed, GRACE_MS, name, 0.2, place);
--- a/test/support/relayedfleet.ts
+++ b/test/support/relayedfleet.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {Topic} from '../../src/registry/index.js';
+import {loopbackAddress} from '../../stand-ins/loopback.js';
 import {
   addressesIn,
   call,
@@ -18,7 +19,10 @@
 /** Ids of requests that only show the first gateway its links. */
 export const WARM_UP = 'warm-up';
 
-const hostOf = (index: number) => `127.0.6.${index + 1}`;
+/** Last number of the address of the first gateway. */
+const FIRST_ADDRESS = 81;
+
+const hostOf = (index: number) => loopbackAddress(FIRST_ADDRESS + index);
 
 type FleetGateway = Omit<TestGateway, 'feed'>;
 
--- a/test/support/restartableserver.ts
+++ b/test/support/restartableserver.ts
@@ -1,7 +1,7 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import type {AddressInfo} from 'node:net';
+import {LOOPBACK} from '../../stand-ins/loopback.js';
 
-const HOST = '127.0.0.1';
 const REBIND_MS = 20;
 
 /** A server whose processes follow each other at the same port. */
@@ -30,7 +30,7 @@
       const server = createServer(socket => this.accept(socket));
       const isBound = await new Promise<boolean>(resolve => {
         server.once('error', () => resolve(false));
-        server.listen(this.port, HOST, () => resolve(true));
+        server.listen(this.port, LOOPBACK, () => resolve(true));
       });
       if (isBound) {
         this.server = server;
--- a/test/support/versionedprocesses.ts
+++ b/test/support/versionedprocesses.ts
@@ -10,6 +10,7 @@
   startKeyedStore,
   type KeyedStoreStandIn,
 } from '../../stand-ins/index.js';
+import {LOOPBACK} from '../../stand-ins/loopback.js';
 import {LogEvent} from '../../src/telemetry/index.js';
 import {sleep} from './silentupstream.js';
 import {
@@ -57,7 +58,7 @@
     size: number,
     {isReadOnly = false} = {},
   ): Promise<VersionedProcesses> {
-    const store = await startKeyedStore(0, {isReadOnly});
+    const store = await startKeyedStore(0, {isReadOnly}, LOOPBACK);
     const fleet = new VersionedProcesses(store);
     await fleet.engines.addEngines(versions);
     const history = new SoakHistory();
--- a/test/tinychunks.test.ts
+++ b/test/tinychunks.test.ts
@@ -2,9 +2,9 @@
 import {afterEach, expect, test} from 'vitest';
 import {Credential, PeerServer} from '../src/instance/index.js';
 import {MAC_HEADER, MAC_LENGTH} from '../src/instance/credential.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {MemorySampler} from './support/flood.js';
 
-const HOST = '127.0.0.1';
 const BODY_BYTES = 1024 * 1024;
 /** Most memory that the body may take, in bytes. */
 const GROWTH_BYTES = 48 * 1024 * 1024;
@@ -34,9 +34,9 @@
 // Guards against bodies whose chunks take far more memory than their bytes.
 test('the call of a peer in chunks of one byte takes little memory', async () => {
   server = new PeerServer(new Credential(['a-shared-secret']));
-  const port = await server.listen(HOST, 0);
+  const port = await server.listen(LOOPBACK, 0);
   const memory = new MemorySampler();
-  caller = connect(port, HOST);
+  caller = connect(port, LOOPBACK);
   await send(caller);
   const sentBytes = BODY_BYTES * CHUNK.length;
   await expect
--- a/test/tunnel.test.ts
+++ b/test/tunnel.test.ts
@@ -13,8 +13,8 @@
 import {PeerTunnels} from '../src/instance/peertunnel.js';
 import {joinSockets, type TunnelReply} from '../src/relay/index.js';
 import {SystemTimer} from '../src/timer/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 
-const HOST = '127.0.0.1';
 const SECRET = 'a-secret-of-sixteen-letters';
 
 const fixture = (name: string) =>
@@ -44,7 +44,7 @@
     socket.on('error', () => undefined);
     accepted.push(socket);
   });
-  upstream.listen(0, HOST);
+  upstream.listen(0, LOOPBACK);
   await once(upstream, 'listening');
   upstreamPort = (upstream.address() as AddressInfo).port;
   tls = undefined;
@@ -66,12 +66,17 @@
     await once(socket, 'connect');
     return {type: 'opened', socket};
   }, new SystemTimer());
-  peer = {host: HOST, port: await server.listen(HOST, 0)};
+  peer = {host: LOOPBACK, port: await server.listen(LOOPBACK, 0)};
 }
 
 function open(secret = SECRET, signal = new AbortController().signal) {
-  const tunnels = new PeerTunnels(new Credential([secret]), HOST, tls);
-  const address = {id: 'i-1', service: 'plain', host: HOST, port: upstreamPort};
+  const tunnels = new PeerTunnels(new Credential([secret]), LOOPBACK, tls);
+  const address = {
+    id: 'i-1',
+    service: 'plain',
+    host: LOOPBACK,
+    port: upstreamPort,
+  };
   return tunnels.open(peer, address, signal);
 }
 
@@ -240,12 +245,12 @@
   await server.close();
   await closed;
   server = new PeerServer(new Credential([SECRET]));
-  await server.listen(HOST, 0);
+  await server.listen(LOOPBACK, 0);
 });
 
 test('a peer that serves no tunnels, as earlier builds, is told from others', async () => {
   const earlier = new PeerServer(new Credential([SECRET]));
-  peer = {host: HOST, port: await earlier.listen(HOST, 0)};
+  peer = {host: LOOPBACK, port: await earlier.listen(LOOPBACK, 0)};
   expect((await open()).isErr()).toBe(true);
   await earlier.close();
 });
--- a/test/unconfigured-body.test.ts
+++ b/test/unconfigured-body.test.ts
@@ -3,6 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {afterEach, expect, test} from 'vitest';
 import {Topic} from '../src/registry/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {
   MemoryFeed,
   startGatewayOn,
@@ -28,7 +29,7 @@
   feed.add(Topic.Configuration, 'config', wireConfiguration(1));
   const {port} = started.gateway;
   const answer = await new Promise<string>(resolve => {
-    const socket = connect(port, '127.0.0.1');
+    const socket = connect(port, LOOPBACK);
     subscribe(REQUEST_START, configure);
     socket.once('data', bytes => {
       socket.destroy();
--- a/test/unframed-relayed.test.ts
+++ b/test/unframed-relayed.test.ts
@@ -188,5 +188,5 @@
     others.push(...answers.filter(answer => !isWhole(answer)));
   }
   expect(others).toEqual([]);
-  expect([...peers].sort()).toEqual(['127.0.6.2', '127.0.6.3']);
+  expect([...peers].sort()).toEqual(fleet?.peers.sort());
 });
--- a/test/upstream-notices.test.ts
+++ b/test/upstream-notices.test.ts
@@ -8,6 +8,7 @@
 import {EntryState, Topic, type RegistryEntry} from '../src/registry/index.js';
 import {LogEvent} from '../src/telemetry/index.js';
 import {SystemTimer} from '../src/timer/index.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {openAnswers} from './support/answers.js';
 import {
   call,
@@ -22,7 +23,6 @@
 
 /** Longer than the drain time of the test gateway. */
 const PAST_DRAIN_MS = 400;
-const host = '127.0.0.1';
 const LEAVING = 'Server-Leaving: 1\r\n';
 
 const upstreams: RawUpstream[] = [];
@@ -267,7 +267,10 @@
 
 test('a request whose connection opens after the pause began is not sent', async () => {
   const busy = await openUpstream('plain', 'i-1', answerWith());
-  const endpoint = new Endpoint({...entry(), host, port: busy.port}, host);
+  const endpoint = new Endpoint(
+    {...entry(), host: LOOPBACK, port: busy.port},
+    LOOPBACK,
+  );
   const timer = new SystemTimer();
   const running = runAttempt({
     endpoint,
--- a/test/wiring.test.ts
+++ b/test/wiring.test.ts
@@ -8,6 +8,7 @@
 import {ManualTimer} from '../src/timer/index.js';
 import {DrainSchedule} from '../src/wiring/drainschedule.js';
 import {watchStalls} from '../src/wiring/stall.js';
+import {LOOPBACK} from '../stand-ins/loopback.js';
 import {MemoryFeed} from './support/gateway.js';
 
 const silent = pino({level: 'silent'});
@@ -52,16 +53,16 @@
 
 test('an instance announces itself once its gossip port is free', async () => {
   const holder = createSocket('udp4');
-  await new Promise<void>(resolve => holder.bind(0, '127.0.0.1', resolve));
+  await new Promise<void>(resolve => holder.bind(0, LOOPBACK, resolve));
   const {port} = holder.address();
   const timer = new ManualTimer();
   const datagrams = new DatagramPort(new Credential([]), timer);
   const feed = new MemoryFeed();
   void announce({
     name: 'entry-1',
-    address: {host: '127.0.0.1', zone: 'zone-a'},
+    address: {host: LOOPBACK, zone: 'zone-a'},
     openPort: async () =>
-      (await datagrams.bind('127.0.0.1', port)) ? port : undefined,
+      (await datagrams.bind(LOOPBACK, port)) ? port : undefined,
     feed,
     epochs: new StoreEpoch(silent, timer),
     timer,
