Stop the search for another upstream for a request that is withheld

A request that had to be sent again and whose prompt was held, or rationed, while upstreams were asked for it, went on asking those that answered until its deadline, as none may take it: 1,632 probes in 2 s in a trial of the review, and the caller got a time-out in place of the refusal. A late repeat leaves the search now and is refused or waits for its turn; the successor of an attempt at a silent upstream isn't sought.

Found by review; the loop is older for held parts. No test of its own: the trial used a stand-in of the queue.

--- a/src/forward/attemptrunner.ts
+++ b/src/forward/attemptrunner.ts
@@ -6,11 +6,12 @@
 import {recordOverdue, recordSilence} from './attempthealth.js';
 import type {ForwardDependencies} from './dependencies.js';
 import type {HoldCheck} from './holdcheck.js';
-import type {
-  Placement,
-  PlacementRequest,
-  PlacementResult,
-  QueueResult,
+import {
+  withheldFor,
+  type Placement,
+  type PlacementRequest,
+  type PlacementResult,
+  type QueueResult,
 } from './placementrequest.js';
 import {RationedPlacement} from './rationedplacement.js';
 import {placementRequestOf, type RequestContext} from './requestcontext.js';
@@ -37,6 +38,8 @@
   Budget = 'budget',
   /** No healthy upstream takes it now. */
   NoUpstream = 'no_upstream',
+  /** A part of its prompt keeps it from others. */
+  Withheld = 'withheld',
   /** Of those that would take it, none was heard during the silence. */
   Unheard = 'unheard',
 }
@@ -311,6 +314,7 @@
     const {retryBudget} = this.context.service;
     const now = this.dependencies.timer.now();
     if (retryBudget.remaining(now) < 1) return KeepCause.Budget;
+    if (withheldFor(request) !== undefined) return KeepCause.Withheld;
     const placement = successors.place(request, silentMs);
     if (placement !== undefined) {
       retryBudget.take(now);
--- a/src/forward/successors.ts
+++ b/src/forward/successors.ts
@@ -1,7 +1,11 @@
 import {Path} from '../relay/index.js';
 import type {ForwardDependencies} from './dependencies.js';
 import type {Endpoint} from './endpoint.js';
-import type {Placement, PlacementRequest} from './placementrequest.js';
+import {
+  withheldFor,
+  type Placement,
+  type PlacementRequest,
+} from './placementrequest.js';
 import type {WaitQueue} from './waitqueue.js';
 
 /** Longest time since an upstream was heard that reads what is sent, in ms. */
@@ -62,7 +66,7 @@
     if (!this.isPreferredHeard(request, sinceFirstMs)) {
       await this.askAndWait(request);
     }
-    while (!request.signal.aborted) {
+    while (!request.signal.aborted && withheldFor(request) === undefined) {
       const placement = this.place(request, sinceFirstMs);
       if (placement !== undefined) return placement;
       if (!(await this.askAndWait(request))) return undefined;
