--- a/review/lib-2/gateway.mjs
+++ b/review/lib-2/gateway.mjs
@@ -158,6 +158,20 @@
     this.child.kill(signal);
   }
 
+  /** Sends SIGTERM, and SIGKILL after the grace time; resolves at the end. */
+  async terminate() {
+    this.isEnding = true;
+    const {child} = this;
+    const ended = new Promise(resolve => child.once('exit', resolve));
+    child.kill('SIGTERM');
+    const timeout = setTimeout(
+      () => child.kill('SIGKILL'),
+      BOUNDS.graceS * 1_000,
+    );
+    await ended;
+    clearTimeout(timeout);
+  }
+
   /** Kills its process. */
   async kill() {
     this.isEnding = true;
