Review case 8: a store that moves is never followed

Cause: a reload of the settings doesn't reach the client of the store, which keeps the address of the start.

--- a/review/lib-2/gateway.mjs
+++ b/review/lib-2/gateway.mjs
@@ -3,7 +3,13 @@
  * file as the platform writes it, on a loopback address of its own.
  */
 import {spawn} from 'node:child_process';
-import {closeSync, existsSync, openSync, writeFileSync} from 'node:fs';
+import {
+  closeSync,
+  existsSync,
+  openSync,
+  renameSync,
+  writeFileSync,
+} from 'node:fs';
 import net from 'node:net';
 import {join} from 'node:path';
 
@@ -80,11 +86,13 @@
     this.logFile = join(folder, `${this.name}.log`);
   }
 
-  async start() {
-    const {host, folder, name, zone, zones} = this;
-    this.frontPort ??= await freePort(host);
-    this.readyPort ??= await freePort(host);
-    const settingsFile = join(folder, `${name}.json`);
+  get settingsFile() {
+    return join(this.folder, `${this.name}.json`);
+  }
+
+  /** Writes its settings, as the platform does at a start and when they change. */
+  writeSettings() {
+    const {host, name, zone, zones} = this;
     const settings = {
       nodeName: name,
       role: 'gateway',
@@ -122,13 +130,22 @@
         callBytes: 2_097_152,
       },
     };
-    writeFileSync(settingsFile, JSON.stringify(settings));
+    // The platform replaces the file as a whole.
+    writeFileSync(`${this.settingsFile}.new`, JSON.stringify(settings));
+    renameSync(`${this.settingsFile}.new`, this.settingsFile);
+  }
+
+  async start() {
+    const {host} = this;
+    this.frontPort ??= await freePort(host);
+    this.readyPort ??= await freePort(host);
+    this.writeSettings();
     const log = openSync(this.logFile, 'a');
     // The command of deploy/system.toml.
     const child = spawn('node', ['--max-old-space-size=200', PROGRAM], {
       cwd: ROOT,
       stdio: ['ignore', log, log],
-      env: {PATH: process.env.PATH, GYPSUMCOURSE_BOOT: settingsFile},
+      env: {PATH: process.env.PATH, GYPSUMCOURSE_BOOT: this.settingsFile},
     });
     closeSync(log);
     children.add(child);
--- a/review/lib-2/run.mjs
+++ b/review/lib-2/run.mjs
@@ -82,9 +82,11 @@
 
 export const HOST = 'review.example';
 export const KEY = 'key-of-the-review';
+/** A key of the same tenant, which a later configuration may drop. */
+export const OTHER_KEY = 'other-key-of-the-review';
 
 /** A configuration of the operator with one key. */
-export function configuration(version, routes, services) {
+export function configuration(version, routes, services, apiKeys = [KEY]) {
   return {
     version,
     routes: routes.map(route => ({
@@ -109,6 +111,6 @@
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 15_000,
     },
-    tenants: [{name: 'tenant', apiKeys: [KEY]}],
+    tenants: [{name: 'tenant', apiKeys}],
   };
 }
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -38,18 +38,30 @@
 export class Store {
   #topics = new Map();
   #waiters = new Set();
-  #server = http.createServer((request, response) =>
-    this.#serve(request, response),
-  );
+  /** Servers by their addresses. */
+  #servers = new Map();
 
+  /** Serves at another address, which is returned. */
   async listen(host) {
-    await new Promise(resolve => this.#server.listen(0, host, resolve));
-    return `${host}:${this.#server.address().port}`;
+    const server = http.createServer((request, response) =>
+      this.#serve(request, response),
+    );
+    await new Promise(resolve => server.listen(0, host, resolve));
+    const address = `${host}:${server.address().port}`;
+    this.#servers.set(address, server);
+    return address;
+  }
+
+  /** No longer serves at an address. */
+  leave(address) {
+    const server = this.#servers.get(address);
+    this.#servers.delete(address);
+    server?.closeAllConnections();
+    server?.close();
   }
 
   close() {
-    this.#server.closeAllConnections();
-    this.#server.close();
+    for (const address of [...this.#servers.keys()]) this.leave(address);
   }
 
   /** Writes as the operator or a runner does; a value of undefined removes. */
