--- a/review/lib-2/runner.mjs
+++ b/review/lib-2/runner.mjs
@@ -176,7 +176,10 @@
         }
       });
       from.on('end', () => {
-        if (!pair.isSilent) to.end();
+        if (pair.isSilent) return;
+        // A reset that is read with the last bytes looks like an end, but for this.
+        if (from.remoteAddress === undefined) to.resetAndDestroy();
+        else to.end();
       });
       from.on('close', hadError => {
         if (pair.isSilent) return;
