--- a/review/lib-2/runner.mjs
+++ b/review/lib-2/runner.mjs
@@ -8,6 +8,8 @@
   sequence = 0;
   isUp = false;
   state = 'ready';
+  /** Version of its software. */
+  version = 'v1';
   /** Headers of all its answers. */
   marks = {};
 
@@ -43,7 +45,7 @@
       service: this.service,
       address: this.address,
       zone: this.zone,
-      version: 'v1',
+      version: this.version,
       slots: this.slots,
       state: this.state,
       coldRemainingMs: 0,
