Review case 8: a stream of an older build goes on at another version

Cause: an instance without a record of a stream takes it for one from before the second software version joined, although a peer of an older build tells nobody where its streams begin.

--- a/review/lib-2/gateway.mjs
+++ b/review/lib-2/gateway.mjs
@@ -15,6 +15,8 @@
 
 export const ROOT = join(import.meta.dirname, '..', '..');
 const PROGRAM = join('target', 'start.cjs');
+/** The command of deploy/system.toml. */
+const COMMAND = ['node', '--max-old-space-size=200', PROGRAM];
 const READY_LIMIT_MS = 20_000;
 
 /** Bounds of the small site, as its settings name them. */
@@ -73,16 +75,20 @@
 
 /** A process of the system. */
 export class Gateway {
+  /** Whether the whole system starts for the first time with it. */
+  isFirst = false;
   /** Exit statuses of processes that ended by themselves. */
   ownEnds = [];
 
-  constructor({index, folder, storeAddress, zone = 'rvk-a', zones}) {
+  constructor({index, folder, storeAddress, zone = 'rvk-a', zones, build}) {
     this.name = `front-${index}`;
     this.host = loopback(10 + index);
     this.folder = folder;
     this.storeAddress = storeAddress;
     this.zone = zone;
     this.zones = zones ?? {[zone]: 'reykjavik'};
+    /** Where its build lies, and what runs it; the present one by default. */
+    this.build = build ?? {cwd: ROOT, command: COMMAND};
     this.logFile = join(folder, `${this.name}.log`);
   }
 
@@ -108,7 +114,7 @@
       },
       internalPorts: [7340, 7355],
       seeds: [],
-      bootstrap: this.child === undefined,
+      bootstrap: this.isFirst,
       limits: {
         cpuShare: 0.675,
         cores: 1,
@@ -141,9 +147,10 @@
     this.readyPort ??= await freePort(host);
     this.writeSettings();
     const log = openSync(this.logFile, 'a');
-    // The command of deploy/system.toml.
-    const child = spawn('node', ['--max-old-space-size=200', PROGRAM], {
-      cwd: ROOT,
+    const {cwd, command} = this.build;
+    const [program, ...args] = command;
+    const child = spawn(program, args, {
+      cwd,
       stdio: ['ignore', log, log],
       env: {PATH: process.env.PATH, GYPSUMCOURSE_BOOT: this.settingsFile},
     });
