--- a/review/lib-2/streams.mjs
+++ b/review/lib-2/streams.mjs
@@ -6,7 +6,7 @@
 
 const EVENTS = 60;
 const PAUSE_MS = 100;
-const DEADLINE_MS = 12_000;
+export const DEADLINE_MS = 12_000;
 export const SERVICE = 'pool';
 const PROMPT = {
   'x-model': 'm',
@@ -34,6 +34,9 @@
 
 /** Writes streams whose events tell its software version. */
 export class Engine extends Runner {
+  /** Events of a whole stream. */
+  events = EVENTS;
+
   constructor(options, version) {
     super(options);
     this.version = version;
@@ -52,7 +55,7 @@
       if (response.destroyed || !this.isUp) return;
       event++;
       response.write(`id: ${event}\ndata: ${this.version}\n\n`);
-      if (event >= EVENTS) response.end();
+      if (event >= this.events) response.end();
       else setTimeout(write, PAUSE_MS);
     };
     setTimeout(write, PAUSE_MS);
@@ -60,7 +63,10 @@
 }
 
 /** One client attempt; resolves with its first events, at once if there are none. */
-export function openStream(gateway, {lastEvent, resumes, events}) {
+export function openStream(
+  gateway,
+  {lastEvent, resumes, events, deadlineMs = DEADLINE_MS},
+) {
   const id = newId();
   return new Promise(resolve => {
     const outcome = {id, events: [], versions: new Set()};
@@ -75,7 +81,7 @@
         host: HOST,
         'x-request-id': id,
         'x-prompt-prefix': `aa:200,${id}:60`,
-        'x-deadline-ms': String(DEADLINE_MS),
+        'x-deadline-ms': String(Math.round(deadlineMs)),
         authorization: `Bearer ${KEY}`,
         'content-length': '0',
         ...(lastEvent === undefined ? {} : {'last-event-id': lastEvent}),
