--- a/review/lib-2/gateway.mjs
+++ b/review/lib-2/gateway.mjs
@@ -65,6 +65,9 @@
   return port;
 }
 
+/** First port between the machines, the same on all of them. */
+const peerPort = await freePort(loopback(1));
+
 const children = new Set();
 process.on('exit', () => {
   for (const child of children) child.kill('SIGKILL');
@@ -112,7 +115,7 @@
         front: `${host}:${this.frontPort}`,
         ready: `${host}:${this.readyPort}`,
       },
-      internalPorts: [7340, 7355],
+      internalPorts: [peerPort, peerPort + 15],
       seeds: [],
       bootstrap: this.isFirst,
       limits: {
--- a/review/lib-2/run.mjs
+++ b/review/lib-2/run.mjs
@@ -52,6 +52,7 @@
 export async function run(caseFolder, play) {
   const record = new Record(caseFolder);
   const folder = mkdtempSync(join(tmpdir(), 'review-'));
+  process.on('exit', () => rmSync(folder, {recursive: true, force: true}));
   const cleanups = [];
   const timeout = setTimeout(() => {
     record.tell('could not run: it took too long');
@@ -76,7 +77,6 @@
   clearTimeout(timeout);
   record.write();
   await sleep(50);
-  rmSync(folder, {recursive: true, force: true});
   process.exit(status);
 }
 
--- a/review/lib-2/runner.mjs
+++ b/review/lib-2/runner.mjs
@@ -1,7 +1,9 @@
-/** A small stand-in for the runners of a service, and for the links to them. */
+/** A small stand-in for the runners of a service. */
 import http from 'node:http';
-import net from 'node:net';
-import {loopback} from './gateway.mjs';
+import {BOUNDS, loopback, sleep} from './gateway.mjs';
+
+/** Time for which a leaving runner serves beyond `drainMs`, in ms. */
+const LINGER_MS = 500;
 
 /** A sound runner that works on each request for a while. */
 export class Runner {
@@ -34,9 +36,18 @@
     this.beat();
   }
 
-  /** Where the system reaches it: its own address, or that of a link. */
   get address() {
-    return this.link ?? `${this.host}:${this.port}`;
+    return `${this.host}:${this.port}`;
+  }
+
+  /** Leaves as planned: says so, serves on for `drainMs` and a little longer. */
+  async drain() {
+    this.state = 'draining';
+    this.beat();
+    await sleep(BOUNDS.drainMs + LINGER_MS);
+    this.state = 'gone';
+    this.store.write('keyed.servers', this.id, undefined);
+    this.close();
   }
 
   beat() {
@@ -107,101 +118,3 @@
     this.server.close();
   }
 }
-
-/** How the link between callers and a runner treats some callers. */
-export const Cut = {Hang: 'hang', Reset: 'reset', Refuse: 'refuse'};
-
-/** A link in front of a runner, which can be cut for some callers. */
-export class Link {
-  #pairs = new Set();
-  #server = net.createServer({pauseOnConnect: true}, socket =>
-    this.#accept(socket),
-  );
-  /** Callers that are cut off. */
-  callers = new Set();
-  cut = undefined;
-
-  constructor(runner) {
-    this.runner = runner;
-  }
-
-  async open(host) {
-    await new Promise(resolve => this.#server.listen(0, host, resolve));
-    this.runner.link = `${host}:${this.#server.address().port}`;
-  }
-
-  /** Cuts callers off, by their addresses. */
-  apply(cut, callers) {
-    this.cut = cut;
-    this.callers = new Set(callers);
-    for (const pair of this.#pairs) {
-      if (!this.callers.has(pair.caller)) continue;
-      if (cut === Cut.Reset) {
-        pair.near.resetAndDestroy();
-        pair.far.resetAndDestroy();
-      } else if (cut === Cut.Hang) {
-        pair.isSilent = true;
-        pair.near.pause();
-        pair.far.pause();
-      }
-    }
-  }
-
-  /** Ends the cut; what hung stays silent for good. */
-  heal() {
-    this.callers.clear();
-  }
-
-  #accept(near) {
-    near.on('error', () => undefined);
-    const caller = near.remoteAddress;
-    if (this.callers.has(caller)) {
-      if (this.cut === Cut.Hang) return;
-      near.resetAndDestroy();
-      return;
-    }
-    const far = net.connect({
-      host: this.runner.host,
-      port: this.runner.port,
-      localAddress: caller,
-    });
-    far.on('error', () => undefined);
-    const pair = {caller, near, far, isSilent: false};
-    this.#pairs.add(pair);
-    const pass = (from, to) => {
-      from.on('data', chunk => {
-        if (!to.write(chunk)) {
-          from.pause();
-          to.once('drain', () => {
-            if (!pair.isSilent) from.resume();
-          });
-        }
-      });
-      from.on('end', () => {
-        if (pair.isSilent) return;
-        // A reset that is read with the last bytes looks like an end, but for this.
-        if (from.remoteAddress === undefined) to.resetAndDestroy();
-        else to.end();
-      });
-      from.on('close', hadError => {
-        if (pair.isSilent) return;
-        this.#pairs.delete(pair);
-        if (hadError) to.resetAndDestroy();
-        else to.destroy();
-      });
-    };
-    pass(near, far);
-    pass(far, near);
-    near.setNoDelay(true);
-    far.setNoDelay(true);
-    near.resume();
-  }
-
-  close() {
-    for (const {near, far} of this.#pairs) {
-      near.destroy();
-      far.destroy();
-    }
-    this.#server.close();
-  }
-}
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -4,6 +4,8 @@
  */
 import http from 'node:http';
 
+/** Header of all answers; it rises only when the store returns from a copy. */
+const ERA = {'store-era': '1'};
 const OFFSET_BYTES = 8;
 const LENGTH_BYTES = 4;
 const FOREIGN_TOPICS = new Set(['keyed.op', 'keyed.servers']);
@@ -121,13 +123,14 @@
         if (from >= records.length && waitMs > 0) {
           await this.#untilChange(waitMs, response);
         }
+        if (from > records.length) return json(response, 410, {first: 0});
         const head = Buffer.alloc(2 * OFFSET_BYTES);
         head.writeBigUInt64BE(BigInt(records.length), 0);
         const body = Buffer.concat([
           head,
           ...records.slice(from).map(encodeRecord),
         ]);
-        response.writeHead(200, {'content-length': body.length});
+        response.writeHead(200, {...ERA, 'content-length': body.length});
         response.end(body);
         return undefined;
       }
@@ -153,6 +156,7 @@
 function json(response, status, value) {
   const body = JSON.stringify(value);
   response.writeHead(status, {
+    ...ERA,
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(body),
   });
--- a/review/lib-2/streams.mjs
+++ b/review/lib-2/streams.mjs
@@ -6,13 +6,20 @@
 
 const EVENTS = 60;
 const PAUSE_MS = 100;
-export const DEADLINE_MS = 12_000;
+const DEADLINE_MS = 12_000;
 export const SERVICE = 'pool';
 const PROMPT = {
   'x-model': 'm',
   'x-token-counts': '260,200',
 };
 
+/** Shared parts of prompts, as many as a kind of request of the site has. */
+const SHARED_PARTS = 142;
+const sharedPart = () =>
+  Math.floor(Math.random() * SHARED_PARTS)
+    .toString(16)
+    .padStart(8, '5c1e07a2');
+
 /** The route and the service of the streams. */
 export const ROUTE = {
   name: 'ask',
@@ -62,14 +69,17 @@
   }
 }
 
-/** One client attempt; resolves with its first events, at once if there are none. */
-export function openStream(
-  gateway,
-  {lastEvent, resumes, events, deadlineMs = DEADLINE_MS},
-) {
+/**
+ * One client attempt, which may take up the stream of another one; resolves with
+ * its first events, at once if there are none. Then its connection is reset.
+ */
+export function openStream(gateway, {takesUp, events}) {
   const id = newId();
   return new Promise(resolve => {
-    const outcome = {id, events: [], versions: new Set()};
+    const sentAt = takesUp?.sentAt ?? performance.now();
+    const prompt = takesUp?.prompt ?? `${sharedPart()}:200,${id}:60`;
+    const leftMs = DEADLINE_MS - (performance.now() - sentAt);
+    const outcome = {id, sentAt, prompt, events: [], versions: new Set()};
     const request = http.request({
       host: gateway.host,
       port: gateway.frontPort,
@@ -80,12 +90,16 @@
         ...PROMPT,
         host: HOST,
         'x-request-id': id,
-        'x-prompt-prefix': `aa:200,${id}:60`,
-        'x-deadline-ms': String(Math.round(deadlineMs)),
+        'x-prompt-prefix': prompt,
+        'x-deadline-ms': String(Math.round(leftMs)),
         authorization: `Bearer ${KEY}`,
         'content-length': '0',
-        ...(lastEvent === undefined ? {} : {'last-event-id': lastEvent}),
-        ...(resumes === undefined ? {} : {resumes}),
+        ...(takesUp === undefined
+          ? {}
+          : {
+              'last-event-id': String(takesUp.events.at(-1)),
+              resumes: takesUp.id,
+            }),
       },
     });
     const finish = () => {
@@ -96,7 +110,6 @@
     request.on('error', () => resolve(outcome));
     request.on('response', response => {
       outcome.status = response.statusCode;
-      outcome.retryAfter = response.headers['retry-after'];
       response.setEncoding('utf8');
       response.on('data', text => {
         for (const [, event] of text.matchAll(/^id: (\d+)$/gm)) {
